--- /dev/null
+++ b/cli/src/command/check.rs
@@ -0,0 +1,69 @@
+//! `check`: reads the whole set and names every fault at once.
+
+use dogwoodturn::{declaration::check, ini::Fault};
+use eyre::Result;
+use gumdrop::Options;
+use serde_json::json;
+
+use crate::{files, output::Verdict};
+
+/// The arguments of `check`.
+#[derive(Debug, Options)]
+pub struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print JSON", no_short)]
+    json: bool,
+    #[options(free, help = "files or directories with declarations")]
+    paths: Vec<String>,
+}
+
+/// Runs `check`.
+pub fn run(args: &Args) -> Result<Verdict> {
+    let sources = files::read(&args.paths)?;
+    match check::check(&sources) {
+        Ok(checked) => {
+            let set = checked.set;
+            if args.json {
+                println!("{}", json!({ "faults": [] }));
+            } else {
+                println!(
+                    "ok: {} services, {} versions, {} routes, {} moves, {} customers",
+                    set.services.len(),
+                    set.versions.len(),
+                    set.routes.len(),
+                    set.moves.len(),
+                    set.customers.len()
+                );
+            }
+            Ok(Verdict::Good)
+        }
+        Err(faults) => {
+            print_faults(&faults, args.json);
+            Ok(Verdict::Bad)
+        }
+    }
+}
+
+/// Prints faults for people or as JSON.
+pub fn print_faults(faults: &[Fault], as_json: bool) {
+    if as_json {
+        let faults: Vec<_> = faults
+            .iter()
+            .map(|fault| {
+                json!({
+                    "file": fault.place.file,
+                    "line": fault.place.line,
+                    "reason": fault.reason,
+                    "hint": fault.hint,
+                })
+            })
+            .collect();
+        println!("{}", json!({ "faults": faults }));
+        return;
+    }
+    for fault in faults {
+        println!("{fault}");
+    }
+    println!("{} faults", faults.len());
+}
--- /dev/null
+++ b/cli/src/command/mod.rs
@@ -0,0 +1,6 @@
+//! The commands, one module each.
+
+pub mod check;
+pub mod demo;
+pub mod publish;
+pub mod status;
--- /dev/null
+++ b/cli/src/command/status.rs
@@ -0,0 +1,44 @@
+//! `status`: shows what a daemon says of itself.
+
+use eyre::{Result, WrapErr as _, bail, eyre};
+use gumdrop::Options;
+use serde_json::Value;
+
+use crate::output::Verdict;
+
+/// The arguments of `status`.
+#[derive(Debug, Options)]
+pub struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(required, help = "the base of the daemon's operators' URLs", no_short)]
+    daemon: String,
+    #[options(required, help = "the operators' token", no_short)]
+    token: String,
+    #[options(help = "print JSON", no_short)]
+    json: bool,
+}
+
+/// Runs `status`.
+pub fn run(args: &Args) -> Result<Verdict> {
+    let status = actix_rt::System::new().block_on(read(args))?;
+    if args.json {
+        println!("{status}");
+    } else if let Value::Object(members) = &status {
+        for (name, value) in members {
+            println!("{name}={value}");
+        }
+    }
+    Ok(if status["ready"] == Value::Bool(true) { Verdict::Good } else { Verdict::Bad })
+}
+
+async fn read(args: &Args) -> Result<Value> {
+    let url = format!("{}/status", args.daemon);
+    let req = awc::Client::default().get(&url).bearer_auth(&args.token);
+    let sent = req.send().await.map_err(|error| eyre!("{error}"));
+    let mut res = sent.wrap_err_with(|| format!("cannot read {url}"))?;
+    if !res.status().is_success() {
+        bail!("{url} answered {}; check the token", res.status());
+    }
+    res.json().await.map_err(|error| eyre!("{error}"))
+}
--- /dev/null
+++ b/cli/src/files.rs
@@ -0,0 +1,39 @@
+//! Finds and reads declaration files.
+
+use std::{fs, path::Path};
+
+use dogwoodturn::ini::Source;
+use eyre::{Result, WrapErr as _, bail};
+
+/// Reads the files, and all files `*.ini` of the directories, in the order of their names.
+pub fn read(paths: &[String]) -> Result<Vec<Source>> {
+    if paths.is_empty() {
+        bail!("name files or directories with declarations");
+    }
+    let mut sources = Vec::new();
+    for path in paths {
+        let path = Path::new(path);
+        if !path.is_dir() {
+            sources.push(read_one(path)?);
+            continue;
+        }
+        let entries =
+            fs::read_dir(path).wrap_err_with(|| format!("cannot list {}", path.display()))?;
+        let mut files = Vec::new();
+        for entry in entries {
+            files.push(entry?.path());
+        }
+        files.retain(|file| file.extension().is_some_and(|extension| extension == "ini"));
+        files.sort();
+        for file in files {
+            sources.push(read_one(&file)?);
+        }
+    }
+    Ok(sources)
+}
+
+fn read_one(path: &Path) -> Result<Source> {
+    let text =
+        fs::read_to_string(path).wrap_err_with(|| format!("cannot read {}", path.display()))?;
+    Ok(Source { file: path.display().to_string().into(), text: text.into() })
+}
--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,46 @@
+//! `dogwoodturn`: the operators' command.
+
+mod command;
+mod files;
+mod output;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use crate::command::{check, demo, publish, status};
+
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "check declarations and name every fault")]
+    Check(check::Args),
+    #[options(help = "publish declarations to the platform")]
+    Publish(publish::Args),
+    #[options(help = "show the status of a daemon")]
+    Status(status::Args),
+    #[options(help = "run stand-ins, daemons and callers in this process")]
+    Demo(demo::Args),
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    let result = match args.command {
+        Some(Command::Check(args)) => check::run(&args),
+        Some(Command::Publish(args)) => publish::run(args),
+        Some(Command::Status(args)) => status::run(&args),
+        Some(Command::Demo(args)) => demo::run(&args),
+        None => {
+            eprintln!("{}\n\nCommands:\n{}", Args::usage(), Command::usage());
+            return ExitCode::from(output::USAGE);
+        }
+    };
+    output::exit_code(result)
+}
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,153 @@
+//! The entry daemon: one control thread, several traffic threads, and their listeners.
+//!
+//! [`Daemon::start`] runs it inside any process, so that tests and the demo can run several; the
+//! program `dogwoodturnd` adds settings, logs and signals.
+
+pub mod control;
+pub mod flight;
+pub mod logs;
+pub mod settings;
+pub mod traffic;
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    thread::JoinHandle,
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+use dogwoodturn::node::{control::Input, snapshot::Snapshot};
+use thiserror::Error;
+use tokio::sync::{mpsc, watch};
+
+use crate::{flight::InFlight, settings::Settings};
+
+/// How often a draining daemon looks whether requests are still in flight.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+/// Says why a daemon did not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// A listener could not be bound.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address from the settings.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// A thread could not be started.
+    #[error("cannot start a thread: {0}")]
+    Thread(io::Error),
+}
+
+/// A daemon that runs on threads of this process.
+#[derive(Debug)]
+pub struct Daemon {
+    callers: SocketAddr,
+    operators: SocketAddr,
+    drain_timeout: Duration,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+    inputs: mpsc::UnboundedSender<Input>,
+    in_flight: InFlight,
+    stop: watch::Sender<bool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Daemon {
+    /// Starts a daemon.
+    pub fn start(settings: &Settings) -> Result<Self, StartError> {
+        let callers = bind(settings.callers)?;
+        let operators = bind(settings.operators)?;
+        let (inputs, received) = mpsc::unbounded_channel();
+        let (stop, stopped) = watch::channel(false);
+        let mut daemon = Self {
+            callers: address_of(&callers, settings.callers)?,
+            operators: address_of(&operators, settings.operators)?,
+            drain_timeout: settings.drain_timeout,
+            snapshot: Arc::default(),
+            inputs: inputs.clone(),
+            in_flight: InFlight::default(),
+            stop,
+            threads: Vec::new(),
+        };
+        let control = control::Adapter {
+            settings: settings.clone(),
+            snapshot: daemon.snapshot.clone(),
+            operators,
+            inputs,
+            received,
+            stop: stopped.clone(),
+        };
+        daemon.spawn("control", move || control.run())?;
+        for index in 0..settings.traffic_threads {
+            let listener = callers.try_clone().map_err(StartError::Thread)?;
+            let snapshot = daemon.snapshot.clone();
+            let in_flight = daemon.in_flight.clone();
+            let stop = stopped.clone();
+            daemon.spawn(&format!("traffic-{index}"), move || {
+                traffic::run(listener, snapshot, in_flight, stop);
+            })?;
+        }
+        Ok(daemon)
+    }
+
+    /// Returns where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns where operators connect.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Says whether the daemon takes requests.
+    pub fn ready(&self) -> bool {
+        self.snapshot.load().ready()
+    }
+
+    /// Returns what the traffic threads decide from.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.load_full()
+    }
+
+    /// Shuts down gracefully: unready at once, then waits for the requests in flight.
+    ///
+    /// Returns whether all of them have finished before the drain timeout.
+    pub fn drain(self) -> bool {
+        // The control thread ends only after `stop`, so that the input arrives.
+        let _ = self.inputs.send(Input::Drain);
+        let deadline = Instant::now() + self.drain_timeout;
+        while self.in_flight.count() > 0 && Instant::now() < deadline {
+            std::thread::sleep(DRAIN_POLL);
+        }
+        self.in_flight.count() == 0
+    }
+
+    fn spawn(&mut self, name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), StartError> {
+        let spawned = std::thread::Builder::new().name(name.into()).spawn(run);
+        self.threads.push(spawned.map_err(StartError::Thread)?);
+        Ok(())
+    }
+}
+
+impl Drop for Daemon {
+    /// Stops at once: requests in flight are cut, as when a host is lost.
+    fn drop(&mut self) {
+        let _ = self.stop.send(true);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).map_err(|source| StartError::Listen { address, source })
+}
+
+fn address_of(listener: &TcpListener, asked: SocketAddr) -> Result<SocketAddr, StartError> {
+    listener.local_addr().map_err(|source| StartError::Listen { address: asked, source })
+}
--- /dev/null
+++ b/daemon/src/settings.rs
@@ -0,0 +1,149 @@
+//! The settings of a daemon, read from an INI file and checked as a whole.
+
+use std::{net::SocketAddr, time::Duration};
+
+use dogwoodturn::{
+    ids::{DaemonId, DataCentre, Region},
+    ini::{self, Fault, Place, Section, Source, fields::Fields},
+};
+
+/// The number of traffic threads when the settings name none.
+const DEFAULT_TRAFFIC_THREADS: usize = 2;
+/// The longest that a graceful shutdown takes when the settings do not say.
+const DEFAULT_DRAIN_TIMEOUT: Duration = Duration::from_secs(25);
+
+/// All settings of a daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The daemon's name, unique among all daemons.
+    pub name: DaemonId,
+    /// The data centre that it runs in.
+    pub data_centre: DataCentre,
+    /// The region of that data centre.
+    pub region: Region,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators connect.
+    pub operators: SocketAddr,
+    /// Where other daemons connect.
+    pub peers: SocketAddr,
+    /// How many threads answer callers.
+    pub traffic_threads: usize,
+    /// The longest that a graceful shutdown takes.
+    pub drain_timeout: Duration,
+    /// The base of the platform's URLs.
+    pub platform: Box<str>,
+    /// The bearer token of operators.
+    pub operator_token: Box<str>,
+    /// The key that all daemons share.
+    pub peer_key: [u8; 32],
+    /// Daemons to contact first.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Settings {
+    /// Reads the settings and names every fault at once.
+    pub fn read(source: &Source) -> Result<Self, Vec<Fault>> {
+        let sections = ini::read(source).map_err(|fault| vec![fault])?;
+        let mut faults = Vec::new();
+        let empty = |title: &str| Section {
+            title: title.into(),
+            place: Place { file: source.file.clone(), line: 1 },
+            properties: Vec::new(),
+        };
+        for section in &sections {
+            if !["daemon", "platform", "operators", "peers"].contains(&&*section.title) {
+                let reason = format!("[{}] is no section of the settings", section.title);
+                faults.push(
+                    Fault::new(&section.place, reason)
+                        .with_hint("use daemon, platform, operators and peers"),
+                );
+            }
+        }
+        let find = |title: &str| {
+            let found = sections.iter().find(|section| &*section.title == title);
+            found.cloned().unwrap_or_else(|| empty(title))
+        };
+        let settings = read_sections(
+            &find("daemon"),
+            &find("platform"),
+            &find("operators"),
+            &find("peers"),
+            &mut faults,
+        );
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => {
+                faults.sort();
+                Err(faults)
+            }
+        }
+    }
+}
+
+fn read_sections(
+    daemon: &Section,
+    platform: &Section,
+    operators: &Section,
+    peers: &Section,
+    faults: &mut Vec<Fault>,
+) -> Option<Settings> {
+    let mut fields = Fields::new(daemon, faults);
+    let name = fields.required("name");
+    let data_centre = fields.required("data-centre");
+    let region = fields.required("region");
+    let callers = fields.required("callers");
+    let operators_address = fields.required("operators");
+    let peers_address = fields.required("peers");
+    let traffic_threads = fields.optional("traffic-threads").unwrap_or(DEFAULT_TRAFFIC_THREADS);
+    let drain_timeout = fields.duration("drain-timeout").unwrap_or(DEFAULT_DRAIN_TIMEOUT);
+    if traffic_threads == 0 {
+        fields.fault("traffic-threads must be at least 1");
+    }
+    fields.finish();
+
+    let mut fields = Fields::new(platform, faults);
+    let platform = fields.required::<String>("url");
+    if let Some(url) = &platform
+        && !url.starts_with("http://")
+    {
+        fields.fault(format!("url: {url:?} must begin with http://"));
+    }
+    fields.finish();
+
+    let mut fields = Fields::new(operators, faults);
+    let operator_token = fields.required::<String>("token");
+    fields.finish();
+
+    let mut fields = Fields::new(peers, faults);
+    let peer_key = fields.digest("key");
+    let seeds = seeds(&mut fields);
+    fields.finish();
+
+    Some(Settings {
+        name: name?,
+        data_centre: data_centre?,
+        region: region?,
+        callers: callers?,
+        operators: operators_address?,
+        peers: peers_address?,
+        traffic_threads,
+        drain_timeout,
+        platform: platform?.into(),
+        operator_token: operator_token?.into(),
+        peer_key: peer_key?,
+        seeds,
+    })
+}
+
+fn seeds(fields: &mut Fields<'_>) -> Vec<SocketAddr> {
+    let text = fields.optional::<String>("seeds").unwrap_or_default();
+    let mut seeds = Vec::new();
+    for part in text.split(',').map(str::trim).filter(|part| !part.is_empty()) {
+        match part.parse() {
+            Ok(seed) => seeds.push(seed),
+            Err(error) => fields.fault(format!("seeds: {part:?}: {error}")),
+        }
+    }
+    seeds
+}
--- /dev/null
+++ b/lib/src/audit/mod.rs
@@ -0,0 +1,1 @@
+//! The audit trail: who or which rule changed what, when and why.
--- /dev/null
+++ b/lib/src/declaration/check.rs
@@ -0,0 +1,252 @@
+//! Builds a [`DeclarationSet`] from files and names every fault of the whole set at once.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::{
+    declaration::{
+        Customer, DeclarationSet, LatencyTarget, Move, RequestClass, Route, Service, SupplyBounds,
+        Version,
+    },
+    ids::{CustomerName, MoveName, RouteName, ServiceName, VersionName},
+    ini::{self, Fault, Place, Section, Source, fields::Fields},
+};
+
+/// A checked set together with the place of each object, for messages about it.
+#[derive(Clone, Debug, Default)]
+pub struct Checked {
+    /// The set.
+    pub set: DeclarationSet,
+}
+
+/// Reads and checks all files as one set.
+pub fn check(sources: &[Source]) -> Result<Checked, Vec<Fault>> {
+    let mut reader = Reader::default();
+    for source in sources {
+        match ini::read(source) {
+            Ok(sections) => sections.iter().for_each(|section| reader.section(section)),
+            Err(fault) => reader.faults.push(fault),
+        }
+    }
+    reader.references();
+    reader.overlapping_routes();
+    reader.moves_of_one_service();
+    if reader.faults.is_empty() {
+        return Ok(Checked { set: reader.set });
+    }
+    reader.faults.sort();
+    Err(reader.faults)
+}
+
+#[derive(Default)]
+struct Reader {
+    set: DeclarationSet,
+    places: IndexMap<Box<str>, Place>,
+    faults: Vec<Fault>,
+}
+
+impl Reader {
+    fn section(&mut self, section: &Section) {
+        if let Some(first) = self.places.get(&section.title) {
+            let reason = format!("[{}] is declared already at {first}", section.title);
+            self.faults.push(Fault::new(&section.place, reason));
+            return;
+        }
+        self.places.insert(section.title.clone(), section.place.clone());
+        let (kind, name) = section.title.split_once(' ').unwrap_or((&section.title, ""));
+        let mut fields = Fields::new(section, &mut self.faults);
+        match kind {
+            "service" => read_service(&mut self.set, name, &mut fields),
+            "version" => read_version(&mut self.set, name, &mut fields),
+            "route" => read_route(&mut self.set, name, &mut fields),
+            "move" => read_move(&mut self.set, name, &mut fields),
+            "customer" => read_customer(&mut self.set, name, &mut fields),
+            _ => {
+                let fault = Fault::new(&section.place, format!("[{kind}] is no kind of object"))
+                    .with_hint("use service, version, route, move or customer");
+                self.faults.push(fault);
+                return;
+            }
+        }
+        fields.finish();
+    }
+
+    fn fault(&mut self, title: &str, reason: String, hint: &str) {
+        let unknown = Place { file: "".into(), line: 0 };
+        let place = self.places.get(title).unwrap_or(&unknown);
+        self.faults.push(Fault::new(place, reason).with_hint(hint));
+    }
+
+    fn has_version(&self, service: &ServiceName, version: &VersionName) -> bool {
+        self.set.versions.contains_key(&(service.clone(), version.clone()))
+    }
+
+    fn references(&mut self) {
+        let mut wanted: Vec<(String, ServiceName, Option<VersionName>)> = Vec::new();
+        for service in self.set.services.values() {
+            let title = format!("service {}", service.name);
+            wanted.push((title, service.name.clone(), Some(service.version.clone())));
+        }
+        for version in self.set.versions.values() {
+            let title = format!("version {}/{}", version.service, version.name);
+            wanted.push((title, version.service.clone(), None));
+        }
+        for route in self.set.routes.values() {
+            wanted.push((format!("route {}", route.name), route.service.clone(), None));
+        }
+        for m in self.set.moves.values() {
+            let title = format!("move {}", m.name);
+            wanted.push((title.clone(), m.service.clone(), Some(m.from.clone())));
+            wanted.push((title, m.service.clone(), Some(m.to.clone())));
+        }
+        for (title, service, version) in wanted {
+            if !self.set.services.contains_key(&service) {
+                let reason =
+                    format!("[{title}] refers to service {service}, which is not declared");
+                self.fault(&title, reason, &format!("declare [service {service}]"));
+                continue;
+            }
+            let Some(version) = version else { continue };
+            if !self.has_version(&service, &version) {
+                let reason = format!(
+                    "[{title}] refers to version {service}/{version}, which is not declared"
+                );
+                self.fault(&title, reason, &format!("declare [version {service}/{version}]"));
+            }
+        }
+    }
+
+    fn overlapping_routes(&mut self) {
+        let routes: Vec<Route> = self.set.routes.values().cloned().collect();
+        for (index, route) in routes.iter().enumerate() {
+            if let Some(first) = routes[..index].iter().find(|first| first.path == route.path) {
+                let reason = format!(
+                    "routes {} and {} have one path {}",
+                    first.name, route.name, route.path
+                );
+                self.fault(&format!("route {}", route.name), reason, "give each route its path");
+            }
+        }
+    }
+
+    fn moves_of_one_service(&mut self) {
+        let moves: Vec<Move> = self.set.moves.values().cloned().collect();
+        for (index, m) in moves.iter().enumerate() {
+            let title = format!("move {}", m.name);
+            if let Some(first) = moves[..index].iter().find(|first| first.service == m.service) {
+                let reason = format!(
+                    "moves {} and {} are both of service {}",
+                    first.name, m.name, m.service
+                );
+                self.fault(&title, reason, "finish or remove one of them first");
+            }
+            if m.from == m.to {
+                let reason = format!("move {} goes from {} to itself", m.name, m.from);
+                self.fault(&title, reason, "name two versions");
+            }
+            if m.start + m.watch >= m.finish_by {
+                let reason = format!(
+                    "move {} cannot finish: from start to finish-by is no longer than its watch",
+                    m.name
+                );
+                self.fault(&title, reason, "set a later finish-by or a shorter watch");
+            }
+        }
+    }
+}
+
+fn read_service(set: &mut DeclarationSet, name: &str, fields: &mut Fields<'_>) {
+    let name = fields.name::<ServiceName>(name);
+    let kind = fields.required("kind");
+    let version = fields.required("version");
+    let repeat = fields.required("repeat");
+    let mut repeat_by_method = IndexMap::new();
+    for method in ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"] {
+        let key = format!("repeat-{}", method.to_ascii_lowercase());
+        if let Some(rule) = fields.optional(&key) {
+            repeat_by_method.insert(method.into(), rule);
+        }
+    }
+    let checks_fencing = fields.optional("checks-fencing").unwrap_or(false);
+    let reports_load = fields.optional("reports-load").unwrap_or(false);
+    let default = LatencyTarget::default();
+    let target = LatencyTarget {
+        first_token: fields.duration("first-token").unwrap_or(default.first_token),
+        between_tokens: fields.duration("between-tokens").unwrap_or(default.between_tokens),
+    };
+    let supply = SupplyBounds {
+        managed: fields.optional("managed").unwrap_or(false),
+        paused: fields.optional("paused").unwrap_or(false),
+        smallest: fields.optional("smallest").unwrap_or(0),
+        largest: fields.optional("largest").unwrap_or(0),
+        budget: fields.optional("budget-per-hour"),
+    };
+    let (Some(name), Some(kind), Some(version), Some(repeat)) = (name, kind, version, repeat)
+    else {
+        return;
+    };
+    let service = Service {
+        name: name.clone(),
+        kind,
+        version,
+        repeat,
+        repeat_by_method,
+        checks_fencing,
+        reports_load,
+        target,
+        supply,
+    };
+    set.services.insert(name, service);
+}
+
+fn read_version(set: &mut DeclarationSet, name: &str, fields: &mut Fields<'_>) {
+    let (service, version) = name.split_once('/').unwrap_or((name, ""));
+    let service = fields.name::<ServiceName>(service);
+    let name = fields.name::<VersionName>(version);
+    let model = fields.optional::<String>("model").map(Into::into);
+    let (Some(service), Some(name)) = (service, name) else { return };
+    set.versions.insert((service.clone(), name.clone()), Version { service, name, model });
+}
+
+fn read_route(set: &mut DeclarationSet, name: &str, fields: &mut Fields<'_>) {
+    let name = fields.name::<RouteName>(name);
+    let path = fields.required::<String>("path");
+    let service = fields.required("service");
+    let class = fields.optional("class").unwrap_or(RequestClass::Interactive);
+    let deadline = fields.duration("deadline").unwrap_or(Duration::from_secs(30));
+    if let Some(path) = &path
+        && (!path.starts_with('/') || (path.len() > 1 && path.ends_with('/')))
+    {
+        let reason = format!("path: {path:?} must begin with a slash and not end with one");
+        fields.fault(reason);
+    }
+    let (Some(name), Some(path), Some(service)) = (name, path, service) else { return };
+    let route = Route { name: name.clone(), path: path.into(), service, class, deadline };
+    set.routes.insert(name, route);
+}
+
+fn read_move(set: &mut DeclarationSet, name: &str, fields: &mut Fields<'_>) {
+    let name = fields.name::<MoveName>(name);
+    let service = fields.required("service");
+    let from = fields.required("from");
+    let to = fields.required("to");
+    let start = fields.required("start");
+    let finish_by = fields.required("finish-by");
+    let watch = fields.duration("watch").unwrap_or(Duration::from_mins(1));
+    let (Some(name), Some(service), Some(from), Some(to), Some(start), Some(finish_by)) =
+        (name, service, from, to, start, finish_by)
+    else {
+        return;
+    };
+    let m = Move { name: name.clone(), service, from, to, start, finish_by, watch };
+    set.moves.insert(name, m);
+}
+
+fn read_customer(set: &mut DeclarationSet, name: &str, fields: &mut Fields<'_>) {
+    let name = fields.name::<CustomerName>(name);
+    let weight = fields.optional("weight").unwrap_or(1);
+    let token_sha256 = fields.digest("token-sha256");
+    let (Some(name), Some(token_sha256)) = (name, token_sha256) else { return };
+    set.customers.insert(name.clone(), Customer { name, weight, token_sha256 });
+}
--- /dev/null
+++ b/lib/src/edge/mod.rs
@@ -0,0 +1,6 @@
+//! HTTP towards callers, upstreams and operators.
+
+pub mod caller;
+pub mod listen;
+pub mod operator;
+pub mod problem;
--- /dev/null
+++ b/lib/src/edge/operator.rs
@@ -0,0 +1,88 @@
+//! Answers operators: health, readiness, metrics and status, the latter two behind a token.
+
+use std::{rc::Rc, sync::Arc};
+
+use actix_http::{
+    HttpMessage as _, Request, Response, StatusCode,
+    body::BoxBody,
+    header::{self, HeaderMap},
+};
+use arc_swap::ArcSwap;
+use serde::Serialize;
+
+use crate::{edge::problem::Problem, ids::Generation, node::snapshot::Snapshot};
+
+/// The status of one daemon as operators read it.
+#[derive(Clone, Debug, Serialize)]
+pub struct StatusWire {
+    /// Whether the daemon takes requests.
+    pub ready: bool,
+    /// The generation in force.
+    pub generation: Generation,
+    /// How many hosts it knows.
+    pub hosts: usize,
+}
+
+/// The operators' listener of a daemon.
+#[derive(Clone)]
+pub struct OperatorEdge {
+    snapshot: Arc<ArcSwap<Snapshot>>,
+    token: Rc<str>,
+    metrics: Rc<dyn Fn() -> String>,
+}
+
+impl OperatorEdge {
+    /// Makes the edge; `metrics` encodes the metrics of the daemon.
+    pub fn new(
+        snapshot: Arc<ArcSwap<Snapshot>>,
+        token: &str,
+        metrics: Rc<dyn Fn() -> String>,
+    ) -> Self {
+        Self { snapshot, token: token.into(), metrics }
+    }
+
+    /// Answers one request.
+    pub fn handle(&self, req: &Request) -> Response<BoxBody> {
+        match req.path() {
+            "/healthz" => text(StatusCode::OK, "ok\n"),
+            "/readyz" if self.snapshot.load().ready() => text(StatusCode::OK, "ready\n"),
+            "/readyz" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            _ if !self.is_operator(req.headers()) => {
+                let detail = "present the operators' bearer token";
+                Problem::not_run(StatusCode::UNAUTHORIZED, "unknown-operator", detail)
+                    .into_response()
+            }
+            "/metrics" => text(StatusCode::OK, (self.metrics)()),
+            "/status" => self.status(),
+            path => {
+                let detail = format!("there is no {path}");
+                Problem::not_run(StatusCode::NOT_FOUND, "unknown-path", detail).into_response()
+            }
+        }
+    }
+
+    fn is_operator(&self, headers: &HeaderMap) -> bool {
+        let value = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+        let token = value.and_then(|value| value.strip_prefix("Bearer "));
+        token.is_some_and(|token| token == &*self.token)
+    }
+
+    fn status(&self) -> Response<BoxBody> {
+        let snapshot = self.snapshot.load();
+        let wire = StatusWire {
+            ready: snapshot.ready(),
+            generation: snapshot.generation,
+            hosts: snapshot.hosts.len(),
+        };
+        let body = serde_json::to_vec(&wire).expect("a status is valid JSON");
+        let mut builder = Response::build(StatusCode::OK);
+        builder.insert_header((header::CONTENT_TYPE, "application/json"));
+        builder.body(body).map_into_boxed_body()
+    }
+}
+
+fn text(status: StatusCode, body: impl Into<String>) -> Response<BoxBody> {
+    let mut builder = Response::build(status);
+    builder.insert_header((header::CONTENT_TYPE, "text/plain; charset=utf-8"));
+    builder.body(body.into()).map_into_boxed_body()
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,22 @@
+//! dogwoodturn: serves language models and plain services from reclaimable hosts.
+//!
+//! Every decision lives here as a plain struct that takes events and time and returns typed
+//! effects, so that tests can drive many daemons in one process. Sockets, clocks and threads are
+//! in [`edge`], in [`platform::http`] and in the daemon crate. See `docs/architecture.md`.
+
+pub mod audit;
+pub mod claim;
+pub mod declaration;
+pub mod edge;
+pub mod ids;
+pub mod ini;
+pub mod limit;
+pub mod moves;
+pub mod node;
+pub mod peer;
+pub mod placement;
+pub mod platform;
+pub mod request;
+pub mod supply;
+pub mod units;
+pub mod upstream;
--- /dev/null
+++ b/lib/src/moves/mod.rs
@@ -0,0 +1,1 @@
+//! Moves between versions: shares, evidence, verdict, deadline and report.
--- /dev/null
+++ b/lib/src/node/control.rs
@@ -0,0 +1,137 @@
+//! The control part of a daemon: every slice but those of the traffic threads.
+
+use std::sync::Arc;
+
+use crate::{
+    declaration::in_force::{self, InForce},
+    ids::CallId,
+    node::snapshot::Snapshot,
+    platform::{CallError, Operation, Priority, Reply},
+    units::Time,
+    upstream::hosts::{self, HostList},
+};
+
+/// Tells which slice asked for a call to the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Owner {
+    /// [`in_force`].
+    InForce,
+    /// [`hosts`].
+    Hosts,
+}
+
+/// What the control part is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// The daemon has started.
+    Started,
+    /// A call to the platform has ended.
+    Called(Owner, CallId, Result<Reply, CallError>),
+    /// The time of [`Control::next_wakeup`] has come.
+    Woken,
+    /// The daemon is to shut down.
+    Drain,
+}
+
+/// What the control part wants done.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Call the platform and answer with [`Input::Called`].
+    Call {
+        /// The slice that gets the answer.
+        owner: Owner,
+        /// The slice's name for the call.
+        call: CallId,
+        /// When the call gets its turn.
+        priority: Priority,
+        /// What to call.
+        operation: Operation,
+    },
+    /// Give this snapshot to the traffic threads.
+    Publish(Arc<Snapshot>),
+    /// Log a warning about something refused.
+    Refused(Box<str>),
+}
+
+/// The control state of one daemon.
+#[derive(Clone, Debug, Default)]
+pub struct Control {
+    in_force: InForce,
+    hosts: HostList,
+    snapshot: Snapshot,
+}
+
+impl Control {
+    /// Makes the control part of a daemon that knows nothing yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns when [`Input::Woken`] is wanted.
+    pub fn next_wakeup(&self) -> Option<Time> {
+        [self.in_force.next_wakeup(), self.hosts.next_wakeup()].into_iter().flatten().min()
+    }
+
+    /// Takes an input and adds the outputs that follow from it.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Started => {
+                self.in_force(now, in_force::Event::Started, out);
+                self.hosts(now, hosts::Event::Started, out);
+            }
+            Input::Called(Owner::InForce, call, result) => {
+                self.in_force(now, in_force::Event::Called(call, result), out);
+            }
+            Input::Called(Owner::Hosts, call, result) => {
+                self.hosts(now, hosts::Event::Called(call, result), out);
+            }
+            Input::Woken => {
+                self.in_force(now, in_force::Event::Woken, out);
+                self.hosts(now, hosts::Event::Woken, out);
+            }
+            Input::Drain => {
+                self.snapshot.draining = true;
+                self.publish(out);
+            }
+        }
+    }
+
+    fn publish(&self, out: &mut Vec<Output>) {
+        out.push(Output::Publish(Arc::new(self.snapshot.clone())));
+    }
+
+    fn in_force(&mut self, now: Time, event: in_force::Event, out: &mut Vec<Output>) {
+        let mut effects = Vec::new();
+        self.in_force.handle(now, event, &mut effects);
+        for effect in effects {
+            match effect {
+                in_force::Effect::Call(call, priority, operation) => {
+                    out.push(Output::Call { owner: Owner::InForce, call, priority, operation });
+                }
+                in_force::Effect::Adopted(generation, set) => {
+                    self.snapshot.generation = generation;
+                    self.snapshot.set = set;
+                    self.snapshot.informed = true;
+                    self.publish(out);
+                }
+                in_force::Effect::Refused(reason) => out.push(Output::Refused(reason)),
+            }
+        }
+    }
+
+    fn hosts(&mut self, now: Time, event: hosts::Event, out: &mut Vec<Output>) {
+        let mut effects = Vec::new();
+        self.hosts.handle(now, event, &mut effects);
+        for effect in effects {
+            match effect {
+                hosts::Effect::Call(call, priority, operation) => {
+                    out.push(Output::Call { owner: Owner::Hosts, call, priority, operation });
+                }
+                hosts::Effect::Changed(hosts) => {
+                    self.snapshot.hosts = hosts;
+                    self.publish(out);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/node/message.rs
@@ -0,0 +1,41 @@
+//! The messages between daemons, one variant for each slice that speaks to its peers.
+//!
+//! A slice defines its own `Message` and `MessageWire` in `<slice>/message.rs`, with `From` and
+//! `TryFrom` between them; this module only gathers them, in the order of the slices' names.
+
+use serde::{Deserialize, Serialize};
+
+use crate::declaration::wire::WireError;
+
+/// A message from one daemon to another.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PeerMessage {
+    /// Tells that a host is leaving; flooded to all daemons.
+    Leaving(crate::upstream::message::Message),
+}
+
+/// A [`PeerMessage`] as it travels, in CBOR.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessageWire {
+    /// See [`PeerMessage::Leaving`].
+    #[serde(rename = "u")]
+    Leaving(crate::upstream::message::MessageWire),
+}
+
+impl From<PeerMessage> for PeerMessageWire {
+    fn from(message: PeerMessage) -> Self {
+        match message {
+            PeerMessage::Leaving(message) => Self::Leaving(message.into()),
+        }
+    }
+}
+
+impl TryFrom<PeerMessageWire> for PeerMessage {
+    type Error = WireError;
+
+    fn try_from(wire: PeerMessageWire) -> Result<Self, WireError> {
+        Ok(match wire {
+            PeerMessageWire::Leaving(wire) => Self::Leaving(wire.try_into()?),
+        })
+    }
+}
--- /dev/null
+++ b/lib/src/node/mod.rs
@@ -0,0 +1,9 @@
+//! Composes the slices of one daemon.
+//!
+//! [`control::Control`] owns the control state and runs on one thread; it publishes a
+//! [`snapshot::Snapshot`], from which the traffic threads decide per request.
+
+pub mod control;
+pub mod message;
+pub mod report;
+pub mod snapshot;
--- /dev/null
+++ b/lib/src/node/snapshot.rs
@@ -0,0 +1,39 @@
+//! What the control thread tells the traffic threads, as one immutable value.
+
+use std::sync::Arc;
+
+use crate::{declaration::DeclarationSet, ids::Generation, upstream::HostRecord};
+
+/// All that a traffic thread needs to decide about a request.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    /// The generation in force, zero if none.
+    pub generation: Generation,
+    /// The declarations in force.
+    pub set: Arc<DeclarationSet>,
+    /// The hosts of the host list.
+    pub hosts: Arc<[HostRecord]>,
+    /// Whether the daemon knows what is in force now.
+    pub informed: bool,
+    /// Whether the daemon has been asked to shut down.
+    pub draining: bool,
+}
+
+impl Default for Snapshot {
+    fn default() -> Self {
+        Self {
+            generation: Generation(0),
+            set: Arc::default(),
+            hosts: Arc::new([]),
+            informed: false,
+            draining: false,
+        }
+    }
+}
+
+impl Snapshot {
+    /// Says whether the daemon should get requests.
+    pub fn ready(&self) -> bool {
+        self.informed && !self.draining
+    }
+}
--- /dev/null
+++ b/lib/src/supply/mod.rs
@@ -0,0 +1,1 @@
+//! Hosts, prices, leases and orders to engines.
--- /dev/null
+++ b/lib/src/upstream/hosts.rs
@@ -0,0 +1,86 @@
+//! Follows the platform's host list.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    ids::{CallId, Revision},
+    platform::{CallError, Operation, Priority, Reply},
+    units::Time,
+    upstream::HostRecord,
+};
+
+/// How long the platform may hold a call for a newer list.
+const LIST_WAIT: Duration = Duration::from_secs(20);
+/// How long to wait after a call that failed.
+const RETRY_WAIT: Duration = Duration::from_millis(500);
+
+/// What the slice is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The daemon has started.
+    Started,
+    /// A call has ended.
+    Called(CallId, Result<Reply, CallError>),
+    /// The time of [`HostList::next_wakeup`] has come.
+    Woken,
+}
+
+/// What the slice wants done.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Call the platform and answer with [`Event::Called`].
+    Call(CallId, Priority, Operation),
+    /// The list has changed.
+    Changed(Arc<[HostRecord]>),
+}
+
+/// The host list as one daemon knows it.
+#[derive(Clone, Debug, Default)]
+pub struct HostList {
+    revision: Revision,
+    call: CallId,
+    wakeup: Option<Time>,
+}
+
+impl HostList {
+    /// Makes the slice of a daemon that knows no hosts yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns when the slice wants [`Event::Woken`].
+    pub fn next_wakeup(&self) -> Option<Time> {
+        self.wakeup
+    }
+
+    /// Takes an event and adds the effects that follow from it.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Started => self.ask(out),
+            Event::Woken if self.wakeup.is_some_and(|at| at <= now) => self.ask(out),
+            Event::Called(call, result) if call == self.call => self.called(now, result, out),
+            Event::Called(..) | Event::Woken => {}
+        }
+    }
+
+    fn ask(&mut self, out: &mut Vec<Effect>) {
+        self.wakeup = None;
+        self.call = self.call.next();
+        let operation =
+            Operation::Hosts { data_centre: None, after: self.revision, wait: LIST_WAIT };
+        out.push(Effect::Call(self.call, Priority::Configuration, operation));
+    }
+
+    fn called(&mut self, now: Time, result: Result<Reply, CallError>, out: &mut Vec<Effect>) {
+        match result {
+            Ok(Reply::Hosts { revision, hosts }) => {
+                if revision != self.revision {
+                    self.revision = revision;
+                    out.push(Effect::Changed(hosts.into()));
+                }
+                self.ask(out);
+            }
+            Ok(_) | Err(_) => self.wakeup = Some(now + RETRY_WAIT),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/upstream/message.rs
@@ -0,0 +1,32 @@
+//! What daemons tell each other about upstreams.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{declaration::wire::WireError, ids::HostId, units::WallTime};
+
+/// Tells that a host will be reclaimed and gets no new work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    /// The host.
+    pub host: HostId,
+    /// When it goes.
+    pub at: WallTime,
+}
+
+/// A [`Message`] as it travels.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MessageWire(HostId, WallTime);
+
+impl From<Message> for MessageWire {
+    fn from(message: Message) -> Self {
+        Self(message.host, message.at)
+    }
+}
+
+impl TryFrom<MessageWire> for Message {
+    type Error = WireError;
+
+    fn try_from(wire: MessageWire) -> Result<Self, WireError> {
+        Ok(Self { host: wire.0, at: wire.1 })
+    }
+}
--- /dev/null
+++ b/load/src/caller.rs
@@ -0,0 +1,120 @@
+//! One caller: sends a request and checks the answer.
+
+use std::time::Duration;
+
+use awc::{Client, http::Method};
+use dogwoodturn_standins::engine;
+use serde_json::{Value, json};
+
+/// How long a caller waits for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What a caller saw.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// The whole, right answer.
+    Whole,
+    /// A refusal that says that the request did not run.
+    NotRun,
+    /// A failure that says that the request may have run.
+    MayHaveRun,
+    /// Anything else: no answer, a cut one, or a wrong one.
+    Lost(String),
+}
+
+/// What a caller asks for.
+#[derive(Clone, Debug)]
+pub enum Ask {
+    /// A completion.
+    Completion {
+        /// The route's path.
+        path: String,
+        /// The prompt.
+        prompt: String,
+        /// How many tokens.
+        max_tokens: u64,
+        /// Whether to stream them.
+        stream: bool,
+    },
+    /// A call that may not be repeated.
+    Booking {
+        /// The route's path.
+        path: String,
+        /// The idempotency key.
+        key: String,
+    },
+}
+
+/// Sends one request to the daemon at `base` and checks the answer.
+pub async fn ask(client: &Client, base: &str, token: &str, ask: &Ask) -> Seen {
+    match ask {
+        Ask::Completion { path, prompt, max_tokens, stream } => {
+            let url = format!("{base}{path}{}", engine::COMPLETIONS);
+            let req = client.post(url).bearer_auth(token).timeout(ANSWER_TIMEOUT);
+            let body = json!({ "prompt": prompt, "max_tokens": max_tokens, "stream": stream });
+            let expected: String = (0..*max_tokens).map(|i| engine::token(prompt, i)).collect();
+            let check = |body: &[u8]| {
+                let text = if *stream { streamed_text(body) } else { whole_text(body) };
+                text.as_deref() == Some(&*expected)
+            };
+            judge(req.send_json(&body).await, check).await
+        }
+        Ask::Booking { path, key } => {
+            let req = client.request(Method::POST, format!("{base}{path}"));
+            let req = req.bearer_auth(token).timeout(ANSWER_TIMEOUT);
+            let req = req.insert_header(("idempotency-key", key.as_str()));
+            let check = |body: &[u8]| {
+                serde_json::from_slice::<Value>(body).is_ok_and(|v| v["key"] == key.as_str())
+            };
+            judge(req.send_body("{}").await, check).await
+        }
+    }
+}
+
+async fn judge<S>(
+    sent: Result<awc::ClientResponse<S>, awc::error::SendRequestError>,
+    is_right: impl Fn(&[u8]) -> bool,
+) -> Seen
+where
+    S: futures_util::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let mut res = match sent {
+        Ok(res) => res,
+        Err(error) => return Seen::Lost(error.to_string()),
+    };
+    let body = match res.body().limit(64 << 20).await {
+        Ok(body) => body,
+        Err(error) => return Seen::Lost(error.to_string()),
+    };
+    if res.status().is_success() {
+        if is_right(&body) {
+            return Seen::Whole;
+        }
+        return Seen::Lost("the answer is wrong or cut".into());
+    }
+    let problem: Value = serde_json::from_slice(&body).unwrap_or_default();
+    match problem["outcome"].as_str() {
+        Some("not-run") => Seen::NotRun,
+        Some("may-have-run") => Seen::MayHaveRun,
+        _ => Seen::Lost(format!("status {}", res.status())),
+    }
+}
+
+fn whole_text(body: &[u8]) -> Option<String> {
+    let value: Value = serde_json::from_slice(body).ok()?;
+    Some(value["text"].as_str()?.to_owned())
+}
+
+fn streamed_text(body: &[u8]) -> Option<String> {
+    let body = std::str::from_utf8(body).ok()?;
+    let mut text = String::new();
+    for line in body.lines() {
+        let Some(data) = line.strip_prefix("data: ") else { continue };
+        if data == "[DONE]" {
+            return Some(text);
+        }
+        let value: Value = serde_json::from_str(data).ok()?;
+        text.push_str(value["text"].as_str()?);
+    }
+    None
+}
--- /dev/null
+++ b/load/src/local.rs
@@ -0,0 +1,199 @@
+//! A whole fleet in this process: the platform, upstreams and daemons on loopback.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use dogwoodturn::{
+    declaration::{
+        DeclarationSet,
+        publish::{Publication, PublishError, Step},
+        wire::HeadWire,
+    },
+    ids::{ChangeId, DataCentre},
+    platform::{cloud::HostKind, http::HttpPlatform},
+    units::WallTime,
+    upstream::{HostRecord, HostState},
+};
+use dogwoodturn_daemon::{Daemon, settings::Settings};
+use dogwoodturn_standins::{engine::Engine, http::Running, plain::Plain, platform::Platform};
+use eyre::{Result, bail};
+
+/// How long a fleet may take until each daemon is ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// How often readiness is looked at.
+const READY_POLL: Duration = Duration::from_millis(2);
+/// The token of operators in a local fleet.
+pub const OPERATOR_TOKEN: &str = "local-operator";
+
+/// The stand-in behind one upstream.
+#[derive(Clone, Debug)]
+pub enum Standin {
+    /// A model engine.
+    Engine(Engine),
+    /// A plain service.
+    Plain(Plain),
+}
+
+/// One upstream of a local fleet.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Its entry in the host list.
+    pub record: HostRecord,
+    /// The stand-in's state.
+    pub standin: Standin,
+    running: Option<Running>,
+}
+
+impl Upstream {
+    /// Ends the upstream at once, as when its host is lost.
+    pub fn kill(&mut self) {
+        self.running = None;
+    }
+}
+
+/// The platform, upstreams and daemons of one process.
+#[derive(Debug)]
+pub struct LocalFleet {
+    /// The platform's state.
+    pub platform: Platform,
+    /// Serves the platform.
+    pub platform_server: Running,
+    /// The upstreams.
+    pub upstreams: Vec<Upstream>,
+    /// The daemons.
+    pub daemons: Vec<Daemon>,
+}
+
+/// Says how many upstreams of which kind a service gets.
+#[derive(Clone, Copy, Debug)]
+pub struct UpstreamPlan {
+    /// The service.
+    pub service: &'static str,
+    /// The version.
+    pub version: &'static str,
+    /// Whether they are engines.
+    pub engine: bool,
+    /// How many there are.
+    pub count: usize,
+    /// The data centres that they are spread over.
+    pub data_centres: &'static [&'static str],
+}
+
+impl LocalFleet {
+    /// Starts a platform and upstreams, without daemons.
+    pub fn start(plans: &[UpstreamPlan]) -> Result<Self> {
+        let platform = Platform::new();
+        let platform_server = platform.start(loopback())?;
+        let mut fleet =
+            Self { platform, platform_server, upstreams: Vec::new(), daemons: Vec::new() };
+        for plan in plans {
+            for index in 0..plan.count {
+                fleet.upstreams.push(start_upstream(plan, index)?);
+            }
+        }
+        fleet.tell_hosts();
+        Ok(fleet)
+    }
+
+    /// Writes the host list from the upstreams' records.
+    pub fn tell_hosts(&self) {
+        self.platform.set_hosts(self.upstreams.iter().map(|up| up.record.clone()).collect());
+    }
+
+    /// Publishes a set.
+    pub fn publish(&self, set: &DeclarationSet, change: &str) -> Result<HeadWire> {
+        let change: ChangeId = change.parse()?;
+        let author = "local".into();
+        let (mut publication, mut operation) = Publication::begin(set, change, author, now(), None);
+        let url = self.platform_server.url();
+        let head: Result<HeadWire, PublishError> = actix_rt::System::new().block_on(async move {
+            let platform = HttpPlatform::new(&url);
+            loop {
+                match publication.handle(platform.call(&operation).await) {
+                    Step::Call(next) => operation = next,
+                    Step::Done(done) => return done,
+                }
+            }
+        });
+        Ok(head?)
+    }
+
+    /// Returns the settings of a further daemon.
+    pub fn settings(&self, index: usize, data_centre: &str, threads: usize) -> Result<Settings> {
+        let data_centre: DataCentre = data_centre.parse()?;
+        Ok(Settings {
+            name: format!("{data_centre}-{index}").parse()?,
+            data_centre,
+            region: "local".parse()?,
+            callers: loopback(),
+            operators: loopback(),
+            peers: loopback(),
+            traffic_threads: threads,
+            drain_timeout: Duration::from_secs(10),
+            platform: self.platform_server.url().into(),
+            operator_token: OPERATOR_TOKEN.into(),
+            peer_key: [7; 32],
+            seeds: Vec::new(),
+        })
+    }
+
+    /// Starts a daemon.
+    pub fn add_daemon(&mut self, data_centre: &str, threads: usize) -> Result<()> {
+        let settings = self.settings(self.daemons.len(), data_centre, threads)?;
+        self.daemons.push(Daemon::start(&settings)?);
+        Ok(())
+    }
+
+    /// Waits until each daemon is ready and knows the upstreams.
+    pub fn wait_ready(&self) -> Result<()> {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        let is_ready = |daemon: &Daemon| daemon.ready() && !daemon.snapshot().hosts.is_empty();
+        while !self.daemons.iter().all(is_ready) {
+            if Instant::now() > deadline {
+                bail!("the daemons are not ready after {READY_TIMEOUT:?}");
+            }
+            std::thread::sleep(READY_POLL);
+        }
+        Ok(())
+    }
+}
+
+/// Returns the wall clock's time.
+pub fn now() -> WallTime {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    WallTime(since.as_millis() as u64)
+}
+
+/// Returns loopback with a port that the system chooses.
+pub fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn start_upstream(plan: &UpstreamPlan, index: usize) -> Result<Upstream> {
+    let (standin, running) = if plan.engine {
+        let engine = Engine::new();
+        let running = engine.start(loopback())?;
+        (Standin::Engine(engine), running)
+    } else {
+        let plain = Plain::new();
+        let running = plain.start(loopback())?;
+        (Standin::Plain(plain), running)
+    };
+    let data_centre: DataCentre = plan.data_centres[index % plan.data_centres.len()].parse()?;
+    let name = format!("{}-{}-{index}", plan.service, plan.version);
+    let record = HostRecord {
+        host: name.parse()?,
+        upstream: name.parse()?,
+        address: running.address(),
+        zone: data_centre.as_str().parse()?,
+        data_centre,
+        class: "standard".parse()?,
+        kind: HostKind::Reclaimable,
+        service: plan.service.parse()?,
+        version: plan.version.parse()?,
+        state: HostState::Live,
+    };
+    Ok(Upstream { record, standin, running: Some(running) })
+}
--- /dev/null
+++ b/load/src/sample.rs
@@ -0,0 +1,67 @@
+//! The sample fleets of both users, with the declarations of `examples/`.
+
+use dogwoodturn::{
+    declaration::{DeclarationSet, check},
+    ini::{Fault, Source},
+};
+
+use crate::local::UpstreamPlan;
+
+/// The data centres of the Cooperative.
+pub const SALISH: [&str; 3] = ["salish-a", "salish-b", "salish-c"];
+/// The data centres of the Authority.
+pub const LK_CENTRAL: [&str; 3] = ["kandy-a", "nuwara-b", "badulla-c"];
+
+/// The upstreams of both fleets.
+pub const UPSTREAMS: [UpstreamPlan; 4] = [
+    UpstreamPlan {
+        service: "lantern",
+        version: "v1",
+        engine: true,
+        count: 10,
+        data_centres: &SALISH,
+    },
+    UpstreamPlan {
+        service: "ledger",
+        version: "v1",
+        engine: false,
+        count: 3,
+        data_centres: &SALISH,
+    },
+    UpstreamPlan {
+        service: "appraiser-llm",
+        version: "v1",
+        engine: true,
+        count: 12,
+        data_centres: &LK_CENTRAL,
+    },
+    UpstreamPlan {
+        service: "clip-ledger",
+        version: "v1",
+        engine: false,
+        count: 3,
+        data_centres: &LK_CENTRAL,
+    },
+];
+
+macro_rules! example {
+    ($file:literal) => {
+        (concat!("examples/", $file), include_str!(concat!("../../examples/", $file)))
+    };
+}
+
+const FILES: [(&str, &str); 6] = [
+    example!("wayfarer/services.ini"),
+    example!("wayfarer/routes.ini"),
+    example!("wayfarer/customers.ini"),
+    example!("clip-desk/services.ini"),
+    example!("clip-desk/routes.ini"),
+    example!("clip-desk/customers.ini"),
+];
+
+/// Returns the declarations of both fleets as one set.
+pub fn declarations() -> Result<DeclarationSet, Vec<Fault>> {
+    let source = |(file, text): (&str, &str)| Source { file: file.into(), text: text.into() };
+    let sources: Vec<Source> = FILES.into_iter().map(source).collect();
+    check::check(&sources).map(|checked| checked.set)
+}
--- /dev/null
+++ b/standins/src/http.rs
@@ -0,0 +1,110 @@
+//! What the stand-ins share: a thread that serves HTTP, and reading and answering requests.
+
+use std::{
+    future::Future,
+    io,
+    net::{SocketAddr, TcpListener},
+    thread::JoinHandle,
+};
+
+use actix_http::{HttpMessage as _, Request, Response, StatusCode, body::BoxBody, header};
+use bytes::{Bytes, BytesMut};
+use dogwoodturn::edge::listen::{Connections, serve};
+use futures_util::StreamExt as _;
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::sync::watch;
+
+/// A stand-in that serves on a thread of its own until it is dropped.
+#[derive(Debug)]
+pub struct Running {
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Running {
+    /// Returns where the stand-in listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the base of its URLs.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Waits until the stand-in ends, which it does only when it is dropped or fails.
+    pub fn join(mut self) {
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Running {
+    /// Stops at once: open connections are cut, as when a host is lost.
+    fn drop(&mut self) {
+        let _ = self.stop.send(true);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Serves on a thread of its own; `make` builds the handler there.
+pub fn start<M, H, F>(name: &str, listen: SocketAddr, make: M) -> io::Result<Running>
+where
+    M: FnOnce() -> H + Send + 'static,
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    let listener = TcpListener::bind(listen)?;
+    let address = listener.local_addr()?;
+    let (stop, stopped) = watch::channel(false);
+    let thread = std::thread::Builder::new().name(name.into()).spawn(move || {
+        actix_rt::System::new().block_on(async move {
+            // The thread ends here; whoever holds `Running` sees connections refused.
+            let _ = serve(listener, make(), Connections::default(), stopped).await;
+        });
+    })?;
+    Ok(Running { address, stop, thread: Some(thread) })
+}
+
+/// Reads the whole body of a request.
+pub async fn body(req: &mut Request) -> Bytes {
+    let mut payload = req.take_payload();
+    let mut buf = BytesMut::new();
+    while let Some(Ok(chunk)) = payload.next().await {
+        buf.extend_from_slice(&chunk);
+    }
+    buf.freeze()
+}
+
+/// Reads the body of a request as JSON.
+pub async fn json_body<T: DeserializeOwned>(req: &mut Request) -> Result<T, String> {
+    serde_json::from_slice(&body(req).await).map_err(|error| error.to_string())
+}
+
+/// Answers with JSON.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<BoxBody> {
+    let body = serde_json::to_vec(value).expect("a wire type is valid JSON");
+    let mut builder = Response::build(status);
+    builder.insert_header((header::CONTENT_TYPE, "application/json"));
+    builder.body(body).map_into_boxed_body()
+}
+
+/// Answers with text.
+pub fn text(status: StatusCode, text: impl Into<String>) -> Response<BoxBody> {
+    Response::build(status).body(text.into()).map_into_boxed_body()
+}
+
+/// Returns a parameter of the query as it stands; the stand-ins' parameters need no escapes.
+pub fn query<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
+    let pairs = req.uri().query()?.split('&');
+    pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|(_, v)| v)
+}
+
+/// Returns a header as text.
+pub fn header_text<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
+    req.headers().get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,268 @@
+//! The platform: objects, the host list and the cloud.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
+use dogwoodturn::{
+    ids::Revision,
+    platform::{
+        CallError, Condition, ObjectKey, Operation, Reply,
+        http::REVISION_HEADER,
+        memory::MemoryStore,
+        wire::{ChangesWire, HostsWire, ListWire},
+    },
+    upstream::HostRecord,
+};
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::http::{self, Running, header_text, json, json_body, query, text};
+
+/// How often a held call looks for changes.
+const POLL: Duration = Duration::from_millis(2);
+
+/// The faults that can be set at run time.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case")]
+pub struct Faults {
+    /// Whether every call is refused with 503.
+    pub outage: bool,
+    /// How long each call is delayed, in milliseconds.
+    pub delay_ms: u64,
+    /// How many of the next writes take effect while their answers are lost.
+    pub lose_answers: u32,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    store: MemoryStore,
+    hosts: Vec<HostRecord>,
+    hosts_revision: Revision,
+    faults: Faults,
+    calls: u64,
+}
+
+/// The state of a platform stand-in, shared with the test that started it.
+#[derive(Clone, Debug, Default)]
+pub struct Platform {
+    state: Arc<Mutex<State>>,
+}
+
+impl Platform {
+    /// Makes an empty platform.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Serves it at `listen`.
+    pub fn start(&self, listen: SocketAddr) -> io::Result<Running> {
+        let platform = self.clone();
+        http::start("platform", listen, move || {
+            move |req: Request| {
+                let platform = platform.clone();
+                async move { platform.answer(req).await }
+            }
+        })
+    }
+
+    /// Replaces the host list.
+    pub fn set_hosts(&self, hosts: Vec<HostRecord>) {
+        let mut state = self.lock();
+        state.hosts = hosts;
+        state.hosts_revision = state.hosts_revision.next();
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+    }
+
+    /// Returns how many calls have arrived.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    async fn answer(self, mut req: Request) -> Response<BoxBody> {
+        if req.path() == "/faults" {
+            return self.faults(&mut req).await;
+        }
+        let faults = {
+            let mut state = self.lock();
+            state.calls += 1;
+            state.faults.clone()
+        };
+        if faults.delay_ms > 0 {
+            sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        if faults.outage {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "outage");
+        }
+        let path = req.path().to_owned();
+        match (req.method().clone(), path.as_str()) {
+            (Method::GET, "/objects") => self.list(&req),
+            (Method::GET, "/watch") => self.watch(&req).await,
+            (Method::GET, "/hosts") => self.hosts(&req).await,
+            (Method::PUT, "/hosts") => self.put_hosts(&mut req).await,
+            (method, path) => match path.strip_prefix("/objects/") {
+                Some(key) => self.object(&method, ObjectKey::new(key), &mut req).await,
+                None => text(StatusCode::NOT_FOUND, "no such path"),
+            },
+        }
+    }
+
+    async fn faults(&self, req: &mut Request) -> Response<BoxBody> {
+        if req.method() == Method::GET {
+            return json(StatusCode::OK, &self.lock().faults);
+        }
+        match json_body(req).await {
+            Ok(faults) => {
+                self.set_faults(faults);
+                text(StatusCode::NO_CONTENT, "")
+            }
+            Err(error) => text(StatusCode::BAD_REQUEST, error),
+        }
+    }
+
+    fn list(&self, req: &Request) -> Response<BoxBody> {
+        let prefix = query(req, "prefix").unwrap_or("").into();
+        match self.lock().store.apply(&Operation::List(prefix)) {
+            Ok(Reply::Listed(objects)) => {
+                let objects = objects.into_iter().map(|(key, r)| (key.as_str().into(), r));
+                json(StatusCode::OK, &ListWire { objects: objects.collect() })
+            }
+            _ => text(StatusCode::INTERNAL_SERVER_ERROR, ""),
+        }
+    }
+
+    async fn watch(&self, req: &Request) -> Response<BoxBody> {
+        let prefix: Box<str> = query(req, "prefix").unwrap_or("").into();
+        let after = number(req, "after").map(Revision).unwrap_or_default();
+        let until = Instant::now() + Duration::from_millis(number(req, "wait-ms").unwrap_or(0));
+        loop {
+            let operation =
+                Operation::Watch { prefix: prefix.clone(), after, wait: Duration::ZERO };
+            let reply = self.lock().store.apply(&operation);
+            let Ok(Reply::Changes { revision, changes }) = reply else {
+                return text(StatusCode::INTERNAL_SERVER_ERROR, "");
+            };
+            if !changes.is_empty() || Instant::now() >= until {
+                let changes = changes.into_iter().map(Into::into).collect();
+                return json(StatusCode::OK, &ChangesWire { revision, changes });
+            }
+            if self.lock().faults.outage {
+                return text(StatusCode::SERVICE_UNAVAILABLE, "outage");
+            }
+            sleep(POLL).await;
+        }
+    }
+
+    async fn hosts(&self, req: &Request) -> Response<BoxBody> {
+        let after = number(req, "after").map(Revision).unwrap_or_default();
+        let until = Instant::now() + Duration::from_millis(number(req, "wait-ms").unwrap_or(0));
+        let data_centre = query(req, "data-centre");
+        loop {
+            {
+                let state = self.lock();
+                if state.hosts_revision > after || Instant::now() >= until {
+                    let hosts = state.hosts.iter();
+                    let hosts = hosts
+                        .filter(|host| data_centre.is_none_or(|dc| host.data_centre.as_str() == dc))
+                        .cloned()
+                        .collect();
+                    let wire = HostsWire { revision: state.hosts_revision, hosts };
+                    return json(StatusCode::OK, &wire);
+                }
+                if state.faults.outage {
+                    return text(StatusCode::SERVICE_UNAVAILABLE, "outage");
+                }
+            }
+            sleep(POLL).await;
+        }
+    }
+
+    async fn put_hosts(&self, req: &mut Request) -> Response<BoxBody> {
+        match json_body(req).await {
+            Ok(hosts) => {
+                self.set_hosts(hosts);
+                text(StatusCode::NO_CONTENT, "")
+            }
+            Err(error) => text(StatusCode::BAD_REQUEST, error),
+        }
+    }
+
+    async fn object(
+        &self,
+        method: &Method,
+        key: ObjectKey,
+        req: &mut Request,
+    ) -> Response<BoxBody> {
+        let operation = match *method {
+            Method::GET => Operation::Get(key),
+            Method::PUT | Method::DELETE => {
+                let Some(condition) = condition(req) else {
+                    return text(StatusCode::PRECONDITION_REQUIRED, "a write needs a condition");
+                };
+                if *method == Method::PUT {
+                    let value = http::body(req).await;
+                    Operation::Put { key, value, condition }
+                } else {
+                    Operation::Delete { key, condition }
+                }
+            }
+            _ => return text(StatusCode::METHOD_NOT_ALLOWED, ""),
+        };
+        let mut state = self.lock();
+        let result = state.store.apply(&operation);
+        if operation.is_write() && state.faults.lose_answers > 0 {
+            state.faults.lose_answers -= 1;
+            return text(StatusCode::GATEWAY_TIMEOUT, "the answer is lost");
+        }
+        object_response(result)
+    }
+}
+
+fn number(req: &Request, name: &str) -> Option<u64> {
+    query(req, name)?.parse().ok()
+}
+
+fn condition(req: &Request) -> Option<Condition> {
+    if header_text(req, "if-none-match") == Some("*") {
+        return Some(Condition::Absent);
+    }
+    let revision = header_text(req, "if-match")?.trim_matches('"').parse().ok()?;
+    Some(Condition::Revision(revision))
+}
+
+fn object_response(result: Result<Reply, CallError>) -> Response<BoxBody> {
+    match result {
+        Ok(Reply::Object(Some(object))) => {
+            let mut builder = Response::build(StatusCode::OK);
+            builder.insert_header((REVISION_HEADER, object.revision.to_string()));
+            builder.body(object.value).map_into_boxed_body()
+        }
+        Ok(Reply::Object(None)) => text(StatusCode::NOT_FOUND, "no such object"),
+        Ok(Reply::Written(revision)) => {
+            let mut builder = Response::build(StatusCode::OK);
+            builder.insert_header((REVISION_HEADER, revision.to_string()));
+            builder.body("").map_into_boxed_body()
+        }
+        Err(CallError::Conflict(current)) => {
+            let mut builder = Response::build(StatusCode::PRECONDITION_FAILED);
+            if let Some(current) = current {
+                builder.insert_header((REVISION_HEADER, current.to_string()));
+            }
+            builder.body("").map_into_boxed_body()
+        }
+        Err(CallError::Refused(reason)) => text(StatusCode::PAYLOAD_TOO_LARGE, reason),
+        _ => text(StatusCode::INTERNAL_SERVER_ERROR, ""),
+    }
+}
