--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -111,6 +111,7 @@
                 );
                 self.snapshot.store(snapshot);
             }
+            Output::ClaimAnswered(..) | Output::Send(..) => {}
             Output::Refused(reason) => log::warn!(event = "refused", reason:% = reason; ""),
         }
     }
--- /dev/null
+++ b/lib/src/moves/share.rs
@@ -0,0 +1,55 @@
+//! The share of requests that a move gives to the new version.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::{MoveName, RequestId, VersionName};
+
+/// A share of all requests, in millionths.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Share(pub u32);
+
+impl Share {
+    /// No request.
+    pub const NONE: Share = Share(0);
+    /// Every request.
+    pub const FULL: Share = Share(1_000_000);
+}
+
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:04}%", self.0 / 10_000, self.0 % 10_000)
+    }
+}
+
+/// How a service's requests are spread over two versions now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionChoice {
+    /// The move.
+    pub under_move: MoveName,
+    /// The version that served before.
+    pub from: VersionName,
+    /// The version that is to serve.
+    pub to: VersionName,
+    /// The share of requests that go to `to`.
+    pub share: Share,
+    /// The most requests that one daemon may have outstanding at `to`; no bound if `None`.
+    pub cap: Option<u32>,
+}
+
+impl VersionChoice {
+    /// Returns the version for a request, the same at each daemon but for the cap.
+    pub fn choose(&self, request: &RequestId, outstanding_at_to: u32) -> &VersionName {
+        let seed = xxh3_64_with_seed(self.under_move.as_str().as_bytes(), 0);
+        let hash = xxh3_64_with_seed(request.as_str().as_bytes(), seed);
+        let position = (u128::from(hash) * u128::from(Share::FULL.0)) >> 64;
+        let below = position < u128::from(self.share.0);
+        let has_room = self.cap.is_none_or(|cap| outstanding_at_to < cap);
+        if below && has_room { &self.to } else { &self.from }
+    }
+}
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -1,16 +1,21 @@
 //! The control part of a daemon: every slice but those of the traffic threads.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use crate::{
+    claim::{ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket},
     declaration::in_force::{self, InForce},
-    ids::CallId,
-    node::snapshot::Snapshot,
+    ids::{CallId, DaemonId, RequestId},
+    node::{message::PeerMessage, report::AttemptReport, snapshot::Snapshot},
+    peer::Recipient,
     platform::{CallError, Operation, Priority, Reply},
     units::Time,
     upstream::hosts::{self, HostList},
 };
 
+/// When a caller may ask again after a claim that could not be written.
+const CLAIM_RETRY: Duration = Duration::from_secs(1);
+
 /// Tells which slice asked for a call to the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Owner {
@@ -31,6 +36,14 @@
     Woken,
     /// The daemon is to shut down.
     Drain,
+    /// A traffic thread asks for a claim; [`Output::ClaimAnswered`] answers it.
+    Claim(ClaimAsk),
+    /// A claimed call has ended.
+    ClaimEnded(ClaimTicket, ClaimEnd),
+    /// An attempt has ended.
+    Attempt(Box<AttemptReport>),
+    /// A peer has sent a message.
+    Peer(DaemonId, PeerMessage),
 }
 
 /// What the control part wants done.
@@ -49,6 +62,10 @@
     },
     /// Give this snapshot to the traffic threads.
     Publish(Arc<Snapshot>),
+    /// Answer the claim that a request has asked for.
+    ClaimAnswered(RequestId, ClaimAnswer),
+    /// Send a message to peers.
+    Send(Recipient, PeerMessage),
     /// Log a warning about something refused.
     Refused(Box<str>),
 }
@@ -93,6 +110,12 @@
                 self.snapshot.draining = true;
                 self.publish(out);
             }
+            Input::Claim(ask) => {
+                let retry_after = CLAIM_RETRY;
+                let answer = ClaimAnswer::Unavailable { retry_after };
+                out.push(Output::ClaimAnswered(ask.request, answer));
+            }
+            Input::ClaimEnded(..) | Input::Attempt(_) | Input::Peer(..) => {}
         }
     }
 
--- a/lib/src/node/snapshot.rs
+++ b/lib/src/node/snapshot.rs
@@ -2,7 +2,15 @@
 
 use std::sync::Arc;
 
-use crate::{declaration::DeclarationSet, ids::Generation, upstream::HostRecord};
+use indexmap::IndexMap;
+
+use crate::{
+    declaration::DeclarationSet,
+    ids::{Generation, ServiceName},
+    moves::share::VersionChoice,
+    peer::Member,
+    upstream::HostRecord,
+};
 
 /// All that a traffic thread needs to decide about a request.
 #[derive(Clone, Debug)]
@@ -13,6 +21,10 @@
     pub set: Arc<DeclarationSet>,
     /// The hosts of the host list.
     pub hosts: Arc<[HostRecord]>,
+    /// The services whose requests are spread over two versions; others use their version.
+    pub versions: Arc<IndexMap<ServiceName, VersionChoice>>,
+    /// The daemons that are taken to be live, this one included.
+    pub members: Arc<[Member]>,
     /// Whether the daemon knows what is in force now.
     pub informed: bool,
     /// Whether the daemon has been asked to shut down.
@@ -25,6 +37,8 @@
             generation: Generation(0),
             set: Arc::default(),
             hosts: Arc::new([]),
+            versions: Arc::default(),
+            members: Arc::new([]),
             informed: false,
             draining: false,
         }
