standins: engines batch, cache, resume and take orders; faults are set at run time

Change: an engine without I/O with continuous batching, a prefix cache with bounded memory, priorities, deadlines, resumption, KV export and import, lagging loads, cache events with gaps, orders with fencing, and bad versions of six kinds; a plain service that fails, cuts and refuses; a platform with rate limits, late effects, lag of the host list and restoration.

--- a/load/src/caller.rs
+++ b/load/src/caller.rs
@@ -114,7 +114,8 @@
             return Some(text);
         }
         let value: Value = serde_json::from_str(data).ok()?;
-        text.push_str(value["text"].as_str()?);
+        // The event before the last tells the usage and has no text.
+        text.push_str(value["text"].as_str().unwrap_or(""));
     }
     None
 }
--- a/load/src/local.rs
+++ b/load/src/local.rs
@@ -17,7 +17,12 @@
     upstream::{HostRecord, HostState},
 };
 use dogwoodturn_daemon::{Daemon, settings::Settings};
-use dogwoodturn_standins::{engine::Engine, http::Running, plain::Plain, platform::Platform};
+use dogwoodturn_standins::{
+    engine::{Engine, model::EngineConfig},
+    http::Running,
+    plain::Plain,
+    platform::Platform,
+};
 use eyre::{Result, bail};
 
 /// How long a fleet may take until each daemon is ready.
@@ -173,7 +178,7 @@
 
 fn start_upstream(plan: &UpstreamPlan, index: usize) -> Result<Upstream> {
     let (standin, running) = if plan.engine {
-        let engine = Engine::new();
+        let engine = Engine::new(EngineConfig::fast());
         let running = engine.start(loopback())?;
         (Standin::Engine(engine), running)
     } else {
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -14,6 +14,9 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::sync::watch;
 
+/// The header by which an upstream proves that it did not run a request.
+pub const NOT_RUN_HEADER: &str = "x-not-run";
+
 /// A stand-in that serves on a thread of its own until it is dropped.
 #[derive(Debug)]
 pub struct Running {
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -2,7 +2,11 @@
 
 use std::net::SocketAddr;
 
-use dogwoodturn_standins::{engine::Engine, plain::Plain, platform::Platform};
+use dogwoodturn_standins::{
+    engine::{Engine, model::EngineConfig},
+    plain::Plain,
+    platform::Platform,
+};
 use eyre::{Result, bail};
 use gumdrop::Options;
 
@@ -21,7 +25,7 @@
     let listen: SocketAddr = args.listen.parse()?;
     let running = match args.role.as_slice() {
         [role] if role == "platform" => Platform::new().start(listen)?,
-        [role] if role == "engine" => Engine::new().start(listen)?,
+        [role] if role == "engine" => Engine::new(EngineConfig::default()).start(listen)?,
         [role] if role == "plain" => Plain::new().start(listen)?,
         _ => bail!("name one role: platform, engine or plain"),
     };
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -3,19 +3,49 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
 };
 
-use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
+use actix_http::{
+    Method, Request, Response, StatusCode,
+    body::{BodyStream, BoxBody},
+};
+use bytes::Bytes;
+use futures_util::stream;
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 use serde_json::json;
+use tokio::time::sleep;
+
+use crate::http::{
+    self, NOT_RUN_HEADER, Running, header_text, json as json_response, json_body, text,
+};
+
+/// The faults that can be set at run time.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case")]
+pub struct Faults {
+    /// Whether each call is answered with 500 after it ran.
+    pub fail: bool,
+    /// How long each call takes, in milliseconds.
+    pub delay_ms: u64,
+    /// Whether the connection is cut after a call ran.
+    pub cut_after_run: bool,
+    /// Whether each call is refused, with proof that it did not run.
+    pub refuse: bool,
+}
 
-use crate::http::{self, Running, header_text, json as json_response};
+#[derive(Debug, Default)]
+struct State {
+    runs: IndexMap<String, u64>,
+    faults: Faults,
+}
 
 /// The state of a plain stand-in, shared with the test that started it.
 #[derive(Clone, Debug, Default)]
 pub struct Plain {
-    runs: Arc<Mutex<IndexMap<String, u64>>>,
+    state: Arc<Mutex<State>>,
 }
 
 impl Plain {
@@ -27,31 +57,71 @@
     /// Serves it at `listen`.
     pub fn start(&self, listen: SocketAddr) -> io::Result<Running> {
         let plain = self.clone();
-        http::start("plain", listen, move || {
-            move |req: Request| {
-                let plain = plain.clone();
-                async move { plain.answer(req).await }
-            }
-        })
+        http::start("plain", listen, move || move |req: Request| plain.clone().answer(req))
     }
 
     /// Returns how often each key ran.
     pub fn runs(&self) -> IndexMap<String, u64> {
-        self.runs.lock().expect("no holder of the lock panics").clone()
+        self.lock().runs.clone()
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
     }
 
     async fn answer(self, mut req: Request) -> Response<BoxBody> {
+        if req.path() == "/faults" {
+            return self.put_faults(&mut req).await;
+        }
+        let faults = self.lock().faults.clone();
+        if faults.refuse {
+            let mut builder = Response::build(StatusCode::SERVICE_UNAVAILABLE);
+            builder.insert_header((NOT_RUN_HEADER, "true"));
+            return builder.body("refused").map_into_boxed_body();
+        }
         let body = http::body(&mut req).await;
         let key = header_text(&req, "idempotency-key").unwrap_or("").to_owned();
-        let run = {
-            let mut runs = self.runs.lock().expect("no holder of the lock panics");
-            let run = runs.entry(key.clone()).or_default();
-            if req.method() != Method::GET {
-                *run += 1;
-            }
-            *run
-        };
+        let run = self.run(req.method(), &key);
+        if faults.delay_ms > 0 {
+            sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        if faults.cut_after_run {
+            return cut();
+        }
+        if faults.fail {
+            return text(StatusCode::INTERNAL_SERVER_ERROR, "failed after the run");
+        }
         let answer = json!({ "path": req.path(), "key": key, "run": run, "bytes": body.len() });
         json_response(StatusCode::OK, &answer)
     }
+
+    fn run(&self, method: &Method, key: &str) -> u64 {
+        let mut state = self.lock();
+        let run = state.runs.entry(key.to_owned()).or_default();
+        if *method != Method::GET {
+            *run += 1;
+        }
+        *run
+    }
+
+    async fn put_faults(&self, req: &mut Request) -> Response<BoxBody> {
+        match json_body(req).await {
+            Ok(faults) => {
+                self.set_faults(faults);
+                text(StatusCode::NO_CONTENT, "")
+            }
+            Err(error) => text(StatusCode::BAD_REQUEST, error),
+        }
+    }
+}
+
+/// Cuts the connection in place of an answer.
+fn cut() -> Response<BoxBody> {
+    let body = Box::pin(stream::once(async { Err::<Bytes, _>(io::Error::other("cut")) }));
+    Response::build(StatusCode::OK).body(BodyStream::new(body)).map_into_boxed_body()
 }
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -36,6 +36,25 @@
     pub delay_ms: u64,
     /// How many of the next writes take effect while their answers are lost.
     pub lose_answers: u32,
+    /// How long a write whose answer is lost takes until it has effect, in milliseconds.
+    pub late_effect_ms: u64,
+    /// How many reads a second are answered; any number if zero.
+    pub reads_per_second: u32,
+    /// How many writes a second are answered; any number if zero.
+    pub writes_per_second: u32,
+    /// How long the host list lags, in milliseconds.
+    pub hosts_lag_ms: u64,
+}
+
+/// How many calls have arrived.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Calls {
+    /// Calls that change nothing, watches included.
+    pub reads: u64,
+    /// Calls that change something.
+    pub writes: u64,
+    /// Calls that were refused by the rate limit.
+    pub refused: u64,
 }
 
 #[derive(Debug, Default)]
@@ -44,7 +63,37 @@
     hosts: Vec<HostRecord>,
     hosts_revision: Revision,
     faults: Faults,
-    calls: u64,
+    calls: Calls,
+    second: Option<Second>,
+}
+
+/// The calls of the second under way, for the rate limit.
+#[derive(Clone, Copy, Debug)]
+struct Second {
+    began: Instant,
+    reads: u32,
+    writes: u32,
+}
+
+impl State {
+    /// Counts a call; false if the rate limit refuses it.
+    fn admit(&mut self, is_write: bool) -> bool {
+        let now = Instant::now();
+        let current = self.second.filter(|s| now.duration_since(s.began) < Duration::from_secs(1));
+        let mut second = current.unwrap_or(Second { began: now, reads: 0, writes: 0 });
+        let (count, limit) = if is_write {
+            self.calls.writes += 1;
+            (&mut second.writes, self.faults.writes_per_second)
+        } else {
+            self.calls.reads += 1;
+            (&mut second.reads, self.faults.reads_per_second)
+        };
+        *count += 1;
+        let admitted = limit == 0 || *count <= limit;
+        self.second = Some(second);
+        self.calls.refused += u64::from(!admitted);
+        admitted
+    }
 }
 
 /// The state of a platform stand-in, shared with the test that started it.
@@ -70,23 +119,45 @@
         })
     }
 
-    /// Replaces the host list.
+    /// Replaces the host list, at once whatever its lag.
     pub fn set_hosts(&self, hosts: Vec<HostRecord>) {
         let mut state = self.lock();
         state.hosts = hosts;
         state.hosts_revision = state.hosts_revision.next();
     }
 
+    /// Returns the host list.
+    pub fn hosts_now(&self) -> Vec<HostRecord> {
+        self.lock().hosts.clone()
+    }
+
+    /// Returns the objects as they stand, for [`Platform::restore`].
+    pub fn objects(&self) -> MemoryStore {
+        self.lock().store.clone()
+    }
+
+    /// Puts back objects as they stood earlier, as when the platform is restored from a backup.
+    pub fn restore(&self, objects: MemoryStore) {
+        self.lock().store = objects;
+    }
+
     /// Sets the faults.
     pub fn set_faults(&self, faults: Faults) {
         self.lock().faults = faults;
     }
 
     /// Returns how many calls have arrived.
-    pub fn calls(&self) -> u64 {
+    pub fn calls(&self) -> Calls {
         self.lock().calls
     }
 
+    fn loses_answer(&self) -> bool {
+        let mut state = self.lock();
+        let loses = state.faults.lose_answers > 0;
+        state.faults.lose_answers = state.faults.lose_answers.saturating_sub(1);
+        loses
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder of the lock panics")
     }
@@ -97,7 +168,9 @@
         }
         let faults = {
             let mut state = self.lock();
-            state.calls += 1;
+            if !state.admit(req.method() != Method::GET) {
+                return text(StatusCode::TOO_MANY_REQUESTS, "the rate limit is reached");
+            }
             state.faults.clone()
         };
         if faults.delay_ms > 0 {
@@ -192,7 +265,12 @@
     async fn put_hosts(&self, req: &mut Request) -> Response<BoxBody> {
         match json_body(req).await {
             Ok(hosts) => {
-                self.set_hosts(hosts);
+                let lag = Duration::from_millis(self.lock().faults.hosts_lag_ms);
+                let platform = self.clone();
+                actix_rt::spawn(async move {
+                    sleep(lag).await;
+                    platform.set_hosts(hosts);
+                });
                 text(StatusCode::NO_CONTENT, "")
             }
             Err(error) => text(StatusCode::BAD_REQUEST, error),
@@ -220,13 +298,17 @@
             }
             _ => return text(StatusCode::METHOD_NOT_ALLOWED, ""),
         };
-        let mut state = self.lock();
-        let result = state.store.apply(&operation);
-        if operation.is_write() && state.faults.lose_answers > 0 {
-            state.faults.lose_answers -= 1;
+        if operation.is_write() && self.loses_answer() {
+            let late = Duration::from_millis(self.lock().faults.late_effect_ms);
+            let platform = self.clone();
+            actix_rt::spawn(async move {
+                sleep(late).await;
+                // The condition decides whether the late write has effect.
+                let _ = platform.lock().store.apply(&operation);
+            });
             return text(StatusCode::GATEWAY_TIMEOUT, "the answer is lost");
         }
-        object_response(result)
+        object_response(self.lock().store.apply(&operation))
     }
 }
 
