placement, limit: prefix affinity with bounded load, ejection, shares and retry budgets

Cause: the thin path took upstreams in turn, refused nothing and retried without a bound. Change: rendezvous order over the live upstreams of the data centre by the shortest prefix that is not too popular, bounded load over lagging reports, spill to other data centres, bounded ejection; a window of work learnt from latency, customers' shares by weight, room kept for urgent requests, retry budgets and jittered backoff. The first form of the shares failed the test in which a large customer keeps a small one out (the small one got 0 of 64); it now gets its share at once.

--- /dev/null
+++ b/lib/src/placement/load.rs
@@ -0,0 +1,69 @@
+//! The load of one upstream, as far as one thread knows it.
+
+use std::time::Duration;
+
+use crate::units::Time;
+
+/// The time in which a report loses half of its weight.
+const REPORT_HALF_LIFE: Duration = Duration::from_secs(1);
+/// How much more a waiting request counts than a running one.
+const WAITING_WEIGHT: u32 = 4;
+/// The load that a refusal stands for until a report says otherwise.
+const REFUSAL_LOAD: u32 = 256;
+
+/// What an upstream says of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadReport {
+    /// The requests that it runs.
+    pub running: u32,
+    /// The requests that wait.
+    pub waiting: u32,
+    /// How old the report is.
+    pub age: Duration,
+}
+
+/// The load of one upstream: this thread's own attempts, and the last report of all others'.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadState {
+    outstanding: u32,
+    others: u32,
+    reported_at: Time,
+}
+
+impl LoadState {
+    /// Counts an attempt.
+    pub fn started(&mut self) {
+        self.outstanding += 1;
+    }
+
+    /// Ends an attempt.
+    pub fn ended(&mut self) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+    }
+
+    /// Returns this thread's own attempts.
+    pub fn outstanding(&self) -> u32 {
+        self.outstanding
+    }
+
+    /// Takes a report; the part that is this thread's own is not counted twice.
+    pub fn reported(&mut self, now: Time, report: LoadReport) {
+        let load = report.running + report.waiting * WAITING_WEIGHT;
+        self.others = load.saturating_sub(self.outstanding);
+        self.reported_at = now - report.age;
+    }
+
+    /// Takes that the upstream had no room for a request.
+    pub fn refused(&mut self, now: Time) {
+        self.others = self.others.max(REFUSAL_LOAD);
+        self.reported_at = now;
+    }
+
+    /// Returns the load as it may be now; an old report counts less and less.
+    pub fn estimate(&self, now: Time) -> u32 {
+        let half_lives =
+            (now.0.saturating_sub(self.reported_at.0)) / REPORT_HALF_LIFE.as_micros() as u64;
+        let others = if half_lives < 32 { self.others >> half_lives } else { 0 };
+        self.outstanding + others
+    }
+}
--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -1,12 +1,27 @@
 //! The choice of an upstream for a request.
 //!
-//! See `docs/design/placement.md`.
+//! Each daemon orders the upstreams of its data centre by rendezvous hashing of the prompt's
+//! prefix, the same order everywhere without a message, and takes the first whose load is not far
+//! above the mean. See `docs/design/placement.md`.
+
+pub mod health;
+pub mod load;
+pub mod pool;
+pub mod prefix;
 
 use indexmap::IndexMap;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
 
 use crate::{
     declaration::RequestClass,
     ids::{DataCentre, ServiceName, UpstreamId, VersionName},
+    placement::{
+        health::Health,
+        load::{LoadReport, LoadState},
+        pool::Pool,
+        prefix::PrefixCounter,
+    },
     units::Time,
     upstream::{HostRecord, HostState},
 };
@@ -20,7 +35,7 @@
     pub version: &'a VersionName,
     /// How urgent the request is.
     pub class: RequestClass,
-    /// The hash of the prompt's prefix, for affinity; `None` for a plain service.
+    /// The hash from [`Placement::affinity`]; `None` for a plain service.
     pub prefix: Option<u64>,
     /// Upstreams that must not be chosen, as they have failed this request.
     pub except: &'a [UpstreamId],
@@ -37,51 +52,127 @@
     Neutral,
 }
 
+/// What this thread knows of one upstream.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct UpstreamState {
+    pub(crate) load: LoadState,
+    pub(crate) health: Health,
+}
+
 /// The choice of upstreams at one traffic thread.
 #[derive(Clone, Debug)]
 pub struct Placement {
     data_centre: DataCentre,
-    outstanding: IndexMap<UpstreamId, u32>,
+    states: IndexMap<UpstreamId, UpstreamState>,
+    pools: IndexMap<ServiceName, IndexMap<VersionName, Pool>>,
+    prefixes: IndexMap<ServiceName, PrefixCounter>,
+    rng: Pcg64Mcg,
 }
 
 impl Placement {
     /// Makes the placement of a daemon in this data centre.
+    ///
+    /// `seed` sets apart the random choices of the threads and daemons.
+    pub fn with_seed(data_centre: DataCentre, seed: u64) -> Self {
+        Self {
+            data_centre,
+            states: IndexMap::new(),
+            pools: IndexMap::new(),
+            prefixes: IndexMap::new(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Makes the placement of a daemon in this data centre, with a fixed seed.
     pub fn new(data_centre: DataCentre) -> Self {
-        Self { data_centre, outstanding: IndexMap::new() }
+        Self::with_seed(data_centre, 0)
+    }
+
+    /// Takes the host list; [`Placement::choose`] must get the same list until the next one.
+    pub fn refresh(&mut self, hosts: &[HostRecord]) {
+        let live = |host: &HostRecord| host.state == HostState::Live;
+        self.states.retain(|id, state| {
+            state.load.outstanding() > 0 || hosts.iter().any(|host| host.upstream == *id)
+        });
+        self.pools.clear();
+        for (index, host) in hosts.iter().enumerate().filter(|(_, host)| live(host)) {
+            let entry = self.states.entry(host.upstream.clone());
+            let state = entry.index();
+            entry.or_default();
+            let versions = self.pools.entry(host.service.clone()).or_default();
+            let pool = versions.entry(host.version.clone()).or_default();
+            pool.add(index, state, host, host.data_centre == self.data_centre);
+        }
+    }
+
+    /// Returns the hash by which requests with this prompt find the upstream that caches it.
+    pub fn affinity(&mut self, service: &ServiceName, prompt: &str) -> u64 {
+        let versions = self.pools.get(service);
+        let upstreams = versions.map_or(0, |pools| pools.values().map(Pool::len).sum());
+        if !self.prefixes.contains_key(service) {
+            self.prefixes.insert(service.clone(), PrefixCounter::new());
+        }
+        self.prefixes[service].affinity(prompt, upstreams)
     }
 
     /// Chooses an upstream; `None` if no live upstream of the version may be used.
     pub fn choose<'a>(
-        &self,
-        _now: Time,
+        &mut self,
+        now: Time,
         hosts: &'a [HostRecord],
         wanted: &Wanted<'_>,
     ) -> Option<&'a HostRecord> {
-        hosts
-            .iter()
-            .filter(|host| host.service == *wanted.service && host.version == *wanted.version)
-            .filter(|host| host.state == HostState::Live)
-            .filter(|host| !wanted.except.contains(&host.upstream))
-            .min_by_key(|host| {
-                let remote = host.data_centre != self.data_centre;
-                (self.outstanding(&host.upstream), remote)
-            })
+        let random = self.rng.random();
+        let pool = self.pools.get(wanted.service)?.get(wanted.version)?;
+        let except = |state: usize| {
+            let id = self.states.get_index(state).map(|(id, _)| id);
+            id.is_some_and(|id| wanted.except.contains(id))
+        };
+        let index = pool.choose(now, &self.states, wanted, random, &except)?;
+        hosts.get(index)
     }
 
     /// Counts an attempt at an upstream.
     pub fn started(&mut self, upstream: &UpstreamId) {
-        *self.outstanding.entry(upstream.clone()).or_default() += 1;
+        if !self.states.contains_key(upstream) {
+            self.states.insert(upstream.clone(), UpstreamState::default());
+        }
+        self.states[upstream].load.started();
     }
 
     /// Ends an attempt that [`Placement::started`] counted.
-    pub fn ended(&mut self, _now: Time, upstream: &UpstreamId, _result: AttemptResult) {
-        if let Some(count) = self.outstanding.get_mut(upstream) {
-            *count = count.saturating_sub(1);
+    pub fn ended(&mut self, now: Time, upstream: &UpstreamId, result: AttemptResult) {
+        let random = self.rng.random();
+        let Some(state) = self.states.get_mut(upstream) else { return };
+        state.load.ended();
+        match result {
+            AttemptResult::Answered => state.health.answered(),
+            AttemptResult::Failed => state.health.failed(now, random),
+            AttemptResult::Neutral => {}
+        }
+    }
+
+    /// Takes what an upstream has said of its load.
+    pub fn reported(&mut self, now: Time, upstream: &UpstreamId, report: LoadReport) {
+        if let Some(state) = self.states.get_mut(upstream) {
+            state.load.reported(now, report);
+        }
+    }
+
+    /// Takes that an upstream has refused a request as too much.
+    pub fn refused(&mut self, now: Time, upstream: &UpstreamId) {
+        if let Some(state) = self.states.get_mut(upstream) {
+            state.load.refused(now);
         }
     }
 
     /// Returns how many attempts this thread has at an upstream.
     pub fn outstanding(&self, upstream: &UpstreamId) -> u32 {
-        self.outstanding.get(upstream).copied().unwrap_or(0)
+        self.states.get(upstream).map_or(0, |state| state.load.outstanding())
+    }
+
+    /// Returns how many upstreams are ejected now.
+    pub fn ejected(&self, now: Time) -> usize {
+        self.states.values().filter(|state| state.health.is_ejected(now)).count()
     }
 }
--- /dev/null
+++ b/lib/src/placement/prefix.rs
@@ -0,0 +1,78 @@
+//! Finds the part of a prompt by which requests should find their upstream.
+//!
+//! A short prefix gathers many prompts, a long one few. The shortest prefix that is not too
+//! popular for one upstream keeps the prompts of one document together, while a system prompt that
+//! all requests share, and that every upstream caches soon, does not send them all to one.
+
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The lengths of the prefixes, in words.
+const PREFIX_WORDS: [usize; 7] = [16, 32, 64, 128, 256, 512, 1024];
+/// How many prefixes are counted; then all counts are halved and those at zero are forgotten.
+const MAX_PREFIXES: usize = 16_384;
+/// The count at which a prefix can be told to be popular.
+const MIN_POPULAR: u32 = 8;
+
+/// Counts how popular prefixes are.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixCounter {
+    counts: IndexMap<u64, u32>,
+    prompts: u64,
+}
+
+impl PrefixCounter {
+    /// Makes a counter that has seen no prompt.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a prompt and returns the hash of the prefix that should choose its upstream.
+    pub fn affinity(&mut self, prompt: &str, upstreams: usize) -> u64 {
+        self.prompts += 1;
+        let fair = self.prompts / (upstreams.max(1) as u64);
+        let popular = fair.max(u64::from(MIN_POPULAR));
+        let mut chosen = None;
+        for hash in prefix_hashes(prompt) {
+            let count = self.counts.entry(hash).or_insert(0);
+            *count += 1;
+            if chosen.is_none() && u64::from(*count) <= popular {
+                chosen = Some(hash);
+            }
+        }
+        if self.counts.len() > MAX_PREFIXES {
+            self.halve();
+        }
+        // A whole prompt that is popular may go to any upstream, the same for all its requests.
+        chosen.unwrap_or_else(|| xxh3_64_with_seed(prompt.as_bytes(), 0))
+    }
+
+    fn halve(&mut self) {
+        self.prompts /= 2;
+        self.counts.retain(|_, count| {
+            *count /= 2;
+            *count > 0
+        });
+    }
+}
+
+fn prefix_hashes(prompt: &str) -> impl Iterator<Item = u64> {
+    let mut words = prompt.split_ascii_whitespace();
+    let mut hash = 0;
+    let mut taken = 0;
+    let mut ended = false;
+    PREFIX_WORDS.into_iter().map_while(move |length| {
+        if ended {
+            return None;
+        }
+        while taken < length {
+            let Some(word) = words.next() else {
+                ended = true;
+                break;
+            };
+            hash = xxh3_64_with_seed(word.as_bytes(), hash);
+            taken += 1;
+        }
+        Some(hash)
+    })
+}
--- /dev/null
+++ b/lib/tests/limit.rs
@@ -0,0 +1,124 @@
+//! Customers' shares, the window, and retry budgets.
+
+use std::{sync::Arc, time::Duration};
+
+use dogwoodturn::{
+    declaration::{Customer, DeclarationSet, RequestClass},
+    ids::{CustomerName, ServiceName},
+    limit::{Admission, Asked, Limits},
+    units::Time,
+};
+
+fn service() -> ServiceName {
+    "lantern".parse().expect("a name")
+}
+
+fn customer(name: &str) -> CustomerName {
+    name.parse().expect("a name")
+}
+
+fn limits(customers: &[(&str, u32)]) -> Limits {
+    let mut set = DeclarationSet::default();
+    for &(name, weight) in customers {
+        let name = customer(name);
+        let token_sha256 = [0; 32];
+        set.customers.insert(name.clone(), Customer { name, weight, token_sha256 });
+    }
+    let mut limits = Limits::new();
+    limits.refresh(Arc::new(set));
+    limits
+}
+
+fn asked<'a>(
+    service: &'a ServiceName,
+    customer: &'a CustomerName,
+    class: RequestClass,
+) -> Asked<'a> {
+    Asked { customer: Some(customer), service, class, tokens: 0 }
+}
+
+fn admitted(limits: &mut Limits, asked: &Asked<'_>, count: usize) -> usize {
+    (0..count).filter(|_| limits.admit(Time(0), asked) == Admission::Now).count()
+}
+
+#[test]
+fn admit_large_customer_leaves_room_for_a_small_one() {
+    let mut limits = limits(&[("large", 9), ("small", 1)]);
+    let (service, large, small) = (service(), customer("large"), customer("small"));
+    let by_large = asked(&service, &large, RequestClass::Interactive);
+    let by_small = asked(&service, &small, RequestClass::Interactive);
+    let window = 64;
+    assert!(admitted(&mut limits, &by_large, 1000) >= window * 6 / 10);
+    let got = admitted(&mut limits, &by_small, 1000);
+    assert!(got >= window / 10, "the small customer got {got}");
+}
+
+#[test]
+fn admit_batch_leaves_room_for_interactive() {
+    let mut limits = limits(&[("one", 1)]);
+    let (service, one) = (service(), customer("one"));
+    let batch = asked(&service, &one, RequestClass::Batch);
+    let interactive = asked(&service, &one, RequestClass::Interactive);
+    admitted(&mut limits, &batch, 1000);
+    assert!(admitted(&mut limits, &interactive, 1000) >= 64 / 5);
+}
+
+#[test]
+fn admit_refusal_says_when_to_come_back() {
+    let mut limits = limits(&[("one", 1)]);
+    let (service, one) = (service(), customer("one"));
+    let asked = asked(&service, &one, RequestClass::Interactive);
+    admitted(&mut limits, &asked, 1000);
+    let Admission::Refused(overload) = limits.admit(Time(0), &asked) else {
+        panic!("the window is full");
+    };
+    assert!(overload.retry_after > Duration::ZERO);
+}
+
+#[test]
+fn finished_late_answers_shrink_the_window() {
+    let mut limits = limits(&[("one", 1)]);
+    let (service, one) = (service(), customer("one"));
+    let asked = asked(&service, &one, RequestClass::Interactive);
+    let mut now = Time(0);
+    let late = Some(Duration::from_secs(2));
+    admitted(&mut limits, &asked, 50);
+    let (_, before) = limits.usage(&service);
+    for _ in 0..10 {
+        now = now + Duration::from_secs(1);
+        limits.finished(now, &asked, late);
+    }
+    let (_, after) = limits.usage(&service);
+    assert!(after * 2 < before, "the window went from {before} to {after}");
+}
+
+#[test]
+fn finished_all_work_is_given_back() {
+    let mut limits = limits(&[("one", 1)]);
+    let (service, one) = (service(), customer("one"));
+    let asked = asked(&service, &one, RequestClass::Batch);
+    let count = admitted(&mut limits, &asked, 1000);
+    for _ in 0..count {
+        limits.finished(Time(0), &asked, None);
+    }
+    assert_eq!(limits.usage(&service).0, 0);
+}
+
+#[test]
+fn try_retry_budget_runs_out() {
+    let mut limits = limits(&[("one", 1)]);
+    let (service, one) = (service(), customer("one"));
+    let asked = asked(&service, &one, RequestClass::Interactive);
+    admitted(&mut limits, &asked, 20);
+    let retries = (0..1000).filter(|_| limits.try_retry(Time(0), &service)).count();
+    assert!(retries <= 12, "{retries} retries for 20 requests");
+}
+
+#[test]
+fn backoff_stays_below_a_doubling_bound() {
+    let limits = Limits::new();
+    for attempts in 0..20 {
+        let longest = Duration::from_millis(10 << attempts.min(6));
+        assert!(limits.backoff(attempts, u64::MAX) <= longest);
+    }
+}
