audit: the event that slices emit, and the wall clock in the control part

Moves and supply need the type before the trail itself stands. A slice's glue calls Control::audit with an audit::Event; the control part logs it as Output::Audit and will append it to the trail. Input::Clock tells the wall time before every input, so that no slice reads a clock. Additive glue in node/control.rs: Input::Clock, Output::Audit, Control::wall, Control::audit.

--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -1,6 +1,11 @@
 //! The control thread: runs the control state and carries out what it asks for.
 
-use std::{net::TcpListener, rc::Rc, sync::Arc, time::Instant};
+use std::{
+    net::TcpListener,
+    rc::Rc,
+    sync::Arc,
+    time::{Instant, SystemTime, UNIX_EPOCH},
+};
 
 use actix_http::Request;
 use arc_swap::ArcSwap;
@@ -14,7 +19,7 @@
         snapshot::Snapshot,
     },
     platform::http::HttpPlatform,
-    units::Time,
+    units::{Time, WallTime},
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -26,6 +31,11 @@
 /// How long to sleep when the control state wants no wakeup.
 const LONGEST_SLEEP: Duration = Duration::from_mins(1);
 
+fn wall_now() -> WallTime {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    WallTime(elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64))
+}
+
 /// What the control thread works with.
 #[derive(Debug)]
 pub struct Adapter {
@@ -74,6 +84,7 @@
         loop {
             let now = Time(started.elapsed().as_micros() as u64);
             let mut out = Vec::new();
+            control.handle(now, Input::Clock(wall_now()), &mut out);
             control.handle(now, input, &mut out);
             for output in out {
                 self.carry_out(&platform, output);
@@ -112,6 +123,15 @@
                 self.snapshot.store(snapshot);
             }
             Output::ClaimAnswered(..) | Output::Send(..) => {}
+            Output::Audit(event) => log::info!(
+                event = "audit",
+                actor:% = event.actor,
+                object:% = event.object,
+                action:% = event.action,
+                generation:% = event.generation,
+                cause:% = event.cause;
+                ""
+            ),
             Output::Refused(reason) => log::warn!(event = "refused", reason:% = reason; ""),
         }
     }
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -3,13 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
+    audit,
     claim::{ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket},
     declaration::in_force::{self, InForce},
     ids::{CallId, DaemonId, RequestId},
     node::{message::PeerMessage, report::AttemptReport, snapshot::Snapshot},
     peer::Recipient,
     platform::{CallError, Operation, Priority, Reply},
-    units::Time,
+    units::{Time, WallTime},
     upstream::hosts::{self, HostList},
 };
 
@@ -44,6 +45,8 @@
     Attempt(Box<AttemptReport>),
     /// A peer has sent a message.
     Peer(DaemonId, PeerMessage),
+    /// The wall clock shows this time now; told before `Started` and at least once a minute.
+    Clock(WallTime),
 }
 
 /// What the control part wants done.
@@ -68,6 +71,8 @@
     Send(Recipient, PeerMessage),
     /// Log a warning about something refused.
     Refused(Box<str>),
+    /// Log a change; the control part also appends it to the audit trail.
+    Audit(audit::Event),
 }
 
 /// The control state of one daemon.
@@ -76,6 +81,7 @@
     in_force: InForce,
     hosts: HostList,
     snapshot: Snapshot,
+    clock: (Time, WallTime),
 }
 
 impl Control {
@@ -115,10 +121,22 @@
                 let answer = ClaimAnswer::Unavailable { retry_after };
                 out.push(Output::ClaimAnswered(ask.request, answer));
             }
+            Input::Clock(wall) => self.clock = (now, wall),
             Input::ClaimEnded(..) | Input::Attempt(_) | Input::Peer(..) => {}
         }
     }
 
+    /// Returns the wall time at `now`, as the last [`Input::Clock`] tells it.
+    pub fn wall(&self, now: Time) -> WallTime {
+        let (told, wall) = self.clock;
+        wall + now.since(told)
+    }
+
+    /// Records a change that a slice has made: in the log and in the audit trail.
+    pub fn audit(&mut self, _now: Time, event: audit::Event, out: &mut Vec<Output>) {
+        out.push(Output::Audit(event));
+    }
+
     fn publish(&self, out: &mut Vec<Output>) {
         out.push(Output::Publish(Arc::new(self.snapshot.clone())));
     }
