peer: a message can be flooded to every daemon, each once

Cause: holds of moves and reclaim notices must reach every daemon, and each slice would else keep its own memory of what it has seen. Change: Recipient::Flood, which the peer slice will carry out with ids, and PeerMessage::droppable, which says what a slow link may drop.

--- a/lib/src/node/message.rs
+++ b/lib/src/node/message.rs
@@ -14,6 +14,17 @@
     Leaving(crate::upstream::message::Message),
 }
 
+impl PeerMessage {
+    /// Says whether a link that is too slow may drop the message, as a later one makes up for it.
+    ///
+    /// Only statistics may be dropped; nothing that a promise rests on.
+    pub fn droppable(&self) -> bool {
+        match self {
+            Self::Leaving(_) => false,
+        }
+    }
+}
+
 /// A [`PeerMessage`] as it travels, in CBOR.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessageWire {
--- a/lib/src/peer/mod.rs
+++ b/lib/src/peer/mod.rs
@@ -26,6 +26,10 @@
     Daemon(DaemonId),
     /// Every neighbour in the overlay.
     Neighbours,
-    /// Every neighbour but one, so that a flooded message does not return to where it came from.
+    /// Every neighbour but one, so that a message does not return to where it came from.
     NeighboursExcept(DaemonId),
+    /// Every other daemon, each once: neighbours pass the message on, and repeats are dropped
+    /// before they reach the slice. Neighbours that link up later get the recent ones too.
+    /// The slice that receives it must not send it on.
+    Flood,
 }
