load: comparison with direct calls, and a bench of placement and limits without I/O

Cause: placement and limits had no figures, and the first window grew and shrank by single answers. Change: 'dogwoodturn-load compare' and 'placement' with two baselines; the choice reads a dense array and caches the mean load; each class has its own window, which follows the share of late answers in an interval, and late urgent answers make the others give room.

--- a/lib/src/limit/mod.rs
+++ b/lib/src/limit/mod.rs
@@ -1,8 +1,9 @@
 //! Customers' shares, overload, retry budgets.
 //!
-//! Each traffic thread keeps, for each service, a window of work that it may have outstanding. The
-//! window grows while answers keep the latency target and shrinks when they do not, and customers
-//! share it by weight once it is nearly full. See `docs/design/limits.md`.
+//! Each traffic thread keeps, for each service and class, a window of work that it may have
+//! outstanding. The window grows while answers come in time and shrinks when they do not; when
+//! urgent answers are late, the window of the others shrinks first. Customers share a window by
+//! weight once it is nearly full. See `docs/design/limits.md`.
 
 pub mod retry;
 pub mod share;
@@ -21,6 +22,10 @@
 
 /// How many tokens count as much as one request of a plain service.
 const TOKENS_PER_UNIT: u64 = 256;
+/// The part of the target at which an urgent answer counts as late, in percent.
+const URGENT_PERCENT: u32 = 75;
+/// The same for an answer that may take longer; it may wait for several steps of urgent ones.
+const BATCH_PERCENT: u32 = 400;
 /// The longest time until a refused caller is told to ask again.
 const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(10);
 
@@ -60,13 +65,38 @@
     Refused(Overload),
 }
 
+/// The limits of one class of requests at one service.
 #[derive(Clone, Debug, Default)]
-struct ServiceLimits {
+struct ClassLimits {
     window: Window,
     shares: Shares,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ServiceLimits {
+    urgent: ClassLimits,
+    batch: ClassLimits,
     retries: RetryBudget,
 }
 
+impl ServiceLimits {
+    fn class(&mut self, class: RequestClass) -> &mut ClassLimits {
+        match class {
+            RequestClass::Interactive => &mut self.urgent,
+            RequestClass::Batch => &mut self.batch,
+        }
+    }
+
+    /// Takes that an upstream had no room.
+    fn no_room(&mut self, now: Time) {
+        if self.batch.shares.total() > 0 && !self.batch.window.is_smallest() {
+            self.batch.window.refused(now);
+        } else {
+            self.urgent.window.refused(now);
+        }
+    }
+}
+
 /// The limits of one traffic thread.
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
@@ -95,34 +125,42 @@
         }
         let limits = &mut self.services[asked.service];
         limits.retries.deposit(now);
+        let limits = limits.class(asked.class);
         let window = limits.window.size();
         let work = asked.work();
-        if limits.shares.may_add(asked.customer, asked.class, work, window, &weight) {
-            limits.shares.add(asked.customer, asked.class, work);
+        if limits.shares.may_add(asked.customer, work, window, &weight) {
+            limits.shares.add(asked.customer, work);
             return Admission::Now;
         }
         let excess = limits.shares.total() + work;
-        let retry_after = limits.window.time_until_room(now, excess).min(LONGEST_RETRY_AFTER);
+        let retry_after = limits.window.time_until_room(excess).min(LONGEST_RETRY_AFTER);
         Admission::Refused(Overload { retry_after })
     }
 
     /// Ends a request that was admitted; `latency` is its time to the first token, if it had one.
     pub fn finished(&mut self, now: Time, asked: &Asked<'_>, latency: Option<Duration>) {
-        let target = self.target(asked.service);
-        let Some(limits) = self.services.get_mut(asked.service) else { return };
+        let target = self.target(asked.service).first_token;
+        let Some(service) = self.services.get_mut(asked.service) else { return };
+        let limits = service.class(asked.class);
         let work = asked.work();
         let total = limits.shares.total();
-        limits.shares.remove(asked.customer, asked.class, work);
+        limits.shares.remove(asked.customer, work);
         limits.window.finished(now, work);
-        if let (RequestClass::Interactive, Some(latency)) = (asked.class, latency) {
-            limits.window.observed(now, latency, target.first_token, total);
+        let Some(latency) = latency else { return };
+        let allowed = match asked.class {
+            RequestClass::Interactive => target * URGENT_PERCENT / 100,
+            RequestClass::Batch => target * BATCH_PERCENT / 100,
+        };
+        let shrank = limits.window.answered(now, latency > allowed, total);
+        if shrank && asked.class == RequestClass::Interactive {
+            service.batch.window.make_room();
         }
     }
 
     /// Takes that an upstream had no room for a request of the service.
     pub fn upstream_refused(&mut self, now: Time, service: &ServiceName) {
         if let Some(limits) = self.services.get_mut(service) {
-            limits.window.shrink(now);
+            limits.no_room(now);
         }
     }
 
@@ -139,9 +177,9 @@
         retry::backoff(attempts, random)
     }
 
-    /// Returns the work outstanding and the window of a service.
-    pub fn usage(&self, service: &ServiceName) -> (u64, u64) {
-        let limits = self.services.get(service);
+    /// Returns the work outstanding and the window of a class at a service.
+    pub fn usage(&mut self, service: &ServiceName, class: RequestClass) -> (u64, u64) {
+        let limits = self.services.get_mut(service).map(|limits| limits.class(class));
         limits.map_or((0, 0), |limits| (limits.shares.total(), limits.window.size()))
     }
 
--- a/lib/src/limit/share.rs
+++ b/lib/src/limit/share.rs
@@ -1,21 +1,18 @@
-//! Divides a window of work among customers by weight, and keeps room for urgent requests.
+//! Divides a window of work among customers by weight.
 
 use indexmap::IndexMap;
 
-use crate::{declaration::RequestClass, ids::CustomerName};
+use crate::ids::CustomerName;
 
 /// The part of the window up to which any customer may use it, in percent.
 const OPEN_PERCENT: u64 = 70;
 /// The most that may be outstanding while customers above their share give back, in percent.
 const FULL_PERCENT: u64 = 150;
-/// The part of the window that requests whose answer may take longer can use, in percent.
-const BATCH_PERCENT: u64 = 80;
 
-/// The work outstanding, by customer and class.
+/// The work outstanding, by customer.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
     by_customer: IndexMap<Option<CustomerName>, u64>,
-    batch: u64,
     total: u64,
 }
 
@@ -33,7 +30,6 @@
     pub fn may_add(
         &self,
         customer: Option<&CustomerName>,
-        class: RequestClass,
         work: u64,
         window: u64,
         weight: &dyn Fn(&CustomerName) -> u32,
@@ -41,9 +37,6 @@
         if self.total == 0 {
             return true;
         }
-        if class == RequestClass::Batch && (self.batch + work) * 100 > window * BATCH_PERCENT {
-            return false;
-        }
         if (self.total + work) * 100 <= window * OPEN_PERCENT {
             return true;
         }
@@ -55,16 +48,13 @@
     }
 
     /// Adds work of a customer.
-    pub fn add(&mut self, customer: Option<&CustomerName>, class: RequestClass, work: u64) {
+    pub fn add(&mut self, customer: Option<&CustomerName>, work: u64) {
         *self.by_customer.entry(customer.cloned()).or_insert(0) += work;
         self.total += work;
-        if class == RequestClass::Batch {
-            self.batch += work;
-        }
     }
 
     /// Removes work that was added.
-    pub fn remove(&mut self, customer: Option<&CustomerName>, class: RequestClass, work: u64) {
+    pub fn remove(&mut self, customer: Option<&CustomerName>, work: u64) {
         let customer = customer.cloned();
         if let Some(used) = self.by_customer.get_mut(&customer) {
             *used = used.saturating_sub(work);
@@ -73,9 +63,6 @@
             }
         }
         self.total = self.total.saturating_sub(work);
-        if class == RequestClass::Batch {
-            self.batch = self.batch.saturating_sub(work);
-        }
     }
 
     fn used(&self, customer: Option<&CustomerName>) -> u64 {
--- a/lib/src/limit/window.rs
+++ b/lib/src/limit/window.rs
@@ -5,27 +5,40 @@
 use crate::units::Time;
 
 /// The window before any answer has come.
-const FIRST_WINDOW: u64 = 64;
+const FIRST_WINDOW: f64 = 64.0;
 /// The smallest window.
-const SMALLEST_WINDOW: u64 = 4;
+const SMALLEST_WINDOW: f64 = 4.0;
 /// The largest window.
-const LARGEST_WINDOW: u64 = 65_536;
-/// The share of the latency target at which the window shrinks, in percent.
-const SHRINK_AT_PERCENT: u32 = 75;
-/// What remains of the window when it shrinks, in percent.
-const SHRINK_TO_PERCENT: u64 = 85;
-/// The least time between two times that it shrinks, so that the effect of the first is seen.
-const SHRINK_INTERVAL: Duration = Duration::from_millis(500);
-/// The share of the window that must be in use for it to grow, in percent.
-const GROW_ABOVE_PERCENT: u64 = 50;
+const LARGEST_WINDOW: f64 = 65_536.0;
+/// The least time over which answers are gathered before the window changes.
+const INTERVAL: Duration = Duration::from_millis(500);
+/// The fewest answers that are gathered before the window changes.
+const FEWEST_ANSWERS: u64 = 10;
+/// The answers that may be late without the window shrinking, in 100.
+const LATE_PERCENT: u64 = 5;
+/// What remains of the window when half of the answers or more are late.
+const LEAST_SHRINK_TO: f64 = 0.6;
+/// By how much the window grows in an interval, once it has shrunk for the first time.
+const GROWTH: f64 = 1.05;
+/// By how much it grows before.
+const FIRST_GROWTH: f64 = 2.0;
+/// What remains of the window when an upstream had no room.
+const REFUSED_SHRINK_TO: f64 = 0.9;
+/// The part of the window that must have been in use for it to grow.
+const GROW_ABOVE: f64 = 0.5;
 /// The time over which finished work is counted, for the time until there is room.
 const RATE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The window of one service.
+/// The window of one class at one service.
 #[derive(Clone, Debug)]
 pub struct Window {
     size: f64,
-    shrunk_at: Option<Time>,
+    has_shrunk: bool,
+    began: Time,
+    answers: u64,
+    late: u64,
+    most_outstanding: u64,
+    refused_at: Option<Time>,
     rate: f64,
     counted_since: Time,
     counted: u64,
@@ -34,8 +47,13 @@
 impl Default for Window {
     fn default() -> Self {
         Self {
-            size: FIRST_WINDOW as f64,
-            shrunk_at: None,
+            size: FIRST_WINDOW,
+            has_shrunk: false,
+            began: Time(0),
+            answers: 0,
+            late: 0,
+            most_outstanding: 0,
+            refused_at: None,
             rate: 0.0,
             counted_since: Time(0),
             counted: 0,
@@ -49,23 +67,54 @@
         self.size as u64
     }
 
-    /// Takes the latency of an answer while `outstanding` work was under way.
-    pub fn observed(&mut self, now: Time, latency: Duration, target: Duration, outstanding: u64) {
-        if latency * 100 > target * SHRINK_AT_PERCENT {
-            self.shrink(now);
-        } else if outstanding * 100 >= self.size() * GROW_ABOVE_PERCENT {
-            self.size = (self.size + 1.0 / self.size.max(1.0) * 2.0).min(LARGEST_WINDOW as f64);
+    /// Says whether the window cannot shrink further.
+    pub fn is_smallest(&self) -> bool {
+        self.size <= SMALLEST_WINDOW
+    }
+
+    /// Takes an answer that was late or not, while `outstanding` work was under way.
+    ///
+    /// At the end of an interval the window shrinks if more answers were late than the latency
+    /// target allows, and else grows if it was in use; returns whether it shrank.
+    pub fn answered(&mut self, now: Time, is_late: bool, outstanding: u64) -> bool {
+        self.answers += 1;
+        self.late += u64::from(is_late);
+        self.most_outstanding = self.most_outstanding.max(outstanding);
+        if now.since(self.began) < INTERVAL || self.answers < FEWEST_ANSWERS {
+            return false;
         }
+        let shrinks = self.late * 100 > self.answers * LATE_PERCENT;
+        if shrinks {
+            let late = self.late as f64 / self.answers as f64;
+            self.shrink_to(1.0 - (1.0 - LEAST_SHRINK_TO) * (late * 2.0).min(1.0));
+        } else if self.most_outstanding as f64 >= self.size * GROW_ABOVE {
+            let growth = if self.has_shrunk { GROWTH } else { FIRST_GROWTH };
+            self.size = (self.size * growth).min(LARGEST_WINDOW);
+        }
+        self.began = now;
+        self.answers = 0;
+        self.late = 0;
+        self.most_outstanding = outstanding;
+        shrinks
     }
 
-    /// Shrinks the window, once in an interval.
-    pub fn shrink(&mut self, now: Time) {
-        if self.shrunk_at.is_some_and(|at| now.since(at) < SHRINK_INTERVAL) {
+    /// Takes that an upstream had no room; the window shrinks once in an interval.
+    pub fn refused(&mut self, now: Time) {
+        if self.refused_at.is_some_and(|at| now.since(at) < INTERVAL) {
             return;
         }
-        self.shrunk_at = Some(now);
-        let smaller = self.size * SHRINK_TO_PERCENT as f64 / 100.0;
-        self.size = smaller.max(SMALLEST_WINDOW as f64);
+        self.refused_at = Some(now);
+        self.shrink_to(REFUSED_SHRINK_TO);
+    }
+
+    /// Shrinks the window to make room for requests of another class.
+    pub fn make_room(&mut self) {
+        self.shrink_to(LEAST_SHRINK_TO);
+    }
+
+    fn shrink_to(&mut self, part: f64) {
+        self.has_shrunk = true;
+        self.size = (self.size * part).max(SMALLEST_WINDOW);
     }
 
     /// Counts work that has finished.
@@ -80,7 +129,7 @@
     }
 
     /// Returns how long it may take until `outstanding` work has shrunk to the window.
-    pub fn time_until_room(&self, _now: Time, outstanding: u64) -> Duration {
+    pub fn time_until_room(&self, outstanding: u64) -> Duration {
         let excess = (outstanding as f64 - self.size).max(1.0);
         if self.rate <= 0.0 {
             return RATE_INTERVAL;
--- a/lib/src/placement/health.rs
+++ b/lib/src/placement/health.rs
@@ -27,11 +27,13 @@
     }
 
     /// Takes that the upstream has failed; `random` spreads the returns of several daemons.
-    pub fn failed(&mut self, now: Time, random: u64) {
+    ///
+    /// Returns until when it is ejected.
+    pub fn failed(&mut self, now: Time, random: u64) -> Time {
         self.failures += 1;
         // After an ejection, one further failure is enough.
         if self.failures < FAILURES_TO_EJECT && self.ejections == 0 {
-            return;
+            return self.ejected_until;
         }
         let doubled = FIRST_EJECTION * (1 << self.ejections.min(6));
         let time = doubled.min(LONGEST_EJECTION);
@@ -39,6 +41,7 @@
         self.ejections += 1;
         self.failures = 0;
         self.ejected_until = now + time + jitter;
+        self.ejected_until
     }
 
     /// Says whether the upstream gets no work now.
--- a/lib/src/placement/load.rs
+++ b/lib/src/placement/load.rs
@@ -4,9 +4,9 @@
 
 use crate::units::Time;
 
-/// The time in which a report loses half of its weight.
-const REPORT_HALF_LIFE: Duration = Duration::from_secs(1);
-/// How much more a waiting request counts than a running one.
+/// The time in which a report loses half of its weight, as a power of two of microseconds (1 s).
+const REPORT_HALF_LIFE_SHIFT: u32 = 20;
+/// How much more a request counts whose prompt is not computed yet.
 const WAITING_WEIGHT: u32 = 4;
 /// The load that a refusal stands for until a report says otherwise.
 const REFUSAL_LOAD: u32 = 256;
@@ -26,6 +26,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadState {
     outstanding: u32,
+    // Those of `outstanding` whose first token has not come.
+    waiting: u32,
     others: u32,
     reported_at: Time,
 }
@@ -34,11 +36,19 @@
     /// Counts an attempt.
     pub fn started(&mut self) {
         self.outstanding += 1;
+        self.waiting += 1;
+    }
+
+    /// Takes that the first token of an attempt has come.
+    pub fn first_token(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
     }
 
     /// Ends an attempt.
     pub fn ended(&mut self) {
         self.outstanding = self.outstanding.saturating_sub(1);
+        // An attempt that ends without a first token still counts as waiting.
+        self.waiting = self.waiting.min(self.outstanding);
     }
 
     /// Returns this thread's own attempts.
@@ -49,7 +59,7 @@
     /// Takes a report; the part that is this thread's own is not counted twice.
     pub fn reported(&mut self, now: Time, report: LoadReport) {
         let load = report.running + report.waiting * WAITING_WEIGHT;
-        self.others = load.saturating_sub(self.outstanding);
+        self.others = load.saturating_sub(self.own());
         self.reported_at = now - report.age;
     }
 
@@ -61,9 +71,12 @@
 
     /// Returns the load as it may be now; an old report counts less and less.
     pub fn estimate(&self, now: Time) -> u32 {
-        let half_lives =
-            (now.0.saturating_sub(self.reported_at.0)) / REPORT_HALF_LIFE.as_micros() as u64;
+        let half_lives = now.0.saturating_sub(self.reported_at.0) >> REPORT_HALF_LIFE_SHIFT;
         let others = if half_lives < 32 { self.others >> half_lives } else { 0 };
-        self.outstanding + others
+        self.own() + others
+    }
+
+    fn own(&self) -> u32 {
+        self.outstanding + self.waiting * (WAITING_WEIGHT - 1)
     }
 }
--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -9,7 +9,7 @@
 pub mod pool;
 pub mod prefix;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
@@ -19,7 +19,7 @@
     placement::{
         health::Health,
         load::{LoadReport, LoadState},
-        pool::Pool,
+        pool::{Pool, Scan, Slack},
         prefix::PrefixCounter,
     },
     units::Time,
@@ -63,7 +63,10 @@
 #[derive(Clone, Debug)]
 pub struct Placement {
     data_centre: DataCentre,
-    states: IndexMap<UpstreamId, UpstreamState>,
+    ids: IndexSet<UpstreamId>,
+    // In the order of `ids`, apart from them so that a choice reads little memory.
+    states: Vec<UpstreamState>,
+    ejected_until: Time,
     pools: IndexMap<ServiceName, IndexMap<VersionName, Pool>>,
     prefixes: IndexMap<ServiceName, PrefixCounter>,
     rng: Pcg64Mcg,
@@ -76,7 +79,9 @@
     pub fn with_seed(data_centre: DataCentre, seed: u64) -> Self {
         Self {
             data_centre,
-            states: IndexMap::new(),
+            ids: IndexSet::new(),
+            states: Vec::new(),
+            ejected_until: Time(0),
             pools: IndexMap::new(),
             prefixes: IndexMap::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -91,14 +96,10 @@
     /// Takes the host list; [`Placement::choose`] must get the same list until the next one.
     pub fn refresh(&mut self, hosts: &[HostRecord]) {
         let live = |host: &HostRecord| host.state == HostState::Live;
-        self.states.retain(|id, state| {
-            state.load.outstanding() > 0 || hosts.iter().any(|host| host.upstream == *id)
-        });
+        self.forget_gone(hosts);
         self.pools.clear();
         for (index, host) in hosts.iter().enumerate().filter(|(_, host)| live(host)) {
-            let entry = self.states.entry(host.upstream.clone());
-            let state = entry.index();
-            entry.or_default();
+            let state = self.state_of(&host.upstream);
             let versions = self.pools.entry(host.service.clone()).or_default();
             let pool = versions.entry(host.version.clone()).or_default();
             pool.add(index, state, host, host.data_centre == self.data_centre);
@@ -122,57 +123,97 @@
         hosts: &'a [HostRecord],
         wanted: &Wanted<'_>,
     ) -> Option<&'a HostRecord> {
-        let random = self.rng.random();
-        let pool = self.pools.get(wanted.service)?.get(wanted.version)?;
-        let except = |state: usize| {
-            let id = self.states.get_index(state).map(|(id, _)| id);
-            id.is_some_and(|id| wanted.except.contains(id))
+        let prefix = wanted.prefix.unwrap_or_else(|| self.rng.random());
+        let pool = self.pools.get_mut(wanted.service)?.get_mut(wanted.version)?;
+        let except: Vec<usize> =
+            wanted.except.iter().filter_map(|id| self.ids.get_index_of(id)).collect();
+        let scan = Scan {
+            now,
+            states: &self.states,
+            prefix,
+            slack: Slack::of(wanted.class),
+            except: &except,
+            heed_ejection: self.ejected_until > now,
         };
-        let index = pool.choose(now, &self.states, wanted, random, &except)?;
-        hosts.get(index)
+        hosts.get(pool.choose(&scan)?)
     }
 
     /// Counts an attempt at an upstream.
     pub fn started(&mut self, upstream: &UpstreamId) {
-        if !self.states.contains_key(upstream) {
-            self.states.insert(upstream.clone(), UpstreamState::default());
-        }
-        self.states[upstream].load.started();
+        let state = self.state_of(upstream);
+        self.states[state].load.started();
     }
 
     /// Ends an attempt that [`Placement::started`] counted.
     pub fn ended(&mut self, now: Time, upstream: &UpstreamId, result: AttemptResult) {
         let random = self.rng.random();
-        let Some(state) = self.states.get_mut(upstream) else { return };
+        let Some(state) = self.known(upstream) else { return };
         state.load.ended();
         match result {
             AttemptResult::Answered => state.health.answered(),
-            AttemptResult::Failed => state.health.failed(now, random),
+            AttemptResult::Failed => {
+                let until = state.health.failed(now, random);
+                self.ejected_until = self.ejected_until.max(until);
+            }
             AttemptResult::Neutral => {}
         }
     }
 
+    /// Takes that the first token of an attempt has come, so that its prompt is computed.
+    pub fn first_token(&mut self, upstream: &UpstreamId) {
+        if let Some(state) = self.known(upstream) {
+            state.load.first_token();
+        }
+    }
+
     /// Takes what an upstream has said of its load.
     pub fn reported(&mut self, now: Time, upstream: &UpstreamId, report: LoadReport) {
-        if let Some(state) = self.states.get_mut(upstream) {
+        if let Some(state) = self.known(upstream) {
             state.load.reported(now, report);
         }
     }
 
     /// Takes that an upstream has refused a request as too much.
     pub fn refused(&mut self, now: Time, upstream: &UpstreamId) {
-        if let Some(state) = self.states.get_mut(upstream) {
+        if let Some(state) = self.known(upstream) {
             state.load.refused(now);
         }
     }
 
     /// Returns how many attempts this thread has at an upstream.
     pub fn outstanding(&self, upstream: &UpstreamId) -> u32 {
-        self.states.get(upstream).map_or(0, |state| state.load.outstanding())
+        let state = self.ids.get_index_of(upstream).map(|index| &self.states[index]);
+        state.map_or(0, |state| state.load.outstanding())
     }
 
     /// Returns how many upstreams are ejected now.
     pub fn ejected(&self, now: Time) -> usize {
-        self.states.values().filter(|state| state.health.is_ejected(now)).count()
+        self.states.iter().filter(|state| state.health.is_ejected(now)).count()
+    }
+
+    /// Forgets the upstreams that are on no list and have no attempt.
+    fn forget_gone(&mut self, hosts: &[HostRecord]) {
+        let listed: IndexSet<&UpstreamId> = hosts.iter().map(|host| &host.upstream).collect();
+        let ids = std::mem::take(&mut self.ids);
+        let states = std::mem::take(&mut self.states);
+        for (id, state) in ids.into_iter().zip(states) {
+            if state.load.outstanding() > 0 || listed.contains(&id) {
+                self.ids.insert(id);
+                self.states.push(state);
+            }
+        }
+    }
+
+    fn state_of(&mut self, upstream: &UpstreamId) -> usize {
+        if let Some(index) = self.ids.get_index_of(upstream) {
+            return index;
+        }
+        self.states.push(UpstreamState::default());
+        self.ids.insert_full(upstream.clone()).0
+    }
+
+    fn known(&mut self, upstream: &UpstreamId) -> Option<&mut UpstreamState> {
+        let index = self.ids.get_index_of(upstream)?;
+        self.states.get_mut(index)
     }
 }
--- a/load/src/caller.rs
+++ b/load/src/caller.rs
@@ -36,6 +36,11 @@
         /// Whether to stream them.
         stream: bool,
     },
+    /// A call that changes nothing.
+    Read {
+        /// The route's path, and more.
+        path: String,
+    },
     /// A call that may not be repeated.
     Booking {
         /// The route's path.
@@ -59,6 +64,13 @@
             };
             judge(req.send_json(&body).await, check).await
         }
+        Ask::Read { path } => {
+            let req = client.get(format!("{base}{path}")).bearer_auth(token);
+            let check = |body: &[u8]| {
+                serde_json::from_slice::<Value>(body).is_ok_and(|v| v["path"] == path.as_str())
+            };
+            judge(req.timeout(ANSWER_TIMEOUT).send().await, check).await
+        }
         Ask::Booking { path, key } => {
             let req = client.request(Method::POST, format!("{base}{path}"));
             let req = req.bearer_auth(token).timeout(ANSWER_TIMEOUT);
--- /dev/null
+++ b/load/src/command/mod.rs
@@ -0,0 +1,4 @@
+//! The commands, one module each.
+
+pub mod compare;
+pub mod placement;
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -1,5 +1,9 @@
 //! Load and experiments: a whole fleet on loopback, callers, and what they saw.
 
+pub mod bench_engines;
 pub mod caller;
+pub mod drive;
 pub mod local;
+pub mod memory;
 pub mod sample;
+pub mod workload;
--- a/standins/src/engine/model.rs
+++ b/standins/src/engine/model.rs
@@ -223,7 +223,7 @@
     pub fn cancel(&mut self, id: &str) {
         self.waiting.retain(|sequence| sequence.submission.id != id);
         if let Some(index) = self.running.iter().position(|s| s.submission.id == id) {
-            let sequence = self.running.swap_remove(index);
+            let sequence = self.running.remove(index);
             self.end(sequence);
         }
     }
@@ -283,7 +283,7 @@
             sequence.to_compute == 0 && sequence.next_token >= sequence.submission.max_tokens
         };
         while let Some(index) = self.running.iter().position(done) {
-            let sequence = self.running.swap_remove(index);
+            let sequence = self.running.remove(index);
             out.push((sequence.submission.id.clone(), Output::Done(sequence.usage)));
             self.end(sequence);
         }
@@ -314,6 +314,7 @@
         }
         let mut budget = self.cfg.prompt_tokens_per_step;
         let mut prompt_tokens = 0;
+        self.running.sort_by_key(|sequence| sequence.submission.priority);
         for sequence in &mut self.running {
             let computed = sequence.to_compute.min(budget);
             sequence.to_compute -= computed;
