--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -14,11 +14,16 @@
         listen::{Connections, serve},
         operator::OperatorEdge,
     },
+    ids::DaemonId,
     node::{
         control::{Control, Input, Output},
+        message::PeerMessage,
         snapshot::Snapshot,
+        traffic::Event,
     },
+    peer::Recipient,
     platform::http::HttpPlatform,
+    request::{message::Message, name::thread_of},
     units::{Time, WallTime},
 };
 use tokio::{
@@ -43,6 +48,8 @@
     pub settings: Settings,
     /// Where snapshots are published.
     pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// Take what the traffic threads are told, in the order of the threads.
+    pub inboxes: Vec<mpsc::UnboundedSender<Event>>,
     /// The operators' listener.
     pub operators: TcpListener,
     /// Takes inputs, so that answers to calls come back.
@@ -101,6 +108,26 @@
         }
     }
 
+    fn threads(&self) -> u16 {
+        u16::try_from(self.inboxes.len()).unwrap_or(u16::MAX)
+    }
+
+    fn tell(&self, thread: u16, event: Event) {
+        if let Some(inbox) = self.inboxes.get(usize::from(thread)) {
+            // The receiver is gone only when the daemon ends.
+            let _ = inbox.send(event);
+        }
+    }
+
+    fn tell_about_request(&self, from: DaemonId, message: Message) {
+        let thread = match (&message, message.held_request()) {
+            (Message::Pieces(pieces), _) => pieces.id.thread,
+            (_, Some(request)) => thread_of(request, &self.settings.name, self.threads()),
+            (_, None) => return,
+        };
+        self.tell(thread, Event::Peer(from, message));
+    }
+
     fn carry_out(&self, platform: &HttpPlatform, output: Output) {
         match output {
             Output::Call { owner, call, operation, .. } => {
@@ -122,7 +149,6 @@
                 );
                 self.snapshot.store(snapshot);
             }
-            Output::ClaimAnswered(..) | Output::Send(..) => {}
             Output::Audit(event) => log::info!(
                 event = "audit",
                 actor:% = event.actor,
@@ -132,6 +158,22 @@
                 cause:% = event.cause;
                 ""
             ),
+            Output::ClaimAnswered(request, answer) => {
+                let thread = thread_of(&request, &self.settings.name, self.threads());
+                self.tell(thread, Event::Claim(request, answer));
+            }
+            Output::Send(Recipient::Daemon(to), PeerMessage::Request(message))
+                if to == self.settings.name =>
+            {
+                self.tell_about_request(to, message);
+            }
+            Output::Poison(digest, refused_for) => {
+                for thread in 0..self.threads() {
+                    self.tell(thread, Event::Poison(digest, refused_for));
+                }
+            }
+            Output::Request(from, message) => self.tell_about_request(from, message),
+            Output::Send(..) => {}
             Output::Refused(reason) => log::warn!(event = "refused", reason:% = reason; ""),
         }
     }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -14,11 +14,15 @@
     net::{SocketAddr, TcpListener},
     sync::Arc,
     thread::JoinHandle,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use arc_swap::ArcSwap;
-use dogwoodturn::node::{control::Input, snapshot::Snapshot};
+use dogwoodturn::{
+    ids::Incarnation,
+    node::{control::Input, snapshot::Snapshot, traffic::TrafficConfig},
+    request::name::Origin,
+};
 use thiserror::Error;
 use tokio::sync::{mpsc, watch};
 
@@ -73,8 +77,14 @@
             stop,
             threads: Vec::new(),
         };
+        let incarnation = incarnation();
+        let threads = u16::try_from(settings.traffic_threads).unwrap_or(u16::MAX);
+        let (inboxes, received_events): (Vec<_>, Vec<_>) =
+            (0..threads).map(|_| mpsc::unbounded_channel()).unzip();
+        let to_control = inputs.clone();
         let control = control::Adapter {
             settings: settings.clone(),
+            inboxes,
             snapshot: daemon.snapshot.clone(),
             operators,
             inputs,
@@ -82,14 +92,24 @@
             stop: stopped.clone(),
         };
         daemon.spawn("control", move || control.run())?;
-        for index in 0..settings.traffic_threads {
-            let listener = callers.try_clone().map_err(StartError::Thread)?;
-            let snapshot = daemon.snapshot.clone();
-            let in_flight = daemon.in_flight.clone();
-            let stop = stopped.clone();
-            daemon.spawn(&format!("traffic-{index}"), move || {
-                traffic::run(listener, snapshot, in_flight, stop);
-            })?;
+        for (thread, inbox) in (0..threads).zip(received_events) {
+            let origin = Origin { daemon: settings.name.clone(), incarnation, thread };
+            let run = traffic::Thread {
+                cfg: TrafficConfig {
+                    origin,
+                    threads,
+                    data_centre: settings.data_centre.clone(),
+                    drain_timeout: settings.drain_timeout,
+                    seed: incarnation.0.wrapping_add(u64::from(thread)),
+                },
+                listener: callers.try_clone().map_err(StartError::Thread)?,
+                snapshot: daemon.snapshot.clone(),
+                in_flight: daemon.in_flight.clone(),
+                control: to_control.clone(),
+                inbox,
+                stop: stopped.clone(),
+            };
+            daemon.spawn(&format!("traffic-{thread}"), move || run.run())?;
         }
         Ok(daemon)
     }
@@ -151,3 +171,9 @@
 fn address_of(listener: &TcpListener, asked: SocketAddr) -> Result<SocketAddr, StartError> {
     listener.local_addr().map_err(|source| StartError::Listen { address: asked, source })
 }
+
+/// Returns the number of this run: the wall clock's time, which is later for each later run.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation(since.as_millis() as u64)
+}
--- a/daemon/src/traffic.rs
+++ b/daemon/src/traffic.rs
@@ -15,33 +15,65 @@
 use bytes::Bytes;
 use dogwoodturn::{
     edge::{
+        adapter::Adapter,
         caller::CallerEdge,
         listen::{Connections, serve},
     },
-    node::snapshot::Snapshot,
+    node::{
+        control::Input,
+        snapshot::Snapshot,
+        traffic::{Event, Traffic, TrafficConfig},
+    },
 };
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::flight::{Flight, InFlight};
 
-/// Runs until `stop` turns true.
-pub fn run(
-    listener: TcpListener,
-    snapshot: Arc<ArcSwap<Snapshot>>,
-    in_flight: InFlight,
-    stop: watch::Receiver<bool>,
-) {
-    actix_rt::System::new().block_on(async move {
-        let edge = CallerEdge::new(snapshot);
+/// What a traffic thread works with.
+#[derive(Debug)]
+pub struct Thread {
+    /// What the traffic part is told at its start.
+    pub cfg: TrafficConfig,
+    /// The callers' listener.
+    pub listener: TcpListener,
+    /// What is decided from.
+    pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// Counts the requests of all threads.
+    pub in_flight: InFlight,
+    /// Takes what the control thread is told.
+    pub control: mpsc::UnboundedSender<Input>,
+    /// Gives what the control thread tells this thread.
+    pub inbox: mpsc::UnboundedReceiver<Event>,
+    /// Turns true when the thread must end.
+    pub stop: watch::Receiver<bool>,
+}
+
+impl Thread {
+    /// Runs until `stop` turns true.
+    pub fn run(self) {
+        actix_rt::System::new().block_on(self.run_here());
+    }
+
+    async fn run_here(self) {
+        let control = self.control;
+        let tell = move |input| {
+            // The control thread ends only when the daemon does.
+            let _ = control.send(input);
+        };
+        let adapter = Adapter::new(Traffic::new(self.cfg), self.snapshot, Box::new(tell));
+        actix_rt::spawn(adapter.clone().run_timers());
+        actix_rt::spawn(adapter.clone().run_inbox(self.inbox));
+        let edge = CallerEdge::new(adapter);
+        let in_flight = self.in_flight;
         let handler = move |req: Request| {
             let edge = edge.clone();
             let flight = in_flight.begin();
             async move { hold(edge.handle(req).await, flight) }
         };
-        if let Err(error) = serve(listener, handler, Connections::default(), stop).await {
+        if let Err(error) = serve(self.listener, handler, Connections::default(), self.stop).await {
             log::error!(event = "traffic-thread-ended", error:% = error; "");
         }
-    });
+    }
 }
 
 /// Keeps the request counted until its answer has been sent whole.
--- a/lib/src/edge/problem.rs
+++ b/lib/src/edge/problem.rs
@@ -5,7 +5,10 @@
 use actix_http::{Response, StatusCode, body::BoxBody, header};
 use serde::Serialize;
 
-use crate::request::outcome::RunOutcome;
+use crate::request::{
+    outcome::{NotRunProof, RunOutcome},
+    refusal::{Refusal, RefusalKind},
+};
 
 /// A refusal or failure as the caller gets it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,6 +23,8 @@
     pub outcome: RunOutcome,
     /// When asking again may help.
     pub retry_after: Option<Duration>,
+    /// The path at which the answer can be resumed at any daemon.
+    pub resume: Option<Box<str>>,
 }
 
 #[derive(Serialize)]
@@ -30,13 +35,17 @@
     status: u16,
     detail: &'a str,
     outcome: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    resume: Option<&'a str>,
 }
 
 impl Problem {
-    /// Makes a refusal of a request that no upstream has seen.
+    /// Makes a refusal of a call that this daemon answers itself, such as an operator's.
+    ///
+    /// A caller's request is refused by a [`Refusal`], whose outcome its states have decided.
     pub fn not_run(status: StatusCode, code: &'static str, detail: impl Into<Box<str>>) -> Self {
-        let outcome = RunOutcome::NotRun;
-        Self { status, code, detail: detail.into(), outcome, retry_after: None }
+        let outcome = RunOutcome::NotRun(NotRunProof::not_routed());
+        Self { status, code, detail: detail.into(), outcome, retry_after: None, resume: None }
     }
 
     /// Tells the caller when to ask again.
@@ -46,16 +55,22 @@
         self
     }
 
-    /// Makes the HTTP response.
-    pub fn into_response(self) -> Response<BoxBody> {
+    /// Returns the problem as JSON.
+    pub fn to_json(&self) -> Vec<u8> {
         let wire = ProblemWire {
             kind: format!("urn:dogwoodturn:problem:{}", self.code),
             title: self.code,
             status: self.status.as_u16(),
             detail: &self.detail,
             outcome: self.outcome.to_string(),
+            resume: self.resume.as_deref(),
         };
-        let body = serde_json::to_vec(&wire).expect("a problem is valid JSON");
+        serde_json::to_vec(&wire).expect("a problem is valid JSON")
+    }
+
+    /// Makes the HTTP response.
+    pub fn into_response(self) -> Response<BoxBody> {
+        let body = self.to_json();
         let mut builder = Response::build(self.status);
         builder.insert_header((header::CONTENT_TYPE, "application/problem+json"));
         if let Some(retry_after) = self.retry_after {
@@ -65,3 +80,43 @@
         builder.body(body).map_into_boxed_body()
     }
 }
+
+impl From<Refusal> for Problem {
+    fn from(refusal: Refusal) -> Self {
+        let (status, code) = status_and_code(refusal.kind);
+        Self {
+            status,
+            code,
+            detail: refusal.detail,
+            outcome: refusal.outcome,
+            retry_after: refusal.retry_after,
+            resume: refusal.resume.map(|request| format!("/requests/{request}").into()),
+        }
+    }
+}
+
+fn status_and_code(kind: RefusalKind) -> (StatusCode, &'static str) {
+    match kind {
+        RefusalKind::NotReady => (StatusCode::SERVICE_UNAVAILABLE, "not-ready"),
+        RefusalKind::Draining => (StatusCode::SERVICE_UNAVAILABLE, "draining"),
+        RefusalKind::UnknownCustomer => (StatusCode::UNAUTHORIZED, "unknown-customer"),
+        RefusalKind::UnknownRoute => (StatusCode::NOT_FOUND, "unknown-route"),
+        RefusalKind::UnknownRequest => (StatusCode::NOT_FOUND, "unknown-request"),
+        RefusalKind::Malformed => (StatusCode::BAD_REQUEST, "malformed"),
+        RefusalKind::Oversized => (StatusCode::PAYLOAD_TOO_LARGE, "oversized"),
+        RefusalKind::SlowBody => (StatusCode::REQUEST_TIMEOUT, "slow-body"),
+        RefusalKind::Overload => (StatusCode::TOO_MANY_REQUESTS, "overload"),
+        RefusalKind::NoUpstream => (StatusCode::SERVICE_UNAVAILABLE, "no-upstream"),
+        RefusalKind::UpstreamUnavailable => {
+            (StatusCode::SERVICE_UNAVAILABLE, "upstream-unavailable")
+        }
+        RefusalKind::UpstreamFailed => (StatusCode::BAD_GATEWAY, "upstream-failed"),
+        RefusalKind::DeadlineExceeded => (StatusCode::GATEWAY_TIMEOUT, "deadline-exceeded"),
+        RefusalKind::Poisonous => (StatusCode::UNPROCESSABLE_ENTITY, "crashes-upstreams"),
+        RefusalKind::ClaimUnavailable => (StatusCode::SERVICE_UNAVAILABLE, "claim-unavailable"),
+        RefusalKind::ClaimUnresolved => (StatusCode::CONFLICT, "claim-unresolved"),
+        RefusalKind::KeyReused => (StatusCode::UNPROCESSABLE_ENTITY, "key-reused"),
+        RefusalKind::HandedOver => (StatusCode::SERVICE_UNAVAILABLE, "handed-over"),
+        RefusalKind::ResumedElsewhere => (StatusCode::CONFLICT, "resumed-elsewhere"),
+    }
+}
--- /dev/null
+++ b/lib/src/edge/upstream.rs
@@ -0,0 +1,106 @@
+//! Sends requests to upstreams and hands what they answer to the traffic part.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use awc::{Client, error::SendRequestError, http::Method};
+use futures_util::StreamExt as _;
+use serde_json::json;
+
+use crate::{
+    edge::{
+        adapter::Adapter,
+        caller::{passed_on, text_of},
+    },
+    node::traffic::{Dispatch, Event},
+    request::exchange::{Head, StreamEnd},
+};
+
+/// How long an engine may take to answer a cancellation.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a KV cache may take to be exported, and to be imported.
+const KV_TIMEOUT: Duration = Duration::from_secs(5);
+/// The largest KV cache that is moved, in bytes.
+const MAX_KV_BYTES: usize = 64 << 20;
+
+/// Runs one attempt to its end; the task is aborted when the attempt no longer counts.
+pub async fn run(adapter: Rc<Adapter>, client: Client, dispatch: Box<Dispatch>) {
+    let attempt = dispatch.attempt;
+    let end = match send(&adapter, &client, &dispatch).await {
+        Ok(()) => StreamEnd::Whole,
+        Err(end) => end,
+    };
+    adapter.attempt_ended(attempt);
+    adapter.feed(Event::Ended(attempt, end));
+}
+
+async fn send(
+    adapter: &Rc<Adapter>,
+    client: &Client,
+    dispatch: &Dispatch,
+) -> Result<(), StreamEnd> {
+    let url = format!("http://{}{}", dispatch.address, dispatch.path);
+    let method = Method::from_bytes(dispatch.method.as_bytes())
+        .map_err(|error| StreamEnd::Unreachable(error.to_string().into()))?;
+    let mut req = client.request(method, url);
+    for (name, value) in dispatch.headers.iter() {
+        req = req.append_header((&**name, &**value));
+    }
+    req = req
+        .insert_header(("x-request-id", &*dispatch.name))
+        .insert_header(("x-deadline-ms", dispatch.time_left.as_millis().to_string()));
+    if dispatch.paced_by.is_none() {
+        req = req.insert_header(("content-type", "application/json"));
+    }
+    let mut res = req.send_body(dispatch.body.clone()).await.map_err(|error| send_end(&error))?;
+    let headers = res.headers();
+    let is_event_stream =
+        text_of(headers, "content-type").is_some_and(|kind| kind.starts_with("text/event-stream"));
+    let head = Head {
+        status: res.status().as_u16(),
+        headers: passed_on(headers),
+        is_event_stream,
+        says_not_run: text_of(headers, "x-not-run") == Some("true"),
+        retry_after: text_of(headers, "retry-after")
+            .and_then(|seconds| seconds.parse().ok())
+            .map(Duration::from_secs),
+    };
+    adapter.feed(Event::Head(dispatch.attempt, Box::new(head)));
+    while let Some(chunk) = res.next().await {
+        let chunk = chunk.map_err(|error| StreamEnd::Broken(error.to_string().into()))?;
+        adapter.feed(Event::Chunk(dispatch.attempt, chunk));
+        if let Some(caller) = dispatch.paced_by {
+            adapter.has_room(caller).await;
+        }
+    }
+    Ok(())
+}
+
+fn send_end(error: &SendRequestError) -> StreamEnd {
+    let detail = error.to_string().into();
+    match error {
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => StreamEnd::Unreachable(detail),
+        _ => StreamEnd::Broken(detail),
+    }
+}
+
+/// Tells an engine that nobody waits for an attempt.
+pub async fn cancel(client: Client, address: SocketAddr, name: Box<str>) {
+    let url = format!("http://{address}/v1/requests/{name}");
+    // The closed connection says the same, so a lost cancellation does no harm.
+    let _ = client.delete(url).timeout(CANCEL_TIMEOUT).send().await;
+}
+
+/// Brings the KV cache of an attempt from one engine to another; says whether it arrived.
+pub async fn move_kv(client: &Client, name: &str, from: SocketAddr, to: SocketAddr) -> bool {
+    let export = client.post(format!("http://{from}/kv/export")).timeout(KV_TIMEOUT);
+    let Ok(mut res) = export.send_json(&json!({ "request": name })).await else { return false };
+    if !res.status().is_success() {
+        return false;
+    }
+    let Ok(blob) = res.body().limit(MAX_KV_BYTES).await else { return false };
+    let import = client.post(format!("http://{to}/kv/import")).timeout(KV_TIMEOUT);
+    match import.send_body(blob).await {
+        Ok(res) => res.status().is_success(),
+        Err(_) => false,
+    }
+}
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -7,9 +7,10 @@
     claim::{ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket},
     declaration::in_force::{self, InForce},
     ids::{CallId, DaemonId, RequestId},
-    node::{message::PeerMessage, report::AttemptReport, snapshot::Snapshot},
+    node::{message::PeerMessage, report::AttemptReport, requests, snapshot::Snapshot},
     peer::Recipient,
     platform::{CallError, Operation, Priority, Reply},
+    request,
     units::{Time, WallTime},
     upstream::hosts::{self, HostList},
 };
@@ -47,6 +48,8 @@
     Peer(DaemonId, PeerMessage),
     /// The wall clock shows this time now; told before `Started` and at least once a minute.
     Clock(WallTime),
+    /// A traffic thread sends a message about a request.
+    Request(Recipient, request::message::Message),
 }
 
 /// What the control part wants done.
@@ -67,6 +70,10 @@
     Publish(Arc<Snapshot>),
     /// Answer the claim that a request has asked for.
     ClaimAnswered(RequestId, ClaimAnswer),
+    /// Tell each traffic thread of a request that crashes upstreams, and for how long to refuse it.
+    Poison(request::poison::Digest, Duration),
+    /// Give a message about a request to the traffic thread that it concerns.
+    Request(DaemonId, request::message::Message),
     /// Send a message to peers.
     Send(Recipient, PeerMessage),
     /// Log a warning about something refused.
@@ -122,6 +129,12 @@
                 out.push(Output::ClaimAnswered(ask.request, answer));
             }
             Input::Clock(wall) => self.clock = (now, wall),
+            Input::Request(recipient, message) => {
+                requests::send(recipient, message, out);
+            }
+            Input::Peer(from, PeerMessage::Request(message)) => {
+                requests::receive(from, message, out);
+            }
             Input::ClaimEnded(..) | Input::Attempt(_) | Input::Peer(..) => {}
         }
     }
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -6,4 +6,6 @@
 pub mod control;
 pub mod message;
 pub mod report;
+pub mod requests;
 pub mod snapshot;
+pub mod traffic;
--- /dev/null
+++ b/lib/src/node/traffic/arrive.rs
@@ -0,0 +1,308 @@
+//! Admission: from a caller's request to its first attempt.
+
+use std::{sync::Arc, time::Duration};
+
+use sha2::{Digest as _, Sha256};
+
+use super::{Arrival, Effect, Entry, Phase, Reader, Reading, Traffic};
+use crate::{
+    claim::{ClaimAnswer, ClaimAsk, StoredAnswer},
+    declaration::{RepeatRule, Route},
+    ids::{CustomerName, RequestId},
+    limit::{Admission, Asked},
+    request::{
+        CallerId, ExchangeId,
+        completion::{COMPLETIONS, CompletionWire},
+        exchange::{Ask, Exchange, Head},
+        outcome::{RunOutcome, Untouched},
+        refusal::{Refusal, RefusalKind},
+    },
+    units::Time,
+};
+
+/// When a caller may ask another daemon, or this one again.
+const READY_RETRY: Duration = Duration::from_secs(1);
+
+/// Why a request cannot be admitted.
+type Reason = (RefusalKind, String);
+
+impl Traffic {
+    /// Says why a request cannot be admitted, before its body is read.
+    pub fn check_head(&self, path: &str, token: Option<&[u8; 32]>) -> Result<(), Reason> {
+        self.check_ready()?;
+        self.customer(token)?;
+        self.route(path).map(|_| ())
+    }
+
+    fn check_ready(&self) -> Result<(), Reason> {
+        if self.snapshot.draining {
+            return Err((RefusalKind::Draining, "this daemon is shutting down".into()));
+        }
+        if !self.snapshot.ready() {
+            let detail = "this daemon does not know what is in force";
+            return Err((RefusalKind::NotReady, detail.into()));
+        }
+        Ok(())
+    }
+
+    pub(super) fn customer(
+        &self,
+        token: Option<&[u8; 32]>,
+    ) -> Result<Option<CustomerName>, Reason> {
+        let set = &self.snapshot.set;
+        if set.customers.is_empty() {
+            return Ok(None);
+        }
+        let found = token.and_then(|token| set.customer_with(token));
+        let detail = "present the bearer token of a customer";
+        match found {
+            Some(customer) => Ok(Some(customer.name.clone())),
+            None => Err((RefusalKind::UnknownCustomer, detail.into())),
+        }
+    }
+
+    fn route(&self, path: &str) -> Result<&Route, Reason> {
+        let path = path.split('?').next().unwrap_or(path);
+        let route = self.snapshot.set.route_for(path);
+        route.ok_or_else(|| (RefusalKind::UnknownRoute, format!("no route covers {path}")))
+    }
+
+    pub(super) fn arrived(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Effect>) {
+        let caller = arrival.caller;
+        let ask = match self.read(now, &arrival) {
+            Ok(ask) => Arc::new(self.with_prefix(ask)),
+            Err((kind, detail)) => {
+                let outcome = RunOutcome::NotRun(arrival.untouched.refuse());
+                let refusal = Refusal::new(kind, outcome, detail).with_usual_retry();
+                return out.push(Effect::Refuse(caller, Box::new(refusal)));
+            }
+        };
+        let untouched = arrival.untouched;
+        if let Some(refused_for) = self.poison.refused_for(now, &ask.digest) {
+            let detail = "this request crashed the upstreams that ran it";
+            let refusal = not_run(RefusalKind::Poisonous, untouched, detail);
+            let refusal = refusal.with_retry_after(refused_for);
+            return out.push(Effect::Refuse(caller, Box::new(refusal)));
+        }
+        if let Admission::Refused(overload) = self.limits.admit(now, &asked(&ask)) {
+            let detail = "too much is waiting for this service";
+            let refusal = not_run(RefusalKind::Overload, untouched, detail);
+            let refusal = refusal.with_retry_after(overload.retry_after);
+            return out.push(Effect::Refuse(caller, Box::new(refusal)));
+        }
+        let stream = ask.streams();
+        let reading = Reading { reader: Reader::Caller(caller), next: 0, stream, responded: false };
+        let id = self.insert(Exchange::new(ask.clone(), untouched), Some(reading), true);
+        self.arm(id, ask.deadline);
+        match claim_of(&ask) {
+            Some(claim) => out.push(Effect::AskClaim(claim)),
+            None => self.dispatch(now, id, out),
+        }
+    }
+
+    pub(super) fn insert(
+        &mut self,
+        exchange: Exchange,
+        reading: Option<Reading>,
+        admitted: bool,
+    ) -> ExchangeId {
+        self.last_number += 1;
+        let id = ExchangeId(self.last_number);
+        self.by_request.insert(exchange.ask.request.clone(), id);
+        if let Some(Reading { reader: Reader::Caller(caller), .. }) = &reading {
+            self.by_caller.insert(*caller, id);
+        }
+        let entry = Entry {
+            exchange,
+            phase: Phase::Claiming,
+            reading,
+            is_named: false,
+            gone_since: None,
+            ticket: None,
+            failed: Vec::new(),
+            is_suspect: false,
+            moving: None,
+            admitted,
+            first_token: None,
+            retry_after: None,
+            armed: None,
+        };
+        self.entries.insert(id, entry);
+        id
+    }
+
+    fn read(&self, now: Time, arrival: &Arrival) -> Result<Ask, Reason> {
+        self.check_ready()?;
+        let customer = self.customer(arrival.token.as_ref())?;
+        let route = self.route(&arrival.path)?;
+        let Some(service) = self.snapshot.set.services.get(&route.service) else {
+            return Err((RefusalKind::UnknownRoute, "the route has no service".into()));
+        };
+        let is_completion = self.is_completion(route, arrival);
+        let completion = is_completion.then(|| read_completion(&arrival.body)).transpose()?;
+        let allowed = arrival.deadline.map_or(route.deadline, |asked| asked.min(route.deadline));
+        let request = self.cfg.origin.name(self.last_number + 1);
+        let request = request.map_err(|error| (RefusalKind::NotReady, error.to_string()))?;
+        Ok(Ask {
+            request,
+            customer,
+            route: route.name.clone(),
+            service: service.name.clone(),
+            class: arrival.class.map_or(route.class, |class| class.max(route.class)),
+            rule: service.repeat_of(&arrival.method),
+            method: arrival.method.clone(),
+            path: arrival.path.clone(),
+            headers: arrival.headers.clone(),
+            body: if completion.is_some() { bytes::Bytes::new() } else { arrival.body.clone() },
+            digest: digest_of(service.name.as_str(), arrival),
+            prefix: None,
+            tokens: completion.as_ref().map_or(0, tokens_of),
+            completion,
+            key: arrival.key.clone(),
+            arrived: now,
+            deadline: now + allowed,
+        })
+    }
+
+    pub(super) fn with_prefix(&mut self, mut ask: Ask) -> Ask {
+        if let Some(wire) = &ask.completion {
+            ask.prefix = Some(self.placement.affinity(&ask.service, &wire.prompt));
+        }
+        ask
+    }
+
+    fn is_completion(&self, route: &Route, arrival: &Arrival) -> bool {
+        let path = arrival.path.split('?').next().unwrap_or("");
+        self.is_model(&route.service) && &*arrival.method == "POST" && path.ends_with(COMPLETIONS)
+    }
+
+    pub(super) fn claim_answered(
+        &mut self,
+        now: Time,
+        request: &RequestId,
+        answer: ClaimAnswer,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(&id) = self.by_request.get(request) else {
+            return Self::return_unused_claim(answer, out);
+        };
+        let Some(entry) = self.entries.get_mut(&id).filter(|e| e.phase == Phase::Claiming) else {
+            return Self::return_unused_claim(answer, out);
+        };
+        match answer {
+            ClaimAnswer::Granted(ticket) => {
+                entry.ticket = Some(ticket);
+                self.dispatch(now, id, out);
+            }
+            ClaimAnswer::Stored(stored) => self.give_stored(now, id, stored, out),
+            ClaimAnswer::Unresolved => {
+                let detail = "the call was sent before under this key; its end is not known";
+                self.refuse_as_run(now, id, RefusalKind::ClaimUnresolved, detail, out);
+            }
+            ClaimAnswer::OtherCall => {
+                let detail = "the idempotency key was used for another call";
+                self.refuse(now, id, RefusalKind::KeyReused, detail, None, out);
+            }
+            ClaimAnswer::Unavailable { retry_after } => {
+                let detail = "the platform does not take claims now";
+                let kind = RefusalKind::ClaimUnavailable;
+                self.refuse(now, id, kind, detail, Some(retry_after), out);
+            }
+        }
+    }
+
+    /// Releases a claim that came after its request had its final answer.
+    fn return_unused_claim(answer: ClaimAnswer, out: &mut Vec<Effect>) {
+        if let ClaimAnswer::Granted(ticket) = answer {
+            out.push(Effect::EndClaim(ticket, crate::claim::ClaimEnd::NotRun));
+        }
+    }
+
+    fn give_stored(
+        &mut self,
+        now: Time,
+        id: ExchangeId,
+        stored: StoredAnswer,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(body) = stored.body else {
+            let detail = "the call ran before; its answer was too large to keep";
+            return self.refuse_as_run(now, id, RefusalKind::ClaimUnresolved, detail, out);
+        };
+        let headers = vec![("content-type".into(), stored.content_type.into_string().into())];
+        let head = Head { status: stored.status, headers, ..Head::default() };
+        let Some(entry) = self.remove(now, id, out) else { return };
+        if let Some(Reading { reader: Reader::Caller(caller), .. }) = entry.reading {
+            let request = entry.exchange.ask.request.clone();
+            out.push(Effect::Answer(caller, request, Box::new(head), body));
+        }
+    }
+}
+
+impl Refusal {
+    /// Adds the usual time to ask again where the kind of refusal passes by itself.
+    fn with_usual_retry(self) -> Self {
+        match self.kind {
+            RefusalKind::NotReady | RefusalKind::Draining => self.with_retry_after(READY_RETRY),
+            _ => self,
+        }
+    }
+}
+
+fn not_run(kind: RefusalKind, untouched: Untouched, detail: &str) -> Refusal {
+    Refusal::new(kind, RunOutcome::NotRun(untouched.refuse()), detail)
+}
+
+/// Returns what admission depends on.
+pub(super) fn asked(ask: &Ask) -> Asked<'_> {
+    Asked {
+        customer: ask.customer.as_ref(),
+        service: &ask.service,
+        class: ask.class,
+        tokens: ask.tokens,
+    }
+}
+
+fn claim_of(ask: &Ask) -> Option<ClaimAsk> {
+    let key = ask.key.as_deref().filter(|_| ask.rule == RepeatRule::Never)?;
+    let customer = ask.customer.as_ref().map_or("", CustomerName::as_str);
+    Some(ClaimAsk {
+        service: ask.service.clone(),
+        key: format!("{customer}/{key}").into(),
+        digest: ask.digest,
+        request: ask.request.clone(),
+    })
+}
+
+fn read_completion(body: &[u8]) -> Result<CompletionWire, Reason> {
+    let wire: CompletionWire = serde_json::from_slice(body).map_err(|error| {
+        (RefusalKind::Malformed, format!("the body is no completions request: {error}"))
+    })?;
+    if wire.resume.is_some() {
+        let detail = "callers resume by GET /requests/{id}";
+        return Err((RefusalKind::Malformed, detail.into()));
+    }
+    Ok(wire)
+}
+
+pub(super) fn tokens_of(wire: &CompletionWire) -> u64 {
+    wire.prompt.split_ascii_whitespace().count() as u64 + wire.max_tokens
+}
+
+fn digest_of(service: &str, arrival: &Arrival) -> [u8; 32] {
+    let mut hasher = Sha256::new();
+    for part in [service.as_bytes(), arrival.method.as_bytes(), arrival.path.as_bytes()] {
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.update(&arrival.body);
+    hasher.finalize().into()
+}
+
+/// Names the caller of a reader, if it is one.
+pub(super) fn caller_of(reading: Option<&Reading>) -> Option<CallerId> {
+    match reading {
+        Some(Reading { reader: Reader::Caller(caller), .. }) => Some(*caller),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/lib/src/node/traffic/attempt.rs
@@ -0,0 +1,543 @@
+//! Attempts at upstreams: choice, dispatch, retries, and the final answer when given up.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::{
+    Dispatch, Effect, Entry, Phase, Traffic,
+    arrive::{asked, caller_of},
+};
+use crate::{
+    claim::{ClaimEnd, StoredAnswer},
+    ids::{MoveName, UpstreamId, VersionName},
+    node::report::AttemptEnd,
+    peer::Recipient,
+    placement::{AttemptResult, Wanted},
+    request::{
+        AttemptId, ExchangeId,
+        exchange::{Ask, Cause, Head, Step, StreamEnd, Target},
+        message::Message,
+        outcome::RunOutcome,
+        poison::REFUSED_FOR,
+        refusal::{Refusal, RefusalKind},
+    },
+    units::Time,
+    upstream::HostRecord,
+};
+
+/// The most attempts of a request whose answer has not begun.
+const MAX_ATTEMPTS: u64 = 4;
+/// When a caller may ask again after upstreams could not take its request.
+const UPSTREAM_RETRY: Duration = Duration::from_secs(1);
+/// How long an answer that has begun waits for an upstream or for the retry budget.
+const RESUME_RETRY: Duration = Duration::from_millis(100);
+/// The shortest time without a token after which an engine counts as hung.
+const SHORTEST_STALL: Duration = Duration::from_secs(1);
+/// The time without a token, in targets, after which an engine counts as hung.
+const STALL_TARGETS: u32 = 50;
+/// How long an answer is computed for a caller that may come back for it.
+const GONE_GRACE: Duration = Duration::from_secs(3);
+/// The largest answer, in bytes, that is kept for a repeated call.
+const MAX_STORED_BYTES: usize = 64 << 10;
+
+impl Traffic {
+    /// Sends a request to an upstream, or ends it if there is none.
+    pub(super) fn dispatch(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
+        let target = self.choose(now, id);
+        let Some(entry) = self.entries.get(&id) else { return };
+        match target {
+            Some(target) => self.dispatch_to(now, id, target, out),
+            None if entry.exchange.has_begun() => self.wait(id, now + RESUME_RETRY),
+            None => {
+                let retry_after = Some(entry.retry_after.unwrap_or(UPSTREAM_RETRY));
+                let detail =
+                    format!("service {} has no upstream for it", entry.exchange.ask.service);
+                self.refuse(now, id, RefusalKind::NoUpstream, &detail, retry_after, out);
+            }
+        }
+    }
+
+    fn wait(&mut self, id: ExchangeId, until: Time) {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.phase = Phase::Waiting { until };
+            self.arm(id, until);
+        }
+    }
+
+    /// Chooses an upstream for a request, by the moves and by the room that upstreams have.
+    pub(super) fn choose(&mut self, now: Time, id: ExchangeId) -> Option<Target> {
+        let entry = self.entries.get(&id)?;
+        let ask = entry.exchange.ask.clone();
+        let except = self.avoided(id, entry);
+        let service = self.snapshot.set.services.get(&ask.service)?;
+        let Some(choice) = self.snapshot.versions.get(&ask.service).cloned() else {
+            let version = service.version.clone();
+            return self.choose_of(now, &ask, &except, &version, None);
+        };
+        let at_to = (ask.service.clone(), choice.to.clone());
+        let outstanding = self.at_version.get(&at_to).copied().unwrap_or(0);
+        // The cap is for the daemon; each thread takes the others to be like itself.
+        let outstanding = outstanding.saturating_mul(u32::from(self.cfg.threads.max(1)));
+        let version = choice.choose(&ask.request, outstanding);
+        let under_move = Some(&choice.under_move);
+        // Going back to the old version is always allowed, going on to the new one is not.
+        let chosen = self.choose_of(now, &ask, &except, version, under_move);
+        match chosen {
+            None if *version == choice.to => {
+                self.choose_of(now, &ask, &except, &choice.from, under_move)
+            }
+            chosen => chosen,
+        }
+    }
+
+    /// Lists the upstreams that a request should not go to.
+    ///
+    /// Requests that were at an upstream when it crashed are kept apart, so that the one which
+    /// crashes upstreams does not bring suspicion on the others a second time.
+    fn avoided(&self, id: ExchangeId, entry: &Entry) -> Vec<UpstreamId> {
+        let mut avoided = entry.failed.clone();
+        if !entry.is_suspect {
+            return avoided;
+        }
+        let others = self.entries.iter().filter(|(other, e)| **other != id && e.is_suspect);
+        let at = others.filter_map(|(_, other)| other.exchange.attempt());
+        avoided.extend(at.map(|attempt| attempt.target.upstream.clone()));
+        avoided
+    }
+
+    fn choose_of(
+        &mut self,
+        now: Time,
+        ask: &Ask,
+        except: &[UpstreamId],
+        version: &VersionName,
+        under_move: Option<&MoveName>,
+    ) -> Option<Target> {
+        let snapshot = self.snapshot.clone();
+        let mut choose = |except: &[UpstreamId]| {
+            let service = &ask.service;
+            let wanted = Wanted { service, version, class: ask.class, prefix: ask.prefix, except };
+            self.placement.choose(now, &snapshot.hosts, &wanted)
+        };
+        // An upstream that failed once is better than none.
+        let host = choose(except).or_else(|| choose(&[]))?;
+        Some(target_of(host, under_move))
+    }
+
+    pub(super) fn dispatch_to(
+        &mut self,
+        now: Time,
+        id: ExchangeId,
+        target: Target,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        self.placement.started(&target.upstream);
+        entry.phase = Phase::Running;
+        let ask = entry.exchange.ask.clone();
+        *self.at_version.entry((ask.service.clone(), target.version.clone())).or_default() += 1;
+        let number = entry.exchange.start(now, target.clone());
+        let body = match &ask.completion {
+            Some(wire) => wire.for_engine(ask.class, &entry.exchange.answer).into(),
+            None => ask.body.clone(),
+        };
+        let paced_by = match ask.completion {
+            Some(_) => None,
+            None => caller_of(entry.reading.as_ref()),
+        };
+        let attempt = AttemptId { exchange: id, number };
+        out.push(Effect::Dispatch(Box::new(Dispatch {
+            attempt,
+            name: name_of(&ask, attempt),
+            address: target.address,
+            upstream: target.upstream,
+            method: ask.method.clone(),
+            path: ask.path.clone(),
+            headers: ask.headers.clone(),
+            body,
+            time_left: ask.deadline.since(now),
+            paced_by,
+        })));
+        if let Some(at) = self.overdue_at(id) {
+            self.arm(id, at);
+        }
+    }
+
+    /// Returns when the attempt of an exchange counts as hung if it brings nothing more.
+    fn overdue_at(&self, id: ExchangeId) -> Option<Time> {
+        let entry = self.entries.get(&id)?;
+        let ask = &entry.exchange.ask;
+        let attempt = entry.exchange.attempt()?;
+        ask.completion.as_ref()?;
+        if attempt.first.is_none() {
+            return Some(attempt.started + ask.deadline.since(attempt.started) / 2);
+        }
+        let target = self.snapshot.set.services.get(&ask.service)?.target.between_tokens;
+        Some(attempt.last + SHORTEST_STALL.max(target * STALL_TARGETS))
+    }
+
+    pub(super) fn head(
+        &mut self,
+        now: Time,
+        attempt: AttemptId,
+        head: Head,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(entry) = self.entries.get_mut(&attempt.exchange) else { return };
+        let step = entry.exchange.head(now, attempt.number, head);
+        self.step(now, attempt.exchange, step, out);
+    }
+
+    pub(super) fn chunk(
+        &mut self,
+        now: Time,
+        attempt: AttemptId,
+        bytes: &Bytes,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(entry) = self.entries.get_mut(&attempt.exchange) else { return };
+        let step = entry.exchange.chunk(now, attempt.number, bytes);
+        self.step(now, attempt.exchange, step, out);
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        now: Time,
+        attempt: AttemptId,
+        end: StreamEnd,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(entry) = self.entries.get_mut(&attempt.exchange) else { return };
+        let step = entry.exchange.end(attempt.number, end);
+        self.step(now, attempt.exchange, step, out);
+    }
+
+    fn step(&mut self, now: Time, id: ExchangeId, step: Step, out: &mut Vec<Effect>) {
+        match step {
+            Step::Nothing => {}
+            Step::Grown => self.deliver(now, id, out),
+            Step::Complete => self.completed(now, id, out),
+            Step::Over(cause, detail) => self.attempt_over(now, id, &cause, &detail, out),
+        }
+    }
+
+    fn completed(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let exchange = &entry.exchange;
+        let status = exchange.plain.as_ref().map_or(200, |plain| plain.head.status);
+        if status >= 500 && exchange.may_repeat() && exchange.attempts() < MAX_ATTEMPTS {
+            let service = exchange.ask.service.clone();
+            if self.limits.try_retry(now, &service) {
+                self.close(now, id, AttemptEnd::Failure, true, out);
+                return self.wait_for_retry(now, id);
+            }
+        }
+        let end = if status >= 500 { AttemptEnd::Failure } else { AttemptEnd::Success };
+        self.close(now, id, end, false, out);
+        self.finish(now, id, out);
+    }
+
+    /// Ends the attempt that counts; `cut` closes its connection.
+    pub(super) fn close(
+        &mut self,
+        now: Time,
+        id: ExchangeId,
+        end: AttemptEnd,
+        cut: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let Some(number) = entry.exchange.attempt().map(|attempt| attempt.number) else { return };
+        if cut {
+            out.push(Effect::Close(AttemptId { exchange: id, number }));
+        }
+        let Some(report) = entry.exchange.close(end) else { return };
+        if end != AttemptEnd::Success && end != AttemptEnd::Abandoned {
+            entry.failed.push(report.upstream.clone());
+        }
+        if entry.first_token.is_none() && report.first_token.is_some() {
+            entry.first_token = report.first_token;
+        }
+        if let Some(moving) = entry.moving.take() {
+            self.placement.ended(now, &moving.upstream, AttemptResult::Neutral);
+        }
+        let result = match end {
+            AttemptEnd::Success => AttemptResult::Answered,
+            AttemptEnd::Refused | AttemptEnd::Abandoned => AttemptResult::Neutral,
+            AttemptEnd::Failure | AttemptEnd::Broken | AttemptEnd::Overdue => AttemptResult::Failed,
+        };
+        self.placement.ended(now, &report.upstream, result);
+        let version = (report.service.clone(), report.version.clone());
+        if let Some(count) = self.at_version.get_mut(&version) {
+            *count = count.saturating_sub(1);
+        }
+        out.push(Effect::Report(Box::new(report)));
+    }
+
+    /// Ends the attempt that counts because nobody wants its answer any more.
+    pub(super) fn cancel(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        let ask = &entry.exchange.ask;
+        if let (Some(attempt), Some(_)) = (entry.exchange.attempt(), &ask.completion) {
+            let name = name_of(ask, AttemptId { exchange: id, number: attempt.number });
+            out.push(Effect::CancelAt(attempt.target.address, name));
+        }
+        self.close(now, id, AttemptEnd::Abandoned, true, out);
+    }
+
+    fn attempt_over(
+        &mut self,
+        now: Time,
+        id: ExchangeId,
+        cause: &Cause,
+        detail: &str,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        if let Cause::Refused { retry_after: Some(retry_after) } = cause {
+            entry.retry_after = Some(*retry_after);
+        }
+        let Some(attempt) = entry.exchange.attempt() else { return };
+        let upstream = attempt.target.upstream.clone();
+        let announced = self.leaving.contains_key(&upstream);
+        let service = entry.exchange.ask.service.clone();
+        let crashed = *cause == Cause::Broken && !announced;
+        entry.is_suspect |= crashed;
+        if matches!(cause, Cause::Refused { .. }) {
+            self.placement.refused(now, &upstream);
+            self.limits.upstream_refused(now, &service);
+        }
+        let cut = !matches!(cause, Cause::Unreachable | Cause::Broken);
+        self.close(now, id, cause.attempt_end(), cut, out);
+        if crashed && self.is_poison(now, id, out) {
+            let detail = "this request crashed two upstreams that ran it";
+            let kind = RefusalKind::Poisonous;
+            return self.refuse(now, id, kind, detail, Some(REFUSED_FOR), out);
+        }
+        self.retry_or_give_up(now, id, cause, announced, detail, out);
+    }
+
+    fn is_poison(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) -> bool {
+        let Some(entry) = self.entries.get(&id) else { return false };
+        let digest = entry.exchange.ask.digest;
+        let poisonous = self.poison.crashed(now, digest, entry.exchange.answer.next_offset());
+        if poisonous {
+            let message = Message::Poison { digest, refused_for: REFUSED_FOR };
+            out.push(Effect::Send(Recipient::Flood, message));
+        }
+        poisonous
+    }
+
+    fn retry_or_give_up(
+        &mut self,
+        now: Time,
+        id: ExchangeId,
+        cause: &Cause,
+        announced: bool,
+        detail: &str,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        let exchange = &entry.exchange;
+        let has_begun = exchange.has_begun();
+        let service = exchange.ask.service.clone();
+        if !exchange.may_repeat() || (!has_begun && exchange.attempts() >= MAX_ATTEMPTS) {
+            return self.give_up(now, id, cause, detail, out);
+        }
+        // An announced reclaim is no sign of overload, so the budget does not pay for it.
+        if announced || self.limits.try_retry(now, &service) {
+            return self.wait_for_retry(now, id);
+        }
+        if has_begun {
+            return self.wait(id, now + RESUME_RETRY);
+        }
+        self.give_up(now, id, cause, detail, out);
+    }
+
+    fn wait_for_retry(&mut self, now: Time, id: ExchangeId) {
+        let random = self.random();
+        let attempts = self.entries.get(&id).map_or(0, |entry| entry.exchange.attempts());
+        let until = now + self.limits.backoff(attempts, random);
+        self.wait(id, until);
+    }
+
+    fn give_up(
+        &mut self,
+        now: Time,
+        id: ExchangeId,
+        cause: &Cause,
+        detail: &str,
+        out: &mut Vec<Effect>,
+    ) {
+        let (kind, retry_after) = match cause {
+            Cause::Unreachable => (RefusalKind::UpstreamUnavailable, Some(UPSTREAM_RETRY)),
+            Cause::Refused { retry_after } => {
+                let retry_after = retry_after.unwrap_or(UPSTREAM_RETRY);
+                (RefusalKind::UpstreamUnavailable, Some(retry_after))
+            }
+            Cause::Failed | Cause::Broken | Cause::Overdue => (RefusalKind::UpstreamFailed, None),
+        };
+        self.refuse(now, id, kind, detail, retry_after, out);
+    }
+
+    /// Gives a request its final answer, which says of it what its states allow.
+    pub(super) fn refuse(
+        &mut self,
+        now: Time,
+        id: ExchangeId,
+        kind: RefusalKind,
+        detail: &str,
+        retry_after: Option<Duration>,
+        out: &mut Vec<Effect>,
+    ) {
+        self.cancel(now, id, out);
+        let Some(mut entry) = self.remove(now, id, out) else { return };
+        let reading = entry.reading.take();
+        let ticket = entry.ticket.take();
+        let request = entry.exchange.ask.request.clone();
+        let outcome = entry.exchange.into_outcome();
+        if let Some(ticket) = ticket {
+            let not_run = matches!(outcome, RunOutcome::NotRun(_));
+            let end = if not_run { ClaimEnd::NotRun } else { ClaimEnd::Unknown };
+            out.push(Effect::EndClaim(ticket, end));
+        }
+        let refusal = Refusal { retry_after, ..Refusal::new(kind, outcome, detail) };
+        Self::tell_refusal(reading, request, refusal, out);
+    }
+
+    /// Gives a request its final answer when an earlier one under its key has run or may have.
+    pub(super) fn refuse_as_run(
+        &mut self,
+        now: Time,
+        id: ExchangeId,
+        kind: RefusalKind,
+        detail: &str,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(entry) = self.remove(now, id, out) else { return };
+        let request = entry.exchange.ask.request.clone();
+        let refusal = Refusal::new(kind, RunOutcome::MayHaveRun, detail);
+        Self::tell_refusal(entry.reading, request, refusal, out);
+    }
+
+    /// Forgets a request whose attempt has been closed.
+    pub(super) fn remove(
+        &mut self,
+        now: Time,
+        id: ExchangeId,
+        _out: &mut Vec<Effect>,
+    ) -> Option<Entry> {
+        let entry = self.entries.swap_remove(&id)?;
+        self.by_request.swap_remove(&entry.exchange.ask.request);
+        if let Some(caller) = caller_of(entry.reading.as_ref()) {
+            self.by_caller.swap_remove(&caller);
+        }
+        if entry.admitted {
+            self.limits.finished(now, &asked(&entry.exchange.ask), entry.first_token);
+        }
+        Some(entry)
+    }
+
+    pub(super) fn exchange_timer(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        entry.armed = None;
+        let deadline = entry.exchange.ask.deadline;
+        if deadline <= now {
+            let detail = "the deadline has passed";
+            let kind = RefusalKind::DeadlineExceeded;
+            return self.refuse(now, id, kind, detail, None, out);
+        }
+        if entry.gone_since.is_some_and(|since| since + GONE_GRACE <= now) {
+            return self.abandon(now, id, out);
+        }
+        match entry.phase.clone() {
+            Phase::Waiting { until } if until <= now => self.dispatch(now, id, out),
+            Phase::Running => self.look_at_attempt(now, id, out),
+            Phase::HandingOver { until, .. } if until <= now => self.next_taker(now, id, out),
+            _ => {}
+        }
+        self.rearm(id);
+    }
+
+    fn look_at_attempt(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
+        if self.overdue_at(id).is_some_and(|at| at <= now) {
+            let detail = "the engine brought nothing in the time allowed";
+            return self.attempt_over(now, id, &Cause::Overdue, detail, out);
+        }
+        self.consider_move(now, id, out);
+    }
+
+    /// Sets the timer of an exchange to the next time at which something is due.
+    fn rearm(&mut self, id: ExchangeId) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        let phase = match &entry.phase {
+            Phase::Waiting { until } | Phase::HandingOver { until, .. } => Some(*until),
+            Phase::Running => self.overdue_at(id),
+            Phase::Claiming => None,
+        };
+        let gone = entry.gone_since.map(|since| since + GONE_GRACE);
+        let due = [Some(entry.exchange.ask.deadline), phase, gone, self.move_check_at(entry)];
+        if let Some(at) = due.into_iter().flatten().min() {
+            self.arm(id, at);
+        }
+    }
+
+    pub(super) fn caller_gone(
+        &mut self,
+        now: Time,
+        caller: crate::request::CallerId,
+        out: &mut Vec<Effect>,
+    ) {
+        self.fetches.swap_remove(&caller);
+        let Some(id) = self.by_caller.swap_remove(&caller) else { return };
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        entry.reading = None;
+        entry.gone_since = Some(now);
+        // A claimed call goes on, so that its outcome is known to the caller's resend.
+        if entry.ticket.is_some() {
+            entry.gone_since = None;
+        } else if entry.is_named {
+            self.arm(id, now + GONE_GRACE);
+        } else {
+            self.abandon(now, id, out);
+        }
+    }
+
+    /// Ends a request that nobody waits for.
+    pub(super) fn abandon(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
+        let kind = RefusalKind::ResumedElsewhere;
+        self.refuse(now, id, kind, "nobody waits for the answer", None, out);
+    }
+
+    /// Tells the control thread how a claimed call ended that got its answer.
+    pub(super) fn end_claim(entry: &mut Entry, out: &mut Vec<Effect>) {
+        let Some(ticket) = entry.ticket.take() else { return };
+        let end = match &entry.exchange.plain {
+            Some(plain) => ClaimEnd::Ran(StoredAnswer {
+                status: plain.head.status,
+                content_type: plain.head.text_of("content-type").into(),
+                body: (!plain.passing && plain.body.len() <= MAX_STORED_BYTES)
+                    .then(|| Bytes::copy_from_slice(&plain.body)),
+            }),
+            None => ClaimEnd::Unknown,
+        };
+        out.push(Effect::EndClaim(ticket, end));
+    }
+}
+
+/// Names an attempt at its upstream.
+pub(super) fn name_of(ask: &Ask, attempt: AttemptId) -> Box<str> {
+    format!("{}.{}", ask.request, attempt.number).into()
+}
+
+fn target_of(host: &HostRecord, under_move: Option<&MoveName>) -> Target {
+    Target {
+        upstream: host.upstream.clone(),
+        address: host.address,
+        zone: host.zone.clone(),
+        class: host.class.clone(),
+        version: host.version.clone(),
+        under_move: under_move.cloned(),
+    }
+}
--- /dev/null
+++ b/lib/src/node/traffic/deliver.rs
@@ -0,0 +1,190 @@
+//! Gives readers the answer, each token once and in order.
+
+use bytes::Bytes;
+
+use super::{Effect, Entry, Reader, Reading, Traffic};
+use crate::{
+    ids::RequestId,
+    peer::Recipient,
+    request::{
+        ExchangeId,
+        completion::{UsageWire, whole_body, write_done, write_token},
+        exchange::Head,
+        kept::KeptAnswer,
+        message::{FetchEnd, Message, Pieces},
+        refusal::Refusal,
+    },
+    units::Time,
+};
+
+impl Traffic {
+    /// Gives the reader of an exchange what it has not got yet.
+    pub(super) fn deliver(&mut self, _now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let Entry { exchange, reading, is_named, .. } = entry;
+        let Some(reading) = reading else { return };
+        let request = &exchange.ask.request;
+        if let Some(plain) = &mut exchange.plain {
+            if let Reader::Caller(caller) = reading.reader {
+                if !reading.responded {
+                    reading.responded = true;
+                    let head = Box::new(plain.head.clone());
+                    out.push(Effect::Respond(caller, request.clone(), head));
+                }
+                out.push(Effect::Deliver(caller, plain.body.split().freeze()));
+            }
+            return;
+        }
+        if !reading.stream {
+            return;
+        }
+        *is_named = true;
+        let mut tokens = Tokens { reading, request, out };
+        tokens.give(exchange.answer.tokens_from(tokens.reading.next));
+    }
+
+    /// Gives the reader the end of the answer, and keeps the answer for those that come back.
+    pub(super) fn finish(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
+        self.deliver_rest(id, out);
+        let Some(mut entry) = self.remove(now, id, out) else { return };
+        Self::end_claim(&mut entry, out);
+        let exchange = entry.exchange;
+        if exchange.ask.completion.is_some() && exchange.plain.is_none() && entry.is_named {
+            let kept = KeptAnswer {
+                customer: exchange.ask.customer.clone(),
+                answer: exchange.answer,
+                usage: exchange.usage,
+                stream: exchange.ask.streams(),
+            };
+            self.kept.keep(now, exchange.ask.request.clone(), kept);
+        }
+    }
+
+    fn deliver_rest(&mut self, id: ExchangeId, out: &mut Vec<Effect>) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let Entry { exchange, reading, is_named, .. } = entry;
+        let Some(reading) = reading else { return };
+        let request = &exchange.ask.request;
+        let Some(plain) = &mut exchange.plain else {
+            *is_named |= reading.stream;
+            let answer = &exchange.answer;
+            let rest = answer.tokens_from(reading.next);
+            return give_whole(reading, request, answer.text(), rest, exchange.usage, out);
+        };
+        let Reader::Caller(caller) = reading.reader else { return };
+        if reading.responded {
+            out.push(Effect::Deliver(caller, plain.body.split().freeze()));
+            out.push(Effect::Finish(caller));
+        } else {
+            let body = Bytes::copy_from_slice(&plain.body);
+            out.push(Effect::Answer(caller, request.clone(), Box::new(plain.head.clone()), body));
+        }
+    }
+
+    /// Gives a reader the final answer that ends its request.
+    pub(super) fn tell_refusal(
+        reading: Option<Reading>,
+        request: RequestId,
+        refusal: Refusal,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(reading) = reading else { return };
+        match reading.reader {
+            Reader::Caller(caller) => out.push(Effect::Refuse(caller, Box::new(refusal))),
+            Reader::Peer(daemon, id) => {
+                let end = Some(FetchEnd::Failed(refusal.detail));
+                let (stream, offset) = (reading.stream, reading.next);
+                let pieces = Pieces { id, request, stream, offset, tokens: Vec::new(), end };
+                out.push(Effect::Send(Recipient::Daemon(daemon), Message::Pieces(pieces)));
+            }
+        }
+    }
+}
+
+/// Gives a reader the rest of a whole answer, and its end.
+pub(super) fn give_whole<'a>(
+    reading: &mut Reading,
+    request: &RequestId,
+    text: &str,
+    rest: impl Iterator<Item = &'a str>,
+    usage: Option<UsageWire>,
+    out: &mut Vec<Effect>,
+) {
+    match &reading.reader {
+        Reader::Caller(caller) if !reading.stream => {
+            let body = whole_body(text, usage).into();
+            let head = Box::new(json_head());
+            out.push(Effect::Answer(*caller, request.clone(), head, body));
+        }
+        Reader::Caller(caller) => {
+            let caller = *caller;
+            Tokens { reading, request, out }.give(rest);
+            let mut buf = Vec::new();
+            write_done(&mut buf);
+            out.push(Effect::Deliver(caller, buf.into()));
+            out.push(Effect::Finish(caller));
+        }
+        Reader::Peer(daemon, id) => {
+            let (id, stream, offset) = (*id, reading.stream, reading.next);
+            let tokens = rest.map(Into::into).collect();
+            let end = Some(FetchEnd::Whole(usage));
+            let request = request.clone();
+            let pieces = Pieces { id, request, stream, offset, tokens, end };
+            out.push(Effect::Send(Recipient::Daemon(daemon.clone()), Message::Pieces(pieces)));
+        }
+    }
+}
+
+/// Gives a reader tokens of a streamed answer.
+pub(super) struct Tokens<'r, 'o> {
+    /// The reader and how far it has read.
+    pub(super) reading: &'r mut Reading,
+    /// The request.
+    pub(super) request: &'r RequestId,
+    /// Where the effects go.
+    pub(super) out: &'o mut Vec<Effect>,
+}
+
+impl Tokens<'_, '_> {
+    /// Gives the tokens from the reader's next offset on.
+    pub(super) fn give<'a>(&mut self, tokens: impl Iterator<Item = &'a str>) {
+        match self.reading.reader.clone() {
+            Reader::Caller(caller) => {
+                if !self.reading.responded {
+                    self.reading.responded = true;
+                    let head = Box::new(event_stream_head());
+                    self.out.push(Effect::Respond(caller, self.request.clone(), head));
+                }
+                let mut buf = Vec::new();
+                for token in tokens {
+                    write_token(&mut buf, self.reading.next, token);
+                    self.reading.next += 1;
+                }
+                if !buf.is_empty() {
+                    self.out.push(Effect::Deliver(caller, buf.into()));
+                }
+            }
+            Reader::Peer(daemon, id) => {
+                let (stream, offset) = (self.reading.stream, self.reading.next);
+                let tokens: Vec<Box<str>> = tokens.map(Into::into).collect();
+                self.reading.next += tokens.len() as u64;
+                let request = self.request.clone();
+                let pieces = Pieces { id, request, stream, offset, tokens, end: None };
+                self.out.push(Effect::Send(Recipient::Daemon(daemon), Message::Pieces(pieces)));
+            }
+        }
+    }
+}
+
+fn event_stream_head() -> Head {
+    let headers = vec![
+        ("content-type".into(), Bytes::from_static(b"text/event-stream")),
+        ("cache-control".into(), Bytes::from_static(b"no-store")),
+    ];
+    Head { status: 200, headers, is_event_stream: true, ..Head::default() }
+}
+
+fn json_head() -> Head {
+    let headers = vec![("content-type".into(), Bytes::from_static(b"application/json"))];
+    Head { status: 200, headers, ..Head::default() }
+}
--- /dev/null
+++ b/lib/src/node/traffic/fetch.rs
@@ -0,0 +1,262 @@
+//! Callers that come back for an answer, at the daemon that holds it or at any other.
+
+use std::{cmp::Reverse, time::Duration};
+
+use super::{
+    Effect, Reader, Reading, Resumption, Timer, Traffic,
+    deliver::{Tokens, give_whole},
+};
+use crate::{
+    ids::{DaemonId, RequestId},
+    peer::Recipient,
+    request::{
+        CallerId, ExchangeId,
+        answer::Answer,
+        completion::UsageWire,
+        message::{Fetch, FetchEnd, FetchId, Message, Pieces},
+        name::{Origin, rendezvous},
+        outcome::{RunOutcome, Untouched},
+        refusal::{Refusal, RefusalKind},
+    },
+    units::Time,
+};
+
+/// How long a fetch waits for a piece before it is repeated.
+const FETCH_RETRY: Duration = Duration::from_millis(500);
+/// How often a fetch is repeated before the next daemon is asked.
+const FETCH_TRIES: u32 = 4;
+/// The most daemons that are asked for one answer.
+const MAX_HOLDERS: usize = 4;
+
+/// An answer that is fetched for a caller from the daemon that holds it.
+#[derive(Clone, Debug)]
+pub(super) struct FetchState {
+    request: RequestId,
+    customer: Option<crate::ids::CustomerName>,
+    reading: Reading,
+    /// The tokens so far from `base` on; kept only for a caller that wants the whole answer.
+    whole: Answer,
+    stream: Option<bool>,
+    holders: Vec<DaemonId>,
+    tries: u32,
+    heard: bool,
+}
+
+impl Traffic {
+    pub(super) fn resumed(&mut self, now: Time, resumption: Resumption, out: &mut Vec<Effect>) {
+        let Resumption { caller, request, last_event, token } = resumption;
+        let customer = match self.customer(token.as_ref()) {
+            Ok(customer) => customer,
+            Err((kind, detail)) => {
+                let outcome = RunOutcome::NotRun(Untouched::begin().refuse());
+                let refusal = Refusal::new(kind, outcome, detail);
+                return out.push(Effect::Refuse(caller, Box::new(refusal)));
+            }
+        };
+        let next = last_event.map_or(0, |last| last + 1);
+        let reader = Reader::Caller(caller);
+        let reading = Reading { reader, next, stream: true, responded: false };
+        if self.read_here(now, &request, customer.as_ref(), reading.clone(), out) {
+            return;
+        }
+        let mut holders = self.holders_of(&request);
+        holders.reverse();
+        let state = FetchState {
+            request,
+            customer,
+            reading,
+            whole: Answer::default(),
+            stream: None,
+            holders,
+            tries: 0,
+            heard: false,
+        };
+        self.fetches.insert(caller, state);
+        self.ask_holder(now, caller, out);
+    }
+
+    /// Lists the daemons that may hold a request, the likeliest first.
+    fn holders_of(&self, request: &RequestId) -> Vec<DaemonId> {
+        let me = &self.cfg.origin.daemon;
+        let origin = Origin::of(request).map(|origin| origin.daemon);
+        let members = self.snapshot.members.iter().map(|member| &member.daemon);
+        let is_known = |daemon: &DaemonId| {
+            daemon == me || self.snapshot.members.iter().any(|member| member.daemon == *daemon)
+        };
+        let others = members.filter(|daemon| Some(*daemon) != origin.as_ref());
+        let takers = rendezvous(request, others);
+        let first = origin.as_ref().filter(|daemon| is_known(daemon));
+        first.into_iter().chain(takers).take(MAX_HOLDERS).cloned().collect()
+    }
+
+    /// Lets a reader read an answer that this thread holds; says whether it does.
+    fn read_here(
+        &mut self,
+        now: Time,
+        request: &RequestId,
+        customer: Option<&crate::ids::CustomerName>,
+        mut reading: Reading,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        if let Some(&id) = self.by_request.get(request) {
+            let entry = &self.entries[&id];
+            if entry.exchange.ask.customer.as_ref() != customer
+                || entry.exchange.ask.completion.is_none()
+            {
+                return false;
+            }
+            reading.stream = entry.exchange.ask.streams();
+            self.read_running(now, id, reading, out);
+            return true;
+        }
+        let Some(kept) = self.kept.get(request) else { return false };
+        if kept.customer.as_ref() != customer {
+            return false;
+        }
+        reading.stream = kept.stream;
+        let rest = kept.answer.tokens_from(reading.next);
+        give_whole(&mut reading, request, kept.answer.text(), rest, kept.usage, out);
+        true
+    }
+
+    fn read_running(&mut self, now: Time, id: ExchangeId, reading: Reading, out: &mut Vec<Effect>) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        entry.gone_since = None;
+        entry.is_named = true;
+        let before = entry.reading.replace(reading);
+        if let Some(Reading { reader: Reader::Caller(caller), .. }) = &entry.reading {
+            self.by_caller.insert(*caller, id);
+        }
+        let request = entry.exchange.ask.request.clone();
+        let same = before.as_ref().map(|b| &b.reader) == entry.reading.as_ref().map(|r| &r.reader);
+        if let Some(caller) = super::arrive::caller_of(before.as_ref()) {
+            self.by_caller.swap_remove(&caller);
+            let detail = "the answer goes on over another connection";
+            let kind = RefusalKind::ResumedElsewhere;
+            let refusal = Refusal::new(kind, RunOutcome::MayHaveRun, detail).with_resume(request);
+            out.push(Effect::Refuse(caller, Box::new(refusal)));
+        } else if !same {
+            let detail = "the answer goes on over another connection";
+            let kind = RefusalKind::ResumedElsewhere;
+            let refusal = Refusal::new(kind, RunOutcome::MayHaveRun, detail);
+            Self::tell_refusal(before, request, refusal, out);
+        }
+        self.deliver(now, id, out);
+    }
+
+    fn ask_holder(&mut self, now: Time, caller: CallerId, out: &mut Vec<Effect>) {
+        let Some(state) = self.fetches.get_mut(&caller) else { return };
+        let Some(holder) = state.holders.last() else {
+            return self.refuse_fetch(caller, "no daemon holds this request", out);
+        };
+        state.tries += 1;
+        state.heard = false;
+        let fetch = Fetch {
+            id: FetchId { thread: self.cfg.origin.thread, caller },
+            request: state.request.clone(),
+            customer: state.customer.clone(),
+            next: state.reading.next,
+        };
+        let recipient = Recipient::Daemon(holder.clone());
+        out.push(Effect::Send(recipient, Message::Fetch(fetch)));
+        self.timers.push(Reverse((now + FETCH_RETRY, Timer::Fetch(caller))));
+    }
+
+    fn refuse_fetch(&mut self, caller: CallerId, detail: &str, out: &mut Vec<Effect>) {
+        if let Some(state) = self.fetches.swap_remove(&caller) {
+            let kind = RefusalKind::UnknownRequest;
+            let refusal = Refusal::new(kind, RunOutcome::MayHaveRun, detail);
+            Self::tell_refusal(Some(state.reading), state.request, refusal, out);
+        }
+    }
+
+    pub(super) fn fetch_timer(&mut self, now: Time, caller: CallerId, out: &mut Vec<Effect>) {
+        let Some(state) = self.fetches.get_mut(&caller) else { return };
+        if state.heard {
+            state.tries = 0;
+        }
+        if state.tries >= FETCH_TRIES {
+            state.tries = 0;
+            state.holders.pop();
+        }
+        self.ask_holder(now, caller, out);
+    }
+
+    pub(super) fn fetch_asked(
+        &mut self,
+        now: Time,
+        from: DaemonId,
+        fetch: Fetch,
+        out: &mut Vec<Effect>,
+    ) {
+        let reader = Reader::Peer(from.clone(), fetch.id);
+        let reading = Reading { reader, next: fetch.next, stream: true, responded: true };
+        if self.read_here(now, &fetch.request, fetch.customer.as_ref(), reading, out) {
+            return;
+        }
+        let Fetch { id, request, next: offset, .. } = fetch;
+        let end = Some(FetchEnd::Unknown);
+        let pieces = Pieces { id, request, stream: true, offset, tokens: Vec::new(), end };
+        out.push(Effect::Send(Recipient::Daemon(from), Message::Pieces(pieces)));
+    }
+
+    pub(super) fn pieces_came(&mut self, now: Time, pieces: Pieces, out: &mut Vec<Effect>) {
+        let caller = pieces.id.caller;
+        let Some(state) = self.fetches.get_mut(&caller) else { return };
+        if state.request != pieces.request {
+            return;
+        }
+        state.heard = true;
+        match pieces.end {
+            Some(FetchEnd::Unknown) => {
+                state.tries = 0;
+                state.holders.pop();
+                return self.ask_holder(now, caller, out);
+            }
+            Some(FetchEnd::Failed(detail)) => return self.refuse_fetch(caller, &detail, out),
+            None | Some(FetchEnd::Whole(_)) => {}
+        }
+        let whole = match pieces.end {
+            Some(FetchEnd::Whole(usage)) => Some(usage),
+            _ => None,
+        };
+        let is_complete = state.take(&pieces, out);
+        if let (true, Some(usage)) = (is_complete, whole) {
+            self.end_fetch(caller, usage, out);
+        }
+    }
+
+    fn end_fetch(&mut self, caller: CallerId, usage: Option<UsageWire>, out: &mut Vec<Effect>) {
+        if let Some(mut state) = self.fetches.swap_remove(&caller) {
+            let rest = std::iter::empty();
+            let text = state.whole.text().to_owned();
+            give_whole(&mut state.reading, &state.request, &text, rest, usage, out);
+        }
+    }
+}
+
+impl FetchState {
+    /// Takes pieces and gives them to the caller; says whether none before their end is missing.
+    fn take(&mut self, pieces: &Pieces, out: &mut Vec<Effect>) -> bool {
+        if self.stream.is_none() && !pieces.stream && self.reading.next > 0 {
+            // The whole answer is wanted, whatever event the caller says it had.
+            self.reading.next = 0;
+        }
+        self.stream.get_or_insert(pieces.stream);
+        self.reading.stream = pieces.stream;
+        let Some(skip) = self.reading.next.checked_sub(pieces.offset) else { return false };
+        let skip = usize::try_from(skip).unwrap_or(usize::MAX);
+        let new = pieces.tokens.iter().skip(skip).map(|token| &**token);
+        if pieces.stream {
+            Tokens { reading: &mut self.reading, request: &self.request, out }.give(new);
+            return true;
+        }
+        for token in new {
+            if self.whole.put(self.reading.next, token).is_err() {
+                return false;
+            }
+            self.reading.next += 1;
+        }
+        true
+    }
+}
--- /dev/null
+++ b/lib/src/node/traffic/handover.rs
@@ -0,0 +1,189 @@
+//! Graceful shutdown: requests that cannot finish in time go on at a peer.
+
+use std::{cmp::Reverse, sync::Arc, time::Duration};
+
+use super::{Effect, Phase, Timer, Traffic, attempt::name_of};
+use crate::{
+    declaration::RepeatRule,
+    ids::{DaemonId, RequestId},
+    node::report::AttemptEnd,
+    peer::Recipient,
+    request::{
+        AttemptId, ExchangeId,
+        answer::Answer,
+        exchange::{Ask, Exchange},
+        message::{Handover, Message},
+        name::rendezvous,
+        outcome::RunOutcome,
+        refusal::{Refusal, RefusalKind},
+    },
+    units::Time,
+};
+
+/// The longest part of a graceful shutdown that is left for handing requests over.
+const HANDOVER_TIME: Duration = Duration::from_secs(5);
+/// How long a peer may take to say whether it goes on with a request.
+const TAKER_WAIT: Duration = Duration::from_millis(500);
+/// When a caller may come back for an answer that a peer goes on with.
+const RESUME_AFTER: Duration = Duration::from_secs(1);
+
+impl Traffic {
+    pub(super) fn begin_drain(&mut self, now: Time) {
+        let timeout = self.cfg.drain_timeout;
+        let by = now + timeout.saturating_sub(HANDOVER_TIME.min(timeout / 2));
+        self.drain_by = Some(by);
+        self.timers.push(Reverse((by, Timer::Drain)));
+    }
+
+    /// Hands over each request that another daemon can go on with.
+    pub(super) fn hand_over_all(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mut ids: Vec<ExchangeId> = self.entries.keys().copied().collect();
+        ids.sort_unstable();
+        for id in ids {
+            self.hand_over(now, id, out);
+        }
+    }
+
+    fn hand_over(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        let ask = &entry.exchange.ask;
+        let may_move = ask.completion.is_some()
+            && entry.exchange.plain.is_none()
+            && entry.exchange.may_repeat();
+        if !may_move {
+            return;
+        }
+        let me = &self.cfg.origin.daemon;
+        let members = self.snapshot.members.iter().map(|member| &member.daemon);
+        let others = members.filter(|daemon| *daemon != me);
+        let mut takers: Vec<DaemonId> =
+            rendezvous(&ask.request, others).into_iter().cloned().collect();
+        takers.reverse();
+        self.offer(now, id, takers, out);
+    }
+
+    /// Offers a request to the last of these peers.
+    fn offer(
+        &mut self,
+        now: Time,
+        id: ExchangeId,
+        mut others: Vec<DaemonId>,
+        out: &mut Vec<Effect>,
+    ) {
+        // With no peer left, the request goes on here for as long as this daemon does.
+        let Some(to) = others.pop() else { return };
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let exchange = &entry.exchange;
+        let Some(completion) = exchange.ask.completion.clone() else { return };
+        let ask = &exchange.ask;
+        let handover = Handover {
+            request: ask.request.clone(),
+            customer: ask.customer.clone(),
+            route: ask.route.clone(),
+            service: ask.service.clone(),
+            class: ask.class,
+            path: ask.path.clone(),
+            completion,
+            digest: ask.digest,
+            time_left: ask.deadline.since(now),
+            tokens: exchange.answer.tokens_from(0).map(Into::into).collect(),
+        };
+        let message = Message::HandOver(Box::new(handover));
+        out.push(Effect::Send(Recipient::Daemon(to.clone()), message));
+        let until = now + TAKER_WAIT;
+        // What the attempt still brings is computed again by the peer, so it stops here.
+        if let Some(attempt) = exchange.attempt() {
+            let name = name_of(ask, AttemptId { exchange: id, number: attempt.number });
+            out.push(Effect::CancelAt(attempt.target.address, name));
+        }
+        entry.phase = Phase::HandingOver { to, others, until };
+        self.close(now, id, AttemptEnd::Abandoned, true, out);
+        self.arm(id, until);
+    }
+
+    /// Offers a request to the next peer, since one did not answer or does not take it.
+    pub(super) fn next_taker(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let Phase::HandingOver { others, .. } = &mut entry.phase else { return };
+        let others = std::mem::take(others);
+        if others.is_empty() {
+            return self.dispatch(now, id, out);
+        }
+        self.offer(now, id, others, out);
+    }
+
+    pub(super) fn taken(
+        &mut self,
+        now: Time,
+        from: &DaemonId,
+        request: &RequestId,
+        taken: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(&id) = self.by_request.get(request) else { return };
+        let Some(entry) = self.entries.get(&id) else { return };
+        match &entry.phase {
+            Phase::HandingOver { to, .. } if to == from => {}
+            _ => return,
+        }
+        if !taken {
+            return self.next_taker(now, id, out);
+        }
+        let Some(entry) = self.remove(now, id, out) else { return };
+        let request = request.clone();
+        let detail = "another daemon goes on with the request";
+        let refusal = Refusal::new(RefusalKind::HandedOver, RunOutcome::MayHaveRun, detail)
+            .with_retry_after(RESUME_AFTER)
+            .with_resume(request.clone());
+        Self::tell_refusal(entry.reading, request, refusal, out);
+    }
+
+    /// Goes on with a request of a daemon that shuts down.
+    pub(super) fn take_over(
+        &mut self,
+        now: Time,
+        from: DaemonId,
+        handover: Handover,
+        out: &mut Vec<Effect>,
+    ) {
+        let request = handover.request.clone();
+        let holds = self.by_request.contains_key(&request) || self.kept.get(&request).is_some();
+        let answer = Answer::of_tokens(handover.tokens.iter().map(|token| &**token));
+        let taken = holds || (self.snapshot.ready() && answer.is_ok());
+        let message = Message::Taken { request, taken };
+        out.push(Effect::Send(Recipient::Daemon(from), message));
+        let (false, true, Ok(answer)) = (holds, taken, answer) else { return };
+        let ask = Arc::new(self.with_prefix(ask_of(now, handover)));
+        let exchange = Exchange::taken_over(ask, answer);
+        let id = self.insert(exchange, None, false);
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.is_named = true;
+            entry.phase = Phase::Waiting { until: now };
+        }
+        let deadline = self.entries[&id].exchange.ask.deadline;
+        self.arm(id, deadline);
+        self.dispatch(now, id, out);
+    }
+}
+
+fn ask_of(now: Time, handover: Handover) -> Ask {
+    Ask {
+        prefix: None,
+        tokens: super::arrive::tokens_of(&handover.completion),
+        request: handover.request,
+        customer: handover.customer,
+        route: handover.route,
+        service: handover.service,
+        class: handover.class,
+        rule: RepeatRule::Safe,
+        method: "POST".into(),
+        path: handover.path,
+        headers: Arc::new([]),
+        body: bytes::Bytes::new(),
+        completion: Some(handover.completion),
+        key: None,
+        digest: handover.digest,
+        arrived: now,
+        deadline: now + handover.time_left,
+    }
+}
--- /dev/null
+++ b/lib/src/node/traffic/mod.rs
@@ -0,0 +1,384 @@
+//! The traffic part of a daemon: the requests of one traffic thread, without I/O.
+//!
+//! [`Traffic::handle`] takes what happened to callers, upstreams and peers and returns what is to
+//! be done. `docs/design/requests.md` says how requests are resumed and handed over.
+
+mod arrive;
+mod attempt;
+mod deliver;
+mod fetch;
+mod handover;
+mod reclaim;
+#[cfg(test)]
+mod tests;
+
+use std::{cmp::Reverse, collections::BinaryHeap, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use rand::{Rng as _, SeedableRng as _};
+use rand_pcg::Pcg32;
+
+use crate::{
+    claim::{ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket},
+    declaration::{RequestClass, ServiceKind},
+    ids::{DaemonId, DataCentre, RequestId, ServiceName, UpstreamId, VersionName},
+    limit::Limits,
+    node::{report::AttemptReport, snapshot::Snapshot},
+    peer::Recipient,
+    placement::Placement,
+    request::{
+        AttemptId, CallerId, ExchangeId,
+        exchange::{Exchange, Head, Header, StreamEnd, Target},
+        kept::KeptAnswers,
+        message::{FetchId, Message},
+        name::Origin,
+        outcome::Untouched,
+        poison::{Digest, PoisonList},
+        refusal::Refusal,
+    },
+    units::{Time, WallTime},
+};
+
+use self::fetch::FetchState;
+
+/// What one traffic thread is told at its start.
+#[derive(Clone, Debug)]
+pub struct TrafficConfig {
+    /// The daemon, its run and the thread.
+    pub origin: Origin,
+    /// How many traffic threads the daemon has.
+    pub threads: u16,
+    /// The daemon's data centre.
+    pub data_centre: DataCentre,
+    /// The longest that a graceful shutdown takes.
+    pub drain_timeout: Duration,
+    /// The seed of every random choice.
+    pub seed: u64,
+}
+
+/// A request of a caller, whole.
+#[derive(Debug)]
+pub struct Arrival {
+    /// The caller that waits for the answer.
+    pub caller: CallerId,
+    /// The method.
+    pub method: Box<str>,
+    /// Path and query.
+    pub path: Box<str>,
+    /// The headers that are passed on.
+    pub headers: Arc<[Header]>,
+    /// The body.
+    pub body: Bytes,
+    /// The SHA-256 of the bearer token.
+    pub token: Option<[u8; 32]>,
+    /// The idempotency key.
+    pub key: Option<Box<str>>,
+    /// How long the caller waits for the answer.
+    pub deadline: Option<Duration>,
+    /// How urgent the caller says it is; it can only make it less urgent than its route.
+    pub class: Option<RequestClass>,
+    /// Shows that no upstream has seen the request.
+    pub untouched: Untouched,
+}
+
+/// A caller that asks for the answer of an earlier request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resumption {
+    /// The caller.
+    pub caller: CallerId,
+    /// The request.
+    pub request: RequestId,
+    /// The id of the last event that the caller got.
+    pub last_event: Option<u64>,
+    /// The SHA-256 of the bearer token.
+    pub token: Option<[u8; 32]>,
+}
+
+/// What the traffic part is told.
+#[derive(Debug)]
+pub enum Event {
+    /// The control thread has published a snapshot; the wall clock shows this time.
+    Snapshot(Arc<Snapshot>, WallTime),
+    /// A request has arrived.
+    Arrived(Box<Arrival>),
+    /// A caller comes back for an answer.
+    Resumed(Resumption),
+    /// A caller has closed its connection.
+    CallerGone(CallerId),
+    /// An upstream has answered with this head.
+    Head(AttemptId, Box<Head>),
+    /// An upstream has sent a part of its answer.
+    Chunk(AttemptId, Bytes),
+    /// An attempt has ended.
+    Ended(AttemptId, StreamEnd),
+    /// A KV cache was brought to the upstream that goes on, or could not be.
+    KvMoved(AttemptId, bool),
+    /// A claim was answered.
+    Claim(RequestId, ClaimAnswer),
+    /// A request crashes upstreams and is refused for this long.
+    Poison(Digest, Duration),
+    /// A peer, or another thread of this daemon, has sent a message.
+    Peer(DaemonId, Message),
+    /// The time of [`Traffic::next_wakeup`] has come.
+    Woken,
+}
+
+/// A request as it is sent to an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Dispatch {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The name of the attempt at the upstream.
+    pub name: Box<str>,
+    /// Where the upstream listens.
+    pub address: SocketAddr,
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The method.
+    pub method: Box<str>,
+    /// Path and query.
+    pub path: Box<str>,
+    /// The headers that are passed on.
+    pub headers: Arc<[Header]>,
+    /// The body.
+    pub body: Bytes,
+    /// The time left.
+    pub time_left: Duration,
+    /// The caller whose connection sets the pace, if the answer may be passed on in parts.
+    pub paced_by: Option<CallerId>,
+}
+
+/// What the traffic part wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send a request to an upstream.
+    Dispatch(Box<Dispatch>),
+    /// Close the connection of an attempt; what it still brings counts for nothing.
+    Close(AttemptId),
+    /// Tell an engine that nobody waits for an attempt.
+    CancelAt(SocketAddr, Box<str>),
+    /// Bring the KV cache of an attempt to another engine, and answer with [`Event::KvMoved`].
+    MoveKv {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Its name at the upstream.
+        name: Box<str>,
+        /// The engine that holds the cache.
+        from: SocketAddr,
+        /// The engine that is to hold it.
+        to: SocketAddr,
+    },
+    /// Begin the answer to a caller with this head; parts follow.
+    Respond(CallerId, RequestId, Box<Head>),
+    /// Send a part of the answer to a caller.
+    Deliver(CallerId, Bytes),
+    /// End the answer that [`Effect::Respond`] began.
+    Finish(CallerId),
+    /// Give a caller its whole answer at once.
+    Answer(CallerId, RequestId, Box<Head>, Bytes),
+    /// Give a caller this final answer, or end with it the answer that has begun.
+    Refuse(CallerId, Box<Refusal>),
+    /// Ask the control thread for a claim; [`Event::Claim`] answers it.
+    AskClaim(ClaimAsk),
+    /// Tell the control thread how a claimed call ended.
+    EndClaim(ClaimTicket, ClaimEnd),
+    /// Tell the control thread how an attempt ended.
+    Report(Box<AttemptReport>),
+    /// Send a message to peers, or to another thread of this daemon.
+    Send(Recipient, Message),
+}
+
+/// What a request waits for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The answer of a claim.
+    Claiming,
+    /// The time of the next attempt.
+    Waiting { until: Time },
+    /// The upstream.
+    Running,
+    /// A peer's word that it goes on with the request.
+    HandingOver { to: DaemonId, others: Vec<DaemonId>, until: Time },
+}
+
+/// Who reads an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Reader {
+    Caller(CallerId),
+    Peer(DaemonId, FetchId),
+}
+
+/// A reader with how far it has read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Reading {
+    reader: Reader,
+    next: u64,
+    stream: bool,
+    responded: bool,
+}
+
+/// One request with all that is decided about it.
+#[derive(Debug)]
+struct Entry {
+    exchange: Exchange,
+    phase: Phase,
+    reading: Option<Reading>,
+    /// Whether a caller has been told the request's name, so that it may come back.
+    is_named: bool,
+    gone_since: Option<Time>,
+    ticket: Option<ClaimTicket>,
+    failed: Vec<UpstreamId>,
+    /// Whether an upstream crashed with the request.
+    is_suspect: bool,
+    moving: Option<Target>,
+    admitted: bool,
+    first_token: Option<Duration>,
+    retry_after: Option<Duration>,
+    armed: Option<Time>,
+}
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Exchange(ExchangeId),
+    Fetch(CallerId),
+    Drain,
+}
+
+/// The requests of one traffic thread.
+#[derive(Debug)]
+pub struct Traffic {
+    cfg: TrafficConfig,
+    snapshot: Arc<Snapshot>,
+    leaving: IndexMap<UpstreamId, Time>,
+    placement: Placement,
+    limits: Limits,
+    entries: IndexMap<ExchangeId, Entry>,
+    by_request: IndexMap<RequestId, ExchangeId>,
+    by_caller: IndexMap<CallerId, ExchangeId>,
+    fetches: IndexMap<CallerId, FetchState>,
+    at_version: IndexMap<(ServiceName, VersionName), u32>,
+    timers: BinaryHeap<Reverse<(Time, Timer)>>,
+    poison: PoisonList,
+    kept: KeptAnswers,
+    kv_moves: usize,
+    drain_by: Option<Time>,
+    random: Pcg32,
+    last_number: u64,
+}
+
+impl Traffic {
+    /// Makes the traffic part of one thread, which is not ready before its first snapshot.
+    pub fn new(cfg: TrafficConfig) -> Self {
+        Self {
+            snapshot: Arc::default(),
+            leaving: IndexMap::new(),
+            placement: Placement::with_seed(cfg.data_centre.clone(), cfg.seed),
+            limits: Limits::new(),
+            entries: IndexMap::new(),
+            by_request: IndexMap::new(),
+            by_caller: IndexMap::new(),
+            fetches: IndexMap::new(),
+            at_version: IndexMap::new(),
+            timers: BinaryHeap::new(),
+            poison: PoisonList::default(),
+            kept: KeptAnswers::default(),
+            kv_moves: 0,
+            drain_by: None,
+            random: Pcg32::seed_from_u64(cfg.seed),
+            last_number: 0,
+            cfg,
+        }
+    }
+
+    /// Returns when [`Event::Woken`] is wanted.
+    pub fn next_wakeup(&self) -> Option<Time> {
+        self.timers.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// Returns how many requests have no final answer yet.
+    pub fn unfinished(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Takes an event and adds the effects that follow from it.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Snapshot(snapshot, wall) => self.snapshot_changed(now, snapshot, wall, out),
+            Event::Arrived(arrival) => self.arrived(now, *arrival, out),
+            Event::Resumed(resumption) => self.resumed(now, resumption, out),
+            Event::CallerGone(caller) => self.caller_gone(now, caller, out),
+            Event::Head(attempt, head) => self.head(now, attempt, *head, out),
+            Event::Chunk(attempt, bytes) => self.chunk(now, attempt, &bytes, out),
+            Event::Ended(attempt, end) => self.ended(now, attempt, end, out),
+            Event::KvMoved(attempt, moved) => self.kv_moved(now, attempt, moved, out),
+            Event::Claim(request, answer) => self.claim_answered(now, &request, answer, out),
+            Event::Peer(from, message) => self.peer(now, from, message, out),
+            Event::Poison(digest, refused_for) => {
+                self.poison.refuse(now, digest, refused_for);
+            }
+            Event::Woken => self.woken(now, out),
+        }
+    }
+
+    fn snapshot_changed(
+        &mut self,
+        now: Time,
+        snapshot: Arc<Snapshot>,
+        wall: WallTime,
+        out: &mut Vec<Effect>,
+    ) {
+        self.snapshot = snapshot;
+        self.placement.refresh(&self.snapshot.hosts);
+        self.limits.refresh(self.snapshot.set.clone());
+        if self.snapshot.draining && self.drain_by.is_none() {
+            self.begin_drain(now);
+        }
+        self.note_leaving(now, wall, out);
+    }
+
+    fn woken(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.kept.expire(now);
+        while let Some(Reverse((at, timer))) = self.timers.peek().copied() {
+            if at > now {
+                return;
+            }
+            self.timers.pop();
+            match timer {
+                Timer::Exchange(id) => self.exchange_timer(now, id, out),
+                Timer::Fetch(caller) => self.fetch_timer(now, caller, out),
+                Timer::Drain => self.hand_over_all(now, out),
+            }
+        }
+    }
+
+    fn peer(&mut self, now: Time, from: DaemonId, message: Message, out: &mut Vec<Effect>) {
+        match message {
+            Message::Poison { digest, refused_for } => {
+                self.poison.refuse(now, digest, refused_for);
+            }
+            Message::Fetch(fetch) => self.fetch_asked(now, from, fetch, out),
+            Message::Pieces(pieces) => self.pieces_came(now, pieces, out),
+            Message::HandOver(handover) => self.take_over(now, from, *handover, out),
+            Message::Taken { request, taken } => self.taken(now, &from, &request, taken, out),
+        }
+    }
+
+    fn arm(&mut self, id: ExchangeId, at: Time) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        if entry.armed.is_none_or(|armed| at < armed) {
+            entry.armed = Some(at);
+            self.timers.push(Reverse((at, Timer::Exchange(id))));
+        }
+    }
+
+    fn random(&mut self) -> u64 {
+        self.random.next_u64()
+    }
+
+    fn is_model(&self, service: &ServiceName) -> bool {
+        let found = self.snapshot.set.services.get(service);
+        found.is_some_and(|service| service.kind == ServiceKind::Model)
+    }
+}
--- /dev/null
+++ b/lib/src/node/traffic/reclaim.rs
@@ -0,0 +1,163 @@
+//! Announced reclaim of upstreams: streams finish in time, move with their KV cache, or resume.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::{Effect, Entry, Phase, Traffic, attempt::name_of};
+use crate::{
+    placement::AttemptResult,
+    request::{AttemptId, ExchangeId},
+    units::{Time, WallTime},
+    upstream::HostState,
+};
+
+/// What is left of an upstream's time when its streams must be gone.
+const LEAVING_MARGIN: Duration = Duration::from_millis(500);
+/// The shortest time left in which a KV cache is still exported.
+const SHORTEST_KV_TIME: Duration = Duration::from_secs(1);
+/// The most KV caches that one traffic thread moves at once.
+const MAX_KV_MOVES: usize = 32;
+/// How often a stream at a leaving upstream is looked at again.
+const MOVE_CHECK: Duration = Duration::from_millis(100);
+
+impl Traffic {
+    /// Notes which upstreams leave, and moves the streams that cannot finish there.
+    pub(super) fn note_leaving(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
+        let mut leaving = IndexMap::new();
+        for host in self.snapshot.hosts.iter() {
+            if let HostState::Leaving { at } = host.state {
+                leaving.insert(host.upstream.clone(), now + at.until(wall));
+            }
+        }
+        // One that has left is remembered while its streams last, as their end is no crash.
+        for (upstream, at) in std::mem::take(&mut self.leaving) {
+            let listed = self.snapshot.hosts.iter().any(|host| host.upstream == upstream);
+            if !listed && now < at + Duration::from_mins(1) {
+                leaving.entry(upstream).or_insert(at);
+            }
+        }
+        self.leaving = leaving;
+        if self.leaving.is_empty() {
+            return;
+        }
+        let mut ids: Vec<ExchangeId> = self.entries.keys().copied().collect();
+        // The urgent ones choose first, then those that arrived first.
+        ids.sort_by_key(|id| (self.entries[id].exchange.ask.class, *id));
+        for id in ids {
+            self.consider_move(now, id, out);
+        }
+    }
+
+    /// Returns when a stream at a leaving upstream is to be looked at again.
+    pub(super) fn move_check_at(&self, entry: &Entry) -> Option<Time> {
+        let attempt = entry.exchange.attempt()?;
+        self.leaving.get(&attempt.target.upstream)?;
+        let since = entry.armed.unwrap_or(attempt.last);
+        Some(since.max(attempt.last) + MOVE_CHECK)
+    }
+
+    /// Moves a stream away if its upstream leaves before it can finish.
+    pub(super) fn consider_move(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        let Some(attempt) = entry.exchange.attempt() else { return };
+        let Some(&at) = self.leaving.get(&attempt.target.upstream) else { return };
+        if entry.phase != Phase::Running || !entry.exchange.may_repeat() {
+            return;
+        }
+        if entry.exchange.ask.completion.is_none() {
+            return;
+        }
+        let left = at.since(now);
+        if entry.moving.is_some() {
+            // The KV cache did not arrive in time.
+            if left <= LEAVING_MARGIN {
+                self.move_without_kv(now, id, out);
+            }
+            return;
+        }
+        if self.time_to_finish(entry).is_some_and(|needed| needed + LEAVING_MARGIN < left) {
+            return self.arm(id, now + MOVE_CHECK);
+        }
+        let has_tokens = attempt.first.is_some();
+        if !has_tokens || left < SHORTEST_KV_TIME {
+            return self.move_without_kv(now, id, out);
+        }
+        if self.kv_moves >= MAX_KV_MOVES {
+            return self.arm(id, now + MOVE_CHECK);
+        }
+        self.move_with_kv(now, id, out);
+    }
+
+    /// Estimates how long the rest of an answer takes at its upstream.
+    fn time_to_finish(&self, entry: &Entry) -> Option<Duration> {
+        let ask = &entry.exchange.ask;
+        let attempt = entry.exchange.attempt()?;
+        let target = self.snapshot.set.services.get(&ask.service)?.target;
+        let max_tokens = ask.completion.as_ref()?.max_tokens;
+        let offset = entry.exchange.answer.next_offset();
+        let rest = u32::try_from(max_tokens.saturating_sub(offset)).unwrap_or(u32::MAX);
+        let came = u32::try_from(offset.saturating_sub(attempt.from_offset)).unwrap_or(u32::MAX);
+        let Some(first) = attempt.first else {
+            return target.between_tokens.checked_mul(rest)?.checked_add(target.first_token);
+        };
+        let pace = match came {
+            0 | 1 => target.between_tokens,
+            _ => attempt.last.since(first) / (came - 1),
+        };
+        pace.checked_mul(rest)
+    }
+
+    fn move_with_kv(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
+        let Some(target) = self.choose(now, id) else {
+            // No upstream can take the stream; it stays until one can.
+            return self.arm(id, now + MOVE_CHECK);
+        };
+        let Some(entry) = self.entries.get(&id) else { return };
+        let Some(attempt) = entry.exchange.attempt() else { return };
+        let moved = AttemptId { exchange: id, number: attempt.number };
+        let name = name_of(&entry.exchange.ask, moved);
+        let (from, to) = (attempt.target.address, target.address);
+        // The place at the target is taken now, so that a wave spreads over the survivors.
+        self.placement.started(&target.upstream);
+        self.kv_moves += 1;
+        out.push(Effect::MoveKv { attempt: moved, name, from, to });
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.moving = Some(target);
+        }
+        self.arm(id, now + MOVE_CHECK);
+    }
+
+    fn move_without_kv(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
+        if self.choose(now, id).is_none() {
+            return self.arm(id, now + MOVE_CHECK);
+        }
+        self.cancel(now, id, out);
+        self.dispatch(now, id, out);
+    }
+
+    pub(super) fn kv_moved(
+        &mut self,
+        now: Time,
+        attempt: AttemptId,
+        moved: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        self.kv_moves = self.kv_moves.saturating_sub(1);
+        let id = attempt.exchange;
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        if entry.exchange.attempt().is_none_or(|current| current.number != attempt.number) {
+            return;
+        }
+        let Some(target) = entry.moving.take() else { return };
+        self.placement.ended(now, &target.upstream, AttemptResult::Neutral);
+        if moved && !self.leaving.contains_key(&target.upstream) {
+            self.cancel(now, id, out);
+            return self.dispatch_to(now, id, target, out);
+        }
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.failed.push(target.upstream);
+        }
+        self.move_without_kv(now, id, out);
+    }
+}
--- /dev/null
+++ b/lib/src/request/exchange.rs
@@ -0,0 +1,435 @@
+//! One request from its first dispatch to its whole answer, without I/O.
+//!
+//! Only the attempt with the current number adds to the answer. What a superseded attempt still
+//! sends is ignored, whenever it comes.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+
+use crate::{
+    declaration::{RepeatRule, RequestClass},
+    ids::{
+        AttemptNumber, ClassName, CustomerName, MoveName, RequestId, RouteName, ServiceName,
+        UpstreamId, VersionName, ZoneName,
+    },
+    node::report::{AttemptEnd, AttemptReport},
+    request::{
+        answer::Answer,
+        completion::{CompletionWire, DONE, PieceWire, UsageWire},
+        outcome::{Exposure, RunOutcome, Untouched, UpstreamRefusal},
+        poison::Digest,
+        sse::{SseEvent, SseReader},
+    },
+    units::{Time, Tokens},
+};
+
+/// The largest answer of a plain service, in bytes, that is held until it is whole.
+pub const MAX_HELD_BODY_BYTES: usize = 256 << 10;
+
+/// A header that is passed on, with its name in lower case.
+pub type Header = (Box<str>, Bytes);
+
+/// What a caller asked for; it never changes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// The request's name.
+    pub request: RequestId,
+    /// Who asks, if customers are declared.
+    pub customer: Option<CustomerName>,
+    /// The route.
+    pub route: RouteName,
+    /// The service that the route leads to.
+    pub service: ServiceName,
+    /// How urgent it is.
+    pub class: RequestClass,
+    /// Whether it may be sent to an upstream a second time.
+    pub rule: RepeatRule,
+    /// The method.
+    pub method: Box<str>,
+    /// Path and query.
+    pub path: Box<str>,
+    /// The headers that are passed on.
+    pub headers: Arc<[Header]>,
+    /// The body; empty for a completion, which [`Ask::completion`] holds.
+    pub body: Bytes,
+    /// The completion that is asked for, if it is one.
+    pub completion: Option<CompletionWire>,
+    /// The caller's idempotency key.
+    pub key: Option<Box<str>>,
+    /// The digest of service, method, path and body.
+    pub digest: Digest,
+    /// The hash of the prompt's prefix.
+    pub prefix: Option<u64>,
+    /// The tokens that prompt and answer may take, counting a word of the prompt as one.
+    pub tokens: u64,
+    /// When it arrived.
+    pub arrived: Time,
+    /// When its answer is of no more use.
+    pub deadline: Time,
+}
+
+impl Ask {
+    /// Says whether the caller wants server-sent events.
+    pub fn streams(&self) -> bool {
+        self.completion.as_ref().is_some_and(|wire| wire.stream)
+    }
+}
+
+/// Where an attempt goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Its machine class.
+    pub class: ClassName,
+    /// The version that it runs.
+    pub version: VersionName,
+    /// The move under which the version was chosen.
+    pub under_move: Option<MoveName>,
+}
+
+/// The head of an upstream's answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Head {
+    /// The HTTP status.
+    pub status: u16,
+    /// The headers that are passed on.
+    pub headers: Vec<Header>,
+    /// Whether the answer is a stream of server-sent events.
+    pub is_event_stream: bool,
+    /// Whether the upstream says that the request did not run.
+    pub says_not_run: bool,
+    /// When the upstream wants to be asked again.
+    pub retry_after: Option<Duration>,
+}
+
+impl Head {
+    /// Returns a header as text, empty if there is none.
+    pub fn text_of(&self, name: &str) -> &str {
+        let found = self.headers.iter().find(|(found, _)| &**found == name);
+        found.and_then(|(_, value)| std::str::from_utf8(value).ok()).unwrap_or("")
+    }
+}
+
+/// How an attempt came to its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// The upstream ended its answer.
+    Whole,
+    /// No connection could be made; no byte was sent.
+    Unreachable(Box<str>),
+    /// The connection broke.
+    Broken(Box<str>),
+}
+
+/// Why an attempt brought no whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// No connection could be made.
+    Unreachable,
+    /// The upstream proves that it did not run the request.
+    Refused {
+        /// When the upstream wants to be asked again.
+        retry_after: Option<Duration>,
+    },
+    /// The upstream answered with an error or in a malformed way.
+    Failed,
+    /// The connection broke.
+    Broken,
+    /// No answer, or no further token, came in the time allowed.
+    Overdue,
+}
+
+impl Cause {
+    /// Returns what the cause says about upstream and version.
+    pub fn attempt_end(&self) -> AttemptEnd {
+        match self {
+            Self::Unreachable | Self::Broken => AttemptEnd::Broken,
+            Self::Refused { .. } => AttemptEnd::Refused,
+            Self::Failed => AttemptEnd::Failure,
+            Self::Overdue => AttemptEnd::Overdue,
+        }
+    }
+}
+
+/// What an event of an attempt means for its exchange.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing: the event belongs to another attempt, or brings nothing new.
+    Nothing,
+    /// The answer has grown.
+    Grown,
+    /// The answer is whole.
+    Complete,
+    /// The attempt is of no more use.
+    Over(Cause, Box<str>),
+}
+
+/// The attempt that counts.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Its number.
+    pub number: AttemptNumber,
+    /// Where it went.
+    pub target: Target,
+    /// When it began.
+    pub started: Time,
+    /// When it last brought something new.
+    pub last: Time,
+    /// When it brought the first token, or the head of a plain answer.
+    pub first: Option<Time>,
+    /// How many tokens the answer had when it began.
+    pub from_offset: u64,
+    /// Whether it went on from what another attempt had computed.
+    pub is_repeat: bool,
+    reader: SseReader,
+    usage: Option<UsageWire>,
+}
+
+/// The answer of a plain service, or another answer that is passed on as it is.
+#[derive(Clone, Debug, Default)]
+pub struct PlainAnswer {
+    /// The head.
+    pub head: Head,
+    /// The part of the body that has not been taken.
+    pub body: BytesMut,
+    /// Whether the caller has got a part of it, so that no other attempt can replace it.
+    pub passing: bool,
+}
+
+/// The state of one request.
+#[derive(Debug)]
+pub struct Exchange {
+    /// What was asked.
+    pub ask: Arc<Ask>,
+    /// The tokens so far, for a completion.
+    pub answer: Answer,
+    /// The answer of a plain service so far.
+    pub plain: Option<PlainAnswer>,
+    /// What the engine that ended the answer has computed.
+    pub usage: Option<UsageWire>,
+    attempt: Option<Attempt>,
+    attempts: AttemptNumber,
+    has_computed: bool,
+    exposure: Exposure,
+    events: Vec<SseEvent>,
+}
+
+impl Exchange {
+    /// Begins the exchange of a request that no upstream has seen.
+    pub fn new(ask: Arc<Ask>, untouched: Untouched) -> Self {
+        Self::with(ask, Answer::default(), Exposure::Untouched(untouched))
+    }
+
+    /// Goes on with a request that another daemon has handed over.
+    pub fn taken_over(ask: Arc<Ask>, answer: Answer) -> Self {
+        let exposure = Exposure::Untouched(Untouched::begin()).dispatch().lost();
+        Self { has_computed: answer.next_offset() > 0, ..Self::with(ask, answer, exposure) }
+    }
+
+    fn with(ask: Arc<Ask>, answer: Answer, exposure: Exposure) -> Self {
+        Self {
+            ask,
+            answer,
+            plain: None,
+            usage: None,
+            attempt: None,
+            attempts: AttemptNumber(0),
+            has_computed: false,
+            exposure,
+            events: Vec::new(),
+        }
+    }
+
+    /// Returns the attempt that counts.
+    pub fn attempt(&self) -> Option<&Attempt> {
+        self.attempt.as_ref()
+    }
+
+    /// Returns how many attempts have begun.
+    pub fn attempts(&self) -> u64 {
+        self.attempts.0
+    }
+
+    /// Says whether a part of the answer is there.
+    pub fn has_begun(&self) -> bool {
+        self.answer.next_offset() > 0 || self.plain.as_ref().is_some_and(|plain| plain.passing)
+    }
+
+    /// Says whether another attempt may follow the one that has ended.
+    pub fn may_repeat(&self) -> bool {
+        let passing = self.plain.as_ref().is_some_and(|plain| plain.passing);
+        self.ask.rule != RepeatRule::Never && !passing
+    }
+
+    /// Begins the next attempt; the one before no longer counts.
+    pub fn start(&mut self, now: Time, target: Target) -> AttemptNumber {
+        self.attempts = self.attempts.next();
+        self.answer.forget_early();
+        self.plain = None;
+        self.change_exposure(Exposure::dispatch);
+        self.attempt = Some(Attempt {
+            number: self.attempts,
+            target,
+            started: now,
+            last: now,
+            first: None,
+            from_offset: self.answer.next_offset(),
+            is_repeat: self.has_computed,
+            reader: SseReader::default(),
+            usage: None,
+        });
+        self.attempts
+    }
+
+    /// Takes the head of an attempt's answer.
+    pub fn head(&mut self, now: Time, number: AttemptNumber, head: Head) -> Step {
+        let is_engine = self.ask.completion.is_some();
+        let Some(attempt) = self.attempt.as_mut().filter(|attempt| attempt.number == number) else {
+            return Step::Nothing;
+        };
+        attempt.last = now;
+        if let Some(proof) = UpstreamRefusal::read(head.status, head.says_not_run, is_engine) {
+            self.change_exposure(|exposure| exposure.refused(proof));
+            let cause = Cause::Refused { retry_after: head.retry_after };
+            return Step::Over(cause, "the upstream refused the request".into());
+        }
+        if is_engine && head.status >= 500 {
+            let detail = format!("the engine answered {}", head.status);
+            return Step::Over(Cause::Failed, detail.into());
+        }
+        if is_engine && (200..300).contains(&head.status) {
+            if head.is_event_stream {
+                return Step::Nothing;
+            }
+            return Step::Over(Cause::Failed, "the engine does not stream".into());
+        }
+        attempt.first = Some(now);
+        self.plain = Some(PlainAnswer { head, ..PlainAnswer::default() });
+        Step::Nothing
+    }
+
+    /// Takes bytes of an attempt's answer.
+    pub fn chunk(&mut self, now: Time, number: AttemptNumber, bytes: &[u8]) -> Step {
+        let Some(attempt) = self.attempt.as_mut().filter(|attempt| attempt.number == number) else {
+            return Step::Nothing;
+        };
+        if let Some(plain) = &mut self.plain {
+            attempt.last = now;
+            plain.body.extend_from_slice(bytes);
+            plain.passing |= plain.body.len() > MAX_HELD_BODY_BYTES;
+            return if plain.passing { Step::Grown } else { Step::Nothing };
+        }
+        let mut events = std::mem::take(&mut self.events);
+        let read = attempt.reader.feed(bytes, &mut events);
+        let step = self.take_events(now, &mut events);
+        self.events = events;
+        match (step, read) {
+            (Step::Grown | Step::Nothing, Err(error)) => {
+                Step::Over(Cause::Failed, error.to_string().into())
+            }
+            (step, _) => step,
+        }
+    }
+
+    fn take_events(&mut self, now: Time, events: &mut Vec<SseEvent>) -> Step {
+        let before = self.answer.next_offset();
+        for event in events.drain(..) {
+            if event.data == DONE {
+                return self.done();
+            }
+            if let Err(detail) = self.take_event(now, &event) {
+                return Step::Over(Cause::Failed, detail);
+            }
+        }
+        if self.answer.next_offset() > before { Step::Grown } else { Step::Nothing }
+    }
+
+    fn done(&mut self) -> Step {
+        if self.answer.has_gap() {
+            return Step::Over(Cause::Failed, "the answer has a gap".into());
+        }
+        self.usage = self.attempt.as_ref().and_then(|attempt| attempt.usage);
+        Step::Complete
+    }
+
+    fn take_event(&mut self, now: Time, event: &SseEvent) -> Result<(), Box<str>> {
+        let Some(attempt) = &mut self.attempt else { return Ok(()) };
+        let piece: PieceWire = serde_json::from_str(&event.data)
+            .map_err(|error| format!("an event is malformed: {error}"))?;
+        if let Some(usage) = piece.usage {
+            attempt.usage = Some(usage);
+        }
+        let Some(text) = piece.text else { return Ok(()) };
+        let offset: u64 = match event.id.as_deref().map(str::parse) {
+            Some(Ok(offset)) => offset,
+            _ => return Err("a token has no offset".into()),
+        };
+        let before = self.answer.next_offset();
+        self.answer.put(offset, &text).map_err(|error| error.to_string())?;
+        if self.answer.next_offset() > before {
+            attempt.last = now;
+            attempt.first.get_or_insert(now);
+            self.has_computed = true;
+        }
+        Ok(())
+    }
+
+    /// Takes the end of an attempt.
+    pub fn end(&mut self, number: AttemptNumber, end: StreamEnd) -> Step {
+        if self.attempt.as_ref().is_none_or(|attempt| attempt.number != number) {
+            return Step::Nothing;
+        }
+        match end {
+            StreamEnd::Whole if self.plain.is_some() => Step::Complete,
+            StreamEnd::Whole => Step::Over(Cause::Broken, "the answer ended early".into()),
+            StreamEnd::Broken(detail) => Step::Over(Cause::Broken, detail),
+            StreamEnd::Unreachable(detail) => {
+                self.change_exposure(Exposure::unreachable);
+                Step::Over(Cause::Unreachable, detail)
+            }
+        }
+    }
+
+    /// Ends the attempt that counts and returns what is to be reported of it.
+    pub fn close(&mut self, end: AttemptEnd) -> Option<AttemptReport> {
+        let attempt = self.attempt.take()?;
+        self.answer.forget_early();
+        self.change_exposure(Exposure::lost);
+        let generated = self.answer.next_offset().saturating_sub(attempt.from_offset);
+        let usage = attempt.usage.unwrap_or_default();
+        let computed_again = if attempt.is_repeat { usage.computed_tokens } else { 0 };
+        Some(AttemptReport {
+            route: self.ask.route.clone(),
+            service: self.ask.service.clone(),
+            version: attempt.target.version,
+            under_move: attempt.target.under_move,
+            upstream: attempt.target.upstream,
+            zone: attempt.target.zone,
+            class: attempt.target.class,
+            end,
+            first_token: attempt.first.map(|first| first.since(attempt.started)),
+            generation: attempt.first.map_or(Duration::ZERO, |first| attempt.last.since(first)),
+            uncached_prompt: Tokens(usage.computed_tokens),
+            prompt: Tokens(usage.prompt_tokens),
+            generated: Tokens(generated),
+            computed_again: Tokens(computed_again),
+        })
+    }
+
+    /// Ends the exchange and returns what may be said about whether it ran.
+    pub fn into_outcome(self) -> RunOutcome {
+        self.exposure.into_outcome()
+    }
+
+    fn change_exposure(&mut self, change: impl FnOnce(Exposure) -> Exposure) {
+        // The placeholder claims the most, and is replaced at once.
+        let placeholder = Exposure::Untouched(Untouched::begin()).dispatch().lost();
+        self.exposure = change(std::mem::replace(&mut self.exposure, placeholder));
+    }
+}
--- /dev/null
+++ b/lib/src/request/message.rs
@@ -0,0 +1,255 @@
+//! What daemons tell each other about requests.
+//!
+//! A daemon that is asked for an answer that it does not hold fetches it from the one that does,
+//! and one that shuts down hands its requests to a peer. A fetch is repeated until its answer is
+//! whole; each piece says where it belongs, so that a repeated or late one does no harm.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    declaration::{RequestClass, wire::WireError},
+    ids::{CustomerName, RequestId, RouteName, ServiceName},
+    request::{
+        CallerId,
+        completion::{CompletionWire, UsageWire},
+        poison::Digest,
+    },
+};
+
+/// Where the answer of a fetch goes: a caller at one traffic thread of the daemon that asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct FetchId {
+    /// The traffic thread.
+    pub thread: u16,
+    /// The caller there.
+    pub caller: CallerId,
+}
+
+/// Asks for the answer of a request from an offset on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fetch {
+    /// Where the answer goes.
+    pub id: FetchId,
+    /// The request.
+    pub request: RequestId,
+    /// The customer whose caller asks.
+    pub customer: Option<CustomerName>,
+    /// The offset of the first token that is wanted.
+    pub next: u64,
+}
+
+/// A part of an answer that was fetched.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pieces {
+    /// Where it goes.
+    pub id: FetchId,
+    /// The request.
+    pub request: RequestId,
+    /// Whether the request asked for server-sent events.
+    pub stream: bool,
+    /// The offset of the first token.
+    pub offset: u64,
+    /// The tokens.
+    pub tokens: Vec<Box<str>>,
+    /// Whether and how the answer ends with them.
+    pub end: Option<FetchEnd>,
+}
+
+/// How a fetched answer ends.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FetchEnd {
+    /// It is whole.
+    #[serde(rename = "w")]
+    Whole(Option<UsageWire>),
+    /// The daemon does not hold the request, or no longer.
+    #[serde(rename = "u")]
+    Unknown,
+    /// The request has failed, for this reason; it may have run.
+    #[serde(rename = "f")]
+    Failed(Box<str>),
+}
+
+/// A request that is handed over with its answer so far.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Handover {
+    /// The request.
+    pub request: RequestId,
+    /// Who asked.
+    pub customer: Option<CustomerName>,
+    /// The route.
+    pub route: RouteName,
+    /// The service.
+    pub service: ServiceName,
+    /// How urgent it is.
+    pub class: RequestClass,
+    /// Path and query.
+    pub path: Box<str>,
+    /// The completion that was asked for.
+    pub completion: CompletionWire,
+    /// The digest of service, method, path and body.
+    pub digest: Digest,
+    /// How long the answer is still of use.
+    pub time_left: Duration,
+    /// The tokens of the answer so far.
+    pub tokens: Vec<Box<str>>,
+}
+
+/// A message about requests.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Message {
+    /// A request has crashed upstreams and is refused; every daemon is told.
+    Poison {
+        /// Its digest.
+        digest: Digest,
+        /// How long it is refused.
+        refused_for: Duration,
+    },
+    /// See [`Fetch`].
+    Fetch(Fetch),
+    /// See [`Pieces`].
+    Pieces(Pieces),
+    /// See [`Handover`]; answered by [`Message::Taken`].
+    HandOver(Box<Handover>),
+    /// Says whether a daemon goes on with a request that was handed over.
+    Taken {
+        /// The request.
+        request: RequestId,
+        /// Whether it does.
+        taken: bool,
+    },
+}
+
+impl Message {
+    /// Returns the request that the message is about, if it is about one that its receiver holds.
+    pub fn held_request(&self) -> Option<&RequestId> {
+        match self {
+            Self::Fetch(fetch) => Some(&fetch.request),
+            Self::HandOver(handover) => Some(&handover.request),
+            Self::Taken { request, .. } => Some(request),
+            Self::Poison { .. } | Self::Pieces(_) => None,
+        }
+    }
+}
+
+/// A [`Handover`] as it travels.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HandoverWire {
+    #[serde(rename = "i")]
+    request: RequestId,
+    #[serde(rename = "c")]
+    customer: Option<CustomerName>,
+    #[serde(rename = "r")]
+    route: RouteName,
+    #[serde(rename = "s")]
+    service: ServiceName,
+    #[serde(rename = "u")]
+    is_interactive: bool,
+    #[serde(rename = "p")]
+    path: Box<str>,
+    #[serde(rename = "q")]
+    completion: CompletionWire,
+    #[serde(rename = "d", with = "serde_bytes")]
+    digest: Digest,
+    #[serde(rename = "l")]
+    left_ms: u64,
+    #[serde(rename = "t")]
+    tokens: Vec<Box<str>>,
+}
+
+/// A [`Message`] as it travels.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum MessageWire {
+    /// See [`Message::Poison`]; the time is in milliseconds.
+    #[serde(rename = "x")]
+    Poison(#[serde(with = "serde_bytes")] Digest, u64),
+    /// See [`Message::Fetch`]: thread, caller, request, customer and offset.
+    #[serde(rename = "f")]
+    Fetch(u16, u64, RequestId, Option<CustomerName>, u64),
+    /// See [`Message::Pieces`]: thread, caller, request, streaming, offset, tokens and end.
+    #[serde(rename = "p")]
+    Pieces(u16, u64, RequestId, bool, u64, Vec<Box<str>>, Option<FetchEnd>),
+    /// See [`Message::HandOver`].
+    #[serde(rename = "h")]
+    HandOver(Box<HandoverWire>),
+    /// See [`Message::Taken`].
+    #[serde(rename = "t")]
+    Taken(RequestId, bool),
+}
+
+impl From<Handover> for HandoverWire {
+    fn from(handover: Handover) -> Self {
+        Self {
+            request: handover.request,
+            customer: handover.customer,
+            route: handover.route,
+            service: handover.service,
+            is_interactive: handover.class == RequestClass::Interactive,
+            path: handover.path,
+            completion: handover.completion,
+            digest: handover.digest,
+            left_ms: handover.time_left.as_millis() as u64,
+            tokens: handover.tokens,
+        }
+    }
+}
+
+impl From<HandoverWire> for Handover {
+    fn from(wire: HandoverWire) -> Self {
+        let class =
+            if wire.is_interactive { RequestClass::Interactive } else { RequestClass::Batch };
+        Self {
+            request: wire.request,
+            customer: wire.customer,
+            route: wire.route,
+            service: wire.service,
+            class,
+            path: wire.path,
+            completion: wire.completion,
+            digest: wire.digest,
+            time_left: Duration::from_millis(wire.left_ms),
+            tokens: wire.tokens,
+        }
+    }
+}
+
+impl From<Message> for MessageWire {
+    fn from(message: Message) -> Self {
+        match message {
+            Message::Poison { digest, refused_for } => {
+                Self::Poison(digest, refused_for.as_millis() as u64)
+            }
+            Message::Fetch(Fetch { id, request, customer, next }) => {
+                Self::Fetch(id.thread, id.caller.0, request, customer, next)
+            }
+            Message::Pieces(Pieces { id, request, stream, offset, tokens, end }) => {
+                Self::Pieces(id.thread, id.caller.0, request, stream, offset, tokens, end)
+            }
+            Message::HandOver(handover) => Self::HandOver(Box::new((*handover).into())),
+            Message::Taken { request, taken } => Self::Taken(request, taken),
+        }
+    }
+}
+
+impl TryFrom<MessageWire> for Message {
+    type Error = WireError;
+
+    fn try_from(wire: MessageWire) -> Result<Self, WireError> {
+        let id = |thread, caller| FetchId { thread, caller: CallerId(caller) };
+        Ok(match wire {
+            MessageWire::Poison(digest, ms) => {
+                Self::Poison { digest, refused_for: Duration::from_millis(ms) }
+            }
+            MessageWire::Fetch(thread, caller, request, customer, next) => {
+                Self::Fetch(Fetch { id: id(thread, caller), request, customer, next })
+            }
+            MessageWire::Pieces(thread, caller, request, stream, offset, tokens, end) => {
+                let id = id(thread, caller);
+                Self::Pieces(Pieces { id, request, stream, offset, tokens, end })
+            }
+            MessageWire::HandOver(wire) => Self::HandOver(Box::new((*wire).into())),
+            MessageWire::Taken(request, taken) => Self::Taken { request, taken },
+        })
+    }
+}
