request: tests of events, answers, outcomes, names and poison

Cause: the parts of the exchange had no tests of their own. Change: lib/tests/exchange.rs; the first token counts from the arrival for the limits, and an engine that brings none within four targets counts as hung.

--- a/lib/src/node/traffic/attempt.rs
+++ b/lib/src/node/traffic/attempt.rs
@@ -34,6 +34,8 @@
 const RESUME_RETRY: Duration = Duration::from_millis(100);
 /// The shortest time without a token after which an engine counts as hung.
 const SHORTEST_STALL: Duration = Duration::from_secs(1);
+/// The time to the first token, in targets, after which an engine counts as hung.
+const FIRST_TOKEN_TARGETS: u32 = 4;
 /// The time without a token, in targets, after which an engine counts as hung.
 const STALL_TARGETS: u32 = 50;
 /// How long an answer is computed for a caller that may come back for it.
@@ -170,11 +172,13 @@
         let ask = &entry.exchange.ask;
         let attempt = entry.exchange.attempt()?;
         ask.completion.as_ref()?;
+        let target = self.snapshot.set.services.get(&ask.service)?.target;
         if attempt.first.is_none() {
-            return Some(attempt.started + ask.deadline.since(attempt.started) / 2);
+            let allowed = SHORTEST_STALL.max(target.first_token * FIRST_TOKEN_TARGETS);
+            let half = ask.deadline.since(attempt.started) / 2;
+            return Some(attempt.started + allowed.min(half));
         }
-        let target = self.snapshot.set.services.get(&ask.service)?.target.between_tokens;
-        Some(attempt.last + SHORTEST_STALL.max(target * STALL_TARGETS))
+        Some(attempt.last + SHORTEST_STALL.max(target.between_tokens * STALL_TARGETS))
     }
 
     pub(super) fn head(
@@ -248,7 +252,9 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
-        let Some(number) = entry.exchange.attempt().map(|attempt| attempt.number) else { return };
+        let Some(attempt) = entry.exchange.attempt() else { return };
+        let (number, arrived) = (attempt.number, entry.exchange.ask.arrived);
+        entry.first_token = entry.first_token.or(attempt.first.map(|first| first.since(arrived)));
         if cut {
             out.push(Effect::Close(AttemptId { exchange: id, number }));
         }
@@ -256,9 +262,6 @@
         if end != AttemptEnd::Success && end != AttemptEnd::Abandoned {
             entry.failed.push(report.upstream.clone());
         }
-        if entry.first_token.is_none() && report.first_token.is_some() {
-            entry.first_token = report.first_token;
-        }
         if let Some(moving) = entry.moving.take() {
             self.placement.ended(now, &moving.upstream, AttemptResult::Neutral);
         }
--- a/lib/src/node/traffic/mod.rs
+++ b/lib/src/node/traffic/mod.rs
@@ -9,8 +9,6 @@
 mod fetch;
 mod handover;
 mod reclaim;
-#[cfg(test)]
-mod tests;
 
 use std::{cmp::Reverse, collections::BinaryHeap, net::SocketAddr, sync::Arc, time::Duration};
 
--- /dev/null
+++ b/lib/tests/exchange.rs
@@ -0,0 +1,221 @@
+//! The parts of a request's state: events, answers, names, states and poison, each by itself.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use dogwoodturn::{
+    ids::{CustomerName, DaemonId, Incarnation, RequestId},
+    request::{
+        CallerId,
+        answer::Answer,
+        kept::{KEPT_FOR, KeptAnswer, KeptAnswers, MAX_KEPT_BYTES},
+        message::{Fetch, FetchEnd, FetchId, Message, MessageWire, Pieces},
+        name::{Origin, rendezvous, thread_of},
+        outcome::{Exposure, RunOutcome, Untouched, UpstreamRefusal},
+        poison::{PoisonList, REFUSED_FOR},
+        sse::{MAX_EVENT_BYTES, SseError, SseEvent, SseReader},
+    },
+    units::Time,
+};
+use quickcheck::{Arbitrary as _, Gen};
+
+const SEEDS: u64 = 200;
+
+fn at(millis: u64) -> Time {
+    Time(millis * 1000)
+}
+
+#[test]
+fn sse_split_anywhere_gives_the_same_events() {
+    let text =
+        ": hello\r\nid: 0\r\ndata: {\"a\":1}\r\n\r\nid: 1\ndata: b\ndata: c\n\ndata: [DONE]\n\n";
+    let mut whole = Vec::new();
+    SseReader::default().feed(text.as_bytes(), &mut whole).expect("valid events");
+    let event =
+        |id: Option<&str>, data: &str| SseEvent { id: id.map(Into::into), data: data.into() };
+    let expected = [event(Some("0"), "{\"a\":1}"), event(Some("1"), "b\nc"), event(None, "[DONE]")];
+    assert_eq!(whole, expected);
+    for first in 0..text.len() {
+        for second in first..text.len() {
+            let mut reader = SseReader::default();
+            let mut events = Vec::new();
+            for part in [&text[..first], &text[first..second], &text[second..]] {
+                reader.feed(part.as_bytes(), &mut events).expect("valid events");
+            }
+            assert_eq!(events, expected, "split at {first} and {second}");
+        }
+    }
+}
+
+#[test]
+fn sse_endless_event_is_refused() {
+    let mut reader = SseReader::default();
+    let mut events = Vec::new();
+    let line = vec![b'x'; MAX_EVENT_BYTES / 2];
+    assert_eq!(reader.feed(&line, &mut events), Ok(()));
+    assert_eq!(reader.feed(&line, &mut events), Ok(()));
+    assert_eq!(reader.feed(b"x", &mut events), Err(SseError::TooLong));
+    let mut reader = SseReader::default();
+    let many = "data: 0123456789abcdef\n".repeat(MAX_EVENT_BYTES / 16);
+    assert_eq!(reader.feed(many.as_bytes(), &mut events), Err(SseError::TooLong));
+    assert_eq!(SseReader::default().feed(b"data: \xff\n\n", &mut events), Err(SseError::NotUtf8));
+}
+
+#[test]
+fn answer_pieces_in_any_order_and_repeated() {
+    for seed in 0..SEEDS {
+        let mut source = Gen::from_size_and_seed(30, seed);
+        let count = u64::from(u8::arbitrary(&mut source) % 30);
+        let mut pieces: Vec<u64> = (0..count).chain(0..count).collect();
+        for index in (1..pieces.len()).rev() {
+            pieces.swap(index, usize::arbitrary(&mut source) % (index + 1));
+        }
+        let mut answer = Answer::default();
+        let expected: String = (0..count).map(|offset| format!("w{offset} ")).collect();
+        for offset in pieces {
+            answer.put(offset, &format!("w{offset} ")).expect("a small answer");
+            assert!(expected.starts_with(answer.text()), "seed {seed}: {}", answer.text());
+        }
+        assert_eq!((answer.text(), answer.has_gap()), (&*expected, false), "seed {seed}");
+        let tokens: String = answer.tokens_from(count / 2).collect();
+        assert!(expected.ends_with(&tokens), "seed {seed}");
+    }
+}
+
+#[test]
+fn answer_endless_gap_is_refused() {
+    let mut answer = Answer::default();
+    let refused = (1..10_000).find(|&offset| answer.put(offset, "x").is_err());
+    assert!(refused.is_some());
+    assert_eq!(answer.next_offset(), 0);
+}
+
+fn refusal() -> UpstreamRefusal {
+    UpstreamRefusal::read(503, true, false).expect("it says so")
+}
+
+#[test]
+fn outcome_not_run_needs_proof() {
+    let fresh = || Exposure::Untouched(Untouched::begin());
+    let not_run = |exposure: Exposure| matches!(exposure.into_outcome(), RunOutcome::NotRun(_));
+    assert!(not_run(fresh()));
+    assert!(!not_run(fresh().dispatch()));
+    assert!(not_run(fresh().dispatch().unreachable()));
+    assert!(not_run(fresh().dispatch().refused(refusal())));
+    assert!(!not_run(fresh().dispatch().lost()));
+    // A later attempt that provably did not run says nothing about the one before.
+    assert!(!not_run(fresh().dispatch().lost().dispatch().unreachable()));
+    assert!(!not_run(fresh().dispatch().lost().dispatch().refused(refusal())));
+    assert!(!not_run(fresh().dispatch().dispatch().unreachable()));
+}
+
+#[test]
+fn outcome_which_answers_are_proof() {
+    let proves = |status, says, engine| UpstreamRefusal::read(status, says, engine).is_some();
+    assert!(proves(503, true, false) && proves(429, false, true) && proves(429, true, false));
+    assert!(!proves(503, false, true) && !proves(429, false, false) && !proves(500, true, true));
+}
+
+#[test]
+fn name_origin_survives_any_daemon_name() {
+    for daemon in ["a", "salish-a-0", "a:b:1:2"] {
+        let daemon: DaemonId = daemon.parse().expect("a name");
+        let origin = Origin { daemon, incarnation: Incarnation(7), thread: 3 };
+        let name = origin.name(99).expect("a name");
+        assert_eq!(Origin::of(&name), Some(origin.clone()));
+        assert_eq!(thread_of(&name, &origin.daemon, 4), 3);
+        assert!(thread_of(&name, &"other".parse().expect("a name"), 4) < 4);
+    }
+    let foreign: RequestId = "whatever".parse().expect("a name");
+    assert_eq!(Origin::of(&foreign), None);
+}
+
+#[test]
+fn rendezvous_is_the_same_without_the_first() {
+    let daemons: Vec<DaemonId> = (0..9).map(|n| format!("d{n}").parse().expect("a name")).collect();
+    for number in 0..50 {
+        let request: RequestId = format!("a:1:0:{number}").parse().expect("a name");
+        let all = rendezvous(&request, &daemons);
+        let rest: Vec<&DaemonId> = daemons.iter().rev().filter(|d| *d != all[0]).collect();
+        assert_eq!(rendezvous(&request, rest), all[1..]);
+    }
+}
+
+#[test]
+fn poison_two_crashes_without_progress() {
+    let mut list = PoisonList::default();
+    let digest = [1; 32];
+    assert!(!list.crashed(at(0), digest, 0));
+    assert_eq!(list.refused_for(at(1), &digest), None);
+    assert!(list.crashed(at(1), digest, 1));
+    assert_eq!(list.refused_for(at(1), &digest), Some(REFUSED_FOR));
+    assert_eq!(list.refused_for(at(1) + REFUSED_FOR, &digest), None);
+    assert_eq!(list.refused_for(at(1), &[2; 32]), None);
+}
+
+#[test]
+fn poison_progress_clears() {
+    let mut list = PoisonList::default();
+    for crash in 0..10 {
+        assert!(!list.crashed(at(crash), [1; 32], crash * 50));
+    }
+    // Long after the last crash, one more is the first again.
+    assert!(!list.crashed(at(0) + REFUSED_FOR, [1; 32], 450));
+}
+
+#[test]
+fn poison_list_is_bounded() {
+    let mut list = PoisonList::default();
+    for number in 0..20_000_u32 {
+        let mut digest = [0; 32];
+        digest[..4].copy_from_slice(&number.to_le_bytes());
+        list.refuse(at(0), digest, REFUSED_FOR);
+    }
+    let mut last = [0; 32];
+    last[..4].copy_from_slice(&19_999_u32.to_le_bytes());
+    assert!(list.refused_for(at(0), &last).is_some());
+    assert!(list.refused_for(at(0), &[0; 32]).is_none());
+}
+
+fn kept(bytes: usize) -> KeptAnswer {
+    let answer = Answer::of_tokens([&*"x".repeat(bytes)]).expect("a small answer");
+    KeptAnswer { customer: None, answer, usage: None, stream: true }
+}
+
+#[test]
+fn kept_answers_expire_and_are_bounded() {
+    let name = |number: usize| -> RequestId { format!("r{number}").parse().expect("a name") };
+    let mut answers = KeptAnswers::default();
+    for number in 0..20 {
+        answers.keep(at(0), name(number), kept(MAX_KEPT_BYTES / 10));
+    }
+    let held = (0..20).filter(|&number| answers.get(&name(number)).is_some()).count();
+    assert!((1..=10).contains(&held), "{held} are held");
+    assert!(answers.get(&name(19)).is_some());
+    answers.expire(at(0) + KEPT_FOR + Duration::from_millis(1));
+    assert!(answers.get(&name(19)).is_none());
+}
+
+#[test]
+fn message_wire_round_trip() {
+    let request: RequestId = "a:1:0:1".parse().expect("a name");
+    let customer: Option<CustomerName> = Some("ferries".parse().expect("a name"));
+    let id = FetchId { thread: 1, caller: CallerId(5) };
+    let fetch = Fetch { id, request: request.clone(), customer, next: 4 };
+    let tokens = vec!["a ".into(), "b ".into()];
+    let end = Some(FetchEnd::Whole(None));
+    let pieces = Pieces { id, request: request.clone(), stream: true, offset: 4, tokens, end };
+    let refused_for = Duration::from_secs(3);
+    let messages = [
+        Message::Poison { digest: [9; 32], refused_for },
+        Message::Fetch(fetch),
+        Message::Pieces(pieces),
+        Message::Taken { request, taken: true },
+    ];
+    for message in messages {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&MessageWire::from(message.clone()), &mut bytes).expect("encoded");
+        let wire: MessageWire = ciborium::from_reader(&*Bytes::from(bytes)).expect("decoded");
+        assert_eq!(Message::try_from(wire).expect("valid"), message);
+    }
+}
