traffic: failures of requests, alone and in pairs, over fake upstreams and links

Cause: the traffic part had no tests of reclaim, claims, drain, resumption or poison. Change: lib/tests/traffic.rs over a small fake world that checks each token, claim and refusal. They found a timer that was set in the past, which span for ever once a KV cache was awaited, finished answers that were given out past their time, and a pace of zero read from tokens of one chunk.

--- a/lib/src/node/traffic/attempt.rs
+++ b/lib/src/node/traffic/attempt.rs
@@ -40,6 +40,8 @@
 const STALL_TARGETS: u32 = 50;
 /// How long an answer is computed for a caller that may come back for it.
 const GONE_GRACE: Duration = Duration::from_secs(3);
+/// The shortest time between two looks at one request.
+const SHORTEST_TIMER: Duration = Duration::from_millis(1);
 /// The largest answer, in bytes, that is kept for a repeated call.
 const MAX_STORED_BYTES: usize = 64 << 10;
 
@@ -460,7 +462,7 @@
             Phase::HandingOver { until, .. } if until <= now => self.next_taker(now, id, out),
             _ => {}
         }
-        self.rearm(id);
+        self.rearm(now, id);
     }
 
     fn look_at_attempt(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
@@ -472,7 +474,7 @@
     }
 
     /// Sets the timer of an exchange to the next time at which something is due.
-    fn rearm(&mut self, id: ExchangeId) {
+    fn rearm(&mut self, now: Time, id: ExchangeId) {
         let Some(entry) = self.entries.get(&id) else { return };
         let phase = match &entry.phase {
             Phase::Waiting { until } | Phase::HandingOver { until, .. } => Some(*until),
@@ -480,9 +482,9 @@
             Phase::Claiming => None,
         };
         let gone = entry.gone_since.map(|since| since + GONE_GRACE);
-        let due = [Some(entry.exchange.ask.deadline), phase, gone, self.move_check_at(entry)];
+        let due = [Some(entry.exchange.ask.deadline), phase, gone, self.move_check_at(now, entry)];
         if let Some(at) = due.into_iter().flatten().min() {
-            self.arm(id, at);
+            self.arm(id, at.max(now + SHORTEST_TIMER));
         }
     }
 
--- a/lib/src/node/traffic/fetch.rs
+++ b/lib/src/node/traffic/fetch.rs
@@ -109,6 +109,7 @@
             self.read_running(now, id, reading, out);
             return true;
         }
+        self.kept.expire(now);
         let Some(kept) = self.kept.get(request) else { return false };
         if kept.customer.as_ref() != customer {
             return false;
--- a/lib/src/node/traffic/reclaim.rs
+++ b/lib/src/node/traffic/reclaim.rs
@@ -18,6 +18,8 @@
 const SHORTEST_KV_TIME: Duration = Duration::from_secs(1);
 /// The most KV caches that one traffic thread moves at once.
 const MAX_KV_MOVES: usize = 32;
+/// The fewest tokens that tell how fast an engine gives them.
+const FEWEST_PACED: u32 = 8;
 /// How often a stream at a leaving upstream is looked at again.
 const MOVE_CHECK: Duration = Duration::from_millis(100);
 
@@ -50,11 +52,10 @@
     }
 
     /// Returns when a stream at a leaving upstream is to be looked at again.
-    pub(super) fn move_check_at(&self, entry: &Entry) -> Option<Time> {
+    pub(super) fn move_check_at(&self, now: Time, entry: &Entry) -> Option<Time> {
         let attempt = entry.exchange.attempt()?;
         self.leaving.get(&attempt.target.upstream)?;
-        let since = entry.armed.unwrap_or(attempt.last);
-        Some(since.max(attempt.last) + MOVE_CHECK)
+        Some(now + MOVE_CHECK)
     }
 
     /// Moves a stream away if its upstream leaves before it can finish.
@@ -102,7 +103,7 @@
             return target.between_tokens.checked_mul(rest)?.checked_add(target.first_token);
         };
         let pace = match came {
-            0 | 1 => target.between_tokens,
+            0..FEWEST_PACED => target.between_tokens,
             _ => attempt.last.since(first) / (came - 1),
         };
         pace.checked_mul(rest)
--- /dev/null
+++ b/lib/tests/fake_world/mod.rs
@@ -0,0 +1,739 @@
+//! Traffic parts of several daemons with fake upstreams, claims and links, and what callers saw.
+//!
+//! The world checks as it goes: each token that a caller gets is the next one of the right answer,
+//! each request body that an engine gets goes on from the right text, a request refused as not run
+//! has been acted on nowhere, and no key runs twice.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use dogwoodturn::{
+    claim::{ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket},
+    declaration::check,
+    ids::{DaemonId, Generation, Incarnation, RequestId},
+    ini::Source,
+    node::{
+        report::AttemptReport,
+        snapshot::Snapshot,
+        traffic::{Arrival, Dispatch, Effect, Event, Resumption, Traffic, TrafficConfig},
+    },
+    peer::{Member, Recipient},
+    platform::cloud::HostKind,
+    request::{
+        AttemptId, CallerId,
+        completion::{CompletionWire, PieceWire},
+        exchange::{Head, StreamEnd},
+        message::Message,
+        name::Origin,
+        outcome::{RunOutcome, Untouched},
+        refusal::{Refusal, RefusalKind},
+        sse::SseReader,
+    },
+    units::{Time, WallTime},
+    upstream::{HostRecord, HostState},
+};
+use dogwoodturn_standins::engine::token;
+use indexmap::{IndexMap, IndexSet};
+
+pub const ENGINES: usize = 4;
+const SET: &str = "
+[service llm]
+kind = model
+version = v1
+repeat = safe
+first-token = 880ms
+between-tokens = 60ms
+[version llm/v1]
+[service ledger]
+kind = plain
+version = v1
+repeat = never
+repeat-get = safe
+[version ledger/v1]
+[route phrases]
+path = /phrases
+service = llm
+class = interactive
+deadline = 30s
+[route books]
+path = /books
+service = ledger
+class = interactive
+deadline = 10s
+";
+
+/// What a caller sent.
+#[derive(Clone, Debug)]
+pub enum Sent {
+    Completion { prompt: String, max_tokens: u64 },
+    Call { key: Option<String>, method: &'static str },
+    Resume,
+}
+
+/// How a caller's answer ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum End {
+    Whole,
+    Refused(Refusal),
+    Gone,
+}
+
+/// What a caller saw.
+#[derive(Debug)]
+pub struct Caller {
+    attempts_before: usize,
+    pub sent: Sent,
+    pub prompt: String,
+    pub max_tokens: u64,
+    pub request: Option<RequestId>,
+    pub next: u64,
+    pub done: bool,
+    pub end: Option<End>,
+    reader: SseReader,
+}
+
+/// An attempt at a fake upstream.
+#[derive(Debug)]
+pub struct Attempt {
+    pub node: usize,
+    pub id: AttemptId,
+    pub request: RequestId,
+    pub host: usize,
+    pub name: Box<str>,
+    pub closed: bool,
+    pub ended: bool,
+    pub has_head: bool,
+    pub may_have_acted: bool,
+    pub next: u64,
+    held_back: Vec<u8>,
+    wire: Option<CompletionWire>,
+    key: Option<String>,
+}
+
+pub struct Node {
+    pub traffic: Traffic,
+    pub daemon: DaemonId,
+    pub draining: bool,
+    pub reports: Vec<AttemptReport>,
+    pub kv_moves: Vec<AttemptId>,
+    last_caller: u64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum ClaimState {
+    Held(RequestId),
+    Ended(ClaimEnd),
+}
+
+pub struct World {
+    pub now: Time,
+    pub nodes: Vec<Node>,
+    pub hosts: Vec<HostRecord>,
+    pub callers: IndexMap<(usize, CallerId), Caller>,
+    pub attempts: Vec<Attempt>,
+    pub links: Vec<(usize, usize, Message)>,
+    pub claims_out: bool,
+    pub pending_claims: Vec<(usize, ClaimAsk)>,
+    pub runs: IndexMap<String, u64>,
+    pub cancelled: Vec<Box<str>>,
+    not_run: IndexSet<RequestId>,
+    claims: IndexMap<String, ClaimState>,
+    set: Arc<dogwoodturn::declaration::DeclarationSet>,
+}
+
+fn host(service: &str, index: usize) -> HostRecord {
+    let name = format!("{service}-{index}");
+    HostRecord {
+        host: name.parse().expect("a name"),
+        upstream: name.parse().expect("a name"),
+        address: ([127, 0, 0, 1], 1000 + index as u16).into(),
+        data_centre: "a".parse().expect("a name"),
+        zone: "a".parse().expect("a name"),
+        class: "standard".parse().expect("a name"),
+        kind: HostKind::Reclaimable,
+        service: service.parse().expect("a name"),
+        version: "v1".parse().expect("a name"),
+        state: HostState::Live,
+    }
+}
+
+impl World {
+    pub fn new(daemons: usize, seed: u64) -> Self {
+        let source = Source { file: "test.ini".into(), text: SET.into() };
+        let set = Arc::new(check::check(&[source]).expect("the set has no fault").set);
+        let engines = (0..ENGINES).map(|index| host("llm", index));
+        let hosts = engines.chain((0..2).map(|index| host("ledger", ENGINES + index))).collect();
+        let node = |index: usize| {
+            let daemon: DaemonId = format!("d{index}").parse().expect("a name");
+            let origin = Origin { daemon: daemon.clone(), incarnation: Incarnation(1), thread: 0 };
+            let cfg = TrafficConfig {
+                origin,
+                threads: 1,
+                data_centre: "a".parse().expect("a name"),
+                drain_timeout: Duration::from_secs(10),
+                seed: seed + index as u64,
+            };
+            let traffic = Traffic::new(cfg);
+            let (reports, kv_moves) = (Vec::new(), Vec::new());
+            Node { traffic, daemon, draining: false, reports, kv_moves, last_caller: 0 }
+        };
+        let mut world = Self {
+            now: Time(0),
+            nodes: (0..daemons).map(node).collect(),
+            hosts,
+            callers: IndexMap::new(),
+            attempts: Vec::new(),
+            links: Vec::new(),
+            claims_out: false,
+            pending_claims: Vec::new(),
+            runs: IndexMap::new(),
+            cancelled: Vec::new(),
+            not_run: IndexSet::new(),
+            claims: IndexMap::new(),
+            set,
+        };
+        world.tell_hosts();
+        world
+    }
+
+    pub fn wall(&self) -> WallTime {
+        WallTime(self.now.0 / 1000)
+    }
+
+    /// Publishes a snapshot at each node.
+    pub fn tell_hosts(&mut self) {
+        let members: Arc<[Member]> = self.nodes.iter().map(member).collect();
+        for node in 0..self.nodes.len() {
+            let snapshot = Snapshot {
+                generation: Generation(1),
+                set: self.set.clone(),
+                hosts: self.hosts.clone().into(),
+                members: members.clone(),
+                informed: true,
+                draining: self.nodes[node].draining,
+                ..Snapshot::default()
+            };
+            let wall = self.wall();
+            self.feed(node, Event::Snapshot(Arc::new(snapshot), wall));
+        }
+    }
+
+    pub fn feed(&mut self, node: usize, event: Event) {
+        let mut out = Vec::new();
+        self.nodes[node].traffic.handle(self.now, event, &mut out);
+        for effect in out {
+            self.carry_out(node, effect);
+        }
+    }
+
+    /// Lets time pass, waking each node when it wants.
+    pub fn pass(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        loop {
+            let due = (0..self.nodes.len())
+                .filter_map(|node| Some((self.nodes[node].traffic.next_wakeup()?, node)))
+                .min();
+            match due {
+                Some((at, node)) if at <= end => {
+                    self.now = self.now.max(at);
+                    self.feed(node, Event::Woken);
+                }
+                _ => break,
+            }
+        }
+        self.now = end;
+    }
+
+    fn add_caller(&mut self, node: usize, sent: Sent) -> CallerId {
+        self.nodes[node].last_caller += 1;
+        let id = CallerId(self.nodes[node].last_caller);
+        let (prompt, max_tokens) = match &sent {
+            Sent::Completion { prompt, max_tokens, .. } => (prompt.clone(), *max_tokens),
+            _ => (String::new(), 0),
+        };
+        let caller = Caller {
+            attempts_before: self.attempts.len(),
+            sent,
+            prompt,
+            max_tokens,
+            request: None,
+            next: 0,
+            done: false,
+            end: None,
+            reader: SseReader::default(),
+        };
+        self.callers.insert((node, id), caller);
+        id
+    }
+
+    fn arrive(&mut self, node: usize, sent: Sent, path: &str, body: Vec<u8>) -> CallerId {
+        let (method, key) = match &sent {
+            Sent::Call { key, method } => (*method, key.clone()),
+            _ => ("POST", None),
+        };
+        let caller = self.add_caller(node, sent);
+        let headers = match &key {
+            Some(key) => vec![("idempotency-key".into(), Bytes::from(key.clone()))],
+            None => Vec::new(),
+        };
+        let arrival = Arrival {
+            caller,
+            method: method.into(),
+            path: path.into(),
+            headers: headers.into(),
+            body: body.into(),
+            token: None,
+            key: key.map(Into::into),
+            deadline: None,
+            class: None,
+            untouched: Untouched::begin(),
+        };
+        self.feed(node, Event::Arrived(Box::new(arrival)));
+        caller
+    }
+
+    pub fn complete(
+        &mut self,
+        node: usize,
+        prompt: &str,
+        max_tokens: u64,
+        stream: bool,
+    ) -> CallerId {
+        let sent = Sent::Completion { prompt: prompt.into(), max_tokens };
+        let body =
+            serde_json::json!({ "prompt": prompt, "max_tokens": max_tokens, "stream": stream });
+        self.arrive(node, sent, "/phrases/v1/completions", body.to_string().into_bytes())
+    }
+
+    pub fn call(&mut self, node: usize, method: &'static str, key: Option<&str>) -> CallerId {
+        let sent = Sent::Call { key: key.map(str::to_owned), method };
+        self.arrive(node, sent, "/books", b"{}".to_vec())
+    }
+
+    /// Lets the caller of one answer come back for it at a node.
+    pub fn come_back(&mut self, before: (usize, CallerId), node: usize) -> Option<CallerId> {
+        let old = &self.callers[&before];
+        let (request, next) = (old.request.clone()?, old.next);
+        let (prompt, max_tokens) = (old.prompt.clone(), old.max_tokens);
+        let caller = self.add_caller(node, Sent::Resume);
+        let new = &mut self.callers[&(node, caller)];
+        (new.prompt, new.max_tokens, new.next) = (prompt, max_tokens, next);
+        new.request = Some(request.clone());
+        let last_event = next.checked_sub(1);
+        let resumption = Resumption { caller, request, last_event, token: None };
+        self.feed(node, Event::Resumed(resumption));
+        Some(caller)
+    }
+
+    pub fn leave(&mut self, id: (usize, CallerId)) {
+        let caller = &mut self.callers[&id];
+        if caller.end.is_none() {
+            caller.end = Some(End::Gone);
+            self.feed(id.0, Event::CallerGone(id.1));
+        }
+    }
+
+    pub fn end_of(&self, node: usize, caller: CallerId) -> Option<&End> {
+        self.callers[&(node, caller)].end.as_ref()
+    }
+
+    /// Returns the open attempts, the oldest first.
+    pub fn open(&self) -> Vec<usize> {
+        (0..self.attempts.len()).filter(|&i| self.is_open(i)).collect()
+    }
+
+    pub fn is_open(&self, index: usize) -> bool {
+        !self.attempts[index].closed && !self.attempts[index].ended
+    }
+
+    /// Lets an engine give tokens, or a plain service answer; the bytes may be cut anywhere.
+    pub fn progress(&mut self, index: usize, tokens: u64, hold_back: usize) {
+        if !self.is_open(index) {
+            return;
+        }
+        let attempt = &mut self.attempts[index];
+        let (node, id) = (attempt.node, attempt.id);
+        if attempt.wire.is_none() {
+            return self.answer_plain(index, 200);
+        }
+        if !std::mem::replace(&mut attempt.has_head, true) {
+            let head = Head { status: 200, is_event_stream: true, ..Head::default() };
+            self.feed(node, Event::Head(id, Box::new(head)));
+        }
+        let attempt = &mut self.attempts[index];
+        let wire = attempt.wire.as_ref().expect("a completion");
+        let mut buf = std::mem::take(&mut attempt.held_back);
+        let until = (attempt.next + tokens).min(wire.max_tokens);
+        for offset in attempt.next..until {
+            let data = serde_json::json!({ "text": token(&wire.prompt, offset) });
+            buf.extend_from_slice(format!("id: {offset}\ndata: {data}\n\n").as_bytes());
+        }
+        attempt.next = until;
+        let is_last = until == wire.max_tokens;
+        if is_last {
+            let usage = serde_json::json!({ "usage": { "computed_tokens": 3 } });
+            buf.extend_from_slice(format!("data: {usage}\n\ndata: [DONE]\n\n").as_bytes());
+        }
+        let kept = if is_last { 0 } else { hold_back.min(buf.len()) };
+        attempt.held_back = buf.split_off(buf.len() - kept);
+        attempt.ended |= is_last;
+        self.feed(node, Event::Chunk(id, buf.into()));
+        if is_last {
+            self.feed(node, Event::Ended(id, StreamEnd::Whole));
+        }
+    }
+
+    /// Lets an engine give tokens, one each 50 ms.
+    pub fn stream(&mut self, index: usize, tokens: u64) {
+        for _ in 0..tokens {
+            self.progress(index, 1, 0);
+            self.pass(Duration::from_millis(50));
+        }
+    }
+
+    /// Sends bytes that an attempt wrote before it was superseded, and garbage after them.
+    pub fn late(&mut self, index: usize) {
+        let attempt = &self.attempts[index];
+        if !attempt.closed {
+            return;
+        }
+        let (node, id, next) = (attempt.node, attempt.id, attempt.next);
+        let text = format!("id: {next}\ndata: {{\"text\":\"WRONG \"}}\n\ndata: [DONE]\n\n");
+        self.feed(node, Event::Chunk(id, text.into()));
+        self.feed(node, Event::Ended(id, StreamEnd::Whole));
+    }
+
+    /// Runs a plain call at its upstream, whether anybody still waits or not.
+    pub fn run(&mut self, index: usize) {
+        let attempt = &mut self.attempts[index];
+        if attempt.ended || !attempt.may_have_acted || attempt.wire.is_some() {
+            return;
+        }
+        if let Some(key) = attempt.key.take() {
+            let runs = self.runs.entry(key.clone()).or_default();
+            *runs += 1;
+            assert!(*runs <= 1, "key {key} ran {runs} times");
+        }
+    }
+
+    fn answer_plain(&mut self, index: usize, status: u16) {
+        self.run(index);
+        let attempt = &mut self.attempts[index];
+        attempt.ended = true;
+        let (node, id) = (attempt.node, attempt.id);
+        self.feed(node, Event::Head(id, Box::new(Head { status, ..Head::default() })));
+        self.feed(node, Event::Chunk(id, Bytes::from_static(b"{\"ok\":true}")));
+        self.feed(node, Event::Ended(id, StreamEnd::Whole));
+    }
+
+    /// Lets an upstream answer with an error after it ran.
+    pub fn fail(&mut self, index: usize) {
+        if self.is_open(index) && !self.attempts[index].has_head {
+            self.answer_plain(index, 500);
+        }
+    }
+
+    /// Lets an upstream prove that it did not run the request.
+    pub fn refuse(&mut self, index: usize) {
+        if !self.is_open(index) || self.attempts[index].has_head {
+            return;
+        }
+        let attempt = &mut self.attempts[index];
+        attempt.may_have_acted = false;
+        attempt.ended = true;
+        let (node, id) = (attempt.node, attempt.id);
+        let head = Head { status: 503, says_not_run: true, ..Head::default() };
+        self.feed(node, Event::Head(id, Box::new(head)));
+    }
+
+    /// Breaks the connection of an attempt, after the call ran or before.
+    pub fn cut(&mut self, index: usize, ran: bool) {
+        if !self.is_open(index) {
+            return;
+        }
+        if ran {
+            self.run(index);
+        }
+        let attempt = &mut self.attempts[index];
+        attempt.ended = true;
+        let (node, id) = (attempt.node, attempt.id);
+        self.feed(node, Event::Ended(id, StreamEnd::Broken("cut".into())));
+    }
+
+    /// Fails to connect to the upstream of an attempt.
+    pub fn unreachable(&mut self, index: usize) {
+        if !self.is_open(index) || self.attempts[index].has_head {
+            return;
+        }
+        let attempt = &mut self.attempts[index];
+        attempt.may_have_acted = false;
+        attempt.ended = true;
+        let (node, id) = (attempt.node, attempt.id);
+        self.feed(node, Event::Ended(id, StreamEnd::Unreachable("refused".into())));
+    }
+
+    /// Ends every attempt at a host, as when it is lost without notice.
+    pub fn crash(&mut self, host: usize) {
+        for index in self.open() {
+            if self.attempts[index].host == host {
+                self.cut(index, false);
+            }
+        }
+    }
+
+    pub fn announce_leaving(&mut self, host: usize, after: Duration) {
+        let at = self.wall() + after;
+        self.hosts[host].state = HostState::Leaving { at };
+        self.tell_hosts();
+    }
+
+    pub fn revive(&mut self, host: usize) {
+        self.hosts[host].state = HostState::Live;
+        self.tell_hosts();
+    }
+
+    pub fn drain(&mut self, node: usize) {
+        self.nodes[node].draining = true;
+        self.tell_hosts();
+    }
+
+    pub fn answer_kv(&mut self, node: usize, moved: bool) {
+        if let Some(attempt) = self.nodes[node].kv_moves.pop() {
+            self.feed(node, Event::KvMoved(attempt, moved));
+        }
+    }
+
+    pub fn answer_claim(&mut self, index: usize) {
+        let (node, ask) = self.pending_claims.remove(index);
+        let retry_after = Duration::from_secs(1);
+        let key = ask.key.to_string();
+        let answer = match self.claims.get(&key) {
+            _ if self.claims_out => ClaimAnswer::Unavailable { retry_after },
+            None => {
+                self.claims.insert(key, ClaimState::Held(ask.request.clone()));
+                let ClaimAsk { service, key, request, .. } = ask.clone();
+                ClaimAnswer::Granted(ClaimTicket { service, key, request })
+            }
+            Some(ClaimState::Ended(ClaimEnd::Ran(stored))) => ClaimAnswer::Stored(stored.clone()),
+            Some(_) => ClaimAnswer::Unresolved,
+        };
+        self.feed(node, Event::Claim(ask.request, answer));
+    }
+
+    /// Delivers the message at an index of the links.
+    pub fn deliver(&mut self, index: usize) {
+        let (from, to, message) = self.links.remove(index);
+        let from = self.nodes[from].daemon.clone();
+        let event = match message {
+            Message::Poison { digest, refused_for } => Event::Poison(digest, refused_for),
+            message => Event::Peer(from, message),
+        };
+        self.feed(to, event);
+    }
+
+    pub fn deliver_all(&mut self) {
+        while !self.links.is_empty() {
+            self.deliver(0);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, effect: Effect) {
+        match effect {
+            Effect::Dispatch(dispatch) => self.dispatched(node, &dispatch),
+            Effect::Close(id) => {
+                let found = self.attempts.iter_mut().find(|a| a.node == node && a.id == id);
+                found.expect("only attempts are closed").closed = true;
+            }
+            Effect::CancelAt(_, name) => self.cancelled.push(name),
+            Effect::MoveKv { attempt, .. } => self.nodes[node].kv_moves.push(attempt),
+            Effect::Respond(caller, request, _) => self.named(node, caller, request),
+            Effect::Deliver(caller, bytes) => self.got(node, caller, &bytes),
+            Effect::Finish(caller) => {
+                let caller = &mut self.callers[&(node, caller)];
+                assert!(caller.done, "an answer ends before it is whole: {caller:?}");
+                caller.set_end(End::Whole);
+            }
+            Effect::Answer(caller, request, _, body) => {
+                self.named(node, caller, request);
+                self.callers[&(node, caller)].whole(&body);
+            }
+            Effect::Refuse(caller, refusal) => self.refused(node, caller, *refusal),
+            Effect::AskClaim(ask) => self.pending_claims.push((node, ask)),
+            Effect::EndClaim(ticket, end) => self.claim_ended(&ticket, end),
+            Effect::Report(report) => self.nodes[node].reports.push(*report),
+            Effect::Send(recipient, message) => self.sent(node, &recipient, &message),
+        }
+    }
+
+    fn dispatched(&mut self, node: usize, dispatch: &Dispatch) {
+        let host = self.hosts.iter().position(|host| host.upstream == dispatch.upstream);
+        let host = host.expect("a known upstream");
+        assert_eq!(self.hosts[host].state, HostState::Live, "new work for a leaving upstream");
+        let wire: Option<CompletionWire> = dispatch
+            .path
+            .ends_with("/v1/completions")
+            .then(|| serde_json::from_slice(&dispatch.body).expect("a completions request"));
+        let next = wire.as_ref().and_then(|wire| wire.resume.as_ref()).map_or(0, |r| r.offset);
+        if let Some(wire) = &wire {
+            let before: String = (0..next).map(|offset| token(&wire.prompt, offset)).collect();
+            let resumed = wire.resume.as_ref().map_or("", |resume| &resume.text);
+            assert_eq!(before, resumed, "an engine is to go on from a wrong text");
+            assert_eq!(wire.priority == Some(0), next > 0, "resumed work goes first");
+        }
+        let header = dispatch.headers.iter().find(|(name, _)| &**name == "idempotency-key");
+        let key = header.map(|(_, key)| String::from_utf8_lossy(key).into_owned());
+        let (request, _) = dispatch.name.rsplit_once('.').expect("request and attempt");
+        let request: RequestId = request.parse().expect("a request");
+        assert!(!self.not_run.contains(&request), "{request} was refused as not run");
+        self.attempts.push(Attempt {
+            node,
+            id: dispatch.attempt,
+            request,
+            host,
+            name: dispatch.name.clone(),
+            closed: false,
+            ended: false,
+            has_head: false,
+            may_have_acted: true,
+            next,
+            held_back: Vec::new(),
+            wire,
+            key,
+        });
+    }
+
+    fn named(&mut self, node: usize, caller: CallerId, request: RequestId) {
+        let caller = &mut self.callers[&(node, caller)];
+        assert!(caller.request.as_ref().is_none_or(|known| *known == request));
+        caller.request = Some(request);
+    }
+
+    fn got(&mut self, node: usize, caller: CallerId, bytes: &[u8]) {
+        let caller = &mut self.callers[&(node, caller)];
+        if let Sent::Call { .. } = caller.sent {
+            return;
+        }
+        let mut events = Vec::new();
+        caller.reader.feed(bytes, &mut events).expect("valid events");
+        for event in events {
+            assert!(!caller.done, "an event after the end");
+            if event.data == "[DONE]" {
+                assert_eq!(caller.next, caller.max_tokens, "the answer is not whole");
+                caller.done = true;
+                continue;
+            }
+            let piece: PieceWire = serde_json::from_str(&event.data).expect("a token");
+            assert_eq!(event.id.as_deref(), Some(&*caller.next.to_string()), "out of order");
+            let expected = token(&caller.prompt, caller.next);
+            assert_eq!(piece.text, Some(expected), "a wrong token");
+            caller.next += 1;
+        }
+    }
+
+    fn refused(&mut self, node: usize, caller: CallerId, refusal: Refusal) {
+        let key = (node, caller);
+        if let (RunOutcome::NotRun(_), Some(request)) =
+            (refusal.outcome, self.request_of(node, caller))
+        {
+            let acted = |a: &&Attempt| a.request == request && a.may_have_acted;
+            let found = self.attempts.iter().find(acted);
+            assert!(found.is_none(), "{request} may have run: {found:?}, but {refusal:?}");
+            self.not_run.insert(request);
+        }
+        let caller = &mut self.callers[&key];
+        if refusal.kind == RefusalKind::HandedOver {
+            caller.request = refusal.resume.clone();
+        }
+        caller.set_end(End::Refused(refusal));
+    }
+
+    /// Finds the request of a caller that has not been told its name, by what it sent.
+    fn request_of(&self, node: usize, caller: CallerId) -> Option<RequestId> {
+        let caller = &self.callers[&(node, caller)];
+        if caller.request.is_some() {
+            return caller.request.clone();
+        }
+        let same = |a: &&Attempt| match (&caller.sent, &a.wire) {
+            (Sent::Completion { prompt, .. }, Some(wire)) => wire.prompt == *prompt,
+            _ => false,
+        };
+        let later = &self.attempts[caller.attempts_before..];
+        later.iter().find(same).map(|attempt| attempt.request.clone())
+    }
+
+    fn claim_ended(&mut self, ticket: &ClaimTicket, end: ClaimEnd) {
+        let key = ticket.key.to_string();
+        assert_eq!(self.claims.get(&key), Some(&ClaimState::Held(ticket.request.clone())));
+        if end == ClaimEnd::NotRun {
+            let acted = |a: &&Attempt| a.request == ticket.request && a.may_have_acted;
+            assert!(self.attempts.iter().find(acted).is_none(), "{key} may have run");
+            self.claims.swap_remove(&key);
+        } else {
+            self.claims.insert(key, ClaimState::Ended(end));
+        }
+    }
+
+    fn sent(&mut self, node: usize, recipient: &Recipient, message: &Message) {
+        for to in 0..self.nodes.len() {
+            let is_for = match recipient {
+                Recipient::Daemon(daemon) => self.nodes[to].daemon == *daemon,
+                _ => to != node,
+            };
+            if is_for {
+                self.links.push((node, to, message.clone()));
+            }
+        }
+    }
+
+    /// Ends all faults and lets the world run until nothing is left to do.
+    pub fn settle(&mut self) {
+        self.claims_out = false;
+        for host in &mut self.hosts {
+            host.state = HostState::Live;
+        }
+        self.tell_hosts();
+        for _ in 0..400 {
+            self.deliver_all();
+            while !self.pending_claims.is_empty() {
+                self.answer_claim(0);
+            }
+            for node in 0..self.nodes.len() {
+                self.answer_kv(node, true);
+            }
+            for index in self.open() {
+                self.progress(index, 10, 0);
+            }
+            self.pass(Duration::from_millis(100));
+        }
+    }
+}
+
+impl Caller {
+    fn set_end(&mut self, end: End) {
+        if self.end == Some(End::Gone) {
+            return;
+        }
+        assert_eq!(self.end, None, "a second end");
+        self.end = Some(end);
+    }
+
+    fn whole(&mut self, body: &[u8]) {
+        if !matches!(self.sent, Sent::Call { .. }) {
+            let value: serde_json::Value = serde_json::from_slice(body).expect("an answer");
+            let expected: String =
+                (0..self.max_tokens).map(|offset| token(&self.prompt, offset)).collect();
+            assert_eq!(value["text"], expected.as_str(), "a wrong answer");
+        }
+        self.set_end(End::Whole);
+    }
+}
+
+fn member(node: &Node) -> Member {
+    Member {
+        daemon: node.daemon.clone(),
+        incarnation: Incarnation(1),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: "a".parse().expect("a name"),
+        region: "r".parse().expect("a name"),
+    }
+}
--- /dev/null
+++ b/lib/tests/traffic.rs
@@ -0,0 +1,549 @@
+//! The failures that a request may meet, one at a time and two at once.
+
+mod fake_world;
+
+use std::time::Duration;
+
+use dogwoodturn::{
+    node::traffic::Event,
+    request::{
+        exchange::StreamEnd,
+        outcome::RunOutcome,
+        refusal::{Refusal, RefusalKind},
+    },
+    upstream::HostState,
+};
+use fake_world::{End, World};
+
+const MS: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn refusal<'a>(
+    world: &'a World,
+    node: usize,
+    caller: dogwoodturn::request::CallerId,
+) -> &'a Refusal {
+    match world.end_of(node, caller) {
+        Some(End::Refused(refusal)) => refusal,
+        other => panic!("a refusal was due, not {other:?}"),
+    }
+}
+
+fn is_not_run(refusal: &Refusal) -> bool {
+    matches!(refusal.outcome, RunOutcome::NotRun(_))
+}
+
+#[test]
+fn stream_crash_is_resumed() {
+    let mut world = World::new(1, 0);
+    let caller = world.complete(0, "a phrase", 40, true);
+    world.progress(0, 10, 3);
+    world.cut(0, false);
+    world.late(0);
+    world.pass(SECOND);
+    assert_ne!(world.attempts[1].host, world.attempts[0].host);
+    // Three bytes of the tenth token had not arrived.
+    assert_eq!(world.attempts[1].next, 9);
+    world.progress(1, 40, 0);
+    assert_eq!(world.end_of(0, caller), Some(&End::Whole));
+}
+
+#[test]
+fn whole_answer_crash_is_resumed() {
+    let mut world = World::new(1, 0);
+    let caller = world.complete(0, "a phrase", 40, false);
+    world.progress(0, 10, 0);
+    world.cut(0, false);
+    world.pass(SECOND);
+    assert_eq!(world.attempts[1].next, 10);
+    world.progress(1, 40, 0);
+    assert_eq!(world.end_of(0, caller), Some(&End::Whole));
+}
+
+#[test]
+fn stream_two_failures_at_once() {
+    let mut world = World::new(1, 0);
+    let caller = world.complete(0, "a phrase", 60, true);
+    world.progress(0, 20, 0);
+    world.cut(0, false);
+    world.pass(SECOND);
+    world.unreachable(1);
+    world.pass(SECOND);
+    world.progress(2, 20, 0);
+    world.cut(2, false);
+    world.pass(SECOND);
+    world.progress(3, 60, 0);
+    assert_eq!(world.end_of(0, caller), Some(&End::Whole));
+}
+
+#[test]
+fn stream_hung_engine_is_left() {
+    let mut world = World::new(1, 0);
+    let caller = world.complete(0, "a phrase", 20, true);
+    world.progress(0, 5, 0);
+    world.pass(5 * SECOND);
+    assert!(world.attempts[0].closed);
+    world.late(0);
+    world.progress(1, 20, 0);
+    assert_eq!(world.end_of(0, caller), Some(&End::Whole));
+}
+
+#[test]
+fn stream_malformed_is_a_failure() {
+    let mut world = World::new(1, 0);
+    let caller = world.complete(0, "a phrase", 20, true);
+    world.progress(0, 5, 0);
+    let id = world.attempts[0].id;
+    world.feed(0, Event::Chunk(id, "data: {\"text\": \nid: x\n\ndata: [DO".into()));
+    world.pass(SECOND);
+    assert!(world.attempts[0].closed);
+    world.progress(1, 20, 0);
+    assert_eq!(world.end_of(0, caller), Some(&End::Whole));
+    assert_eq!(world.nodes[0].reports[0].end, dogwoodturn::node::report::AttemptEnd::Failure);
+}
+
+#[test]
+fn stream_early_end_is_no_whole_answer() {
+    let mut world = World::new(1, 0);
+    let caller = world.complete(0, "a phrase", 20, true);
+    world.progress(0, 5, 0);
+    let id = world.attempts[0].id;
+    world.feed(0, Event::Ended(id, StreamEnd::Whole));
+    assert_eq!(world.end_of(0, caller), None);
+    world.pass(SECOND);
+    world.progress(1, 20, 0);
+    assert_eq!(world.end_of(0, caller), Some(&End::Whole));
+}
+
+#[test]
+fn refusal_by_every_upstream_is_not_run() {
+    let mut world = World::new(1, 0);
+    let caller = world.complete(0, "a phrase", 20, true);
+    for _ in 0..4 {
+        world.pass(SECOND);
+        let open = world.open();
+        world.refuse(open[0]);
+    }
+    let refusal = refusal(&world, 0, caller);
+    assert!(is_not_run(refusal) && refusal.retry_after.is_some(), "{refusal:?}");
+}
+
+#[test]
+fn refusal_after_a_lost_attempt_may_have_run() {
+    let mut world = World::new(1, 0);
+    let caller = world.complete(0, "a phrase", 20, true);
+    world.cut(0, false);
+    for _ in 0..3 {
+        world.pass(SECOND);
+        if let [open, ..] = world.open()[..] {
+            world.refuse(open);
+        }
+    }
+    assert_eq!(refusal(&world, 0, caller).outcome, RunOutcome::MayHaveRun);
+}
+
+#[test]
+fn deadline_ends_at_once_and_cancels() {
+    let mut world = World::new(1, 0);
+    let caller = world.complete(0, "a phrase", 20_000, true);
+    for _ in 0..70 {
+        world.pass(500 * MS);
+        world.progress(0, 1, 0);
+    }
+    let kind = refusal(&world, 0, caller).kind;
+    assert_eq!(kind, RefusalKind::DeadlineExceeded);
+    assert!(world.attempts[0].closed && world.cancelled == [world.attempts[0].name.clone()]);
+}
+
+#[test]
+fn caller_gone_cancels_upstream() {
+    let mut world = World::new(1, 0);
+    let unnamed = world.complete(0, "one", 20, true);
+    world.leave((0, unnamed));
+    assert!(world.attempts[0].closed, "nobody can come back for an answer without a name");
+    let named = world.complete(0, "two", 20, true);
+    world.progress(1, 5, 0);
+    world.leave((0, named));
+    assert!(!world.attempts[1].closed, "the caller may come back");
+    world.pass(2 * SECOND);
+    assert!(!world.attempts[1].closed);
+    world.pass(2 * SECOND);
+    assert!(world.attempts[1].closed);
+    assert_eq!(world.cancelled.len(), 2);
+    assert_eq!(world.nodes[0].traffic.unfinished(), 0);
+}
+
+#[test]
+fn claimed_call_runs_once() {
+    let mut world = World::new(2, 0);
+    let first = world.call(0, "POST", Some("lot-1"));
+    assert!(world.attempts.is_empty(), "nothing is sent before the claim stands");
+    world.answer_claim(0);
+    // The caller sends again through another daemon while the first call runs.
+    let second = world.call(1, "POST", Some("lot-1"));
+    world.answer_claim(0);
+    assert_eq!(refusal(&world, 1, second).outcome, RunOutcome::MayHaveRun);
+    world.progress(0, 0, 0);
+    assert_eq!(world.end_of(0, first), Some(&End::Whole));
+    let third = world.call(1, "POST", Some("lot-1"));
+    world.answer_claim(0);
+    assert_eq!(world.end_of(1, third), Some(&End::Whole));
+    assert_eq!((world.attempts.len(), world.runs["lot-1"]), (1, 1));
+}
+
+#[test]
+fn claimed_call_lost_answer_is_never_repeated() {
+    let mut world = World::new(1, 0);
+    let first = world.call(0, "POST", Some("lot-1"));
+    world.answer_claim(0);
+    world.cut(0, true);
+    world.pass(20 * SECOND);
+    assert_eq!(refusal(&world, 0, first).outcome, RunOutcome::MayHaveRun);
+    let again = world.call(0, "POST", Some("lot-1"));
+    world.answer_claim(0);
+    assert_eq!(refusal(&world, 0, again).kind, RefusalKind::ClaimUnresolved);
+    assert_eq!(world.attempts.len(), 1);
+}
+
+#[test]
+fn claimed_call_refused_by_upstream_releases() {
+    let mut world = World::new(1, 0);
+    let first = world.call(0, "POST", Some("lot-1"));
+    world.answer_claim(0);
+    world.refuse(0);
+    assert!(is_not_run(refusal(&world, 0, first)));
+    let again = world.call(0, "POST", Some("lot-1"));
+    world.answer_claim(0);
+    world.progress(1, 0, 0);
+    assert_eq!(world.end_of(0, again), Some(&End::Whole));
+}
+
+#[test]
+fn claimed_call_goes_on_without_its_caller() {
+    let mut world = World::new(1, 0);
+    let first = world.call(0, "POST", Some("lot-1"));
+    world.answer_claim(0);
+    world.leave((0, first));
+    world.progress(0, 0, 0);
+    let again = world.call(0, "POST", Some("lot-1"));
+    world.answer_claim(0);
+    assert_eq!(world.end_of(0, again), Some(&End::Whole));
+    assert_eq!(world.runs["lot-1"], 1);
+}
+
+#[test]
+fn claim_answered_after_the_caller_left_is_released() {
+    let mut world = World::new(1, 0);
+    let first = world.call(0, "POST", Some("lot-1"));
+    world.leave((0, first));
+    world.answer_claim(0);
+    assert!(world.attempts.is_empty());
+    world.call(0, "POST", Some("lot-1"));
+    world.answer_claim(0);
+    assert_eq!(world.attempts.len(), 1);
+}
+
+#[test]
+fn claim_outage_is_not_run() {
+    let mut world = World::new(1, 0);
+    world.claims_out = true;
+    let caller = world.call(0, "POST", Some("lot-1"));
+    world.answer_claim(0);
+    let refusal = refusal(&world, 0, caller);
+    assert!(is_not_run(refusal) && refusal.retry_after.is_some());
+}
+
+#[test]
+fn call_without_a_key_is_never_repeated() {
+    let mut world = World::new(1, 0);
+    let caller = world.call(0, "POST", None);
+    world.cut(0, false);
+    world.pass(5 * SECOND);
+    assert_eq!(refusal(&world, 0, caller).outcome, RunOutcome::MayHaveRun);
+    assert_eq!(world.attempts.len(), 1);
+}
+
+#[test]
+fn safe_call_is_retried() {
+    let mut world = World::new(1, 0);
+    let caller = world.call(0, "GET", None);
+    world.fail(0);
+    world.pass(SECOND);
+    world.progress(1, 0, 0);
+    assert_eq!(world.end_of(0, caller), Some(&End::Whole));
+}
+
+#[test]
+fn reclaim_short_streams_finish_and_long_ones_move() {
+    let mut world = World::new(1, 0);
+    let short = world.complete(0, "a phrase", 30, true);
+    let host = world.attempts[0].host;
+    world.stream(0, 20);
+    world.announce_leaving(host, 10 * SECOND);
+    assert!(world.nodes[0].kv_moves.is_empty(), "ten tokens take less than ten seconds");
+    world.revive(host);
+    let long = world.complete(0, "a phrase", 3000, true);
+    world.stream(1, 20);
+    assert_eq!(world.attempts[1].host, host, "the same prompt has its cache there");
+    world.announce_leaving(host, 10 * SECOND);
+    assert_eq!(world.nodes[0].kv_moves.len(), 1);
+    // The stream goes on at the leaving upstream until its cache has arrived.
+    world.progress(1, 7, 0);
+    world.answer_kv(0, true);
+    assert!(world.attempts[1].closed && !world.attempts[0].closed);
+    world.late(1);
+    assert_eq!(world.attempts[2].next, 27);
+    world.progress(0, 30, 0);
+    world.progress(2, 3000, 0);
+    assert_eq!(world.end_of(0, short), Some(&End::Whole));
+    assert_eq!(world.end_of(0, long), Some(&End::Whole));
+}
+
+#[test]
+fn reclaim_without_room_for_kv_resumes() {
+    let mut world = World::new(1, 0);
+    let caller = world.complete(0, "a phrase", 3000, true);
+    world.stream(0, 20);
+    world.announce_leaving(world.attempts[0].host, 10 * SECOND);
+    world.answer_kv(0, false);
+    assert!(world.attempts[0].closed);
+    assert_eq!(world.attempts[1].next, 20);
+    world.progress(1, 3000, 0);
+    assert_eq!(world.end_of(0, caller), Some(&End::Whole));
+}
+
+#[test]
+fn reclaim_kv_answer_never_comes() {
+    let mut world = World::new(1, 0);
+    let caller = world.complete(0, "a phrase", 3000, true);
+    world.stream(0, 20);
+    world.announce_leaving(world.attempts[0].host, 5 * SECOND);
+    for _ in 0..9 {
+        world.pass(500 * MS);
+        world.progress(0, 1, 0);
+    }
+    world.pass(200 * MS);
+    assert!(world.attempts[0].closed, "the stream moves before its upstream goes");
+    world.answer_kv(0, true);
+    world.progress(1, 3000, 0);
+    assert_eq!(world.end_of(0, caller), Some(&End::Whole));
+    assert_eq!(world.attempts.len(), 2);
+}
+
+#[test]
+fn reclaim_wave_spreads_over_survivors() {
+    let mut world = World::new(1, 0);
+    let callers: Vec<_> =
+        (0..30).map(|n| world.complete(0, &format!("phrase {n}"), 250, true)).collect();
+    assert_eq!(world.open().len(), 30, "all are admitted");
+    for index in 0..30 {
+        world.progress(index, 5, 0);
+    }
+    let at = HostState::Leaving { at: world.wall() + 10 * SECOND };
+    world.hosts[0].state = at;
+    world.hosts[1].state = at;
+    world.tell_hosts();
+    while !world.nodes[0].kv_moves.is_empty() {
+        world.answer_kv(0, true);
+    }
+    let mut load = [0_u32; fake_world::ENGINES];
+    for index in world.open() {
+        load[world.attempts[index].host] += 1;
+    }
+    assert_eq!((load[0], load[1], load[2] + load[3]), (0, 0, 30));
+    // Bounded load: neither survivor takes more than its share and a half.
+    assert!(load[2].max(load[3]) <= 23, "{load:?}");
+    for index in world.open() {
+        world.progress(index, 3000, 0);
+    }
+    assert!(callers.iter().all(|&caller| world.end_of(0, caller) == Some(&End::Whole)));
+}
+
+#[test]
+fn reclaimed_host_that_breaks_early_is_no_crash() {
+    let mut world = World::new(1, 0);
+    let caller = world.complete(0, "a phrase", 40, true);
+    world.progress(0, 1, 0);
+    for attempt in 0..3 {
+        world.announce_leaving(world.attempts[attempt].host, 100 * SECOND);
+        world.cut(attempt, false);
+        world.pass(SECOND);
+    }
+    world.progress(3, 40, 0);
+    assert_eq!(world.end_of(0, caller), Some(&End::Whole));
+}
+
+#[test]
+fn poison_is_refused_after_two_crashes_everywhere() {
+    let mut world = World::new(2, 0);
+    let caller = world.complete(0, "poison", 40, true);
+    world.cut(0, false);
+    world.pass(SECOND);
+    world.cut(1, false);
+    let first = refusal(&world, 0, caller);
+    assert_eq!((first.kind, first.outcome), (RefusalKind::Poisonous, RunOutcome::MayHaveRun));
+    world.deliver_all();
+    for node in 0..2 {
+        let again = world.complete(node, "poison", 40, true);
+        let again = refusal(&world, node, again);
+        assert!(again.kind == RefusalKind::Poisonous && is_not_run(again));
+        assert!(again.retry_after.is_some());
+        let other = world.complete(node, "harmless", 40, true);
+        assert_eq!(world.end_of(node, other), None);
+    }
+    assert_eq!(world.attempts.len(), 4);
+}
+
+#[test]
+fn poison_neighbours_at_the_engine_survive() {
+    let mut world = World::new(1, 0);
+    let poison = world.complete(0, "same", 40, true);
+    let bystanders: Vec<_> = (0..3).map(|n| world.complete(0, "same", 41 + n, true)).collect();
+    for _ in 0..2 {
+        // Whichever engine has the poisonous request goes down with all that it runs.
+        let request = world.attempts[0].request.clone();
+        let at = world.open().into_iter().find(|&i| world.attempts[i].request == request);
+        let host = world.attempts[at.expect("the request runs")].host;
+        world.crash(host);
+        world.pass(SECOND);
+    }
+    assert_eq!(refusal(&world, 0, poison).kind, RefusalKind::Poisonous);
+    for _ in 0..3 {
+        for index in world.open() {
+            world.progress(index, 100, 0);
+        }
+        world.pass(SECOND);
+    }
+    for caller in bystanders {
+        assert_eq!(world.end_of(0, caller), Some(&End::Whole));
+    }
+}
+
+#[test]
+fn balancer_moves_a_caller_in_the_middle_of_a_stream() {
+    let mut world = World::new(3, 0);
+    let first = world.complete(0, "a phrase", 60, true);
+    world.progress(0, 20, 0);
+    world.leave((0, first));
+    world.progress(0, 10, 0);
+    let second = world.come_back((0, first), 2).expect("it knows the name");
+    world.deliver_all();
+    assert_eq!(world.callers[&(2, second)].next, 30);
+    world.progress(0, 10, 0);
+    world.deliver_all();
+    world.leave((2, second));
+    world.deliver_all();
+    let third = world.come_back((2, second), 0).expect("it knows the name");
+    world.progress(0, 60, 0);
+    assert_eq!(world.end_of(0, third), Some(&End::Whole));
+    assert_eq!(world.attempts.len(), 1, "nothing is computed again");
+}
+
+#[test]
+fn fetch_lost_messages_are_made_up_for() {
+    let mut world = World::new(2, 0);
+    let first = world.complete(0, "a phrase", 60, true);
+    world.progress(0, 20, 0);
+    world.leave((0, first));
+    let second = world.come_back((0, first), 1).expect("it knows the name");
+    world.deliver(0);
+    world.links.clear();
+    world.progress(0, 20, 0);
+    world.links.clear();
+    world.progress(0, 60, 0);
+    world.links.clear();
+    world.pass(SECOND);
+    world.deliver_all();
+    world.deliver_all();
+    assert_eq!(world.end_of(1, second), Some(&End::Whole));
+}
+
+#[test]
+fn finished_answer_is_read_again() {
+    let mut world = World::new(2, 0);
+    let first = world.complete(0, "a phrase", 30, true);
+    world.progress(0, 10, 0);
+    world.leave((0, first));
+    world.progress(0, 30, 0);
+    assert_eq!(world.nodes[0].traffic.unfinished(), 0);
+    let second = world.come_back((0, first), 1).expect("it knows the name");
+    world.deliver_all();
+    assert_eq!(world.end_of(1, second), Some(&End::Whole));
+    world.pass(61 * SECOND);
+    let late = world.come_back((0, first), 1).expect("it knows the name");
+    world.deliver_all();
+    assert_eq!(refusal(&world, 1, late).kind, RefusalKind::UnknownRequest);
+}
+
+#[test]
+fn drain_lets_requests_finish_and_takes_none() {
+    let mut world = World::new(2, 0);
+    let running = world.complete(0, "a phrase", 30, true);
+    world.progress(0, 10, 0);
+    world.drain(0);
+    let late = world.complete(0, "late", 30, true);
+    let late = refusal(&world, 0, late);
+    assert!(late.kind == RefusalKind::Draining && is_not_run(late) && late.retry_after.is_some());
+    world.progress(0, 30, 0);
+    assert_eq!(world.end_of(0, running), Some(&End::Whole));
+}
+
+#[test]
+fn drain_hands_over_what_cannot_finish() {
+    let mut world = World::new(3, 0);
+    let running = world.complete(0, "a phrase", 30, true);
+    world.progress(0, 10, 0);
+    world.drain(0);
+    world.pass(2 * SECOND);
+    world.progress(0, 10, 0);
+    world.pass(2 * SECOND);
+    world.progress(0, 0, 0);
+    world.pass(1100 * MS);
+    world.deliver_all();
+    world.deliver_all();
+    let handed = refusal(&world, 0, running);
+    assert_eq!(handed.kind, RefusalKind::HandedOver);
+    assert!(handed.resume.is_some());
+    assert_eq!(world.nodes[0].traffic.unfinished(), 0);
+    let taker = world.attempts[1].node;
+    assert_eq!((taker != 0, world.attempts[1].next), (true, 20));
+    let other = 3 - taker;
+    let resumed = world.come_back((0, running), other).expect("it knows the name");
+    world.deliver_all();
+    world.progress(1, 30, 0);
+    world.deliver_all();
+    // The first holder that was asked is the draining daemon, which knows the request no more.
+    world.pass(SECOND);
+    world.deliver_all();
+    assert_eq!(world.end_of(other, resumed), Some(&End::Whole));
+}
+
+#[test]
+fn drain_peer_that_does_not_answer_is_passed_over() {
+    let mut world = World::new(3, 0);
+    let running = world.complete(0, "a phrase", 30, true);
+    world.progress(0, 10, 0);
+    world.drain(0);
+    world.stream(0, 12);
+    world.pass(2 * SECOND);
+    world.progress(0, 1, 0);
+    world.pass(2500 * MS);
+    world.links.clear();
+    world.pass(600 * MS);
+    world.deliver_all();
+    world.deliver_all();
+    assert_eq!(refusal(&world, 0, running).kind, RefusalKind::HandedOver);
+}
+
+#[test]
+fn drain_without_peers_goes_on() {
+    let mut world = World::new(1, 0);
+    let running = world.complete(0, "a phrase", 30, true);
+    world.progress(0, 10, 0);
+    world.drain(0);
+    world.pass(6 * SECOND);
+    for index in world.open() {
+        world.progress(index, 30, 0);
+    }
+    assert_eq!(world.end_of(0, running), Some(&End::Whole));
+}
