--- a/lib/tests/exchange.rs
+++ b/lib/tests/exchange.rs
@@ -71,7 +71,8 @@
             pieces.swap(index, usize::arbitrary(&mut source) % (index + 1));
         }
         let mut answer = Answer::default();
-        let expected: String = (0..count).map(|offset| format!("w{offset} ")).collect();
+        let words: Vec<String> = (0..count).map(|offset| format!("w{offset} ")).collect();
+        let expected = words.concat();
         for offset in pieces {
             answer.put(offset, &format!("w{offset} ")).expect("a small answer");
             assert!(expected.starts_with(answer.text()), "seed {seed}: {}", answer.text());
--- a/lib/tests/fake_world/mod.rs
+++ b/lib/tests/fake_world/mod.rs
@@ -4,6 +4,8 @@
 //! each request body that an engine gets goes on from the right text, a request refused as not run
 //! has been acted on nowhere, and no key runs twice.
 
+#![allow(dead_code, reason = "each test uses its part of the world")]
+
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
@@ -93,6 +95,7 @@
 }
 
 /// An attempt at a fake upstream.
+#[expect(clippy::struct_excessive_bools, reason = "what happened to it, in any combination")]
 #[derive(Debug)]
 pub struct Attempt {
     pub node: usize,
@@ -104,6 +107,7 @@
     pub ended: bool,
     pub has_head: bool,
     pub may_have_acted: bool,
+    has_run: bool,
     pub next: u64,
     held_back: Vec<u8>,
     wire: Option<CompletionWire>,
@@ -395,7 +399,7 @@
     pub fn late(&mut self, index: usize) {
         let attempt = &self.attempts[index];
         if !attempt.closed {
-            return;
+            return self.repeat(index);
         }
         let (node, id, next) = (attempt.node, attempt.id, attempt.next);
         let text = format!("id: {next}\ndata: {{\"text\":\"WRONG \"}}\n\ndata: [DONE]\n\n");
@@ -403,12 +407,26 @@
         self.feed(node, Event::Ended(id, StreamEnd::Whole));
     }
 
+    /// Sends an earlier token of an open attempt again, with another text.
+    fn repeat(&mut self, index: usize) {
+        let attempt = &self.attempts[index];
+        if !self.is_open(index) || !attempt.has_head || !attempt.held_back.is_empty() {
+            return;
+        }
+        let (node, id) = (attempt.node, attempt.id);
+        if let Some(before) = attempt.next.checked_sub(1) {
+            let text = format!("id: {before}\ndata: {{\"text\":\"WRONG \"}}\n\n");
+            self.feed(node, Event::Chunk(id, text.into()));
+        }
+    }
+
     /// Runs a plain call at its upstream, whether anybody still waits or not.
     pub fn run(&mut self, index: usize) {
         let attempt = &mut self.attempts[index];
-        if attempt.ended || !attempt.may_have_acted || attempt.wire.is_some() {
+        if !attempt.may_have_acted || attempt.wire.is_some() {
             return;
         }
+        attempt.has_run = true;
         if let Some(key) = attempt.key.take() {
             let runs = self.runs.entry(key.clone()).or_default();
             *runs += 1;
@@ -435,7 +453,7 @@
 
     /// Lets an upstream prove that it did not run the request.
     pub fn refuse(&mut self, index: usize) {
-        if !self.is_open(index) || self.attempts[index].has_head {
+        if !self.is_open(index) || self.attempts[index].has_head || self.attempts[index].has_run {
             return;
         }
         let attempt = &mut self.attempts[index];
@@ -462,7 +480,7 @@
 
     /// Fails to connect to the upstream of an attempt.
     pub fn unreachable(&mut self, index: usize) {
-        if !self.is_open(index) || self.attempts[index].has_head {
+        if !self.is_open(index) || self.attempts[index].has_head || self.attempts[index].has_run {
             return;
         }
         let attempt = &mut self.attempts[index];
@@ -595,6 +613,7 @@
             ended: false,
             has_head: false,
             may_have_acted: true,
+            has_run: false,
             next,
             held_back: Vec::new(),
             wire,
@@ -642,7 +661,7 @@
         }
         let caller = &mut self.callers[&key];
         if refusal.kind == RefusalKind::HandedOver {
-            caller.request = refusal.resume.clone();
+            caller.request.clone_from(&refusal.resume);
         }
         caller.set_end(End::Refused(refusal));
     }
--- a/lib/tests/traffic.rs
+++ b/lib/tests/traffic.rs
@@ -18,11 +18,7 @@
 const MS: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
 
-fn refusal<'a>(
-    world: &'a World,
-    node: usize,
-    caller: dogwoodturn::request::CallerId,
-) -> &'a Refusal {
+fn refusal(world: &World, node: usize, caller: dogwoodturn::request::CallerId) -> &Refusal {
     match world.end_of(node, caller) {
         Some(End::Refused(refusal)) => refusal,
         other => panic!("a refusal was due, not {other:?}"),
