--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -14,6 +14,7 @@
         listen::{Connections, serve},
         operator::OperatorEdge,
     },
+    ids::Incarnation,
     node::{
         control::{Control, Input, Output},
         snapshot::Snapshot,
@@ -80,6 +81,8 @@
             }
         });
         let mut control = Control::new();
+        let identity = Input::Identity(self.settings.name.clone(), Incarnation(wall_now().0));
+        control.handle(Time(0), identity, &mut Vec::new());
         let mut input = Input::Started;
         loop {
             let now = Time(started.elapsed().as_micros() as u64);
--- /dev/null
+++ b/lib/src/claim/claims.rs
@@ -0,0 +1,443 @@
+//! The claims of one daemon: asks from its traffic threads and from peers.
+//!
+//! The daemon that rendezvous hashing picks for a shard gathers the items of all daemons. It only
+//! saves writes: whoever writes, the condition on the page alone keeps a key from being granted
+//! twice. If that daemon does not answer in time, the asking daemon writes the page itself.
+
+use std::{sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    claim::{
+        ClaimAnswer, ClaimAsk, ClaimEnd, ClaimId, ClaimTicket,
+        item::{self, Item, ItemAnswer, Wish},
+        message::Message,
+        page::{SHARDS, ShardKey},
+        shard::{self, Context, Origin, Shard},
+    },
+    ids::{CallId, DaemonId, Incarnation, RequestId, ServiceName},
+    peer::Member,
+    platform::{CallError, Operation, Priority, Reply, budget::Budget},
+    units::{Time, WallTime},
+};
+
+/// How long a daemon that did not answer in time is passed over.
+const SUSPECT_WAIT: Duration = Duration::from_secs(5);
+/// The shortest time after which a caller is told to ask again.
+const SHORTEST_RETRY: Duration = Duration::from_secs(1);
+/// The most ends of calls that wait to be written.
+const MAX_ENDS: usize = 10_000;
+/// How many writes may be made at once after a quiet time.
+const WRITE_BURST: u32 = 4;
+/// How old a head may be at a daemon that does not gather its shard, before it is read again.
+const HEAD_TRUST: Duration = Duration::from_secs(1);
+
+/// The settings of claims.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// How long a claim and its answer are kept.
+    pub retention: Duration,
+    /// The writes per second that all daemons together may spend on claims.
+    pub writes_per_second: u32,
+    /// How long an ask waits before it is refused.
+    pub ask_timeout: Duration,
+    /// How long the daemon that gathers a shard has to answer.
+    pub forward_timeout: Duration,
+    /// The size at which a head page is sealed, in bytes.
+    pub seal_bytes: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            retention: Duration::from_hours(24),
+            writes_per_second: 200,
+            ask_timeout: Duration::from_secs(2),
+            forward_timeout: Duration::from_millis(500),
+            seal_bytes: 200_000,
+        }
+    }
+}
+
+/// What the slice is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A traffic thread asks for a claim.
+    Ask(ClaimAsk),
+    /// A claimed call has ended.
+    Ended(ClaimTicket, ClaimEnd),
+    /// A call has ended.
+    Called(CallId, Result<Reply, CallError>),
+    /// The time of [`Claims::next_wakeup`] has come.
+    Woken,
+    /// A peer has sent a message.
+    Peer(DaemonId, Message),
+    /// These daemons are taken to be live.
+    Members(Arc<[Member]>),
+    /// These services have calls that must not be repeated.
+    Services(Box<[ServiceName]>),
+}
+
+/// What the slice wants done.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Call the platform and answer with [`Event::Called`].
+    Call(CallId, Priority, Operation),
+    /// Answer the ask of this request.
+    Answered(RequestId, ClaimAnswer),
+    /// Send a message to a peer.
+    Send(DaemonId, Message),
+    /// Something was refused or found damaged.
+    Refused(Box<str>),
+}
+
+#[derive(Clone, Debug)]
+struct Pending {
+    item: Item,
+    deadline: Option<Time>,
+    /// When the daemon that gathers the shard must have answered; `None` once written here.
+    forwarded: Option<(DaemonId, Time)>,
+    /// Whether a peer has the item and has not answered it.
+    at_peer: bool,
+    /// Whether a shard of this daemon has the item and has not answered it.
+    at_shard: bool,
+}
+
+/// The claims of one daemon.
+#[derive(Clone, Debug)]
+pub struct Claims {
+    cfg: Config,
+    daemon: DaemonId,
+    incarnation: Incarnation,
+    number: u64,
+    members: Arc<[Member]>,
+    services: Box<[ServiceName]>,
+    shards: IndexMap<ShardKey, Shard>,
+    calls: IndexMap<CallId, ShardKey>,
+    call: CallId,
+    pending: IndexMap<ClaimId, Pending>,
+    tickets: IndexMap<ClaimTicket, ClaimId>,
+    suspects: IndexMap<DaemonId, Time>,
+    budget: Budget,
+    turn: usize,
+}
+
+impl Claims {
+    /// Makes the slice of one run of a daemon.
+    pub fn new(cfg: Config, daemon: DaemonId, incarnation: Incarnation) -> Self {
+        let budget = Budget::new(f64::from(cfg.writes_per_second), WRITE_BURST);
+        Self {
+            cfg,
+            daemon,
+            incarnation,
+            number: 0,
+            members: Arc::new([]),
+            services: Box::default(),
+            shards: IndexMap::new(),
+            calls: IndexMap::new(),
+            call: CallId(0),
+            pending: IndexMap::new(),
+            tickets: IndexMap::new(),
+            suspects: IndexMap::new(),
+            budget,
+            turn: 0,
+        }
+    }
+
+    /// Returns when the slice wants [`Event::Woken`].
+    pub fn next_wakeup(&self) -> Option<Time> {
+        let budget = self.budget.next();
+        let shards = self.shards.values().filter_map(|shard| shard.next_wakeup(budget));
+        let forwarded = self.pending.values().filter_map(|p| Some(p.forwarded.as_ref()?.1));
+        shards.chain(forwarded).min()
+    }
+
+    /// Returns how many claims are granted whose calls have not ended.
+    pub fn open_tickets(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Takes an event and adds the effects that follow from it.
+    pub fn handle(&mut self, now: Time, wall: WallTime, event: Event, out: &mut Vec<Effect>) {
+        let cx =
+            Context { now, wall, retention: self.cfg.retention, seal_bytes: self.cfg.seal_bytes };
+        match event {
+            Event::Ask(ask) => self.ask(&cx, ask, out),
+            Event::Ended(ticket, end) => self.ended(&cx, &ticket, end, out),
+            Event::Called(call, result) => self.called(&cx, call, result, out),
+            Event::Woken => self.woken(&cx, out),
+            Event::Peer(from, Message::Item(item)) => {
+                let deadline = (item.wish == Wish::Claim).then(|| now + self.cfg.ask_timeout);
+                self.push(&cx, Origin::Peer(from), *item, deadline, out);
+            }
+            Event::Peer(from, Message::Answer(id, answer)) => {
+                self.suspects.shift_remove(&from);
+                self.peer_answered(&cx, &id, answer, out);
+            }
+            Event::Members(members) => {
+                self.members = members;
+                self.share_budget();
+            }
+            Event::Services(services) => {
+                self.services = services;
+                self.share_budget();
+            }
+        }
+    }
+
+    /// Returns the daemon that gathers a shard's items.
+    pub fn gatherer(&self, shard: &ShardKey) -> DaemonId {
+        let weight = |daemon: &DaemonId| {
+            xxh3_64(format!("{}/{}/{daemon}", shard.service, shard.number).as_bytes())
+        };
+        let live = self.members.iter().map(|member| &member.daemon);
+        live.max_by_key(|daemon| weight(daemon)).unwrap_or(&self.daemon).clone()
+    }
+
+    /// Takes this daemon's part of the writes: one for each shard that it gathers, and one for the
+    /// pages that it has to write itself, of as many parts as there are shards and daemons.
+    fn share_budget(&mut self) {
+        let mut shards = 0;
+        let mut gathered = 0;
+        for service in &self.services {
+            for number in 0..SHARDS {
+                let shard = ShardKey { service: service.clone(), number };
+                shards += 1;
+                gathered += usize::from(self.gatherer(&shard) == self.daemon);
+            }
+        }
+        let parts = shards + self.members.len().max(1);
+        let part = (gathered + 1) as f64 / parts as f64;
+        self.budget.set_rate(f64::from(self.cfg.writes_per_second) * part);
+    }
+
+    fn ask(&mut self, cx: &Context, ask: ClaimAsk, out: &mut Vec<Effect>) {
+        self.number += 1;
+        let number = self.number;
+        let id = ClaimId { daemon: self.daemon.clone(), incarnation: self.incarnation, number };
+        let item = Item {
+            id,
+            key: item::record_key(&ask.key),
+            service: ask.service,
+            digest: ask.digest,
+            request: ask.request,
+            wish: Wish::Claim,
+        };
+        self.begin(cx, item, Some(cx.now + self.cfg.ask_timeout), out);
+    }
+
+    fn begin(&mut self, cx: &Context, item: Item, deadline: Option<Time>, out: &mut Vec<Effect>) {
+        let gatherer = self.gatherer(&ShardKey::of(&item.service, &item.key));
+        let suspected = self.suspects.get(&gatherer).is_some_and(|&until| until > cx.now);
+        let here = gatherer == self.daemon || suspected;
+        let forwarded = (!here).then(|| (gatherer.clone(), cx.now + self.cfg.forward_timeout));
+        let pending =
+            Pending { item: item.clone(), deadline, forwarded, at_peer: !here, at_shard: here };
+        self.pending.insert(item.id.clone(), pending);
+        if here {
+            self.push(cx, Origin::Local, item, deadline, out);
+        } else {
+            out.push(Effect::Send(gatherer, Message::Item(Box::new(item))));
+        }
+    }
+
+    fn push(
+        &mut self,
+        cx: &Context,
+        origin: Origin,
+        item: Item,
+        deadline: Option<Time>,
+        out: &mut Vec<Effect>,
+    ) {
+        let key = ShardKey::of(&item.service, &item.key);
+        let wait = self.expected_wait(cx.now);
+        if item.wish == Wish::Claim && wait > self.cfg.ask_timeout {
+            let retry_after = wait.max(SHORTEST_RETRY);
+            let answer = ItemAnswer::Failed { retry_after, may_stand: false };
+            return self.item_answered(cx, origin, item.id, answer, out);
+        }
+        let gathered = self.gatherer(&key) == self.daemon;
+        let shard = self.shards.entry(key.clone()).or_insert_with(|| Shard::new(key.clone()));
+        if !gathered {
+            shard.forget_head(cx.now - HEAD_TRUST);
+        }
+        let mut effects = Vec::new();
+        shard.push(cx, origin, item, deadline, &mut effects);
+        shard.advance(cx, &mut self.budget, &mut effects);
+        self.carry_out(cx, &key, effects, out);
+    }
+
+    /// Returns how long an item that comes now waits for its write: one for each busy shard.
+    fn expected_wait(&self, now: Time) -> Duration {
+        let busy = self.shards.values().filter(|shard| shard.waiting() > 0).count();
+        self.budget.next().since(now) + self.budget.interval() * busy as u32
+    }
+
+    fn ended(&mut self, cx: &Context, ticket: &ClaimTicket, end: ClaimEnd, out: &mut Vec<Effect>) {
+        let Some(id) = self.tickets.swap_remove(ticket) else { return };
+        let wish = match end {
+            ClaimEnd::Ran(answer) => Wish::Keep(item::bounded(answer)),
+            ClaimEnd::NotRun => Wish::Release,
+            ClaimEnd::Unknown => return,
+        };
+        if self.pending.len() >= MAX_ENDS {
+            let reason = format!("the end of request {} is not kept", ticket.request);
+            return out.push(Effect::Refused(reason.into()));
+        }
+        let item = Item {
+            id,
+            key: item::record_key(&ticket.key),
+            service: ticket.service.clone(),
+            digest: [0; 32],
+            request: ticket.request.clone(),
+            wish,
+        };
+        self.begin(cx, item, None, out);
+    }
+
+    fn called(
+        &mut self,
+        cx: &Context,
+        call: CallId,
+        result: Result<Reply, CallError>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(key) = self.calls.swap_remove(&call) else { return };
+        let Some(shard) = self.shards.get_mut(&key) else { return };
+        let mut effects = Vec::new();
+        shard.called(cx, result, &mut effects);
+        shard.advance(cx, &mut self.budget, &mut effects);
+        self.carry_out(cx, &key, effects, out);
+    }
+
+    fn woken(&mut self, cx: &Context, out: &mut Vec<Effect>) {
+        self.take_back_forwarded(cx, out);
+        // Begins with another shard each time, so that all get their turn of a short budget.
+        self.turn = self.turn.wrapping_add(1);
+        for step in 0..self.shards.len() {
+            let index = self.turn.wrapping_add(step) % self.shards.len();
+            let Some((key, shard)) = self.shards.get_index_mut(index) else { continue };
+            let key = key.clone();
+            let mut effects = Vec::new();
+            shard.advance(cx, &mut self.budget, &mut effects);
+            self.carry_out(cx, &key, effects, out);
+        }
+    }
+
+    /// Writes here what the daemon that gathers the shard has not answered in time.
+    fn take_back_forwarded(&mut self, cx: &Context, out: &mut Vec<Effect>) {
+        let mut items = Vec::new();
+        for pending in self.pending.values_mut() {
+            if let Some((gatherer, at)) = &pending.forwarded
+                && *at <= cx.now
+            {
+                self.suspects.insert(gatherer.clone(), cx.now + SUSPECT_WAIT);
+                pending.forwarded = None;
+                pending.at_shard = true;
+                items.push((pending.item.clone(), pending.deadline));
+            }
+        }
+        for (item, deadline) in items {
+            self.push(cx, Origin::Local, item, deadline, out);
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        cx: &Context,
+        key: &ShardKey,
+        effects: Vec<shard::Effect>,
+        out: &mut Vec<Effect>,
+    ) {
+        for effect in effects {
+            match effect {
+                shard::Effect::Call(operation) => {
+                    self.call = self.call.next();
+                    self.calls.insert(self.call, key.clone());
+                    out.push(Effect::Call(self.call, Priority::Safety, operation));
+                }
+                shard::Effect::Answer(origin, id, answer) => {
+                    self.item_answered(cx, origin, id, answer, out);
+                }
+                shard::Effect::Refused(reason) => out.push(Effect::Refused(reason)),
+            }
+        }
+    }
+
+    fn item_answered(
+        &mut self,
+        cx: &Context,
+        origin: Origin,
+        id: ClaimId,
+        answer: ItemAnswer,
+        out: &mut Vec<Effect>,
+    ) {
+        match origin {
+            Origin::Local => {
+                if let Some(pending) = self.pending.get_mut(&id) {
+                    pending.at_shard = false;
+                }
+                self.answered(cx, &id, answer, out);
+            }
+            Origin::Peer(peer) => out.push(Effect::Send(peer, Message::Answer(id, answer))),
+        }
+    }
+
+    fn peer_answered(
+        &mut self,
+        cx: &Context,
+        id: &ClaimId,
+        answer: ItemAnswer,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.pending.get_mut(id) else { return };
+        let failed = matches!(answer, ItemAnswer::Failed { .. });
+        pending.at_peer = matches!(answer, ItemAnswer::Failed { may_stand: true, .. });
+        if !(failed && pending.at_shard) {
+            self.answered(cx, id, answer, out);
+        }
+    }
+
+    /// Takes the answer to an item of this daemon; only the first one counts.
+    fn answered(&mut self, cx: &Context, id: &ClaimId, answer: ItemAnswer, out: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get(id) else { return };
+        if (pending.item.wish == Wish::Claim) == (answer == ItemAnswer::Done) {
+            return;
+        }
+        let Some(pending) = self.pending.swap_remove(id) else { return };
+        let request = pending.item.request.clone();
+        let open = pending.at_peer || pending.at_shard;
+        let (answer, may_stand) = match answer {
+            ItemAnswer::Done => return,
+            ItemAnswer::Granted => {
+                let ticket = ticket_of(&pending.item);
+                self.tickets.insert(ticket.clone(), id.clone());
+                (ClaimAnswer::Granted(ticket), false)
+            }
+            ItemAnswer::Stored(answer) => (ClaimAnswer::Stored(answer), open),
+            ItemAnswer::Unresolved => (ClaimAnswer::Unresolved, open),
+            ItemAnswer::OtherCall => (ClaimAnswer::OtherCall, open),
+            ItemAnswer::Failed { retry_after, may_stand } => {
+                (ClaimAnswer::Unavailable { retry_after }, open || may_stand)
+            }
+        };
+        if may_stand {
+            self.release(cx, pending.item, out);
+        }
+        out.push(Effect::Answered(request, answer));
+    }
+
+    /// Releases a claim that this daemon gave up and never dispatches, should it stand.
+    fn release(&mut self, cx: &Context, item: Item, out: &mut Vec<Effect>) {
+        if self.pending.len() < MAX_ENDS {
+            self.begin(cx, Item { wish: Wish::Release, ..item }, None, out);
+        }
+    }
+}
+
+fn ticket_of(item: &Item) -> ClaimTicket {
+    let Item { service, key, request, .. } = item;
+    ClaimTicket { service: service.clone(), key: key.clone(), request: request.clone() }
+}
--- a/lib/src/claim/mod.rs
+++ b/lib/src/claim/mod.rs
@@ -3,11 +3,18 @@
 //! A traffic thread asks for a claim before it dispatches such a call, and reports its end. Only
 //! [`ClaimAnswer::Granted`] permits the one dispatch. See `docs/design/claims.md`.
 
+pub mod claims;
+pub mod item;
+pub mod message;
+pub mod page;
+pub mod shard;
+pub mod wire;
+
 use std::time::Duration;
 
 use bytes::Bytes;
 
-use crate::ids::{RequestId, ServiceName};
+use crate::ids::{DaemonId, Incarnation, RequestId, ServiceName};
 
 /// Asks for the right to dispatch a call once.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -72,3 +79,17 @@
     /// The call may have run.
     Unknown,
 }
+
+/// Names one ask for a claim; no other ask of any daemon ever has the same.
+///
+/// It stands in the claim's record, so that a write whose answer was lost is recognised. The
+/// request's name alone would not do, as callers choose it and may send it to two daemons.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ClaimId {
+    /// The daemon that asks, and alone may dispatch.
+    pub daemon: DaemonId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Counts the asks of the run.
+    pub number: u64,
+}
--- /dev/null
+++ b/lib/src/claim/page.rs
@@ -0,0 +1,217 @@
+//! The records of one shard, and what a record means for an item.
+//!
+//! A shard has one head page, changed only by conditional update, and sealed pages that never
+//! change. A full head is copied into a sealed page named by the head's revision, and the next
+//! head lists it. See `docs/design/claims.md`.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use sha2::{Digest as _, Sha256};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    claim::{
+        ClaimId, StoredAnswer,
+        item::{Item, ItemAnswer, Wish},
+    },
+    ids::{RequestId, Revision, ServiceName},
+    platform::ObjectKey,
+    units::WallTime,
+};
+
+/// The shards of each service. Daemons that disagreed would not see each other's claims, so it is
+/// no setting.
+pub const SHARDS: u32 = 8;
+
+/// Names one shard of one service's keys.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ShardKey {
+    /// The service.
+    pub service: ServiceName,
+    /// The number of the shard, below [`SHARDS`].
+    pub number: u32,
+}
+
+impl ShardKey {
+    /// Returns the shard that holds a key.
+    pub fn of(service: &ServiceName, key: &str) -> Self {
+        let number = (xxh3_64(key.as_bytes()) % u64::from(SHARDS)) as u32;
+        Self { service: service.clone(), number }
+    }
+
+    /// Returns the name of the head page.
+    pub fn head(&self) -> ObjectKey {
+        ObjectKey::new(format!("claims/{}/{}/head", self.service, self.number))
+    }
+
+    /// Returns what the names of all sealed pages begin with.
+    pub fn sealed_prefix(&self) -> Box<str> {
+        format!("claims/{}/{}/sealed/", self.service, self.number).into()
+    }
+
+    /// Returns the name of the sealed copy of the head at this revision.
+    pub fn sealed(&self, revision: Revision) -> ObjectKey {
+        ObjectKey::new(format!("{}{revision}", self.sealed_prefix()))
+    }
+}
+
+/// Returns the fingerprint of a key, by which a sealed page is known to hold it or not.
+///
+/// It is cryptographic, so that no caller can make two keys alike.
+pub fn fingerprint(key: &str) -> u128 {
+    let digest: [u8; 32] = Sha256::digest(key).into();
+    digest.iter().take(size_of::<u128>()).fold(0, |print, &byte| print << 8 | u128::from(byte))
+}
+
+/// What is known of a claimed call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RecordState {
+    /// It was or will be dispatched, and its end is not known.
+    Claimed,
+    /// It ran.
+    Ran(StoredAnswer),
+    /// It did not run and never will under this id.
+    Released,
+}
+
+/// The claim of one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The ask that made the claim.
+    pub id: ClaimId,
+    /// The request that made the claim.
+    pub request: RequestId,
+    /// Tells a repeated call from another under the same key.
+    pub digest: [u8; 32],
+    /// When the claim was made.
+    pub at: WallTime,
+    /// What is known of the call.
+    pub state: RecordState,
+}
+
+impl Record {
+    fn expired(&self, wall: WallTime, retention: Duration) -> bool {
+        self.at + retention < wall
+    }
+}
+
+/// A sealed page, as the head lists it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SealedRef {
+    /// The revision of the head that the page is a copy of.
+    pub revision: Revision,
+    /// When the youngest claim of the page was made.
+    pub newest: WallTime,
+}
+
+/// The records of a head or sealed page.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The records by key.
+    pub records: IndexMap<Box<str>, Record>,
+    /// The sealed pages that may still matter, oldest first; empty in a sealed page.
+    pub sealed: Vec<SealedRef>,
+}
+
+/// What the last record of a key means for an item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Judgement {
+    /// The item is answered.
+    Answer(ItemAnswer),
+    /// The item needs this record written.
+    Write(Record),
+}
+
+/// Judges an item by the last record of its key.
+pub fn judge(
+    item: &Item,
+    record: Option<&Record>,
+    wall: WallTime,
+    retention: Duration,
+) -> Judgement {
+    let record = record.filter(|record| !record.expired(wall, retention));
+    match &item.wish {
+        Wish::Claim => judge_claim(item, record, wall),
+        Wish::Keep(answer) => judge_keep(item, record, answer),
+        Wish::Release => judge_release(item, record, wall),
+    }
+}
+
+fn judge_claim(item: &Item, record: Option<&Record>, wall: WallTime) -> Judgement {
+    let Some(record) = record else {
+        return Judgement::Write(new_record(item, wall, RecordState::Claimed));
+    };
+    let same_id = record.id == item.id;
+    let same_call = record.digest == item.digest;
+    match &record.state {
+        // A repeated ask arrives after its release: its daemon no longer waits for it.
+        RecordState::Released if same_id => Judgement::Answer(ItemAnswer::Unresolved),
+        RecordState::Released => Judgement::Write(new_record(item, wall, RecordState::Claimed)),
+        RecordState::Claimed if same_id => Judgement::Answer(ItemAnswer::Granted),
+        _ if !same_call => Judgement::Answer(ItemAnswer::OtherCall),
+        RecordState::Ran(answer) => Judgement::Answer(ItemAnswer::Stored(answer.clone())),
+        RecordState::Claimed => Judgement::Answer(ItemAnswer::Unresolved),
+    }
+}
+
+fn judge_keep(item: &Item, record: Option<&Record>, answer: &StoredAnswer) -> Judgement {
+    match record {
+        Some(record) if record.id == item.id && record.state == RecordState::Claimed => {
+            let state = RecordState::Ran(answer.clone());
+            Judgement::Write(Record { state, ..record.clone() })
+        }
+        _ => Judgement::Answer(ItemAnswer::Done),
+    }
+}
+
+fn judge_release(item: &Item, record: Option<&Record>, wall: WallTime) -> Judgement {
+    match record {
+        Some(record) if record.id == item.id && record.state != RecordState::Claimed => {
+            Judgement::Answer(ItemAnswer::Done)
+        }
+        Some(record) if record.id != item.id && record.state != RecordState::Released => {
+            Judgement::Answer(ItemAnswer::Done)
+        }
+        // Without a record the release is written nevertheless: the new revision of the head
+        // keeps an earlier write of the claim from taking effect late.
+        _ => Judgement::Write(new_record(item, wall, RecordState::Released)),
+    }
+}
+
+fn new_record(item: &Item, wall: WallTime, state: RecordState) -> Record {
+    let Item { id, request, digest, .. } = item;
+    Record { id: id.clone(), request: request.clone(), digest: *digest, at: wall, state }
+}
+
+impl Page {
+    /// Drops what is past its retention; returns whether anything was.
+    pub fn expire(&mut self, wall: WallTime, retention: Duration) -> bool {
+        let before = (self.records.len(), self.sealed.len());
+        self.records.retain(|_, record| !record.expired(wall, retention));
+        self.sealed.retain(|sealed| sealed.newest + retention >= wall);
+        before != (self.records.len(), self.sealed.len())
+    }
+
+    /// Begins an empty page after this one, at `revision`, has been sealed.
+    #[must_use]
+    pub fn after_sealing(&self, revision: Revision) -> Self {
+        let newest = self.records.values().map(|record| record.at).max().unwrap_or_default();
+        let mut sealed = self.sealed.clone();
+        sealed.push(SealedRef { revision, newest });
+        Self { records: IndexMap::new(), sealed }
+    }
+
+    /// Returns the sealed copy of this page.
+    #[must_use]
+    pub fn sealed_copy(&self) -> Self {
+        Self { records: self.records.clone(), sealed: Vec::new() }
+    }
+
+    /// Returns the fingerprints of all keys, sorted.
+    pub fn fingerprints(&self) -> Box<[u128]> {
+        let mut fingerprints: Vec<u128> = self.records.keys().map(|key| fingerprint(key)).collect();
+        fingerprints.sort_unstable();
+        fingerprints.into()
+    }
+}
--- /dev/null
+++ b/lib/src/claim/shard.rs
@@ -0,0 +1,555 @@
+//! Writes the claims of one shard: all that wait go into one conditional update of the head page.
+//!
+//! At most one call is open at a time. What an answer rests on is always a head that was read, or
+//! whose write was confirmed: after a lost answer the head is read again, and an item whose id
+//! stands there has been written. See `docs/design/claims.md`.
+
+use std::{collections::VecDeque, time::Duration};
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+
+use crate::{
+    claim::{
+        ClaimId,
+        item::{Item, ItemAnswer, Wish},
+        page::{Judgement, Page, Record, ShardKey, fingerprint, judge},
+        wire::PageWire,
+    },
+    declaration::wire,
+    ids::{DaemonId, Revision},
+    platform::{
+        CallError, Condition, MAX_VALUE_BYTES, Object, ObjectKey, Operation, Reply, budget::Budget,
+    },
+    units::{Time, WallTime},
+};
+
+/// The most items that wait at one shard.
+const MAX_QUEUE: usize = 4_000;
+/// The most items that one write takes in.
+const MAX_BATCH: usize = 1_000;
+/// The largest head that is written, in bytes, with room below the platform's bound.
+const MAX_HEAD_BYTES: usize = MAX_VALUE_BYTES * 9 / 10;
+/// The most sealed pages that a head may list.
+const MAX_SEALED: usize = 20_000;
+/// The first wait after the platform has refused a call; doubled with each further refusal.
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+/// The longest wait after the platform has refused a call.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(5);
+/// The shortest time after which a caller is told to ask again.
+const SHORTEST_RETRY: Duration = Duration::from_secs(1);
+/// How many times [`FIRST_BACKOFF`] is doubled at most.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// What a shard's decisions depend on besides its own state.
+#[derive(Clone, Copy, Debug)]
+pub struct Context {
+    /// The daemon's clock.
+    pub now: Time,
+    /// The wall clock.
+    pub wall: WallTime,
+    /// How long a claim is kept.
+    pub retention: Duration,
+    /// The size at which a head is sealed, in bytes.
+    pub seal_bytes: usize,
+}
+
+/// What a shard wants done.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Call the platform; at most one call is open.
+    Call(Operation),
+    /// Tell the item's origin what became of it.
+    Answer(Origin, ClaimId, ItemAnswer),
+    /// Something was found damaged.
+    Refused(Box<str>),
+}
+
+/// Where an item came from.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Origin {
+    /// This daemon.
+    Local,
+    /// A peer.
+    Peer(DaemonId),
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    item: Item,
+    origin: Origin,
+    arrived: Time,
+    deadline: Option<Time>,
+    tried: Option<Tried>,
+}
+
+/// A write that took an item in and may take effect, now or later.
+#[derive(Clone, Copy, Debug)]
+struct Tried {
+    /// The revision that the write is conditional on; once the head has another, it is void.
+    base: Option<Revision>,
+    /// Whether the write is still open; its error may prove that it had no effect.
+    open: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Head {
+    revision: Option<Revision>,
+    page: Page,
+    bytes: usize,
+    confirmed: Time,
+}
+
+#[derive(Clone, Debug, Default)]
+enum Work {
+    #[default]
+    Idle,
+    ReadingHead,
+    ReadingSealed(Revision),
+    Sealing(Revision),
+    Writing {
+        page: Page,
+        bytes: usize,
+    },
+}
+
+/// The records of one shard, as one daemon writes them.
+#[derive(Clone, Debug)]
+pub struct Shard {
+    key: ShardKey,
+    queue: VecDeque<Waiting>,
+    head: Option<Head>,
+    fingerprints: IndexMap<Revision, Box<[u128]>>,
+    opened: Option<(Revision, Page)>,
+    sealed: bool,
+    work: Work,
+    issued: Time,
+    read_next: bool,
+    failures: u32,
+    backoff: Time,
+}
+
+enum Found<'a> {
+    Record(Option<&'a Record>),
+    InSealed(Revision),
+}
+
+impl Shard {
+    /// Makes a shard of which nothing is known yet.
+    pub fn new(key: ShardKey) -> Self {
+        Self {
+            key,
+            queue: VecDeque::new(),
+            head: None,
+            fingerprints: IndexMap::new(),
+            opened: None,
+            sealed: false,
+            work: Work::Idle,
+            issued: Time(0),
+            read_next: false,
+            failures: 0,
+            backoff: Time(0),
+        }
+    }
+
+    /// Says whether the shard waits for its turn to write or for a call.
+    pub fn busy(&self) -> bool {
+        !self.queue.is_empty() || !matches!(self.work, Work::Idle)
+    }
+
+    /// Returns how many items wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Forgets a head last confirmed before `since`, unless a call rests on it.
+    pub fn forget_head(&mut self, since: Time) {
+        let old = self.head.as_ref().is_some_and(|head| head.confirmed < since);
+        if old && matches!(self.work, Work::Idle) {
+            self.head = None;
+            self.sealed = false;
+        }
+    }
+
+    /// Returns when the shard wants [`Shard::advance`] next, given when the budget allows a write.
+    pub fn next_wakeup(&self, budget: Time) -> Option<Time> {
+        let deadline = self.queue.iter().filter_map(|waiting| waiting.deadline).min();
+        let turn = self.queue.front().map(|_| budget.max(self.backoff));
+        match self.work {
+            Work::Idle => [deadline, turn].into_iter().flatten().min(),
+            _ => deadline,
+        }
+    }
+
+    /// Takes an item; it is answered later, or at once if it cannot be served.
+    pub fn push(
+        &mut self,
+        cx: &Context,
+        origin: Origin,
+        item: Item,
+        deadline: Option<Time>,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.queue.iter().any(|waiting| waiting.item == item && waiting.origin == origin) {
+            return;
+        }
+        let claim = item.wish == Wish::Claim;
+        if claim && (self.backoff > cx.now || self.queue.len() >= MAX_QUEUE) {
+            let retry_after = self.retry_after(cx.now);
+            let answer = ItemAnswer::Failed { retry_after, may_stand: false };
+            out.push(Effect::Answer(origin, item.id, answer));
+            return;
+        }
+        let arrived = cx.now;
+        self.queue.push_back(Waiting { item, origin, arrived, deadline, tried: None });
+    }
+
+    /// Does what can be done now: answers, gives up what is overdue, and issues the next call.
+    pub fn advance(&mut self, cx: &Context, budget: &mut Budget, out: &mut Vec<Effect>) {
+        self.give_up_overdue(cx, out);
+        if !matches!(self.work, Work::Idle) || self.queue.is_empty() || self.backoff > cx.now {
+            return;
+        }
+        let Some(head) = &self.head else {
+            return self.issue(cx, Work::ReadingHead, Operation::Get(self.key.head()), out);
+        };
+        let mut listed = head.page.sealed.iter().map(|sealed| sealed.revision);
+        if let Some(revision) = listed.find(|r| !self.fingerprints.contains_key(r)) {
+            return self.read_sealed(cx, revision, out);
+        }
+        self.settle(cx, out);
+        self.issue_next(cx, budget, out);
+    }
+
+    /// Takes the result of the open call.
+    pub fn called(
+        &mut self,
+        cx: &Context,
+        result: Result<Reply, CallError>,
+        out: &mut Vec<Effect>,
+    ) {
+        let work = std::mem::take(&mut self.work);
+        if matches!(work, Work::Writing { .. }) {
+            self.write_ended(matches!(result, Err(CallError::Unknown)));
+        }
+        match (work, result) {
+            (Work::ReadingHead, Ok(Reply::Object(object))) => self.head_read(cx, object, out),
+            (Work::ReadingSealed(revision), Ok(Reply::Object(Some(object)))) => {
+                self.sealed_read(cx, revision, &object, out);
+            }
+            // The bytes of a sealed page follow from its name, so one that exists is the same.
+            (Work::Sealing(revision), Ok(_) | Err(CallError::Conflict(_))) => {
+                self.sealed_written(revision);
+            }
+            (Work::Writing { page, bytes }, Ok(Reply::Written(revision))) => {
+                self.failures = 0;
+                let confirmed = self.issued;
+                let head = Head { revision: Some(revision), page, bytes, confirmed };
+                self.moved_to(head);
+            }
+            (Work::Writing { .. }, Err(CallError::Unknown | CallError::Conflict(_))) => {
+                self.head = None;
+            }
+            (Work::Sealing(_), Err(CallError::Unknown)) => {}
+            (_, Err(CallError::Unknown)) => self.back_off(cx),
+            (_, Err(error)) => self.failed(cx, &error, out),
+            // A listed page that is gone was collected after the head was read.
+            (_, Ok(_)) => self.head = None,
+        }
+    }
+
+    /// Closes the open write; `unknown` if it may still take effect.
+    fn write_ended(&mut self, unknown: bool) {
+        for waiting in &mut self.queue {
+            match &mut waiting.tried {
+                Some(tried) if tried.open && unknown => tried.open = false,
+                Some(tried) if tried.open => waiting.tried = None,
+                _ => {}
+            }
+        }
+    }
+
+    fn issue(&mut self, cx: &Context, work: Work, operation: Operation, out: &mut Vec<Effect>) {
+        self.work = work;
+        self.issued = cx.now;
+        out.push(Effect::Call(operation));
+    }
+
+    fn read_sealed(&mut self, cx: &Context, revision: Revision, out: &mut Vec<Effect>) {
+        let operation = Operation::Get(self.key.sealed(revision));
+        self.issue(cx, Work::ReadingSealed(revision), operation, out);
+    }
+
+    fn head_read(&mut self, cx: &Context, object: Option<Object>, out: &mut Vec<Effect>) {
+        self.failures = 0;
+        let confirmed = self.issued;
+        let head = match object {
+            None => Head { revision: None, page: Page::default(), bytes: 0, confirmed },
+            Some(object) => match wire::decode::<PageWire>(&object.value) {
+                Ok(page) => Head {
+                    revision: Some(object.revision),
+                    page: page.into(),
+                    bytes: object.value.len(),
+                    confirmed,
+                },
+                Err(error) => {
+                    damaged(&self.key.head(), &error, out);
+                    return self.refuse_for_now(cx, out);
+                }
+            },
+        };
+        self.moved_to(head);
+    }
+
+    fn moved_to(&mut self, head: Head) {
+        let listed = &head.page.sealed;
+        self.fingerprints.retain(|revision, _| listed.iter().any(|s| s.revision == *revision));
+        self.sealed = false;
+        self.head = Some(head);
+    }
+
+    fn sealed_read(
+        &mut self,
+        cx: &Context,
+        revision: Revision,
+        object: &Object,
+        out: &mut Vec<Effect>,
+    ) {
+        match wire::decode::<PageWire>(&object.value) {
+            Ok(page) => {
+                let page = Page::from(page);
+                self.fingerprints.insert(revision, page.fingerprints());
+                self.opened = Some((revision, page));
+            }
+            Err(error) => {
+                damaged(&self.key.sealed(revision), &error, out);
+                self.refuse_for_now(cx, out);
+            }
+        }
+    }
+
+    fn sealed_written(&mut self, revision: Revision) {
+        self.failures = 0;
+        self.sealed = true;
+        if let Some(head) = &self.head {
+            self.fingerprints.insert(revision, head.page.fingerprints());
+            self.opened = Some((revision, head.page.sealed_copy()));
+        }
+    }
+
+    fn failed(&mut self, cx: &Context, error: &CallError, out: &mut Vec<Effect>) {
+        if let CallError::Refused(reason) = error {
+            out.push(Effect::Refused(format!("claims of {:?}: {reason}", self.key).into()));
+        }
+        // The head may have been changed by others until the platform is back.
+        self.head = None;
+        self.sealed = false;
+        self.refuse_for_now(cx, out);
+    }
+
+    /// Waits before the next call, and refuses the claims that would have to wait with it.
+    fn refuse_for_now(&mut self, cx: &Context, out: &mut Vec<Effect>) {
+        self.back_off(cx);
+        let retry_after = self.retry_after(cx.now);
+        self.give_up(|waiting| waiting.item.wish == Wish::Claim, retry_after, out);
+    }
+
+    fn back_off(&mut self, cx: &Context) {
+        let wait = FIRST_BACKOFF * (1 << self.failures.min(MAX_DOUBLINGS));
+        self.failures += 1;
+        let spread = u64::from(self.key.number) * wait.as_micros() as u64 / 16;
+        self.backoff = cx.now + (wait + Duration::from_micros(spread)).min(LONGEST_BACKOFF);
+    }
+
+    fn retry_after(&self, now: Time) -> Duration {
+        self.backoff.since(now).max(SHORTEST_RETRY)
+    }
+
+    fn give_up_overdue(&mut self, cx: &Context, out: &mut Vec<Effect>) {
+        let now = cx.now;
+        let overdue = |waiting: &Waiting| waiting.deadline.is_some_and(|at| at <= now);
+        self.give_up(overdue, self.retry_after(now), out);
+    }
+
+    fn give_up(
+        &mut self,
+        which: impl Fn(&Waiting) -> bool,
+        retry_after: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        self.queue.retain(|waiting| {
+            let gone = which(waiting);
+            if gone {
+                let answer = ItemAnswer::Failed { retry_after, may_stand: waiting.tried.is_some() };
+                let origin = waiting.origin.clone();
+                out.push(Effect::Answer(origin, waiting.item.id.clone(), answer));
+            }
+            !gone
+        });
+    }
+
+    /// Finds the last record of a key in `head` and the sealed pages that it lists.
+    fn find<'a>(&'a self, head: &'a Page, key: &str) -> Found<'a> {
+        if let Some(record) = head.records.get(key) {
+            return Found::Record(Some(record));
+        }
+        let print = fingerprint(key);
+        for sealed in head.sealed.iter().rev() {
+            let prints = self.fingerprints.get(&sealed.revision);
+            if prints.is_some_and(|prints| prints.binary_search(&print).is_err()) {
+                continue;
+            }
+            match &self.opened {
+                Some((revision, page)) if *revision == sealed.revision => {
+                    if let Some(record) = page.records.get(key) {
+                        return Found::Record(Some(record));
+                    }
+                }
+                _ => return Found::InSealed(sealed.revision),
+            }
+        }
+        Found::Record(None)
+    }
+
+    /// Answers every item that the known head decides.
+    fn settle(&mut self, cx: &Context, out: &mut Vec<Effect>) {
+        let Some(head) = self.head.take() else { return };
+        let queue = std::mem::take(&mut self.queue);
+        for mut waiting in queue {
+            let judgement = match self.find(&head.page, &waiting.item.key) {
+                Found::Record(record) => judge(&waiting.item, record, cx.wall, cx.retention),
+                Found::InSealed(_) => {
+                    self.queue.push_back(waiting);
+                    continue;
+                }
+            };
+            match judgement {
+                // Another daemon may have kept the answer since the head was confirmed.
+                Judgement::Answer(ItemAnswer::Unresolved) if waiting.arrived > head.confirmed => {
+                    self.read_next = true;
+                    self.queue.push_back(waiting);
+                }
+                Judgement::Answer(answer) => {
+                    out.push(Effect::Answer(waiting.origin, waiting.item.id, answer));
+                }
+                Judgement::Write(_) => {
+                    waiting.tried = waiting.tried.filter(|tried| tried.base == head.revision);
+                    self.queue.push_back(waiting);
+                }
+            }
+        }
+        self.head = Some(head);
+    }
+
+    fn issue_next(&mut self, cx: &Context, budget: &mut Budget, out: &mut Vec<Effect>) {
+        let Some(head) = &self.head else { return };
+        let needed =
+            self.queue.iter().find_map(|waiting| match self.find(&head.page, &waiting.item.key) {
+                Found::InSealed(revision) => Some(revision),
+                Found::Record(_) => None,
+            });
+        if let Some(revision) = needed
+            && self.read_next
+        {
+            self.read_next = false;
+            return self.read_sealed(cx, revision, out);
+        }
+        if self.write(cx, budget, out) {
+            self.read_next = needed.is_some();
+        } else if let Some(revision) = needed {
+            self.read_sealed(cx, revision, out);
+        } else if std::mem::take(&mut self.read_next) {
+            self.issue(cx, Work::ReadingHead, Operation::Get(self.key.head()), out);
+        }
+    }
+
+    /// Issues the next write if there is something to write and the budget allows it.
+    fn write(&mut self, cx: &Context, budget: &mut Budget, out: &mut Vec<Effect>) -> bool {
+        let Some(head) = &self.head else { return false };
+        if !self.wants_write(cx, &head.page) || !budget.take(cx.now) {
+            return false;
+        }
+        let full = head.bytes >= cx.seal_bytes && head.page.sealed.len() < MAX_SEALED;
+        if let Some(revision) = head.revision
+            && full
+            && !self.sealed
+        {
+            let value = wire::encode(&PageWire::from(head.page.sealed_copy())).into();
+            let key = self.key.sealed(revision);
+            let operation = Operation::Put { key, value, condition: Condition::Absent };
+            self.issue(cx, Work::Sealing(revision), operation, out);
+            return true;
+        }
+        let base = head.revision;
+        let (page, written) = self.next_page(cx, head);
+        if written.is_empty() {
+            // The page has no room until older claims expire.
+            self.refuse_for_now(cx, out);
+            return true;
+        }
+        for index in written {
+            let tried = &mut self.queue[index].tried;
+            *tried = tried.or(Some(Tried { base, open: true }));
+        }
+        let value = wire::encode(&PageWire::from(page.clone()));
+        let bytes = value.len();
+        let condition = base.map_or(Condition::Absent, Condition::Revision);
+        let operation = Operation::Put { key: self.key.head(), value: value.into(), condition };
+        self.issue(cx, Work::Writing { page, bytes }, operation, out);
+        true
+    }
+
+    fn wants_write(&self, cx: &Context, page: &Page) -> bool {
+        self.queue.iter().any(|waiting| match self.find(page, &waiting.item.key) {
+            Found::Record(record) => {
+                let judgement = judge(&waiting.item, record, cx.wall, cx.retention);
+                matches!(judgement, Judgement::Write(_))
+            }
+            Found::InSealed(_) => false,
+        })
+    }
+
+    /// Makes the page that follows `head`, and names the items that it takes in.
+    fn next_page(&self, cx: &Context, head: &Head) -> (Page, Vec<usize>) {
+        let mut page = match head.revision {
+            Some(revision) if self.sealed => head.page.after_sealing(revision),
+            _ => head.page.clone(),
+        };
+        page.expire(cx.wall, cx.retention);
+        let mut written = Vec::new();
+        let held = if self.sealed { 0 } else { head.bytes };
+        let mut room = MAX_HEAD_BYTES.saturating_sub(held);
+        for (index, waiting) in self.queue.iter().enumerate() {
+            let Found::Record(record) = self.find(&page, &waiting.item.key) else { continue };
+            let Judgement::Write(record) = judge(&waiting.item, record, cx.wall, cx.retention)
+            else {
+                continue;
+            };
+            let bytes = record_bytes(&waiting.item);
+            if bytes > room || written.len() >= MAX_BATCH {
+                break;
+            }
+            room -= bytes;
+            page.records.insert(waiting.item.key.clone(), record);
+            written.push(index);
+        }
+        (page, written)
+    }
+}
+
+/// Returns an upper bound of the bytes that an item adds to its page.
+fn record_bytes(item: &Item) -> usize {
+    const FIXED_BYTES: usize = 160;
+    let answer = match &item.wish {
+        Wish::Keep(answer) => {
+            answer.content_type.len() + answer.body.as_ref().map_or(0, Bytes::len)
+        }
+        Wish::Claim | Wish::Release => 0,
+    };
+    let names = item.id.daemon.as_str().len() + item.request.as_str().len();
+    FIXED_BYTES + names + item.key.len() + answer
+}
+
+fn damaged(key: &ObjectKey, error: &wire::WireError, out: &mut Vec<Effect>) {
+    out.push(Effect::Refused(format!("claims page {key} is damaged: {error}").into()));
+}
--- /dev/null
+++ b/lib/src/claim/wire.rs
@@ -0,0 +1,230 @@
+//! The forms in which claims travel and are stored, as CBOR.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    claim::{
+        ClaimId, StoredAnswer,
+        item::{Item, ItemAnswer, Wish},
+        page::{Page, Record, RecordState, SealedRef},
+    },
+    declaration::wire::WireError,
+    ids::{DaemonId, Incarnation, RequestId, Revision, ServiceName},
+    units::WallTime,
+};
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct IdWire(DaemonId, Incarnation, u64);
+
+impl From<ClaimId> for IdWire {
+    fn from(id: ClaimId) -> Self {
+        Self(id.daemon, id.incarnation, id.number)
+    }
+}
+
+impl From<IdWire> for ClaimId {
+    fn from(IdWire(daemon, incarnation, number): IdWire) -> Self {
+        Self { daemon, incarnation, number }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct AnswerWire(u16, Box<str>, Option<serde_bytes::ByteBuf>);
+
+impl From<StoredAnswer> for AnswerWire {
+    fn from(answer: StoredAnswer) -> Self {
+        let body = answer.body.map(|body| serde_bytes::ByteBuf::from(body.to_vec()));
+        Self(answer.status, answer.content_type, body)
+    }
+}
+
+impl From<AnswerWire> for StoredAnswer {
+    fn from(AnswerWire(status, content_type, body): AnswerWire) -> Self {
+        Self { status, content_type, body: body.map(|body| Bytes::from(body.into_vec())) }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum StateWire {
+    #[serde(rename = "c")]
+    Claimed,
+    #[serde(rename = "r")]
+    Ran(AnswerWire),
+    #[serde(rename = "x")]
+    Released,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct RecordWire {
+    #[serde(rename = "k")]
+    key: Box<str>,
+    #[serde(rename = "i")]
+    id: IdWire,
+    #[serde(rename = "q")]
+    request: RequestId,
+    #[serde(rename = "d", with = "serde_bytes")]
+    digest: [u8; 32],
+    #[serde(rename = "t")]
+    at: WallTime,
+    #[serde(rename = "s")]
+    state: StateWire,
+}
+
+impl From<(Box<str>, Record)> for RecordWire {
+    fn from((key, record): (Box<str>, Record)) -> Self {
+        let state = match record.state {
+            RecordState::Claimed => StateWire::Claimed,
+            RecordState::Ran(answer) => StateWire::Ran(answer.into()),
+            RecordState::Released => StateWire::Released,
+        };
+        let Record { id, request, digest, at, .. } = record;
+        Self { key, id: id.into(), request, digest, at, state }
+    }
+}
+
+impl From<RecordWire> for (Box<str>, Record) {
+    fn from(wire: RecordWire) -> Self {
+        let state = match wire.state {
+            StateWire::Claimed => RecordState::Claimed,
+            StateWire::Ran(answer) => RecordState::Ran(answer.into()),
+            StateWire::Released => RecordState::Released,
+        };
+        let RecordWire { key, id, request, digest, at, .. } = wire;
+        (key, Record { id: id.into(), request, digest, at, state })
+    }
+}
+
+/// A page as it is stored.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PageWire {
+    #[serde(rename = "r")]
+    records: Vec<RecordWire>,
+    #[serde(rename = "s")]
+    sealed: Vec<(Revision, WallTime)>,
+}
+
+impl From<Page> for PageWire {
+    fn from(page: Page) -> Self {
+        let sealed = page.sealed.iter().map(|sealed| (sealed.revision, sealed.newest)).collect();
+        Self { records: page.records.into_iter().map(Into::into).collect(), sealed }
+    }
+}
+
+impl From<PageWire> for Page {
+    fn from(wire: PageWire) -> Self {
+        let sealed = wire.sealed.into_iter();
+        let sealed = sealed.map(|(revision, newest)| SealedRef { revision, newest }).collect();
+        Self { records: wire.records.into_iter().map(Into::into).collect(), sealed }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum WishWire {
+    #[serde(rename = "c")]
+    Claim,
+    #[serde(rename = "k")]
+    Keep(AnswerWire),
+    #[serde(rename = "x")]
+    Release,
+}
+
+/// An [`Item`] as it travels.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemWire {
+    #[serde(rename = "i")]
+    id: IdWire,
+    #[serde(rename = "s")]
+    service: ServiceName,
+    #[serde(rename = "k")]
+    key: Box<str>,
+    #[serde(rename = "d", with = "serde_bytes")]
+    digest: [u8; 32],
+    #[serde(rename = "q")]
+    request: RequestId,
+    #[serde(rename = "w")]
+    wish: WishWire,
+}
+
+impl From<Item> for ItemWire {
+    fn from(item: Item) -> Self {
+        let wish = match item.wish {
+            Wish::Claim => WishWire::Claim,
+            Wish::Keep(answer) => WishWire::Keep(answer.into()),
+            Wish::Release => WishWire::Release,
+        };
+        let Item { id, service, key, digest, request, .. } = item;
+        Self { id: id.into(), service, key, digest, request, wish }
+    }
+}
+
+impl TryFrom<ItemWire> for Item {
+    type Error = WireError;
+
+    fn try_from(wire: ItemWire) -> Result<Self, WireError> {
+        let wish = match wire.wish {
+            WishWire::Claim => Wish::Claim,
+            WishWire::Keep(answer) => Wish::Keep(super::item::bounded(answer.into())),
+            WishWire::Release => Wish::Release,
+        };
+        let ItemWire { id, service, key, digest, request, .. } = wire;
+        if key.len() > super::item::MAX_KEY_BYTES {
+            return Err(WireError::Malformed("the claim's key is too long".into()));
+        }
+        Ok(Self { id: id.into(), service, key, digest, request, wish })
+    }
+}
+
+/// An [`ItemAnswer`] with the ask that it answers, as it travels.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemAnswerWire(IdWire, OutcomeWire);
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum OutcomeWire {
+    #[serde(rename = "g")]
+    Granted,
+    #[serde(rename = "s")]
+    Stored(AnswerWire),
+    #[serde(rename = "u")]
+    Unresolved,
+    #[serde(rename = "o")]
+    OtherCall,
+    #[serde(rename = "d")]
+    Done,
+    #[serde(rename = "f")]
+    Failed(u64, bool),
+}
+
+impl From<(ClaimId, ItemAnswer)> for ItemAnswerWire {
+    fn from((id, answer): (ClaimId, ItemAnswer)) -> Self {
+        let outcome = match answer {
+            ItemAnswer::Granted => OutcomeWire::Granted,
+            ItemAnswer::Stored(answer) => OutcomeWire::Stored(answer.into()),
+            ItemAnswer::Unresolved => OutcomeWire::Unresolved,
+            ItemAnswer::OtherCall => OutcomeWire::OtherCall,
+            ItemAnswer::Done => OutcomeWire::Done,
+            ItemAnswer::Failed { retry_after, may_stand } => {
+                OutcomeWire::Failed(retry_after.as_millis() as u64, may_stand)
+            }
+        };
+        Self(id.into(), outcome)
+    }
+}
+
+impl From<ItemAnswerWire> for (ClaimId, ItemAnswer) {
+    fn from(ItemAnswerWire(id, outcome): ItemAnswerWire) -> Self {
+        let answer = match outcome {
+            OutcomeWire::Granted => ItemAnswer::Granted,
+            OutcomeWire::Stored(answer) => ItemAnswer::Stored(answer.into()),
+            OutcomeWire::Unresolved => ItemAnswer::Unresolved,
+            OutcomeWire::OtherCall => ItemAnswer::OtherCall,
+            OutcomeWire::Done => ItemAnswer::Done,
+            OutcomeWire::Failed(millis, may_stand) => {
+                ItemAnswer::Failed { retry_after: Duration::from_millis(millis), may_stand }
+            }
+        };
+        (id.into(), answer)
+    }
+}
--- /dev/null
+++ b/lib/src/node/claims.rs
@@ -0,0 +1,66 @@
+//! Joins the claims to the other slices of the control part.
+
+use crate::{
+    claim::{
+        ClaimAnswer, ClaimAsk,
+        claims::{Claims, Config, Effect, Event},
+    },
+    declaration::{DeclarationSet, RepeatRule},
+    ids::{DaemonId, Incarnation, ServiceName},
+    node::{
+        control::{CLAIM_RETRY, Control, Output, Owner},
+        message::PeerMessage,
+    },
+    peer::Recipient,
+    units::Time,
+};
+
+impl Control {
+    pub(super) fn begin_claims(&mut self, now: Time, daemon: DaemonId, incarnation: Incarnation) {
+        let mut claims = Claims::new(Config::default(), daemon, incarnation);
+        let wall = self.wall(now);
+        let services = services_with_claims(&self.snapshot.set);
+        claims.handle(now, wall, Event::Services(services), &mut Vec::new());
+        self.claims = Some(claims);
+    }
+
+    /// Gives an event to the claims; asks of a daemon that has no name yet are refused.
+    pub(super) fn claims(&mut self, now: Time, event: Event, out: &mut Vec<Output>) {
+        let wall = self.wall(now);
+        let mut effects = Vec::new();
+        match (&mut self.claims, event) {
+            (Some(claims), event) => claims.handle(now, wall, event, &mut effects),
+            (None, Event::Ask(ask)) => out.push(refused(ask)),
+            (None, _) => {}
+        }
+        for effect in effects {
+            out.push(match effect {
+                Effect::Call(call, priority, operation) => {
+                    Output::Call { owner: Owner::Claims, call, priority, operation }
+                }
+                Effect::Answered(request, answer) => Output::ClaimAnswered(request, answer),
+                Effect::Send(daemon, message) => {
+                    Output::Send(Recipient::Daemon(daemon), PeerMessage::Claim(message))
+                }
+                Effect::Refused(reason) => Output::Refused(reason),
+            });
+        }
+    }
+
+    pub(super) fn services_changed(&mut self, now: Time, out: &mut Vec<Output>) {
+        let services = services_with_claims(&self.snapshot.set);
+        self.claims(now, Event::Services(services), out);
+    }
+}
+
+fn refused(ask: ClaimAsk) -> Output {
+    Output::ClaimAnswered(ask.request, ClaimAnswer::Unavailable { retry_after: CLAIM_RETRY })
+}
+
+fn services_with_claims(set: &DeclarationSet) -> Box<[ServiceName]> {
+    let claimed = set.services.iter().filter(|(_, service)| {
+        let mut rules = service.repeat_by_method.values().chain([&service.repeat]);
+        rules.any(|&rule| rule == RepeatRule::Never)
+    });
+    claimed.map(|(name, _)| name.clone()).collect()
+}
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -4,9 +4,12 @@
 
 use crate::{
     audit,
-    claim::{ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket},
+    claim::{
+        ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket,
+        claims::{self, Claims},
+    },
     declaration::in_force::{self, InForce},
-    ids::{CallId, DaemonId, RequestId},
+    ids::{CallId, DaemonId, Incarnation, RequestId},
     node::{message::PeerMessage, report::AttemptReport, snapshot::Snapshot},
     peer::Recipient,
     platform::{CallError, Operation, Priority, Reply},
@@ -15,7 +18,7 @@
 };
 
 /// When a caller may ask again after a claim that could not be written.
-const CLAIM_RETRY: Duration = Duration::from_secs(1);
+pub(super) const CLAIM_RETRY: Duration = Duration::from_secs(1);
 
 /// Tells which slice asked for a call to the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -24,6 +27,8 @@
     InForce,
     /// [`hosts`].
     Hosts,
+    /// [`claims`].
+    Claims,
 }
 
 /// What the control part is told.
@@ -45,6 +50,8 @@
     Attempt(Box<AttemptReport>),
     /// A peer has sent a message.
     Peer(DaemonId, PeerMessage),
+    /// This is the daemon and its run; told before `Started`.
+    Identity(DaemonId, Incarnation),
     /// The wall clock shows this time now; told before `Started` and at least once a minute.
     Clock(WallTime),
 }
@@ -80,8 +87,9 @@
 pub struct Control {
     in_force: InForce,
     hosts: HostList,
-    snapshot: Snapshot,
+    pub(super) snapshot: Snapshot,
     clock: (Time, WallTime),
+    pub(super) claims: Option<Claims>,
 }
 
 impl Control {
@@ -92,7 +100,8 @@
 
     /// Returns when [`Input::Woken`] is wanted.
     pub fn next_wakeup(&self) -> Option<Time> {
-        [self.in_force.next_wakeup(), self.hosts.next_wakeup()].into_iter().flatten().min()
+        let claims = self.claims.as_ref().and_then(Claims::next_wakeup);
+        [self.in_force.next_wakeup(), self.hosts.next_wakeup(), claims].into_iter().flatten().min()
     }
 
     /// Takes an input and adds the outputs that follow from it.
@@ -111,18 +120,25 @@
             Input::Woken => {
                 self.in_force(now, in_force::Event::Woken, out);
                 self.hosts(now, hosts::Event::Woken, out);
+                self.claims(now, claims::Event::Woken, out);
             }
             Input::Drain => {
                 self.snapshot.draining = true;
                 self.publish(out);
             }
-            Input::Claim(ask) => {
-                let retry_after = CLAIM_RETRY;
-                let answer = ClaimAnswer::Unavailable { retry_after };
-                out.push(Output::ClaimAnswered(ask.request, answer));
+            Input::Called(Owner::Claims, call, result) => {
+                self.claims(now, claims::Event::Called(call, result), out);
+            }
+            Input::Claim(ask) => self.claims(now, claims::Event::Ask(ask), out),
+            Input::ClaimEnded(ticket, end) => {
+                self.claims(now, claims::Event::Ended(ticket, end), out);
+            }
+            Input::Peer(from, PeerMessage::Claim(message)) => {
+                self.claims(now, claims::Event::Peer(from, message), out);
             }
+            Input::Identity(daemon, incarnation) => self.begin_claims(now, daemon, incarnation),
             Input::Clock(wall) => self.clock = (now, wall),
-            Input::ClaimEnded(..) | Input::Attempt(_) | Input::Peer(..) => {}
+            Input::Attempt(_) | Input::Peer(..) => {}
         }
     }
 
@@ -154,6 +170,7 @@
                     self.snapshot.set = set;
                     self.snapshot.informed = true;
                     self.publish(out);
+                    self.services_changed(now, out);
                 }
                 in_force::Effect::Refused(reason) => out.push(Output::Refused(reason)),
             }
--- a/lib/src/node/message.rs
+++ b/lib/src/node/message.rs
@@ -10,6 +10,8 @@
 /// A message from one daemon to another.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PeerMessage {
+    /// Carries claims to the daemon that writes them, and its answers.
+    Claim(crate::claim::message::Message),
     /// Tells that a host is leaving; flooded to all daemons.
     Leaving(crate::upstream::message::Message),
 }
@@ -20,7 +22,7 @@
     /// Only statistics may be dropped; nothing that a promise rests on.
     pub fn droppable(&self) -> bool {
         match self {
-            Self::Leaving(_) => false,
+            Self::Claim(_) | Self::Leaving(_) => false,
         }
     }
 }
@@ -28,6 +30,9 @@
 /// A [`PeerMessage`] as it travels, in CBOR.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessageWire {
+    /// See [`PeerMessage::Claim`].
+    #[serde(rename = "c")]
+    Claim(crate::claim::message::MessageWire),
     /// See [`PeerMessage::Leaving`].
     #[serde(rename = "u")]
     Leaving(crate::upstream::message::MessageWire),
@@ -36,6 +41,7 @@
 impl From<PeerMessage> for PeerMessageWire {
     fn from(message: PeerMessage) -> Self {
         match message {
+            PeerMessage::Claim(message) => Self::Claim(message.into()),
             PeerMessage::Leaving(message) => Self::Leaving(message.into()),
         }
     }
@@ -46,6 +52,7 @@
 
     fn try_from(wire: PeerMessageWire) -> Result<Self, WireError> {
         Ok(match wire {
+            PeerMessageWire::Claim(wire) => Self::Claim(wire.try_into()?),
             PeerMessageWire::Leaving(wire) => Self::Leaving(wire.try_into()?),
         })
     }
--- /dev/null
+++ b/lib/src/platform/budget.rs
@@ -0,0 +1,51 @@
+//! A token bucket that bounds how often the platform is called.
+
+use std::time::Duration;
+
+use crate::units::Time;
+
+const MICROS_PER_SECOND: f64 = 1e6;
+/// The longest time between two calls, when the rate is close to nothing.
+const LONGEST_INTERVAL: Duration = Duration::from_mins(1);
+
+/// A token bucket, kept as the time at which the next call would be due at an even pace.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Budget {
+    interval: Duration,
+    burst: u32,
+    due: Time,
+}
+
+impl Budget {
+    /// Makes a full bucket that allows `per_second` calls and `burst` of them at once.
+    pub fn new(per_second: f64, burst: u32) -> Self {
+        let mut budget = Self { interval: Duration::ZERO, burst: burst.max(1), due: Time(0) };
+        budget.set_rate(per_second);
+        budget
+    }
+
+    /// Changes the rate; what was taken stays taken.
+    pub fn set_rate(&mut self, per_second: f64) {
+        let micros = MICROS_PER_SECOND / per_second.max(f64::MIN_POSITIVE);
+        self.interval = Duration::from_micros(micros.min(1e12) as u64).min(LONGEST_INTERVAL);
+    }
+
+    /// Returns the time between two calls at an even pace.
+    pub fn interval(&self) -> Duration {
+        self.interval
+    }
+
+    /// Returns the earliest time at which [`Budget::take`] succeeds.
+    pub fn next(&self) -> Time {
+        self.due - self.interval * (self.burst - 1)
+    }
+
+    /// Takes one call out of the bucket, if it has one.
+    pub fn take(&mut self, now: Time) -> bool {
+        if self.next() > now {
+            return false;
+        }
+        self.due = self.due.max(now) + self.interval;
+        true
+    }
+}
--- /dev/null
+++ b/lib/tests/claims.rs
@@ -0,0 +1,190 @@
+//! Claims under each failure that they target, one at a time.
+
+mod support {
+    pub mod claims;
+}
+
+use std::time::Duration;
+
+use dogwoodturn::claim::{ClaimAnswer, claims::Config};
+
+use support::claims::{Fate, Fleet, Run, answer_of};
+
+fn alone() -> Fleet {
+    Fleet::new(1, Config::default(), false)
+}
+
+fn pair() -> Fleet {
+    Fleet::new(2, Config::default(), false)
+}
+
+#[test]
+fn claim_granted_once() {
+    let mut fleet = alone();
+    let first = fleet.ask(0, "k");
+    fleet.settle();
+    let second = fleet.ask(0, "k");
+    fleet.settle();
+    assert!(matches!(fleet.answers[&first], ClaimAnswer::Granted(_)));
+    assert_eq!(fleet.answers[&second], ClaimAnswer::Unresolved);
+}
+
+#[test]
+fn claim_repeated_call_gets_the_stored_answer_at_any_daemon() {
+    let mut fleet = pair();
+    fleet.ask(0, "k");
+    fleet.settle();
+    fleet.run(0, Run::Answers);
+    fleet.settle();
+    let again = fleet.ask(1, "k");
+    fleet.settle();
+    assert_eq!(fleet.answers[&again], ClaimAnswer::Stored(answer_of("k")));
+}
+
+#[test]
+fn claim_lost_answer_is_settled_by_reading() {
+    let mut fleet = alone();
+    let request = fleet.ask(0, "k");
+    fleet.end_call(0, Fate::Answered);
+    fleet.end_call(0, Fate::AnswerLost);
+    fleet.settle();
+    assert!(matches!(fleet.answers[&request], ClaimAnswer::Granted(_)));
+    assert_eq!(fleet.writes, 1);
+}
+
+#[test]
+fn claim_lost_answer_with_resend_through_another_daemon_runs_once() {
+    let mut fleet = pair();
+    let first = fleet.ask(0, "k");
+    fleet.end_call(0, Fate::Answered);
+    fleet.end_call(0, Fate::AnswerLost);
+    let second = fleet.ask(1, "k");
+    fleet.settle();
+    assert!(matches!(fleet.answers[&first], ClaimAnswer::Granted(_)));
+    assert_eq!(fleet.answers[&second], ClaimAnswer::Unresolved);
+    assert_eq!(fleet.grants.len(), 1);
+}
+
+#[test]
+fn claim_two_daemons_race_for_one_key() {
+    let mut fleet = pair();
+    fleet.ask(0, "k");
+    fleet.ask(1, "k");
+    fleet.end_call(0, Fate::Answered);
+    fleet.end_call(0, Fate::Answered);
+    fleet.settle();
+    assert_eq!(fleet.grants.len(), 1);
+}
+
+#[test]
+fn claim_late_write_after_refusal_is_fenced_by_the_release() {
+    let mut fleet = alone();
+    let first = fleet.ask(0, "k");
+    fleet.end_call(0, Fate::Answered);
+    fleet.end_call(0, Fate::Late);
+    fleet.end_call(0, Fate::Unavailable);
+    assert!(matches!(fleet.answers[&first], ClaimAnswer::Unavailable { .. }));
+    fleet.settle();
+    fleet.take_effect(0);
+    let again = fleet.ask(0, "k");
+    fleet.settle();
+    assert!(matches!(fleet.answers[&again], ClaimAnswer::Granted(_)), "{:?}", fleet.answers);
+}
+
+#[test]
+fn claim_daemon_lost_between_claim_and_dispatch_is_unresolved() {
+    let mut fleet = pair();
+    fleet.ask(0, "k");
+    fleet.settle();
+    fleet.replace(0, false);
+    for daemon in 0..2 {
+        let again = fleet.ask(daemon, "k");
+        fleet.settle();
+        assert_eq!(fleet.answers[&again], ClaimAnswer::Unresolved);
+    }
+}
+
+#[test]
+fn claim_released_on_proof_only() {
+    let mut fleet = pair();
+    fleet.ask(0, "k");
+    fleet.settle();
+    fleet.run(0, Run::Refuses);
+    fleet.settle();
+    let again = fleet.ask(1, "k");
+    fleet.settle();
+    assert!(matches!(fleet.answers[&again], ClaimAnswer::Granted(_)));
+    fleet.run(0, Run::AnswerLost);
+    fleet.settle();
+    let last = fleet.ask(0, "k");
+    fleet.settle();
+    assert_eq!(fleet.answers[&last], ClaimAnswer::Unresolved);
+}
+
+#[test]
+fn claim_outage_is_refused_at_once() {
+    let mut fleet = alone();
+    let first = fleet.ask(0, "k");
+    fleet.end_call(0, Fate::Unavailable);
+    let second = fleet.ask(0, "k");
+    assert!(fleet.calls.is_empty(), "no call is spent while the platform is known to be down");
+    for request in [first, second] {
+        assert!(matches!(fleet.answers[&request], ClaimAnswer::Unavailable { .. }));
+    }
+    assert!(fleet.runs.is_empty());
+}
+
+#[test]
+fn claim_sealed_page_still_answers() {
+    let cfg = Config { seal_bytes: 600, ..Config::default() };
+    let mut fleet = Fleet::new(1, cfg, false);
+    for key in 0..200 {
+        fleet.ask(0, &format!("k{key}"));
+        fleet.settle();
+        fleet.run(0, Run::Answers);
+        fleet.settle();
+    }
+    fleet.replace(0, false);
+    for key in 0..200 {
+        let again = fleet.ask(0, &format!("k{key}"));
+        fleet.settle();
+        let expected = answer_of(&format!("k{key}"));
+        assert_eq!(fleet.answers[&again], ClaimAnswer::Stored(expected));
+    }
+    assert!(fleet.store.revision().0 > 400);
+}
+
+#[test]
+fn claim_gathered_by_one_daemon_shares_writes() {
+    let mut fleet = Fleet::new(4, Config::default(), true);
+    for ask in 0..400 {
+        fleet.ask(ask % 4, &format!("k{ask}"));
+    }
+    fleet.settle();
+    assert_eq!(fleet.grants.len(), 400);
+    assert!(fleet.writes <= 40, "{} writes", fleet.writes);
+}
+
+#[test]
+fn claim_unreachable_gatherer_is_passed_over() {
+    let mut fleet = Fleet::new(2, Config::default(), true);
+    let requests: Vec<_> = (0..40).map(|ask| fleet.ask(0, &format!("k{ask}"))).collect();
+    fleet.flights.clear();
+    fleet.settle();
+    for request in requests {
+        assert!(matches!(fleet.answers[&request], ClaimAnswer::Granted(_)));
+    }
+}
+
+#[test]
+fn claim_past_retention_is_collected() {
+    let mut fleet = alone();
+    fleet.ask(0, "k");
+    fleet.settle();
+    fleet.run(0, Run::Answers);
+    fleet.settle();
+    fleet.pass(Config::default().retention + Duration::from_secs(1));
+    let again = fleet.ask(0, "k");
+    fleet.settle();
+    assert!(matches!(fleet.answers[&again], ClaimAnswer::Granted(_)));
+}
--- /dev/null
+++ b/lib/tests/support/claims.rs
@@ -0,0 +1,314 @@
+//! Several daemons' claims over one store, with the faults of the platform and of the network.
+
+#![allow(dead_code)] // Each test file uses a part of it.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use dogwoodturn::{
+    claim::{
+        ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket, StoredAnswer,
+        claims::{Claims, Config, Effect, Event},
+        message::Message,
+    },
+    ids::{CallId, DaemonId, Incarnation, RequestId, ServiceName},
+    peer::Member,
+    platform::{CallError, Operation, memory::MemoryStore},
+    units::{Time, WallTime},
+};
+
+/// The wall time at which every run begins.
+const BEGIN: WallTime = WallTime(1_700_000_000_000);
+
+/// What happens to a call to the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Fate {
+    /// It takes effect and its answer arrives.
+    Answered,
+    /// It takes effect and its answer is lost.
+    AnswerLost,
+    /// It never takes effect and no answer comes.
+    CallLost,
+    /// No answer comes, and it takes effect later.
+    Late,
+    /// The platform refuses it.
+    Unavailable,
+}
+
+/// A call that has not ended.
+#[derive(Clone, Debug)]
+pub struct OpenCall {
+    pub daemon: usize,
+    pub incarnation: u64,
+    pub call: CallId,
+    pub operation: Operation,
+}
+
+/// A message under way.
+#[derive(Clone, Debug)]
+pub struct Flight {
+    pub from: usize,
+    pub to: usize,
+    pub message: Message,
+}
+
+/// A granted call that has not ended.
+#[derive(Clone, Debug)]
+pub struct Grant {
+    pub daemon: usize,
+    pub incarnation: u64,
+    pub ticket: ClaimTicket,
+}
+
+/// How a granted call goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Run {
+    /// The upstream runs it and answers.
+    Answers,
+    /// The upstream runs it and the answer is lost.
+    AnswerLost,
+    /// The upstream proves that it did not run it.
+    Refuses,
+}
+
+/// The daemons, the store between them, and what the upstream saw.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    pub cfg: Config,
+    pub store: MemoryStore,
+    pub daemons: Vec<Claims>,
+    pub incarnations: Vec<u64>,
+    pub now: Time,
+    pub calls: Vec<OpenCall>,
+    pub late: Vec<Operation>,
+    pub flights: Vec<Flight>,
+    pub grants: Vec<Grant>,
+    pub asked: u64,
+    pub answers: BTreeMap<RequestId, ClaimAnswer>,
+    pub keys: BTreeMap<RequestId, Box<str>>,
+    pub runs: BTreeMap<Box<str>, u32>,
+    pub writes: u64,
+    pub reads: u64,
+}
+
+impl Fleet {
+    pub fn new(daemons: usize, cfg: Config, shared: bool) -> Self {
+        let incarnations = vec![1; daemons];
+        let mut fleet = Self {
+            daemons: (0..daemons)
+                .map(|d| Claims::new(cfg.clone(), name(d), Incarnation(1)))
+                .collect(),
+            cfg,
+            store: MemoryStore::new(),
+            incarnations,
+            now: Time(0),
+            calls: Vec::new(),
+            late: Vec::new(),
+            flights: Vec::new(),
+            grants: Vec::new(),
+            asked: 0,
+            answers: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            writes: 0,
+            reads: 0,
+        };
+        for daemon in 0..daemons {
+            fleet.greet(daemon, shared);
+        }
+        fleet
+    }
+
+    /// Tells a daemon its peers; without them it gathers every shard itself.
+    pub fn greet(&mut self, daemon: usize, shared: bool) {
+        let members = (0..self.daemons.len()).filter(|&other| shared || other == daemon);
+        let members: Arc<[Member]> = members.map(|d| member(d, self.incarnations[d])).collect();
+        self.give(daemon, Event::Members(members));
+        self.give(daemon, Event::Services([service()].into()));
+    }
+
+    pub fn wall(&self) -> WallTime {
+        BEGIN + self.now.since(Time(0))
+    }
+
+    pub fn give(&mut self, daemon: usize, event: Event) {
+        let mut effects = Vec::new();
+        let wall = self.wall();
+        self.daemons[daemon].handle(self.now, wall, event, &mut effects);
+        for effect in effects {
+            self.carry_out(daemon, effect);
+        }
+    }
+
+    fn carry_out(&mut self, daemon: usize, effect: Effect) {
+        let incarnation = self.incarnations[daemon];
+        match effect {
+            Effect::Call(call, _, operation) => {
+                self.calls.push(OpenCall { daemon, incarnation, call, operation });
+            }
+            Effect::Answered(request, answer) => {
+                if let ClaimAnswer::Granted(ticket) = &answer {
+                    self.grants.push(Grant { daemon, incarnation, ticket: ticket.clone() });
+                }
+                if let ClaimAnswer::Stored(stored) = &answer {
+                    assert_eq!(
+                        *stored,
+                        answer_of(&self.keys[&request]),
+                        "the answer of another key"
+                    );
+                    let runs = self.runs.get(&self.keys[&request]);
+                    assert_eq!(runs, Some(&1), "an answer is stored of a call that did not run");
+                }
+                let before = self.answers.insert(request.clone(), answer);
+                assert_eq!(before, None, "{request} is answered twice");
+            }
+            Effect::Send(to, message) => {
+                let to = (0..self.daemons.len()).find(|&d| name(d) == to).expect("a known daemon");
+                self.flights.push(Flight { from: daemon, to, message });
+            }
+            Effect::Refused(reason) => panic!("{reason}"),
+        }
+    }
+
+    /// A caller sends a call with this key; each time it is a new request.
+    pub fn ask(&mut self, daemon: usize, key: &str) -> RequestId {
+        self.asked += 1;
+        let request: RequestId = format!("r{}", self.asked).parse().expect("a name");
+        self.keys.insert(request.clone(), key.into());
+        let ask = ClaimAsk {
+            service: service(),
+            key: key.into(),
+            digest: [7; 32],
+            request: request.clone(),
+        };
+        self.give(daemon, Event::Ask(ask));
+        request
+    }
+
+    /// Ends an open call.
+    pub fn end_call(&mut self, index: usize, fate: Fate) {
+        let OpenCall { daemon, incarnation, call, operation } = self.calls.remove(index);
+        if operation.is_write() {
+            self.writes += 1;
+        } else {
+            self.reads += 1;
+        }
+        let result = match fate {
+            Fate::Answered => self.store.apply(&operation),
+            Fate::AnswerLost => {
+                // Whether it took effect is what the daemon must find out.
+                let _ = self.store.apply(&operation);
+                Err(CallError::Unknown)
+            }
+            Fate::CallLost => Err(CallError::Unknown),
+            Fate::Late => {
+                self.late.push(operation);
+                Err(CallError::Unknown)
+            }
+            Fate::Unavailable => Err(CallError::Unavailable),
+        };
+        if self.incarnations[daemon] == incarnation {
+            self.give(daemon, Event::Called(call, result));
+        }
+    }
+
+    /// A late write takes effect, if its condition still holds.
+    pub fn take_effect(&mut self, index: usize) {
+        let operation = self.late.remove(index);
+        let _ = self.store.apply(&operation);
+    }
+
+    /// Delivers a message, and keeps it for another delivery if it is to be repeated.
+    pub fn deliver(&mut self, index: usize, repeat: bool) {
+        let flight = self.flights[index].clone();
+        if !repeat {
+            self.flights.remove(index);
+        }
+        self.give(flight.to, Event::Peer(name(flight.from), flight.message));
+    }
+
+    /// Dispatches a granted call and reports its end.
+    pub fn run(&mut self, index: usize, run: Run) {
+        let Grant { daemon, incarnation, ticket } = self.grants.remove(index);
+        if self.incarnations[daemon] != incarnation {
+            return;
+        }
+        let key = ticket.key.clone();
+        if run != Run::Refuses {
+            *self.runs.entry(key.clone()).or_insert(0) += 1;
+        }
+        let end = match run {
+            Run::Answers => ClaimEnd::Ran(answer_of(&key)),
+            Run::AnswerLost => ClaimEnd::Unknown,
+            Run::Refuses => ClaimEnd::NotRun,
+        };
+        self.give(daemon, Event::Ended(ticket, end));
+    }
+
+    /// The daemon's host is lost and another takes its address; open calls may yet take effect.
+    pub fn replace(&mut self, daemon: usize, shared: bool) {
+        self.incarnations[daemon] += 1;
+        let incarnation = Incarnation(self.incarnations[daemon]);
+        self.daemons[daemon] = Claims::new(self.cfg.clone(), name(daemon), incarnation);
+        self.greet(daemon, shared);
+    }
+
+    /// Lets time pass, and wakes who asked to be woken by then.
+    pub fn pass(&mut self, time: Duration) {
+        self.now = self.now + time;
+        for daemon in 0..self.daemons.len() {
+            if self.daemons[daemon].next_wakeup().is_some_and(|at| at <= self.now) {
+                self.give(daemon, Event::Woken);
+            }
+        }
+    }
+
+    /// Ends every call and delivers every message without a fault until nothing happens any more.
+    pub fn settle(&mut self) {
+        for _ in 0..10_000 {
+            if !self.calls.is_empty() {
+                self.end_call(0, Fate::Answered);
+            } else if !self.flights.is_empty() {
+                self.deliver(0, false);
+            } else if let Some(at) = self.daemons.iter().filter_map(Claims::next_wakeup).min() {
+                let wait = at.since(self.now);
+                self.pass(wait);
+            } else {
+                return;
+            }
+        }
+        panic!("the daemons do not come to rest: {self:?}");
+    }
+
+    /// Fails if any key ran more than once.
+    pub fn check(&self) -> Result<(), String> {
+        match self.runs.iter().find(|&(_, &count)| count > 1) {
+            Some((key, count)) => Err(format!("key {key} ran {count} times")),
+            None => Ok(()),
+        }
+    }
+}
+
+pub fn name(daemon: usize) -> DaemonId {
+    format!("d{daemon}").parse().expect("a name")
+}
+
+pub fn service() -> ServiceName {
+    "ledger".parse().expect("a name")
+}
+
+fn member(daemon: usize, incarnation: u64) -> Member {
+    Member {
+        daemon: name(daemon),
+        incarnation: Incarnation(incarnation),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: "salish-a".parse().expect("a name"),
+        region: "salish".parse().expect("a name"),
+    }
+}
+
+/// What the upstream answers to the call of a key.
+pub fn answer_of(key: &str) -> StoredAnswer {
+    let body = Some(Bytes::from(format!("booked {key}")));
+    StoredAnswer { status: 201, content_type: "text/plain".into(), body }
+}
