--- a/lib/src/claim/claims.rs
+++ b/lib/src/claim/claims.rs
@@ -29,6 +29,8 @@
 const SHORTEST_RETRY: Duration = Duration::from_secs(1);
 /// The most ends of calls that wait to be written.
 const MAX_ENDS: usize = 10_000;
+/// The most refused asks that are remembered, in case a peer writes one late.
+const MAX_GIVEN_UP: usize = 1_000;
 /// How many writes may be made at once after a quiet time.
 const WRITE_BURST: u32 = 4;
 /// How old a head may be at a daemon that does not gather its shard, before it is read again.
@@ -103,6 +105,8 @@
     at_peer: bool,
     /// Whether a shard of this daemon has the item and has not answered it.
     at_shard: bool,
+    /// Whether a release has to be written again.
+    again: bool,
 }
 
 /// The claims of one daemon.
@@ -119,6 +123,8 @@
     call: CallId,
     pending: IndexMap<ClaimId, Pending>,
     tickets: IndexMap<ClaimTicket, ClaimId>,
+    /// Asks that this daemon has refused and never dispatches, though a peer may yet write them.
+    given_up: IndexMap<ClaimId, Item>,
     suspects: IndexMap<DaemonId, Time>,
     budget: Budget,
     turn: usize,
@@ -140,6 +146,7 @@
             call: CallId(0),
             pending: IndexMap::new(),
             tickets: IndexMap::new(),
+            given_up: IndexMap::new(),
             suspects: IndexMap::new(),
             budget,
             turn: 0,
@@ -233,8 +240,14 @@
         let suspected = self.suspects.get(&gatherer).is_some_and(|&until| until > cx.now);
         let here = gatherer == self.daemon || suspected;
         let forwarded = (!here).then(|| (gatherer.clone(), cx.now + self.cfg.forward_timeout));
-        let pending =
-            Pending { item: item.clone(), deadline, forwarded, at_peer: !here, at_shard: here };
+        let pending = Pending {
+            item: item.clone(),
+            deadline,
+            forwarded,
+            at_peer: !here,
+            at_shard: here,
+            again: false,
+        };
         self.pending.insert(item.id.clone(), pending);
         if here {
             self.push(cx, Origin::Local, item, deadline, out);
@@ -392,7 +405,9 @@
         answer: ItemAnswer,
         out: &mut Vec<Effect>,
     ) {
-        let Some(pending) = self.pending.get_mut(id) else { return };
+        let Some(pending) = self.pending.get_mut(id) else {
+            return self.late_answer(cx, id, &answer, out);
+        };
         let failed = matches!(answer, ItemAnswer::Failed { .. });
         pending.at_peer = matches!(answer, ItemAnswer::Failed { may_stand: true, .. });
         if !(failed && pending.at_shard) {
@@ -402,7 +417,13 @@
 
     /// Takes the answer to an item of this daemon; only the first one counts.
     fn answered(&mut self, cx: &Context, id: &ClaimId, answer: ItemAnswer, out: &mut Vec<Effect>) {
-        let Some(pending) = self.pending.get(id) else { return };
+        let Some(pending) = self.pending.get_mut(id) else {
+            return self.late_answer(cx, id, &answer, out);
+        };
+        if pending.item.wish == Wish::Release && answer == ItemAnswer::Granted {
+            // Written after the release was; it has to be released again.
+            pending.again = true;
+        }
         if (pending.item.wish == Wish::Claim) == (answer == ItemAnswer::Done) {
             return;
         }
@@ -410,6 +431,7 @@
         let request = pending.item.request.clone();
         let open = pending.at_peer || pending.at_shard;
         let (answer, may_stand) = match answer {
+            ItemAnswer::Done if pending.again => return self.release(cx, pending.item, out),
             ItemAnswer::Done => return,
             ItemAnswer::Granted => {
                 let ticket = ticket_of(&pending.item);
@@ -429,11 +451,31 @@
         out.push(Effect::Answered(request, answer));
     }
 
+    /// Releases a claim that a peer has written after this daemon gave it up.
+    fn late_answer(
+        &mut self,
+        cx: &Context,
+        id: &ClaimId,
+        answer: &ItemAnswer,
+        out: &mut Vec<Effect>,
+    ) {
+        if *answer == ItemAnswer::Granted
+            && let Some(item) = self.given_up.get(id).cloned()
+        {
+            self.release(cx, item, out);
+        }
+    }
+
     /// Releases a claim that this daemon gave up and never dispatches, should it stand.
     fn release(&mut self, cx: &Context, item: Item, out: &mut Vec<Effect>) {
-        if self.pending.len() < MAX_ENDS {
-            self.begin(cx, Item { wish: Wish::Release, ..item }, None, out);
+        if self.pending.len() >= MAX_ENDS {
+            return;
+        }
+        if self.given_up.len() >= MAX_GIVEN_UP {
+            self.given_up.shift_remove_index(0);
         }
+        self.given_up.insert(item.id.clone(), item.clone());
+        self.begin(cx, Item { wish: Wish::Release, ..item }, None, out);
     }
 }
 
--- a/lib/src/claim/shard.rs
+++ b/lib/src/claim/shard.rs
@@ -78,7 +78,8 @@
 struct Waiting {
     item: Item,
     origin: Origin,
-    arrived: Time,
+    /// The place of its arrival in the order of arrivals and calls.
+    arrived: u64,
     deadline: Option<Time>,
     tried: Option<Tried>,
 }
@@ -97,7 +98,10 @@
     revision: Option<Revision>,
     page: Page,
     bytes: usize,
-    confirmed: Time,
+    /// When the call that confirmed it was issued.
+    at: Time,
+    /// The place of that call in the order of arrivals and calls.
+    confirmed: u64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -123,7 +127,8 @@
     opened: Option<(Revision, Page)>,
     sealed: bool,
     work: Work,
-    issued: Time,
+    issued: (Time, u64),
+    order: u64,
     read_next: bool,
     failures: u32,
     backoff: Time,
@@ -145,7 +150,8 @@
             opened: None,
             sealed: false,
             work: Work::Idle,
-            issued: Time(0),
+            issued: (Time(0), 0),
+            order: 0,
             read_next: false,
             failures: 0,
             backoff: Time(0),
@@ -164,7 +170,7 @@
 
     /// Forgets a head last confirmed before `since`, unless a call rests on it.
     pub fn forget_head(&mut self, since: Time) {
-        let old = self.head.as_ref().is_some_and(|head| head.confirmed < since);
+        let old = self.head.as_ref().is_some_and(|head| head.at < since);
         if old && matches!(self.work, Work::Idle) {
             self.head = None;
             self.sealed = false;
@@ -200,7 +206,12 @@
             out.push(Effect::Answer(origin, item.id, answer));
             return;
         }
-        let arrived = cx.now;
+        if item.wish == Wish::Release {
+            // Its daemon no longer wants the claim; if it was written, the release finds it.
+            let withdrawn = |w: &Waiting| w.item.id == item.id && w.item.wish == Wish::Claim;
+            self.queue.retain(|waiting| !withdrawn(waiting));
+        }
+        let arrived = self.next_order();
         self.queue.push_back(Waiting { item, origin, arrived, deadline, tried: None });
     }
 
@@ -243,8 +254,8 @@
             }
             (Work::Writing { page, bytes }, Ok(Reply::Written(revision))) => {
                 self.failures = 0;
-                let confirmed = self.issued;
-                let head = Head { revision: Some(revision), page, bytes, confirmed };
+                let (at, confirmed) = self.issued;
+                let head = Head { revision: Some(revision), page, bytes, at, confirmed };
                 self.moved_to(head);
             }
             (Work::Writing { .. }, Err(CallError::Unknown | CallError::Conflict(_))) => {
@@ -258,6 +269,11 @@
         }
     }
 
+    fn next_order(&mut self) -> u64 {
+        self.order += 1;
+        self.order
+    }
+
     /// Closes the open write; `unknown` if it may still take effect.
     fn write_ended(&mut self, unknown: bool) {
         for waiting in &mut self.queue {
@@ -271,7 +287,7 @@
 
     fn issue(&mut self, cx: &Context, work: Work, operation: Operation, out: &mut Vec<Effect>) {
         self.work = work;
-        self.issued = cx.now;
+        self.issued = (cx.now, self.next_order());
         out.push(Effect::Call(operation));
     }
 
@@ -282,14 +298,15 @@
 
     fn head_read(&mut self, cx: &Context, object: Option<Object>, out: &mut Vec<Effect>) {
         self.failures = 0;
-        let confirmed = self.issued;
+        let (at, confirmed) = self.issued;
         let head = match object {
-            None => Head { revision: None, page: Page::default(), bytes: 0, confirmed },
+            None => Head { revision: None, page: Page::default(), bytes: 0, at, confirmed },
             Some(object) => match wire::decode::<PageWire>(&object.value) {
                 Ok(page) => Head {
                     revision: Some(object.revision),
                     page: page.into(),
                     bytes: object.value.len(),
+                    at,
                     confirmed,
                 },
                 Err(error) => {
@@ -424,8 +441,10 @@
                 }
             };
             match judgement {
-                // Another daemon may have kept the answer since the head was confirmed.
-                Judgement::Answer(ItemAnswer::Unresolved) if waiting.arrived > head.confirmed => {
+                // Another daemon may have changed the record since the head was confirmed.
+                Judgement::Answer(ItemAnswer::Unresolved | ItemAnswer::Done)
+                    if waiting.arrived > head.confirmed =>
+                {
                     self.read_next = true;
                     self.queue.push_back(waiting);
                 }
--- /dev/null
+++ b/lib/tests/model_claims.rs
@@ -0,0 +1,187 @@
+//! The claims' protocol in every order of calls, messages, faults and losses, to stated bounds.
+//!
+//! The model drives [`dogwoodturn::claim::claims::Claims`] itself; see `docs/design/models.md`.
+
+mod support {
+    pub mod claims;
+    pub mod explore;
+}
+
+use dogwoodturn::claim::claims::{Claims, Config};
+
+use support::{
+    claims::{Broken, Fate, Fleet, Run},
+    explore::{Explored, Model, explore},
+};
+
+const KEY: &str = "k";
+
+/// How far the exploration goes.
+#[derive(Clone, Copy, Debug)]
+struct Bounds {
+    asks: u64,
+    faults: u32,
+    losses: u32,
+    wakeups: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Action {
+    Ask { daemon: usize },
+    EndCall { index: usize, fate: Fate },
+    TakeEffect { index: usize },
+    Deliver { index: usize, repeat: bool },
+    Dispatch { index: usize, run: Run },
+    Replace { daemon: usize },
+    Wake,
+}
+
+#[derive(Clone)]
+struct ClaimModel {
+    fleet: Fleet,
+    shared: bool,
+    left: Bounds,
+}
+
+impl ClaimModel {
+    fn new(daemons: usize, shared: bool, left: Bounds, broken: Broken) -> Self {
+        let mut fleet = Fleet::new(daemons, Config::default(), shared);
+        fleet.broken = broken;
+        Self { fleet, shared, left }
+    }
+
+    fn next_wakeup(&self) -> Option<dogwoodturn::units::Time> {
+        self.fleet.daemons.iter().filter_map(Claims::next_wakeup).min()
+    }
+}
+
+impl Model for ClaimModel {
+    type Action = Action;
+
+    fn actions(&self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let daemons = 0..self.fleet.daemons.len();
+        if self.left.asks > 0 {
+            actions.extend(daemons.clone().map(|daemon| Action::Ask { daemon }));
+        }
+        for (index, call) in self.fleet.calls.iter().enumerate() {
+            actions.push(Action::EndCall { index, fate: Fate::Answered });
+            if self.left.faults > 0 && call.operation.is_write() {
+                let fates = [Fate::AnswerLost, Fate::Late, Fate::Unavailable];
+                actions.extend(fates.map(|fate| Action::EndCall { index, fate }));
+            }
+        }
+        actions.extend((0..self.fleet.late.len()).map(|index| Action::TakeEffect { index }));
+        for index in 0..self.fleet.flights.len() {
+            actions.push(Action::Deliver { index, repeat: false });
+            if self.left.faults > 0 {
+                actions.push(Action::Deliver { index, repeat: true });
+            }
+        }
+        for index in 0..self.fleet.grants.len() {
+            let runs = [Run::Answers, Run::AnswerLost, Run::Refuses];
+            actions.extend(runs.map(|run| Action::Dispatch { index, run }));
+        }
+        if self.left.losses > 0 {
+            actions.extend(daemons.map(|daemon| Action::Replace { daemon }));
+        }
+        if self.left.wakeups > 0 && self.next_wakeup().is_some() {
+            actions.push(Action::Wake);
+        }
+        actions
+    }
+
+    fn apply(&mut self, action: &Action) {
+        match *action {
+            Action::Ask { daemon } => {
+                self.left.asks -= 1;
+                self.fleet.ask(daemon, KEY);
+            }
+            Action::EndCall { index, fate } => {
+                self.left.faults -= u32::from(fate != Fate::Answered);
+                self.fleet.end_call(index, fate);
+            }
+            Action::TakeEffect { index } => self.fleet.take_effect(index),
+            Action::Deliver { index, repeat } => {
+                self.left.faults -= u32::from(repeat);
+                self.fleet.deliver(index, repeat);
+            }
+            Action::Dispatch { index, run } => self.fleet.run(index, run),
+            Action::Replace { daemon } => {
+                self.left.losses -= 1;
+                self.fleet.replace(daemon, self.shared);
+            }
+            Action::Wake => {
+                self.left.wakeups -= 1;
+                let wait = self.next_wakeup().expect("a wakeup").since(self.fleet.now);
+                self.fleet.pass(wait);
+            }
+        }
+    }
+
+    fn key(&self) -> String {
+        let Fleet { store, daemons, late, grants, runs, now, .. } = &self.fleet;
+        let calls = sorted(&self.fleet.calls);
+        let flights = sorted(&self.fleet.flights);
+        let left = self.left;
+        format!("{store:?}{daemons:?}{calls:?}{late:?}{flights:?}{grants:?}{runs:?}{now:?}{left:?}")
+    }
+
+    fn check(&self) -> Result<(), String> {
+        self.fleet.check()
+    }
+}
+
+/// Writes down what may happen in any order, so that states that differ in it only are one.
+fn sorted<T: std::fmt::Debug>(items: &[T]) -> Vec<String> {
+    let mut texts: Vec<String> = items.iter().map(|item| format!("{item:?}")).collect();
+    texts.sort();
+    texts
+}
+
+/// Two daemons that each take themselves for the gatherer, as after a partition.
+fn apart(broken: Broken) -> Explored {
+    let left = Bounds { asks: 2, faults: 1, losses: 1, wakeups: 1 };
+    explore(&ClaimModel::new(2, false, left, broken))
+}
+
+/// Two daemons of which one gathers.
+fn gathered(faults: u32, wakeups: u32) -> Explored {
+    let left = Bounds { asks: 2, faults, losses: 0, wakeups };
+    explore(&ClaimModel::new(2, true, left, Broken::Nothing))
+}
+
+#[test]
+fn claims_apart_run_at_most_once() {
+    let explored = apart(Broken::Nothing);
+    println!("{explored:?}");
+    explored.assert_sound();
+}
+
+#[test]
+fn claims_gathered_with_faults_run_at_most_once() {
+    let explored = gathered(1, 0);
+    println!("{explored:?}");
+    explored.assert_sound();
+}
+
+#[test]
+fn claims_gathered_with_late_messages_run_at_most_once() {
+    let explored = gathered(0, 1);
+    println!("{explored:?}");
+    explored.assert_sound();
+}
+
+#[test]
+fn claims_without_condition_run_twice() {
+    let (fault, trace) = apart(Broken::NoCondition).violation.expect("a violation");
+    println!("{fault}: {trace:#?}");
+    assert!(fault.ends_with("ran 2 times"));
+}
+
+#[test]
+fn claims_without_reading_after_a_lost_answer_run_twice() {
+    let (fault, trace) = apart(Broken::NoReading).violation.expect("a violation");
+    println!("{fault}: {trace:#?}");
+    assert!(fault.ends_with("ran 2 times"));
+}
--- a/lib/tests/support/claims.rs
+++ b/lib/tests/support/claims.rs
@@ -13,7 +13,7 @@
     },
     ids::{CallId, DaemonId, Incarnation, RequestId, ServiceName},
     peer::Member,
-    platform::{CallError, Operation, memory::MemoryStore},
+    platform::{CallError, Condition, Operation, Reply, memory::MemoryStore},
     units::{Time, WallTime},
 };
 
@@ -71,6 +71,18 @@
     Refuses,
 }
 
+/// A part of the protocol that is left out, to show that the checks see it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Broken {
+    /// Nothing is left out.
+    #[default]
+    Nothing,
+    /// Writes take effect whatever the object's revision is.
+    NoCondition,
+    /// A write whose answer was lost is taken to have taken effect, without reading again.
+    NoReading,
+}
+
 /// The daemons, the store between them, and what the upstream saw.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -89,6 +101,7 @@
     pub runs: BTreeMap<Box<str>, u32>,
     pub writes: u64,
     pub reads: u64,
+    pub broken: Broken,
 }
 
 impl Fleet {
@@ -112,6 +125,7 @@
             runs: BTreeMap::new(),
             writes: 0,
             reads: 0,
+            broken: Broken::default(),
         };
         for daemon in 0..daemons {
             fleet.greet(daemon, shared);
@@ -193,20 +207,26 @@
         } else {
             self.reads += 1;
         }
-        let result = match fate {
-            Fate::Answered => self.store.apply(&operation),
+        let mut result = match fate {
+            Fate::Answered => self.apply(&operation),
             Fate::AnswerLost => {
                 // Whether it took effect is what the daemon must find out.
-                let _ = self.store.apply(&operation);
+                let _ = self.apply(&operation);
                 Err(CallError::Unknown)
             }
             Fate::CallLost => Err(CallError::Unknown),
             Fate::Late => {
-                self.late.push(operation);
+                self.late.push(operation.clone());
                 Err(CallError::Unknown)
             }
             Fate::Unavailable => Err(CallError::Unavailable),
         };
+        if self.broken == Broken::NoReading
+            && operation.is_write()
+            && result == Err(CallError::Unknown)
+        {
+            result = Ok(Reply::Written(self.store.revision().next()));
+        }
         if self.incarnations[daemon] == incarnation {
             self.give(daemon, Event::Called(call, result));
         }
@@ -215,7 +235,21 @@
     /// A late write takes effect, if its condition still holds.
     pub fn take_effect(&mut self, index: usize) {
         let operation = self.late.remove(index);
-        let _ = self.store.apply(&operation);
+        let _ = self.apply(&operation);
+    }
+
+    fn apply(&mut self, operation: &Operation) -> Result<Reply, CallError> {
+        let result = self.store.apply(operation);
+        match (result, operation) {
+            (Err(CallError::Conflict(current)), Operation::Put { key, value, .. })
+                if self.broken == Broken::NoCondition =>
+            {
+                let condition = current.map_or(Condition::Absent, Condition::Revision);
+                let (key, value) = (key.clone(), value.clone());
+                self.store.apply(&Operation::Put { key, value, condition })
+            }
+            (result, _) => result,
+        }
     }
 
     /// Delivers a message, and keeps it for another delivery if it is to be repeated.
