claim: collection of records and sealed pages past their retention

Cause: sealed pages would stay in the platform for ever. Change: claim/collect.rs goes over the shards that a daemon gathers every ten minutes, one call at a time in the background: trims an idle head, and deletes sealed pages that no head lists or ever will. Its writes are debited to the write budget of claims.

--- a/lib/src/claim/claims.rs
+++ b/lib/src/claim/claims.rs
@@ -12,6 +12,7 @@
 use crate::{
     claim::{
         ClaimAnswer, ClaimAsk, ClaimEnd, ClaimId, ClaimTicket,
+        collect::Collection,
         item::{self, Item, ItemAnswer, Wish},
         message::Message,
         page::{SHARDS, ShardKey},
@@ -31,6 +32,8 @@
 const MAX_ENDS: usize = 10_000;
 /// The most refused asks that are remembered, in case a peer writes one late.
 const MAX_GIVEN_UP: usize = 1_000;
+/// How often a daemon collects what is past its retention in the shards that it gathers.
+const COLLECT_INTERVAL: Duration = Duration::from_mins(10);
 /// How many writes may be made at once after a quiet time.
 const WRITE_BURST: u32 = 4;
 /// How old a head may be at a daemon that does not gather its shard, before it is read again.
@@ -128,6 +131,8 @@
     suspects: IndexMap<DaemonId, Time>,
     budget: Budget,
     turn: usize,
+    collection: Option<(CallId, Collection)>,
+    collect_at: Time,
 }
 
 impl Claims {
@@ -150,6 +155,8 @@
             suspects: IndexMap::new(),
             budget,
             turn: 0,
+            collection: None,
+            collect_at: Time(0) + COLLECT_INTERVAL,
         }
     }
 
@@ -158,7 +165,9 @@
         let budget = self.budget.next();
         let shards = self.shards.values().filter_map(|shard| shard.next_wakeup(budget));
         let forwarded = self.pending.values().filter_map(|p| Some(p.forwarded.as_ref()?.1));
-        shards.chain(forwarded).min()
+        let collect = self.collection.is_none().then_some(self.collect_at);
+        let collect = collect.filter(|_| !self.services.is_empty());
+        shards.chain(forwarded).chain(collect).min()
     }
 
     /// Returns how many claims are granted whose calls have not ended.
@@ -203,18 +212,17 @@
         live.max_by_key(|daemon| weight(daemon)).unwrap_or(&self.daemon).clone()
     }
 
+    fn all_shards(&self) -> impl Iterator<Item = ShardKey> {
+        let of = |service: &ServiceName, number| ShardKey { service: service.clone(), number };
+        self.services.iter().flat_map(move |service| (0..SHARDS).map(move |n| of(service, n)))
+    }
+
     /// Takes this daemon's part of the writes: one for each shard that it gathers, and one for the
     /// pages that it has to write itself, of as many parts as there are shards and daemons.
     fn share_budget(&mut self) {
-        let mut shards = 0;
-        let mut gathered = 0;
-        for service in &self.services {
-            for number in 0..SHARDS {
-                let shard = ShardKey { service: service.clone(), number };
-                shards += 1;
-                gathered += usize::from(self.gatherer(&shard) == self.daemon);
-            }
-        }
+        let shards = self.services.len() * SHARDS as usize;
+        let gathered =
+            self.all_shards().filter(|shard| self.gatherer(shard) == self.daemon).count();
         let parts = shards + self.members.len().max(1);
         let part = (gathered + 1) as f64 / parts as f64;
         self.budget.set_rate(f64::from(self.cfg.writes_per_second) * part);
@@ -317,6 +325,9 @@
         result: Result<Reply, CallError>,
         out: &mut Vec<Effect>,
     ) {
+        if self.collection.as_ref().is_some_and(|(open, _)| *open == call) {
+            return self.collected(cx, result, out);
+        }
         let Some(key) = self.calls.swap_remove(&call) else { return };
         let Some(shard) = self.shards.get_mut(&key) else { return };
         let mut effects = Vec::new();
@@ -326,6 +337,10 @@
     }
 
     fn woken(&mut self, cx: &Context, out: &mut Vec<Effect>) {
+        if self.collection.is_none() && self.collect_at <= cx.now {
+            self.collect_at = cx.now + COLLECT_INTERVAL;
+            self.collect(cx, out);
+        }
         self.take_back_forwarded(cx, out);
         // Begins with another shard each time, so that all get their turn of a short budget.
         self.turn = self.turn.wrapping_add(1);
@@ -339,6 +354,38 @@
         }
     }
 
+    /// Begins a round of collection over the shards that this daemon gathers.
+    fn collect(&mut self, cx: &Context, out: &mut Vec<Effect>) {
+        let gathered: Vec<ShardKey> =
+            self.all_shards().filter(|shard| self.gatherer(shard) == self.daemon).collect();
+        let mut collection = Collection::new(gathered);
+        if let Some(operation) = collection.begin() {
+            self.collection_call(cx, collection, operation, out);
+        }
+    }
+
+    fn collected(&mut self, cx: &Context, result: Result<Reply, CallError>, out: &mut Vec<Effect>) {
+        let Some((_, mut collection)) = self.collection.take() else { return };
+        if let Some(operation) = collection.called(cx, result) {
+            self.collection_call(cx, collection, operation, out);
+        }
+    }
+
+    fn collection_call(
+        &mut self,
+        cx: &Context,
+        collection: Collection,
+        operation: Operation,
+        out: &mut Vec<Effect>,
+    ) {
+        self.call = self.call.next();
+        self.collection = Some((self.call, collection));
+        if operation.is_write() {
+            self.budget.debit(cx.now);
+        }
+        out.push(Effect::Call(self.call, Priority::Background, operation));
+    }
+
     /// Writes here what the daemon that gathers the shard has not answered in time.
     fn take_back_forwarded(&mut self, cx: &Context, out: &mut Vec<Effect>) {
         let mut items = Vec::new();
--- a/lib/src/claim/mod.rs
+++ b/lib/src/claim/mod.rs
@@ -4,6 +4,7 @@
 //! [`ClaimAnswer::Granted`] permits the one dispatch. See `docs/design/claims.md`.
 
 pub mod claims;
+pub mod collect;
 pub mod item;
 pub mod message;
 pub mod page;
--- a/lib/src/platform/budget.rs
+++ b/lib/src/platform/budget.rs
@@ -45,7 +45,12 @@
         if self.next() > now {
             return false;
         }
-        self.due = self.due.max(now) + self.interval;
+        self.debit(now);
         true
     }
+
+    /// Takes one call out of the bucket even if it has none, so that later calls wait longer.
+    pub fn debit(&mut self, now: Time) {
+        self.due = self.due.max(now) + self.interval;
+    }
 }
--- a/lib/tests/claims.rs
+++ b/lib/tests/claims.rs
@@ -188,3 +188,68 @@
     fleet.settle();
     assert!(matches!(fleet.answers[&again], ClaimAnswer::Granted(_)));
 }
+
+#[test]
+fn claim_sealed_pages_past_retention_are_collected() {
+    let cfg = Config { seal_bytes: 600, ..Config::default() };
+    let mut fleet = Fleet::new(1, cfg, false);
+    for key in 0..100 {
+        fleet.ask(0, &format!("k{key}"));
+        fleet.settle();
+    }
+    let sealed = |fleet: &mut Fleet| fleet.count("/sealed/");
+    assert!(sealed(&mut fleet) > 0);
+    fleet.pass(Config::default().retention + Duration::from_mins(1));
+    fleet.settle();
+    fleet.pass(Duration::from_mins(11));
+    fleet.settle();
+    assert_eq!(sealed(&mut fleet), 0);
+}
+
+#[test]
+fn claim_sealed_page_within_retention_survives_collection() {
+    let cfg = Config { seal_bytes: 600, ..Config::default() };
+    let mut fleet = Fleet::new(1, cfg, false);
+    for key in 0..100 {
+        fleet.ask(0, &format!("k{key}"));
+        fleet.settle();
+    }
+    let sealed = fleet.count("/sealed/");
+    assert!(sealed > 0);
+    fleet.pass(Duration::from_mins(11));
+    fleet.settle();
+    assert_eq!(fleet.count("/sealed/"), sealed);
+    for key in 0..100 {
+        let again = fleet.ask(0, &format!("k{key}"));
+        fleet.settle();
+        assert_eq!(fleet.answers[&again], ClaimAnswer::Unresolved);
+    }
+}
+
+#[test]
+fn claim_write_rate_stays_within_the_setting() {
+    const WRITES_PER_SECOND: u64 = 50;
+    let cfg = Config { writes_per_second: WRITES_PER_SECOND as u32, ..Config::default() };
+    let mut fleet = Fleet::new(5, cfg, true);
+    let mut asked = 0;
+    for _ in 0..2_000 {
+        for daemon in 0..5 {
+            asked += 1;
+            fleet.ask(daemon, &format!("k{asked}"));
+        }
+        while !fleet.calls.is_empty() || !fleet.flights.is_empty() {
+            if fleet.calls.is_empty() {
+                fleet.deliver(0, false);
+            } else {
+                fleet.end_call(0, Fate::Answered);
+            }
+        }
+        fleet.pass(Duration::from_millis(5));
+    }
+    let seconds = 10;
+    let burst = 5 * 4;
+    assert!(fleet.writes <= WRITES_PER_SECOND * seconds + burst, "{} writes", fleet.writes);
+    let refused = fleet.answers.values().filter(|a| matches!(a, ClaimAnswer::Unavailable { .. }));
+    println!("{asked} asked, {} granted, {} refused", fleet.grants.len(), refused.count());
+    assert!(fleet.grants.len() > asked / 2);
+}
--- a/lib/tests/fuzz_claims.rs
+++ b/lib/tests/fuzz_claims.rs
@@ -18,6 +18,8 @@
 const GEN_SIZE: usize = 250;
 /// Longer than any daemon waits after the platform has refused a call.
 const AFTER_BACKOFF: Duration = Duration::from_secs(10);
+/// How often daemons collect.
+const COLLECT_INTERVAL: Duration = Duration::from_mins(10);
 const DAEMONS: usize = 3;
 const KEYS: u8 = 4;
 
@@ -32,6 +34,7 @@
     Replace { daemon: usize },
     Partition { daemon: usize, shared: bool },
     Pass { millis: u16 },
+    Collect,
 }
 
 impl Arbitrary for Step {
@@ -61,6 +64,7 @@
             }
             27 => Self::Replace { daemon },
             28 => Self::Partition { daemon, shared: bool::arbitrary(g) },
+            29 => Self::Collect,
             _ => Self::Pass { millis: u16::arbitrary(g) % 1_500 },
         }
     }
@@ -99,6 +103,7 @@
         }
         Step::Replace { daemon } => fleet.replace(daemon, true),
         Step::Partition { daemon, shared } => fleet.greet(daemon, shared),
+        Step::Collect => fleet.pass(COLLECT_INTERVAL),
         Step::Pass { millis } => fleet.pass(Duration::from_millis(millis.into())),
     }
 }
