platform: a client with budget, priorities and backoff between slices and platform

Cause: slices called the platform as they liked, and an outage cost each of them calls. Glue: node/platform.rs passes every Output::Call through it. Settings: [platform] calls-per-second, [claims] retention, writes-per-second, ask-timeout.

--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -19,7 +19,7 @@
         control::{Control, Input, Output},
         snapshot::Snapshot,
     },
-    platform::http::HttpPlatform,
+    platform::{client, http::HttpPlatform},
     units::{Time, WallTime},
 };
 use tokio::{
@@ -80,7 +80,10 @@
                 log::error!(event = "operators-listener-ended", error:% = error; "");
             }
         });
-        let mut control = Control::new();
+        let Settings { name, calls_per_second, claims, .. } = &self.settings;
+        let calls_per_second = f64::from(*calls_per_second);
+        let calls = client::Config { calls_per_second, ..client::Config::default() };
+        let mut control = Control::new().with_platform(calls, name).with_claims(claims.clone());
         let identity = Input::Identity(self.settings.name.clone(), Incarnation(wall_now().0));
         control.handle(Time(0), identity, &mut Vec::new());
         let mut input = Input::Started;
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -3,12 +3,15 @@
 use std::{net::SocketAddr, time::Duration};
 
 use dogwoodturn::{
+    claim::claims,
     ids::{DaemonId, DataCentre, Region},
     ini::{self, Fault, Place, Section, Source, fields::Fields},
 };
 
 /// The number of traffic threads when the settings name none.
 const DEFAULT_TRAFFIC_THREADS: usize = 2;
+/// The calls per second to the platform when the settings name none.
+const DEFAULT_CALLS_PER_SECOND: u32 = 200;
 /// The longest that a graceful shutdown takes when the settings do not say.
 const DEFAULT_DRAIN_TIMEOUT: Duration = Duration::from_secs(25);
 
@@ -33,6 +36,10 @@
     pub drain_timeout: Duration,
     /// The base of the platform's URLs.
     pub platform: Box<str>,
+    /// The calls per second that this daemon may make to the platform.
+    pub calls_per_second: u32,
+    /// How claims are kept.
+    pub claims: claims::Config,
     /// The bearer token of operators.
     pub operator_token: Box<str>,
     /// The key that all daemons share.
@@ -52,11 +59,11 @@
             properties: Vec::new(),
         };
         for section in &sections {
-            if !["daemon", "platform", "operators", "peers"].contains(&&*section.title) {
+            if !["daemon", "platform", "operators", "peers", "claims"].contains(&&*section.title) {
                 let reason = format!("[{}] is no section of the settings", section.title);
                 faults.push(
                     Fault::new(&section.place, reason)
-                        .with_hint("use daemon, platform, operators and peers"),
+                        .with_hint("use daemon, platform, operators, peers and claims"),
                 );
             }
         }
@@ -69,6 +76,7 @@
             &find("platform"),
             &find("operators"),
             &find("peers"),
+            &find("claims"),
             &mut faults,
         );
         match settings {
@@ -86,6 +94,7 @@
     platform: &Section,
     operators: &Section,
     peers: &Section,
+    claims: &Section,
     faults: &mut Vec<Fault>,
 ) -> Option<Settings> {
     let mut fields = Fields::new(daemon, faults);
@@ -109,6 +118,10 @@
     {
         fields.fault(format!("url: {url:?} must begin with http://"));
     }
+    let calls_per_second = fields.optional("calls-per-second").unwrap_or(DEFAULT_CALLS_PER_SECOND);
+    if calls_per_second == 0 {
+        fields.fault("calls-per-second must be at least 1");
+    }
     fields.finish();
 
     let mut fields = Fields::new(operators, faults);
@@ -120,6 +133,8 @@
     let seeds = seeds(&mut fields);
     fields.finish();
 
+    let claims = claims_config(claims, faults);
+
     Some(Settings {
         name: name?,
         data_centre: data_centre?,
@@ -130,12 +145,27 @@
         traffic_threads,
         drain_timeout,
         platform: platform?.into(),
+        calls_per_second,
+        claims,
         operator_token: operator_token?.into(),
         peer_key: peer_key?,
         seeds,
     })
 }
 
+fn claims_config(section: &Section, faults: &mut Vec<Fault>) -> claims::Config {
+    let mut fields = Fields::new(section, faults);
+    let mut cfg = claims::Config::default();
+    cfg.retention = fields.duration("retention").unwrap_or(cfg.retention);
+    cfg.writes_per_second = fields.optional("writes-per-second").unwrap_or(cfg.writes_per_second);
+    cfg.ask_timeout = fields.duration("ask-timeout").unwrap_or(cfg.ask_timeout);
+    if cfg.writes_per_second == 0 {
+        fields.fault("writes-per-second must be at least 1");
+    }
+    fields.finish();
+    cfg
+}
+
 fn seeds(fields: &mut Fields<'_>) -> Vec<SocketAddr> {
     let text = fields.optional::<String>("seeds").unwrap_or_default();
     let mut seeds = Vec::new();
--- a/lib/src/node/claims.rs
+++ b/lib/src/node/claims.rs
@@ -16,8 +16,15 @@
 };
 
 impl Control {
+    /// Sets how claims are kept; to be told before any input.
+    #[must_use]
+    pub fn with_claims(mut self, cfg: Config) -> Self {
+        self.claims_config = cfg;
+        self
+    }
+
     pub(super) fn begin_claims(&mut self, now: Time, daemon: DaemonId, incarnation: Incarnation) {
-        let mut claims = Claims::new(Config::default(), daemon, incarnation);
+        let mut claims = Claims::new(self.claims_config.clone(), daemon, incarnation);
         let wall = self.wall(now);
         let services = services_with_claims(&self.snapshot.set);
         claims.handle(now, wall, Event::Services(services), &mut Vec::new());
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -10,9 +10,9 @@
     },
     declaration::in_force::{self, InForce},
     ids::{CallId, DaemonId, Incarnation, RequestId},
-    node::{message::PeerMessage, report::AttemptReport, snapshot::Snapshot},
+    node::{message::PeerMessage, platform::CallTag, report::AttemptReport, snapshot::Snapshot},
     peer::Recipient,
-    platform::{CallError, Operation, Priority, Reply},
+    platform::{CallError, Operation, Priority, Reply, client::Client},
     units::{Time, WallTime},
     upstream::hosts::{self, HostList},
 };
@@ -90,6 +90,9 @@
     pub(super) snapshot: Snapshot,
     clock: (Time, WallTime),
     pub(super) claims: Option<Claims>,
+    pub(super) claims_config: claims::Config,
+    pub(super) client: Client<CallTag>,
+    pub(super) refused: Vec<(CallTag, CallError)>,
 }
 
 impl Control {
@@ -101,21 +104,24 @@
     /// Returns when [`Input::Woken`] is wanted.
     pub fn next_wakeup(&self) -> Option<Time> {
         let claims = self.claims.as_ref().and_then(Claims::next_wakeup);
-        [self.in_force.next_wakeup(), self.hosts.next_wakeup(), claims].into_iter().flatten().min()
+        let refused = (!self.refused.is_empty()).then_some(Time(0));
+        let client = self.client.next_wakeup();
+        [self.in_force.next_wakeup(), self.hosts.next_wakeup(), claims, client, refused]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Takes an input and adds the outputs that follow from it.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        self.deliver_refusals(now, out);
         match input {
             Input::Started => {
                 self.in_force(now, in_force::Event::Started, out);
                 self.hosts(now, hosts::Event::Started, out);
             }
-            Input::Called(Owner::InForce, call, result) => {
-                self.in_force(now, in_force::Event::Called(call, result), out);
-            }
-            Input::Called(Owner::Hosts, call, result) => {
-                self.hosts(now, hosts::Event::Called(call, result), out);
+            Input::Called(owner, call, result) => {
+                self.call_ended(now, (owner, call), result, out);
             }
             Input::Woken => {
                 self.in_force(now, in_force::Event::Woken, out);
@@ -126,9 +132,6 @@
                 self.snapshot.draining = true;
                 self.publish(out);
             }
-            Input::Called(Owner::Claims, call, result) => {
-                self.claims(now, claims::Event::Called(call, result), out);
-            }
             Input::Claim(ask) => self.claims(now, claims::Event::Ask(ask), out),
             Input::ClaimEnded(ticket, end) => {
                 self.claims(now, claims::Event::Ended(ticket, end), out);
@@ -140,6 +143,23 @@
             Input::Clock(wall) => self.clock = (now, wall),
             Input::Attempt(_) | Input::Peer(..) => {}
         }
+        self.schedule_calls(now, out);
+    }
+
+    /// Gives a slice the result of its call.
+    pub(super) fn called(
+        &mut self,
+        now: Time,
+        owner: Owner,
+        call: CallId,
+        result: Result<Reply, CallError>,
+        out: &mut Vec<Output>,
+    ) {
+        match owner {
+            Owner::InForce => self.in_force(now, in_force::Event::Called(call, result), out),
+            Owner::Hosts => self.hosts(now, hosts::Event::Called(call, result), out),
+            Owner::Claims => self.claims(now, claims::Event::Called(call, result), out),
+        }
     }
 
     /// Returns the wall time at `now`, as the last [`Input::Clock`] tells it.
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -6,5 +6,6 @@
 mod claims;
 pub mod control;
 pub mod message;
+mod platform;
 pub mod report;
 pub mod snapshot;
--- /dev/null
+++ b/lib/src/node/platform.rs
@@ -0,0 +1,71 @@
+//! Passes the slices' calls through the platform client, which decides when each is made.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    ids::{CallId, DaemonId},
+    node::control::{Control, Output, Owner},
+    platform::{
+        CallError, Reply,
+        client::{self, Client, Effect},
+    },
+    units::Time,
+};
+
+/// Names a call of a slice.
+pub(super) type CallTag = (Owner, CallId);
+
+impl Control {
+    /// Sets the budget of calls to the platform; to be told before any input.
+    #[must_use]
+    pub fn with_platform(mut self, cfg: client::Config, daemon: &DaemonId) -> Self {
+        self.client = Client::new(cfg, xxh3_64(daemon.as_str().as_bytes()));
+        self
+    }
+
+    /// Returns how many calls to the platform were made and refused.
+    pub fn platform_counts(&self) -> client::Counts {
+        self.client.counts()
+    }
+
+    /// Takes the calls out of `out` and puts in those whose turn it is.
+    pub(super) fn schedule_calls(&mut self, now: Time, out: &mut Vec<Output>) {
+        for output in std::mem::take(out) {
+            match output {
+                Output::Call { owner, call, priority, operation } => {
+                    self.client.submit(now, (owner, call), priority, operation);
+                }
+                output => out.push(output),
+            }
+        }
+        let mut effects = Vec::new();
+        self.client.advance(now, &mut effects);
+        for effect in effects {
+            match effect {
+                Effect::Issue((owner, call), priority, operation) => {
+                    out.push(Output::Call { owner, call, priority, operation });
+                }
+                // Delivered with the next input, as a slice may ask again at once.
+                Effect::Refuse(tag, error) => self.refused.push((tag, error)),
+            }
+        }
+    }
+
+    /// Gives the slices the refusals of their calls.
+    pub(super) fn deliver_refusals(&mut self, now: Time, out: &mut Vec<Output>) {
+        for ((owner, call), error) in std::mem::take(&mut self.refused) {
+            self.called(now, owner, call, Err(error), out);
+        }
+    }
+
+    pub(super) fn call_ended(
+        &mut self,
+        now: Time,
+        tag: CallTag,
+        result: Result<Reply, CallError>,
+        out: &mut Vec<Output>,
+    ) {
+        self.client.ended(now, &tag, &result);
+        self.called(now, tag.0, tag.1, result, out);
+    }
+}
--- a/lib/src/platform/mod.rs
+++ b/lib/src/platform/mod.rs
@@ -5,6 +5,7 @@
 //! lost. [`memory`] keeps the objects of tests and of the stand-in; [`http`] calls a real platform.
 
 pub mod budget;
+pub mod client;
 pub mod cloud;
 pub mod http;
 pub mod memory;
--- a/load/src/local.rs
+++ b/load/src/local.rs
@@ -6,6 +6,7 @@
 };
 
 use dogwoodturn::{
+    claim::claims::Config,
     declaration::{
         DeclarationSet,
         publish::{Publication, PublishError, Step},
@@ -29,6 +30,8 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// How often readiness is looked at.
 const READY_POLL: Duration = Duration::from_millis(2);
+/// The calls per second that each daemon may make to the platform.
+const CALLS_PER_SECOND: u32 = 200;
 /// The token of operators in a local fleet.
 pub const OPERATOR_TOKEN: &str = "local-operator";
 
@@ -138,6 +141,8 @@
             traffic_threads: threads,
             drain_timeout: Duration::from_secs(10),
             platform: self.platform_server.url().into(),
+            calls_per_second: CALLS_PER_SECOND,
+            claims: Config::default(),
             operator_token: OPERATOR_TOKEN.into(),
             peer_key: [7; 32],
             seeds: Vec::new(),
