--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -14,7 +14,7 @@
         listen::{Connections, serve},
         operator::OperatorEdge,
     },
-    ids::DaemonId,
+    ids::{DaemonId, Incarnation},
     node::{
         control::{Control, Input, Output},
         message::PeerMessage,
@@ -22,7 +22,7 @@
         traffic::Event,
     },
     peer::Recipient,
-    platform::http::HttpPlatform,
+    platform::{client, http::HttpPlatform},
     request::{message::Message, name::thread_of},
     units::{Time, WallTime},
 };
@@ -86,7 +86,12 @@
                 log::error!(event = "operators-listener-ended", error:% = error; "");
             }
         });
-        let mut control = Control::new();
+        let Settings { name, calls_per_second, claims, .. } = &self.settings;
+        let calls_per_second = f64::from(*calls_per_second);
+        let calls = client::Config { calls_per_second, ..client::Config::default() };
+        let mut control = Control::new().with_platform(calls, name).with_claims(claims.clone());
+        let identity = Input::Identity(self.settings.name.clone(), Incarnation(wall_now().0));
+        control.handle(Time(0), identity, &mut Vec::new());
         let mut input = Input::Started;
         loop {
             let now = Time(started.elapsed().as_micros() as u64);
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -4,19 +4,25 @@
 
 use crate::{
     audit,
-    claim::{ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket},
+    claim::{
+        ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket,
+        claims::{self, Claims},
+    },
     declaration::in_force::{self, InForce},
-    ids::{CallId, DaemonId, RequestId},
-    node::{message::PeerMessage, report::AttemptReport, requests, snapshot::Snapshot},
+    ids::{CallId, DaemonId, Incarnation, RequestId},
+    node::{
+        message::PeerMessage, platform::CallTag, report::AttemptReport, requests,
+        snapshot::Snapshot,
+    },
     peer::Recipient,
-    platform::{CallError, Operation, Priority, Reply},
+    platform::{CallError, Operation, Priority, Reply, client::Client},
     request,
     units::{Time, WallTime},
     upstream::hosts::{self, HostList},
 };
 
 /// When a caller may ask again after a claim that could not be written.
-const CLAIM_RETRY: Duration = Duration::from_secs(1);
+pub(super) const CLAIM_RETRY: Duration = Duration::from_secs(1);
 
 /// Tells which slice asked for a call to the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -25,6 +31,8 @@
     InForce,
     /// [`hosts`].
     Hosts,
+    /// [`claims`].
+    Claims,
 }
 
 /// What the control part is told.
@@ -46,6 +54,8 @@
     Attempt(Box<AttemptReport>),
     /// A peer has sent a message.
     Peer(DaemonId, PeerMessage),
+    /// This is the daemon and its run; told before `Started`.
+    Identity(DaemonId, Incarnation),
     /// The wall clock shows this time now; told before `Started` and at least once a minute.
     Clock(WallTime),
     /// A traffic thread sends a message about a request.
@@ -87,8 +97,12 @@
 pub struct Control {
     in_force: InForce,
     hosts: HostList,
-    snapshot: Snapshot,
+    pub(super) snapshot: Snapshot,
     clock: (Time, WallTime),
+    pub(super) claims: Option<Claims>,
+    pub(super) claims_config: claims::Config,
+    pub(super) client: Client<CallTag>,
+    pub(super) refused: Vec<(CallTag, CallError)>,
 }
 
 impl Control {
@@ -99,35 +113,43 @@
 
     /// Returns when [`Input::Woken`] is wanted.
     pub fn next_wakeup(&self) -> Option<Time> {
-        [self.in_force.next_wakeup(), self.hosts.next_wakeup()].into_iter().flatten().min()
+        let claims = self.claims.as_ref().and_then(Claims::next_wakeup);
+        let refused = (!self.refused.is_empty()).then_some(Time(0));
+        let client = self.client.next_wakeup();
+        [self.in_force.next_wakeup(), self.hosts.next_wakeup(), claims, client, refused]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Takes an input and adds the outputs that follow from it.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        self.deliver_refusals(now, out);
         match input {
             Input::Started => {
                 self.in_force(now, in_force::Event::Started, out);
                 self.hosts(now, hosts::Event::Started, out);
             }
-            Input::Called(Owner::InForce, call, result) => {
-                self.in_force(now, in_force::Event::Called(call, result), out);
-            }
-            Input::Called(Owner::Hosts, call, result) => {
-                self.hosts(now, hosts::Event::Called(call, result), out);
+            Input::Called(owner, call, result) => {
+                self.call_ended(now, (owner, call), result, out);
             }
             Input::Woken => {
                 self.in_force(now, in_force::Event::Woken, out);
                 self.hosts(now, hosts::Event::Woken, out);
+                self.claims(now, claims::Event::Woken, out);
             }
             Input::Drain => {
                 self.snapshot.draining = true;
                 self.publish(out);
             }
-            Input::Claim(ask) => {
-                let retry_after = CLAIM_RETRY;
-                let answer = ClaimAnswer::Unavailable { retry_after };
-                out.push(Output::ClaimAnswered(ask.request, answer));
+            Input::Claim(ask) => self.claims(now, claims::Event::Ask(ask), out),
+            Input::ClaimEnded(ticket, end) => {
+                self.claims(now, claims::Event::Ended(ticket, end), out);
             }
+            Input::Peer(from, PeerMessage::Claim(message)) => {
+                self.claims(now, claims::Event::Peer(from, message), out);
+            }
+            Input::Identity(daemon, incarnation) => self.begin_claims(now, daemon, incarnation),
             Input::Clock(wall) => self.clock = (now, wall),
             Input::Request(recipient, message) => {
                 requests::send(recipient, message, out);
@@ -135,7 +157,24 @@
             Input::Peer(from, PeerMessage::Request(message)) => {
                 requests::receive(from, message, out);
             }
-            Input::ClaimEnded(..) | Input::Attempt(_) | Input::Peer(..) => {}
+            Input::Attempt(_) | Input::Peer(..) => {}
+        }
+        self.schedule_calls(now, out);
+    }
+
+    /// Gives a slice the result of its call.
+    pub(super) fn called(
+        &mut self,
+        now: Time,
+        owner: Owner,
+        call: CallId,
+        result: Result<Reply, CallError>,
+        out: &mut Vec<Output>,
+    ) {
+        match owner {
+            Owner::InForce => self.in_force(now, in_force::Event::Called(call, result), out),
+            Owner::Hosts => self.hosts(now, hosts::Event::Called(call, result), out),
+            Owner::Claims => self.claims(now, claims::Event::Called(call, result), out),
         }
     }
 
@@ -167,6 +206,7 @@
                     self.snapshot.set = set;
                     self.snapshot.informed = true;
                     self.publish(out);
+                    self.services_changed(now, out);
                 }
                 in_force::Effect::Refused(reason) => out.push(Output::Refused(reason)),
             }
--- a/lib/src/node/message.rs
+++ b/lib/src/node/message.rs
@@ -12,6 +12,8 @@
 pub enum PeerMessage {
     /// Speaks about requests: fetching, handover and poison.
     Request(crate::request::message::Message),
+    /// Carries claims to the daemon that writes them, and its answers.
+    Claim(crate::claim::message::Message),
     /// Tells that a host is leaving; flooded to all daemons.
     Leaving(crate::upstream::message::Message),
 }
@@ -22,7 +24,7 @@
     /// Only statistics may be dropped; nothing that a promise rests on.
     pub fn droppable(&self) -> bool {
         match self {
-            Self::Request(_) | Self::Leaving(_) => false,
+            Self::Request(_) | Self::Claim(_) | Self::Leaving(_) => false,
         }
     }
 }
@@ -33,6 +35,9 @@
     /// See [`PeerMessage::Request`].
     #[serde(rename = "q")]
     Request(crate::request::message::MessageWire),
+    /// See [`PeerMessage::Claim`].
+    #[serde(rename = "c")]
+    Claim(crate::claim::message::MessageWire),
     /// See [`PeerMessage::Leaving`].
     #[serde(rename = "u")]
     Leaving(crate::upstream::message::MessageWire),
@@ -42,6 +47,7 @@
     fn from(message: PeerMessage) -> Self {
         match message {
             PeerMessage::Request(message) => Self::Request(message.into()),
+            PeerMessage::Claim(message) => Self::Claim(message.into()),
             PeerMessage::Leaving(message) => Self::Leaving(message.into()),
         }
     }
@@ -53,6 +59,7 @@
     fn try_from(wire: PeerMessageWire) -> Result<Self, WireError> {
         Ok(match wire {
             PeerMessageWire::Request(wire) => Self::Request(wire.try_into()?),
+            PeerMessageWire::Claim(wire) => Self::Claim(wire.try_into()?),
             PeerMessageWire::Leaving(wire) => Self::Leaving(wire.try_into()?),
         })
     }
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -3,8 +3,10 @@
 //! [`control::Control`] owns the control state and runs on one thread; it publishes a
 //! [`snapshot::Snapshot`], from which the traffic threads decide per request.
 
+mod claims;
 pub mod control;
 pub mod message;
+mod platform;
 pub mod report;
 pub mod requests;
 pub mod snapshot;
