--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -14,10 +14,12 @@
         listen::{Connections, serve},
         operator::OperatorEdge,
     },
+    ids::Incarnation,
     node::{
         control::{Control, Input, Output},
         snapshot::Snapshot,
     },
+    peer::{Member, peers::Config},
     platform::http::HttpPlatform,
     units::{Time, WallTime},
 };
@@ -26,7 +28,10 @@
     time::{Duration, sleep},
 };
 
-use crate::settings::Settings;
+use crate::{
+    peers::{EVENT_QUEUE, PeerCounters, PeerLinks},
+    settings::Settings,
+};
 
 /// How long to sleep when the control state wants no wakeup.
 const LONGEST_SLEEP: Duration = Duration::from_mins(1);
@@ -45,6 +50,10 @@
     pub snapshot: Arc<ArcSwap<Snapshot>>,
     /// The operators' listener.
     pub operators: TcpListener,
+    /// The listener for other daemons.
+    pub peers: TcpListener,
+    /// Counts what crosses the links to other daemons.
+    pub peer_counters: Arc<PeerCounters>,
     /// Takes inputs, so that answers to calls come back.
     pub inputs: mpsc::UnboundedSender<Input>,
     /// Gives inputs.
@@ -79,29 +88,80 @@
                 log::error!(event = "operators-listener-ended", error:% = error; "");
             }
         });
-        let mut control = Control::new();
+        let (link_events, mut link_received) = mpsc::channel(EVENT_QUEUE);
+        let own = match self.member() {
+            Ok(own) => own,
+            Err(error) => return log::error!(event = "no-peer-address", error:%; ""),
+        };
+        let links = self.peers.try_clone().and_then(|listener| {
+            let counters = self.peer_counters.clone();
+            PeerLinks::start(own.clone(), self.settings.peer_key, listener, link_events, counters)
+        });
+        let mut links = match links {
+            Ok(links) => links,
+            Err(error) => return log::error!(event = "no-peer-listener", error:%; ""),
+        };
+        let mut control = Control::with_peers(Config {
+            own,
+            seeds: self.settings.seeds.clone(),
+            heartbeat: self.settings.heartbeat,
+        });
         let mut input = Input::Started;
         loop {
             let now = Time(started.elapsed().as_micros() as u64);
-            let mut out = Vec::new();
-            control.handle(now, Input::Clock(wall_now()), &mut out);
-            control.handle(now, input, &mut out);
-            for output in out {
-                self.carry_out(&platform, output);
-            }
+            self.handle(now, input, &mut control, &platform, &mut links);
+            let now = Time(started.elapsed().as_micros() as u64);
             let wait = control.next_wakeup().map_or(LONGEST_SLEEP, |at| at.since(now));
             input = tokio::select! {
                 received = self.received.recv() => match received {
                     Some(received) => received,
-                    None => return,
+                    None => break,
                 },
+                Some(event) = link_received.recv() => Input::Link(event),
+                event = links.next_opened() => Input::Link(event),
                 () = sleep(wait) => Input::Woken,
-                _ = self.stop.wait_for(|&stop| stop) => return,
+                _ = self.stop.wait_for(|&stop| stop) => break,
             };
         }
+        // A daemon that drains tells its peers that it leaves, even if it stops at once.
+        while let Ok(input) = self.received.try_recv() {
+            if matches!(input, Input::Drain) {
+                let now = Time(started.elapsed().as_micros() as u64);
+                self.handle(now, input, &mut control, &platform, &mut links);
+            }
+        }
+        links.flush().await;
+    }
+
+    fn handle(
+        &self,
+        now: Time,
+        input: Input,
+        control: &mut Control,
+        platform: &HttpPlatform,
+        links: &mut PeerLinks,
+    ) {
+        let mut out = Vec::new();
+        control.handle(now, Input::Clock(wall_now()), &mut out);
+        control.handle(now, input, &mut out);
+        for output in out {
+            self.carry_out(platform, links, output);
+        }
+    }
+
+    /// Returns this run of the daemon as its peers know it.
+    fn member(&self) -> std::io::Result<Member> {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Ok(Member {
+            daemon: self.settings.name.clone(),
+            incarnation: Incarnation(since.as_millis() as u64),
+            address: self.peers.local_addr()?,
+            data_centre: self.settings.data_centre.clone(),
+            region: self.settings.region.clone(),
+        })
     }
 
-    fn carry_out(&self, platform: &HttpPlatform, output: Output) {
+    fn carry_out(&self, platform: &HttpPlatform, links: &mut PeerLinks, output: Output) {
         match output {
             Output::Call { owner, call, operation, .. } => {
                 let platform = platform.clone();
@@ -117,11 +177,13 @@
                     event = "snapshot",
                     generation:% = snapshot.generation,
                     hosts = snapshot.hosts.len(),
+                    members = snapshot.members.len(),
                     ready = snapshot.ready();
                     ""
                 );
                 self.snapshot.store(snapshot);
             }
+            Output::Link(effect) => links.carry_out(effect),
             Output::ClaimAnswered(..) | Output::Send(..) => {}
             Output::Audit(event) => log::info!(
                 event = "audit",
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod flight;
 pub mod logs;
+pub mod peers;
 pub mod settings;
 pub mod traffic;
 
@@ -22,7 +23,7 @@
 use thiserror::Error;
 use tokio::sync::{mpsc, watch};
 
-use crate::{flight::InFlight, settings::Settings};
+use crate::{flight::InFlight, peers::PeerCounters, settings::Settings};
 
 /// How often a draining daemon looks whether requests are still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
@@ -48,6 +49,8 @@
 pub struct Daemon {
     callers: SocketAddr,
     operators: SocketAddr,
+    peers: SocketAddr,
+    peer_counters: Arc<PeerCounters>,
     drain_timeout: Duration,
     snapshot: Arc<ArcSwap<Snapshot>>,
     inputs: mpsc::UnboundedSender<Input>,
@@ -61,11 +64,14 @@
     pub fn start(settings: &Settings) -> Result<Self, StartError> {
         let callers = bind(settings.callers)?;
         let operators = bind(settings.operators)?;
+        let peers = bind(settings.peers)?;
         let (inputs, received) = mpsc::unbounded_channel();
         let (stop, stopped) = watch::channel(false);
         let mut daemon = Self {
             callers: address_of(&callers, settings.callers)?,
             operators: address_of(&operators, settings.operators)?,
+            peers: address_of(&peers, settings.peers)?,
+            peer_counters: Arc::default(),
             drain_timeout: settings.drain_timeout,
             snapshot: Arc::default(),
             inputs: inputs.clone(),
@@ -77,6 +83,8 @@
             settings: settings.clone(),
             snapshot: daemon.snapshot.clone(),
             operators,
+            peers,
+            peer_counters: daemon.peer_counters.clone(),
             inputs,
             received,
             stop: stopped.clone(),
@@ -104,6 +112,16 @@
         self.operators
     }
 
+    /// Returns where other daemons connect.
+    pub fn peers(&self) -> SocketAddr {
+        self.peers
+    }
+
+    /// Returns what has crossed the links to other daemons.
+    pub fn peer_counters(&self) -> &PeerCounters {
+        &self.peer_counters
+    }
+
     /// Says whether the daemon takes requests.
     pub fn ready(&self) -> bool {
         self.snapshot.load().ready()
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -12,6 +12,12 @@
 /// The longest that a graceful shutdown takes when the settings do not say.
 const DEFAULT_DRAIN_TIMEOUT: Duration = Duration::from_secs(25);
 
+/// How often daemons send each other heartbeats when the settings do not say.
+pub const DEFAULT_HEARTBEAT: Duration = Duration::from_secs(1);
+
+/// The shortest interval between heartbeats that the settings may name.
+const SHORTEST_HEARTBEAT: Duration = Duration::from_millis(100);
+
 /// All settings of a daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -39,6 +45,8 @@
     pub peer_key: [u8; 32],
     /// Daemons to contact first.
     pub seeds: Vec<SocketAddr>,
+    /// How often something is sent over each link to another daemon.
+    pub heartbeat: Duration,
 }
 
 impl Settings {
@@ -118,6 +126,10 @@
     let mut fields = Fields::new(peers, faults);
     let peer_key = fields.digest("key");
     let seeds = seeds(&mut fields);
+    let heartbeat = fields.duration("heartbeat").unwrap_or(DEFAULT_HEARTBEAT);
+    if heartbeat < SHORTEST_HEARTBEAT {
+        fields.fault("heartbeat must be at least 100ms");
+    }
     fields.finish();
 
     Some(Settings {
@@ -133,6 +145,7 @@
         operator_token: operator_token?.into(),
         peer_key: peer_key?,
         seeds,
+        heartbeat,
     })
 }
 
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -8,7 +8,10 @@
     declaration::in_force::{self, InForce},
     ids::{CallId, DaemonId, RequestId},
     node::{message::PeerMessage, report::AttemptReport, snapshot::Snapshot},
-    peer::Recipient,
+    peer::{
+        Recipient,
+        peers::{self, Config, LinkEffect, LinkEvent, Peers},
+    },
     platform::{CallError, Operation, Priority, Reply},
     units::{Time, WallTime},
     upstream::hosts::{self, HostList},
@@ -47,6 +50,8 @@
     Peer(DaemonId, PeerMessage),
     /// The wall clock shows this time now; told before `Started` and at least once a minute.
     Clock(WallTime),
+    /// Something has happened to a link to a peer.
+    Link(LinkEvent),
 }
 
 /// What the control part wants done.
@@ -67,8 +72,10 @@
     Publish(Arc<Snapshot>),
     /// Answer the claim that a request has asked for.
     ClaimAnswered(RequestId, ClaimAnswer),
-    /// Send a message to peers.
+    /// Send a message to peers; only a control part without [`Control::with_peers`] gives it out.
     Send(Recipient, PeerMessage),
+    /// Do something with a link to a peer.
+    Link(LinkEffect),
     /// Log a warning about something refused.
     Refused(Box<str>),
     /// Log a change; the control part also appends it to the audit trail.
@@ -80,7 +87,8 @@
 pub struct Control {
     in_force: InForce,
     hosts: HostList,
-    snapshot: Snapshot,
+    pub(super) peers: Option<Peers>,
+    pub(super) snapshot: Snapshot,
     clock: (Time, WallTime),
 }
 
@@ -90,15 +98,22 @@
         Self::default()
     }
 
+    /// Makes the control part of a daemon that forms a fleet with its peers.
+    pub fn with_peers(config: Config) -> Self {
+        Self { peers: Some(Peers::new(config)), ..Self::default() }
+    }
+
     /// Returns when [`Input::Woken`] is wanted.
     pub fn next_wakeup(&self) -> Option<Time> {
-        [self.in_force.next_wakeup(), self.hosts.next_wakeup()].into_iter().flatten().min()
+        let peers = self.peers.as_ref().and_then(Peers::next_wakeup);
+        [self.in_force.next_wakeup(), self.hosts.next_wakeup(), peers].into_iter().flatten().min()
     }
 
     /// Takes an input and adds the outputs that follow from it.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::Started => {
+                self.peers(now, peers::Event::Started, out);
                 self.in_force(now, in_force::Event::Started, out);
                 self.hosts(now, hosts::Event::Started, out);
             }
@@ -111,10 +126,12 @@
             Input::Woken => {
                 self.in_force(now, in_force::Event::Woken, out);
                 self.hosts(now, hosts::Event::Woken, out);
+                self.peers(now, peers::Event::Woken, out);
             }
             Input::Drain => {
                 self.snapshot.draining = true;
                 self.publish(out);
+                self.peers(now, peers::Event::Leave, out);
             }
             Input::Claim(ask) => {
                 let retry_after = CLAIM_RETRY;
@@ -122,7 +139,24 @@
                 out.push(Output::ClaimAnswered(ask.request, answer));
             }
             Input::Clock(wall) => self.clock = (now, wall),
-            Input::ClaimEnded(..) | Input::Attempt(_) | Input::Peer(..) => {}
+            Input::Peer(from, message) => self.peer_message(now, &from, message, out),
+            Input::Link(event) => self.peers(now, peers::Event::Link(event), out),
+            Input::ClaimEnded(..) | Input::Attempt(_) => {}
+        }
+        self.send_to_peers(now, out);
+    }
+
+    /// Gives a message of a peer to its slice.
+    #[expect(clippy::unused_self, clippy::needless_pass_by_value, reason = "slices add theirs")]
+    pub(super) fn peer_message(
+        &mut self,
+        _now: Time,
+        _from: &DaemonId,
+        message: PeerMessage,
+        _out: &mut Vec<Output>,
+    ) {
+        match message {
+            PeerMessage::Leaving(_) => {}
         }
     }
 
@@ -137,7 +171,7 @@
         out.push(Output::Audit(event));
     }
 
-    fn publish(&self, out: &mut Vec<Output>) {
+    pub(super) fn publish(&self, out: &mut Vec<Output>) {
         out.push(Output::Publish(Arc::new(self.snapshot.clone())));
     }
 
@@ -154,6 +188,7 @@
                     self.snapshot.set = set;
                     self.snapshot.informed = true;
                     self.publish(out);
+                    self.peers(now, peers::Event::InForce(generation), out);
                 }
                 in_force::Effect::Refused(reason) => out.push(Output::Refused(reason)),
             }
--- /dev/null
+++ b/lib/src/node/peers.rs
@@ -0,0 +1,44 @@
+//! Joins the peer slice to the control part.
+
+use crate::{
+    node::control::{Control, Output},
+    peer::peers::{Effect, Event},
+    units::Time,
+};
+
+impl Control {
+    /// Hands an event to the peer slice and carries out its effects.
+    pub(super) fn peers(&mut self, now: Time, event: Event, out: &mut Vec<Output>) {
+        let Some(peers) = &mut self.peers else { return };
+        let mut effects = Vec::new();
+        peers.handle(now, event, &mut effects);
+        for effect in effects {
+            match effect {
+                Effect::Link(effect) => out.push(Output::Link(effect)),
+                Effect::Deliver(from, message) => self.peer_message(now, &from, message, out),
+                Effect::Members(members) => {
+                    self.snapshot.members = members;
+                    self.publish(out);
+                }
+                Effect::Later(..) => {}
+                Effect::Refused(reason) => out.push(Output::Refused(reason)),
+            }
+        }
+    }
+
+    /// Gives what the slices send to the peer slice, until nothing more is sent.
+    pub(super) fn send_to_peers(&mut self, now: Time, out: &mut Vec<Output>) {
+        while self.peers.is_some() {
+            let sends = out.extract_if(.., |output| matches!(output, Output::Send(..)));
+            let sends: Vec<Output> = sends.collect();
+            if sends.is_empty() {
+                return;
+            }
+            for output in sends {
+                if let Output::Send(recipient, message) = output {
+                    self.peers(now, Event::Send(recipient, message), out);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/peer/flood.rs
@@ -0,0 +1,48 @@
+//! Remembers which flooded messages were seen, and the recent ones for links that open later.
+
+use std::{collections::VecDeque, time::Duration};
+
+use indexmap::IndexSet;
+
+use crate::{peer::message::Frame, units::Time};
+
+/// How many ids of seen messages are kept.
+const MAX_SEEN: usize = 16_384;
+/// How many recent messages are kept whole.
+const MAX_RECENT: usize = 128;
+/// How long a message is kept whole.
+const RECENT_AGE: Duration = Duration::from_secs(30);
+
+/// The flooded messages that a daemon has seen.
+#[derive(Clone, Debug, Default)]
+pub struct Floods {
+    seen: IndexSet<u64>,
+    order: VecDeque<u64>,
+    recent: VecDeque<(Time, Frame)>,
+}
+
+impl Floods {
+    /// Takes a message; returns whether it is new.
+    pub fn take(&mut self, now: Time, id: u64, frame: &Frame) -> bool {
+        if !self.seen.insert(id) {
+            return false;
+        }
+        self.order.push_back(id);
+        if self.order.len() > MAX_SEEN
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.seen.swap_remove(&oldest);
+        }
+        self.recent.push_back((now, frame.clone()));
+        if self.recent.len() > MAX_RECENT {
+            self.recent.pop_front();
+        }
+        true
+    }
+
+    /// Returns the recent messages.
+    pub fn recent(&mut self, now: Time) -> impl Iterator<Item = &Frame> {
+        self.recent.retain(|(at, _)| now.since(*at) <= RECENT_AGE);
+        self.recent.iter().map(|(_, frame)| frame)
+    }
+}
--- /dev/null
+++ b/lib/src/peer/handshake.rs
@@ -0,0 +1,119 @@
+//! Authenticates both ends of a link by the key that all daemons share.
+//!
+//! Each end sends a hello with a nonce and then proves, by an HMAC over both hellos, that it holds
+//! the key. The two proofs differ in their label, so that neither can be sent back. See
+//! `docs/design/membership.md`.
+
+use hmac::{Hmac, KeyInit as _, Mac as _};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use thiserror::Error;
+
+use crate::{
+    declaration::wire::{self, WireError},
+    peer::{Member, MemberWire},
+};
+
+/// The version of the protocol between daemons; daemons of other versions are refused.
+pub const PROTOCOL_VERSION: u32 = 1;
+/// The size of a nonce, in bytes.
+pub const NONCE_BYTES: usize = 32;
+
+/// Says why a link was refused.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum HandshakeError {
+    /// The other end sent something else than a handshake.
+    #[error("the handshake is malformed: {0}")]
+    Malformed(#[from] WireError),
+    /// The other end speaks another version of the protocol.
+    #[error("the other end speaks version {0} of the protocol, not {PROTOCOL_VERSION}")]
+    Version(u32),
+    /// The other end did not prove that it holds the key.
+    #[error("the other end does not hold the peer key")]
+    Unauthenticated,
+}
+
+/// Which end of a link a daemon is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// It has dialled.
+    Dialler,
+    /// It has accepted.
+    Acceptor,
+}
+
+impl Side {
+    fn label(self) -> &'static [u8] {
+        match self {
+            Self::Dialler => b"dogwoodturn dialler",
+            Self::Acceptor => b"dogwoodturn acceptor",
+        }
+    }
+
+    fn other(self) -> Self {
+        match self {
+            Self::Dialler => Self::Acceptor,
+            Self::Acceptor => Self::Dialler,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct HelloWire(u32, #[serde(with = "serde_bytes")] [u8; NONCE_BYTES], MemberWire);
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct ProofWire(#[serde(with = "serde_bytes")] [u8; 32]);
+
+/// One end of a handshake.
+#[derive(Clone)]
+pub struct Handshake {
+    side: Side,
+    key: [u8; 32],
+    own_hello: Vec<u8>,
+    other_hello: Vec<u8>,
+}
+
+impl Handshake {
+    /// Begins a handshake and returns the hello to send; `nonce` must never be used twice.
+    pub fn begin(
+        side: Side,
+        key: [u8; 32],
+        own: Member,
+        nonce: [u8; NONCE_BYTES],
+    ) -> (Self, Vec<u8>) {
+        let hello = wire::encode(&HelloWire(PROTOCOL_VERSION, nonce, own.into()));
+        let handshake = Self { side, key, own_hello: hello.clone(), other_hello: Vec::new() };
+        (handshake, hello)
+    }
+
+    /// Takes the other end's hello; returns who it says it is, and the proof to send.
+    pub fn hello(&mut self, hello: &[u8]) -> Result<(Member, Vec<u8>), HandshakeError> {
+        let HelloWire(version, _, member) = wire::decode(hello)?;
+        if version != PROTOCOL_VERSION {
+            return Err(HandshakeError::Version(version));
+        }
+        self.other_hello = hello.to_vec();
+        let proof: [u8; 32] = self.mac(self.side).finalize().into_bytes().into();
+        Ok((member.into(), wire::encode(&ProofWire(proof))))
+    }
+
+    /// Takes the other end's proof, comparing in constant time.
+    pub fn proof(&self, proof: &[u8]) -> Result<(), HandshakeError> {
+        let ProofWire(proof) = wire::decode(proof)?;
+        let verified = self.mac(self.side.other()).verify_slice(&proof);
+        verified.map_err(|_| HandshakeError::Unauthenticated)
+    }
+
+    fn mac(&self, prover: Side) -> Hmac<Sha256> {
+        let (dialler, acceptor) = match self.side {
+            Side::Dialler => (&self.own_hello, &self.other_hello),
+            Side::Acceptor => (&self.other_hello, &self.own_hello),
+        };
+        let mut mac = Hmac::new_from_slice(&self.key).expect("HMAC takes a key of any size");
+        mac.update(prover.label());
+        mac.update(&(dialler.len() as u64).to_be_bytes());
+        mac.update(dialler);
+        mac.update(acceptor);
+        mac
+    }
+}
--- /dev/null
+++ b/lib/src/peer/links.rs
@@ -0,0 +1,188 @@
+//! The links of one daemon: which are being opened, which are open, and when each was last used.
+
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use indexmap::IndexMap;
+
+use crate::{
+    ids::DaemonId,
+    peer::message::{Beat, Frame},
+    units::Time,
+};
+
+/// The most links that a daemon keeps open at once.
+pub const MAX_LINKS: usize = 64;
+/// How many messages wait for a link that is being opened.
+const MAX_WAITING: usize = 64;
+/// The shortest wait before an address is dialled again.
+const SHORTEST_BACKOFF: Duration = Duration::from_millis(200);
+/// The longest wait before an address is dialled again.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(5);
+/// How many addresses have their failures remembered.
+const MAX_BACKOFFS: usize = 256;
+
+/// Names a link of one daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum LinkId {
+    /// This daemon has dialled; the slice chooses the number.
+    Dialled(u64),
+    /// The other end has dialled; the adapter chooses the number.
+    Accepted(u64),
+}
+
+impl fmt::Display for LinkId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Dialled(number) => write!(f, "dialled-{number}"),
+            Self::Accepted(number) => write!(f, "accepted-{number}"),
+        }
+    }
+}
+
+/// A link that is being opened.
+#[derive(Clone, Debug)]
+pub struct Dialling {
+    /// Where it goes.
+    pub address: SocketAddr,
+    /// Whom it is for; unknown for a seed.
+    pub peer: Option<DaemonId>,
+    /// What is to be sent once it is open.
+    pub waiting: Vec<Frame>,
+}
+
+/// A link that is open.
+#[derive(Clone, Debug)]
+pub struct Link {
+    /// The daemon at the other end.
+    pub peer: DaemonId,
+    /// When anything was last heard.
+    pub heard: Time,
+    /// When anything was last sent.
+    pub sent: Time,
+    /// When a beat was last sent.
+    pub beat_sent: Option<Time>,
+    /// When a message was last carried, so that an idle link is closed.
+    pub used: Time,
+    /// What the other end last said of itself.
+    pub beat: Beat,
+    /// Since when the member lists differ.
+    pub differs: Option<Time>,
+    /// What is to be sent at the end of the event.
+    pub frames: Vec<Frame>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Backoff {
+    failures: u32,
+    until: Time,
+}
+
+/// All links of one daemon.
+#[derive(Clone, Debug, Default)]
+pub struct Links {
+    dialling: IndexMap<LinkId, Dialling>,
+    open: IndexMap<LinkId, Link>,
+    backoffs: IndexMap<SocketAddr, Backoff>,
+    last_dialled: u64,
+}
+
+impl Links {
+    /// Returns the open link to a peer.
+    pub fn to(&self, peer: &DaemonId) -> Option<(LinkId, &Link)> {
+        self.open.iter().find(|(_, link)| link.peer == *peer).map(|(&id, link)| (id, link))
+    }
+
+    /// Returns an open link.
+    pub fn get_mut(&mut self, id: LinkId) -> Option<&mut Link> {
+        self.open.get_mut(&id)
+    }
+
+    /// Returns the open links.
+    pub fn open(&self) -> impl Iterator<Item = (LinkId, &Link)> {
+        self.open.iter().map(|(&id, link)| (id, link))
+    }
+
+    /// Returns the open links, to change them.
+    pub fn open_mut(&mut self) -> impl Iterator<Item = (LinkId, &mut Link)> {
+        self.open.iter_mut().map(|(&id, link)| (id, link))
+    }
+
+    /// Begins to dial, unless the address is being dialled or has failed a short time ago.
+    pub fn dial(
+        &mut self,
+        now: Time,
+        address: SocketAddr,
+        peer: Option<&DaemonId>,
+    ) -> Option<LinkId> {
+        let busy = self.dialling.values().any(|dialling| dialling.address == address);
+        let backs_off = self.backoffs.get(&address).is_some_and(|backoff| now < backoff.until);
+        if busy || backs_off || self.dialling.len() + self.open.len() >= MAX_LINKS {
+            return None;
+        }
+        self.last_dialled += 1;
+        let id = LinkId::Dialled(self.last_dialled);
+        let dialling = Dialling { address, peer: peer.cloned(), waiting: Vec::new() };
+        self.dialling.insert(id, dialling);
+        Some(id)
+    }
+
+    /// Lets a frame wait for a link that is being opened; false if there is none, or no room.
+    pub fn wait(&mut self, peer: &DaemonId, frame: Frame) -> bool {
+        let mut dialling = self.dialling.values_mut();
+        match dialling.find(|dialling| dialling.peer.as_ref() == Some(peer)) {
+            Some(dialling) if dialling.waiting.len() < MAX_WAITING => {
+                dialling.waiting.push(frame);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Takes a link as open and returns what waited for it.
+    pub fn opened(&mut self, now: Time, id: LinkId, peer: DaemonId) -> Vec<Frame> {
+        let dialling = self.dialling.swap_remove(&id);
+        if let Some(dialling) = &dialling {
+            self.backoffs.swap_remove(&dialling.address);
+        }
+        let link = Link {
+            peer,
+            heard: now,
+            sent: now,
+            beat_sent: None,
+            used: now,
+            beat: Beat::default(),
+            differs: None,
+            frames: Vec::new(),
+        };
+        self.open.insert(id, link);
+        dialling.map(|dialling| dialling.waiting).unwrap_or_default()
+    }
+
+    /// Forgets a link; a failed dial is not repeated at once.
+    pub fn closed(&mut self, now: Time, id: LinkId) -> Option<Link> {
+        if let Some(dialling) = self.dialling.swap_remove(&id) {
+            self.failed(now, dialling.address);
+        }
+        self.open.swap_remove(&id)
+    }
+
+    /// Says whether anything is known of a link.
+    pub fn knows(&self, id: LinkId) -> bool {
+        self.dialling.contains_key(&id) || self.open.contains_key(&id)
+    }
+
+    /// Says whether there is room for one more link.
+    pub fn has_room(&self) -> bool {
+        self.open.len() < MAX_LINKS
+    }
+
+    fn failed(&mut self, now: Time, address: SocketAddr) {
+        let failures = self.backoffs.get(&address).map_or(0, |backoff| backoff.failures);
+        let wait = SHORTEST_BACKOFF.saturating_mul(1 << failures.min(5)).min(LONGEST_BACKOFF);
+        let backoff = Backoff { failures: failures + 1, until: now + wait };
+        self.backoffs.insert(address, backoff);
+        if self.backoffs.len() > MAX_BACKOFFS {
+            self.backoffs.shift_remove_index(0);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/peer/membership.rs
@@ -0,0 +1,276 @@
+//! The member list: who takes part, who is accused of silence, and who is gone.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    ids::{DaemonId, Incarnation},
+    peer::{
+        Member,
+        message::{Accusation, Record, Standing},
+        overlay,
+    },
+    units::Time,
+};
+
+/// The most members that are kept, those that are gone included.
+pub const MAX_MEMBERS: usize = 4_096;
+/// How long a member that is gone is remembered, and looked for.
+pub const GONE_KEPT: Duration = Duration::from_hours(2);
+/// How many buckets the member list has for comparison.
+pub const BUCKETS: usize = 32;
+/// How many accusers are enough, where a member has that many neighbours.
+const ENOUGH_ACCUSERS: usize = 3;
+
+/// What a record or an accusation has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing: it was known, or older than what is known.
+    None,
+    /// Something; it is news for the neighbours too.
+    News,
+    /// It says that this daemon is gone, which must be refuted.
+    AboutSelf,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    record: Record,
+    accusers: IndexSet<DaemonId>,
+    /// When the member was first accused, or when it went.
+    since: Time,
+}
+
+/// The members as one daemon knows them.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    own: Record,
+    others: IndexMap<DaemonId, Entry>,
+}
+
+impl Membership {
+    /// Makes the list of a daemon that knows only itself.
+    pub fn new(own: Member) -> Self {
+        let own = Record { member: own, refutation: 0, standing: Standing::Live };
+        Self { own, others: IndexMap::new() }
+    }
+
+    /// Returns this daemon's own record.
+    pub fn own(&self) -> &Record {
+        &self.own
+    }
+
+    /// Returns the live members, this one included.
+    pub fn live(&self) -> impl Iterator<Item = &Member> {
+        let own = std::iter::once(&self.own).filter(|own| own.standing == Standing::Live);
+        let records = own.chain(self.others.values().map(|entry| &entry.record));
+        records.filter(|record| record.standing == Standing::Live).map(|record| &record.member)
+    }
+
+    /// Returns a member that takes part.
+    pub fn live_member(&self, daemon: &DaemonId) -> Option<&Member> {
+        let entry = self.others.get(daemon)?;
+        (entry.record.standing == Standing::Live).then_some(&entry.record.member)
+    }
+
+    /// Returns the members that are gone without having left.
+    pub fn gone(&self) -> impl Iterator<Item = &Member> {
+        let entries = self.others.values();
+        let gone = entries.filter(|entry| entry.record.standing == Standing::Gone);
+        gone.map(|entry| &entry.record.member)
+    }
+
+    /// Returns the neighbours of this daemon.
+    pub fn neighbours(&self) -> IndexSet<DaemonId> {
+        let members: Vec<&Member> = self.live().collect();
+        overlay::neighbours(&self.own.member.daemon, &members)
+    }
+
+    /// Marks this daemon as leaving and returns its last record.
+    pub fn leave(&mut self) -> Record {
+        self.own.standing = Standing::Left;
+        self.own.clone()
+    }
+
+    /// Takes a record from a peer.
+    pub fn take(&mut self, now: Time, record: &Record) -> Change {
+        let daemon = &record.member.daemon;
+        if *daemon == self.own.member.daemon {
+            let contradicts = record.order() > self.own.order();
+            return if contradicts { Change::AboutSelf } else { Change::None };
+        }
+        let full = self.others.len() >= MAX_MEMBERS;
+        match self.others.get_mut(daemon) {
+            Some(entry) if record.order() <= entry.record.order() => return Change::None,
+            Some(entry) => {
+                entry.record = record.clone();
+                entry.accusers.clear();
+                entry.since = now;
+            }
+            // A daemon that was never known is not worth a tombstone, which would never expire
+            // if daemons told it to each other in turn.
+            None if record.standing != Standing::Live => return Change::None,
+            None if full => return Change::None,
+            None => {
+                let record = record.clone();
+                let entry = Entry { record, accusers: IndexSet::new(), since: now };
+                self.others.insert(daemon.clone(), entry);
+            }
+        }
+        if record.standing == Standing::Live {
+            self.replace_at_address(now, &record.member);
+        }
+        Change::News
+    }
+
+    /// Marks the former daemon at the address of a later one as gone.
+    fn replace_at_address(&mut self, now: Time, later: &Member) {
+        for entry in self.others.values_mut() {
+            let member = &entry.record.member;
+            if member.address == later.address
+                && member.daemon != later.daemon
+                && member.incarnation < later.incarnation
+                && entry.record.standing == Standing::Live
+            {
+                entry.record.standing = Standing::Left;
+                entry.since = now;
+            }
+        }
+    }
+
+    /// Refutes a record or an accusation about this daemon and returns its new record.
+    pub fn refute(&mut self, incarnation: Incarnation, refutation: u32) -> Record {
+        if incarnation > self.own.member.incarnation {
+            // A former run of this name had a clock that was ahead.
+            self.own.member.incarnation = incarnation.next();
+            self.own.refutation = 0;
+        } else if refutation >= self.own.refutation {
+            self.own.refutation = refutation.saturating_add(1);
+        }
+        self.own.clone()
+    }
+
+    /// Returns the accusation of a live member by this daemon.
+    pub fn accusation(&self, of: &DaemonId) -> Option<Accusation> {
+        let entry = self.others.get(of)?;
+        let by = self.own.member.daemon.clone();
+        if entry.record.standing != Standing::Live || entry.accusers.contains(&by) {
+            return None;
+        }
+        Some(Accusation {
+            of: of.clone(),
+            incarnation: entry.record.member.incarnation,
+            refutation: entry.record.refutation,
+            by,
+        })
+    }
+
+    /// Takes an accusation, of a peer or of this daemon itself.
+    pub fn accuse(&mut self, now: Time, accusation: &Accusation) -> Change {
+        if accusation.of == self.own.member.daemon {
+            let run = (accusation.incarnation, accusation.refutation);
+            let current = (self.own.member.incarnation, self.own.refutation);
+            let live = self.own.standing == Standing::Live;
+            return if live && run >= current { Change::AboutSelf } else { Change::None };
+        }
+        let Some(entry) = self.others.get_mut(&accusation.of) else { return Change::None };
+        let run = (accusation.incarnation, accusation.refutation);
+        let current = (entry.record.member.incarnation, entry.record.refutation);
+        if entry.record.standing != Standing::Live
+            || run != current
+            || entry.accusers.len() >= 2 * ENOUGH_ACCUSERS
+            || !entry.accusers.insert(accusation.by.clone())
+        {
+            return Change::None;
+        }
+        if entry.accusers.len() == 1 {
+            entry.since = now;
+        }
+        if self.enough_accusers(&accusation.of) {
+            self.mark_gone(now, &accusation.of);
+        }
+        Change::News
+    }
+
+    /// Says whether most of a member's neighbours that can be asked, or several, accuse it.
+    fn enough_accusers(&self, of: &DaemonId) -> bool {
+        let Some(entry) = self.others.get(of) else { return false };
+        let members: Vec<&Member> = self.live().collect();
+        let accused =
+            |id: &DaemonId| self.others.get(id).is_some_and(|entry| !entry.accusers.is_empty());
+        let neighbours = overlay::neighbours(of, &members);
+        let askable = neighbours.iter().filter(|id| !accused(id)).count();
+        let needed = (askable / 2 + 1).min(ENOUGH_ACCUSERS);
+        entry.accusers.iter().filter(|id| !accused(id)).count() >= needed
+    }
+
+    fn mark_gone(&mut self, now: Time, daemon: &DaemonId) {
+        if let Some(entry) = self.others.get_mut(daemon) {
+            entry.record.standing = Standing::Gone;
+            entry.accusers.clear();
+            entry.since = now;
+        }
+    }
+
+    /// Withdraws this daemon's accusation of a member that it hears again.
+    pub fn withdraw(&mut self, daemon: &DaemonId) {
+        let own = self.own.member.daemon.clone();
+        if let Some(entry) = self.others.get_mut(daemon) {
+            entry.accusers.swap_remove(&own);
+        }
+    }
+
+    /// Marks members as gone that have stood accused for `wait`, and forgets those gone long ago.
+    ///
+    /// Returns the records of the members that went.
+    pub fn expire(&mut self, now: Time, wait: Duration) -> Vec<Record> {
+        let overdue = |entry: &Entry| !entry.accusers.is_empty() && now.since(entry.since) >= wait;
+        let due = self.others.iter().filter(|(_, entry)| overdue(entry));
+        let due: Vec<DaemonId> = due.map(|(id, _)| id.clone()).collect();
+        for daemon in &due {
+            self.mark_gone(now, daemon);
+        }
+        self.others.retain(|_, entry| {
+            entry.record.standing == Standing::Live || now.since(entry.since) < GONE_KEPT
+        });
+        due.iter().filter_map(|id| Some(self.others.get(id)?.record.clone())).collect()
+    }
+
+    /// Returns the digest of the live members.
+    pub fn digest(&self) -> u64 {
+        self.bucket_digests().into_iter().fold(0, |sum, digest| sum ^ digest)
+    }
+
+    /// Returns the digest of each bucket of the live members.
+    pub fn bucket_digests(&self) -> Vec<u64> {
+        let mut digests = vec![0; BUCKETS];
+        for record in self.records() {
+            if record.standing == Standing::Live {
+                digests[usize::from(bucket_of(&record.member.daemon))] ^= digest_of(record);
+            }
+        }
+        digests
+    }
+
+    /// Returns all records of some buckets, those of members that are gone included.
+    pub fn bucket_records(&self, buckets: &[u8]) -> Vec<Record> {
+        let wanted = |record: &&Record| buckets.contains(&bucket_of(&record.member.daemon));
+        self.records().filter(wanted).cloned().collect()
+    }
+
+    fn records(&self) -> impl Iterator<Item = &Record> {
+        std::iter::once(&self.own).chain(self.others.values().map(|entry| &entry.record))
+    }
+}
+
+fn bucket_of(daemon: &DaemonId) -> u8 {
+    (xxh3_64(daemon.as_str().as_bytes()) % BUCKETS as u64) as u8
+}
+
+fn digest_of(record: &Record) -> u64 {
+    let member = &record.member;
+    let text = format!("{} {} {}", member.daemon, member.incarnation, record.refutation);
+    xxh3_64(text.as_bytes())
+}
--- /dev/null
+++ b/lib/src/peer/message.rs
@@ -0,0 +1,210 @@
+//! What daemons send each other over a link: packets of frames.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    declaration::wire::WireError,
+    ids::{DaemonId, Generation, Incarnation},
+    node::message::{PeerMessage, PeerMessageWire},
+    peer::{Member, MemberWire},
+};
+
+/// Whether a member takes part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Standing {
+    /// It takes part.
+    Live,
+    /// Its neighbours have lost it; it may refute that.
+    Gone,
+    /// It has said that it leaves.
+    Left,
+}
+
+/// What is known of one member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The member.
+    pub member: Member,
+    /// Counts how often this run has refuted that it is gone.
+    pub refutation: u32,
+    /// Whether it takes part.
+    pub standing: Standing,
+}
+
+impl Record {
+    /// Orders the records of one member; the larger one is the later.
+    pub fn order(&self) -> (Incarnation, u32, Standing) {
+        (self.member.incarnation, self.refutation, self.standing)
+    }
+}
+
+/// Says that a neighbour hears nothing from a member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Accusation {
+    /// The member.
+    pub of: DaemonId,
+    /// The run that is silent.
+    pub incarnation: Incarnation,
+    /// The refutation that the accuser knew.
+    pub refutation: u32,
+    /// The accuser.
+    pub by: DaemonId,
+}
+
+/// Compares the two ends of a link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Beat {
+    /// The digest of the sender's live members.
+    pub members: u64,
+    /// The generation in force at the sender.
+    pub generation: Generation,
+    /// Whether the sender wants to keep the link.
+    pub keep: bool,
+}
+
+/// One message of the peer slice.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Frame {
+    /// See [`Beat`].
+    Beat(Beat),
+    /// Tells what the sender knows of members.
+    Records(Vec<Record>),
+    /// See [`Accusation`].
+    Accuse(Accusation),
+    /// Asks for the buckets of the member list whose digests differ.
+    Compare(Vec<u64>),
+    /// Asks for buckets of the member list.
+    Want(Vec<u8>),
+    /// A message for the receiver alone.
+    Message(PeerMessage),
+    /// A message that is passed on to every daemon.
+    Flood {
+        /// Who sent it first.
+        origin: DaemonId,
+        /// Tells it from all others.
+        id: u64,
+        /// The message.
+        message: PeerMessage,
+    },
+}
+
+impl Frame {
+    /// Says whether a link that is too slow may drop the frame.
+    pub fn droppable(&self) -> bool {
+        match self {
+            Self::Message(message) | Self::Flood { message, .. } => message.droppable(),
+            _ => false,
+        }
+    }
+}
+
+/// What crosses a link at once.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Packet(pub Vec<Frame>);
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct RecordWire(MemberWire, u32, u8);
+
+/// A [`Frame`] as it travels.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum FrameWire {
+    #[serde(rename = "b")]
+    Beat(u64, Generation, bool),
+    #[serde(rename = "r")]
+    Records(Vec<RecordWire>),
+    #[serde(rename = "a")]
+    Accuse(DaemonId, Incarnation, u32, DaemonId),
+    #[serde(rename = "c")]
+    Compare(Vec<u64>),
+    #[serde(rename = "w")]
+    Want(#[serde(with = "serde_bytes")] Vec<u8>),
+    #[serde(rename = "m")]
+    Message(PeerMessageWire),
+    #[serde(rename = "f")]
+    Flood(DaemonId, u64, PeerMessageWire),
+}
+
+/// A [`Packet`] as it travels, in CBOR.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PacketWire(Vec<FrameWire>);
+
+impl From<Record> for RecordWire {
+    fn from(record: Record) -> Self {
+        let standing = match record.standing {
+            Standing::Live => 0,
+            Standing::Gone => 1,
+            Standing::Left => 2,
+        };
+        Self(record.member.into(), record.refutation, standing)
+    }
+}
+
+impl TryFrom<RecordWire> for Record {
+    type Error = WireError;
+
+    fn try_from(wire: RecordWire) -> Result<Self, WireError> {
+        let standing = match wire.2 {
+            0 => Standing::Live,
+            1 => Standing::Gone,
+            2 => Standing::Left,
+            other => return Err(WireError::Word(format!("standing {other}").into())),
+        };
+        Ok(Self { member: wire.0.into(), refutation: wire.1, standing })
+    }
+}
+
+impl From<Frame> for FrameWire {
+    fn from(frame: Frame) -> Self {
+        match frame {
+            Frame::Beat(beat) => Self::Beat(beat.members, beat.generation, beat.keep),
+            Frame::Records(records) => Self::Records(records.into_iter().map(Into::into).collect()),
+            Frame::Accuse(Accusation { of, incarnation, refutation, by }) => {
+                Self::Accuse(of, incarnation, refutation, by)
+            }
+            Frame::Compare(digests) => Self::Compare(digests),
+            Frame::Want(buckets) => Self::Want(buckets),
+            Frame::Message(message) => Self::Message(message.into()),
+            Frame::Flood { origin, id, message } => Self::Flood(origin, id, message.into()),
+        }
+    }
+}
+
+impl TryFrom<FrameWire> for Frame {
+    type Error = WireError;
+
+    fn try_from(wire: FrameWire) -> Result<Self, WireError> {
+        Ok(match wire {
+            FrameWire::Beat(members, generation, keep) => {
+                Self::Beat(Beat { members, generation, keep })
+            }
+            FrameWire::Records(records) => {
+                let records = records.into_iter().map(TryInto::try_into);
+                Self::Records(records.collect::<Result<_, _>>()?)
+            }
+            FrameWire::Accuse(of, incarnation, refutation, by) => {
+                Self::Accuse(Accusation { of, incarnation, refutation, by })
+            }
+            FrameWire::Compare(digests) => Self::Compare(digests),
+            FrameWire::Want(buckets) => Self::Want(buckets),
+            FrameWire::Message(message) => Self::Message(message.try_into()?),
+            FrameWire::Flood(origin, id, message) => {
+                Self::Flood { origin, id, message: message.try_into()? }
+            }
+        })
+    }
+}
+
+impl From<Packet> for PacketWire {
+    fn from(packet: Packet) -> Self {
+        Self(packet.0.into_iter().map(Into::into).collect())
+    }
+}
+
+impl TryFrom<PacketWire> for Packet {
+    type Error = WireError;
+
+    fn try_from(wire: PacketWire) -> Result<Self, WireError> {
+        wire.0.into_iter().map(TryInto::try_into).collect::<Result<_, _>>().map(Self)
+    }
+}
--- /dev/null
+++ b/lib/src/peer/peers.rs
@@ -0,0 +1,596 @@
+//! The peer slice of one daemon: its member list, its links, and the messages they carry.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use indexmap::{IndexMap, IndexSet};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    ids::{DaemonId, Generation},
+    node::message::PeerMessage,
+    peer::{
+        Member, Recipient,
+        flood::Floods,
+        links::{LinkId, Links},
+        membership::{Change, Membership},
+        message::{Accusation, Beat, Frame, Packet, Record, Standing},
+    },
+    units::Time,
+};
+
+/// How many heartbeats a neighbour may miss before it is accused.
+const MISSED_BEATS: u32 = 3;
+/// For how many heartbeats a single accusation stands before it is believed.
+const ACCUSED_BEATS: u32 = 4;
+/// For how many heartbeats the daemon with the larger name leaves the dialling to the other.
+const DIAL_BEATS: u32 = 1;
+/// For how many heartbeats member lists may differ before they are compared.
+const DIFFER_BEATS: u32 = 2;
+/// For how many heartbeats a link that neither end wants is kept after its last message.
+const LINGER_BEATS: u32 = 30;
+/// How many heartbeats lie between two attempts at a seed or a member that is gone.
+const RECONNECT_BEATS: u32 = 5;
+/// How many ticks a heartbeat has.
+const TICKS_PER_BEAT: u32 = 4;
+
+/// What the slice is made with.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// This daemon.
+    pub own: Member,
+    /// Daemons to contact first.
+    pub seeds: Vec<SocketAddr>,
+    /// How often something is sent over each link.
+    pub heartbeat: Duration,
+}
+
+/// What the adapter tells of links.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LinkEvent {
+    /// A link is open and both ends are authenticated.
+    Opened(LinkId, Member),
+    /// A link was closed, or could not be opened.
+    Closed(LinkId),
+    /// A packet has come over a link.
+    Received(LinkId, Packet),
+}
+
+/// What the adapter is to do with links.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LinkEffect {
+    /// Open a link; [`LinkEvent::Opened`] or [`LinkEvent::Closed`] answers it.
+    Dial(LinkId, SocketAddr),
+    /// Send a packet.
+    Send(LinkId, Packet),
+    /// Close a link, after what was sent before.
+    Close(LinkId),
+}
+
+/// What the slice is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The daemon has started.
+    Started,
+    /// Something has happened to a link.
+    Link(LinkEvent),
+    /// A slice sends a message.
+    Send(Recipient, PeerMessage),
+    /// This generation is in force at this daemon.
+    InForce(Generation),
+    /// The daemon is going to shut down.
+    Leave,
+    /// The time of [`Peers::next_wakeup`] has come.
+    Woken,
+}
+
+/// What the slice wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Do something with a link.
+    Link(LinkEffect),
+    /// Give a message of a daemon to its slice.
+    Deliver(DaemonId, PeerMessage),
+    /// These are the live members from now on, this daemon included, ordered by name.
+    Members(Arc<[Member]>),
+    /// A neighbour has this generation, which is later than the one in force here.
+    Later(DaemonId, Generation),
+    /// Log a warning about something refused.
+    Refused(Box<str>),
+}
+
+/// The peer slice of one daemon.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    config: Config,
+    membership: Membership,
+    links: Links,
+    floods: Floods,
+    neighbours: IndexSet<DaemonId>,
+    /// Since when a neighbour has had no open link.
+    missing: IndexMap<DaemonId, Time>,
+    members: Arc<[Member]>,
+    digest: u64,
+    changed: bool,
+    generation: Generation,
+    flooded: u64,
+    reconnects: u64,
+    next_reconnect: Time,
+    next_tick: Option<Time>,
+}
+
+impl Peers {
+    /// Makes the slice of a daemon that knows only itself and its seeds.
+    pub fn new(config: Config) -> Self {
+        let membership = Membership::new(config.own.clone());
+        Self {
+            digest: membership.digest(),
+            membership,
+            config,
+            links: Links::default(),
+            floods: Floods::default(),
+            neighbours: IndexSet::new(),
+            missing: IndexMap::new(),
+            members: Arc::new([]),
+            changed: true,
+            generation: Generation(0),
+            flooded: 0,
+            reconnects: 0,
+            next_reconnect: Time(0),
+            next_tick: None,
+        }
+    }
+
+    /// Returns when the slice wants [`Event::Woken`].
+    pub fn next_wakeup(&self) -> Option<Time> {
+        self.next_tick
+    }
+
+    /// Returns the live members, this daemon included, ordered by name.
+    pub fn members(&self) -> &Arc<[Member]> {
+        &self.members
+    }
+
+    /// Returns the neighbours to which a link is open.
+    pub fn linked(&self) -> impl Iterator<Item = &DaemonId> {
+        self.links.open().map(|(_, link)| &link.peer).filter(|peer| self.neighbours.contains(*peer))
+    }
+
+    /// Says whether the daemon reaches most of the peers that it knows.
+    ///
+    /// A daemon that knows of no peer reaches all of them; one that has found none of its seeds
+    /// reaches none.
+    pub fn reaches_most(&self) -> bool {
+        let own = &self.config.own;
+        let live = self.members.len().saturating_sub(1);
+        let gone = self.membership.gone().count();
+        if live + gone == 0 {
+            return self.config.seeds.iter().all(|seed| *seed == own.address);
+        }
+        let linked = self.linked().count();
+        live > gone && 2 * linked > self.neighbours.len()
+    }
+
+    /// Takes an event and adds the effects that follow from it.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Started => self.tick(now, out),
+            Event::Woken => {
+                if self.next_tick.is_some_and(|at| at <= now) {
+                    self.tick(now, out);
+                }
+            }
+            Event::Link(LinkEvent::Opened(id, member)) => self.opened(now, id, member, out),
+            Event::Link(LinkEvent::Closed(id)) => {
+                self.links.closed(now, id);
+            }
+            Event::Link(LinkEvent::Received(id, packet)) => self.received(now, id, packet, out),
+            Event::Send(recipient, message) => self.send(now, recipient, message, out),
+            Event::InForce(generation) => self.generation = generation,
+            Event::Leave => self.leave(),
+        }
+        self.members_changed(now, out);
+        self.flush(now, out);
+    }
+
+    fn beats(&self, beats: u32) -> Duration {
+        self.config.heartbeat * beats
+    }
+
+    fn own(&self) -> &DaemonId {
+        &self.config.own.daemon
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.next_tick = Some(now + self.config.heartbeat / TICKS_PER_BEAT);
+        self.close_silent_links(now, out);
+        self.close_idle_links(now, out);
+        self.look_after_neighbours(now, out);
+        self.expire_members(now);
+        self.reconnect(now, out);
+        self.compare_members(now);
+        self.beat(now);
+    }
+
+    // Links.
+
+    fn opened(&mut self, now: Time, id: LinkId, member: Member, out: &mut Vec<Effect>) {
+        let peer = member.daemon.clone();
+        if peer == *self.own() {
+            self.links.closed(now, id);
+            return out.push(Effect::Link(LinkEffect::Close(id)));
+        }
+        if let Some((other, _)) = self.links.to(&peer) {
+            let keep = self.kept_of(other, id, &peer);
+            let drop = if keep == id { other } else { id };
+            self.links.closed(now, drop);
+            out.push(Effect::Link(LinkEffect::Close(drop)));
+            if drop == id {
+                return;
+            }
+        }
+        if !self.links.has_room() {
+            let reason = format!("no room for a link to {peer}");
+            out.push(Effect::Refused(reason.into()));
+            self.links.closed(now, id);
+            return out.push(Effect::Link(LinkEffect::Close(id)));
+        }
+        let waiting = self.links.opened(now, id, peer.clone());
+        let record = Record { member, refutation: 0, standing: Standing::Live };
+        self.take_record(now, id, &record);
+        self.membership.withdraw(&peer);
+        self.missing.swap_remove(&peer);
+        let mut first = vec![Frame::Records(vec![self.membership.own().clone()])];
+        first.extend(self.floods.recent(now).cloned());
+        first.extend(waiting);
+        if let Some(link) = self.links.get_mut(id) {
+            link.frames = first;
+        }
+    }
+
+    /// Chooses one of two links to the same peer: both ends keep that of the smaller name.
+    fn kept_of(&self, old: LinkId, new: LinkId, peer: &DaemonId) -> LinkId {
+        let preferred = |id: LinkId| matches!(id, LinkId::Dialled(_)) == (self.own() < peer);
+        if preferred(old) && !preferred(new) { old } else { new }
+    }
+
+    fn close_silent_links(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let bound = self.beats(MISSED_BEATS);
+        let silent = self.links.open().filter(|(_, link)| now.since(link.heard) > bound);
+        let silent: Vec<(LinkId, DaemonId)> = silent.map(|(id, l)| (id, l.peer.clone())).collect();
+        for (id, peer) in silent {
+            self.links.closed(now, id);
+            out.push(Effect::Link(LinkEffect::Close(id)));
+            if self.neighbours.contains(&peer) {
+                self.missing.insert(peer.clone(), now);
+                self.accuse(now, &peer);
+            }
+        }
+    }
+
+    fn close_idle_links(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let linger = self.beats(LINGER_BEATS);
+        let idle = self.links.open().filter(|(_, link)| {
+            let wanted = self.neighbours.contains(&link.peer) || link.beat.keep;
+            !wanted && now.since(link.used) > linger
+        });
+        let idle: Vec<LinkId> = idle.map(|(id, _)| id).collect();
+        for id in idle {
+            self.links.closed(now, id);
+            out.push(Effect::Link(LinkEffect::Close(id)));
+        }
+    }
+
+    fn look_after_neighbours(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let unlinked = self.neighbours.iter().filter(|peer| self.links.to(peer).is_none());
+        let unlinked: Vec<DaemonId> = unlinked.cloned().collect();
+        self.missing.retain(|peer, _| unlinked.contains(peer));
+        for peer in unlinked {
+            let since = *self.missing.entry(peer.clone()).or_insert(now);
+            let turn = *self.own() < peer || now.since(since) > self.beats(DIAL_BEATS);
+            if turn {
+                self.dial(now, &peer, out);
+            }
+            if now.since(since) > self.beats(MISSED_BEATS) {
+                self.accuse(now, &peer);
+            }
+        }
+    }
+
+    fn dial(&mut self, now: Time, peer: &DaemonId, out: &mut Vec<Effect>) {
+        let Some(member) = self.membership.live_member(peer) else { return };
+        let address = member.address;
+        if let Some(id) = self.links.dial(now, address, Some(peer)) {
+            out.push(Effect::Link(LinkEffect::Dial(id, address)));
+        }
+    }
+
+    /// Looks for seeds that no member stands for, and for members that are gone, in turn.
+    fn reconnect(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if now < self.next_reconnect || self.membership.own().standing != Standing::Live {
+            return;
+        }
+        self.next_reconnect = now + self.beats(RECONNECT_BEATS);
+        self.reconnects += 1;
+        let alone = self.members.len() <= 1;
+        let own = self.config.own.address;
+        let known = |address: &SocketAddr| self.members.iter().any(|m| m.address == *address);
+        let seeds = self.config.seeds.iter().filter(|seed| **seed != own && !known(seed));
+        let gone = self.membership.gone().map(|member| &member.address);
+        let targets: Vec<SocketAddr> = seeds.chain(gone).copied().collect();
+        if targets.is_empty() {
+            return;
+        }
+        // A daemon that starts asks all its seeds at once; later one address at a time will do.
+        let start = xxh3_64_with_seed(self.own().as_str().as_bytes(), self.reconnects) as usize;
+        let count = if alone { targets.len().min(self.config.seeds.len().max(1)) } else { 1 };
+        for offset in 0..count {
+            let address = targets[(start % targets.len() + offset) % targets.len()];
+            if let Some(id) = self.links.dial(now, address, None) {
+                out.push(Effect::Link(LinkEffect::Dial(id, address)));
+            }
+        }
+    }
+
+    // Members.
+
+    fn accuse(&mut self, now: Time, peer: &DaemonId) {
+        if let Some(accusation) = self.membership.accusation(peer) {
+            self.take_accusation(now, None, &accusation);
+        }
+    }
+
+    fn take_accusation(&mut self, now: Time, from: Option<LinkId>, accusation: &Accusation) {
+        match self.membership.accuse(now, accusation) {
+            Change::None => {}
+            Change::News => {
+                self.changed = true;
+                self.spread(from, &Frame::Accuse(accusation.clone()));
+            }
+            Change::AboutSelf => {
+                let own = self.membership.refute(accusation.incarnation, accusation.refutation);
+                self.changed = true;
+                self.spread(None, &Frame::Records(vec![own]));
+            }
+        }
+    }
+
+    fn take_record(&mut self, now: Time, from: LinkId, record: &Record) {
+        match self.membership.take(now, record) {
+            Change::News => {
+                self.changed = true;
+                self.spread(Some(from), &Frame::Records(vec![record.clone()]));
+            }
+            Change::AboutSelf if self.membership.own().standing == Standing::Live => {
+                let own = self.membership.refute(record.member.incarnation, record.refutation);
+                self.changed = true;
+                self.spread(None, &Frame::Records(vec![own]));
+            }
+            Change::None | Change::AboutSelf => {}
+        }
+    }
+
+    fn expire_members(&mut self, now: Time) {
+        let went = self.membership.expire(now, self.beats(ACCUSED_BEATS));
+        if !went.is_empty() {
+            self.changed = true;
+            self.spread(None, &Frame::Records(went));
+        }
+    }
+
+    fn compare_members(&mut self, now: Time) {
+        let patience = self.beats(DIFFER_BEATS);
+        let (own, digest) = (self.own().clone(), self.digest);
+        let mut differing = Vec::new();
+        for (id, link) in self.links.open_mut() {
+            if link.beat.members == digest || link.beat.members == 0 {
+                link.differs = None;
+                continue;
+            }
+            let since = *link.differs.get_or_insert(now);
+            // One end asks at once and the other only if that did not help.
+            let patience = if own < link.peer { patience } else { patience * 2 };
+            if now.since(since) >= patience {
+                link.differs = None;
+                differing.push(id);
+            }
+        }
+        for id in differing {
+            self.ask_to_compare(id);
+        }
+    }
+
+    fn ask_to_compare(&mut self, id: LinkId) {
+        let digests = self.membership.bucket_digests();
+        if let Some(link) = self.links.get_mut(id) {
+            link.frames.push(Frame::Compare(digests));
+        }
+    }
+
+    fn compared(&mut self, id: LinkId, theirs: &[u64]) {
+        let own = self.membership.bucket_digests();
+        if theirs.len() != own.len() {
+            return;
+        }
+        let differ = (0..own.len()).filter(|&bucket| own[bucket] != theirs[bucket]);
+        let differ: Vec<u8> = differ.map(|bucket| bucket as u8).collect();
+        if differ.is_empty() {
+            return;
+        }
+        let records = self.membership.bucket_records(&differ);
+        if let Some(link) = self.links.get_mut(id) {
+            link.frames.push(Frame::Records(records));
+            link.frames.push(Frame::Want(differ));
+        }
+    }
+
+    fn members_changed(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if !std::mem::take(&mut self.changed) {
+            return;
+        }
+        self.digest = self.membership.digest();
+        let mut members: Vec<Member> = self.membership.live().cloned().collect();
+        members.sort();
+        if *self.members != *members {
+            self.members = members.into();
+            self.neighbours = self.membership.neighbours();
+            out.push(Effect::Members(self.members.clone()));
+            self.look_after_neighbours(now, out);
+        }
+    }
+
+    fn leave(&mut self) {
+        let record = self.membership.leave();
+        self.changed = true;
+        self.spread(None, &Frame::Records(vec![record]));
+    }
+
+    // Messages.
+
+    /// Adds a frame for each link between neighbours, but for the one that it came from.
+    fn spread(&mut self, except: Option<LinkId>, frame: &Frame) {
+        let neighbours = &self.neighbours;
+        for (id, link) in self.links.open_mut() {
+            let between_neighbours = neighbours.contains(&link.peer) || link.beat.keep;
+            if between_neighbours && Some(id) != except {
+                link.frames.push(frame.clone());
+            }
+        }
+    }
+
+    fn received(&mut self, now: Time, id: LinkId, packet: Packet, out: &mut Vec<Effect>) {
+        let Some(link) = self.links.get_mut(id) else { return };
+        link.heard = now;
+        let peer = link.peer.clone();
+        self.membership.withdraw(&peer);
+        for frame in packet.0 {
+            match frame {
+                Frame::Beat(beat) => self.beat_received(id, &peer, beat, out),
+                Frame::Records(records) => {
+                    for record in &records {
+                        self.take_record(now, id, record);
+                    }
+                }
+                Frame::Accuse(accusation) => self.take_accusation(now, Some(id), &accusation),
+                Frame::Compare(digests) => self.compared(id, &digests),
+                Frame::Want(buckets) => {
+                    let records = self.membership.bucket_records(&buckets);
+                    if let Some(link) = self.links.get_mut(id) {
+                        link.frames.push(Frame::Records(records));
+                    }
+                }
+                Frame::Message(message) => {
+                    if let Some(link) = self.links.get_mut(id) {
+                        link.used = now;
+                    }
+                    out.push(Effect::Deliver(peer.clone(), message));
+                }
+                Frame::Flood { origin, id: flood, message } => {
+                    let frame = Frame::Flood { origin: origin.clone(), id: flood, message };
+                    if self.floods.take(now, flood, &frame) {
+                        self.spread(Some(id), &frame);
+                        let Frame::Flood { message, .. } = frame else { continue };
+                        out.push(Effect::Deliver(origin, message));
+                    }
+                }
+            }
+        }
+    }
+
+    fn beat_received(&mut self, id: LinkId, peer: &DaemonId, beat: Beat, out: &mut Vec<Effect>) {
+        let Some(link) = self.links.get_mut(id) else { return };
+        let first = link.beat == Beat::default();
+        link.beat = beat;
+        if beat.generation > self.generation {
+            out.push(Effect::Later(peer.clone(), beat.generation));
+        }
+        if first && beat.members != self.digest && self.own() < peer {
+            self.ask_to_compare(id);
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Time,
+        recipient: Recipient,
+        message: PeerMessage,
+        out: &mut Vec<Effect>,
+    ) {
+        match recipient {
+            Recipient::Daemon(peer) => self.send_to(now, &peer, message, out),
+            Recipient::Neighbours => self.spread(None, &Frame::Message(message)),
+            Recipient::NeighboursExcept(peer) => {
+                let except = self.links.to(&peer).map(|(id, _)| id);
+                self.spread(except, &Frame::Message(message));
+            }
+            Recipient::Flood => {
+                self.flooded += 1;
+                let origin = self.own().clone();
+                let run = self.membership.own().member.incarnation;
+                let name = format!("{origin} {run}");
+                let id = xxh3_64_with_seed(name.as_bytes(), self.flooded);
+                let frame = Frame::Flood { origin, id, message };
+                self.floods.take(now, id, &frame);
+                self.spread(None, &frame);
+            }
+        }
+    }
+
+    fn send_to(&mut self, now: Time, peer: &DaemonId, message: PeerMessage, out: &mut Vec<Effect>) {
+        if peer == self.own() {
+            return out.push(Effect::Deliver(peer.clone(), message));
+        }
+        let frame = Frame::Message(message);
+        if let Some((id, _)) = self.links.to(peer)
+            && let Some(link) = self.links.get_mut(id)
+        {
+            link.used = now;
+            link.frames.push(frame);
+            return;
+        }
+        self.dial(now, peer, out);
+        if !self.links.wait(peer, frame) {
+            out.push(Effect::Refused(format!("no link to {peer}, a message is lost").into()));
+        }
+    }
+
+    // Heartbeats.
+
+    /// Lets each link that has sent no beat for a heartbeat send one.
+    fn beat(&mut self, now: Time) {
+        let heartbeat = self.config.heartbeat;
+        let links = self.links.open();
+        let due =
+            links.filter(|(_, link)| link.beat_sent.is_none_or(|at| now.since(at) >= heartbeat));
+        let due: Vec<LinkId> = due.map(|(id, _)| id).collect();
+        for id in due {
+            self.add_beat(now, id);
+        }
+    }
+
+    fn add_beat(&mut self, now: Time, id: LinkId) {
+        let (members, generation) = (self.digest, self.generation);
+        let Some(link) = self.links.get_mut(id) else { return };
+        let keep = self.neighbours.contains(&link.peer);
+        link.beat_sent = Some(now);
+        link.frames.push(Frame::Beat(Beat { members, generation, keep }));
+    }
+
+    /// Sends what each link has to send, with a beat where one is soon due.
+    fn flush(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let soon = self.config.heartbeat / 2;
+        let ready = self.links.open().filter(|(_, link)| !link.frames.is_empty());
+        let ready: Vec<(LinkId, bool)> = ready
+            .map(|(id, link)| (id, link.beat_sent.is_none_or(|at| now.since(at) >= soon)))
+            .collect();
+        for (id, with_beat) in ready {
+            if with_beat {
+                self.add_beat(now, id);
+            }
+            if let Some(link) = self.links.get_mut(id) {
+                link.sent = now;
+                let packet = Packet(std::mem::take(&mut link.frames));
+                out.push(Effect::Link(LinkEffect::Send(id, packet)));
+            }
+        }
+    }
+}
--- a/load/src/local.rs
+++ b/load/src/local.rs
@@ -29,6 +29,10 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// How often readiness is looked at.
 const READY_POLL: Duration = Duration::from_millis(2);
+/// How many of the first daemons are seeds of the later ones.
+const SEEDS: usize = 2;
+/// How often the daemons of a local fleet send heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(200);
 /// The token of operators in a local fleet.
 pub const OPERATOR_TOKEN: &str = "local-operator";
 
@@ -140,7 +144,8 @@
             platform: self.platform_server.url().into(),
             operator_token: OPERATOR_TOKEN.into(),
             peer_key: [7; 32],
-            seeds: Vec::new(),
+            seeds: self.daemons.iter().take(SEEDS).map(Daemon::peers).collect(),
+            heartbeat: HEARTBEAT,
         })
     }
 
