declaration: generations travel in beats, changes are pulled once, a head carries deltas

Cause: every daemon held a watch and read the whole set on each change, and one cut off from everything went on as if it knew what is in force. Change: two daemons of a data centre watch; the others hear generations in the beats of their neighbours and pull the deltas from one of them, with the whole set in parts where the deltas do not reach. The head holds a base in parts and the changes since then; the publisher checks its set against what is in force then, and a conflict shows both changes. An older head is refused once per head, with the hint how to go on (Publication::above). Equal sets now have one encoding. Glue in node/: PeerMessage::Declaration, in_force::Effect::Informed and Send, Control::peer_message.

--- /dev/null
+++ b/lib/src/declaration/delta.rs
@@ -0,0 +1,238 @@
+//! The difference between two sets, as it is stored in the head and travels between daemons.
+
+use std::hash::Hash;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::{
+    declaration::{
+        DeclarationSet,
+        wire::{self, SetDigest, SetWire, WireError},
+    },
+    ids::{ChangeId, CustomerName, Generation, MoveName, RouteName, ServiceName, VersionName},
+    units::WallTime,
+};
+
+/// Says why a delta does not lead to the set that it names.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum DeltaError {
+    /// The delta begins at another set.
+    #[error("the delta begins at another set, of generation {0}")]
+    OtherBase(Generation),
+    /// The result has another digest than the delta says.
+    #[error("the delta to generation {0} leads to another set")]
+    OtherResult(Generation),
+    /// The objects are malformed.
+    #[error("the delta is malformed: {0}")]
+    Malformed(#[from] WireError),
+}
+
+/// The names of objects that a delta removes.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct RemovedWire {
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    services: Vec<ServiceName>,
+    #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+    versions: Vec<(ServiceName, VersionName)>,
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    routes: Vec<RouteName>,
+    #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
+    moves: Vec<MoveName>,
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    customers: Vec<CustomerName>,
+}
+
+/// One published change: the objects that it puts and removes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DeltaWire {
+    /// The generation that the change was made from.
+    pub from: Generation,
+    /// The digest of the set that the change was made from.
+    pub from_digest: SetDigest,
+    /// The generation that the change makes.
+    pub to: Generation,
+    /// The digest of the set that the change makes.
+    pub digest: SetDigest,
+    /// The change.
+    pub change: ChangeId,
+    /// Who published it.
+    pub author: Box<str>,
+    /// When it was published, by the publisher's clock.
+    pub at: WallTime,
+    put: SetWire,
+    removed: RemovedWire,
+}
+
+/// What identifies a change, apart from its objects.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChangeOf {
+    /// The generation that the change was made from.
+    pub from: Generation,
+    /// The generation that the change makes.
+    pub to: Generation,
+    /// The change.
+    pub change: ChangeId,
+    /// Who publishes it.
+    pub author: Box<str>,
+    /// When it is published, by the publisher's clock.
+    pub at: WallTime,
+}
+
+/// Returns the objects that differ, as `+ service x`, `~ route y` or `- move z`.
+pub fn describe(from: &DeclarationSet, to: &DeclarationSet) -> Vec<Box<str>> {
+    let mut lines = Vec::new();
+    differences("service", &from.services, &to.services, ToString::to_string, &mut lines);
+    let name = |(service, version): &(ServiceName, VersionName)| format!("{service}/{version}");
+    differences("version", &from.versions, &to.versions, name, &mut lines);
+    differences("route", &from.routes, &to.routes, ToString::to_string, &mut lines);
+    differences("move", &from.moves, &to.moves, ToString::to_string, &mut lines);
+    differences("customer", &from.customers, &to.customers, ToString::to_string, &mut lines);
+    lines
+}
+
+fn differences<K: Hash + Eq, V: PartialEq>(
+    kind: &str,
+    from: &IndexMap<K, V>,
+    to: &IndexMap<K, V>,
+    name: impl Fn(&K) -> String,
+    lines: &mut Vec<Box<str>>,
+) {
+    let mut found = Vec::new();
+    for (key, value) in to {
+        match from.get(key) {
+            None => found.push((name(key), '+')),
+            Some(old) if old != value => found.push((name(key), '~')),
+            Some(_) => {}
+        }
+    }
+    let removed = from.keys().filter(|key| !to.contains_key(*key));
+    found.extend(removed.map(|key| (name(key), '-')));
+    found.sort();
+    lines.extend(found.iter().map(|(name, sign)| format!("{sign} {kind} {name}").into()));
+}
+
+fn put<K: Hash + Eq + Clone, V: PartialEq + Clone>(
+    from: &IndexMap<K, V>,
+    to: &IndexMap<K, V>,
+) -> IndexMap<K, V> {
+    let put = to.iter().filter(|(key, value)| from.get(*key) != Some(value));
+    put.map(|(key, value)| (key.clone(), value.clone())).collect()
+}
+
+fn removed<K: Hash + Eq + Clone, V>(from: &IndexMap<K, V>, to: &IndexMap<K, V>) -> Vec<K> {
+    from.keys().filter(|key| !to.contains_key(*key)).cloned().collect()
+}
+
+fn remove<K: Hash + Eq, V>(objects: &mut IndexMap<K, V>, names: &[K]) {
+    objects.retain(|key, _| !names.contains(key));
+}
+
+impl DeltaWire {
+    /// Computes the delta between two sets.
+    pub fn between(
+        from: (&DeclarationSet, SetDigest),
+        to: (&DeclarationSet, SetDigest),
+        change: ChangeOf,
+    ) -> Self {
+        let (from, from_digest) = from;
+        let (to, digest) = to;
+        let put = DeclarationSet {
+            services: put(&from.services, &to.services),
+            versions: put(&from.versions, &to.versions),
+            routes: put(&from.routes, &to.routes),
+            moves: put(&from.moves, &to.moves),
+            customers: put(&from.customers, &to.customers),
+        };
+        let removed = RemovedWire {
+            services: removed(&from.services, &to.services),
+            versions: removed(&from.versions, &to.versions),
+            routes: removed(&from.routes, &to.routes),
+            moves: removed(&from.moves, &to.moves),
+            customers: removed(&from.customers, &to.customers),
+        };
+        Self {
+            from: change.from,
+            from_digest,
+            to: change.to,
+            digest,
+            change: change.change,
+            author: change.author,
+            at: change.at,
+            put: SetWire::from(&put),
+            removed,
+        }
+    }
+
+    /// Applies the delta to the set that it was made from; returns the set and its encoding.
+    pub fn apply(
+        &self,
+        set: &DeclarationSet,
+        digest: SetDigest,
+    ) -> Result<(DeclarationSet, Vec<u8>), DeltaError> {
+        if digest != self.from_digest {
+            return Err(DeltaError::OtherBase(self.from));
+        }
+        let mut set = set.clone();
+        remove(&mut set.services, &self.removed.services);
+        remove(&mut set.versions, &self.removed.versions);
+        remove(&mut set.routes, &self.removed.routes);
+        remove(&mut set.moves, &self.removed.moves);
+        remove(&mut set.customers, &self.removed.customers);
+        let put = DeclarationSet::try_from(self.put.clone())?;
+        set.services.extend(put.services);
+        set.versions.extend(put.versions);
+        set.routes.extend(put.routes);
+        set.moves.extend(put.moves);
+        set.customers.extend(put.customers);
+        let (digest, encoded) = wire::encode_set(&set);
+        if digest != self.digest {
+            return Err(DeltaError::OtherResult(self.to));
+        }
+        Ok((set, encoded))
+    }
+
+    /// Returns the objects that the change puts (`*`) and removes (`-`), for people.
+    pub fn describe(&self) -> Vec<Box<str>> {
+        let mut lines = self.put.titles("* ");
+        let removed = &self.removed;
+        let versions = removed.versions.iter().map(|(s, v)| format!("- version {s}/{v}"));
+        let names = (removed.services.iter().map(|name| format!("- service {name}")))
+            .chain(versions)
+            .chain(removed.routes.iter().map(|name| format!("- route {name}")))
+            .chain(removed.moves.iter().map(|name| format!("- move {name}")))
+            .chain(removed.customers.iter().map(|name| format!("- customer {name}")));
+        lines.extend(names.map(Into::into));
+        lines
+    }
+}
+
+/// Applies deltas in order, beginning at the one that was made from `set`.
+///
+/// Returns `None` if no delta begins at the set.
+pub fn apply_from(
+    deltas: &[DeltaWire],
+    set: &DeclarationSet,
+    generation: Generation,
+    digest: SetDigest,
+) -> Option<Result<(DeclarationSet, Vec<u8>), DeltaError>> {
+    let begins = |delta: &DeltaWire| delta.from == generation && delta.from_digest == digest;
+    let first = deltas.iter().position(begins)?;
+    Some(apply_all(&deltas[first..], set, digest))
+}
+
+/// Applies all deltas in order to the set that the first one was made from.
+pub fn apply_all(
+    deltas: &[DeltaWire],
+    set: &DeclarationSet,
+    digest: SetDigest,
+) -> Result<(DeclarationSet, Vec<u8>), DeltaError> {
+    let (_, mut encoded) = wire::encode_set(set);
+    let (mut set, mut digest) = (set.clone(), digest);
+    for delta in deltas {
+        (set, encoded) = delta.apply(&set, digest)?;
+        digest = delta.digest;
+    }
+    Ok((set, encoded))
+}
--- a/lib/src/declaration/mod.rs
+++ b/lib/src/declaration/mod.rs
@@ -4,8 +4,11 @@
 //! the whole set, [`publish`] puts it into the platform, and [`in_force`] brings each daemon to
 //! the latest generation. See `docs/design/declarations.md`.
 
+pub mod against;
 pub mod check;
+pub mod delta;
 pub mod in_force;
+pub mod message;
 pub mod publish;
 pub mod wire;
 
--- a/lib/src/declaration/publish.rs
+++ b/lib/src/declaration/publish.rs
@@ -1,8 +1,8 @@
 //! Publishes a set by one conditional update of the head object.
 //!
-//! The parts of the snapshot are written first, under the digest of the set, so that a head never
-//! points at parts that are missing. A lost answer is settled by reading the head and looking for
-//! the change. See `docs/design/declarations.md`.
+//! The head carries the changes since a base, a whole set in parts. Parts are written before a
+//! head points at them. A lost answer is settled by reading the head and looking for the change.
+//! See `docs/design/declarations.md`.
 
 use bytes::Bytes;
 use thiserror::Error;
@@ -10,15 +10,19 @@
 use crate::{
     declaration::{
         DeclarationSet,
-        wire::{self, HEAD_KEY, HeadWire, SetDigest, WireError},
+        against::{Objection, against},
+        delta::{ChangeOf, DeltaError, DeltaWire, apply_all},
+        wire::{self, BaseWire, HEAD_KEY, HeadWire, SetDigest, WireError},
     },
     ids::{ChangeId, Generation, Revision},
     platform::{CallError, Condition, ObjectKey, Operation, Reply},
     units::WallTime,
 };
 
-/// The largest part of a snapshot, in bytes, with room below the platform's bound.
+/// The largest part of a base, in bytes, with room below the platform's bound.
 pub const PART_BYTES: usize = 900_000;
+/// The most bytes of deltas that a head carries before a new base is written.
+pub const MAX_DELTA_BYTES: usize = 64 << 10;
 
 /// Says why a publication did not take place.
 #[derive(Clone, Debug, Error, PartialEq)]
@@ -32,13 +36,28 @@
         author: Box<str>,
         /// Its generation.
         generation: Generation,
+        /// The objects that the changes since then put (`*`) and remove (`-`), where known.
+        their_objects: Vec<Box<str>>,
+        /// The objects that this change puts and removes, where known.
+        our_objects: Vec<Box<str>>,
     },
+    /// The set contradicts what is in force.
+    #[error("the set cannot be published over what is in force: {}", list(.0))]
+    Refused(Vec<Objection>),
     /// The platform did not answer; publishing again with the same change id is safe.
     #[error("the platform did not carry out the publication: {0}")]
     Platform(#[from] CallError),
     /// The head object holds something else than a head.
     #[error("the head object is damaged: {0}")]
     Damaged(#[from] WireError),
+    /// The deltas of the head do not lead to its set.
+    #[error("the head object is damaged: {0}")]
+    Deltas(#[from] DeltaError),
+}
+
+fn list(objections: &[Objection]) -> String {
+    let texts: Vec<String> = objections.iter().map(ToString::to_string).collect();
+    texts.join("; ")
 }
 
 /// The next step of a publication.
@@ -53,21 +72,34 @@
 #[derive(Clone, Debug, PartialEq)]
 enum State {
     ReadingHead,
+    ReadingPart { part: u32, encoded: Vec<u8> },
     WritingPart { part: u32 },
     WritingHead,
     SettlingHead,
+    DeletingPart { part: u32 },
+}
+
+/// What the publication is made from.
+#[derive(Clone, Debug, PartialEq)]
+struct Current {
+    revision: Revision,
+    head: HeadWire,
+    part_revisions: Vec<Revision>,
 }
 
 /// One publication, as a state machine without I/O.
 #[derive(Clone, Debug)]
 pub struct Publication {
+    set: DeclarationSet,
     encoded: Bytes,
     digest: SetDigest,
     change: ChangeId,
     author: Box<str>,
     at: WallTime,
     expected: Option<Generation>,
-    based_on: Option<(Revision, Generation)>,
+    above: Generation,
+    current: Option<Current>,
+    new_head: Option<HeadWire>,
     state: State,
 }
 
@@ -83,121 +115,245 @@
         expected: Option<Generation>,
     ) -> (Self, Operation) {
         let (digest, encoded) = wire::encode_set(set);
-        let state = State::ReadingHead;
-        let based_on = None;
-        let encoded = encoded.into();
-        let publication = Self { encoded, digest, change, author, at, expected, based_on, state };
+        let publication = Self {
+            set: set.clone(),
+            encoded: encoded.into(),
+            digest,
+            change,
+            author,
+            at,
+            expected,
+            above: Generation(0),
+            current: None,
+            new_head: None,
+            state: State::ReadingHead,
+        };
         (publication, Operation::Get(ObjectKey::new(HEAD_KEY)))
     }
 
+    /// Makes the new generation larger than this one, after the platform was restored from an
+    /// older state: daemons take no generation below the one in force.
+    #[must_use]
+    pub fn above(mut self, generation: Generation) -> Self {
+        self.above = generation;
+        self
+    }
+
     /// Takes the result of the last call and returns the next step.
     pub fn handle(&mut self, result: Result<Reply, CallError>) -> Step {
-        match self.state.clone() {
+        let step = match self.state.clone() {
             State::ReadingHead => self.head_read(result),
+            State::ReadingPart { part, encoded } => self.part_read(part, encoded, result),
             State::WritingPart { part } => self.part_written(part, result),
             State::WritingHead => self.head_written(result),
             State::SettlingHead => self.head_settled(result),
+            // A part that stays behind costs room only.
+            State::DeletingPart { part } => Ok(self.delete_part(part + 1)),
+        };
+        step.unwrap_or_else(|error| Step::Done(Err(error)))
+    }
+
+    fn head_read(&mut self, result: Result<Reply, CallError>) -> Result<Step, PublishError> {
+        let Some((revision, head)) = read_head(result)? else {
+            if self.expected.is_some_and(|expected| expected != Generation(0)) {
+                return Err(PublishError::Platform(CallError::Conflict(None)));
+            }
+            return Ok(self.prepare(None));
+        };
+        if head.generation_of(&self.change).is_some() {
+            return Ok(Step::Done(Ok(head)));
+        }
+        if let Some(expected) = self.expected
+            && expected != head.generation
+        {
+            return Err(self.conflict(&head, expected));
         }
+        self.current = Some(Current { revision, head, part_revisions: Vec::new() });
+        Ok(self.read_part(0, Vec::new()))
     }
 
-    fn parts(&self) -> u32 {
-        self.encoded.len().div_ceil(PART_BYTES) as u32
+    fn read_part(&mut self, part: u32, encoded: Vec<u8>) -> Step {
+        self.state = State::ReadingPart { part, encoded };
+        let base = self.current.as_ref().map(|current| &current.head.base);
+        let key = base.map(|base| wire::part_key(base, part)).unwrap_or_default();
+        Step::Call(Operation::Get(ObjectKey::new(key)))
     }
 
-    fn head_read(&mut self, result: Result<Reply, CallError>) -> Step {
-        let head = match read_head(result) {
-            Ok(head) => head,
-            Err(error) => return Step::Done(Err(error)),
+    fn part_read(
+        &mut self,
+        part: u32,
+        mut encoded: Vec<u8>,
+        result: Result<Reply, CallError>,
+    ) -> Result<Step, PublishError> {
+        let Reply::Object(Some(object)) = result? else {
+            // The base was replaced since the head was read.
+            return Ok(self.begin_again());
         };
-        if let Some((_, head)) = &head {
-            if head.change == self.change {
-                return Step::Done(Ok(head.clone()));
-            }
-            if self.expected.is_some_and(|expected| expected != head.generation) {
-                return Step::Done(Err(conflict(head)));
+        let Some(current) = &mut self.current else { return Ok(self.begin_again()) };
+        current.part_revisions.push(object.revision);
+        encoded.extend_from_slice(&object.value);
+        if part + 1 < current.head.base.parts {
+            return Ok(self.read_part(part + 1, encoded));
+        }
+        let base = wire::decode_set(&encoded)?;
+        let (set, _) = apply_all(&current.head.deltas, &base, SetDigest::of(&encoded))?;
+        let objections = against(&set, &self.set, self.at);
+        if !objections.is_empty() {
+            return Err(PublishError::Refused(objections));
+        }
+        Ok(self.prepare(Some(&set)))
+    }
+
+    fn begin_again(&mut self) -> Step {
+        self.state = State::ReadingHead;
+        self.current = None;
+        Step::Call(Operation::Get(ObjectKey::new(HEAD_KEY)))
+    }
+
+    /// Makes the new head, and a new base where the deltas have grown too large.
+    fn prepare(&mut self, current_set: Option<&DeclarationSet>) -> Step {
+        let head = self.current.as_ref().map(|current| &current.head);
+        let last = head.map_or(Generation(0), |head| head.generation);
+        let generation = last.max(self.above).next();
+        let mut deltas = Vec::new();
+        let mut base = BaseWire {
+            generation,
+            digest: self.digest,
+            change: self.change.clone(),
+            parts: self.encoded.len().div_ceil(PART_BYTES) as u32,
+        };
+        if let (Some(head), Some(set)) = (head, current_set) {
+            let change = ChangeOf {
+                from: last,
+                to: generation,
+                change: self.change.clone(),
+                author: self.author.clone(),
+                at: self.at,
+            };
+            let delta = DeltaWire::between((set, head.digest), (&self.set, self.digest), change);
+            let mut all = head.deltas.clone();
+            all.push(delta);
+            if wire::encode(&all).len() <= MAX_DELTA_BYTES {
+                base = head.base.clone();
+                deltas = all;
             }
         }
-        self.based_on = head.map(|(revision, head)| (revision, head.generation));
-        self.write_part(0)
+        let new_base = base.generation == generation;
+        self.new_head = Some(HeadWire {
+            generation,
+            digest: self.digest,
+            change: self.change.clone(),
+            author: self.author.clone(),
+            at: self.at,
+            base,
+            deltas,
+        });
+        if new_base { self.write_part(0) } else { self.write_head() }
+    }
+
+    fn base(&self) -> Option<&BaseWire> {
+        self.new_head.as_ref().map(|head| &head.base)
     }
 
     fn write_part(&mut self, part: u32) -> Step {
         self.state = State::WritingPart { part };
         let begin = part as usize * PART_BYTES;
         let end = (begin + PART_BYTES).min(self.encoded.len());
+        let key = self.base().map(|base| wire::part_key(base, part)).unwrap_or_default();
         Step::Call(Operation::Put {
-            key: ObjectKey::new(wire::part_key(self.digest, part)),
+            key: ObjectKey::new(key),
             value: self.encoded.slice(begin..end),
             condition: Condition::Absent,
         })
     }
 
-    fn part_written(&mut self, part: u32, result: Result<Reply, CallError>) -> Step {
-        // A part is named by the digest of the set, so one that exists holds the same bytes.
+    fn part_written(
+        &mut self,
+        part: u32,
+        result: Result<Reply, CallError>,
+    ) -> Result<Step, PublishError> {
+        // A part is named by change and digest, so one that exists holds the same bytes.
         match result {
-            Ok(_) | Err(CallError::Conflict(_)) if part + 1 < self.parts() => {
-                self.write_part(part + 1)
-            }
-            Ok(_) | Err(CallError::Conflict(_)) => self.write_head(),
-            Err(CallError::Unknown) => self.write_part(part),
-            Err(error) => Step::Done(Err(error.into())),
-        }
-    }
-
-    fn new_head(&self) -> HeadWire {
-        let last = self.based_on.map_or(Generation(0), |(_, generation)| generation);
-        HeadWire {
-            generation: last.next(),
-            digest: self.digest,
-            change: self.change.clone(),
-            author: self.author.clone(),
-            at: self.at,
-            parts: self.parts(),
+            Ok(_) | Err(CallError::Conflict(_)) => {}
+            Err(CallError::Unknown) => return Ok(self.write_part(part)),
+            Err(error) => return Err(error.into()),
         }
+        let parts = self.base().map_or(0, |base| base.parts);
+        if part + 1 < parts { Ok(self.write_part(part + 1)) } else { Ok(self.write_head()) }
     }
 
     fn write_head(&mut self) -> Step {
         self.state = State::WritingHead;
-        let condition = match self.based_on {
-            Some((revision, _)) => Condition::Revision(revision),
+        let condition = match &self.current {
+            Some(current) => Condition::Revision(current.revision),
             None => Condition::Absent,
         };
         Step::Call(Operation::Put {
             key: ObjectKey::new(HEAD_KEY),
-            value: wire::encode(&self.new_head()).into(),
+            value: wire::encode(&self.new_head).into(),
             condition,
         })
     }
 
-    fn head_written(&mut self, result: Result<Reply, CallError>) -> Step {
+    fn head_written(&mut self, result: Result<Reply, CallError>) -> Result<Step, PublishError> {
         match result {
-            Ok(_) => Step::Done(Ok(self.new_head())),
+            Ok(_) => Ok(self.published()),
             Err(CallError::Unknown | CallError::Conflict(_)) => {
                 self.state = State::SettlingHead;
-                Step::Call(Operation::Get(ObjectKey::new(HEAD_KEY)))
+                Ok(Step::Call(Operation::Get(ObjectKey::new(HEAD_KEY))))
             }
-            Err(error) => Step::Done(Err(error.into())),
+            Err(error) => Err(error.into()),
         }
     }
 
-    fn head_settled(&mut self, result: Result<Reply, CallError>) -> Step {
-        match read_head(result) {
-            Ok(Some((_, head))) if head.change == self.change => Step::Done(Ok(head)),
-            Ok(Some((revision, head))) if Some((revision, head.generation)) != self.based_on => {
-                Step::Done(Err(conflict(&head)))
+    fn head_settled(&mut self, result: Result<Reply, CallError>) -> Result<Step, PublishError> {
+        let based_on = self.current.as_ref().map(|current| current.revision);
+        match read_head(result)? {
+            Some((_, head)) if head.generation_of(&self.change).is_some() => Ok(self.published()),
+            Some((revision, head)) if Some(revision) != based_on => {
+                let last = self.current.as_ref().map(|current| current.head.generation);
+                Err(self.conflict(&head, last.unwrap_or_default()))
             }
             // The write may still take effect; the condition admits it or this one, never both.
-            Ok(_) => self.write_head(),
-            Err(error) => Step::Done(Err(error)),
+            _ => Ok(self.write_head()),
         }
     }
-}
 
-fn conflict(head: &HeadWire) -> PublishError {
-    PublishError::Conflict {
-        theirs: head.change.clone(),
-        author: head.author.clone(),
-        generation: head.generation,
+    /// Deletes the parts of a base that the new head has replaced.
+    fn published(&mut self) -> Step {
+        self.delete_part(0)
+    }
+
+    fn delete_part(&mut self, part: u32) -> Step {
+        let replaced =
+            self.current.as_ref().filter(|current| Some(&current.head.base) != self.base());
+        let old = replaced.and_then(|current| {
+            let revision = *current.part_revisions.get(part as usize)?;
+            Some((wire::part_key(&current.head.base, part), revision))
+        });
+        let Some((key, revision)) = old else {
+            let head = self.new_head.clone();
+            return match head {
+                Some(head) => Step::Done(Ok(head)),
+                None => self.begin_again(),
+            };
+        };
+        self.state = State::DeletingPart { part };
+        let condition = Condition::Revision(revision);
+        Step::Call(Operation::Delete { key: ObjectKey::new(key), condition })
+    }
+
+    /// Describes the changes that came after `since`, beside this one.
+    fn conflict(&self, head: &HeadWire, since: Generation) -> PublishError {
+        let later = head.deltas.iter().filter(|delta| delta.to > since);
+        let own = self.new_head.as_ref().and_then(|head| head.deltas.last());
+        PublishError::Conflict {
+            theirs: head.change.clone(),
+            author: head.author.clone(),
+            generation: head.generation,
+            their_objects: later.flat_map(DeltaWire::describe).collect(),
+            our_objects: own.map(DeltaWire::describe).unwrap_or_default(),
+        }
     }
 }
 
--- a/lib/src/declaration/wire.rs
+++ b/lib/src/declaration/wire.rs
@@ -10,6 +10,7 @@
 use crate::{
     declaration::{
         Customer, DeclarationSet, LatencyTarget, Move, Route, Service, SupplyBounds, Version,
+        delta::DeltaWire,
     },
     ids::{ChangeId, CustomerName, Generation, MoveName, RouteName, ServiceName, VersionName},
     units::{PricePerHour, WallTime},
@@ -81,7 +82,32 @@
     pub author: Box<str>,
     /// When it was published, by the publisher's clock.
     pub at: WallTime,
-    /// The number of snapshot parts, stored under [`part_key`].
+    /// The whole set that the deltas begin at.
+    pub base: BaseWire,
+    /// All changes from the base to this generation, in order.
+    pub deltas: Vec<DeltaWire>,
+}
+
+impl HeadWire {
+    /// Returns the generation that a change has made, as far as the head remembers.
+    pub fn generation_of(&self, change: &ChangeId) -> Option<Generation> {
+        if self.change == *change {
+            return Some(self.generation);
+        }
+        self.deltas.iter().find(|delta| delta.change == *change).map(|delta| delta.to)
+    }
+}
+
+/// A whole set that is stored in parts below the platform's bound.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BaseWire {
+    /// The generation of the set.
+    pub generation: Generation,
+    /// The digest of the set.
+    pub digest: SetDigest,
+    /// The change that wrote the parts, so that no two changes share them.
+    pub change: ChangeId,
+    /// The number of parts, stored under [`part_key`].
     pub parts: u32,
 }
 
@@ -89,8 +115,8 @@
 pub const HEAD_KEY: &str = "config/head";
 
 /// Returns the key of one part of a snapshot.
-pub fn part_key(digest: SetDigest, part: u32) -> String {
-    format!("config/parts/{digest}/{part}")
+pub fn part_key(base: &BaseWire, part: u32) -> String {
+    format!("config/parts/{}/{}/{part}", base.change, base.digest)
 }
 
 /// A set as it is stored.
@@ -183,15 +209,36 @@
     duration.as_millis() as u64
 }
 
+impl SetWire {
+    /// Returns the kind and name of each object after a prefix, for people.
+    pub fn titles(&self, prefix: &str) -> Vec<Box<str>> {
+        let services = self.services.iter().map(|s| format!("{prefix}service {}", s.name));
+        let versions = self.versions.iter();
+        let versions = versions.map(|v| format!("{prefix}version {}/{}", v.service, v.name));
+        let routes = self.routes.iter().map(|r| format!("{prefix}route {}", r.name));
+        let moves = self.moves.iter().map(|m| format!("{prefix}move {}", m.name));
+        let customers = self.customers.iter().map(|c| format!("{prefix}customer {}", c.name));
+        let titles = services.chain(versions).chain(routes).chain(moves).chain(customers);
+        titles.map(Into::into).collect()
+    }
+}
+
 impl From<&DeclarationSet> for SetWire {
+    /// Makes the one form of a set, ordered by name, so that equal sets have equal digests.
     fn from(set: &DeclarationSet) -> Self {
-        Self {
+        let mut wire = Self {
             services: set.services.values().map(ServiceWire::from).collect(),
             versions: set.versions.values().cloned().map(VersionWire::from).collect(),
             routes: set.routes.values().map(RouteWire::from).collect(),
             moves: set.moves.values().cloned().map(MoveWire::from).collect(),
             customers: set.customers.values().cloned().map(CustomerWire::from).collect(),
-        }
+        };
+        wire.services.sort_by(|a, b| a.name.cmp(&b.name));
+        wire.versions.sort_by(|a, b| (&a.service, &a.name).cmp(&(&b.service, &b.name)));
+        wire.routes.sort_by(|a, b| a.name.cmp(&b.name));
+        wire.moves.sort_by(|a, b| a.name.cmp(&b.name));
+        wire.customers.sort_by(|a, b| a.name.cmp(&b.name));
+        wire
     }
 }
 
@@ -223,12 +270,15 @@
 impl From<&Service> for ServiceWire {
     fn from(service: &Service) -> Self {
         let by_method = service.repeat_by_method.iter();
+        let by_method = by_method.map(|(method, rule)| (method.clone(), text(rule)));
+        let mut by_method: Vec<_> = by_method.collect();
+        by_method.sort();
         Self {
             name: service.name.clone(),
             kind: text(service.kind),
             version: service.version.clone(),
             repeat: text(service.repeat),
-            repeat_by_method: by_method.map(|(m, rule)| (m.clone(), text(rule))).collect(),
+            repeat_by_method: by_method,
             checks_fencing: service.checks_fencing,
             reports_load: service.reports_load,
             first_token_ms: millis(service.target.first_token),
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -88,6 +88,8 @@
     in_force: InForce,
     hosts: HostList,
     pub(super) peers: Option<Peers>,
+    /// Whether most of the known peers are reached; a daemon without peers misses none.
+    pub(super) reaches_peers: bool,
     pub(super) snapshot: Snapshot,
     clock: (Time, WallTime),
 }
@@ -95,12 +97,12 @@
 impl Control {
     /// Makes the control part of a daemon that knows nothing yet.
     pub fn new() -> Self {
-        Self::default()
+        Self { reaches_peers: true, ..Self::default() }
     }
 
     /// Makes the control part of a daemon that forms a fleet with its peers.
     pub fn with_peers(config: Config) -> Self {
-        Self { peers: Some(Peers::new(config)), ..Self::default() }
+        Self { peers: Some(Peers::new(config)), ..Self::new() }
     }
 
     /// Returns when [`Input::Woken`] is wanted.
@@ -147,15 +149,17 @@
     }
 
     /// Gives a message of a peer to its slice.
-    #[expect(clippy::unused_self, clippy::needless_pass_by_value, reason = "slices add theirs")]
     pub(super) fn peer_message(
         &mut self,
-        _now: Time,
-        _from: &DaemonId,
+        now: Time,
+        from: &DaemonId,
         message: PeerMessage,
-        _out: &mut Vec<Output>,
+        out: &mut Vec<Output>,
     ) {
         match message {
+            PeerMessage::Declaration(message) => {
+                self.in_force(now, in_force::Event::Peer(from.clone(), message), out);
+            }
             PeerMessage::Leaving(_) => {}
         }
     }
@@ -175,7 +179,7 @@
         out.push(Output::Publish(Arc::new(self.snapshot.clone())));
     }
 
-    fn in_force(&mut self, now: Time, event: in_force::Event, out: &mut Vec<Output>) {
+    pub(super) fn in_force(&mut self, now: Time, event: in_force::Event, out: &mut Vec<Output>) {
         let mut effects = Vec::new();
         self.in_force.handle(now, event, &mut effects);
         for effect in effects {
@@ -186,10 +190,16 @@
                 in_force::Effect::Adopted(generation, set) => {
                     self.snapshot.generation = generation;
                     self.snapshot.set = set;
-                    self.snapshot.informed = true;
                     self.publish(out);
                     self.peers(now, peers::Event::InForce(generation), out);
                 }
+                in_force::Effect::Informed(informed) => {
+                    self.snapshot.informed = informed;
+                    self.publish(out);
+                }
+                in_force::Effect::Send(recipient, message) => {
+                    out.push(Output::Send(recipient, PeerMessage::Declaration(message)));
+                }
                 in_force::Effect::Refused(reason) => out.push(Output::Refused(reason)),
             }
         }
--- a/lib/src/node/message.rs
+++ b/lib/src/node/message.rs
@@ -10,6 +10,8 @@
 /// A message from one daemon to another.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PeerMessage {
+    /// Carries the configuration in force.
+    Declaration(crate::declaration::message::Message),
     /// Tells that a host is leaving; flooded to all daemons.
     Leaving(crate::upstream::message::Message),
 }
@@ -20,7 +22,7 @@
     /// Only statistics may be dropped; nothing that a promise rests on.
     pub fn droppable(&self) -> bool {
         match self {
-            Self::Leaving(_) => false,
+            Self::Declaration(_) | Self::Leaving(_) => false,
         }
     }
 }
@@ -28,6 +30,9 @@
 /// A [`PeerMessage`] as it travels, in CBOR.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessageWire {
+    /// See [`PeerMessage::Declaration`].
+    #[serde(rename = "d")]
+    Declaration(crate::declaration::message::MessageWire),
     /// See [`PeerMessage::Leaving`].
     #[serde(rename = "u")]
     Leaving(crate::upstream::message::MessageWire),
@@ -36,6 +41,7 @@
 impl From<PeerMessage> for PeerMessageWire {
     fn from(message: PeerMessage) -> Self {
         match message {
+            PeerMessage::Declaration(message) => Self::Declaration(message.into()),
             PeerMessage::Leaving(message) => Self::Leaving(message.into()),
         }
     }
@@ -46,6 +52,7 @@
 
     fn try_from(wire: PeerMessageWire) -> Result<Self, WireError> {
         Ok(match wire {
+            PeerMessageWire::Declaration(wire) => Self::Declaration(wire.try_into()?),
             PeerMessageWire::Leaving(wire) => Self::Leaving(wire.try_into()?),
         })
     }
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -1,6 +1,7 @@
 //! Joins the peer slice to the control part.
 
 use crate::{
+    declaration::in_force,
     node::control::{Control, Output},
     peer::peers::{Effect, Event},
     units::Time,
@@ -12,18 +13,27 @@
         let Some(peers) = &mut self.peers else { return };
         let mut effects = Vec::new();
         peers.handle(now, event, &mut effects);
+        let reaches = peers.reaches_most();
+        let own = peers.own().clone();
         for effect in effects {
             match effect {
                 Effect::Link(effect) => out.push(Output::Link(effect)),
                 Effect::Deliver(from, message) => self.peer_message(now, &from, message, out),
                 Effect::Members(members) => {
-                    self.snapshot.members = members;
+                    self.snapshot.members = members.clone();
                     self.publish(out);
+                    self.in_force(now, in_force::Event::Members(own.clone(), members), out);
+                }
+                Effect::Later(peer, generation) => {
+                    self.in_force(now, in_force::Event::Later(peer, generation), out);
                 }
-                Effect::Later(..) => {}
                 Effect::Refused(reason) => out.push(Output::Refused(reason)),
             }
         }
+        if reaches != self.reaches_peers {
+            self.reaches_peers = reaches;
+            self.in_force(now, in_force::Event::Reaches(reaches), out);
+        }
     }
 
     /// Gives what the slices send to the peer slice, until nothing more is sent.
--- a/lib/src/peer/links.rs
+++ b/lib/src/peer/links.rs
@@ -63,6 +63,8 @@
     pub beat_sent: Option<Time>,
     /// When a message was last carried, so that an idle link is closed.
     pub used: Time,
+    /// Whether the other end has told of itself.
+    pub beating: bool,
     /// What the other end last said of itself.
     pub beat: Beat,
     /// Since when the member lists differ.
@@ -150,6 +152,7 @@
             sent: now,
             beat_sent: None,
             used: now,
+            beating: false,
             beat: Beat::default(),
             differs: None,
             frames: Vec::new(),
--- a/lib/src/peer/peers.rs
+++ b/lib/src/peer/peers.rs
@@ -150,9 +150,10 @@
         &self.members
     }
 
-    /// Returns the neighbours to which a link is open.
+    /// Returns the neighbours to which a link is open and that have told of themselves.
     pub fn linked(&self) -> impl Iterator<Item = &DaemonId> {
-        self.links.open().map(|(_, link)| &link.peer).filter(|peer| self.neighbours.contains(*peer))
+        let beating = self.links.open().filter(|(_, link)| link.beating);
+        beating.map(|(_, link)| &link.peer).filter(|peer| self.neighbours.contains(*peer))
     }
 
     /// Says whether the daemon reaches most of the peers that it knows.
@@ -185,7 +186,7 @@
             }
             Event::Link(LinkEvent::Received(id, packet)) => self.received(now, id, packet, out),
             Event::Send(recipient, message) => self.send(now, recipient, message, out),
-            Event::InForce(generation) => self.generation = generation,
+            Event::InForce(generation) => self.in_force(now, generation),
             Event::Leave => self.leave(),
         }
         self.members_changed(now, out);
@@ -196,7 +197,8 @@
         self.config.heartbeat * beats
     }
 
-    fn own(&self) -> &DaemonId {
+    /// Returns this daemon.
+    pub fn own(&self) -> &DaemonId {
         &self.config.own.daemon
     }
 
@@ -382,7 +384,7 @@
         let (own, digest) = (self.own().clone(), self.digest);
         let mut differing = Vec::new();
         for (id, link) in self.links.open_mut() {
-            if link.beat.members == digest || link.beat.members == 0 {
+            if link.beat.members == digest || !link.beating {
                 link.differs = None;
                 continue;
             }
@@ -498,7 +500,7 @@
 
     fn beat_received(&mut self, id: LinkId, peer: &DaemonId, beat: Beat, out: &mut Vec<Effect>) {
         let Some(link) = self.links.get_mut(id) else { return };
-        let first = link.beat == Beat::default();
+        let first = !std::mem::replace(&mut link.beating, true);
         link.beat = beat;
         if beat.generation > self.generation {
             out.push(Effect::Later(peer.clone(), beat.generation));
@@ -575,6 +577,19 @@
         link.frames.push(Frame::Beat(Beat { members, generation, keep }));
     }
 
+    /// Tells the neighbours that do not have a generation yet that it is in force here.
+    fn in_force(&mut self, now: Time, generation: Generation) {
+        self.generation = generation;
+        let behind = self.links.open().filter(|(_, link)| {
+            let between_neighbours = self.neighbours.contains(&link.peer) || link.beat.keep;
+            between_neighbours && link.beat.generation < generation
+        });
+        let behind: Vec<LinkId> = behind.map(|(id, _)| id).collect();
+        for id in behind {
+            self.add_beat(now, id);
+        }
+    }
+
     /// Sends what each link has to send, with a beat where one is soon due.
     fn flush(&mut self, now: Time, out: &mut Vec<Effect>) {
         let soon = self.config.heartbeat / 2;
