--- a/lib/src/declaration/in_force/reach.rs
+++ b/lib/src/declaration/in_force/reach.rs
@@ -20,7 +20,8 @@
 /// What a daemon reaches, and whether it is informed.
 #[derive(Clone, Debug)]
 pub struct Reach {
-    started: Time,
+    /// Until when a daemon that starts waits for its peers.
+    join_until: Option<Time>,
     peers: bool,
     platform: Platform,
     /// Since when neither was reached.
@@ -31,7 +32,7 @@
 impl Default for Reach {
     fn default() -> Self {
         Self {
-            started: Time(0),
+            join_until: None,
             peers: true,
             platform: Platform::NeverSeen,
             unreached: None,
@@ -43,7 +44,7 @@
 impl Reach {
     /// Begins to wait for peers.
     pub fn started(&mut self, now: Time) {
-        self.started = now;
+        self.join_until = Some(now + JOIN_WAIT);
     }
 
     /// Takes whether most peers are reached.
@@ -71,7 +72,7 @@
         if self.informed {
             return self.unreached.map(|since| since + UNINFORMED_AFTER);
         }
-        holds_any.then(|| self.started + JOIN_WAIT)
+        self.join_until.filter(|_| holds_any)
     }
 
     /// Judges anew; `latest` says that a set is held and no peer is known to hold a later one.
@@ -80,10 +81,11 @@
     pub fn judge(&mut self, now: Time, latest: bool) -> Option<bool> {
         let reached = self.peers || self.platform == Platform::Answers;
         self.unreached = if reached { None } else { self.unreached.or(Some(now)) };
+        self.join_until = self.join_until.filter(|&until| now < until);
         let informed = if self.informed {
             self.unreached.is_none_or(|since| now.since(since) < UNINFORMED_AFTER)
         } else {
-            let joined = self.peers || now.since(self.started) >= JOIN_WAIT;
+            let joined = self.peers || self.join_until.is_none();
             reached && joined && latest
         };
         let changed = informed != self.informed;
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -105,6 +105,11 @@
         Self { peers: Some(Peers::new(config)), ..Self::new() }
     }
 
+    /// Returns the peer slice, if the daemon has peers.
+    pub fn peers(&self) -> Option<&Peers> {
+        self.peers.as_ref()
+    }
+
     /// Returns when [`Input::Woken`] is wanted.
     pub fn next_wakeup(&self) -> Option<Time> {
         let peers = self.peers.as_ref().and_then(Peers::next_wakeup);
@@ -115,7 +120,7 @@
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::Started => {
-                self.peers(now, peers::Event::Started, out);
+                self.handle_peers(now, peers::Event::Started, out);
                 self.in_force(now, in_force::Event::Started, out);
                 self.hosts(now, hosts::Event::Started, out);
             }
@@ -128,12 +133,12 @@
             Input::Woken => {
                 self.in_force(now, in_force::Event::Woken, out);
                 self.hosts(now, hosts::Event::Woken, out);
-                self.peers(now, peers::Event::Woken, out);
+                self.handle_peers(now, peers::Event::Woken, out);
             }
             Input::Drain => {
                 self.snapshot.draining = true;
                 self.publish(out);
-                self.peers(now, peers::Event::Leave, out);
+                self.handle_peers(now, peers::Event::Leave, out);
             }
             Input::Claim(ask) => {
                 let retry_after = CLAIM_RETRY;
@@ -142,7 +147,7 @@
             }
             Input::Clock(wall) => self.clock = (now, wall),
             Input::Peer(from, message) => self.peer_message(now, &from, message, out),
-            Input::Link(event) => self.peers(now, peers::Event::Link(event), out),
+            Input::Link(event) => self.handle_peers(now, peers::Event::Link(event), out),
             Input::ClaimEnded(..) | Input::Attempt(_) => {}
         }
         self.send_to_peers(now, out);
@@ -191,7 +196,7 @@
                     self.snapshot.generation = generation;
                     self.snapshot.set = set;
                     self.publish(out);
-                    self.peers(now, peers::Event::InForce(generation), out);
+                    self.handle_peers(now, peers::Event::InForce(generation), out);
                 }
                 in_force::Effect::Informed(informed) => {
                     self.snapshot.informed = informed;
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -9,7 +9,7 @@
 
 impl Control {
     /// Hands an event to the peer slice and carries out its effects.
-    pub(super) fn peers(&mut self, now: Time, event: Event, out: &mut Vec<Output>) {
+    pub(super) fn handle_peers(&mut self, now: Time, event: Event, out: &mut Vec<Output>) {
         let Some(peers) = &mut self.peers else { return };
         let mut effects = Vec::new();
         peers.handle(now, event, &mut effects);
@@ -46,7 +46,7 @@
             }
             for output in sends {
                 if let Output::Send(recipient, message) = output {
-                    self.peers(now, Event::Send(recipient, message), out);
+                    self.handle_peers(now, Event::Send(recipient, message), out);
                 }
             }
         }
