--- a/lib/src/peer/overlay.rs
+++ b/lib/src/peer/overlay.rs
@@ -13,8 +13,15 @@
 /// The number of rings; each gives a daemon two neighbours.
 const RINGS: u64 = 3;
 
+/// In a fleet of this size or smaller all daemons are neighbours.
+const SMALL_FLEET: usize = 9;
+
 /// Returns the neighbours of one daemon among the members.
 pub fn neighbours(daemon: &DaemonId, members: &[&Member]) -> IndexSet<DaemonId> {
+    let others = members.iter().map(|member| &member.daemon).filter(|id| *id != daemon);
+    if members.len() <= SMALL_FLEET {
+        return others.cloned().collect();
+    }
     let mut chosen = IndexSet::new();
     for ring in 0..RINGS {
         beside(daemon, members, ring, &mut chosen);
--- a/lib/tests/fleet/queue.rs
+++ b/lib/tests/fleet/queue.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, HashMap},
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use dogwoodturn::{
@@ -45,6 +45,8 @@
     pub bytes_sent: u64,
     pub packets_sent: u64,
     pub platform_calls: u64,
+    /// The time that the control part has taken.
+    pub busy: Duration,
     wakeup: Option<Time>,
 }
 
@@ -105,6 +107,7 @@
             bytes_sent,
             packets_sent,
             platform_calls,
+            busy: Duration::ZERO,
             wakeup: None,
         };
         self.nodes.push(Some(node));
@@ -162,7 +165,9 @@
         };
         let Some(node) = &mut self.nodes[index] else { return };
         let mut out = Vec::new();
+        let began = Instant::now();
         node.control.handle(self.now, input, &mut out);
+        node.busy += began.elapsed();
         node.wakeup = node.wakeup.filter(|&at| at > self.now);
         let wanted = node.control.next_wakeup();
         if let Some(at) = wanted.filter(|at| node.wakeup.is_none_or(|wakeup| *at < wakeup)) {
