--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod flight;
 pub mod logs;
+pub mod peers;
 pub mod settings;
 pub mod traffic;
 
@@ -26,7 +27,7 @@
 use thiserror::Error;
 use tokio::sync::{mpsc, watch};
 
-use crate::{flight::InFlight, settings::Settings};
+use crate::{flight::InFlight, peers::PeerCounters, settings::Settings};
 
 /// How often a draining daemon looks whether requests are still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
@@ -52,6 +53,8 @@
 pub struct Daemon {
     callers: SocketAddr,
     operators: SocketAddr,
+    peers: SocketAddr,
+    peer_counters: Arc<PeerCounters>,
     drain_timeout: Duration,
     snapshot: Arc<ArcSwap<Snapshot>>,
     inputs: mpsc::UnboundedSender<Input>,
@@ -65,11 +68,14 @@
     pub fn start(settings: &Settings) -> Result<Self, StartError> {
         let callers = bind(settings.callers)?;
         let operators = bind(settings.operators)?;
+        let peers = bind(settings.peers)?;
         let (inputs, received) = mpsc::unbounded_channel();
         let (stop, stopped) = watch::channel(false);
         let mut daemon = Self {
             callers: address_of(&callers, settings.callers)?,
             operators: address_of(&operators, settings.operators)?,
+            peers: address_of(&peers, settings.peers)?,
+            peer_counters: Arc::default(),
             drain_timeout: settings.drain_timeout,
             snapshot: Arc::default(),
             inputs: inputs.clone(),
@@ -87,6 +93,8 @@
             inboxes,
             snapshot: daemon.snapshot.clone(),
             operators,
+            peers,
+            peer_counters: daemon.peer_counters.clone(),
             inputs,
             received,
             stop: stopped.clone(),
@@ -124,6 +132,16 @@
         self.operators
     }
 
+    /// Returns where other daemons connect.
+    pub fn peers(&self) -> SocketAddr {
+        self.peers
+    }
+
+    /// Returns what has crossed the links to other daemons.
+    pub fn peer_counters(&self) -> &PeerCounters {
+        &self.peer_counters
+    }
+
     /// Says whether the daemon takes requests.
     pub fn ready(&self) -> bool {
         self.snapshot.load().ready()
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -14,7 +14,10 @@
         message::PeerMessage, platform::CallTag, report::AttemptReport, requests,
         snapshot::Snapshot,
     },
-    peer::Recipient,
+    peer::{
+        Recipient,
+        peers::{self, LinkEffect, LinkEvent, Peers},
+    },
     platform::{CallError, Operation, Priority, Reply, client::Client},
     request,
     units::{Time, WallTime},
@@ -60,6 +63,8 @@
     Clock(WallTime),
     /// A traffic thread sends a message about a request.
     Request(Recipient, request::message::Message),
+    /// Something has happened to a link to a peer.
+    Link(LinkEvent),
 }
 
 /// What the control part wants done.
@@ -84,8 +89,10 @@
     Poison(request::poison::Digest, Duration),
     /// Give a message about a request to the traffic thread that it concerns.
     Request(DaemonId, request::message::Message),
-    /// Send a message to peers.
+    /// Send a message to peers; only a control part without [`Control::with_peers`] gives it out.
     Send(Recipient, PeerMessage),
+    /// Do something with a link to a peer.
+    Link(LinkEffect),
     /// Log a warning about something refused.
     Refused(Box<str>),
     /// Log a change; the control part also appends it to the audit trail.
@@ -97,6 +104,9 @@
 pub struct Control {
     in_force: InForce,
     hosts: HostList,
+    pub(super) peers: Option<Peers>,
+    /// Whether most of the known peers are reached; a daemon without peers misses none.
+    pub(super) reaches_peers: bool,
     pub(super) snapshot: Snapshot,
     clock: (Time, WallTime),
     pub(super) claims: Option<Claims>,
@@ -108,7 +118,19 @@
 impl Control {
     /// Makes the control part of a daemon that knows nothing yet.
     pub fn new() -> Self {
-        Self::default()
+        Self { reaches_peers: true, ..Self::default() }
+    }
+
+    /// Lets the daemon form a fleet with its peers; to be told before any input.
+    #[must_use]
+    pub fn with_peers(mut self, cfg: peers::Config) -> Self {
+        self.peers = Some(Peers::new(cfg));
+        self
+    }
+
+    /// Returns the peer slice, if the daemon has peers.
+    pub fn peers(&self) -> Option<&Peers> {
+        self.peers.as_ref()
     }
 
     /// Returns when [`Input::Woken`] is wanted.
@@ -116,7 +138,8 @@
         let claims = self.claims.as_ref().and_then(Claims::next_wakeup);
         let refused = (!self.refused.is_empty()).then_some(Time(0));
         let client = self.client.next_wakeup();
-        [self.in_force.next_wakeup(), self.hosts.next_wakeup(), claims, client, refused]
+        let peers = self.peers.as_ref().and_then(Peers::next_wakeup);
+        [self.in_force.next_wakeup(), self.hosts.next_wakeup(), claims, client, refused, peers]
             .into_iter()
             .flatten()
             .min()
@@ -127,6 +150,7 @@
         self.deliver_refusals(now, out);
         match input {
             Input::Started => {
+                self.handle_peers(now, peers::Event::Started, out);
                 self.in_force(now, in_force::Event::Started, out);
                 self.hosts(now, hosts::Event::Started, out);
             }
@@ -137,28 +161,27 @@
                 self.in_force(now, in_force::Event::Woken, out);
                 self.hosts(now, hosts::Event::Woken, out);
                 self.claims(now, claims::Event::Woken, out);
+                self.handle_peers(now, peers::Event::Woken, out);
             }
             Input::Drain => {
                 self.snapshot.draining = true;
                 self.publish(out);
+                self.handle_peers(now, peers::Event::Leave, out);
             }
             Input::Claim(ask) => self.claims(now, claims::Event::Ask(ask), out),
             Input::ClaimEnded(ticket, end) => {
                 self.claims(now, claims::Event::Ended(ticket, end), out);
             }
-            Input::Peer(from, PeerMessage::Claim(message)) => {
-                self.claims(now, claims::Event::Peer(from, message), out);
-            }
             Input::Identity(daemon, incarnation) => self.begin_claims(now, daemon, incarnation),
             Input::Clock(wall) => self.clock = (now, wall),
             Input::Request(recipient, message) => {
                 requests::send(recipient, message, out);
             }
-            Input::Peer(from, PeerMessage::Request(message)) => {
-                requests::receive(from, message, out);
-            }
-            Input::Attempt(_) | Input::Peer(..) => {}
+            Input::Peer(from, message) => self.peer_message(now, &from, message, out),
+            Input::Link(event) => self.handle_peers(now, peers::Event::Link(event), out),
+            Input::Attempt(_) => {}
         }
+        self.send_to_peers(now, out);
         self.schedule_calls(now, out);
     }
 
@@ -178,6 +201,26 @@
         }
     }
 
+    /// Gives a message of a peer to its slice.
+    pub(super) fn peer_message(
+        &mut self,
+        now: Time,
+        from: &DaemonId,
+        message: PeerMessage,
+        out: &mut Vec<Output>,
+    ) {
+        match message {
+            PeerMessage::Declaration(message) => {
+                self.in_force(now, in_force::Event::Peer(from.clone(), message), out);
+            }
+            PeerMessage::Claim(message) => {
+                self.claims(now, claims::Event::Peer(from.clone(), message), out);
+            }
+            PeerMessage::Request(message) => requests::receive(from.clone(), message, out),
+            PeerMessage::Leaving(_) => {}
+        }
+    }
+
     /// Returns the wall time at `now`, as the last [`Input::Clock`] tells it.
     pub fn wall(&self, now: Time) -> WallTime {
         let (told, wall) = self.clock;
@@ -189,11 +232,11 @@
         out.push(Output::Audit(event));
     }
 
-    fn publish(&self, out: &mut Vec<Output>) {
+    pub(super) fn publish(&self, out: &mut Vec<Output>) {
         out.push(Output::Publish(Arc::new(self.snapshot.clone())));
     }
 
-    fn in_force(&mut self, now: Time, event: in_force::Event, out: &mut Vec<Output>) {
+    pub(super) fn in_force(&mut self, now: Time, event: in_force::Event, out: &mut Vec<Output>) {
         let mut effects = Vec::new();
         self.in_force.handle(now, event, &mut effects);
         for effect in effects {
@@ -204,9 +247,16 @@
                 in_force::Effect::Adopted(generation, set) => {
                     self.snapshot.generation = generation;
                     self.snapshot.set = set;
-                    self.snapshot.informed = true;
                     self.publish(out);
                     self.services_changed(now, out);
+                    self.handle_peers(now, peers::Event::InForce(generation), out);
+                }
+                in_force::Effect::Informed(informed) => {
+                    self.snapshot.informed = informed;
+                    self.publish(out);
+                }
+                in_force::Effect::Send(recipient, message) => {
+                    out.push(Output::Send(recipient, PeerMessage::Declaration(message)));
                 }
                 in_force::Effect::Refused(reason) => out.push(Output::Refused(reason)),
             }
--- a/lib/src/node/message.rs
+++ b/lib/src/node/message.rs
@@ -14,6 +14,8 @@
     Request(crate::request::message::Message),
     /// Carries claims to the daemon that writes them, and its answers.
     Claim(crate::claim::message::Message),
+    /// Carries the configuration in force.
+    Declaration(crate::declaration::message::Message),
     /// Tells that a host is leaving; flooded to all daemons.
     Leaving(crate::upstream::message::Message),
 }
@@ -24,7 +26,7 @@
     /// Only statistics may be dropped; nothing that a promise rests on.
     pub fn droppable(&self) -> bool {
         match self {
-            Self::Request(_) | Self::Claim(_) | Self::Leaving(_) => false,
+            Self::Request(_) | Self::Claim(_) | Self::Declaration(_) | Self::Leaving(_) => false,
         }
     }
 }
@@ -38,6 +40,9 @@
     /// See [`PeerMessage::Claim`].
     #[serde(rename = "c")]
     Claim(crate::claim::message::MessageWire),
+    /// See [`PeerMessage::Declaration`].
+    #[serde(rename = "d")]
+    Declaration(crate::declaration::message::MessageWire),
     /// See [`PeerMessage::Leaving`].
     #[serde(rename = "u")]
     Leaving(crate::upstream::message::MessageWire),
@@ -48,6 +53,7 @@
         match message {
             PeerMessage::Request(message) => Self::Request(message.into()),
             PeerMessage::Claim(message) => Self::Claim(message.into()),
+            PeerMessage::Declaration(message) => Self::Declaration(message.into()),
             PeerMessage::Leaving(message) => Self::Leaving(message.into()),
         }
     }
@@ -60,6 +66,7 @@
         Ok(match wire {
             PeerMessageWire::Request(wire) => Self::Request(wire.try_into()?),
             PeerMessageWire::Claim(wire) => Self::Claim(wire.try_into()?),
+            PeerMessageWire::Declaration(wire) => Self::Declaration(wire.try_into()?),
             PeerMessageWire::Leaving(wire) => Self::Leaving(wire.try_into()?),
         })
     }
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod claims;
 pub mod control;
 pub mod message;
+mod peers;
 mod platform;
 pub mod report;
 pub mod requests;
