--- /dev/null
+++ b/lib/src/moves/ending.rs
@@ -0,0 +1,336 @@
+//! The end of a move: a hold that is never undone, and one record in the platform.
+//!
+//! The record is written by a put that requires the object to be absent, so the first write wins
+//! and no later one, however late it takes effect, changes it. `docs/design/moves.md` states the
+//! bound on late writes and clocks within which `finished` is never recorded after its time.
+
+use std::{fmt, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    declaration::wire::{self, WireError},
+    ids::{CallId, DaemonId},
+    moves::{MoveId, report::Stage, schedule::Plan, verdict::Badness},
+    platform::{CallError, Condition, ObjectKey, Operation, Reply},
+    units::{Time, WallTime},
+};
+
+/// The prefix of the keys of all records.
+pub const RECORD_PREFIX: &str = "moves/";
+/// How long to wait after a call that failed.
+const RETRY_WAIT: Duration = Duration::from_millis(500);
+
+/// How a move ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The new version serves.
+    Finished,
+    /// The old version serves.
+    TakenBack,
+}
+
+impl From<Outcome> for Stage {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Finished => Self::Finished,
+            Outcome::TakenBack => Self::TakenBack,
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Finished => "finished",
+            Self::TakenBack => "taken back",
+        })
+    }
+}
+
+/// A decision, never undone, that the new version gets no more requests under a move.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Hold {
+    /// What showed that the new version is bad.
+    pub cause: Badness,
+    /// The daemon that decided.
+    pub by: DaemonId,
+    /// When, by that daemon's clock.
+    pub at: WallTime,
+}
+
+/// The recorded end of a move.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct EndRecord {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Why.
+    pub cause: Box<str>,
+    /// The daemon that wrote the record.
+    pub by: DaemonId,
+    /// When, by that daemon's clock.
+    pub at: WallTime,
+}
+
+/// Returns the key of the record of a move.
+pub fn record_key(id: &MoveId) -> ObjectKey {
+    ObjectKey::new(format!("{RECORD_PREFIX}{id}"))
+}
+
+/// What the slice is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The time of [`Ending::next_wakeup`] has come, or the move was declared.
+    Woken,
+    /// This daemon or another has decided to hold the new version.
+    Held(Hold),
+    /// Every step and the watch at full share are passed.
+    Passed,
+    /// A peer knows the record.
+    Told(EndRecord),
+    /// The record should be read again, as nothing was heard of the move for a while.
+    Reread,
+    /// A call has ended.
+    Called(CallId, Result<Reply, CallError>),
+}
+
+/// What the slice wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Call the platform and answer with [`Event::Called`].
+    Call(CallId, Operation),
+    /// The hold is new to this daemon: tell the others.
+    Held(Hold),
+    /// The record is new to this daemon: tell the others.
+    Ended(EndRecord),
+}
+
+/// What the end of a move allows the new version at one daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Allowed {
+    /// No request.
+    Nothing,
+    /// The share of its step.
+    Step,
+    /// Every request.
+    Everything,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Pending {
+    Reading,
+    Writing(EndRecord),
+}
+
+/// The end of one move as one daemon knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Ending {
+    id: MoveId,
+    me: DaemonId,
+    plan: Plan,
+    /// How long after the closing time this daemon writes, so that not all do at once.
+    stagger: Duration,
+    hold: Option<Hold>,
+    record: Option<EndRecord>,
+    has_read: bool,
+    wants_read: bool,
+    has_passed: bool,
+    pending: Option<(CallId, Pending)>,
+    retry_at: Option<Time>,
+    call: CallId,
+}
+
+impl Ending {
+    /// Makes the end of a move that this daemon knows nothing about yet.
+    pub fn new(id: MoveId, me: DaemonId, plan: Plan, stagger: Duration) -> Self {
+        Self {
+            id,
+            me,
+            plan,
+            stagger: stagger.min(plan.margin / 4),
+            hold: None,
+            record: None,
+            has_read: false,
+            wants_read: true,
+            has_passed: false,
+            pending: None,
+            retry_at: None,
+            call: CallId(0),
+        }
+    }
+
+    /// Returns the hold, if any daemon has told of one.
+    pub fn hold(&self) -> Option<&Hold> {
+        self.hold.as_ref()
+    }
+
+    /// Returns the record, if it is known.
+    pub fn record(&self) -> Option<&EndRecord> {
+        self.record.as_ref()
+    }
+
+    /// Says whether this run of the daemon has read the record's key in the platform.
+    pub fn has_read(&self) -> bool {
+        self.has_read
+    }
+
+    /// Says whether this daemon has found every step and the watch passed.
+    pub fn has_passed(&self) -> bool {
+        self.has_passed
+    }
+
+    /// Returns what the new version may get now.
+    pub fn allowed(&self, wall: WallTime) -> Allowed {
+        if self.hold.is_some() {
+            return Allowed::Nothing;
+        }
+        match self.record.as_ref().map(|record| record.outcome) {
+            Some(Outcome::Finished) => Allowed::Everything,
+            Some(Outcome::TakenBack) => Allowed::Nothing,
+            None if !self.has_read => Allowed::Nothing,
+            None if wall < self.plan.start || wall >= self.plan.finish_by => Allowed::Nothing,
+            None => Allowed::Step,
+        }
+    }
+
+    /// Returns when the slice wants [`Event::Woken`].
+    pub fn next_wakeup(&self, now: Time, wall: WallTime) -> Option<Time> {
+        if self.record.is_some() || self.pending.is_some() {
+            return None;
+        }
+        if let Some(at) = self.retry_at {
+            return Some(at);
+        }
+        let closing = self.closing();
+        (wall < closing).then(|| now + closing.until(wall))
+    }
+
+    /// Takes an event and adds the effects that follow from it.
+    pub fn handle(&mut self, now: Time, wall: WallTime, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Woken => {}
+            Event::Held(hold) => self.held(hold, out),
+            Event::Passed => self.has_passed = true,
+            Event::Told(record) => self.ended(record, out),
+            Event::Reread => self.wants_read = true,
+            Event::Called(call, result) => self.called(now, call, result, out),
+        }
+        self.act(now, wall, out);
+    }
+
+    fn closing(&self) -> WallTime {
+        self.plan.closing() + self.stagger
+    }
+
+    fn held(&mut self, hold: Hold, out: &mut Vec<Effect>) {
+        let is_taken_back =
+            self.record.as_ref().is_some_and(|record| record.outcome == Outcome::TakenBack);
+        if self.hold.is_none() && !is_taken_back {
+            self.hold = Some(hold.clone());
+            out.push(Effect::Held(hold));
+        }
+    }
+
+    fn ended(&mut self, record: EndRecord, out: &mut Vec<Effect>) {
+        if self.record.is_none() {
+            self.record = Some(record.clone());
+            out.push(Effect::Ended(record));
+        }
+    }
+
+    fn act(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
+        let is_waiting = self.retry_at.is_some_and(|at| now < at);
+        if self.record.is_some() || self.pending.is_some() || is_waiting {
+            return;
+        }
+        self.retry_at = None;
+        if self.wants_read {
+            return self.read(out);
+        }
+        if let Some(record) = self.wanted(wall) {
+            self.write(record, out);
+        }
+    }
+
+    /// Returns the record that this daemon would write now.
+    fn wanted(&self, wall: WallTime) -> Option<EndRecord> {
+        let record = |outcome, cause: String| EndRecord {
+            outcome,
+            cause: cause.into(),
+            by: self.me.clone(),
+            at: wall,
+        };
+        if let Some(hold) = &self.hold {
+            return Some(record(Outcome::TakenBack, hold.cause.to_string()));
+        }
+        if self.has_passed && wall <= self.plan.last_finish() {
+            let cause = "every step and the watch at full share are passed";
+            return Some(record(Outcome::Finished, cause.into()));
+        }
+        (wall >= self.closing()).then(|| {
+            let cause = "not finished by the operator's time";
+            record(Outcome::TakenBack, cause.into())
+        })
+    }
+
+    fn read(&mut self, out: &mut Vec<Effect>) {
+        let operation = Operation::Get(record_key(&self.id));
+        self.call(Pending::Reading, operation, out);
+    }
+
+    fn write(&mut self, record: EndRecord, out: &mut Vec<Effect>) {
+        let operation = Operation::Put {
+            key: record_key(&self.id),
+            value: wire::encode(&record).into(),
+            condition: Condition::Absent,
+        };
+        self.call(Pending::Writing(record), operation, out);
+    }
+
+    fn call(&mut self, pending: Pending, operation: Operation, out: &mut Vec<Effect>) {
+        self.call = self.call.next();
+        self.pending = Some((self.call, pending));
+        out.push(Effect::Call(self.call, operation));
+    }
+
+    fn called(
+        &mut self,
+        now: Time,
+        call: CallId,
+        result: Result<Reply, CallError>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some((_, pending)) = self.pending.take_if(|(pending, _)| *pending == call) else {
+            return;
+        };
+        match (pending, result) {
+            (Pending::Reading, Ok(Reply::Object(Some(object)))) => {
+                let record = wire::decode(&object.value);
+                let record = record.unwrap_or_else(|error| self.damaged(&error));
+                self.has_read = true;
+                self.ended(record, out);
+            }
+            (Pending::Reading, Ok(_)) => {
+                self.has_read = true;
+                self.wants_read = false;
+            }
+            (Pending::Writing(record), Ok(_)) => self.ended(record, out),
+            // Another record stands there, or this one may: reading tells.
+            (Pending::Writing(_), Err(CallError::Conflict(_) | CallError::Unknown)) => {
+                self.wants_read = true;
+            }
+            (_, Err(_)) => self.retry_at = Some(now + RETRY_WAIT),
+        }
+    }
+
+    /// Stands for a record that cannot be read: the old version is the safe one.
+    fn damaged(&self, error: &WireError) -> EndRecord {
+        EndRecord {
+            outcome: Outcome::TakenBack,
+            cause: format!("the record is damaged: {error}").into(),
+            by: self.me.clone(),
+            at: self.plan.finish_by,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/moves/run.rs
@@ -0,0 +1,462 @@
+//! The slice: every move that is declared, at one daemon.
+
+use std::{sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+
+use crate::{
+    declaration::DeclarationSet,
+    ids::{CallId, DaemonId, ServiceName},
+    moves::{
+        MoveId,
+        ending::{self, EndRecord, Hold},
+        evidence::Source,
+        message::Message,
+        report::MoveReport,
+        running::Running,
+        share::VersionChoice,
+        verdict::Finding,
+    },
+    node::report::AttemptReport,
+    peer::Recipient,
+    platform::{CallError, Operation, Reply},
+    units::{Clock, Time},
+};
+
+/// How often evidence is sent while one or two moves run; it stretches with their number.
+const SEND_INTERVAL: Duration = Duration::from_millis(500);
+/// How soon evidence against a new version is sent.
+const URGENT_INTERVAL: Duration = Duration::from_millis(100);
+/// How soon evidence is judged after it has changed.
+const JUDGE_INTERVAL: Duration = Duration::from_millis(50);
+/// After how many sends the sums of other daemons are passed on.
+const SENDS_PER_RELAY: u32 = 4;
+/// How long a fresh daemon waits for its peers to tell what they know.
+const PEERS_WAIT: Duration = Duration::from_secs(2);
+/// How often a fresh daemon asks its peers.
+const ASK_INTERVAL: Duration = Duration::from_millis(500);
+/// How long nothing may be heard of the moves before the records are read again.
+const SILENCE: Duration = Duration::from_secs(5);
+/// How long nothing may be heard before the new versions get no more requests.
+const ISOLATION: Duration = Duration::from_secs(15);
+/// The most holds and records that are kept for moves that are not declared here yet.
+const MAX_EARLY: usize = 256;
+
+/// What the slice is told.
+#[derive(Clone, Debug)]
+pub enum Event<'a> {
+    /// The daemon has started.
+    Started,
+    /// This set is in force.
+    Declared(&'a DeclarationSet),
+    /// An attempt has ended.
+    Attempt(&'a AttemptReport),
+    /// A peer has sent a message.
+    Peer(DaemonId, Message),
+    /// A call has ended.
+    Called(CallId, Result<Reply, CallError>),
+    /// The time of [`Moves::next_wakeup`] has come.
+    Woken,
+}
+
+/// What has happened to a move, for the log and the audit trail.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Happening {
+    /// The new version gets the share of this step.
+    Stepped(u8),
+    /// The new version gets no more requests.
+    Held(Hold),
+    /// The end is recorded.
+    Ended(EndRecord),
+}
+
+/// What the slice wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Call the platform and answer with [`Event::Called`].
+    Call(CallId, Operation),
+    /// Send a message to peers.
+    Send(Recipient, Message),
+    /// Requests are spread in this way from now on.
+    Choices(Arc<IndexMap<ServiceName, VersionChoice>>),
+    /// Operators read this from now on.
+    Reports(Arc<[MoveReport]>),
+    /// Something has happened to a move.
+    Happened(MoveId, Happening),
+}
+
+/// The moves at one daemon.
+#[derive(Clone, Debug)]
+pub struct Moves {
+    me: Source,
+    moves: IndexMap<MoveId, Running>,
+    early_holds: IndexMap<MoveId, Hold>,
+    early_ends: IndexMap<MoveId, EndRecord>,
+    calls: IndexMap<CallId, (MoveId, CallId)>,
+    next_call: CallId,
+    choices: Arc<IndexMap<ServiceName, VersionChoice>>,
+    started: Time,
+    has_peers_word: bool,
+    ask_at: Option<Time>,
+    heard: Time,
+    sent: Time,
+    send_at: Option<Time>,
+    sends: u32,
+    judge_at: Option<Time>,
+    wakeup: Option<Time>,
+}
+
+impl Moves {
+    /// Makes the slice of one run of a daemon.
+    pub fn new(me: Source) -> Self {
+        Self {
+            me,
+            moves: IndexMap::new(),
+            early_holds: IndexMap::new(),
+            early_ends: IndexMap::new(),
+            calls: IndexMap::new(),
+            next_call: CallId(0),
+            choices: Arc::default(),
+            started: Time(0),
+            has_peers_word: false,
+            ask_at: None,
+            heard: Time(0),
+            sent: Time(0),
+            send_at: None,
+            sends: 0,
+            judge_at: None,
+            wakeup: None,
+        }
+    }
+
+    /// Returns when the slice wants [`Event::Woken`].
+    pub fn next_wakeup(&self) -> Option<Time> {
+        self.wakeup
+    }
+
+    /// Returns the moves that the daemon knows.
+    pub fn running(&self) -> impl Iterator<Item = (&MoveId, &Running)> {
+        self.moves.iter()
+    }
+
+    /// Takes an event and adds the effects that follow from it.
+    pub fn handle(&mut self, clock: Clock, event: Event<'_>, out: &mut Vec<Effect>) {
+        match event {
+            Event::Started => self.start(clock),
+            Event::Declared(set) => self.declared(clock, set, out),
+            Event::Attempt(report) => self.attempt(clock, report),
+            Event::Peer(from, message) => self.peer(clock, from, message, out),
+            Event::Called(call, result) => self.called(clock, call, result, out),
+            Event::Woken => {}
+        }
+        self.turn(clock, out);
+        self.wakeup = self.wanted_wakeup(clock);
+    }
+
+    fn start(&mut self, clock: Clock) {
+        self.started = clock.now;
+        self.heard = clock.now;
+        self.ask_at = Some(clock.now);
+    }
+
+    fn declared(&mut self, clock: Clock, set: &DeclarationSet, out: &mut Vec<Effect>) {
+        let declared: IndexMap<MoveId, _> =
+            set.moves.values().map(|m| (MoveId::of(m), m)).collect();
+        self.moves.retain(|id, _| declared.contains_key(id));
+        for (id, m) in declared {
+            if self.moves.contains_key(&id) {
+                continue;
+            }
+            let running = Running::new(&id, m, set, &self.me.daemon, clock);
+            self.moves.insert(id.clone(), running);
+            self.ending(clock, &id, ending::Event::Woken, out);
+            if let Some(hold) = self.early_holds.swap_remove(&id) {
+                self.ending(clock, &id, ending::Event::Held(hold), out);
+            }
+            if let Some(record) = self.early_ends.swap_remove(&id) {
+                self.ending(clock, &id, ending::Event::Told(record), out);
+            }
+        }
+        self.reported(clock, out);
+    }
+
+    fn attempt(&mut self, clock: Clock, report: &AttemptReport) {
+        let running = self.moves.values_mut().find(|running| {
+            running.declared.service == report.service && running.is_open(clock.wall)
+        });
+        let Some(running) = running else { return };
+        let is_bad = running.count(clock, &self.me, report);
+        if !running.has_changed() {
+            return;
+        }
+        let interval = if is_bad { URGENT_INTERVAL } else { self.send_interval() };
+        self.send_by(self.sent + interval);
+        if is_bad {
+            self.judge_by(clock.now + JUDGE_INTERVAL);
+        }
+    }
+
+    fn peer(&mut self, clock: Clock, from: DaemonId, message: Message, out: &mut Vec<Effect>) {
+        self.heard = clock.now;
+        match message {
+            Message::Ask => self.answer(from, out),
+            Message::Answered => self.has_peers_word = true,
+            Message::Evidence { id, step, entered, entries } => {
+                let Some(running) = self.moves.get_mut(&id) else { return };
+                if let Some(known) = known_end(&id, running) {
+                    // The sender has missed the end of the move.
+                    out.push(Effect::Send(Recipient::Daemon(from), known));
+                    return;
+                }
+                let is_news = running.merge(clock, &self.me, &entries);
+                let has_stepped = running.follow(step, entered);
+                if is_news {
+                    self.judge_by(clock.now + JUDGE_INTERVAL);
+                }
+                if has_stepped {
+                    self.stepped(clock, &id, out);
+                }
+            }
+            Message::Hold(id, hold) if self.moves.contains_key(&id) => {
+                self.ending(clock, &id, ending::Event::Held(hold), out);
+            }
+            Message::End(id, record) if self.moves.contains_key(&id) => {
+                self.ending(clock, &id, ending::Event::Told(record), out);
+            }
+            Message::Hold(id, hold) => keep_early(&mut self.early_holds, id, hold),
+            Message::End(id, record) => keep_early(&mut self.early_ends, id, record),
+        }
+    }
+
+    /// Tells a fresh daemon what it must know before it gives a new version requests.
+    fn answer(&self, to: DaemonId, out: &mut Vec<Effect>) {
+        let to = Recipient::Daemon(to);
+        for (id, running) in &self.moves {
+            let ending = &running.ending;
+            let hold = ending.hold().map(|hold| Message::Hold(id.clone(), hold.clone()));
+            let end = ending.record().map(|record| Message::End(id.clone(), record.clone()));
+            let step = Message::Evidence {
+                id: id.clone(),
+                step: running.step(),
+                entered: running.entered(),
+                entries: Vec::new(),
+            };
+            for message in [hold, end, Some(step)].into_iter().flatten() {
+                out.push(Effect::Send(to.clone(), message));
+            }
+        }
+        let early = self.early_holds.iter();
+        let early = early.map(|(id, hold)| Message::Hold(id.clone(), hold.clone()));
+        out.extend(early.map(|message| Effect::Send(to.clone(), message)));
+        out.push(Effect::Send(to, Message::Answered));
+    }
+
+    fn called(
+        &mut self,
+        clock: Clock,
+        call: CallId,
+        result: Result<Reply, CallError>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some((id, inner)) = self.calls.swap_remove(&call) else { return };
+        if result.is_ok() {
+            self.heard = clock.now;
+        }
+        if self.moves.contains_key(&id) {
+            self.ending(clock, &id, ending::Event::Called(inner, result), out);
+        }
+    }
+
+    /// Hands an event to the end of a move and carries out what it asks for.
+    fn ending(&mut self, clock: Clock, id: &MoveId, event: ending::Event, out: &mut Vec<Effect>) {
+        let mut effects = Vec::new();
+        let running = &mut self.moves[id];
+        running.ending.handle(clock.now, clock.wall, event, &mut effects);
+        for effect in effects {
+            match effect {
+                ending::Effect::Call(inner, operation) => {
+                    self.next_call = self.next_call.next();
+                    self.calls.insert(self.next_call, (id.clone(), inner));
+                    out.push(Effect::Call(self.next_call, operation));
+                }
+                ending::Effect::Held(hold) => {
+                    let message = Message::Hold(id.clone(), hold.clone());
+                    out.push(Effect::Send(Recipient::Neighbours, message));
+                    out.push(Effect::Happened(id.clone(), Happening::Held(hold)));
+                    self.reported(clock, out);
+                }
+                ending::Effect::Ended(record) => {
+                    let message = Message::End(id.clone(), record.clone());
+                    out.push(Effect::Send(Recipient::Neighbours, message));
+                    out.push(Effect::Happened(id.clone(), Happening::Ended(record)));
+                    self.reported(clock, out);
+                }
+            }
+        }
+    }
+
+    /// Does what time alone calls for.
+    fn turn(&mut self, clock: Clock, out: &mut Vec<Effect>) {
+        if self.ask_at.is_some_and(|at| at <= clock.now) {
+            out.push(Effect::Send(Recipient::Neighbours, Message::Ask));
+            let goes_on = !self.has_peers_word && !self.has_waited_for_peers(clock);
+            self.ask_at = goes_on.then(|| clock.now + ASK_INTERVAL);
+        }
+        let is_silent = clock.now.since(self.heard) >= SILENCE;
+        let mut sealed = false;
+        for id in self.moves.keys().cloned().collect::<Vec<_>>() {
+            if is_silent && self.moves[&id].ending.record().is_none() {
+                self.ending(clock, &id, ending::Event::Reread, out);
+            } else {
+                self.ending(clock, &id, ending::Event::Woken, out);
+            }
+            if self.moves[&id].is_open(clock.wall) && self.moves[&id].seal(clock) {
+                sealed = true;
+                self.advance(clock, &id, out);
+            }
+        }
+        if self.judge_at.is_some_and(|at| at <= clock.now) {
+            self.judge_at = None;
+            self.judge(clock, out);
+        }
+        if self.send_at.is_some_and(|at| at <= clock.now) {
+            self.send(clock, out);
+        }
+        if sealed {
+            self.reported(clock, out);
+        }
+        self.choose(clock, out);
+    }
+
+    fn advance(&mut self, clock: Clock, id: &MoveId, out: &mut Vec<Effect>) {
+        self.judge_by(clock.now);
+        if !self.is_informed(clock) {
+            return;
+        }
+        if self.moves[id].try_step(clock) {
+            self.stepped(clock, id, out);
+        } else if self.moves[id].has_passed(clock) {
+            self.ending(clock, id, ending::Event::Passed, out);
+        }
+    }
+
+    fn stepped(&mut self, clock: Clock, id: &MoveId, out: &mut Vec<Effect>) {
+        let running = &self.moves[id];
+        let (step, entered) = (running.step(), running.entered());
+        let message = Message::Evidence { id: id.clone(), step, entered, entries: Vec::new() };
+        out.push(Effect::Send(Recipient::Neighbours, message));
+        out.push(Effect::Happened(id.clone(), Happening::Stepped(step)));
+        self.reported(clock, out);
+    }
+
+    fn judge(&mut self, clock: Clock, out: &mut Vec<Effect>) {
+        for id in self.moves.keys().cloned().collect::<Vec<_>>() {
+            let running = &self.moves[&id];
+            if !running.is_open(clock.wall) {
+                continue;
+            }
+            if let Finding::Bad(cause) = running.judge() {
+                let hold = Hold { cause, by: self.me.daemon.clone(), at: clock.wall };
+                self.ending(clock, &id, ending::Event::Held(hold), out);
+            }
+        }
+    }
+
+    fn send(&mut self, clock: Clock, out: &mut Vec<Effect>) {
+        self.sent = clock.now;
+        self.send_at = None;
+        self.sends += 1;
+        let relays = self.sends.is_multiple_of(SENDS_PER_RELAY);
+        for (id, running) in &mut self.moves {
+            let entries = running.take_changed(&self.me, relays);
+            if entries.is_empty() || !running.is_open(clock.wall) {
+                continue;
+            }
+            let (step, entered) = (running.step(), running.entered());
+            let message = Message::Evidence { id: id.clone(), step, entered, entries };
+            out.push(Effect::Send(Recipient::Neighbours, message));
+        }
+        if self.moves.values().any(Running::has_changed) {
+            self.send_by(clock.now + self.send_interval());
+        }
+    }
+
+    fn send_interval(&self) -> Duration {
+        SEND_INTERVAL * (self.moves.len() as u32).div_ceil(2).max(1)
+    }
+
+    fn send_by(&mut self, at: Time) {
+        self.send_at = Some(self.send_at.map_or(at, |earlier| earlier.min(at)));
+    }
+
+    fn judge_by(&mut self, at: Time) {
+        self.judge_at = Some(self.judge_at.map_or(at, |earlier| earlier.min(at)));
+    }
+
+    fn has_waited_for_peers(&self, clock: Clock) -> bool {
+        clock.now.since(self.started) >= PEERS_WAIT
+    }
+
+    /// Says whether this daemon knows enough to give new versions requests.
+    fn is_informed(&self, clock: Clock) -> bool {
+        let has_word = self.has_peers_word || self.has_waited_for_peers(clock);
+        has_word && clock.now.since(self.heard) < ISOLATION
+    }
+
+    fn choose(&mut self, clock: Clock, out: &mut Vec<Effect>) {
+        let is_informed = self.is_informed(clock);
+        let choice = |running: &Running| {
+            let choice = running.choice(clock, is_informed)?;
+            Some((running.declared.service.clone(), choice))
+        };
+        let choices: IndexMap<_, _> = self.moves.values().filter_map(choice).collect();
+        if choices != *self.choices {
+            self.choices = Arc::new(choices);
+            out.push(Effect::Choices(self.choices.clone()));
+            self.reported(clock, out);
+        }
+    }
+
+    fn reported(&self, clock: Clock, out: &mut Vec<Effect>) {
+        let is_informed = self.is_informed(clock);
+        let report = |running: &Running| running.report(clock, is_informed);
+        let reports: Arc<[MoveReport]> = self.moves.values().map(report).collect();
+        out.retain(|effect| !matches!(effect, Effect::Reports(_)));
+        out.push(Effect::Reports(reports));
+    }
+
+    fn wanted_wakeup(&self, clock: Clock) -> Option<Time> {
+        let waits = !self.has_waited_for_peers(clock) && !self.moves.is_empty();
+        let peers = waits.then(|| self.started + PEERS_WAIT);
+        let of_moves = self.moves.values().filter_map(|running| wakeup_of(running, clock));
+        [self.ask_at, self.send_at, self.judge_at, peers].into_iter().flatten().chain(of_moves).min()
+    }
+}
+
+fn wakeup_of(running: &Running, clock: Clock) -> Option<Time> {
+    let plan = &running.plan;
+    if running.ending.record().is_some() {
+        return None;
+    }
+    let window = plan.window_at(clock.wall);
+    let window_end = plan.start + plan.window * (window + 1);
+    let times = [plan.start, window_end, plan.finish_by];
+    let coming = times.into_iter().filter(|&wall| wall > clock.wall && wall <= plan.finish_by);
+    let next = coming.min().map(|wall| clock.time_of(wall));
+    let ending = running.ending.next_wakeup(clock.now, clock.wall);
+    next.into_iter().chain(ending).min()
+}
+
+/// Returns the message that tells of a hold or a record, if there is one.
+fn known_end(id: &MoveId, running: &Running) -> Option<Message> {
+    let ending = &running.ending;
+    let end = ending.record().map(|record| Message::End(id.clone(), record.clone()));
+    end.or_else(|| ending.hold().map(|hold| Message::Hold(id.clone(), hold.clone())))
+}
+
+fn keep_early<T>(early: &mut IndexMap<MoveId, T>, id: MoveId, value: T) {
+    if early.len() >= MAX_EARLY {
+        early.shift_remove_index(0);
+    }
+    early.insert(id, value);
+}
--- /dev/null
+++ b/lib/src/moves/running.rs
@@ -0,0 +1,366 @@
+//! One move at one daemon: its evidence, its step and its end.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{
+    declaration::{DeclarationSet, Move},
+    ids::{DaemonId, RouteName},
+    moves::{
+        MoveId,
+        ending::{Allowed, Ending, Hold},
+        evidence::{self, CellKey, Cells, Counts, Pool, Side, Source},
+        message::Entry,
+        report::{MoveReport, RouteReport, Stage},
+        schedule::{FULL_STEP, Plan, STEPS},
+        share::{Share, VersionChoice},
+        verdict::{Finding, Judge},
+    },
+    node::report::AttemptReport,
+    units::{Clock, WallTime},
+};
+
+/// The attempts on the new version that a route must bring at each step, if it can.
+const ROUTE_ATTEMPTS: u64 = 30;
+/// The attempts on the new version that the watch at full share must bring.
+const WATCH_ATTEMPTS: u64 = 50;
+/// How many windows are kept open for sums that arrive late.
+const OPEN_WINDOWS: u32 = 2;
+/// The outstanding requests of the new version that are always allowed.
+const SMALLEST_CAP: f64 = 8.0;
+/// How many times the expected number of outstanding requests the cap allows.
+const CAP_HEADROOM: f64 = 4.0;
+/// The weight of the last window in the estimate of outstanding requests.
+const LOAD_SMOOTHING: f64 = 0.3;
+
+/// The attempts on both versions that a route has brought.
+#[derive(Clone, Copy, Debug, Default)]
+struct Brought {
+    old: Counts,
+    new: Counts,
+}
+
+impl Brought {
+    fn add(&mut self, side: Side, counts: &Counts) {
+        match side {
+            Side::Old => self.old.plus(counts),
+            Side::New => self.new.plus(counts),
+        }
+    }
+
+    fn total(&self) -> u64 {
+        self.old.total() + self.new.total()
+    }
+}
+
+type ByRoute = IndexMap<RouteName, Brought>;
+
+/// This daemon's own load of the service, for the cap.
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    busy: Duration,
+    outstanding: f64,
+}
+
+/// A declared move as one daemon takes part in it.
+#[derive(Clone, Debug)]
+pub struct Running {
+    /// What is declared.
+    pub declared: Move,
+    /// Its times.
+    pub plan: Plan,
+    /// Its end.
+    pub ending: Ending,
+    routes: IndexSet<RouteName>,
+    pool: Pool,
+    judge: Judge,
+    step: u8,
+    entered: WallTime,
+    /// The first window that lies wholly at full share.
+    full_from: Option<u32>,
+    sealed_before: u32,
+    of_step: ByRoute,
+    of_move: ByRoute,
+    load: Load,
+    changed: IndexSet<(u32, Source)>,
+}
+
+impl Running {
+    /// Joins a move.
+    pub fn new(id: &MoveId, m: &Move, set: &DeclarationSet, me: &DaemonId, clock: Clock) -> Self {
+        let plan = Plan::of(m);
+        let of_service = set.routes.values().filter(|route| route.service == m.service);
+        let routes: IndexSet<RouteName> = of_service.map(|route| route.name.clone()).collect();
+        let stagger = stagger(me, id, plan);
+        Self {
+            declared: m.clone(),
+            plan,
+            ending: Ending::new(id.clone(), me.clone(), plan, stagger),
+            judge: Judge::new(routes.clone(), plan.windows()),
+            routes,
+            pool: Pool::default(),
+            step: 0,
+            entered: clock.wall.max(plan.start),
+            full_from: None,
+            sealed_before: plan.window_at(clock.wall),
+            of_step: ByRoute::new(),
+            of_move: ByRoute::new(),
+            load: Load::default(),
+            changed: IndexSet::new(),
+        }
+    }
+
+    /// Returns the step that is reached.
+    pub fn step(&self) -> u8 {
+        self.step
+    }
+
+    /// Returns when the step that is reached began.
+    pub fn entered(&self) -> WallTime {
+        self.entered
+    }
+
+    /// Says whether evidence is still wanted.
+    pub fn is_open(&self, wall: WallTime) -> bool {
+        self.ending.hold().is_none()
+            && self.ending.record().is_none()
+            && wall >= self.plan.start
+            && wall < self.plan.finish_by
+    }
+
+    /// Counts an attempt that this daemon has seen; true if it speaks against the new version.
+    pub fn count(&mut self, clock: Clock, source: &Source, report: &AttemptReport) -> bool {
+        let side = match &report.version {
+            version if *version == self.declared.to => Side::New,
+            version if *version == self.declared.from => Side::Old,
+            _ => return false,
+        };
+        let Some((cell, counts)) = evidence::count(report, side) else { return false };
+        self.load.busy += report.first_token.unwrap_or_default() + report.generation;
+        let window = self.plan.window_at(clock.wall);
+        let is_bad = side == Side::New && counts.bad > 0;
+        self.pool.add(window, source, cell, &counts);
+        self.changed.insert((window, source.clone()));
+        is_bad
+    }
+
+    /// Takes evidence from a peer; true if it was news.
+    pub fn merge(&mut self, clock: Clock, me: &Source, entries: &[Entry]) -> bool {
+        let newest = self.plan.window_at(clock.wall) + OPEN_WINDOWS;
+        let mut is_news = false;
+        for entry in entries {
+            let is_open = entry.window >= self.sealed_before && entry.window <= newest;
+            if is_open
+                && entry.source != *me
+                && self.pool.merge(entry.window, &entry.source, &entry.cells)
+            {
+                self.changed.insert((entry.window, entry.source.clone()));
+                is_news = true;
+            }
+        }
+        is_news
+    }
+
+    /// Returns the sums that have grown and forgets that they have: this daemon's own, and those
+    /// of others where `relays` is set.
+    pub fn take_changed(&mut self, me: &Source, relays: bool) -> Vec<Entry> {
+        let wanted = |source: &Source| relays || source == me;
+        let changed: Vec<(u32, Source)> =
+            self.changed.iter().filter(|(_, source)| wanted(source)).cloned().collect();
+        self.changed.retain(|(_, source)| !wanted(source));
+        let entry = |(window, source): (u32, Source)| {
+            let cells = self.pool.cells(window, &source)?.clone();
+            Some(Entry { window, source, cells })
+        };
+        changed.into_iter().filter_map(entry).collect()
+    }
+
+    /// Says whether sums have grown since they were last sent.
+    pub fn has_changed(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
+    /// Takes the step that a peer has reached; true if this daemon was behind.
+    pub fn follow(&mut self, step: u8, entered: WallTime) -> bool {
+        let is_behind = step > self.step && step <= FULL_STEP;
+        if is_behind {
+            self.enter(step, entered);
+        }
+        is_behind
+    }
+
+    fn enter(&mut self, step: u8, entered: WallTime) {
+        self.step = step;
+        self.entered = entered;
+        self.of_step = ByRoute::new();
+        if step == FULL_STEP {
+            self.full_from = Some(self.plan.window_at(entered) + 1);
+        }
+    }
+
+    /// Seals the windows that are old enough; true if the report has changed.
+    pub fn seal(&mut self, clock: Clock) -> bool {
+        let before = self.plan.window_at(clock.wall).saturating_sub(OPEN_WINDOWS - 1);
+        if before <= self.sealed_before {
+            return false;
+        }
+        for window in self.sealed_before..before {
+            let totals = self.pool.totals(window);
+            let is_full = self.is_full(window);
+            self.judge.seal(&totals, is_full);
+            let is_of_step = window >= self.plan.window_at(self.entered);
+            for (CellKey { route, side, .. }, counts) in &totals {
+                self.of_move.entry(route.clone()).or_default().add(*side, counts);
+                if is_of_step {
+                    self.of_step.entry(route.clone()).or_default().add(*side, counts);
+                }
+            }
+        }
+        let windows = before - self.sealed_before;
+        self.sealed_before = before;
+        self.pool.forget_before(before);
+        self.changed.retain(|(window, _)| *window >= before);
+        self.measure_load(windows);
+        true
+    }
+
+    fn measure_load(&mut self, windows: u32) {
+        let outstanding = self.load.busy.as_secs_f64() / (self.plan.window * windows).as_secs_f64();
+        self.load.busy = Duration::ZERO;
+        self.load.outstanding += LOAD_SMOOTHING * (outstanding - self.load.outstanding);
+    }
+
+    fn is_full(&self, window: u32) -> bool {
+        self.full_from.is_some_and(|from| window >= from)
+    }
+
+    /// Judges the new version by all evidence held.
+    pub fn judge(&self) -> Finding {
+        let windows = self.pool.windows();
+        let open: Vec<(Cells, bool)> = windows
+            .into_iter()
+            .map(|window| (self.pool.totals(window), self.is_full(window)))
+            .collect();
+        self.judge.judge(&open)
+    }
+
+    /// Raises the step if the one reached is earned; returns whether it did.
+    pub fn try_step(&mut self, clock: Clock) -> bool {
+        let is_last = self.step >= FULL_STEP || self.is_too_late(clock);
+        if is_last || !self.is_earned(clock) {
+            return false;
+        }
+        self.enter(self.step + 1, clock.wall);
+        true
+    }
+
+    /// Says whether the new version has passed the watch at full share.
+    pub fn has_passed(&self, clock: Clock) -> bool {
+        let brought: u64 = self.of_step.values().map(|brought| brought.new.total()).sum();
+        self.step == FULL_STEP && brought >= WATCH_ATTEMPTS && self.is_earned(clock)
+    }
+
+    /// Says whether the watch at full share can no longer begin in time.
+    fn is_too_late(&self, clock: Clock) -> bool {
+        self.step < FULL_STEP && clock.wall > self.plan.last_full()
+    }
+
+    fn is_earned(&self, clock: Clock) -> bool {
+        let stayed = clock.wall.until(self.entered);
+        stayed >= self.plan.dwell(self.step)
+            && self.routes.iter().all(|route| self.is_earned_on(route, stayed))
+            && self.judge() == Finding::Good
+    }
+
+    /// Says whether a route has brought enough, or cannot bring it within the step's slot.
+    fn is_earned_on(&self, route: &RouteName, stayed: Duration) -> bool {
+        let brought = self.of_step.get(route).copied().unwrap_or_default();
+        if brought.new.total() >= ROUTE_ATTEMPTS {
+            return true;
+        }
+        let share = f64::from(STEPS[usize::from(self.step)].0) / f64::from(Share::FULL.0);
+        let expected = brought.total() as f64 * share;
+        let patience = if self.step == FULL_STEP { self.plan.watch } else { self.plan.slot };
+        stayed >= patience && expected < ROUTE_ATTEMPTS as f64
+    }
+
+    /// Returns how requests are spread now; `None` before the start.
+    pub fn choice(&self, clock: Clock, is_informed: bool) -> Option<VersionChoice> {
+        if clock.wall < self.plan.start {
+            return None;
+        }
+        let share = self.share(clock, is_informed);
+        let is_finished = self.ending.allowed(clock.wall) == Allowed::Everything;
+        Some(VersionChoice {
+            under_move: self.declared.name.clone(),
+            from: self.declared.from.clone(),
+            to: self.declared.to.clone(),
+            share,
+            cap: (!is_finished).then(|| self.cap(share)),
+        })
+    }
+
+    fn share(&self, clock: Clock, is_informed: bool) -> Share {
+        match self.ending.allowed(clock.wall) {
+            Allowed::Everything => Share::FULL,
+            Allowed::Step if self.is_too_late(clock) => Share::NONE,
+            Allowed::Step if is_informed => STEPS[usize::from(self.step)],
+            Allowed::Step | Allowed::Nothing => Share::NONE,
+        }
+    }
+
+    /// Bounds what one daemon may have outstanding at the new version, against one that hangs.
+    fn cap(&self, share: Share) -> u32 {
+        let share = f64::from(share.0) / f64::from(Share::FULL.0);
+        (SMALLEST_CAP + CAP_HEADROOM * self.load.outstanding * share).ceil() as u32
+    }
+
+    /// Returns what operators read.
+    pub fn report(&self, clock: Clock, is_informed: bool) -> MoveReport {
+        let (hold, record) = (self.ending.hold(), self.ending.record());
+        let allowed = self.ending.allowed(clock.wall);
+        let has_lapsed = clock.wall >= self.plan.finish_by;
+        let stage = match (record, hold, allowed) {
+            (Some(record), _, _) => record.outcome.into(),
+            (None, Some(_), _) => Stage::TakenBack,
+            (None, None, Allowed::Step) if is_informed => Stage::Running,
+            (None, None, _) if has_lapsed => Stage::TakenBack,
+            (None, None, _) => Stage::Waiting,
+        };
+        let cause = record.map(|record| record.cause.clone());
+        let cause = cause.or_else(|| hold.map(|hold: &Hold| hold.cause.to_string().into()));
+        let lapsed = || "no end was recorded by the operator's time";
+        let cause = cause.or_else(|| has_lapsed.then(lapsed).map(Into::into));
+        let route = |(route, brought): (&RouteName, &Brought)| RouteReport {
+            route: route.clone(),
+            old_good: brought.old.good,
+            old_bad: brought.old.bad,
+            new_good: brought.new.good,
+            new_bad: brought.new.bad,
+        };
+        MoveReport {
+            name: self.declared.name.clone(),
+            service: self.declared.service.clone(),
+            from: self.declared.from.clone(),
+            to: self.declared.to.clone(),
+            stage,
+            recorded: record.is_some(),
+            cause,
+            by: record.map(|record| &record.by).or(hold.map(|hold| &hold.by)).cloned(),
+            ended: record.map(|record| record.at).or(hold.map(|hold| hold.at)),
+            held_after_finish: hold.is_some() && stage == Stage::Finished,
+            step: self.step,
+            share: self.share(clock, is_informed).to_string(),
+            doubt_percent: (self.judge.doubt() * 100.0).round() as u32,
+            finish_by: self.plan.finish_by,
+            routes: self.of_move.iter().map(route).collect(),
+        }
+    }
+}
+
+/// Spreads the daemons' writes at the closing time over a short while.
+fn stagger(me: &DaemonId, id: &MoveId, plan: Plan) -> Duration {
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(me.as_str().as_bytes(), id.digest);
+    (plan.margin / 4).mul_f64((hash % 1000) as f64 / 1000.0)
+}
--- /dev/null
+++ b/lib/src/moves/verdict.rs
@@ -0,0 +1,359 @@
+//! Judges the new version of a move against the old one, by sequential tests.
+//!
+//! For each route, three Shiryaev-Roberts detectors run over the windows of the move: on
+//! failures, on the time to the first token and on the time per token. Under the null hypothesis
+//! the expectation of such a statistic after `w` windows is at most `w`, so that it passes
+//! `windows / rate` with a probability of at most `rate` at any time of the move. See
+//! `docs/design/moves.md`, where other tests are weighed.
+
+use std::fmt;
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{
+    ids::{ClassName, RouteName, ZoneName},
+    moves::evidence::{Cells, Counts, Moments, Side},
+};
+
+/// The probability that a good version is taken back, over a whole move and all its tests.
+pub const FALSE_ALARM_RATE: f64 = 5e-4;
+
+/// How many times as often as the old version a good one may fail, in the same minutes.
+const FAILURE_TOLERANCE: f64 = 1.5;
+/// The same, where the old version ran in other minutes.
+const FAILURE_TOLERANCE_OTHER_MINUTES: f64 = 3.0;
+/// The part of requests that a good version may fail beyond what the old one fails.
+const FAILURE_ALLOWANCE: f64 = 0.003;
+/// The rates of failure that the test looks for, relative to the tolerated one.
+const FAILURE_RATIOS: [f64; GRID] = [2.0, 5.0, 20.0, 100.0];
+/// The largest rate of failure that the test looks for.
+const LARGEST_FAILURE_RATE: f64 = 0.95;
+/// The fewest failures of the new version that can convict it.
+const FEWEST_FAILURES: u64 = 4;
+
+/// The slowness of a good version, as a logarithm: 1.25 times the old one's time.
+const SLOWNESS_TOLERANCE: f64 = 0.223;
+/// The same, where the old version ran in other minutes: 1.6 times.
+const SLOWNESS_TOLERANCE_OTHER_MINUTES: f64 = 0.47;
+/// The slowness that the test looks for, as logarithms beyond the tolerance.
+const SLOWNESS_EFFECTS: [f64; GRID] = [0.15, 0.3, 0.6, 1.2];
+/// The variance that a comparison of one window has at least, for differences between hosts.
+const SLOWNESS_VARIANCE: f64 = 0.01;
+/// The variance of one logarithm that is assumed at least.
+const SMALLEST_VARIANCE: f64 = 0.01;
+/// The fewest times on each side for a comparison.
+const FEWEST_TIMES: u64 = 4;
+/// The most that one window may add to the logarithm of a statistic on slowness.
+const MOST_SLOWNESS_OF_WINDOW: f64 = 5.0;
+
+const GRID: usize = 4;
+
+/// The logarithms of the likelihood ratios of one window, for each alternative.
+pub type LogRatios = [f64; GRID];
+
+/// What a test is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Measure {
+    /// Attempts that failed, or took longer than their limit.
+    Failures,
+    /// The time to the first token.
+    Start,
+    /// The time per generated token.
+    Pace,
+}
+
+impl Measure {
+    /// Every measure.
+    pub const ALL: [Self; 3] = [Self::Failures, Self::Start, Self::Pace];
+}
+
+impl fmt::Display for Measure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Failures => "failures",
+            Self::Start => "time-to-first-token",
+            Self::Pace => "time-per-token",
+        })
+    }
+}
+
+/// Evidence that is conclusive against the new version.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Badness {
+    /// The route on which it showed.
+    pub route: RouteName,
+    /// What showed it.
+    pub measure: Measure,
+}
+
+impl fmt::Display for Badness {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} on route {}", self.measure, self.route)
+    }
+}
+
+/// A Shiryaev-Roberts statistic for each alternative, as logarithms.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Detector([f64; GRID]);
+
+impl Detector {
+    const NEW: Self = Self([f64::NEG_INFINITY; GRID]);
+
+    fn after(self, window: &LogRatios) -> Self {
+        let mut next = self;
+        for (log, ratio) in next.0.iter_mut().zip(window) {
+            *log = ln_one_plus_exp(*log) + ratio;
+        }
+        next
+    }
+
+    /// Returns the logarithm of the mean over the alternatives.
+    fn log(&self) -> f64 {
+        let largest = self.0.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        if largest == f64::NEG_INFINITY {
+            return largest;
+        }
+        let sum: f64 = self.0.iter().map(|log| (log - largest).exp()).sum();
+        largest + (sum / GRID as f64).ln()
+    }
+}
+
+fn ln_one_plus_exp(x: f64) -> f64 {
+    if x > 0.0 { x + (-x).exp().ln_1p() } else { x.exp().ln_1p() }
+}
+
+/// The sums of one window for one route.
+#[derive(Clone, Debug, Default)]
+struct RouteSums {
+    old: Counts,
+    new: Counts,
+}
+
+/// The tests of one move at one daemon.
+#[derive(Clone, Debug)]
+pub struct Judge {
+    routes: IndexSet<RouteName>,
+    log_threshold: f64,
+    sealed: IndexMap<(RouteName, Measure), Detector>,
+    failures: IndexMap<RouteName, u64>,
+    baseline: Cells,
+}
+
+/// What the tests say at one time.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Finding {
+    /// The new version is bad.
+    Bad(Badness),
+    /// Nothing is conclusive, but steps should wait.
+    Doubtful,
+    /// Nothing speaks against the new version.
+    Good,
+}
+
+/// The part of the threshold, on the logarithmic scale, from which steps wait.
+const DOUBT: f64 = 0.6;
+
+impl Judge {
+    /// Makes the tests of a move with these routes and this many windows.
+    pub fn new(routes: IndexSet<RouteName>, windows: u32) -> Self {
+        let tests = (routes.len() * Measure::ALL.len()).max(1);
+        let log_threshold = (f64::from(windows) * tests as f64 / FALSE_ALARM_RATE).ln();
+        Self {
+            routes,
+            log_threshold,
+            sealed: IndexMap::new(),
+            failures: IndexMap::new(),
+            baseline: Cells::new(),
+        }
+    }
+
+    /// Judges by the sealed windows and by these open ones, the oldest first; each comes with
+    /// whether the new version had its full share.
+    pub fn judge(&self, open: &[(Cells, bool)]) -> Finding {
+        let mut finding = Finding::Good;
+        for route in &self.routes {
+            for measure in Measure::ALL {
+                let mut detector = self.detector(route, measure);
+                let mut failures = self.failures.get(route).copied().unwrap_or(0);
+                for (cells, is_full) in open {
+                    detector = detector.after(&self.ratios(cells, route, measure, *is_full));
+                    failures += route_sums(cells, route).new.bad;
+                }
+                let log = detector.log();
+                let few = measure == Measure::Failures && failures < FEWEST_FAILURES;
+                if log >= self.log_threshold && !few {
+                    return Finding::Bad(Badness { route: route.clone(), measure });
+                }
+                if log >= self.log_threshold * DOUBT {
+                    finding = Finding::Doubtful;
+                }
+            }
+        }
+        finding
+    }
+
+    /// Takes a window whose sums are taken to be complete.
+    pub fn seal(&mut self, cells: &Cells, is_full: bool) {
+        for route in self.routes.clone() {
+            let failures = route_sums(cells, &route).new.bad;
+            *self.failures.entry(route.clone()).or_default() += failures;
+            for measure in Measure::ALL {
+                let ratios = self.ratios(cells, &route, measure, is_full);
+                let detector = self.detector(&route, measure).after(&ratios);
+                self.sealed.insert((route.clone(), measure), detector);
+            }
+        }
+        for (cell, counts) in cells.iter().filter(|(cell, _)| cell.side == Side::Old) {
+            self.baseline.entry(cell.clone()).or_default().plus(counts);
+        }
+    }
+
+    /// Returns the largest statistic as a part of its threshold, on the logarithmic scale.
+    pub fn doubt(&self) -> f64 {
+        let logs = self.sealed.values().map(|detector| detector.log() / self.log_threshold);
+        logs.fold(0.0, f64::max)
+    }
+
+    fn detector(&self, route: &RouteName, measure: Measure) -> Detector {
+        self.sealed.get(&(route.clone(), measure)).copied().unwrap_or(Detector::NEW)
+    }
+
+    fn ratios(
+        &self,
+        cells: &Cells,
+        route: &RouteName,
+        measure: Measure,
+        is_full: bool,
+    ) -> LogRatios {
+        match (measure, is_full) {
+            (Measure::Failures, false) => failure_ratios(&route_sums(cells, route)),
+            (Measure::Failures, true) => {
+                let old = route_sums(&self.baseline, route).old;
+                failure_ratios_other_minutes(&route_sums(cells, route).new, &old)
+            }
+            (_, false) => {
+                let compared = compare(cells, cells, route, measure);
+                slowness_ratios(compared, SLOWNESS_TOLERANCE)
+            }
+            (_, true) => {
+                let compared = compare(cells, &self.baseline, route, measure);
+                slowness_ratios(compared, SLOWNESS_TOLERANCE_OTHER_MINUTES)
+            }
+        }
+    }
+}
+
+fn route_sums(cells: &Cells, route: &RouteName) -> RouteSums {
+    let mut sums = RouteSums::default();
+    for (cell, counts) in cells.iter().filter(|(cell, _)| cell.route == *route) {
+        match cell.side {
+            Side::Old => sums.old.plus(counts),
+            Side::New => sums.new.plus(counts),
+        }
+    }
+    sums
+}
+
+/// Tests on which side each failure fell, given how many attempts each side had.
+///
+/// A failure common to both versions falls on each in proportion to its attempts, so this needs
+/// no knowledge of how often the old version fails.
+fn failure_ratios(sums: &RouteSums) -> LogRatios {
+    let (old, new) = (sums.old.total() as f64, sums.new.total() as f64);
+    if old == 0.0 || new == 0.0 {
+        return [0.0; GRID];
+    }
+    let tolerated = new * FAILURE_TOLERANCE;
+    let null = tolerated / (tolerated + old);
+    // Failures within the allowance are not held against the new version.
+    let counted = (sums.new.bad as f64 - FAILURE_ALLOWANCE * new).max(0.0);
+    FAILURE_RATIOS.map(|ratio| {
+        let alternative = tolerated * ratio / (tolerated * ratio + old);
+        let of_new = counted * (alternative / null).ln();
+        let of_old = sums.old.bad as f64 * ((1.0 - alternative) / (1.0 - null)).ln();
+        of_new + of_old
+    })
+}
+
+/// Tests the failures of the new version against the old version's rate in earlier minutes.
+fn failure_ratios_other_minutes(new: &Counts, old: &Counts) -> LogRatios {
+    let rate = (old.bad as f64 + 1.0) / (old.total() as f64 + 2.0);
+    let null = (rate * FAILURE_TOLERANCE_OTHER_MINUTES + FAILURE_ALLOWANCE).min(0.5);
+    FAILURE_RATIOS.map(|ratio| {
+        let alternative = (null * ratio).min(LARGEST_FAILURE_RATE);
+        let of_bad = new.bad as f64 * (alternative / null).ln();
+        let of_good = new.good as f64 * ((1.0 - alternative) / (1.0 - null)).ln();
+        of_bad + of_good
+    })
+}
+
+/// The difference of two mean logarithms and its variance.
+#[derive(Clone, Copy, Debug)]
+struct Difference {
+    mean: f64,
+    variance: f64,
+}
+
+fn slowness_ratios(difference: Option<Difference>, tolerance: f64) -> LogRatios {
+    let Some(Difference { mean, variance }) = difference else { return [0.0; GRID] };
+    let excess = mean - tolerance;
+    SLOWNESS_EFFECTS.map(|effect| {
+        let ratio = (excess * effect - effect * effect / 2.0) / variance;
+        ratio.min(MOST_SLOWNESS_OF_WINDOW)
+    })
+}
+
+/// Groups of attempts that may be compared: first within a zone, then across zones.
+type Groups = IndexMap<(ClassName, Option<ZoneName>, u8), (Moments, Moments)>;
+
+fn compare(new: &Cells, old: &Cells, route: &RouteName, measure: Measure) -> Option<Difference> {
+    let mut zones = Groups::new();
+    for (cells, side) in [(old, Side::Old), (new, Side::New)] {
+        let of_side = cells.iter().filter(|(cell, _)| cell.side == side && cell.route == *route);
+        for (cell, counts) in of_side {
+            let moments = if measure == Measure::Pace { counts.pace } else { counts.start };
+            let stratum = &cell.stratum;
+            let key = (stratum.class.clone(), Some(stratum.zone.clone()), stratum.size);
+            add(&mut zones, key, side, &moments);
+        }
+    }
+    let mut classes = Groups::new();
+    let mut weighted = (0.0, 0.0);
+    for ((class, _, size), (old, new)) in zones {
+        if !weigh(&old, &new, &mut weighted) {
+            add(&mut classes, (class.clone(), None, size), Side::Old, &old);
+            add(&mut classes, (class, None, size), Side::New, &new);
+        }
+    }
+    for (old, new) in classes.values() {
+        weigh(old, new, &mut weighted);
+    }
+    let (sum, weight) = weighted;
+    let variance = 1.0 / weight + SLOWNESS_VARIANCE;
+    (weight > 0.0).then(|| Difference { mean: sum / weight, variance })
+}
+
+fn add(
+    groups: &mut Groups,
+    key: (ClassName, Option<ZoneName>, u8),
+    side: Side,
+    moments: &Moments,
+) {
+    let (old, new) = groups.entry(key).or_default();
+    let sums = if side == Side::Old { old } else { new };
+    sums.count += moments.count;
+    sums.sum += moments.sum;
+    sums.squares += moments.squares;
+}
+
+/// Adds the difference of a group, weighed by its inverse variance; false if it has too few times.
+fn weigh(old: &Moments, new: &Moments, weighted: &mut (f64, f64)) -> bool {
+    if old.count < FEWEST_TIMES || new.count < FEWEST_TIMES {
+        return false;
+    }
+    let spread = old.variance().max(new.variance()).max(SMALLEST_VARIANCE);
+    let weight = 1.0 / (spread / old.count as f64 + spread / new.count as f64);
+    weighted.0 += weight * (new.mean() - old.mean());
+    weighted.1 += weight;
+    true
+}
--- a/lib/src/units.rs
+++ b/lib/src/units.rs
@@ -61,6 +61,22 @@
     }
 }
 
+/// One moment on both clocks of a daemon.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Clock {
+    /// The monotonic clock, for intervals.
+    pub now: Time,
+    /// The wall clock, for operators' times.
+    pub wall: WallTime,
+}
+
+impl Clock {
+    /// Returns the monotonic time at which the wall clock will show `wall`.
+    pub fn time_of(&self, wall: WallTime) -> Time {
+        self.now + wall.until(self.wall)
+    }
+}
+
 impl fmt::Display for WallTime {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match jiff::Timestamp::from_millisecond(self.0.cast_signed()) {
