moves: wired into the control part, with status, audit events and the moves command

Cause: the slice ran nowhere; operators could not see where a move stands. Holds and ends are flooded by Recipient::Flood.

--- a/cli/src/command/mod.rs
+++ b/cli/src/command/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod check;
 pub mod demo;
+pub mod moves;
 pub mod publish;
 pub mod status;
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -14,6 +14,7 @@
         listen::{Connections, serve},
         operator::OperatorEdge,
     },
+    ids::Incarnation,
     node::{
         control::{Control, Input, Output},
         snapshot::Snapshot,
@@ -79,7 +80,8 @@
                 log::error!(event = "operators-listener-ended", error:% = error; "");
             }
         });
-        let mut control = Control::new();
+        let incarnation = Incarnation(wall_now().0);
+        let mut control = Control::for_daemon(self.settings.name.clone(), incarnation);
         let mut input = Input::Started;
         loop {
             let now = Time(started.elapsed().as_micros() as u64);
--- a/lib/src/edge/operator.rs
+++ b/lib/src/edge/operator.rs
@@ -10,7 +10,9 @@
 use arc_swap::ArcSwap;
 use serde::Serialize;
 
-use crate::{edge::problem::Problem, ids::Generation, node::snapshot::Snapshot};
+use crate::{
+    edge::problem::Problem, ids::Generation, moves::report::MoveReport, node::snapshot::Snapshot,
+};
 
 /// The status of one daemon as operators read it.
 #[derive(Clone, Debug, Serialize)]
@@ -21,6 +23,8 @@
     pub generation: Generation,
     /// How many hosts it knows.
     pub hosts: usize,
+    /// The moves that are declared.
+    pub moves: Vec<MoveReport>,
 }
 
 /// The operators' listener of a daemon.
@@ -73,6 +77,7 @@
             ready: snapshot.ready(),
             generation: snapshot.generation,
             hosts: snapshot.hosts.len(),
+            moves: snapshot.moves.to_vec(),
         };
         let body = serde_json::to_vec(&wire).expect("a status is valid JSON");
         let mut builder = Response::build(StatusCode::OK);
--- a/lib/src/moves/ending.rs
+++ b/lib/src/moves/ending.rs
@@ -100,10 +100,15 @@
 pub enum Effect {
     /// Call the platform and answer with [`Event::Called`].
     Call(CallId, Operation),
-    /// The hold is new to this daemon: tell the others.
+    /// The hold is new to this daemon.
     Held(Hold),
-    /// The record is new to this daemon: tell the others.
-    Ended(EndRecord),
+    /// The record is new to this daemon.
+    Ended {
+        /// The record.
+        record: EndRecord,
+        /// Whether the platform told of it, so that peers may not know it.
+        found: bool,
+    },
 }
 
 /// What the end of a move allows the new version at one daemon.
@@ -212,7 +217,7 @@
             Event::Woken => {}
             Event::Held(hold) => self.held(hold, out),
             Event::Passed => self.has_passed = true,
-            Event::Told(record) => self.ended(record, out),
+            Event::Told(record) => self.ended(record, false, out),
             Event::Reread => self.wants_read = true,
             Event::Called(call, result) => self.called(now, call, result, out),
         }
@@ -232,10 +237,10 @@
         }
     }
 
-    fn ended(&mut self, record: EndRecord, out: &mut Vec<Effect>) {
+    fn ended(&mut self, record: EndRecord, found: bool, out: &mut Vec<Effect>) {
         if self.record.is_none() {
             self.record = Some(record.clone());
-            out.push(Effect::Ended(record));
+            out.push(Effect::Ended { record, found });
         }
     }
 
@@ -309,13 +314,13 @@
                 let record = wire::decode(&object.value);
                 let record = record.unwrap_or_else(|error| self.damaged(&error));
                 self.has_read = true;
-                self.ended(record, out);
+                self.ended(record, true, out);
             }
             (Pending::Reading, Ok(_)) => {
                 self.has_read = true;
                 self.wants_read = false;
             }
-            (Pending::Writing(record), Ok(_)) => self.ended(record, out),
+            (Pending::Writing(record), Ok(_)) => self.ended(record, true, out),
             // Another record stands there, or this one may: reading tells.
             (Pending::Writing(_), Err(CallError::Conflict(_) | CallError::Unknown)) => {
                 self.wants_read = true;
--- a/lib/src/moves/message.rs
+++ b/lib/src/moves/message.rs
@@ -49,6 +49,13 @@
     End(MoveId, EndRecord),
 }
 
+impl Message {
+    /// Says whether the message may be lost, as a later one makes up for it.
+    pub fn droppable(&self) -> bool {
+        matches!(self, Self::Evidence { .. })
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct MomentsWire(u64, u64, u64);
 
--- a/lib/src/moves/run.rs
+++ b/lib/src/moves/run.rs
@@ -59,7 +59,7 @@
     Woken,
 }
 
-/// What has happened to a move, for the log and the audit trail.
+/// What this daemon has done to a move, for the log and the audit trail.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Happening {
     /// The new version gets the share of this step.
@@ -81,7 +81,7 @@
     Choices(Arc<IndexMap<ServiceName, VersionChoice>>),
     /// Operators read this from now on.
     Reports(Arc<[MoveReport]>),
-    /// Something has happened to a move.
+    /// This daemon has changed where a move stands.
     Happened(MoveId, Happening),
 }
 
@@ -89,7 +89,7 @@
 #[derive(Clone, Debug)]
 pub struct Moves {
     me: Source,
-    moves: IndexMap<MoveId, Running>,
+    running: IndexMap<MoveId, Running>,
     early_holds: IndexMap<MoveId, Hold>,
     early_ends: IndexMap<MoveId, EndRecord>,
     calls: IndexMap<CallId, (MoveId, CallId)>,
@@ -111,7 +111,7 @@
     pub fn new(me: Source) -> Self {
         Self {
             me,
-            moves: IndexMap::new(),
+            running: IndexMap::new(),
             early_holds: IndexMap::new(),
             early_ends: IndexMap::new(),
             calls: IndexMap::new(),
@@ -136,7 +136,7 @@
 
     /// Returns the moves that the daemon knows.
     pub fn running(&self) -> impl Iterator<Item = (&MoveId, &Running)> {
-        self.moves.iter()
+        self.running.iter()
     }
 
     /// Takes an event and adds the effects that follow from it.
@@ -162,13 +162,13 @@
     fn declared(&mut self, clock: Clock, set: &DeclarationSet, out: &mut Vec<Effect>) {
         let declared: IndexMap<MoveId, _> =
             set.moves.values().map(|m| (MoveId::of(m), m)).collect();
-        self.moves.retain(|id, _| declared.contains_key(id));
+        self.running.retain(|id, _| declared.contains_key(id));
         for (id, m) in declared {
-            if self.moves.contains_key(&id) {
+            if self.running.contains_key(&id) {
                 continue;
             }
             let running = Running::new(&id, m, set, &self.me.daemon, clock);
-            self.moves.insert(id.clone(), running);
+            self.running.insert(id.clone(), running);
             self.ending(clock, &id, ending::Event::Woken, out);
             if let Some(hold) = self.early_holds.swap_remove(&id) {
                 self.ending(clock, &id, ending::Event::Held(hold), out);
@@ -181,7 +181,7 @@
     }
 
     fn attempt(&mut self, clock: Clock, report: &AttemptReport) {
-        let running = self.moves.values_mut().find(|running| {
+        let running = self.running.values_mut().find(|running| {
             running.declared.service == report.service && running.is_open(clock.wall)
         });
         let Some(running) = running else { return };
@@ -202,7 +202,7 @@
             Message::Ask => self.answer(from, out),
             Message::Answered => self.has_peers_word = true,
             Message::Evidence { id, step, entered, entries } => {
-                let Some(running) = self.moves.get_mut(&id) else { return };
+                let Some(running) = self.running.get_mut(&id) else { return };
                 if let Some(known) = known_end(&id, running) {
                     // The sender has missed the end of the move.
                     out.push(Effect::Send(Recipient::Daemon(from), known));
@@ -214,13 +214,13 @@
                     self.judge_by(clock.now + JUDGE_INTERVAL);
                 }
                 if has_stepped {
-                    self.stepped(clock, &id, out);
+                    self.reported(clock, out);
                 }
             }
-            Message::Hold(id, hold) if self.moves.contains_key(&id) => {
+            Message::Hold(id, hold) if self.running.contains_key(&id) => {
                 self.ending(clock, &id, ending::Event::Held(hold), out);
             }
-            Message::End(id, record) if self.moves.contains_key(&id) => {
+            Message::End(id, record) if self.running.contains_key(&id) => {
                 self.ending(clock, &id, ending::Event::Told(record), out);
             }
             Message::Hold(id, hold) => keep_early(&mut self.early_holds, id, hold),
@@ -231,7 +231,7 @@
     /// Tells a fresh daemon what it must know before it gives a new version requests.
     fn answer(&self, to: DaemonId, out: &mut Vec<Effect>) {
         let to = Recipient::Daemon(to);
-        for (id, running) in &self.moves {
+        for (id, running) in &self.running {
             let ending = &running.ending;
             let hold = ending.hold().map(|hold| Message::Hold(id.clone(), hold.clone()));
             let end = ending.record().map(|record| Message::End(id.clone(), record.clone()));
@@ -262,7 +262,7 @@
         if result.is_ok() {
             self.heard = clock.now;
         }
-        if self.moves.contains_key(&id) {
+        if self.running.contains_key(&id) {
             self.ending(clock, &id, ending::Event::Called(inner, result), out);
         }
     }
@@ -270,7 +270,7 @@
     /// Hands an event to the end of a move and carries out what it asks for.
     fn ending(&mut self, clock: Clock, id: &MoveId, event: ending::Event, out: &mut Vec<Effect>) {
         let mut effects = Vec::new();
-        let running = &mut self.moves[id];
+        let running = &mut self.running[id];
         running.ending.handle(clock.now, clock.wall, event, &mut effects);
         for effect in effects {
             match effect {
@@ -280,15 +280,21 @@
                     out.push(Effect::Call(self.next_call, operation));
                 }
                 ending::Effect::Held(hold) => {
-                    let message = Message::Hold(id.clone(), hold.clone());
-                    out.push(Effect::Send(Recipient::Neighbours, message));
-                    out.push(Effect::Happened(id.clone(), Happening::Held(hold)));
+                    if hold.by == self.me.daemon {
+                        let message = Message::Hold(id.clone(), hold.clone());
+                        out.push(Effect::Send(Recipient::Flood, message));
+                        out.push(Effect::Happened(id.clone(), Happening::Held(hold)));
+                    }
                     self.reported(clock, out);
                 }
-                ending::Effect::Ended(record) => {
-                    let message = Message::End(id.clone(), record.clone());
-                    out.push(Effect::Send(Recipient::Neighbours, message));
-                    out.push(Effect::Happened(id.clone(), Happening::Ended(record)));
+                ending::Effect::Ended { record, found } => {
+                    if found {
+                        let message = Message::End(id.clone(), record.clone());
+                        out.push(Effect::Send(Recipient::Flood, message));
+                    }
+                    if record.by == self.me.daemon {
+                        out.push(Effect::Happened(id.clone(), Happening::Ended(record)));
+                    }
                     self.reported(clock, out);
                 }
             }
@@ -304,13 +310,13 @@
         }
         let is_silent = clock.now.since(self.heard) >= SILENCE;
         let mut sealed = false;
-        for id in self.moves.keys().cloned().collect::<Vec<_>>() {
-            if is_silent && self.moves[&id].ending.record().is_none() {
+        for id in self.running.keys().cloned().collect::<Vec<_>>() {
+            if is_silent && self.running[&id].ending.record().is_none() {
                 self.ending(clock, &id, ending::Event::Reread, out);
             } else {
                 self.ending(clock, &id, ending::Event::Woken, out);
             }
-            if self.moves[&id].is_open(clock.wall) && self.moves[&id].seal(clock) {
+            if self.running[&id].is_open(clock.wall) && self.running[&id].seal(clock) {
                 sealed = true;
                 self.advance(clock, &id, out);
             }
@@ -333,25 +339,25 @@
         if !self.is_informed(clock) {
             return;
         }
-        if self.moves[id].try_step(clock) {
+        if self.running[id].try_step(clock) {
             self.stepped(clock, id, out);
-        } else if self.moves[id].has_passed(clock) {
+        } else if self.running[id].has_passed(clock) {
             self.ending(clock, id, ending::Event::Passed, out);
         }
     }
 
     fn stepped(&mut self, clock: Clock, id: &MoveId, out: &mut Vec<Effect>) {
-        let running = &self.moves[id];
+        let running = &self.running[id];
         let (step, entered) = (running.step(), running.entered());
         let message = Message::Evidence { id: id.clone(), step, entered, entries: Vec::new() };
-        out.push(Effect::Send(Recipient::Neighbours, message));
+        out.push(Effect::Send(Recipient::Flood, message));
         out.push(Effect::Happened(id.clone(), Happening::Stepped(step)));
         self.reported(clock, out);
     }
 
     fn judge(&mut self, clock: Clock, out: &mut Vec<Effect>) {
-        for id in self.moves.keys().cloned().collect::<Vec<_>>() {
-            let running = &self.moves[&id];
+        for id in self.running.keys().cloned().collect::<Vec<_>>() {
+            let running = &self.running[&id];
             if !running.is_open(clock.wall) {
                 continue;
             }
@@ -367,7 +373,7 @@
         self.send_at = None;
         self.sends += 1;
         let relays = self.sends.is_multiple_of(SENDS_PER_RELAY);
-        for (id, running) in &mut self.moves {
+        for (id, running) in &mut self.running {
             let entries = running.take_changed(&self.me, relays);
             if entries.is_empty() || !running.is_open(clock.wall) {
                 continue;
@@ -376,13 +382,13 @@
             let message = Message::Evidence { id: id.clone(), step, entered, entries };
             out.push(Effect::Send(Recipient::Neighbours, message));
         }
-        if self.moves.values().any(Running::has_changed) {
+        if self.running.values().any(Running::has_changed) {
             self.send_by(clock.now + self.send_interval());
         }
     }
 
     fn send_interval(&self) -> Duration {
-        SEND_INTERVAL * (self.moves.len() as u32).div_ceil(2).max(1)
+        SEND_INTERVAL * (self.running.len() as u32).div_ceil(2).max(1)
     }
 
     fn send_by(&mut self, at: Time) {
@@ -409,7 +415,7 @@
             let choice = running.choice(clock, is_informed)?;
             Some((running.declared.service.clone(), choice))
         };
-        let choices: IndexMap<_, _> = self.moves.values().filter_map(choice).collect();
+        let choices: IndexMap<_, _> = self.running.values().filter_map(choice).collect();
         if choices != *self.choices {
             self.choices = Arc::new(choices);
             out.push(Effect::Choices(self.choices.clone()));
@@ -420,16 +426,20 @@
     fn reported(&self, clock: Clock, out: &mut Vec<Effect>) {
         let is_informed = self.is_informed(clock);
         let report = |running: &Running| running.report(clock, is_informed);
-        let reports: Arc<[MoveReport]> = self.moves.values().map(report).collect();
+        let reports: Arc<[MoveReport]> = self.running.values().map(report).collect();
         out.retain(|effect| !matches!(effect, Effect::Reports(_)));
         out.push(Effect::Reports(reports));
     }
 
     fn wanted_wakeup(&self, clock: Clock) -> Option<Time> {
-        let waits = !self.has_waited_for_peers(clock) && !self.moves.is_empty();
+        let waits = !self.has_waited_for_peers(clock) && !self.running.is_empty();
         let peers = waits.then(|| self.started + PEERS_WAIT);
-        let of_moves = self.moves.values().filter_map(|running| wakeup_of(running, clock));
-        [self.ask_at, self.send_at, self.judge_at, peers].into_iter().flatten().chain(of_moves).min()
+        let of_moves = self.running.values().filter_map(|running| wakeup_of(running, clock));
+        [self.ask_at, self.send_at, self.judge_at, peers]
+            .into_iter()
+            .flatten()
+            .chain(of_moves)
+            .min()
     }
 }
 
--- a/lib/src/moves/verdict.rs
+++ b/lib/src/moves/verdict.rs
@@ -333,12 +333,7 @@
     (weight > 0.0).then(|| Difference { mean: sum / weight, variance })
 }
 
-fn add(
-    groups: &mut Groups,
-    key: (ClassName, Option<ZoneName>, u8),
-    side: Side,
-    moments: &Moments,
-) {
+fn add(groups: &mut Groups, key: (ClassName, Option<ZoneName>, u8), side: Side, moments: &Moments) {
     let (old, new) = groups.entry(key).or_default();
     let sums = if side == Side::Old { old } else { new };
     sums.count += moments.count;
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -6,7 +6,11 @@
     audit,
     claim::{ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket},
     declaration::in_force::{self, InForce},
-    ids::{CallId, DaemonId, RequestId},
+    ids::{CallId, DaemonId, Incarnation, RequestId},
+    moves::{
+        evidence::Source,
+        run::{self, Moves},
+    },
     node::{message::PeerMessage, report::AttemptReport, snapshot::Snapshot},
     peer::Recipient,
     platform::{CallError, Operation, Priority, Reply},
@@ -24,6 +28,8 @@
     InForce,
     /// [`hosts`].
     Hosts,
+    /// [`crate::moves`].
+    Moves,
 }
 
 /// What the control part is told.
@@ -80,7 +86,8 @@
 pub struct Control {
     in_force: InForce,
     hosts: HostList,
-    snapshot: Snapshot,
+    pub(super) moves: Option<Moves>,
+    pub(super) snapshot: Snapshot,
     clock: (Time, WallTime),
 }
 
@@ -90,9 +97,16 @@
         Self::default()
     }
 
+    /// Makes the control part of one run of a daemon that knows nothing yet.
+    pub fn for_daemon(daemon: DaemonId, incarnation: Incarnation) -> Self {
+        let source = Source { daemon, incarnation };
+        Self { moves: Some(Moves::new(source)), ..Self::default() }
+    }
+
     /// Returns when [`Input::Woken`] is wanted.
     pub fn next_wakeup(&self) -> Option<Time> {
-        [self.in_force.next_wakeup(), self.hosts.next_wakeup()].into_iter().flatten().min()
+        let moves = self.moves.as_ref().and_then(Moves::next_wakeup);
+        [self.in_force.next_wakeup(), self.hosts.next_wakeup(), moves].into_iter().flatten().min()
     }
 
     /// Takes an input and adds the outputs that follow from it.
@@ -101,6 +115,7 @@
             Input::Started => {
                 self.in_force(now, in_force::Event::Started, out);
                 self.hosts(now, hosts::Event::Started, out);
+                self.moves(now, run::Event::Started, out);
             }
             Input::Called(Owner::InForce, call, result) => {
                 self.in_force(now, in_force::Event::Called(call, result), out);
@@ -108,9 +123,13 @@
             Input::Called(Owner::Hosts, call, result) => {
                 self.hosts(now, hosts::Event::Called(call, result), out);
             }
+            Input::Called(Owner::Moves, call, result) => {
+                self.moves(now, run::Event::Called(call, result), out);
+            }
             Input::Woken => {
                 self.in_force(now, in_force::Event::Woken, out);
                 self.hosts(now, hosts::Event::Woken, out);
+                self.moves(now, run::Event::Woken, out);
             }
             Input::Drain => {
                 self.snapshot.draining = true;
@@ -122,7 +141,11 @@
                 out.push(Output::ClaimAnswered(ask.request, answer));
             }
             Input::Clock(wall) => self.clock = (now, wall),
-            Input::ClaimEnded(..) | Input::Attempt(_) | Input::Peer(..) => {}
+            Input::Attempt(report) => self.moves(now, run::Event::Attempt(&report), out),
+            Input::Peer(from, PeerMessage::Moves(message)) => {
+                self.moves(now, run::Event::Peer(from, message), out);
+            }
+            Input::ClaimEnded(..) | Input::Peer(..) => {}
         }
     }
 
@@ -137,7 +160,7 @@
         out.push(Output::Audit(event));
     }
 
-    fn publish(&self, out: &mut Vec<Output>) {
+    pub(super) fn publish(&self, out: &mut Vec<Output>) {
         out.push(Output::Publish(Arc::new(self.snapshot.clone())));
     }
 
@@ -151,9 +174,10 @@
                 }
                 in_force::Effect::Adopted(generation, set) => {
                     self.snapshot.generation = generation;
-                    self.snapshot.set = set;
+                    self.snapshot.set = set.clone();
                     self.snapshot.informed = true;
                     self.publish(out);
+                    self.moves(now, run::Event::Declared(&set), out);
                 }
                 in_force::Effect::Refused(reason) => out.push(Output::Refused(reason)),
             }
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -5,5 +5,6 @@
 
 pub mod control;
 pub mod message;
+mod moves;
 pub mod report;
 pub mod snapshot;
--- /dev/null
+++ b/lib/src/node/moves.rs
@@ -0,0 +1,73 @@
+//! Joins the slice of the moves to the control part.
+
+use crate::{
+    audit,
+    ids::Generation,
+    moves::{
+        MoveId,
+        run::{Effect, Event, Happening},
+        schedule::STEPS,
+    },
+    node::{
+        control::{Control, Output, Owner},
+        message::PeerMessage,
+    },
+    platform::Priority,
+    units::{Clock, Time},
+};
+
+impl Control {
+    pub(super) fn moves(&mut self, now: Time, event: Event<'_>, out: &mut Vec<Output>) {
+        let clock = Clock { now, wall: self.wall(now) };
+        let Some(moves) = &mut self.moves else { return };
+        let mut effects = Vec::new();
+        moves.handle(clock, event, &mut effects);
+        let mut has_changed = false;
+        let mut happened = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Call(call, operation) => {
+                    let (owner, priority) = (Owner::Moves, Priority::Safety);
+                    out.push(Output::Call { owner, call, priority, operation });
+                }
+                Effect::Send(to, message) => {
+                    out.push(Output::Send(to, PeerMessage::Moves(message)));
+                }
+                Effect::Choices(choices) => {
+                    has_changed = true;
+                    self.snapshot.versions = choices;
+                }
+                Effect::Reports(reports) => {
+                    has_changed |= self.snapshot.moves != reports;
+                    self.snapshot.moves = reports;
+                }
+                Effect::Happened(id, happening) => happened.push((id, happening)),
+            }
+        }
+        if has_changed {
+            self.publish(out);
+        }
+        for (id, happening) in happened {
+            let event = audit_event(&id, &happening, self.snapshot.generation);
+            self.audit(now, event, out);
+        }
+    }
+}
+
+fn audit_event(id: &MoveId, happening: &Happening, generation: Generation) -> audit::Event {
+    let (action, cause) = match happening {
+        Happening::Stepped(step) => {
+            let share = STEPS[usize::from(*step)];
+            (format!("share {share}"), format!("step {step} begins, the one before is earned"))
+        }
+        Happening::Held(hold) => ("held".into(), hold.cause.to_string()),
+        Happening::Ended(record) => (record.outcome.to_string(), record.cause.to_string()),
+    };
+    audit::Event {
+        actor: audit::Actor::Rule("move-verdict".into()),
+        object: format!("move {}", id.name).into(),
+        action: action.into(),
+        generation,
+        cause: cause.into(),
+    }
+}
--- a/lib/src/node/snapshot.rs
+++ b/lib/src/node/snapshot.rs
@@ -7,7 +7,7 @@
 use crate::{
     declaration::DeclarationSet,
     ids::{Generation, ServiceName},
-    moves::share::VersionChoice,
+    moves::{report::MoveReport, share::VersionChoice},
     peer::Member,
     upstream::HostRecord,
 };
@@ -23,6 +23,8 @@
     pub hosts: Arc<[HostRecord]>,
     /// The services whose requests are spread over two versions; others use their version.
     pub versions: Arc<IndexMap<ServiceName, VersionChoice>>,
+    /// The moves as operators read them.
+    pub moves: Arc<[MoveReport]>,
     /// The daemons that are taken to be live, this one included.
     pub members: Arc<[Member]>,
     /// Whether the daemon knows what is in force now.
@@ -38,6 +40,7 @@
             set: Arc::default(),
             hosts: Arc::new([]),
             versions: Arc::default(),
+            moves: Arc::new([]),
             members: Arc::new([]),
             informed: false,
             draining: false,
