moves: simulation of 7 and 9 daemons with bad kinds and noisy good versions

Cause: error rates and exposure were not measured. Change: seeded delivery queue over the slice (lib/tests/moves_sim) and examples/moves_measure.

--- /dev/null
+++ b/lib/examples/moves_measure.rs
@@ -0,0 +1,125 @@
+//! Measures moves over several daemons with seeded synthetic attempts, and prints tables.
+//!
+//! `cargo run --release -p dogwoodturn --example moves_measure -- [good moves] [threads]`
+
+#[path = "../tests/moves_sim/mod.rs"]
+#[allow(dead_code, missing_docs)]
+mod moves_sim;
+
+use std::{sync::Mutex, thread};
+
+use dogwoodturn::moves::ending::Outcome;
+use moves_sim::{
+    Shown, Sim, Spec,
+    traffic::{Kind, Noise},
+};
+
+/// How many seeds each bad kind is run with.
+const BAD_SEEDS: u64 = 20;
+
+fn main() {
+    let mut args = std::env::args().skip(1).map(|arg| arg.parse().expect("a number"));
+    let good_moves = args.next().unwrap_or(200);
+    let threads = args.next().unwrap_or(3);
+    for daemons in [7, 9] {
+        bad_kinds(daemons, threads);
+    }
+    good(good_moves, threads);
+}
+
+fn run_all(specs: Vec<Spec>, threads: u64) -> Vec<Shown> {
+    let next = Mutex::new(specs.into_iter().enumerate());
+    let results = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                loop {
+                    let Some((index, spec)) = next.lock().expect("no panic").next() else { return };
+                    let shown = Sim::new(spec).run();
+                    results.lock().expect("no panic").push((index, shown));
+                }
+            });
+        }
+    });
+    let mut results = results.into_inner().expect("no panic");
+    results.sort_by_key(|(index, _)| *index);
+    results.into_iter().map(|(_, shown)| shown).collect()
+}
+
+fn bad_kinds(daemons: usize, threads: u64) {
+    println!("\nbad kinds at {daemons} daemons, {BAD_SEEDS} seeds, 200 requests/s, 300 s moves");
+    println!(
+        "{:16} {:>10} {:>8} {:>12} {:>12} {:>13} {:>11} {:>9}",
+        "kind",
+        "taken back",
+        "in time",
+        "exposed p50",
+        "exposed max",
+        "of all (max)",
+        "detect p50",
+        "after 1s"
+    );
+    for kind in Kind::BAD {
+        let specs = (0..BAD_SEEDS).map(|seed| Spec::new(daemons, kind, seed)).collect();
+        let shown = run_all(specs, threads);
+        let back = shown.iter().filter(|s| s.outcome() == Some(Outcome::TakenBack)).count();
+        let in_time = shown.iter().filter(|s| s.in_time()).count();
+        let mut exposed: Vec<u64> = shown.iter().map(|s| s.exposed).collect();
+        exposed.sort_unstable();
+        // A whole move has as many requests as its length brings, however early it ends.
+        let part = exposed[exposed.len() - 1] as f64 / (200.0 * 300.0);
+        let mut detect: Vec<f64> =
+            shown.iter().filter_map(Shown::time_to_detect).map(|t| t.as_secs_f64()).collect();
+        detect.sort_by(f64::total_cmp);
+        let detect = detect.get(detect.len() / 2).copied().unwrap_or(f64::NAN);
+        let after: u64 = shown.iter().map(|s| s.after_hold).sum();
+        println!(
+            "{:16} {:>10} {:>8} {:>12} {:>12} {:>12.3}% {:>10.1}s {:>9}",
+            format!("{kind:?}"),
+            back,
+            in_time,
+            exposed[exposed.len() / 2],
+            exposed[exposed.len() - 1],
+            part * 100.0,
+            detect,
+            after
+        );
+    }
+}
+
+fn good(moves: u64, threads: u64) {
+    println!("\ngood moves, {moves} seeds each kind of noise, 7 and 9 daemons in turn");
+    println!(
+        "{:16} {:>9} {:>11} {:>8} {:>12} {:>10}",
+        "noise", "finished", "taken back", "in time", "bytes/s", "calls"
+    );
+    let none = Noise::default();
+    let noises = [
+        ("none", none),
+        ("failures 1%", Noise { failures: 0.01, ..none }),
+        ("shared bursts", Noise { shared_bursts: true, ..none }),
+        ("host crashes", Noise { crashes: true, ..none }),
+        ("slow spells", Noise { slow_spells: true, ..none }),
+        ("cold caches", Noise { cold_caches: true, ..none }),
+        ("other class", Noise { other_class: true, ..none }),
+        ("slow host", Noise { slow_host: true, ..none }),
+        ("all", Noise::ALL),
+    ];
+    for (name, noise) in noises {
+        let spec = |seed: u64| {
+            let daemons = if seed.is_multiple_of(2) { 7 } else { 9 };
+            Spec { noise, ..Spec::new(daemons, Kind::Good, 10_000 + seed) }
+        };
+        let shown = run_all((0..moves).map(spec).collect(), threads);
+        let finished = shown.iter().filter(|s| s.outcome() == Some(Outcome::Finished)).count();
+        let back = shown.iter().filter(|s| s.outcome() == Some(Outcome::TakenBack)).count();
+        let in_time = shown.iter().filter(|s| s.in_time()).count();
+        let bytes = shown.iter().map(|s| s.bytes_per_second).sum::<f64>() / shown.len() as f64;
+        let calls = shown.iter().map(|s| s.platform_calls).sum::<u64>() / shown.len() as u64;
+        println!("{name:16} {finished:>9} {back:>11} {in_time:>8} {bytes:>12.0} {calls:>10}");
+        for failed in shown.iter().filter(|s| s.outcome() != Some(Outcome::Finished)).take(3) {
+            let held = failed.first_hold.map(|at| at.0 as f64 / 1e6 - 5.0);
+            println!("    held={held:?} cause={:?} steps={:?}", failed.cause, failed.step_times);
+        }
+    }
+}
--- a/lib/src/moves/evidence.rs
+++ b/lib/src/moves/evidence.rs
@@ -84,6 +84,12 @@
         self.squares += other.squares;
     }
 
+    fn minus(&mut self, other: &Self) {
+        self.count -= other.count;
+        self.sum -= other.sum;
+        self.squares -= other.squares;
+    }
+
     fn raise_to(&mut self, other: &Self) {
         // The three belong together: a larger count is the later state of the same sums.
         if other.count > self.count {
@@ -119,6 +125,13 @@
         self.pace.plus(&other.pace);
     }
 
+    fn minus(&mut self, other: &Self) {
+        self.good -= other.good;
+        self.bad -= other.bad;
+        self.start.minus(&other.start);
+        self.pace.minus(&other.pace);
+    }
+
     fn raise_to(&mut self, other: &Self) {
         self.good = self.good.max(other.good);
         self.bad = self.bad.max(other.bad);
@@ -167,53 +180,60 @@
 /// The cells of one source in one window.
 pub type Cells = IndexMap<CellKey, Counts>;
 
+/// The evidence of one window.
+#[derive(Clone, Debug, Default)]
+struct Window {
+    sources: IndexMap<Source, Cells>,
+    /// The sums over all sources.
+    totals: Cells,
+}
+
 /// The evidence of one move in the windows that are still open, from all daemons heard of.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
-    windows: IndexMap<u32, IndexMap<Source, Cells>>,
+    windows: IndexMap<u32, Window>,
 }
 
 impl Pool {
     /// Adds an attempt that this daemon has seen.
     pub fn add(&mut self, window: u32, source: &Source, cell: CellKey, counts: &Counts) {
-        let sources = self.windows.entry(window).or_default();
-        let cells = sources.entry(source.clone()).or_default();
-        cells.entry(cell).or_default().plus(counts);
+        let window = self.windows.entry(window).or_default();
+        window.totals.entry(cell.clone()).or_default().plus(counts);
+        if !window.sources.contains_key(source) {
+            window.sources.insert(source.clone(), Cells::new());
+        }
+        window.sources[source].entry(cell).or_default().plus(counts);
     }
 
-    /// Takes the sums of a source as a peer knows them; true if they were news.
-    pub fn merge(&mut self, window: u32, source: &Source, cells: &Cells) -> bool {
-        let sources = self.windows.entry(window).or_default();
+    /// Takes the sums of a source as a peer knows them; returns what they have grown by.
+    pub fn merge(&mut self, window: u32, source: &Source, cells: &Cells) -> Growth {
+        let Window { sources, totals } = self.windows.entry(window).or_default();
         let known = sources.entry(source.clone()).or_default();
-        let mut is_news = false;
+        let mut growth = Growth::default();
         for (cell, counts) in cells {
             let sums = known.entry(cell.clone()).or_default();
             let before = *sums;
             sums.raise_to(counts);
-            is_news |= *sums != before;
+            if *sums == before {
+                continue;
+            }
+            let total = totals.entry(cell.clone()).or_default();
+            total.minus(&before);
+            total.plus(sums);
+            growth.any = true;
+            growth.bad |= cell.side == Side::New && sums.bad > before.bad;
         }
-        is_news
-    }
-
-    /// Returns the sources of a window with their cells.
-    pub fn sources(&self, window: u32) -> impl Iterator<Item = (&Source, &Cells)> {
-        self.windows.get(&window).into_iter().flatten()
+        growth
     }
 
     /// Returns the cells of one source in a window.
     pub fn cells(&self, window: u32, source: &Source) -> Option<&Cells> {
-        self.windows.get(&window)?.get(source)
+        self.windows.get(&window)?.sources.get(source)
     }
 
     /// Returns the sums of a window over all sources.
-    pub fn totals(&self, window: u32) -> Cells {
-        let mut totals = Cells::new();
-        for (_, cells) in self.sources(window) {
-            for (cell, counts) in cells {
-                totals.entry(cell.clone()).or_default().plus(counts);
-            }
-        }
-        totals
+    pub fn totals(&self, window: u32) -> Option<&Cells> {
+        self.windows.get(&window).map(|window| &window.totals)
     }
 
     /// Returns the windows that hold evidence, the oldest first.
@@ -228,3 +248,12 @@
         self.windows.retain(|&held, _| held >= window);
     }
 }
+
+/// What a merge has brought.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Growth {
+    /// Whether any sum has grown.
+    pub any: bool,
+    /// Whether the new version's bad attempts have grown.
+    pub bad: bool,
+}
--- a/lib/src/moves/run.rs
+++ b/lib/src/moves/run.rs
@@ -27,8 +27,10 @@
 const SEND_INTERVAL: Duration = Duration::from_millis(500);
 /// How soon evidence against a new version is sent.
 const URGENT_INTERVAL: Duration = Duration::from_millis(100);
-/// How soon evidence is judged after it has changed.
-const JUDGE_INTERVAL: Duration = Duration::from_millis(50);
+/// How soon evidence is judged after it has grown.
+const JUDGE_INTERVAL: Duration = Duration::from_millis(250);
+/// How soon evidence against a new version is judged.
+const URGENT_JUDGE_INTERVAL: Duration = Duration::from_millis(50);
 /// After how many sends the sums of other daemons are passed on.
 const SENDS_PER_RELAY: u32 = 4;
 /// How long a fresh daemon waits for its peers to tell what they know.
@@ -192,7 +194,7 @@
         let interval = if is_bad { URGENT_INTERVAL } else { self.send_interval() };
         self.send_by(self.sent + interval);
         if is_bad {
-            self.judge_by(clock.now + JUDGE_INTERVAL);
+            self.judge_by(clock.now + URGENT_JUDGE_INTERVAL);
         }
     }
 
@@ -208,10 +210,12 @@
                     out.push(Effect::Send(Recipient::Daemon(from), known));
                     return;
                 }
-                let is_news = running.merge(clock, &self.me, &entries);
+                let growth = running.merge(clock, &self.me, &entries);
                 let has_stepped = running.follow(step, entered);
-                if is_news {
-                    self.judge_by(clock.now + JUDGE_INTERVAL);
+                if growth.any {
+                    let bad = growth.bad;
+                    let interval = if bad { URGENT_JUDGE_INTERVAL } else { JUDGE_INTERVAL };
+                    self.judge_by(clock.now + interval);
                 }
                 if has_stepped {
                     self.reported(clock, out);
--- a/lib/src/moves/running.rs
+++ b/lib/src/moves/running.rs
@@ -10,7 +10,7 @@
     moves::{
         MoveId,
         ending::{Allowed, Ending, Hold},
-        evidence::{self, CellKey, Cells, Counts, Pool, Side, Source},
+        evidence::{self, CellKey, Cells, Counts, Growth, Pool, Side, Source},
         message::Entry,
         report::{MoveReport, RouteReport, Stage},
         schedule::{FULL_STEP, Plan, STEPS},
@@ -145,21 +145,23 @@
         is_bad
     }
 
-    /// Takes evidence from a peer; true if it was news.
-    pub fn merge(&mut self, clock: Clock, me: &Source, entries: &[Entry]) -> bool {
+    /// Takes evidence from a peer; returns what it has brought.
+    pub fn merge(&mut self, clock: Clock, me: &Source, entries: &[Entry]) -> Growth {
         let newest = self.plan.window_at(clock.wall) + OPEN_WINDOWS;
-        let mut is_news = false;
+        let mut growth = Growth::default();
         for entry in entries {
             let is_open = entry.window >= self.sealed_before && entry.window <= newest;
-            if is_open
-                && entry.source != *me
-                && self.pool.merge(entry.window, &entry.source, &entry.cells)
-            {
+            if !is_open || entry.source == *me {
+                continue;
+            }
+            let merged = self.pool.merge(entry.window, &entry.source, &entry.cells);
+            if merged.any {
                 self.changed.insert((entry.window, entry.source.clone()));
-                is_news = true;
             }
+            growth.any |= merged.any;
+            growth.bad |= merged.bad;
         }
-        is_news
+        growth
     }
 
     /// Returns the sums that have grown and forgets that they have: this daemon's own, and those
@@ -206,11 +208,12 @@
             return false;
         }
         for window in self.sealed_before..before {
-            let totals = self.pool.totals(window);
+            let none = Cells::new();
+            let totals = self.pool.totals(window).unwrap_or(&none);
             let is_full = self.is_full(window);
-            self.judge.seal(&totals, is_full);
+            self.judge.seal(totals, is_full);
             let is_of_step = window >= self.plan.window_at(self.entered);
-            for (CellKey { route, side, .. }, counts) in &totals {
+            for (CellKey { route, side, .. }, counts) in totals {
                 self.of_move.entry(route.clone()).or_default().add(*side, counts);
                 if is_of_step {
                     self.of_step.entry(route.clone()).or_default().add(*side, counts);
@@ -238,9 +241,9 @@
     /// Judges the new version by all evidence held.
     pub fn judge(&self) -> Finding {
         let windows = self.pool.windows();
-        let open: Vec<(Cells, bool)> = windows
+        let open: Vec<(&Cells, bool)> = windows
             .into_iter()
-            .map(|window| (self.pool.totals(window), self.is_full(window)))
+            .filter_map(|window| Some((self.pool.totals(window)?, self.is_full(window))))
             .collect();
         self.judge.judge(&open)
     }
--- a/lib/src/moves/verdict.rs
+++ b/lib/src/moves/verdict.rs
@@ -169,7 +169,7 @@
 
     /// Judges by the sealed windows and by these open ones, the oldest first; each comes with
     /// whether the new version had its full share.
-    pub fn judge(&self, open: &[(Cells, bool)]) -> Finding {
+    pub fn judge(&self, open: &[(&Cells, bool)]) -> Finding {
         let mut finding = Finding::Good;
         for route in &self.routes {
             for measure in Measure::ALL {
--- /dev/null
+++ b/lib/tests/moves_sim/mod.rs
@@ -0,0 +1,433 @@
+//! Several daemons that conduct one move over synthetic attempts: a seeded delivery queue.
+
+pub mod traffic;
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use dogwoodturn::{
+    declaration::{DeclarationSet, check, wire},
+    ids::{CallId, DaemonId, Incarnation, ServiceName},
+    ini::Source as IniSource,
+    moves::{
+        ending::{EndRecord, Outcome, RECORD_PREFIX},
+        evidence::Source,
+        message::{Message, MessageWire},
+        run::{Effect, Event, Happening, Moves},
+        share::{Share, VersionChoice},
+    },
+    node::report::AttemptReport,
+    peer::Recipient,
+    platform::{CallError, Operation, Reply, memory::MemoryStore},
+    units::{Clock, Time, WallTime},
+};
+use indexmap::IndexMap;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+use traffic::{Kind, Noise, Traffic};
+
+/// The wall time at which every simulation begins.
+pub const BEGIN: WallTime = WallTime(1_800_000_000_000);
+/// The start of the move after the beginning.
+const START: Duration = Duration::from_secs(5);
+/// The octets that TCP/IP and websocket headers add to each message.
+const HEADER_BYTES: usize = 60;
+/// How many neighbours each daemon has at most.
+const DEGREE: usize = 6;
+
+/// What to simulate.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    pub daemons: usize,
+    /// Requests a second over all daemons.
+    pub rate: f64,
+    /// From the move's start to its time.
+    pub length: Duration,
+    pub watch: Duration,
+    pub kind: Kind,
+    pub noise: Noise,
+    pub seed: u64,
+    /// The part of messages that may be dropped which is lost.
+    pub loss: f64,
+    /// The part of the platform's answers that is lost.
+    pub lost_answers: f64,
+    /// When the platform is down, after the move's start.
+    pub outage: Option<(Duration, Duration)>,
+    /// Restarts one daemon so long after the move's start.
+    pub restart: Option<Duration>,
+    /// How far the clocks of two daemons may be apart.
+    pub skew: Duration,
+}
+
+impl Spec {
+    pub fn new(daemons: usize, kind: Kind, seed: u64) -> Self {
+        Self {
+            daemons,
+            rate: 200.0,
+            length: Duration::from_secs(300),
+            watch: Duration::from_secs(60),
+            kind,
+            noise: Noise::default(),
+            seed,
+            loss: 0.0,
+            lost_answers: 0.0,
+            outage: None,
+            restart: None,
+            skew: Duration::from_millis(20),
+        }
+    }
+}
+
+/// What a simulation has shown.
+#[derive(Clone, Debug, Default)]
+pub struct Shown {
+    pub requests: u64,
+    pub to_new: u64,
+    /// Requests to the new version since its badness began and before the first hold.
+    pub exposed: u64,
+    /// Requests sent to the new version later than one second after the first hold.
+    pub after_hold: u64,
+    pub badness_began: Option<Time>,
+    pub first_hold: Option<Time>,
+    pub cause: Option<String>,
+    pub steps: u32,
+    pub step_times: Vec<f64>,
+    pub record: Option<EndRecord>,
+    pub recorded_at: Option<Time>,
+    pub finish_by: Time,
+    /// Whether each daemon gave the old version every request once the end was known.
+    pub shares: Vec<Share>,
+    /// Octets of evidence a second that one daemon sent.
+    pub bytes_per_second: f64,
+    pub platform_calls: u64,
+    pub windows: Vec<traffic::WindowSums>,
+}
+
+impl Shown {
+    pub fn outcome(&self) -> Option<Outcome> {
+        self.record.as_ref().map(|record| record.outcome)
+    }
+
+    pub fn in_time(&self) -> bool {
+        self.recorded_at.is_some_and(|at| at <= self.finish_by)
+    }
+
+    pub fn time_to_detect(&self) -> Option<Duration> {
+        Some(self.first_hold?.since(self.badness_began?))
+    }
+
+    pub fn exposed_part(&self) -> f64 {
+        self.exposed as f64 / self.requests.max(1) as f64
+    }
+}
+
+enum Due {
+    Request,
+    Ended(usize, u64, Box<AttemptReport>),
+    Deliver(usize, usize, Message),
+    Apply(usize, u64, CallId, Operation),
+    Answer(usize, u64, CallId, Result<Reply, CallError>),
+    Wake(usize),
+    Restart(usize),
+}
+
+struct Node {
+    id: DaemonId,
+    run: u64,
+    moves: Moves,
+    choices: Arc<IndexMap<ServiceName, VersionChoice>>,
+    outstanding: u32,
+    wake_at: Option<Time>,
+    skew: Duration,
+    bytes: usize,
+}
+
+pub struct Sim {
+    spec: Spec,
+    set: DeclarationSet,
+    nodes: Vec<Node>,
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    dues: IndexMap<u64, Due>,
+    next: u64,
+    now: Time,
+    store: MemoryStore,
+    rng: Pcg64Mcg,
+    traffic: Traffic,
+    flooded: HashSet<(usize, u64)>,
+    shown: Shown,
+}
+
+pub fn declarations(spec: &Spec) -> DeclarationSet {
+    let start = BEGIN + START;
+    let finish_by = start + spec.length;
+    let watch = spec.watch.as_secs();
+    let text = format!(
+        "[service lantern]\nkind = model\nversion = v1\nrepeat = safe\n[version lantern/v1]\n\
+         [version lantern/v2]\n[route phrases]\npath = /phrases\nservice = lantern\n\
+         [route glossaries]\npath = /glossaries\nservice = lantern\n[route quotes]\n\
+         path = /quotes\nservice = lantern\n[move lantern-v2]\nservice = lantern\nfrom = v1\n\
+         to = v2\nstart = {start}\nfinish-by = {finish_by}\nwatch = {watch}s\n"
+    );
+    let source = IniSource { file: "moves.ini".into(), text: text.into() };
+    check::check(&[source]).expect("the set has no fault").set
+}
+
+impl Sim {
+    pub fn new(spec: Spec) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(spec.seed);
+        let set = declarations(&spec);
+        let traffic = Traffic::new(&spec, START, &mut rng);
+        let nodes = (0..spec.daemons).map(|index| Node {
+            id: format!("d{index}").parse().expect("a name"),
+            run: 1,
+            moves: moves(index, 1),
+            choices: Arc::default(),
+            outstanding: 0,
+            wake_at: None,
+            skew: spec.skew.mul_f64(rng.random::<f64>()),
+            bytes: 0,
+        });
+        let nodes = nodes.collect();
+        let finish_by = Time(0) + START + spec.length;
+        let shown = Shown { finish_by, ..Shown::default() };
+        Self {
+            set,
+            nodes,
+            queue: BinaryHeap::new(),
+            dues: IndexMap::new(),
+            next: 0,
+            now: Time(0),
+            store: MemoryStore::new(),
+            rng,
+            traffic,
+            flooded: HashSet::new(),
+            shown,
+            spec,
+        }
+    }
+
+    /// Runs until well after the move's time.
+    pub fn run(mut self) -> Shown {
+        for node in 0..self.nodes.len() {
+            self.begin(node);
+        }
+        self.push(Time(0), Due::Request);
+        if let Some(after) = self.spec.restart {
+            self.push(Time(0) + START + after, Due::Restart(0));
+        }
+        let end = self.shown.finish_by + Duration::from_secs(10);
+        while let Some(Reverse((time, key))) = self.queue.pop() {
+            let Some(due) = self.dues.swap_remove(&key) else { continue };
+            if time > end {
+                break;
+            }
+            self.now = time;
+            self.carry_out(due);
+            let is_settled = self.shown.recorded_at.is_some_and(|at| {
+                self.now.since(at) > Duration::from_secs(10)
+            });
+            if is_settled {
+                break;
+            }
+        }
+        self.finish()
+    }
+
+    fn finish(mut self) -> Shown {
+        let objects = self.store.apply(&Operation::List(RECORD_PREFIX.into()));
+        if let Ok(Reply::Listed(keys)) = objects
+            && let Some((key, _)) = keys.first()
+            && let Ok(Reply::Object(Some(object))) = self.store.apply(&Operation::Get(key.clone()))
+        {
+            self.shown.record = wire::decode(&object.value).ok();
+        }
+        let share = |node: &Node| node.choices.values().next().map_or(Share::NONE, |c| c.share);
+        self.shown.shares = self.nodes.iter().map(share).collect();
+        let bytes: usize = self.nodes.iter().map(|node| node.bytes).sum();
+        let seconds = self.now.since(Time(0) + START).as_secs_f64();
+        self.shown.bytes_per_second = bytes as f64 / self.nodes.len() as f64 / seconds.max(1.0);
+        self.shown.windows = std::mem::take(&mut self.traffic.windows);
+        self.shown
+    }
+
+    fn push(&mut self, time: Time, due: Due) {
+        self.next += 1;
+        self.dues.insert(self.next, due);
+        self.queue.push(Reverse((time, self.next)));
+    }
+
+    fn begin(&mut self, node: usize) {
+        self.handle(node, Event::Started);
+        let set = self.set.clone();
+        self.handle(node, Event::Declared(&set));
+    }
+
+    fn carry_out(&mut self, due: Due) {
+        match due {
+            Due::Request => self.request(),
+            Due::Ended(node, run, report) => {
+                if run == self.nodes[node].run {
+                    if report.version == traffic::new_version() {
+                        self.nodes[node].outstanding -= 1;
+                    }
+                    self.handle(node, Event::Attempt(&report));
+                }
+            }
+            Due::Deliver(from, to, message) => {
+                let from = self.nodes[from].id.clone();
+                self.handle(to, Event::Peer(from, message));
+            }
+            Due::Apply(node, run, call, operation) => self.apply(node, run, call, &operation),
+            Due::Answer(node, run, call, result) => {
+                if run == self.nodes[node].run {
+                    self.handle(node, Event::Called(call, result));
+                }
+            }
+            Due::Wake(node) => {
+                if self.nodes[node].wake_at == Some(self.now) {
+                    self.nodes[node].wake_at = None;
+                    self.handle(node, Event::Woken);
+                }
+            }
+            Due::Restart(node) => {
+                self.nodes[node].run += 1;
+                self.nodes[node].moves = moves(node, self.nodes[node].run);
+                self.nodes[node].choices = Arc::default();
+                self.nodes[node].outstanding = 0;
+                self.nodes[node].wake_at = None;
+                self.begin(node);
+            }
+        }
+    }
+
+    fn request(&mut self) {
+        let node = self.rng.random_range(0..self.nodes.len());
+        self.next += 1;
+        let id = format!("r{}", self.next).parse().expect("a name");
+        let choice = self.nodes[node].choices.values().next();
+        let outstanding = self.nodes[node].outstanding;
+        let is_new = choice
+            .is_some_and(|choice| *choice.choose(&id, outstanding) == traffic::new_version());
+        self.shown.requests += 1;
+        let is_full = choice.is_some_and(|choice| choice.share == Share::FULL);
+        let attempt = self.traffic.attempt(self.now, is_new, is_full, &mut self.rng);
+        if is_new {
+            self.nodes[node].outstanding += 1;
+            self.shown.to_new += 1;
+            self.expose();
+        }
+        let run = self.nodes[node].run;
+        self.push(self.now + attempt.lasts, Due::Ended(node, run, Box::new(attempt.report)));
+        let gap = -self.rng.random::<f64>().max(1e-12).ln() / self.spec.rate;
+        self.push(self.now + Duration::from_secs_f64(gap), Due::Request);
+    }
+
+    fn expose(&mut self) {
+        self.shown.badness_began = self.traffic.badness_began;
+        match self.shown.first_hold {
+            None if self.traffic.badness_began.is_some() => self.shown.exposed += 1,
+            Some(at) if self.now.since(at) > Duration::from_secs(1) => self.shown.after_hold += 1,
+            _ => {}
+        }
+    }
+
+    fn apply(&mut self, node: usize, run: u64, call: CallId, operation: &Operation) {
+        let since_start = self.now.since(Time(0) + START);
+        let is_down =
+            self.spec.outage.is_some_and(|(from, to)| from <= since_start && since_start < to);
+        let mut result = Err(CallError::Unavailable);
+        if !is_down {
+            result = self.store.apply(operation);
+            if operation.is_write() && result.is_ok() && self.shown.recorded_at.is_none() {
+                self.shown.recorded_at = Some(self.now);
+            }
+            if self.rng.random::<f64>() < self.spec.lost_answers {
+                result = Err(CallError::Unknown);
+            }
+        }
+        let delay = Duration::from_micros(self.rng.random_range(1_000..5_000));
+        self.push(self.now + delay, Due::Answer(node, run, call, result));
+    }
+
+    fn handle(&mut self, index: usize, event: Event<'_>) {
+        let node = &mut self.nodes[index];
+        let elapsed = self.now.since(Time(0));
+        let clock = Clock { now: self.now, wall: BEGIN + elapsed + node.skew };
+        let mut effects = Vec::new();
+        node.moves.handle(clock, event, &mut effects);
+        for effect in effects {
+            self.effect(index, effect);
+        }
+        let node = &mut self.nodes[index];
+        let wanted = node.moves.next_wakeup().map(|at| at.max(self.now + Duration::from_micros(1)));
+        if wanted != node.wake_at {
+            node.wake_at = wanted;
+            if let Some(at) = wanted {
+                self.push(at, Due::Wake(index));
+            }
+        }
+    }
+
+    fn effect(&mut self, index: usize, effect: Effect) {
+        match effect {
+            Effect::Call(call, operation) => {
+                self.shown.platform_calls += 1;
+                let delay = Duration::from_micros(self.rng.random_range(1_000..5_000));
+                let run = self.nodes[index].run;
+                self.push(self.now + delay, Due::Apply(index, run, call, operation));
+            }
+            Effect::Send(recipient, message) => self.send(index, &recipient, &message),
+            Effect::Choices(choices) => self.nodes[index].choices = choices,
+            Effect::Reports(_) => {}
+            Effect::Happened(_, Happening::Held(hold)) => {
+                if self.shown.first_hold.is_none() {
+                    self.shown.first_hold = Some(self.now);
+                    self.shown.cause = Some(hold.cause.to_string());
+                }
+            }
+            Effect::Happened(_, Happening::Stepped(_)) => {
+                self.shown.steps += 1;
+                let since_start = self.now.since(Time(0) + START);
+                self.shown.step_times.push(since_start.as_secs_f64());
+            }
+            Effect::Happened(_, Happening::Ended(_)) => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, recipient: &Recipient, message: &Message) {
+        let count = self.nodes.len();
+        let others: Vec<usize> = match recipient {
+            Recipient::Daemon(id) => (0..count).filter(|&to| self.nodes[to].id == *id).collect(),
+            Recipient::Flood => (0..count).filter(|&to| to != from).collect(),
+            _ => neighbours(from, count),
+        };
+        let bytes = wire::encode(&MessageWire::from(message.clone())).len() + HEADER_BYTES;
+        for to in others {
+            self.nodes[from].bytes += bytes;
+            if message.droppable() && self.rng.random::<f64>() < self.spec.loss {
+                continue;
+            }
+            let delay = Duration::from_micros(self.rng.random_range(1_000..4_000));
+            self.push(self.now + delay, Due::Deliver(from, to, message.clone()));
+        }
+    }
+}
+
+fn neighbours(of: usize, count: usize) -> Vec<usize> {
+    let reach = (DEGREE / 2).min((count - 1).div_ceil(2));
+    let mut found: Vec<usize> =
+        (1..=reach).flat_map(|step| [(of + step) % count, (of + count - step) % count]).collect();
+    found.sort_unstable();
+    found.dedup();
+    found
+}
+
+fn moves(index: usize, run: u64) -> Moves {
+    let daemon = format!("d{index}").parse().expect("a name");
+    Moves::new(Source { daemon, incarnation: Incarnation(run) })
+}
--- /dev/null
+++ b/lib/tests/moves_sim/traffic.rs
@@ -0,0 +1,321 @@
+//! Synthetic attempts on a good or bad new version, with noise that good versions show too.
+
+use std::time::Duration;
+
+use dogwoodturn::{
+    ids::VersionName,
+    moves::evidence::{self, Cells, Side},
+    node::report::{AttemptEnd, AttemptReport},
+    units::{Time, Tokens},
+};
+use rand::RngExt as _;
+use rand_pcg::Pcg64Mcg;
+
+use super::Spec;
+
+/// How the new version behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Good,
+    /// Fails 3 in 10 from the beginning.
+    FailsAtOnce,
+    /// Takes twice as long from the beginning.
+    SlowAtOnce,
+    /// Fails 3 in 10 from two thirds of the move's time on.
+    FailsLater,
+    /// Fails 2 in 10 while it gets more than a third of the requests.
+    FailsUnderLoad,
+    /// Takes 2.5 times as long while it gets more than a third of the requests.
+    SlowUnderLoad,
+    /// Fails 4 in 10 on the rarest route.
+    FailsOnRoute,
+    /// Never answers 4 in 10.
+    Hangs,
+    /// Answers 2 in 10 in a malformed way.
+    WronglyFramed,
+}
+
+impl Kind {
+    pub const BAD: [Self; 8] = [
+        Self::FailsAtOnce,
+        Self::SlowAtOnce,
+        Self::FailsLater,
+        Self::FailsUnderLoad,
+        Self::SlowUnderLoad,
+        Self::FailsOnRoute,
+        Self::Hangs,
+        Self::WronglyFramed,
+    ];
+}
+
+/// What disturbs good and bad versions alike.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Noise {
+    /// The part of all requests that fails, on both versions.
+    pub failures: f64,
+    /// Whether a shared dependency fails for some seconds, twice.
+    pub shared_bursts: bool,
+    /// Whether one host of each version crashes, more than once.
+    pub crashes: bool,
+    /// Whether all hosts are slow for some seconds, twice.
+    pub slow_spells: bool,
+    /// Whether the new version starts with cold caches.
+    pub cold_caches: bool,
+    /// Whether half of the new version's hosts are of a slower class.
+    pub other_class: bool,
+    /// Whether one host of the new version is slower than its class.
+    pub slow_host: bool,
+}
+
+impl Noise {
+    /// Everything at once.
+    pub const ALL: Self = Self {
+        failures: 0.01,
+        shared_bursts: true,
+        crashes: true,
+        slow_spells: true,
+        cold_caches: true,
+        other_class: true,
+        slow_host: true,
+    };
+}
+
+/// How long a hung request waits until it counts as overdue.
+const LIMIT: Duration = Duration::from_secs(10);
+/// The routes and the part of the requests that each gets.
+const ROUTES: [(&str, f64); 3] = [("phrases", 0.6), ("glossaries", 0.3), ("quotes", 0.1)];
+/// How long a spell or burst lasts.
+const SPELL: Duration = Duration::from_secs(6);
+
+pub fn new_version() -> VersionName {
+    "v2".parse().expect("a name")
+}
+
+struct Host {
+    upstream: String,
+    zone: &'static str,
+    class: &'static str,
+    slowness: f64,
+    crashes: Vec<Time>,
+}
+
+pub struct Attempt {
+    pub lasts: Duration,
+    pub report: AttemptReport,
+}
+
+/// The sums of one window over all daemons, as a test without daemons would see them.
+#[derive(Clone, Debug, Default)]
+pub struct WindowSums {
+    pub cells: Cells,
+    pub is_full: bool,
+}
+
+pub struct Traffic {
+    kind: Kind,
+    noise: Noise,
+    begin: Time,
+    length: Duration,
+    old: Vec<Host>,
+    new: Vec<Host>,
+    bursts: Vec<Time>,
+    spells: Vec<Time>,
+    recent: (u64, u64),
+    recent_since: Time,
+    is_loaded: bool,
+    answered_by_new: f64,
+    pub badness_began: Option<Time>,
+    pub windows: Vec<WindowSums>,
+}
+
+const CLASSES: [(&str, f64); 2] = [("c1", 1.0), ("c2", 1.6)];
+const ZONES: [&str; 3] = ["za", "zb", "zc"];
+
+impl Traffic {
+    pub fn new(spec: &Spec, start: Duration, rng: &mut Pcg64Mcg) -> Self {
+        let noise = spec.noise;
+        let moment =
+            |rng: &mut Pcg64Mcg| Time(0) + start + spec.length.mul_f64(rng.random::<f64>());
+        let hosts = |name: &str, count: usize, slow: usize, rng: &mut Pcg64Mcg| {
+            let host = |index: usize| {
+                let class = CLASSES[usize::from(index % 10 < slow)];
+                let crash_count = if noise.crashes && index == 1 { 2 } else { 0 };
+                let is_slow = noise.slow_host && index == 0 && name == "n";
+                Host {
+                    upstream: format!("{name}{index}"),
+                    zone: ZONES[index % 3],
+                    class: class.0,
+                    slowness: class.1 * lognormal(0.05, rng) * if is_slow { 1.4 } else { 1.0 },
+                    crashes: (0..crash_count).map(|_| moment(rng)).collect(),
+                }
+            };
+            (0..count).map(host).collect::<Vec<_>>()
+        };
+        let new_slow = if noise.other_class { 3 } else { 1 };
+        let old = hosts("o", 10, 2, rng);
+        let new = hosts("n", 6, new_slow, rng);
+        let pair = |wanted: bool, rng: &mut Pcg64Mcg| {
+            (0..if wanted { 2 } else { 0 }).map(|_| moment(rng)).collect::<Vec<_>>()
+        };
+        Self {
+            kind: spec.kind,
+            noise,
+            begin: Time(0) + start,
+            length: spec.length,
+            old,
+            new,
+            bursts: pair(noise.shared_bursts, rng),
+            spells: pair(noise.slow_spells, rng),
+            recent: (0, 0),
+            recent_since: Time(0),
+            is_loaded: false,
+            answered_by_new: 0.0,
+            badness_began: None,
+            windows: Vec::new(),
+        }
+    }
+
+    /// Returns one attempt that begins now.
+    pub fn attempt(
+        &mut self,
+        now: Time,
+        is_new: bool,
+        is_full: bool,
+        rng: &mut Pcg64Mcg,
+    ) -> Attempt {
+        self.measure_load(now, is_new);
+        let route = pick_route(rng);
+        let is_bad = is_new && self.is_bad(now, route);
+        if is_bad && self.badness_began.is_none() {
+            self.badness_began = Some(now);
+        }
+        let hosts = if is_new { &self.new } else { &self.old };
+        let host = &hosts[rng.random_range(0..hosts.len())];
+        let mut slowness = host.slowness * lognormal(0.35, rng);
+        if is_within(&self.spells, now) {
+            slowness *= 3.0;
+        }
+        if is_bad {
+            slowness *= match self.kind {
+                Kind::SlowAtOnce => 2.0,
+                Kind::SlowUnderLoad => 2.5,
+                _ => 1.0,
+            };
+        }
+        let prompt: u64 = rng.random_range(50..1500);
+        let hits = if !is_new {
+            0.7
+        } else if self.noise.cold_caches {
+            0.7 * (1.0 - (-self.answered_by_new / 3000.0).exp())
+        } else {
+            0.7
+        };
+        let is_hit = rng.random::<f64>() < hits;
+        let uncached = if is_hit { prompt / 5 } else { prompt };
+        let generated: u64 = rng.random_range(5..60);
+        let first_token = Duration::from_secs_f64((0.012 + 0.0002 * uncached as f64) * slowness);
+        let generation = Duration::from_secs_f64(0.008 * generated as f64 * slowness);
+        let mut lasts = first_token + generation;
+        let mut end = AttemptEnd::Success;
+        let burst = if is_within(&self.bursts, now) { 0.3 } else { 0.0 };
+        if rng.random::<f64>() < self.noise.failures + burst {
+            end = AttemptEnd::Failure;
+        }
+        let fails = match self.kind {
+            Kind::FailsAtOnce | Kind::FailsLater => 0.3,
+            Kind::FailsUnderLoad | Kind::WronglyFramed => 0.2,
+            Kind::FailsOnRoute | Kind::Hangs => 0.4,
+            Kind::Good | Kind::SlowAtOnce | Kind::SlowUnderLoad => 0.0,
+        };
+        if is_bad && rng.random::<f64>() < fails {
+            end = AttemptEnd::Failure;
+            if self.kind == Kind::Hangs {
+                end = AttemptEnd::Overdue;
+                lasts = LIMIT;
+            }
+        }
+        let ejected = Duration::from_millis(300);
+        let crash = host.crashes.iter().find(|&&at| now + lasts > at && now < at + ejected);
+        if let Some(&at) = crash {
+            end = AttemptEnd::Broken;
+            lasts = at.since(now);
+        }
+        let name = |text: &str| text.parse().expect("a name");
+        let report = AttemptReport {
+            route: route.parse().expect("a name"),
+            service: "lantern".parse().expect("a name"),
+            version: name(if is_new { "v2" } else { "v1" }),
+            under_move: Some("lantern-v2".parse().expect("a name")),
+            upstream: host.upstream.parse().expect("a name"),
+            zone: host.zone.parse().expect("a name"),
+            class: host.class.parse().expect("a name"),
+            end,
+            first_token: (end == AttemptEnd::Success).then_some(first_token),
+            generation,
+            uncached_prompt: Tokens(uncached),
+            prompt: Tokens(prompt),
+            generated: Tokens(generated),
+            computed_again: Tokens(0),
+        };
+        if is_new {
+            self.answered_by_new += 1.0;
+        }
+        self.record(now + lasts, is_new, is_full, &report);
+        Attempt { lasts, report }
+    }
+
+    fn measure_load(&mut self, now: Time, is_new: bool) {
+        if now.since(self.recent_since) > Duration::from_secs(1) {
+            let (new, all) = self.recent;
+            self.is_loaded = new * 3 > all;
+            self.recent = (0, 0);
+            self.recent_since = now;
+        }
+        self.recent.0 += u64::from(is_new);
+        self.recent.1 += 1;
+    }
+
+    fn is_bad(&self, now: Time, route: &str) -> bool {
+        match self.kind {
+            Kind::Good => false,
+            Kind::FailsAtOnce | Kind::SlowAtOnce | Kind::Hangs | Kind::WronglyFramed => true,
+            Kind::FailsLater => now.since(self.begin) > self.length.mul_f64(0.66),
+            Kind::FailsUnderLoad | Kind::SlowUnderLoad => self.is_loaded,
+            Kind::FailsOnRoute => route == "quotes",
+        }
+    }
+
+    fn record(&mut self, ends: Time, is_new: bool, is_full: bool, report: &AttemptReport) {
+        const WINDOW: Duration = Duration::from_secs(3);
+        let index = (ends.since(self.begin).as_micros() / WINDOW.as_micros()) as usize;
+        while self.windows.len() <= index {
+            self.windows.push(WindowSums::default());
+        }
+        let side = if is_new { Side::New } else { Side::Old };
+        if let Some((cell, counts)) = evidence::count(report, side) {
+            self.windows[index].cells.entry(cell).or_default().plus(&counts);
+            self.windows[index].is_full |= is_full;
+        }
+    }
+}
+
+fn pick_route(rng: &mut Pcg64Mcg) -> &'static str {
+    let mut position = rng.random::<f64>();
+    for (route, part) in ROUTES {
+        if position < part {
+            return route;
+        }
+        position -= part;
+    }
+    ROUTES[0].0
+}
+
+fn is_within(spells: &[Time], now: Time) -> bool {
+    spells.iter().any(|&from| from <= now && now < from + SPELL)
+}
+
+/// Draws a factor whose logarithm is normal, by the sum of uniform numbers.
+fn lognormal(sigma: f64, rng: &mut Pcg64Mcg) -> f64 {
+    let sum: f64 = (0..12).map(|_| rng.random::<f64>()).sum();
+    ((sum - 6.0) * sigma).exp()
+}
