moves: doubt at full share goes back to half; one upstream cannot convict; blocks of times

Cause: at full share the new version was compared with other minutes, so that shared bursts and crashed hosts took good moves back; slowness was judged by windows of too few times. Change: a comparison with other minutes is only a suspicion that lowers the share to one half, where both versions run in the same minutes; failures of one upstream in one window are bounded; windows are 1 s to 10 s and times are gathered in blocks until they say enough; cells that have grown travel with each name once.

--- a/lib/src/moves/evidence.rs
+++ b/lib/src/moves/evidence.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     ids::{ClassName, DaemonId, Incarnation, RouteName, ZoneName},
@@ -105,6 +106,8 @@
     pub good: u64,
     /// Attempts that failed or took too long.
     pub bad: u64,
+    /// The upstreams of the bad attempts, one bit for each of 32 groups.
+    pub bad_upstreams: u32,
     /// The time to the first token per uncached prompt token, or to a plain service's answer.
     pub start: Moments,
     /// The time per generated token.
@@ -121,10 +124,12 @@
     pub fn plus(&mut self, other: &Self) {
         self.good += other.good;
         self.bad += other.bad;
+        self.bad_upstreams |= other.bad_upstreams;
         self.start.plus(&other.start);
         self.pace.plus(&other.pace);
     }
 
+    /// Takes back what `plus` has added, but for the upstreams, which only grow.
     fn minus(&mut self, other: &Self) {
         self.good -= other.good;
         self.bad -= other.bad;
@@ -135,6 +140,7 @@
     fn raise_to(&mut self, other: &Self) {
         self.good = self.good.max(other.good);
         self.bad = self.bad.max(other.bad);
+        self.bad_upstreams |= other.bad_upstreams;
         self.start.raise_to(&other.start);
         self.pace.raise_to(&other.pace);
     }
@@ -162,6 +168,7 @@
         }
     } else {
         counts.bad = 1;
+        counts.bad_upstreams = 1 << (xxh3_64(report.upstream.as_str().as_bytes()) % 32);
     }
     let size = (u64::BITS - report.uncached_prompt.0.leading_zeros()).div_ceil(2) as u8;
     let stratum = Stratum { class: report.class.clone(), zone: report.zone.clone(), size };
--- a/lib/src/moves/message.rs
+++ b/lib/src/moves/message.rs
@@ -1,5 +1,6 @@
 //! What daemons tell each other about moves.
 
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -9,6 +10,7 @@
         MoveId,
         ending::{EndRecord, Hold},
         evidence::{CellKey, Cells, Counts, Moments, Side, Source, Stratum},
+        running::Reached,
         verdict::{Badness, Measure},
     },
     units::WallTime,
@@ -36,10 +38,8 @@
     Evidence {
         /// The move.
         id: MoveId,
-        /// The step.
-        step: u8,
-        /// When it began, by the clock of the first daemon that earned it.
-        entered: WallTime,
+        /// Where the sender has got to.
+        reached: Reached,
         /// Sums that have grown.
         entries: Vec<Entry>,
     },
@@ -71,41 +71,108 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct CellWire(RouteName, bool, ClassName, ZoneName, u8, u64, u64, MomentsWire, MomentsWire);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct ReachedWire(u32, u8, WallTime);
 
-impl From<(CellKey, Counts)> for CellWire {
-    fn from((cell, counts): (CellKey, Counts)) -> Self {
-        let CellKey { route, side, stratum: Stratum { class, zone, size } } = cell;
-        let Counts { good, bad, start, pace } = counts;
-        Self(route, side == Side::New, class, zone, size, good, bad, start.into(), pace.into())
+impl From<Reached> for ReachedWire {
+    fn from(reached: Reached) -> Self {
+        Self(reached.doubts, reached.step, reached.entered)
     }
 }
 
-impl From<CellWire> for (CellKey, Counts) {
-    fn from(wire: CellWire) -> Self {
-        let CellWire(route, is_new, class, zone, size, good, bad, start, pace) = wire;
-        let side = if is_new { Side::New } else { Side::Old };
-        let cell = CellKey { route, side, stratum: Stratum { class, zone, size } };
-        (cell, Counts { good, bad, start: start.into(), pace: pace.into() })
+impl From<ReachedWire> for Reached {
+    fn from(wire: ReachedWire) -> Self {
+        Self { doubts: wire.0, step: wire.1, entered: wire.2 }
     }
 }
 
+/// Entries with the names that they use, each name once.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct EntriesWire {
+    #[serde(rename = "r")]
+    routes: IndexSet<RouteName>,
+    #[serde(rename = "c")]
+    classes: IndexSet<ClassName>,
+    #[serde(rename = "z")]
+    zones: IndexSet<ZoneName>,
+    #[serde(rename = "e")]
+    entries: Vec<EntryWire>,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct EntryWire(u32, DaemonId, Incarnation, Vec<CellWire>);
 
-impl From<Entry> for EntryWire {
-    fn from(entry: Entry) -> Self {
-        let cells = entry.cells.into_iter().map(CellWire::from).collect();
-        Self(entry.window, entry.source.daemon, entry.source.incarnation, cells)
+/// The positions of route, class and zone, the version, the size, and the counts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct CellWire(
+    usize,
+    usize,
+    usize,
+    bool,
+    u8,
+    u64,
+    u64,
+    u32,
+    Option<MomentsWire>,
+    Option<MomentsWire>,
+);
+
+fn moments_wire(moments: Moments) -> Option<MomentsWire> {
+    (moments.count > 0).then(|| moments.into())
+}
+
+impl EntriesWire {
+    fn add(&mut self, cell: CellKey, counts: &Counts) -> CellWire {
+        CellWire(
+            self.routes.insert_full(cell.route).0,
+            self.classes.insert_full(cell.stratum.class).0,
+            self.zones.insert_full(cell.stratum.zone).0,
+            cell.side == Side::New,
+            cell.stratum.size,
+            counts.good,
+            counts.bad,
+            counts.bad_upstreams,
+            moments_wire(counts.start),
+            moments_wire(counts.pace),
+        )
+    }
+
+    fn cell(&self, wire: &CellWire) -> Result<(CellKey, Counts), WireError> {
+        let &CellWire(route, class, zone, is_new, size, good, bad, bad_upstreams, start, pace) =
+            wire;
+        let unknown = |what: &str, index| WireError::Word(format!("{what} {index}").into());
+        let route = self.routes.get_index(route).ok_or_else(|| unknown("route", route))?.clone();
+        let class = self.classes.get_index(class).ok_or_else(|| unknown("class", class))?.clone();
+        let zone = self.zones.get_index(zone).ok_or_else(|| unknown("zone", zone))?.clone();
+        let side = if is_new { Side::New } else { Side::Old };
+        let start = start.map_or_else(Moments::default, Moments::from);
+        let pace = pace.map_or_else(Moments::default, Moments::from);
+        let counts = Counts { good, bad, bad_upstreams, start, pace };
+        Ok((CellKey { route, side, stratum: Stratum { class, zone, size } }, counts))
     }
 }
 
-impl From<EntryWire> for Entry {
-    fn from(wire: EntryWire) -> Self {
-        let EntryWire(window, daemon, incarnation, cells) = wire;
-        let cells = cells.into_iter().map(<(CellKey, Counts)>::from).collect();
-        Self { window, source: Source { daemon, incarnation }, cells }
+impl From<Vec<Entry>> for EntriesWire {
+    fn from(entries: Vec<Entry>) -> Self {
+        let mut wire = Self::default();
+        for Entry { window, source, cells } in entries {
+            let cells = cells.into_iter().map(|(cell, counts)| wire.add(cell, &counts)).collect();
+            wire.entries.push(EntryWire(window, source.daemon, source.incarnation, cells));
+        }
+        wire
+    }
+}
+
+impl TryFrom<EntriesWire> for Vec<Entry> {
+    type Error = WireError;
+
+    fn try_from(wire: EntriesWire) -> Result<Self, WireError> {
+        let entry = |EntryWire(window, daemon, incarnation, cells): &EntryWire| {
+            let source = Source { daemon: daemon.clone(), incarnation: *incarnation };
+            let cells: Result<_, _> = cells.iter().map(|cell| wire.cell(cell)).collect();
+            Ok(Entry { window: *window, source, cells: cells? })
+        };
+        wire.entries.iter().map(entry).collect()
     }
 }
 
@@ -139,7 +206,7 @@
     #[serde(rename = "r")]
     Answered,
     #[serde(rename = "v")]
-    Evidence(MoveId, u8, WallTime, Vec<EntryWire>),
+    Evidence(MoveId, ReachedWire, Box<EntriesWire>),
     #[serde(rename = "h")]
     Hold(MoveId, HoldWire),
     #[serde(rename = "e")]
@@ -156,9 +223,8 @@
         Self(match message {
             Message::Ask => Body::Ask,
             Message::Answered => Body::Answered,
-            Message::Evidence { id, step, entered, entries } => {
-                let entries = entries.into_iter().map(EntryWire::from).collect();
-                Body::Evidence(id, step, entered, entries)
+            Message::Evidence { id, reached, entries } => {
+                Body::Evidence(id, reached.into(), Box::new(entries.into()))
             }
             Message::Hold(id, hold) => {
                 Body::Hold(id, HoldWire(hold.cause.into(), hold.by, hold.at))
@@ -175,9 +241,9 @@
         Ok(match wire.0 {
             Body::Ask => Self::Ask,
             Body::Answered => Self::Answered,
-            Body::Evidence(id, step, entered, entries) => {
-                let entries = entries.into_iter().map(Entry::from).collect();
-                Self::Evidence { id, step, entered, entries }
+            Body::Evidence(id, reached, entries) => {
+                let entries = (*entries).try_into()?;
+                Self::Evidence { id, reached: reached.into(), entries }
             }
             Body::Hold(id, HoldWire(cause, by, at)) => {
                 Self::Hold(id, Hold { cause: cause.try_into()?, by, at })
--- a/lib/src/moves/report.rs
+++ b/lib/src/moves/report.rs
@@ -72,6 +72,8 @@
     pub held_after_finish: bool,
     /// The step of the share, from 0.
     pub step: u8,
+    /// How often the move went back from the full share, to compare in the same minutes.
+    pub doubts: u32,
     /// The share of the new version now.
     pub share: String,
     /// How near the evidence is to conclusive, in hundredths on a logarithmic scale.
--- a/lib/src/moves/run.rs
+++ b/lib/src/moves/run.rs
@@ -13,7 +13,7 @@
         evidence::Source,
         message::Message,
         report::MoveReport,
-        running::Running,
+        running::{Reached, Running},
         share::VersionChoice,
         verdict::Finding,
     },
@@ -24,7 +24,7 @@
 };
 
 /// How often evidence is sent while one or two moves run; it stretches with their number.
-const SEND_INTERVAL: Duration = Duration::from_millis(500);
+const SEND_INTERVAL: Duration = Duration::from_secs(1);
 /// How soon evidence against a new version is sent.
 const URGENT_INTERVAL: Duration = Duration::from_millis(100);
 /// How soon evidence is judged after it has grown.
@@ -65,7 +65,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Happening {
     /// The new version gets the share of this step.
-    Stepped(u8),
+    Stepped(Reached),
     /// The new version gets no more requests.
     Held(Hold),
     /// The end is recorded.
@@ -203,7 +203,7 @@
         match message {
             Message::Ask => self.answer(from, out),
             Message::Answered => self.has_peers_word = true,
-            Message::Evidence { id, step, entered, entries } => {
+            Message::Evidence { id, reached, entries } => {
                 let Some(running) = self.running.get_mut(&id) else { return };
                 if let Some(known) = known_end(&id, running) {
                     // The sender has missed the end of the move.
@@ -211,7 +211,7 @@
                     return;
                 }
                 let growth = running.merge(clock, &self.me, &entries);
-                let has_stepped = running.follow(step, entered);
+                let has_stepped = running.follow(reached);
                 if growth.any {
                     let bad = growth.bad;
                     let interval = if bad { URGENT_JUDGE_INTERVAL } else { JUDGE_INTERVAL };
@@ -241,8 +241,7 @@
             let end = ending.record().map(|record| Message::End(id.clone(), record.clone()));
             let step = Message::Evidence {
                 id: id.clone(),
-                step: running.step(),
-                entered: running.entered(),
+                reached: running.reached(),
                 entries: Vec::new(),
             };
             for message in [hold, end, Some(step)].into_iter().flatten() {
@@ -351,23 +350,27 @@
     }
 
     fn stepped(&mut self, clock: Clock, id: &MoveId, out: &mut Vec<Effect>) {
-        let running = &self.running[id];
-        let (step, entered) = (running.step(), running.entered());
-        let message = Message::Evidence { id: id.clone(), step, entered, entries: Vec::new() };
+        let reached = self.running[id].reached();
+        let message = Message::Evidence { id: id.clone(), reached, entries: Vec::new() };
         out.push(Effect::Send(Recipient::Flood, message));
-        out.push(Effect::Happened(id.clone(), Happening::Stepped(step)));
+        out.push(Effect::Happened(id.clone(), Happening::Stepped(reached)));
         self.reported(clock, out);
     }
 
     fn judge(&mut self, clock: Clock, out: &mut Vec<Effect>) {
         for id in self.running.keys().cloned().collect::<Vec<_>>() {
-            let running = &self.running[&id];
-            if !running.is_open(clock.wall) {
+            if !self.running[&id].is_open(clock.wall) {
                 continue;
             }
-            if let Finding::Bad(cause) = running.judge() {
-                let hold = Hold { cause, by: self.me.daemon.clone(), at: clock.wall };
-                self.ending(clock, &id, ending::Event::Held(hold), out);
+            match self.running[&id].judge() {
+                Finding::Bad(cause) => {
+                    let hold = Hold { cause, by: self.me.daemon.clone(), at: clock.wall };
+                    self.ending(clock, &id, ending::Event::Held(hold), out);
+                }
+                Finding::Suspect if self.running[&id].step_back(clock) => {
+                    self.stepped(clock, &id, out);
+                }
+                Finding::Suspect | Finding::Doubtful | Finding::Good => {}
             }
         }
     }
@@ -382,8 +385,8 @@
             if entries.is_empty() || !running.is_open(clock.wall) {
                 continue;
             }
-            let (step, entered) = (running.step(), running.entered());
-            let message = Message::Evidence { id: id.clone(), step, entered, entries };
+            let reached = running.reached();
+            let message = Message::Evidence { id: id.clone(), reached, entries };
             out.push(Effect::Send(Recipient::Neighbours, message));
         }
         if self.running.values().any(Running::has_changed) {
--- a/lib/src/moves/running.rs
+++ b/lib/src/moves/running.rs
@@ -34,6 +34,28 @@
 /// The weight of the last window in the estimate of outstanding requests.
 const LOAD_SMOOTHING: f64 = 0.3;
 
+/// The part of the daemons that pass on what one daemon has counted, as a divisor.
+const RELAY_PART: u64 = 3;
+/// The part of the watch that follows the last doubt at least, as a divisor.
+const SHORTEST_WATCH_PART: u32 = 4;
+
+/// Where a move has got to; later ones are larger in [`Reached::order`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Reached {
+    /// How often the move has gone back from the full share.
+    pub doubts: u32,
+    /// The step of the share.
+    pub step: u8,
+    /// When the step began, by the clock of the daemon that was first to enter it.
+    pub entered: WallTime,
+}
+
+impl Reached {
+    fn order(self) -> (u32, u8) {
+        (self.doubts, self.step)
+    }
+}
+
 /// The attempts on both versions that a route has brought.
 #[derive(Clone, Copy, Debug, Default)]
 struct Brought {
@@ -75,8 +97,9 @@
     routes: IndexSet<RouteName>,
     pool: Pool,
     judge: Judge,
-    step: u8,
-    entered: WallTime,
+    reached: Reached,
+    /// How long the new version was watched at its full share before the last doubt.
+    watched: Duration,
     /// The first window that lies wholly at full share.
     full_from: Option<u32>,
     sealed_before: u32,
@@ -84,6 +107,8 @@
     of_move: ByRoute,
     load: Load,
     changed: IndexSet<(u32, Source)>,
+    /// This daemon's own cells as they were last sent, by window.
+    sent: IndexMap<u32, Cells>,
 }
 
 impl Running {
@@ -97,28 +122,24 @@
             declared: m.clone(),
             plan,
             ending: Ending::new(id.clone(), me.clone(), plan, stagger),
-            judge: Judge::new(routes.clone(), plan.windows()),
+            judge: Judge::new(&routes, plan.windows()),
             routes,
             pool: Pool::default(),
-            step: 0,
-            entered: clock.wall.max(plan.start),
+            reached: Reached { doubts: 0, step: 0, entered: clock.wall.max(plan.start) },
+            watched: Duration::ZERO,
             full_from: None,
             sealed_before: plan.window_at(clock.wall),
             of_step: ByRoute::new(),
             of_move: ByRoute::new(),
             load: Load::default(),
             changed: IndexSet::new(),
+            sent: IndexMap::new(),
         }
     }
 
-    /// Returns the step that is reached.
-    pub fn step(&self) -> u8 {
-        self.step
-    }
-
-    /// Returns when the step that is reached began.
-    pub fn entered(&self) -> WallTime {
-        self.entered
+    /// Returns where the move has got to.
+    pub fn reached(&self) -> Reached {
+        self.reached
     }
 
     /// Says whether evidence is still wanted.
@@ -164,18 +185,34 @@
         growth
     }
 
-    /// Returns the sums that have grown and forgets that they have: this daemon's own, and those
-    /// of others where `relays` is set.
+    /// Returns the sums that have grown and forgets that they have: this daemon's own, and where
+    /// `relays` is set also some of others, which other neighbours of theirs may lack.
     pub fn take_changed(&mut self, me: &Source, relays: bool) -> Vec<Entry> {
-        let wanted = |source: &Source| relays || source == me;
-        let changed: Vec<(u32, Source)> =
-            self.changed.iter().filter(|(_, source)| wanted(source)).cloned().collect();
-        self.changed.retain(|(_, source)| !wanted(source));
-        let entry = |(window, source): (u32, Source)| {
-            let cells = self.pool.cells(window, &source)?.clone();
-            Some(Entry { window, source, cells })
-        };
-        changed.into_iter().filter_map(entry).collect()
+        let mut entries = Vec::new();
+        let mut kept = IndexSet::new();
+        for (window, source) in std::mem::take(&mut self.changed) {
+            if source == *me {
+                entries.extend(self.own_growth(window, me));
+            } else if !relays {
+                kept.insert((window, source));
+            } else if is_relay(&me.daemon, &source.daemon) {
+                let cells = self.pool.cells(window, &source).cloned().unwrap_or_default();
+                entries.push(Entry { window, source, cells });
+            }
+        }
+        self.changed = kept;
+        entries
+    }
+
+    /// Returns the own cells of a window that have grown since they were last sent.
+    fn own_growth(&mut self, window: u32, me: &Source) -> Option<Entry> {
+        let cells = self.pool.cells(window, me)?;
+        let sent = self.sent.entry(window).or_default();
+        let has_grown = |cell: &CellKey, counts: &Counts| sent.get(cell) != Some(counts);
+        let grown = cells.iter().filter(|(cell, counts)| has_grown(cell, counts));
+        let grown: Cells = grown.map(|(cell, counts)| (cell.clone(), *counts)).collect();
+        sent.extend(grown.clone());
+        Some(Entry { window, source: me.clone(), cells: grown })
     }
 
     /// Says whether sums have grown since they were last sent.
@@ -183,22 +220,24 @@
         !self.changed.is_empty()
     }
 
-    /// Takes the step that a peer has reached; true if this daemon was behind.
-    pub fn follow(&mut self, step: u8, entered: WallTime) -> bool {
-        let is_behind = step > self.step && step <= FULL_STEP;
+    /// Takes where a peer says that the move has got to; true if this daemon was behind.
+    pub fn follow(&mut self, reached: Reached) -> bool {
+        let is_behind = reached.order() > self.reached.order() && reached.step <= FULL_STEP;
         if is_behind {
-            self.enter(step, entered);
+            self.enter(reached);
         }
         is_behind
     }
 
-    fn enter(&mut self, step: u8, entered: WallTime) {
-        self.step = step;
-        self.entered = entered;
-        self.of_step = ByRoute::new();
-        if step == FULL_STEP {
-            self.full_from = Some(self.plan.window_at(entered) + 1);
+    fn enter(&mut self, reached: Reached) {
+        if self.reached.step == FULL_STEP {
+            self.watched += reached.entered.until(self.reached.entered);
+            self.judge.forget_other_minutes();
         }
+        self.reached = reached;
+        self.of_step = ByRoute::new();
+        let next_window = self.plan.window_at(reached.entered) + 1;
+        self.full_from = (reached.step == FULL_STEP).then_some(next_window);
     }
 
     /// Seals the windows that are old enough; true if the report has changed.
@@ -212,7 +251,7 @@
             let totals = self.pool.totals(window).unwrap_or(&none);
             let is_full = self.is_full(window);
             self.judge.seal(totals, is_full);
-            let is_of_step = window >= self.plan.window_at(self.entered);
+            let is_of_step = window >= self.plan.window_at(self.reached.entered);
             for (CellKey { route, side, .. }, counts) in totals {
                 self.of_move.entry(route.clone()).or_default().add(*side, counts);
                 if is_of_step {
@@ -224,6 +263,7 @@
         self.sealed_before = before;
         self.pool.forget_before(before);
         self.changed.retain(|(window, _)| *window >= before);
+        self.sent.retain(|&window, _| window >= before);
         self.measure_load(windows);
         true
     }
@@ -250,42 +290,76 @@
 
     /// Raises the step if the one reached is earned; returns whether it did.
     pub fn try_step(&mut self, clock: Clock) -> bool {
-        let is_last = self.step >= FULL_STEP || self.is_too_late(clock);
+        let is_last = self.reached.step >= FULL_STEP || self.is_too_late(clock);
         if is_last || !self.is_earned(clock) {
             return false;
         }
-        self.enter(self.step + 1, clock.wall);
+        let step = self.reached.step + 1;
+        self.enter(Reached { step, entered: clock.wall, ..self.reached });
+        true
+    }
+
+    /// Goes back to half share, where both versions run in the same minutes; false at lower ones.
+    pub fn step_back(&mut self, clock: Clock) -> bool {
+        if self.reached.step < FULL_STEP {
+            return false;
+        }
+        let doubts = self.reached.doubts + 1;
+        self.enter(Reached { doubts, step: FULL_STEP - 1, entered: clock.wall });
         true
     }
 
     /// Says whether the new version has passed the watch at full share.
     pub fn has_passed(&self, clock: Clock) -> bool {
         let brought: u64 = self.of_step.values().map(|brought| brought.new.total()).sum();
-        self.step == FULL_STEP && brought >= WATCH_ATTEMPTS && self.is_earned(clock)
+        self.reached.step == FULL_STEP && brought >= WATCH_ATTEMPTS && self.is_earned(clock)
     }
 
     /// Says whether the watch at full share can no longer begin in time.
     fn is_too_late(&self, clock: Clock) -> bool {
-        self.step < FULL_STEP && clock.wall > self.plan.last_full()
+        self.reached.step < FULL_STEP
+            && clock.wall > self.plan.last_finish_after(self.time_to_watch())
+    }
+
+    /// Returns how long the new version must still be watched at its full share.
+    fn time_to_watch(&self) -> Duration {
+        let left = self.plan.watch.saturating_sub(self.watched);
+        left.max(self.plan.watch / SHORTEST_WATCH_PART)
+    }
+
+    /// Returns the shortest time at the step that is reached.
+    fn dwell(&self) -> Duration {
+        match self.reached {
+            Reached { step: FULL_STEP, .. } => self.time_to_watch(),
+            Reached { doubts: 0, .. } => self.plan.dwell(),
+            Reached { .. } => self.plan.dwell_after_doubt(),
+        }
+    }
+
+    /// Returns how long a step waits for routes that bring too little.
+    fn patience(&self) -> Duration {
+        match self.reached {
+            Reached { step, doubts: 0, .. } if step < FULL_STEP => self.plan.slot,
+            Reached { .. } => self.dwell(),
+        }
     }
 
     fn is_earned(&self, clock: Clock) -> bool {
-        let stayed = clock.wall.until(self.entered);
-        stayed >= self.plan.dwell(self.step)
+        let stayed = clock.wall.until(self.reached.entered);
+        stayed >= self.dwell()
             && self.routes.iter().all(|route| self.is_earned_on(route, stayed))
             && self.judge() == Finding::Good
     }
 
-    /// Says whether a route has brought enough, or cannot bring it within the step's slot.
+    /// Says whether a route has brought enough, or cannot bring it within the step's time.
     fn is_earned_on(&self, route: &RouteName, stayed: Duration) -> bool {
         let brought = self.of_step.get(route).copied().unwrap_or_default();
         if brought.new.total() >= ROUTE_ATTEMPTS {
             return true;
         }
-        let share = f64::from(STEPS[usize::from(self.step)].0) / f64::from(Share::FULL.0);
+        let share = f64::from(STEPS[usize::from(self.reached.step)].0) / f64::from(Share::FULL.0);
         let expected = brought.total() as f64 * share;
-        let patience = if self.step == FULL_STEP { self.plan.watch } else { self.plan.slot };
-        stayed >= patience && expected < ROUTE_ATTEMPTS as f64
+        stayed >= self.patience() && expected < ROUTE_ATTEMPTS as f64
     }
 
     /// Returns how requests are spread now; `None` before the start.
@@ -308,7 +382,7 @@
         match self.ending.allowed(clock.wall) {
             Allowed::Everything => Share::FULL,
             Allowed::Step if self.is_too_late(clock) => Share::NONE,
-            Allowed::Step if is_informed => STEPS[usize::from(self.step)],
+            Allowed::Step if is_informed => STEPS[usize::from(self.reached.step)],
             Allowed::Step | Allowed::Nothing => Share::NONE,
         }
     }
@@ -353,7 +427,8 @@
             by: record.map(|record| &record.by).or(hold.map(|hold| &hold.by)).cloned(),
             ended: record.map(|record| record.at).or(hold.map(|hold| hold.at)),
             held_after_finish: hold.is_some() && stage == Stage::Finished,
-            step: self.step,
+            step: self.reached.step,
+            doubts: self.reached.doubts,
             share: self.share(clock, is_informed).to_string(),
             doubt_percent: (self.judge.doubt() * 100.0).round() as u32,
             finish_by: self.plan.finish_by,
@@ -367,3 +442,10 @@
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(me.as_str().as_bytes(), id.digest);
     (plan.margin / 4).mul_f64((hash % 1000) as f64 / 1000.0)
 }
+
+/// Says whether a daemon passes on what another one has counted: one in [`RELAY_PART`] does.
+fn is_relay(me: &DaemonId, source: &DaemonId) -> bool {
+    let seed = xxhash_rust::xxh3::xxh3_64(source.as_str().as_bytes());
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(me.as_str().as_bytes(), seed);
+    hash.is_multiple_of(RELAY_PART)
+}
--- a/lib/src/moves/schedule.rs
+++ b/lib/src/moves/schedule.rs
@@ -18,7 +18,7 @@
 /// The shortest and longest window over which the versions are compared.
 const WINDOW: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(10));
 /// How many windows a slot holds, within the bounds of [`WINDOW`].
-const WINDOWS_IN_SLOT: u32 = 16;
+const WINDOWS_IN_SLOT: u32 = 40;
 
 /// The times of one move.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -58,14 +58,19 @@
         before(self.finish_by, self.margin / 2)
     }
 
-    /// Returns the last time at which the watch at full share may begin.
-    pub fn last_full(&self) -> WallTime {
-        before(self.last_finish(), self.watch)
+    /// Returns the last time at which a watch of this length may begin.
+    pub fn last_finish_after(&self, watch: Duration) -> WallTime {
+        before(self.last_finish(), watch)
     }
 
-    /// Returns the shortest time that a step lasts, however good its evidence.
-    pub fn dwell(&self, step: u8) -> Duration {
-        if step >= FULL_STEP { self.watch } else { self.slot * 3 / 4 }
+    /// Returns the shortest time that a step before the full share lasts.
+    pub fn dwell(&self) -> Duration {
+        self.slot * 3 / 4
+    }
+
+    /// Returns the shortest time at half share after a doubt at full share.
+    pub fn dwell_after_doubt(&self) -> Duration {
+        self.window * 3
     }
 
     /// Returns the number of the window that a time falls into.
--- a/lib/src/moves/verdict.rs
+++ b/lib/src/moves/verdict.rs
@@ -37,14 +37,18 @@
 const SLOWNESS_TOLERANCE_OTHER_MINUTES: f64 = 0.47;
 /// The slowness that the test looks for, as logarithms beyond the tolerance.
 const SLOWNESS_EFFECTS: [f64; GRID] = [0.15, 0.3, 0.6, 1.2];
-/// The variance that a comparison of one window has at least, for differences between hosts.
+/// The variance that a comparison has besides that of its times, for differences between hosts.
 const SLOWNESS_VARIANCE: f64 = 0.01;
 /// The variance of one logarithm that is assumed at least.
 const SMALLEST_VARIANCE: f64 = 0.01;
 /// The fewest times on each side for a comparison.
 const FEWEST_TIMES: u64 = 4;
-/// The most that one window may add to the logarithm of a statistic on slowness.
-const MOST_SLOWNESS_OF_WINDOW: f64 = 5.0;
+/// The variance of a comparison of times from which a block of windows says enough.
+const LARGEST_VARIANCE: f64 = 0.02;
+/// The most that one block may add to the logarithm of a statistic on slowness.
+const MOST_SLOWNESS_OF_BLOCK: f64 = 5.0;
+/// The most that one window adds on failures, if they all are of one upstream.
+const MOST_FAILURES_OF_ONE_UPSTREAM: f64 = 4.0;
 
 const GRID: usize = 4;
 
@@ -129,12 +133,31 @@
     new: Counts,
 }
 
+/// What the new version is compared with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Against {
+    /// The old version in the same minutes.
+    SameMinutes,
+    /// The old version in earlier minutes, while the new one has its full share.
+    OtherMinutes,
+}
+
+/// One of the tests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Test {
+    route: RouteName,
+    measure: Measure,
+    against: Against,
+}
+
 /// The tests of one move at one daemon.
 #[derive(Clone, Debug)]
 pub struct Judge {
-    routes: IndexSet<RouteName>,
+    tests: Vec<Test>,
     log_threshold: f64,
-    sealed: IndexMap<(RouteName, Measure), Detector>,
+    sealed: IndexMap<Test, Detector>,
+    /// Sealed windows whose times are too few yet for a comparison.
+    thin: IndexMap<Test, Cells>,
     failures: IndexMap<RouteName, u64>,
     baseline: Cells,
 }
@@ -144,6 +167,8 @@
 pub enum Finding {
     /// The new version is bad.
     Bad(Badness),
+    /// The new version is worse than the old one was in other minutes; both must run again.
+    Suspect,
     /// Nothing is conclusive, but steps should wait.
     Doubtful,
     /// Nothing speaks against the new version.
@@ -155,13 +180,21 @@
 
 impl Judge {
     /// Makes the tests of a move with these routes and this many windows.
-    pub fn new(routes: IndexSet<RouteName>, windows: u32) -> Self {
-        let tests = (routes.len() * Measure::ALL.len()).max(1);
-        let log_threshold = (f64::from(windows) * tests as f64 / FALSE_ALARM_RATE).ln();
+    pub fn new(routes: &IndexSet<RouteName>, windows: u32) -> Self {
+        let mut tests = Vec::new();
+        for route in routes {
+            for measure in Measure::ALL {
+                for against in [Against::SameMinutes, Against::OtherMinutes] {
+                    tests.push(Test { route: route.clone(), measure, against });
+                }
+            }
+        }
+        let looks = f64::from(windows) * tests.len().max(1) as f64;
         Self {
-            routes,
-            log_threshold,
+            tests,
+            log_threshold: (looks / FALSE_ALARM_RATE).ln(),
             sealed: IndexMap::new(),
+            thin: IndexMap::new(),
             failures: IndexMap::new(),
             baseline: Cells::new(),
         }
@@ -171,22 +204,15 @@
     /// whether the new version had its full share.
     pub fn judge(&self, open: &[(&Cells, bool)]) -> Finding {
         let mut finding = Finding::Good;
-        for route in &self.routes {
-            for measure in Measure::ALL {
-                let mut detector = self.detector(route, measure);
-                let mut failures = self.failures.get(route).copied().unwrap_or(0);
-                for (cells, is_full) in open {
-                    detector = detector.after(&self.ratios(cells, route, measure, *is_full));
-                    failures += route_sums(cells, route).new.bad;
-                }
-                let log = detector.log();
-                let few = measure == Measure::Failures && failures < FEWEST_FAILURES;
-                if log >= self.log_threshold && !few {
-                    return Finding::Bad(Badness { route: route.clone(), measure });
-                }
-                if log >= self.log_threshold * DOUBT {
-                    finding = Finding::Doubtful;
+        for test in &self.tests {
+            let part = self.log_with(test, open) / self.log_threshold;
+            if part >= 1.0 && self.has_failures(test, open) {
+                match test.against {
+                    Against::SameMinutes => return Finding::Bad(test.badness()),
+                    Against::OtherMinutes => finding = Finding::Suspect,
                 }
+            } else if part >= DOUBT && finding == Finding::Good {
+                finding = Finding::Doubtful;
             }
         }
         finding
@@ -194,55 +220,129 @@
 
     /// Takes a window whose sums are taken to be complete.
     pub fn seal(&mut self, cells: &Cells, is_full: bool) {
-        for route in self.routes.clone() {
-            let failures = route_sums(cells, &route).new.bad;
-            *self.failures.entry(route.clone()).or_default() += failures;
-            for measure in Measure::ALL {
-                let ratios = self.ratios(cells, &route, measure, is_full);
-                let detector = self.detector(&route, measure).after(&ratios);
-                self.sealed.insert((route.clone(), measure), detector);
+        for test in self.tests.clone() {
+            if !test.applies(is_full) {
+                continue;
+            }
+            let block = self.block(&test, cells);
+            let Evidence { ratios, is_thin } = self.evidence(&test, &block);
+            if is_thin {
+                self.thin.insert(test, block);
+                continue;
             }
+            self.thin.swap_remove(&test);
+            let detector = self.detector(&test).after(&ratios);
+            self.sealed.insert(test, detector);
         }
-        for (cell, counts) in cells.iter().filter(|(cell, _)| cell.side == Side::Old) {
-            self.baseline.entry(cell.clone()).or_default().plus(counts);
+        for (cell, counts) in cells {
+            match cell.side {
+                Side::New => *self.failures.entry(cell.route.clone()).or_default() += counts.bad,
+                Side::Old => self.baseline.entry(cell.clone()).or_default().plus(counts),
+            }
         }
     }
 
+    /// Forgets the comparison with other minutes, as the versions are compared in the same ones.
+    pub fn forget_other_minutes(&mut self) {
+        self.sealed.retain(|test, _| test.against == Against::SameMinutes);
+        self.thin.retain(|test, _| test.against == Against::SameMinutes);
+    }
+
     /// Returns the largest statistic as a part of its threshold, on the logarithmic scale.
     pub fn doubt(&self) -> f64 {
         let logs = self.sealed.values().map(|detector| detector.log() / self.log_threshold);
         logs.fold(0.0, f64::max)
     }
 
-    fn detector(&self, route: &RouteName, measure: Measure) -> Detector {
-        self.sealed.get(&(route.clone(), measure)).copied().unwrap_or(Detector::NEW)
+    fn log_with(&self, test: &Test, open: &[(&Cells, bool)]) -> f64 {
+        let mut detector = self.detector(test);
+        let mut block = self.thin.get(test).cloned().unwrap_or_default();
+        let windows = open.iter().filter(|(_, is_full)| test.applies(*is_full));
+        for (cells, _) in windows {
+            if test.measure == Measure::Failures {
+                detector = detector.after(&self.evidence(test, cells).ratios);
+                continue;
+            }
+            add_cells(&mut block, cells, test);
+            let Evidence { ratios, is_thin } = self.evidence(test, &block);
+            if !is_thin {
+                detector = detector.after(&ratios);
+                block = Cells::new();
+            }
+        }
+        detector.log()
+    }
+
+    fn has_failures(&self, test: &Test, open: &[(&Cells, bool)]) -> bool {
+        let sealed = self.failures.get(&test.route).copied().unwrap_or_default();
+        let open: u64 = open.iter().map(|(cells, _)| route_sums(cells, &test.route).new.bad).sum();
+        test.measure != Measure::Failures || sealed + open >= FEWEST_FAILURES
     }
 
-    fn ratios(
-        &self,
-        cells: &Cells,
-        route: &RouteName,
-        measure: Measure,
-        is_full: bool,
-    ) -> LogRatios {
-        match (measure, is_full) {
-            (Measure::Failures, false) => failure_ratios(&route_sums(cells, route)),
-            (Measure::Failures, true) => {
+    fn detector(&self, test: &Test) -> Detector {
+        self.sealed.get(test).copied().unwrap_or(Detector::NEW)
+    }
+
+    fn block(&self, test: &Test, cells: &Cells) -> Cells {
+        let mut block = self.thin.get(test).cloned().unwrap_or_default();
+        add_cells(&mut block, cells, test);
+        block
+    }
+
+    fn evidence(&self, test: &Test, cells: &Cells) -> Evidence {
+        let Test { route, measure, against } = test;
+        match (measure, against) {
+            (Measure::Failures, Against::SameMinutes) => {
+                Evidence::whole(failure_ratios(&route_sums(cells, route)))
+            }
+            (Measure::Failures, Against::OtherMinutes) => {
                 let old = route_sums(&self.baseline, route).old;
-                failure_ratios_other_minutes(&route_sums(cells, route).new, &old)
+                let new = route_sums(cells, route).new;
+                Evidence::whole(failure_ratios_other_minutes(&new, &old))
             }
-            (_, false) => {
-                let compared = compare(cells, cells, route, measure);
-                slowness_ratios(compared, SLOWNESS_TOLERANCE)
+            (_, Against::SameMinutes) => {
+                let compared = compare(cells, cells, route, *measure);
+                slowness(compared, SLOWNESS_TOLERANCE)
             }
-            (_, true) => {
-                let compared = compare(cells, &self.baseline, route, measure);
-                slowness_ratios(compared, SLOWNESS_TOLERANCE_OTHER_MINUTES)
+            (_, Against::OtherMinutes) => {
+                let compared = compare(cells, &self.baseline, route, *measure);
+                slowness(compared, SLOWNESS_TOLERANCE_OTHER_MINUTES)
             }
         }
     }
 }
 
+impl Test {
+    fn badness(&self) -> Badness {
+        Badness { route: self.route.clone(), measure: self.measure }
+    }
+
+    fn applies(&self, is_full: bool) -> bool {
+        is_full || self.against == Against::SameMinutes
+    }
+}
+
+/// Adds the cells that a test looks at.
+fn add_cells(block: &mut Cells, cells: &Cells, test: &Test) {
+    for (cell, counts) in cells.iter().filter(|(cell, _)| cell.route == test.route) {
+        block.entry(cell.clone()).or_default().plus(counts);
+    }
+}
+
+/// What a block of windows says.
+#[derive(Clone, Copy, Debug)]
+struct Evidence {
+    ratios: LogRatios,
+    /// Whether more windows should be added to the block first.
+    is_thin: bool,
+}
+
+impl Evidence {
+    fn whole(ratios: LogRatios) -> Self {
+        Self { ratios, is_thin: false }
+    }
+}
+
 fn route_sums(cells: &Cells, route: &RouteName) -> RouteSums {
     let mut sums = RouteSums::default();
     for (cell, counts) in cells.iter().filter(|(cell, _)| cell.route == *route) {
@@ -271,7 +371,7 @@
         let alternative = tolerated * ratio / (tolerated * ratio + old);
         let of_new = counted * (alternative / null).ln();
         let of_old = sums.old.bad as f64 * ((1.0 - alternative) / (1.0 - null)).ln();
-        of_new + of_old
+        bounded(of_new + of_old, &sums.new)
     })
 }
 
@@ -283,10 +383,16 @@
         let alternative = (null * ratio).min(LARGEST_FAILURE_RATE);
         let of_bad = new.bad as f64 * (alternative / null).ln();
         let of_good = new.good as f64 * ((1.0 - alternative) / (1.0 - null)).ln();
-        of_bad + of_good
+        bounded(of_bad + of_good, new)
     })
 }
 
+/// Bounds what failures of a single upstream say about its version, as a host may break alone.
+fn bounded(ratio: f64, new: &Counts) -> f64 {
+    let is_of_one = new.bad_upstreams.count_ones() <= 1;
+    if is_of_one { ratio.min(MOST_FAILURES_OF_ONE_UPSTREAM) } else { ratio }
+}
+
 /// The difference of two mean logarithms and its variance.
 #[derive(Clone, Copy, Debug)]
 struct Difference {
@@ -294,13 +400,16 @@
     variance: f64,
 }
 
-fn slowness_ratios(difference: Option<Difference>, tolerance: f64) -> LogRatios {
-    let Some(Difference { mean, variance }) = difference else { return [0.0; GRID] };
+fn slowness(difference: Option<Difference>, tolerance: f64) -> Evidence {
+    let Some(Difference { mean, variance }) = difference else {
+        return Evidence { ratios: [0.0; GRID], is_thin: true };
+    };
     let excess = mean - tolerance;
-    SLOWNESS_EFFECTS.map(|effect| {
-        let ratio = (excess * effect - effect * effect / 2.0) / variance;
-        ratio.min(MOST_SLOWNESS_OF_WINDOW)
-    })
+    let ratios = SLOWNESS_EFFECTS.map(|effect| {
+        let ratio = (excess * effect - effect * effect / 2.0) / (variance + SLOWNESS_VARIANCE);
+        ratio.min(MOST_SLOWNESS_OF_BLOCK)
+    });
+    Evidence { ratios, is_thin: variance > LARGEST_VARIANCE }
 }
 
 /// Groups of attempts that may be compared: first within a zone, then across zones.
@@ -329,8 +438,7 @@
         weigh(old, new, &mut weighted);
     }
     let (sum, weight) = weighted;
-    let variance = 1.0 / weight + SLOWNESS_VARIANCE;
-    (weight > 0.0).then(|| Difference { mean: sum / weight, variance })
+    (weight > 0.0).then(|| Difference { mean: sum / weight, variance: 1.0 / weight })
 }
 
 fn add(groups: &mut Groups, key: (ClassName, Option<ZoneName>, u8), side: Side, moments: &Moments) {
--- a/lib/src/node/moves.rs
+++ b/lib/src/node/moves.rs
@@ -56,9 +56,15 @@
 
 fn audit_event(id: &MoveId, happening: &Happening, generation: Generation) -> audit::Event {
     let (action, cause) = match happening {
-        Happening::Stepped(step) => {
-            let share = STEPS[usize::from(*step)];
-            (format!("share {share}"), format!("step {step} begins, the one before is earned"))
+        Happening::Stepped(reached) => {
+            let share = STEPS[usize::from(reached.step)];
+            let cause = match reached.doubts {
+                0 => format!("step {} begins, the one before is earned", reached.step),
+                doubts => {
+                    format!("step {} begins after {doubts} doubts at full share", reached.step)
+                }
+            };
+            (format!("share {share}"), cause)
         }
         Happening::Held(hold) => ("held".into(), hold.cause.to_string()),
         Happening::Ended(record) => (record.outcome.to_string(), record.cause.to_string()),
--- a/lib/tests/moves_sim/mod.rs
+++ b/lib/tests/moves_sim/mod.rs
@@ -228,9 +228,10 @@
             }
             self.now = time;
             self.carry_out(due);
-            let is_settled = self.shown.recorded_at.is_some_and(|at| {
-                self.now.since(at) > Duration::from_secs(10)
-            });
+            let is_settled = self
+                .shown
+                .recorded_at
+                .is_some_and(|at| self.now.since(at) > Duration::from_secs(10));
             if is_settled {
                 break;
             }
@@ -311,8 +312,8 @@
         let id = format!("r{}", self.next).parse().expect("a name");
         let choice = self.nodes[node].choices.values().next();
         let outstanding = self.nodes[node].outstanding;
-        let is_new = choice
-            .is_some_and(|choice| *choice.choose(&id, outstanding) == traffic::new_version());
+        let is_new =
+            choice.is_some_and(|choice| *choice.choose(&id, outstanding) == traffic::new_version());
         self.shown.requests += 1;
         let is_full = choice.is_some_and(|choice| choice.share == Share::FULL);
         let attempt = self.traffic.attempt(self.now, is_new, is_full, &mut self.rng);
