--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -10,6 +10,10 @@
     },
     declaration::in_force::{self, InForce},
     ids::{CallId, DaemonId, Incarnation, RequestId},
+    moves::{
+        evidence::Source,
+        run::{self, Moves},
+    },
     node::{
         message::PeerMessage, platform::CallTag, report::AttemptReport, requests,
         snapshot::Snapshot,
@@ -36,6 +40,8 @@
     Hosts,
     /// [`claims`].
     Claims,
+    /// [`crate::moves`].
+    Moves,
 }
 
 /// What the control part is told.
@@ -107,6 +113,7 @@
     pub(super) peers: Option<Peers>,
     /// Whether most of the known peers are reached; a daemon without peers misses none.
     pub(super) reaches_peers: bool,
+    pub(super) moves: Option<Moves>,
     pub(super) snapshot: Snapshot,
     clock: (Time, WallTime),
     pub(super) claims: Option<Claims>,
@@ -139,8 +146,10 @@
         let refused = (!self.refused.is_empty()).then_some(Time(0));
         let client = self.client.next_wakeup();
         let peers = self.peers.as_ref().and_then(Peers::next_wakeup);
+        let moves = self.moves.as_ref().and_then(Moves::next_wakeup);
         [self.in_force.next_wakeup(), self.hosts.next_wakeup(), claims, client, refused, peers]
             .into_iter()
+            .chain([moves])
             .flatten()
             .min()
     }
@@ -153,6 +162,7 @@
                 self.handle_peers(now, peers::Event::Started, out);
                 self.in_force(now, in_force::Event::Started, out);
                 self.hosts(now, hosts::Event::Started, out);
+                self.moves(now, run::Event::Started, out);
             }
             Input::Called(owner, call, result) => {
                 self.call_ended(now, (owner, call), result, out);
@@ -162,6 +172,7 @@
                 self.hosts(now, hosts::Event::Woken, out);
                 self.claims(now, claims::Event::Woken, out);
                 self.handle_peers(now, peers::Event::Woken, out);
+                self.moves(now, run::Event::Woken, out);
             }
             Input::Drain => {
                 self.snapshot.draining = true;
@@ -172,19 +183,25 @@
             Input::ClaimEnded(ticket, end) => {
                 self.claims(now, claims::Event::Ended(ticket, end), out);
             }
-            Input::Identity(daemon, incarnation) => self.begin_claims(now, daemon, incarnation),
+            Input::Identity(daemon, incarnation) => self.begin(now, daemon, incarnation),
             Input::Clock(wall) => self.clock = (now, wall),
             Input::Request(recipient, message) => {
                 requests::send(recipient, message, out);
             }
             Input::Peer(from, message) => self.peer_message(now, &from, message, out),
             Input::Link(event) => self.handle_peers(now, peers::Event::Link(event), out),
-            Input::Attempt(_) => {}
+            Input::Attempt(report) => self.moves(now, run::Event::Attempt(&report), out),
         }
         self.send_to_peers(now, out);
         self.schedule_calls(now, out);
     }
 
+    /// Makes the slices that have to know whose they are.
+    fn begin(&mut self, now: Time, daemon: DaemonId, incarnation: Incarnation) {
+        self.moves = Some(Moves::new(Source { daemon: daemon.clone(), incarnation }));
+        self.begin_claims(now, daemon, incarnation);
+    }
+
     /// Gives a slice the result of its call.
     pub(super) fn called(
         &mut self,
@@ -198,6 +215,7 @@
             Owner::InForce => self.in_force(now, in_force::Event::Called(call, result), out),
             Owner::Hosts => self.hosts(now, hosts::Event::Called(call, result), out),
             Owner::Claims => self.claims(now, claims::Event::Called(call, result), out),
+            Owner::Moves => self.moves(now, run::Event::Called(call, result), out),
         }
     }
 
@@ -217,6 +235,9 @@
                 self.claims(now, claims::Event::Peer(from.clone(), message), out);
             }
             PeerMessage::Request(message) => requests::receive(from.clone(), message, out),
+            PeerMessage::Moves(message) => {
+                self.moves(now, run::Event::Peer(from.clone(), message), out);
+            }
             PeerMessage::Leaving(_) => {}
         }
     }
@@ -246,8 +267,9 @@
                 }
                 in_force::Effect::Adopted(generation, set) => {
                     self.snapshot.generation = generation;
-                    self.snapshot.set = set;
+                    self.snapshot.set = set.clone();
                     self.publish(out);
+                    self.moves(now, run::Event::Declared(&set), out);
                     self.services_changed(now, out);
                     self.handle_peers(now, peers::Event::InForce(generation), out);
                 }
--- a/lib/src/node/message.rs
+++ b/lib/src/node/message.rs
@@ -16,6 +16,8 @@
     Claim(crate::claim::message::Message),
     /// Carries the configuration in force.
     Declaration(crate::declaration::message::Message),
+    /// Evidence, holds and ends of moves.
+    Moves(crate::moves::message::Message),
     /// Tells that a host is leaving; flooded to all daemons.
     Leaving(crate::upstream::message::Message),
 }
@@ -26,6 +28,7 @@
     /// Only statistics may be dropped; nothing that a promise rests on.
     pub fn droppable(&self) -> bool {
         match self {
+            Self::Moves(message) => message.droppable(),
             Self::Request(_) | Self::Claim(_) | Self::Declaration(_) | Self::Leaving(_) => false,
         }
     }
@@ -43,6 +46,9 @@
     /// See [`PeerMessage::Declaration`].
     #[serde(rename = "d")]
     Declaration(crate::declaration::message::MessageWire),
+    /// See [`PeerMessage::Moves`].
+    #[serde(rename = "m")]
+    Moves(crate::moves::message::MessageWire),
     /// See [`PeerMessage::Leaving`].
     #[serde(rename = "u")]
     Leaving(crate::upstream::message::MessageWire),
@@ -54,6 +60,7 @@
             PeerMessage::Request(message) => Self::Request(message.into()),
             PeerMessage::Claim(message) => Self::Claim(message.into()),
             PeerMessage::Declaration(message) => Self::Declaration(message.into()),
+            PeerMessage::Moves(message) => Self::Moves(message.into()),
             PeerMessage::Leaving(message) => Self::Leaving(message.into()),
         }
     }
@@ -67,6 +74,7 @@
             PeerMessageWire::Request(wire) => Self::Request(wire.try_into()?),
             PeerMessageWire::Claim(wire) => Self::Claim(wire.try_into()?),
             PeerMessageWire::Declaration(wire) => Self::Declaration(wire.try_into()?),
+            PeerMessageWire::Moves(wire) => Self::Moves(wire.try_into()?),
             PeerMessageWire::Leaving(wire) => Self::Leaving(wire.try_into()?),
         })
     }
