--- /dev/null
+++ b/lib/src/supply/rate.rs
@@ -0,0 +1,59 @@
+//! The rate of work, in which demand and capacity are compared.
+
+use std::{fmt, num::ParseIntError, ops::Add, str::FromStr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::node::report::AttemptReport;
+
+/// How many tokens of a prompt cost as much work as one generated token.
+const PROMPT_TOKENS_PER_GENERATED: u64 = 8;
+
+/// Units of work, each as much as generating one token.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Work(pub u64);
+
+impl Work {
+    /// Returns the work of one attempt; a call of a plain service is one unit.
+    pub fn of(report: &AttemptReport) -> Self {
+        let prompt = report.uncached_prompt.0.div_ceil(PROMPT_TOKENS_PER_GENERATED);
+        Self((report.generated.0 + prompt).max(1))
+    }
+
+    /// Returns the rate of this work over a span of time.
+    pub fn over(self, span: Duration) -> WorkRate {
+        WorkRate(self.0.saturating_mul(1000) / (span.as_millis() as u64).max(1))
+    }
+}
+
+impl Add for Work {
+    type Output = Work;
+
+    fn add(self, rhs: Work) -> Work {
+        Work(self.0.saturating_add(rhs.0))
+    }
+}
+
+/// Work a second.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct WorkRate(pub u64);
+
+impl fmt::Display for WorkRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for WorkRate {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        text.parse().map(Self)
+    }
+}
