--- a/cli/src/command/mod.rs
+++ b/cli/src/command/mod.rs
@@ -4,3 +4,4 @@
 pub mod demo;
 pub mod publish;
 pub mod status;
+pub mod supply;
--- /dev/null
+++ b/cli/src/command/supply.rs
@@ -0,0 +1,77 @@
+//! `supply`: shows the plan of hosts, its reason and its cost at a daemon.
+
+use dogwoodturn::supply::status::ServiceStatus;
+use eyre::{Result, WrapErr as _, bail, eyre};
+use gumdrop::Options;
+
+use crate::output::Verdict;
+
+/// The arguments of `supply`.
+#[derive(Debug, Options)]
+pub struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(required, help = "the base of the daemon's operators' URLs", no_short)]
+    daemon: String,
+    #[options(required, help = "the operators' token", no_short)]
+    token: String,
+    #[options(help = "print JSON", no_short)]
+    json: bool,
+}
+
+/// Runs `supply`.
+pub fn run(args: &Args) -> Result<Verdict> {
+    let services = actix_rt::System::new().block_on(read(args))?;
+    if args.json {
+        println!("{}", serde_json::to_string(&services)?);
+        return Ok(Verdict::Good);
+    }
+    if services.is_empty() {
+        println!("this daemon holds no lease of a managed service");
+    }
+    services.iter().for_each(print);
+    Ok(Verdict::Good)
+}
+
+fn print(service: &ServiceStatus) {
+    let reason = service.reason.map(|reason| serde_json::json!(reason).to_string());
+    println!(
+        "{} demand={} forecast={} assured={} cost={}/h reason={}{}",
+        service.service,
+        service.demand,
+        service.forecast,
+        service.assured,
+        service.cost,
+        reason.as_deref().map_or("none", |reason| reason.trim_matches('"')),
+        if service.paused { " paused" } else { "" }
+    );
+    for lease in &service.leases {
+        let holder = lease.holder.as_ref().map_or("none", |holder| holder.as_str());
+        let fencing = lease.fencing.map_or("none".into(), |fencing| fencing.to_string());
+        println!("  lease zone={} holder={holder} fencing={fencing}", lease.zone);
+    }
+    for pool in &service.pools {
+        let present = pool.present.map_or("unknown".into(), |count| count.to_string());
+        println!(
+            "  {} {} {:?} wanted={} present={present} price={}/h capacity={}{}",
+            pool.zone,
+            pool.class,
+            pool.kind,
+            pool.wanted,
+            pool.price,
+            pool.capacity,
+            if pool.refused { " refused" } else { "" }
+        );
+    }
+}
+
+async fn read(args: &Args) -> Result<Vec<ServiceStatus>> {
+    let url = format!("{}/supply", args.daemon);
+    let req = awc::Client::default().get(&url).bearer_auth(&args.token);
+    let sent = req.send().await.map_err(|error| eyre!("{error}"));
+    let mut res = sent.wrap_err_with(|| format!("cannot read {url}"))?;
+    if !res.status().is_success() {
+        bail!("{url} answered {}; check the token", res.status());
+    }
+    res.json().await.map_err(|error| eyre!("{error}"))
+}
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -14,11 +14,13 @@
         listen::{Connections, serve},
         operator::OperatorEdge,
     },
+    ids::Incarnation,
     node::{
         control::{Control, Input, Output},
         snapshot::Snapshot,
     },
     platform::http::HttpPlatform,
+    supply::{self, Identity, lease::Holder},
     units::{Time, WallTime},
 };
 use tokio::{
@@ -36,6 +38,13 @@
     WallTime(elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64))
 }
 
+/// What orders to engines are sent with: a client, and the clock that their times go by.
+#[derive(Clone)]
+struct Engines {
+    client: awc::Client,
+    started: Instant,
+}
+
 /// What the control thread works with.
 #[derive(Debug)]
 pub struct Adapter {
@@ -80,6 +89,10 @@
             }
         });
         let mut control = Control::new();
+        let mut out = Vec::new();
+        let now = Time(started.elapsed().as_micros() as u64);
+        control.identify(now, self.identity(), &mut out);
+        let engines = Engines { client: awc::Client::default(), started };
         let mut input = Input::Started;
         loop {
             let now = Time(started.elapsed().as_micros() as u64);
@@ -87,7 +100,7 @@
             control.handle(now, Input::Clock(wall_now()), &mut out);
             control.handle(now, input, &mut out);
             for output in out {
-                self.carry_out(&platform, output);
+                self.carry_out(&platform, &engines, output);
             }
             let wait = control.next_wakeup().map_or(LONGEST_SLEEP, |at| at.since(now));
             input = tokio::select! {
@@ -101,7 +114,14 @@
         }
     }
 
-    fn carry_out(&self, platform: &HttpPlatform, output: Output) {
+    fn identity(&self) -> Identity {
+        let daemon = self.settings.name.clone();
+        let incarnation = Incarnation(wall_now().0);
+        let holder = Holder { daemon, incarnation };
+        Identity { holder, data_centre: self.settings.data_centre.clone() }
+    }
+
+    fn carry_out(&self, platform: &HttpPlatform, engines: &Engines, output: Output) {
         match output {
             Output::Call { owner, call, operation, .. } => {
                 let platform = platform.clone();
@@ -123,6 +143,16 @@
                 self.snapshot.store(snapshot);
             }
             Output::ClaimAnswered(..) | Output::Send(..) => {}
+            Output::Order(order) => {
+                let engines = engines.clone();
+                let inputs = self.inputs.clone();
+                actix_rt::spawn(async move {
+                    let clock = || Time(engines.started.elapsed().as_micros() as u64);
+                    let end = supply::http::give(&engines.client, &order, clock).await;
+                    // The receiver is gone only when the thread ends.
+                    let _ = inputs.send(Input::Ordered(order.id, end));
+                });
+            }
             Output::Audit(event) => log::info!(
                 event = "audit",
                 actor:% = event.actor,
--- a/lib/src/edge/operator.rs
+++ b/lib/src/edge/operator.rs
@@ -54,6 +54,7 @@
             }
             "/metrics" => text(StatusCode::OK, (self.metrics)()),
             "/status" => self.status(),
+            "/supply" => json(&self.snapshot.load().supply[..]),
             path => {
                 let detail = format!("there is no {path}");
                 Problem::not_run(StatusCode::NOT_FOUND, "unknown-path", detail).into_response()
@@ -74,13 +75,17 @@
             generation: snapshot.generation,
             hosts: snapshot.hosts.len(),
         };
-        let body = serde_json::to_vec(&wire).expect("a status is valid JSON");
-        let mut builder = Response::build(StatusCode::OK);
-        builder.insert_header((header::CONTENT_TYPE, "application/json"));
-        builder.body(body).map_into_boxed_body()
+        json(&wire)
     }
 }
 
+fn json<T: Serialize + ?Sized>(value: &T) -> Response<BoxBody> {
+    let body = serde_json::to_vec(value).expect("a wire type is valid JSON");
+    let mut builder = Response::build(StatusCode::OK);
+    builder.insert_header((header::CONTENT_TYPE, "application/json"));
+    builder.body(body).map_into_boxed_body()
+}
+
 fn text(status: StatusCode, body: impl Into<String>) -> Response<BoxBody> {
     let mut builder = Response::build(status);
     builder.insert_header((header::CONTENT_TYPE, "text/plain; charset=utf-8"));
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -10,8 +10,15 @@
     node::{message::PeerMessage, report::AttemptReport, snapshot::Snapshot},
     peer::Recipient,
     platform::{CallError, Operation, Priority, Reply},
+    supply::{
+        self, Supply,
+        orders::{OrderCall, OrderEnd},
+    },
     units::{Time, WallTime},
-    upstream::hosts::{self, HostList},
+    upstream::{
+        hosts::{self, HostList},
+        leaving::LeavingHosts,
+    },
 };
 
 /// When a caller may ask again after a claim that could not be written.
@@ -24,6 +31,8 @@
     InForce,
     /// [`hosts`].
     Hosts,
+    /// [`supply`].
+    Supply,
 }
 
 /// What the control part is told.
@@ -45,6 +54,8 @@
     Attempt(Box<AttemptReport>),
     /// A peer has sent a message.
     Peer(DaemonId, PeerMessage),
+    /// An order to an engine has ended.
+    Ordered(Box<str>, OrderEnd),
     /// The wall clock shows this time now; told before `Started` and at least once a minute.
     Clock(WallTime),
 }
@@ -69,6 +80,8 @@
     ClaimAnswered(RequestId, ClaimAnswer),
     /// Send a message to peers.
     Send(Recipient, PeerMessage),
+    /// Give an order to an engine and answer with [`Input::Ordered`].
+    Order(OrderCall),
     /// Log a warning about something refused.
     Refused(Box<str>),
     /// Log a change; the control part also appends it to the audit trail.
@@ -80,7 +93,9 @@
 pub struct Control {
     in_force: InForce,
     hosts: HostList,
-    snapshot: Snapshot,
+    pub(super) leaving: LeavingHosts,
+    pub(super) supply: Supply,
+    pub(super) snapshot: Snapshot,
     clock: (Time, WallTime),
 }
 
@@ -92,7 +107,10 @@
 
     /// Returns when [`Input::Woken`] is wanted.
     pub fn next_wakeup(&self) -> Option<Time> {
-        [self.in_force.next_wakeup(), self.hosts.next_wakeup()].into_iter().flatten().min()
+        [self.in_force.next_wakeup(), self.hosts.next_wakeup(), self.supply.next_wakeup()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Takes an input and adds the outputs that follow from it.
@@ -108,9 +126,22 @@
             Input::Called(Owner::Hosts, call, result) => {
                 self.hosts(now, hosts::Event::Called(call, result), out);
             }
+            Input::Called(Owner::Supply, call, result) => {
+                self.supply(now, supply::Event::Called(call, result), out);
+            }
+            Input::Ordered(id, end) => self.supply(now, supply::Event::Ordered(id, end), out),
+            Input::Attempt(report) => self.supply(now, supply::Event::Attempt(report), out),
+            Input::Peer(from, PeerMessage::Supply(message)) => {
+                self.supply(now, supply::Event::Peer(from, message), out);
+            }
+            Input::Peer(from, PeerMessage::Leaving(message)) => {
+                self.heard_leaving(now, &from, message, out);
+            }
             Input::Woken => {
                 self.in_force(now, in_force::Event::Woken, out);
                 self.hosts(now, hosts::Event::Woken, out);
+                self.tell_supply(now, out);
+                self.supply(now, supply::Event::Woken, out);
             }
             Input::Drain => {
                 self.snapshot.draining = true;
@@ -122,7 +153,7 @@
                 out.push(Output::ClaimAnswered(ask.request, answer));
             }
             Input::Clock(wall) => self.clock = (now, wall),
-            Input::ClaimEnded(..) | Input::Attempt(_) | Input::Peer(..) => {}
+            Input::ClaimEnded(..) => {}
         }
     }
 
@@ -137,7 +168,12 @@
         out.push(Output::Audit(event));
     }
 
-    fn publish(&self, out: &mut Vec<Output>) {
+    /// Tells the control part who its daemon is; the supply slice rests until then.
+    pub fn identify(&mut self, now: Time, identity: supply::Identity, out: &mut Vec<Output>) {
+        self.supply(now, supply::Event::Started(identity), out);
+    }
+
+    pub(super) fn publish(&self, out: &mut Vec<Output>) {
         out.push(Output::Publish(Arc::new(self.snapshot.clone())));
     }
 
@@ -169,7 +205,8 @@
                     out.push(Output::Call { owner: Owner::Hosts, call, priority, operation });
                 }
                 hosts::Effect::Changed(hosts) => {
-                    self.snapshot.hosts = hosts;
+                    self.leaving.follow(&self.snapshot.hosts, &hosts);
+                    self.snapshot.hosts = self.leaving.apply(&hosts);
                     self.publish(out);
                 }
             }
--- a/lib/src/node/message.rs
+++ b/lib/src/node/message.rs
@@ -10,6 +10,8 @@
 /// A message from one daemon to another.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PeerMessage {
+    /// Tells demand and refused starts to the daemons that plan hosts.
+    Supply(crate::supply::message::Message),
     /// Tells that a host is leaving; flooded to all daemons.
     Leaving(crate::upstream::message::Message),
 }
@@ -20,6 +22,7 @@
     /// Only statistics may be dropped; nothing that a promise rests on.
     pub fn droppable(&self) -> bool {
         match self {
+            Self::Supply(_) => true,
             Self::Leaving(_) => false,
         }
     }
@@ -28,6 +31,9 @@
 /// A [`PeerMessage`] as it travels, in CBOR.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessageWire {
+    /// See [`PeerMessage::Supply`].
+    #[serde(rename = "s")]
+    Supply(crate::supply::message::MessageWire),
     /// See [`PeerMessage::Leaving`].
     #[serde(rename = "u")]
     Leaving(crate::upstream::message::MessageWire),
@@ -36,6 +42,7 @@
 impl From<PeerMessage> for PeerMessageWire {
     fn from(message: PeerMessage) -> Self {
         match message {
+            PeerMessage::Supply(message) => Self::Supply(message.into()),
             PeerMessage::Leaving(message) => Self::Leaving(message.into()),
         }
     }
@@ -46,6 +53,7 @@
 
     fn try_from(wire: PeerMessageWire) -> Result<Self, WireError> {
         Ok(match wire {
+            PeerMessageWire::Supply(wire) => Self::Supply(wire.try_into()?),
             PeerMessageWire::Leaving(wire) => Self::Leaving(wire.try_into()?),
         })
     }
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -7,3 +7,5 @@
 pub mod message;
 pub mod report;
 pub mod snapshot;
+
+mod supply;
--- a/lib/src/node/snapshot.rs
+++ b/lib/src/node/snapshot.rs
@@ -9,6 +9,7 @@
     ids::{Generation, ServiceName},
     moves::share::VersionChoice,
     peer::Member,
+    supply::status::ServiceStatus,
     upstream::HostRecord,
 };
 
@@ -25,6 +26,8 @@
     pub versions: Arc<IndexMap<ServiceName, VersionChoice>>,
     /// The daemons that are taken to be live, this one included.
     pub members: Arc<[Member]>,
+    /// What operators see of the supply at this daemon.
+    pub supply: Arc<[ServiceStatus]>,
     /// Whether the daemon knows what is in force now.
     pub informed: bool,
     /// Whether the daemon has been asked to shut down.
@@ -39,6 +42,7 @@
             hosts: Arc::new([]),
             versions: Arc::default(),
             members: Arc::new([]),
+            supply: Arc::new([]),
             informed: false,
             draining: false,
         }
--- /dev/null
+++ b/lib/src/node/supply.rs
@@ -0,0 +1,92 @@
+//! Brings the supply slice and the notices of leaving hosts into the control part.
+
+use std::sync::Arc;
+
+use crate::{
+    audit,
+    ids::{DaemonId, HostId},
+    node::{
+        control::{Control, Output, Owner},
+        message::PeerMessage,
+    },
+    peer::Recipient,
+    supply::{Effect, Event, Known},
+    units::{Time, WallTime},
+    upstream::message,
+};
+
+/// The rule that the audit trail names for what the supply slice does.
+const RULE: &str = "supply-plan";
+
+impl Control {
+    /// Hands an event to the supply slice and carries out what it wants.
+    pub(super) fn supply(&mut self, now: Time, event: Event, out: &mut Vec<Output>) {
+        let wall = self.wall(now);
+        let mut effects = Vec::new();
+        self.supply.handle(now, wall, event, &mut effects);
+        for effect in effects {
+            self.supply_effect(now, effect, out);
+        }
+    }
+
+    fn supply_effect(&mut self, now: Time, effect: Effect, out: &mut Vec<Output>) {
+        match effect {
+            Effect::Call(call, priority, operation) => {
+                out.push(Output::Call { owner: Owner::Supply, call, priority, operation });
+            }
+            Effect::Send(to, message) => out.push(Output::Send(to, PeerMessage::Supply(message))),
+            Effect::Leaving(host, at) => {
+                let message = message::Message { host: host.clone(), at };
+                out.push(Output::Send(Recipient::Flood, PeerMessage::Leaving(message)));
+                self.leaving(host, at, out);
+            }
+            Effect::Order(order) => out.push(Output::Order(order)),
+            Effect::Recorded { object, action } => {
+                let event = audit::Event {
+                    actor: audit::Actor::Rule(RULE.into()),
+                    object,
+                    action,
+                    generation: self.snapshot.generation,
+                    cause: "the plan of the service's hosts".into(),
+                };
+                self.audit(now, event, out);
+            }
+            Effect::Status(status) => {
+                self.snapshot.supply = status;
+                self.publish(out);
+            }
+        }
+    }
+
+    /// Takes a peer's word that a host leaves.
+    pub(super) fn heard_leaving(
+        &mut self,
+        now: Time,
+        _from: &DaemonId,
+        message: message::Message,
+        out: &mut Vec<Output>,
+    ) {
+        self.leaving(message.host.clone(), message.at, out);
+        self.supply(now, Event::Leaving(message.host), out);
+    }
+
+    /// Gives a host no new work from now on.
+    fn leaving(&mut self, host: HostId, at: WallTime, out: &mut Vec<Output>) {
+        if self.leaving.insert(host, at) {
+            self.snapshot.hosts = self.leaving.apply(&self.snapshot.hosts);
+            self.publish(out);
+        }
+    }
+
+    /// Tells the supply slice what other slices know now.
+    pub(super) fn tell_supply(&mut self, now: Time, out: &mut Vec<Output>) {
+        let known = Known {
+            generation: self.snapshot.generation,
+            set: Arc::clone(&self.snapshot.set),
+            members: Arc::clone(&self.snapshot.members),
+            hosts: Arc::clone(&self.snapshot.hosts),
+            versions: Arc::clone(&self.snapshot.versions),
+        };
+        self.supply(now, Event::Known(known), out);
+    }
+}
--- /dev/null
+++ b/lib/src/supply/act.rs
@@ -0,0 +1,350 @@
+//! Acts for the units whose leases this daemon holds.
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{
+    declaration::Service,
+    ids::{CallId, HostId, ServiceName, ZoneName},
+    moves::share::Share,
+    peer::Recipient,
+    platform::{CallError, Reply},
+    supply::{
+        CallFor, Effect, Supply, UnitKey, cloud, lease,
+        loads::MoveView,
+        message::Message,
+        orders::{self, OrderEnd},
+        rendezvous, status,
+        unit::{self, Steps, Unit, View},
+        unit_duty,
+    },
+    units::{Time, WallTime},
+    upstream::{HostRecord, HostState},
+};
+
+/// How long after its start a move without any share is taken to be held.
+const HELD_AFTER: std::time::Duration = std::time::Duration::from_mins(2);
+
+impl Supply {
+    /// Looks at every unit once.
+    pub(super) fn act(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
+        self.want_units(now, out);
+        self.poll_cloud(now, out);
+        let managed: Vec<Service> =
+            self.known.set.services.values().filter(|s| s.supply.managed).cloned().collect();
+        for service in &managed {
+            self.act_for(now, wall, service, out);
+        }
+        self.tell_status(now, out);
+    }
+
+    /// Wants the leases that rendezvous gives to this daemon, and gives the others up.
+    fn want_units(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let Some(me) = self.me.clone() else { return };
+        let wanted: IndexSet<UnitKey> = self
+            .all_units()
+            .into_iter()
+            .filter(|(service, zone)| {
+                let first = rendezvous::first(&self.known.members, &unit_duty(service, zone));
+                first.is_none_or(|daemon| *daemon == me.holder.daemon)
+            })
+            .collect();
+        for (service, zone) in &wanted {
+            let key = (service.clone(), zone.clone());
+            let times = self.times;
+            let new = || Unit::new(service, zone, &me.holder, times);
+            self.units.entry(key).or_insert_with(new);
+        }
+        for (key, unit) in &mut self.units {
+            let mut effects = Vec::new();
+            let event = lease::Event::Wanted(wanted.contains(key));
+            unit.lease.handle(now, event, &mut effects);
+            push_lease(&mut self.call, &mut self.calls, key, effects, out);
+        }
+        self.units.retain(|_, unit| !unit.lease.is_idle());
+        self.follow_leases(now, out);
+    }
+
+    fn all_units(&self) -> IndexSet<UnitKey> {
+        let mut units = IndexSet::new();
+        for service in self.known.set.services.values().filter(|s| s.supply.managed) {
+            let offered = self.market.pools().map(|pool| &pool.zone);
+            let listed = self.known.hosts.iter().filter(|host| host.service == service.name);
+            for zone in offered.chain(listed.map(|host| &host.zone)) {
+                units.insert((service.name.clone(), zone.clone()));
+            }
+        }
+        units
+    }
+
+    /// Wakes the leases and takes over or lays down what they give.
+    pub(super) fn leases(&mut self, now: Time, out: &mut Vec<Effect>) {
+        for (key, unit) in &mut self.units {
+            let mut effects = Vec::new();
+            unit.lease.handle(now, lease::Event::Woken, &mut effects);
+            push_lease(&mut self.call, &mut self.calls, key, effects, out);
+        }
+        self.follow_leases(now, out);
+    }
+
+    pub(super) fn lease_called(
+        &mut self,
+        now: Time,
+        key: &UnitKey,
+        call: CallId,
+        result: Result<Reply, CallError>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(unit) = self.units.get_mut(key) else { return };
+        let mut effects = Vec::new();
+        unit.lease.handle(now, lease::Event::Called(call, result), &mut effects);
+        push_lease(&mut self.call, &mut self.calls, key, effects, out);
+        self.follow_leases(now, out);
+    }
+
+    fn follow_leases(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mut changed = Vec::new();
+        for (key, unit) in &mut self.units {
+            let held = unit.lease.held(now).map(|held| held.fencing);
+            if held == unit.acquired {
+                continue;
+            }
+            unit.acquired = held;
+            let event = held.map_or(cloud::Event::Lost, cloud::Event::Acquired);
+            changed.push((key.clone(), event));
+        }
+        for (key, event) in changed {
+            let action = match &event {
+                cloud::Event::Acquired(fencing) => format!("lease taken, fencing={fencing}"),
+                _ => "lease lost or given up".into(),
+            };
+            let object = format!("lease {}/{}", key.0, key.1).into();
+            out.push(Effect::Recorded { object, action: action.into() });
+            self.tell_hosts(now, &key, event, out);
+        }
+    }
+
+    /// Hands an event to a unit's hosts and carries out what they want.
+    pub(super) fn tell_hosts(
+        &mut self,
+        now: Time,
+        key: &UnitKey,
+        event: cloud::Event,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(unit) = self.units.get_mut(key) else { return };
+        let mut effects = Vec::new();
+        unit.hosts.handle(now, event, &mut effects);
+        for effect in effects {
+            match effect {
+                cloud::Effect::Call(call, priority, operation) => {
+                    self.call(CallFor::Hosts(key.clone(), call), priority, operation, out);
+                }
+                cloud::Effect::List => self.schedule.list = now,
+                cloud::Effect::Refused(pool, reason) => {
+                    let object = format!("pool {pool}").into();
+                    let action = format!("start refused by the cloud: {reason}").into();
+                    out.push(Effect::Recorded { object, action });
+                    self.refused(now, key, &pool, out);
+                }
+                cloud::Effect::Running(pool, took) => self.market.started(&pool.class, took),
+                cloud::Effect::Vanished(pool) => {
+                    let object = format!("pool {pool}").into();
+                    out.push(Effect::Recorded { object, action: "a host is gone".into() });
+                }
+                cloud::Effect::Recorded(action) => {
+                    let object = format!("hosts {}/{}", key.0, key.1).into();
+                    out.push(Effect::Recorded { object, action });
+                }
+            }
+        }
+    }
+
+    /// Tells the holders of the other zones that a pool is refused, so that they plan around it.
+    fn refused(
+        &mut self,
+        now: Time,
+        key: &UnitKey,
+        pool: &crate::supply::plan::Pool,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(unit) = self.units.get(key) else { return };
+        let Some(until) = unit.hosts.refused_until(pool) else { return };
+        self.market.refuse(pool.clone(), until);
+        let wait = until.since(now);
+        for daemon in self.holders_of(&key.0) {
+            let message = Message::Refused(pool.clone(), wait);
+            out.push(Effect::Send(Recipient::Daemon(daemon), message));
+        }
+    }
+
+    fn act_for(&mut self, now: Time, wall: WallTime, service: &Service, out: &mut Vec<Effect>) {
+        let keys: Vec<UnitKey> = self
+            .units
+            .iter()
+            .filter(|(key, unit)| key.0 == service.name && unit.lease.held(now).is_some())
+            .map(|(key, _)| key.clone())
+            .collect();
+        if keys.is_empty() {
+            return;
+        }
+        let present = self.present(&service.name);
+        let state = self.services.entry(service.name.clone()).or_default();
+        state.observe(now, &self.known.hosts, &service.name);
+        state.make_plan(now, &self.market, &present, service);
+        for key in keys {
+            let steps = self.decide(now, wall, service, &key);
+            self.carry_out(now, &key, service, steps, out);
+        }
+    }
+
+    fn present(&self, service: &ServiceName) -> IndexMap<crate::supply::plan::Pool, u32> {
+        let mut present = IndexMap::new();
+        let own: IndexSet<&ZoneName> = self
+            .units
+            .values()
+            .filter(|unit| unit.service == *service && unit.hosts.is_informed())
+            .map(|unit| &unit.zone)
+            .collect();
+        let serving = |host: &&HostRecord| {
+            host.service == *service && host.state == HostState::Live && !own.contains(&host.zone)
+        };
+        for host in self.known.hosts.iter().filter(serving) {
+            *present.entry(unit::pool_of(host)).or_insert(0) += 1;
+        }
+        for unit in self.units.values().filter(|unit| unit.service == *service) {
+            if own.contains(&unit.zone) {
+                present.extend(unit.present(&self.known.hosts));
+            }
+        }
+        present
+    }
+
+    fn decide(&mut self, now: Time, wall: WallTime, service: &Service, key: &UnitKey) -> Steps {
+        let under_move = self.move_view(wall, &service.name);
+        let routes = self.known.set.routes.values().filter(|route| route.service == service.name);
+        let drain = crate::supply::service::drain_time(routes.map(|route| route.deadline));
+        let Some(state) = self.services.get(&service.name) else { return Steps::default() };
+        let view = View {
+            now,
+            wall,
+            generation: self.known.generation,
+            service,
+            state,
+            listed: &self.known.hosts,
+            under_move: under_move.as_ref(),
+            drain,
+        };
+        match self.units.get_mut(key) {
+            Some(unit) if unit.hosts.is_informed() => unit.decide(&view),
+            _ => Steps::default(),
+        }
+    }
+
+    fn move_view(&self, wall: WallTime, service: &ServiceName) -> Option<MoveView> {
+        let m = self.known.set.move_of(service)?;
+        let choice = self.known.versions.get(service).filter(|c| c.under_move == m.name);
+        let share = choice.map_or(Share::NONE, |choice| choice.share);
+        let held = share == Share::NONE && wall > m.start + HELD_AFTER;
+        Some(MoveView {
+            from: m.from.clone(),
+            to: m.to.clone(),
+            start: m.start,
+            finish_by: m.finish_by,
+            watch: m.watch,
+            share,
+            held,
+        })
+    }
+
+    fn carry_out(
+        &mut self,
+        now: Time,
+        key: &UnitKey,
+        service: &Service,
+        steps: Steps,
+        out: &mut Vec<Effect>,
+    ) {
+        for (host, at) in steps.leaving {
+            self.announce(now, &host, at, out);
+        }
+        for event in steps.hosts {
+            self.tell_hosts(now, key, event, out);
+        }
+        self.tell_orders(now, key, service, orders::Event::Want(steps.orders), out);
+    }
+
+    pub(super) fn announce(
+        &mut self,
+        now: Time,
+        host: &HostId,
+        at: WallTime,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.told_leaving.insert(host.clone()) {
+            out.push(Effect::Leaving(host.clone(), at));
+            self.left(now, host);
+        }
+    }
+
+    fn tell_orders(
+        &mut self,
+        now: Time,
+        key: &UnitKey,
+        service: &Service,
+        event: orders::Event,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(unit) = self.units.get_mut(key) else { return };
+        let permit = unit.lease.may_order(now, service.checks_fencing);
+        let mut effects = Vec::new();
+        unit.orders.handle(now, permit, event, &mut effects);
+        for effect in effects {
+            match effect {
+                orders::Effect::Order(order) => {
+                    unit.lease.ordered(order.not_after);
+                    out.push(Effect::Order(order));
+                }
+                orders::Effect::Stale(_) => unit.lease.doubted(now),
+                orders::Effect::Recorded(action) => {
+                    let object = format!("engines {}/{}", key.0, key.1).into();
+                    out.push(Effect::Recorded { object, action });
+                }
+            }
+        }
+        if !unit.orders.is_outstanding() {
+            unit.lease.orders_settled(now);
+        }
+    }
+
+    pub(super) fn ordered(&mut self, now: Time, id: &str, end: &OrderEnd, out: &mut Vec<Effect>) {
+        let set = self.known.set.clone();
+        let keys: Vec<UnitKey> = self.units.keys().cloned().collect();
+        for key in keys {
+            let Some(service) = set.services.get(&key.0) else { continue };
+            let event = orders::Event::Ended(id.into(), end.clone());
+            self.tell_orders(now, &key, service, event, out);
+        }
+    }
+
+    fn tell_status(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let status = status::of(self, now);
+        if *status != *self.status {
+            self.status = status.into();
+            out.push(Effect::Status(self.status.clone()));
+        }
+    }
+}
+
+fn push_lease(
+    last: &mut CallId,
+    calls: &mut IndexMap<CallId, CallFor>,
+    key: &UnitKey,
+    effects: Vec<lease::Effect>,
+    out: &mut Vec<Effect>,
+) {
+    for lease::Effect::Call(call, priority, operation) in effects {
+        *last = last.next();
+        calls.insert(*last, CallFor::Lease(key.clone(), call));
+        out.push(Effect::Call(*last, priority, operation));
+    }
+}
--- a/lib/src/supply/cloud.rs
+++ b/lib/src/supply/cloud.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexMap;
 
 use crate::{
-    ids::{CallId, FencingNumber, HostId, ServiceName, VersionName, ZoneName},
+    ids::{CallId, FencingNumber, Generation, HostId, ServiceName, VersionName, ZoneName},
     platform::{
         CallError, Operation, Priority, Reply,
         cloud::{CloudCall, CloudHost, CloudReply, HostKind, StartHost},
@@ -83,8 +83,8 @@
     Acquired(FencingNumber),
     /// This daemon no longer holds the lease.
     Lost,
-    /// The plan wants one more host.
-    Start(Pool, VersionName),
+    /// The plan, made from this generation, wants one more host of this pool and version.
+    Start(Pool, VersionName, Generation),
     /// The plan no longer wants this host, and it has had time to finish its work.
     Release(HostId),
     /// The cloud has listed its hosts; the list was asked for at the stated time.
@@ -169,6 +169,11 @@
         self.refused.iter().filter(move |(_, refusal)| now < refusal.until).map(|(pool, _)| pool)
     }
 
+    /// Returns when a refused pool may be tried again.
+    pub fn refused_until(&self, pool: &Pool) -> Option<Time> {
+        self.refused.get(pool).map(|refusal| refusal.until)
+    }
+
     /// Returns when the slice wants [`Event::Woken`].
     pub fn next_wakeup(&self) -> Option<Time> {
         self.fencing?;
@@ -193,8 +198,9 @@
             }
             // Starts under way may still take effect; the next holder finds them listed.
             Event::Lost => self.fencing = None,
-            Event::Start(pool, version) if self.is_informed() => {
-                self.start(now, &pool, version, out);
+            Event::Start(pool, version, generation) if self.is_informed() => {
+                let token = self.next_token(generation);
+                self.start(now, &pool, version, &token, out);
             }
             Event::Release(host) if self.is_informed() => self.release(&host, out),
             Event::Start(..) | Event::Release(_) => {}
@@ -204,14 +210,23 @@
         }
     }
 
-    fn start(&mut self, now: Time, pool: &Pool, version: VersionName, out: &mut Vec<Effect>) {
-        let Some(fencing) = self.fencing else { return };
+    fn next_token(&mut self, generation: Generation) -> Box<str> {
         self.tokens += 1;
-        let token: Box<str> =
-            format!("{TOKEN_PREFIX}{}.{}.{fencing}.{}", self.service, self.zone, self.tokens)
-                .into();
+        let fencing = self.fencing.unwrap_or_default();
+        let (count, service, zone) = (self.tokens, &self.service, &self.zone);
+        format!("{TOKEN_PREFIX}{generation}.{fencing}.{count}.{service}.{zone}").into()
+    }
+
+    fn start(
+        &mut self,
+        now: Time,
+        pool: &Pool,
+        version: VersionName,
+        token: &str,
+        out: &mut Vec<Effect>,
+    ) {
         let start = StartHost {
-            client_token: token.clone(),
+            client_token: token.into(),
             zone: pool.zone.clone(),
             class: pool.class.clone(),
             kind: pool.kind(),
@@ -219,8 +234,8 @@
             version,
         };
         out.push(Effect::Recorded(format!("start {pool} token={token}").into()));
-        self.asked.insert(token.clone(), (start, Asked::Again(now)));
-        self.ask(now, &token, out);
+        self.asked.insert(token.into(), (start, Asked::Again(now)));
+        self.ask(now, token, out);
     }
 
     fn ask(&mut self, now: Time, token: &str, out: &mut Vec<Effect>) {
@@ -238,7 +253,9 @@
         let due = |asked: &Asked| matches!(asked, Asked::Again(at) if *at <= now);
         let tokens: Vec<Box<str>> =
             self.asked.iter().filter(|(_, (_, a))| due(a)).map(|(t, _)| t.clone()).collect();
-        tokens.iter().for_each(|token| self.ask(now, token, out));
+        for token in &tokens {
+            self.ask(now, token, out);
+        }
     }
 
     fn release(&mut self, host: &HostId, out: &mut Vec<Effect>) {
@@ -318,13 +335,7 @@
         out.push(Effect::Refused(pool, reason));
     }
 
-    fn listed(
-        &mut self,
-        now: Time,
-        asked_at: Time,
-        hosts: Vec<CloudHost>,
-        out: &mut Vec<Effect>,
-    ) {
+    fn listed(&mut self, now: Time, asked_at: Time, hosts: Vec<CloudHost>, out: &mut Vec<Effect>) {
         if self.fencing.is_none() {
             return;
         }
@@ -383,7 +394,9 @@
         let again = |host: &Billed| host.releasing && host.release_call.is_none();
         let hosts: Vec<HostId> =
             self.billed.iter().filter(|(_, h)| again(h)).map(|(id, _)| id.clone()).collect();
-        hosts.iter().for_each(|host| self.release(host, out));
+        for host in &hosts {
+            self.release(host, out);
+        }
     }
 }
 
@@ -392,7 +405,22 @@
 }
 
 /// Returns the hosts of this system whose service is not declared, so that no lease covers them.
-pub fn unowned(hosts: &[CloudHost], is_declared: impl Fn(&ServiceName) -> bool) -> Vec<HostId> {
-    let ours = hosts.iter().filter(|host| host.start.client_token.starts_with(TOKEN_PREFIX));
-    ours.filter(|host| !is_declared(&host.start.service)).map(|host| host.host.clone()).collect()
+///
+/// A host that was started under a later generation than `known` is left alone, since this daemon
+/// may not have heard of its service yet.
+pub fn unowned(
+    hosts: &[CloudHost],
+    known: Generation,
+    is_declared: impl Fn(&ServiceName) -> bool,
+) -> Vec<HostId> {
+    let started_under = |host: &CloudHost| {
+        let rest = host.start.client_token.strip_prefix(TOKEN_PREFIX)?;
+        rest.split('.').next()?.parse::<Generation>().ok()
+    };
+    hosts
+        .iter()
+        .filter(|host| started_under(host).is_some_and(|generation| generation <= known))
+        .filter(|host| !is_declared(&host.start.service))
+        .map(|host| host.host.clone())
+        .collect()
 }
--- a/lib/src/supply/demand.rs
+++ b/lib/src/supply/demand.rs
@@ -6,7 +6,10 @@
 
 use crate::{
     ids::{ClassName, DataCentre},
-    supply::{message::ClassSum, rate::{Work, WorkRate}},
+    supply::{
+        message::ClassSum,
+        rate::{Work, WorkRate},
+    },
     units::Time,
 };
 
@@ -31,10 +34,13 @@
 /// What is left of the capacity when a load was carried outside the target, in per cent.
 const OUTSIDE_PERCENT: u64 = 90;
 
+/// The newest sum of one origin: when it came, its span, and the work by class.
+type Newest = (Time, Duration, Vec<(ClassName, ClassSum)>);
+
 /// Sums by their origin; the newest of each counts.
 #[derive(Clone, Debug)]
 pub struct Sums<K> {
-    newest: IndexMap<K, (Time, Duration, Vec<(ClassName, ClassSum)>)>,
+    newest: IndexMap<K, Newest>,
 }
 
 impl<K> Default for Sums<K> {
@@ -88,7 +94,7 @@
 impl Forecast {
     /// Takes the demand of now.
     pub fn observe(&mut self, now: Time, demand: WorkRate) {
-        let value = demand.0 as i64 * 1000;
+        let value = demand.0.cast_signed() * 1000;
         let Some(at) = self.at.replace(now) else {
             self.level = value;
             return;
@@ -103,7 +109,7 @@
 
     /// Returns the demand to plan for: the largest from now until `ahead`, with room above it.
     pub fn until(&self, ahead: Duration) -> WorkRate {
-        let risen = self.trend.max(0) * ahead.as_secs() as i64;
+        let risen = self.trend.max(0) * ahead.as_secs().cast_signed();
         let wanted = (self.level + risen) * (100 + HEADROOM_PERCENT) / 100;
         WorkRate(wanted.max(0).cast_unsigned().div_ceil(1000))
     }
--- a/lib/src/supply/lease.rs
+++ b/lib/src/supply/lease.rs
@@ -236,6 +236,13 @@
         }
     }
 
+    /// Tells that an upstream knows a later holder: nothing more is done until the record is read.
+    pub fn doubted(&mut self, now: Time) {
+        self.held = None;
+        self.must_read = true;
+        self.next = Some(now);
+    }
+
     /// Returns who is known to hold the lease.
     pub fn holder(&self) -> Option<&Holder> {
         self.seen.as_ref()?.record.as_ref()?.holder.as_ref()
@@ -281,7 +288,7 @@
         let Some(seen) = &self.seen else { return };
         let record = seen.record.clone();
         match (record, self.wanted) {
-            (Some(record), false) if self.is_mine() => self.give_up(now, record, out),
+            (Some(record), false) if self.is_mine() => self.give_up(now, &record, out),
             (_, false) => {}
             (None, true) => self.acquire(now, FencingNumber(0), out),
             (Some(record), true) if self.is_mine() => match self.held(now) {
@@ -295,10 +302,10 @@
         }
     }
 
-    fn give_up(&mut self, now: Time, record: Record, out: &mut Vec<Effect>) {
+    fn give_up(&mut self, now: Time, record: &Record, out: &mut Vec<Effect>) {
         match self.busy_until {
             Some(until) if now < until => self.next = Some(until),
-            _ => self.write(now, Record { holder: None, ..record }, out),
+            _ => self.write(now, Record { holder: None, ..record.clone() }, out),
         }
     }
 
--- a/lib/src/supply/loads.rs
+++ b/lib/src/supply/loads.rs
@@ -62,7 +62,6 @@
     begins
 }
 
-
 /// Returns how many of a zone's `hosts` should run the move's new version now.
 ///
 /// The old version keeps what its share of the requests needs.
--- a/lib/src/supply/orders.rs
+++ b/lib/src/supply/orders.rs
@@ -155,10 +155,9 @@
         self.entries.values().any(|entry| entry.state == State::Given)
     }
 
-    /// Counts the loads that have been given and whose hosts do not show them yet.
-    pub fn loading(&self) -> usize {
-        let given = |entry: &&Entry| entry.state == State::Given && entry.order.is_load();
-        self.entries.values().filter(given).count()
+    /// Says whether this order is wanted already, so that it has had its share of the budget.
+    pub fn knows(&self, upstream: &UpstreamId, order: &Order) -> bool {
+        self.entries.get(upstream).is_some_and(|entry| entry.order == *order)
     }
 
     /// Returns when the slice wants [`Event::Woken`].
@@ -171,7 +170,7 @@
     pub fn handle(&mut self, now: Time, permit: Permit, event: Event, out: &mut Vec<Effect>) {
         match event {
             Event::Want(orders) => self.want(now, orders),
-            Event::Ended(id, end) => self.ended(now, &id, end, out),
+            Event::Ended(id, end) => self.ended(now, &id, &end, out),
             Event::Woken => {}
         }
         if let Some((fencing, not_after)) = permit {
@@ -204,13 +203,12 @@
         self.entries.retain(|_, entry| entry.wanted || entry.state == State::Given);
     }
 
-    fn ended(&mut self, now: Time, id: &str, end: OrderEnd, out: &mut Vec<Effect>) {
+    fn ended(&mut self, now: Time, id: &str, end: &OrderEnd, out: &mut Vec<Effect>) {
         let found = self.entries.iter_mut().find(|(_, entry)| *entry.id == *id);
-        let Some((upstream, entry)) = found.filter(|(_, entry)| entry.state == State::Given)
-        else {
+        let Some((upstream, entry)) = found.filter(|(_, entry)| entry.state == State::Given) else {
             return;
         };
-        let state = match &end {
+        let state = match end {
             OrderEnd::Applied => State::Applied(now),
             OrderEnd::Stale(fencing) => {
                 out.push(Effect::Stale(*fencing));
@@ -221,7 +219,7 @@
             }
         };
         entry.state = state;
-        let end = describe(&end);
+        let end = describe(end);
         let text = format!("order {id} {} to {upstream}: {end}", entry.order);
         out.push(Effect::Recorded(text.into()));
         let upstream = upstream.clone();
@@ -230,13 +228,7 @@
         }
     }
 
-    fn give(
-        &mut self,
-        now: Time,
-        fencing: FencingNumber,
-        not_after: Time,
-        out: &mut Vec<Effect>,
-    ) {
+    fn give(&mut self, now: Time, fencing: FencingNumber, not_after: Time, out: &mut Vec<Effect>) {
         for (upstream, entry) in &mut self.entries {
             let is_due = matches!(entry.state, State::Due(at) if at <= now);
             if !is_due || !entry.wanted {
--- a/lib/src/supply/plan.rs
+++ b/lib/src/supply/plan.rs
@@ -268,7 +268,9 @@
     for &level in &levels {
         for used in 1..=zones.len() {
             let mut draft = Draft::default();
-            zones[..used].iter().for_each(|pools| fill(&mut draft, pools, level));
+            for pools in &zones[..used] {
+                fill(&mut draft, pools, level);
+            }
             if draft.assured(input) < demand {
                 continue;
             }
@@ -313,7 +315,9 @@
 /// Returns all that can be had when the demand can't be carried with a zone lost.
 fn everything(input: &PlanInput<'_>) -> Draft {
     let mut draft = Draft::default();
-    by_zone(input).iter().for_each(|pools| fill(&mut draft, pools, input.demand.0));
+    for pools in by_zone(input) {
+        fill(&mut draft, &pools, input.demand.0);
+    }
     draft
 }
 
@@ -390,11 +394,7 @@
 }
 
 /// Removes hosts of the largest zone, the dearest for their work first, while `too_large` holds.
-fn shrink(
-    input: &PlanInput<'_>,
-    draft: &mut Draft,
-    too_large: impl Fn(&Draft) -> bool,
-) -> bool {
+fn shrink(input: &PlanInput<'_>, draft: &mut Draft, too_large: impl Fn(&Draft) -> bool) -> bool {
     let mut shrunk = false;
     while too_large(draft) {
         let zones = draft.zones(input);
--- /dev/null
+++ b/lib/src/supply/unit.rs
@@ -0,0 +1,278 @@
+//! One service in one zone: its lease, its hosts and its orders at one daemon.
+
+use std::{net::SocketAddr, time::Duration};
+
+use indexmap::IndexMap;
+
+use crate::{
+    declaration::{Service, ServiceKind},
+    ids::{FencingNumber, Generation, HostId, ServiceName, UpstreamId, VersionName, ZoneName},
+    platform::ObjectKey,
+    supply::{
+        cloud::{self, ZoneHosts},
+        lease::{Holder, Lease, LeaseTimes},
+        loads::{self, LoadBudget, LoadTimes, MoveView},
+        orders::{Order, Orders},
+        plan::Pool,
+        service::ServiceState,
+    },
+    units::{Time, WallTime},
+    upstream::{HostRecord, HostState},
+};
+
+/// How long a surplus must last until hosts are released.
+const SURPLUS_LASTS: Duration = Duration::from_mins(5);
+/// How long a host may be billed and running without being in the host list.
+const BROKEN_AFTER: Duration = Duration::from_mins(5);
+/// How long one load from the weight store takes, for planning.
+const LOAD_TIME: Duration = Duration::from_mins(1);
+/// How long after one load of this zone the next may begin.
+const LOAD_SPACING: Duration = Duration::from_secs(2);
+/// How many loads may begin at once after a rest.
+const LOAD_BURST: u32 = 8;
+
+/// One service in one zone.
+#[derive(Clone, Debug)]
+pub struct Unit {
+    /// The service.
+    pub service: ServiceName,
+    /// The zone.
+    pub zone: ZoneName,
+    /// The lease that lets this daemon act.
+    pub lease: Lease,
+    /// The hosts that the cloud bills.
+    pub hosts: ZoneHosts,
+    /// The orders to engines.
+    pub orders: Orders,
+    /// The number under which the hosts were taken over.
+    pub acquired: Option<FencingNumber>,
+    leaving: IndexMap<HostId, Time>,
+    surplus_since: Option<Time>,
+    budget: LoadBudget,
+}
+
+/// What a unit decides from.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// The monotonic time.
+    pub now: Time,
+    /// The wall time, for the times of moves.
+    pub wall: WallTime,
+    /// The generation in force.
+    pub generation: Generation,
+    /// The service's declaration.
+    pub service: &'a Service,
+    /// Demand, capacity and plan.
+    pub state: &'a ServiceState,
+    /// The host list.
+    pub listed: &'a [HostRecord],
+    /// The move of the service.
+    pub under_move: Option<&'a MoveView>,
+    /// How long the requests at a leaving host may take.
+    pub drain: Duration,
+}
+
+/// What a unit wants done beside what its parts ask for.
+#[derive(Clone, Debug, Default)]
+pub struct Steps {
+    /// Events for the unit's hosts.
+    pub hosts: Vec<cloud::Event>,
+    /// Hosts that get no new work from now on and are released at the stated time.
+    pub leaving: Vec<(HostId, WallTime)>,
+    /// The orders to engines that should be given now.
+    pub orders: Vec<(UpstreamId, SocketAddr, Order)>,
+}
+
+impl Unit {
+    /// Makes the unit of a daemon that does not hold the lease.
+    pub fn new(service: &ServiceName, zone: &ZoneName, me: &Holder, times: LeaseTimes) -> Self {
+        let key = ObjectKey::new(format!("supply/leases/{service}/{zone}"));
+        let scope = format!("{service}.{zone}.{}.{}", me.daemon, me.incarnation);
+        Self {
+            service: service.clone(),
+            zone: zone.clone(),
+            lease: Lease::new(key, me.clone(), times),
+            hosts: ZoneHosts::new(service.clone(), zone.clone()),
+            orders: Orders::new(scope),
+            acquired: None,
+            leaving: IndexMap::new(),
+            surplus_since: None,
+            budget: LoadBudget::new(LOAD_SPACING, LOAD_BURST),
+        }
+    }
+
+    /// Notes that a host gets no new work, whoever told it.
+    pub fn left(&mut self, now: Time, host: &HostId) {
+        if self.hosts.billed().contains_key(host) {
+            self.leaving.entry(host.clone()).or_insert(now);
+        }
+    }
+
+    /// Counts the hosts of each pool of this zone that are there or asked for.
+    pub fn present(&self, listed: &[HostRecord]) -> IndexMap<Pool, u32> {
+        let mut present: IndexMap<Pool, u32> = IndexMap::new();
+        for start in self.hosts.asked() {
+            *present.entry(cloud::pool_of(start)).or_default() += 1;
+        }
+        for (id, host) in self.hosts.billed() {
+            if !host.releasing && !self.leaving.contains_key(id) {
+                *present.entry(host.pool()).or_default() += 1;
+            }
+        }
+        let unbilled = self.listed_here(listed).filter(|host| {
+            host.state == HostState::Live && !self.hosts.billed().contains_key(&host.host)
+        });
+        for host in unbilled {
+            *present.entry(pool_of(host)).or_default() += 1;
+        }
+        present
+    }
+
+    fn listed_here<'a>(&'a self, listed: &'a [HostRecord]) -> impl Iterator<Item = &'a HostRecord> {
+        listed.iter().filter(|host| host.service == self.service && host.zone == self.zone)
+    }
+
+    /// Decides what to do now; the lease must be held and the hosts known.
+    pub fn decide(&mut self, view: &View<'_>) -> Steps {
+        let mut steps = Steps::default();
+        self.order_versions(view, &mut steps);
+        if view.service.supply.managed && !view.service.supply.paused {
+            let short = self.start_missing(view, &mut steps);
+            self.give_up_surplus(view, short, &mut steps);
+            self.release_broken(view, &mut steps);
+            self.release_drained(view, &mut steps);
+        }
+        steps
+    }
+
+    fn on_new(&self, view: &View<'_>) -> u32 {
+        let listed = self.listed_here(view.listed).filter(|host| host.state == HostState::Live);
+        let count = listed.count() as u32;
+        let times = LoadTimes { load: LOAD_TIME, spacing: LOAD_SPACING };
+        view.under_move.map_or(0, |m| loads::hosts_on_new(view.wall, count, m, times))
+    }
+
+    /// Decides which hosts load which version; loads for a move come before starts.
+    fn order_versions(&mut self, view: &View<'_>, steps: &mut Steps) {
+        if view.service.kind != ServiceKind::Model {
+            return;
+        }
+        let base = view.under_move.map_or(&view.service.version, |m| &m.from);
+        let new = view.under_move.map_or(base, |m| &m.to);
+        let mut hosts: Vec<&HostRecord> =
+            self.listed_here(view.listed).filter(|host| host.state == HostState::Live).collect();
+        hosts.sort_by_key(|host| (host.version != *new, host.upstream.clone()));
+        let on_new = self.on_new(view) as usize;
+        let mut wanted = Vec::new();
+        for (index, host) in hosts.iter().enumerate() {
+            let version = if index < on_new { new } else { base };
+            if host.version != *version {
+                let order = Order::LoadModel { version: version.clone() };
+                wanted.push((host.upstream.clone(), host.address, order));
+            }
+        }
+        let mut left = self.budget.available(view.now);
+        for (upstream, address, order) in wanted {
+            let is_new = !self.orders.knows(&upstream, &order);
+            if is_new && left == 0 {
+                continue;
+            }
+            if is_new {
+                left -= 1;
+                self.budget.take(1);
+            }
+            steps.orders.push((upstream, address, order));
+        }
+    }
+
+    /// Starts what the plan lacks; returns whether hosts are still missing or not running yet.
+    fn start_missing(&mut self, view: &View<'_>, steps: &mut Steps) -> bool {
+        let present = self.present(view.listed);
+        let mut short = self.hosts.asked().next().is_some();
+        for (pool, wanted) in view.state.wanted_in(&self.zone) {
+            let missing = wanted.saturating_sub(present.get(pool).copied().unwrap_or(0));
+            short |= missing > 0;
+            let count = missing.min(self.budget.available(view.now));
+            self.budget.take(count);
+            for _ in 0..count {
+                let version = self.version_for_start(view);
+                steps.hosts.push(cloud::Event::Start(pool.clone(), version, view.generation));
+            }
+        }
+        let starting = |(id, host): (&HostId, &cloud::Billed)| {
+            !host.running && !host.releasing && !self.leaving.contains_key(id)
+        };
+        short || self.hosts.billed().iter().any(starting)
+    }
+
+    fn version_for_start(&self, view: &View<'_>) -> VersionName {
+        let Some(m) = view.under_move else { return view.service.version.clone() };
+        let running = self.listed_here(view.listed).filter(|host| host.version == m.to).count();
+        let starting = self.hosts.asked().filter(|start| start.version == m.to).count();
+        if running + starting < self.on_new(view) as usize { m.to.clone() } else { m.from.clone() }
+    }
+
+    /// Announces hosts beyond the plan as leaving, once the surplus has lasted.
+    fn give_up_surplus(&mut self, view: &View<'_>, short: bool, steps: &mut Steps) {
+        let present = self.present(view.listed);
+        let surplus: Vec<(Pool, u32)> = present
+            .iter()
+            .map(|(pool, &count)| (pool.clone(), count.saturating_sub(view.state.wanted(pool))))
+            .filter(|(_, count)| *count > 0)
+            .collect();
+        // What replaces a surplus must run first.
+        if surplus.is_empty() || short {
+            self.surplus_since = None;
+            return;
+        }
+        let since = *self.surplus_since.get_or_insert(view.now);
+        if view.now.since(since) < SURPLUS_LASTS {
+            return;
+        }
+        self.surplus_since = None;
+        for (pool, count) in surplus {
+            let mut hosts: Vec<(&HostId, &cloud::Billed)> = self
+                .hosts
+                .billed()
+                .iter()
+                .filter(|(id, host)| host.pool() == pool && !self.leaving.contains_key(*id))
+                .filter(|(_, host)| !host.releasing)
+                .collect();
+            hosts.sort_by_key(|(id, host)| (host.running, std::cmp::Reverse(host.known_at), *id));
+            let chosen = hosts.into_iter().take(count as usize).map(|(id, _)| id.clone());
+            for host in chosen.collect::<Vec<_>>() {
+                self.leaving.insert(host.clone(), view.now);
+                steps.leaving.push((host, view.wall + view.drain));
+            }
+        }
+    }
+
+    fn release_broken(&mut self, view: &View<'_>, steps: &mut Steps) {
+        let is_listed = |id: &HostId| view.listed.iter().any(|host| host.host == *id);
+        let broken = self.hosts.billed().iter().filter(|(id, host)| {
+            host.running
+                && !host.releasing
+                && view.now.since(host.known_at) > BROKEN_AFTER
+                && !view.listed.is_empty()
+                && !is_listed(id)
+        });
+        steps.hosts.extend(broken.map(|(id, _)| cloud::Event::Release(id.clone())));
+    }
+
+    fn release_drained(&mut self, view: &View<'_>, steps: &mut Steps) {
+        self.leaving.retain(|id, _| self.hosts.billed().contains_key(id));
+        let drained = self.leaving.iter().filter(|(_, since)| view.now.since(**since) > view.drain);
+        let releasable =
+            drained.filter(|(id, _)| self.hosts.billed().get(*id).is_some_and(|h| !h.releasing));
+        steps.hosts.extend(releasable.map(|(id, _)| cloud::Event::Release(id.clone())));
+    }
+}
+
+/// Returns the pool of a host of the host list.
+pub fn pool_of(host: &HostRecord) -> Pool {
+    Pool {
+        zone: host.zone.clone(),
+        class: host.class.clone(),
+        reclaimable: host.kind == crate::platform::cloud::HostKind::Reclaimable,
+    }
+}
--- a/lib/src/upstream/mod.rs
+++ b/lib/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! The upstreams that a daemon knows: which are live, which are leaving, and how they do.
 
 pub mod hosts;
+pub mod leaving;
 pub mod message;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/lib/tests/supply_cloud.rs
@@ -0,0 +1,323 @@
+//! Starts and releases hosts against the cloud stand-in, with every fault that the cloud can have.
+
+use std::time::Duration;
+
+use dogwoodturn::{
+    ids::{CallId, FencingNumber, Generation, HostId},
+    platform::{
+        CallError, Operation, Reply,
+        cloud::{CloudCall, CloudHost, CloudReply, HostKind, StartHost},
+    },
+    supply::{
+        cloud::{Effect, Event, TOKEN_PREFIX, ZoneHosts, unowned},
+        plan::Pool,
+    },
+    units::Time,
+};
+use dogwoodturn_standins::cloud::{Cloud, CloudFaults, Refused};
+use quickcheck::{Arbitrary, Gen};
+
+/// The seeds that are run when `DOGWOODTURN_SEEDS` does not say more.
+const SEEDS: u64 = 100;
+const STEP: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Copy, Debug)]
+enum Op {
+    Start,
+    ReleaseOne,
+    LoseAnswers,
+    LateStart,
+    Refuse,
+    Outage,
+    Heal,
+    NewHolder,
+    HoldAnswers,
+    DoubleAnswers,
+    Wait,
+}
+
+impl Arbitrary for Op {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let all = [
+            Self::Start,
+            Self::Start,
+            Self::ReleaseOne,
+            Self::LoseAnswers,
+            Self::LateStart,
+            Self::Refuse,
+            Self::Outage,
+            Self::Heal,
+            Self::NewHolder,
+            Self::HoldAnswers,
+            Self::DoubleAnswers,
+            Self::Wait,
+        ];
+        *g.choose(&all).expect("there are operations")
+    }
+}
+
+struct World {
+    now: Time,
+    cloud: Cloud,
+    hosts: ZoneHosts,
+    fencing: u64,
+    held: Vec<(CallId, Result<Reply, CallError>)>,
+    holds: bool,
+    doubles: bool,
+    wants_list: bool,
+    asked_tokens: Vec<Box<str>>,
+}
+
+fn pool() -> Pool {
+    let zone = "salish-a".parse().expect("a name");
+    Pool { zone, class: "standard".parse().expect("a name"), reclaimable: true }
+}
+
+impl World {
+    fn new() -> Self {
+        let service = "lantern".parse().expect("a name");
+        let mut world = Self {
+            now: Time(0),
+            cloud: Cloud::new(),
+            hosts: ZoneHosts::new(service, pool().zone),
+            fencing: 0,
+            held: Vec::new(),
+            holds: false,
+            doubles: false,
+            wants_list: false,
+            asked_tokens: Vec::new(),
+        };
+        world.new_holder();
+        world
+    }
+
+    fn new_holder(&mut self) {
+        self.fencing += 1;
+        self.held.clear();
+        self.tell(Event::Acquired(FencingNumber(self.fencing)));
+        self.settle();
+    }
+
+    fn tell(&mut self, event: Event) {
+        let mut effects = Vec::new();
+        self.hosts.handle(self.now, event, &mut effects);
+        for effect in effects {
+            match effect {
+                Effect::Call(call, _, Operation::Cloud(operation)) => self.call(call, &operation),
+                Effect::List => self.wants_list = true,
+                _ => {}
+            }
+        }
+    }
+
+    fn call(&mut self, call: CallId, operation: &CloudCall) {
+        if let CloudCall::Start(start) = operation
+            && !self.asked_tokens.contains(&start.client_token)
+        {
+            self.asked_tokens.push(start.client_token.clone());
+        }
+        let result = self.cloud.apply(self.now, operation).map(Reply::Cloud);
+        if self.holds {
+            return self.held.push((call, result));
+        }
+        if self.doubles {
+            self.held.push((call, result.clone()));
+        }
+        self.tell(Event::Called(call, result));
+    }
+
+    fn settle(&mut self) {
+        self.now = self.now + STEP;
+        if !self.holds {
+            for (call, result) in std::mem::take(&mut self.held) {
+                self.tell(Event::Called(call, result));
+            }
+        }
+        self.cloud.advance(self.now);
+        let asked = self.now;
+        self.wants_list = false;
+        if let Ok(CloudReply::Hosts(hosts)) = self.cloud.apply(self.now, &CloudCall::Hosts) {
+            self.tell(Event::Listed(asked, hosts));
+        }
+        self.tell(Event::Woken);
+    }
+
+    fn run(&mut self, op: Op) {
+        let mut faults = self.cloud.faults().clone();
+        match op {
+            Op::Start => {
+                let version = "v1".parse().expect("a name");
+                self.tell(Event::Start(pool(), version, Generation(1)));
+            }
+            Op::ReleaseOne => {
+                let host = self.hosts.billed().keys().next().cloned();
+                if let Some(host) = host {
+                    self.tell(Event::Release(host));
+                }
+            }
+            Op::LoseAnswers => faults.lose_answers = 2,
+            Op::LateStart => {
+                faults.late_starts = 2;
+                faults.late_by_ms = 4500;
+            }
+            Op::Refuse => faults.refused = vec![Refused::default()],
+            Op::Outage => faults.outage = true,
+            Op::Heal => {
+                faults.refused.clear();
+                faults.outage = false;
+            }
+            Op::NewHolder => self.new_holder(),
+            Op::HoldAnswers => self.holds = true,
+            Op::DoubleAnswers => self.doubles = true,
+            Op::Wait => self.settle(),
+        }
+        if !matches!(op, Op::Start | Op::ReleaseOne | Op::Wait | Op::NewHolder) {
+            self.cloud.set_faults(faults);
+        }
+    }
+
+    /// Ends all faults and gives every late effect the time to come.
+    fn heal(&mut self) {
+        self.holds = false;
+        let forget_tokens = self.cloud.faults().forget_tokens;
+        self.cloud.set_faults(CloudFaults { forget_tokens, ..CloudFaults::default() });
+        for _ in 0..20 {
+            self.settle();
+        }
+    }
+
+    /// Returns what is wrong, if anything.
+    fn violation(&mut self) -> Option<String> {
+        self.heal();
+        let mut tokens: Vec<Box<str>> =
+            self.cloud.hosts().map(|host| host.start.client_token.clone()).collect();
+        tokens.sort();
+        let count = tokens.len();
+        tokens.dedup();
+        if tokens.len() != count {
+            return Some("a token has started two hosts".into());
+        }
+        if self.cloud.started() > self.asked_tokens.len() as u64 {
+            return Some("more hosts were started than asked for".into());
+        }
+        let strange = self.cloud.hosts().find(|host| !self.hosts.billed().contains_key(&host.host));
+        if let Some(host) = strange {
+            return Some(format!("{} is billed and nobody knows it", host.host));
+        }
+        if self.hosts.asked().next().is_some() {
+            return Some("a start was never settled".into());
+        }
+        let hosts: Vec<HostId> = self.hosts.billed().keys().cloned().collect();
+        for host in hosts {
+            self.tell(Event::Release(host));
+        }
+        self.heal();
+        let left = self.cloud.hosts().count();
+        (left > 0).then(|| format!("{left} hosts are billed after all were released"))
+    }
+}
+
+fn seeds() -> u64 {
+    std::env::var("DOGWOODTURN_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(SEEDS)
+}
+
+fn fails(ops: &[Op], forget_tokens: bool) -> Option<String> {
+    let mut world = World::new();
+    world.cloud.set_faults(CloudFaults { forget_tokens, ..CloudFaults::default() });
+    for &op in ops {
+        world.run(op);
+    }
+    world.violation()
+}
+
+/// Removes operations as long as the sequence still fails.
+fn shrunk(mut ops: Vec<Op>) -> Vec<Op> {
+    let mut index = 0;
+    while index < ops.len() {
+        let mut fewer = ops.clone();
+        fewer.remove(index);
+        if fails(&fewer, false).is_some() {
+            ops = fewer;
+        } else {
+            index += 1;
+        }
+    }
+    ops
+}
+
+#[test]
+fn zone_hosts_any_faults_keep_one_host_a_token() {
+    for seed in 0..seeds() {
+        let ops: Vec<Op> = Vec::arbitrary(&mut Gen::from_size_and_seed(60, seed));
+        if let Some(violation) = fails(&ops, false) {
+            panic!("seed {seed}: {violation}; shrunk to {:?}", shrunk(ops));
+        }
+    }
+}
+
+#[test]
+fn zone_hosts_oracle_catches_a_cloud_that_forgets_tokens() {
+    let caught = (0..SEEDS).any(|seed| {
+        let ops: Vec<Op> = Vec::arbitrary(&mut Gen::from_size_and_seed(60, seed));
+        fails(&ops, true).is_some()
+    });
+    assert!(caught, "the oracle must see two hosts of one token");
+}
+
+#[test]
+fn start_lost_answer_lists_before_asking_again() {
+    let mut world = World::new();
+    world.cloud.set_faults(CloudFaults { lose_answers: 1, ..CloudFaults::default() });
+    world.run(Op::Start);
+    assert!(world.wants_list, "a lost answer is settled by a list");
+    world.settle();
+    assert_eq!(world.hosts.billed().len(), 1);
+    assert_eq!(world.cloud.started(), 1);
+    assert_eq!(world.hosts.asked().count(), 0);
+}
+
+#[test]
+fn start_refused_backs_off_longer_each_time() {
+    let mut world = World::new();
+    let refused = vec![Refused::default()];
+    world.cloud.set_faults(CloudFaults { refused, ..CloudFaults::default() });
+    world.run(Op::Start);
+    let first = world.hosts.refused_until(&pool()).expect("refused").since(world.now);
+    world.now = world.now + first;
+    world.run(Op::Start);
+    let second = world.hosts.refused_until(&pool()).expect("refused").since(world.now);
+    assert!(second > first, "{second:?} must be longer than {first:?}");
+}
+
+#[test]
+fn acquired_new_holder_adopts_what_the_last_one_started() {
+    let mut world = World::new();
+    world.run(Op::Start);
+    world.run(Op::NewHolder);
+    assert_eq!(world.hosts.billed().len(), 1);
+    assert_eq!(world.hosts.present(&pool()), 1);
+}
+
+#[test]
+fn unowned_undeclared_service_of_a_known_generation_only() {
+    let host = |name: &str, token: String| CloudHost {
+        host: name.parse().expect("a name"),
+        start: StartHost {
+            client_token: token.into(),
+            zone: "salish-a".parse().expect("a name"),
+            class: "standard".parse().expect("a name"),
+            kind: HostKind::Reclaimable,
+            service: "gone".parse().expect("a name"),
+            version: "v1".parse().expect("a name"),
+        },
+        running: true,
+    };
+    let hosts = [
+        host("old", format!("{TOKEN_PREFIX}3.1.1.gone.salish-a")),
+        host("newer", format!("{TOKEN_PREFIX}9.1.1.gone.salish-a")),
+        host("foreign", "other.3.1".into()),
+    ];
+    let found = unowned(&hosts, Generation(5), |_| false);
+    assert_eq!(found, vec!["old".parse::<HostId>().expect("a name")]);
+    assert!(unowned(&hosts, Generation(5), |_| true).is_empty());
+}
--- /dev/null
+++ b/lib/tests/supply_control.rs
@@ -0,0 +1,188 @@
+//! The supply slice of whole daemons against the cloud stand-in, with the failures it is made for.
+
+mod supply_world;
+
+use std::time::Duration;
+
+use dogwoodturn::{platform::cloud::HostKind, upstream::HostState};
+use dogwoodturn_standins::cloud::{CloudFaults, Refused};
+use supply_world::{World, offer, offers};
+
+const LANTERN: &str = "
+[service lantern]
+kind = model
+version = v1
+repeat = safe
+managed = true
+smallest = 6
+largest = 20
+
+[version lantern/v1]
+model = phrase-1
+";
+const ZONES: [&str; 3] = ["salish-a", "salish-b", "salish-c"];
+/// The release of hosts that were replaced: their surplus must last, then they drain.
+const REPLACED: Duration = Duration::from_mins(10);
+
+fn in_zone(world: &World, zone: &str) -> usize {
+    world.cloud.hosts().filter(|host| host.start.zone.as_str() == zone).count()
+}
+
+#[test]
+fn supply_smallest_is_started_over_all_zones() {
+    let mut world = World::new(LANTERN, 3, offers(&ZONES));
+    world.run(Duration::from_mins(1));
+    assert_eq!(world.cloud.hosts().count(), 6);
+    assert!(ZONES.iter().all(|zone| in_zone(&world, zone) == 2));
+    assert!(world.cloud.hosts().all(|host| host.start.kind == HostKind::Reclaimable));
+    assert_eq!(world.cloud.started(), 6, "no host was started twice");
+}
+
+#[test]
+fn supply_lost_answers_start_no_host_twice() {
+    let mut world = World::new(LANTERN, 3, offers(&ZONES));
+    world.lose_answers = 12;
+    world.run(Duration::from_mins(2));
+    assert_eq!(world.cloud.hosts().count(), 6);
+    assert_eq!(world.cloud.started(), 6);
+}
+
+#[test]
+fn supply_refused_zone_is_replaced_by_others() {
+    let mut world = World::new(LANTERN, 2, offers(&ZONES));
+    let zone = "salish-b".parse().ok();
+    let refused = vec![Refused { zone, ..Refused::default() }];
+    world.cloud.set_faults(CloudFaults { refused, ..CloudFaults::default() });
+    world.run(Duration::from_mins(2));
+    assert_eq!(in_zone(&world, "salish-b"), 0);
+    assert_eq!(world.cloud.hosts().count(), 6);
+}
+
+#[test]
+fn supply_outage_changes_nothing_that_runs() {
+    let mut world = World::new(LANTERN, 3, offers(&ZONES));
+    world.run(Duration::from_mins(1));
+    world.outage = true;
+    world.run(Duration::from_mins(5));
+    assert_eq!((world.cloud.hosts().count(), world.cloud.started()), (6, 6));
+    world.outage = false;
+    world.run(Duration::from_mins(1));
+    assert_eq!((world.cloud.hosts().count(), world.cloud.started()), (6, 6));
+}
+
+#[test]
+fn supply_paused_holder_is_replaced_and_starts_nothing_again() {
+    let mut world = World::new(LANTERN, 3, offers(&ZONES));
+    world.run(Duration::from_mins(1));
+    for paused in 0..3 {
+        world.nodes[paused].paused = true;
+        world.run(Duration::from_secs(40));
+        world.nodes[paused].paused = false;
+        world.run(Duration::from_secs(5));
+    }
+    assert_eq!((world.cloud.hosts().count(), world.cloud.started()), (6, 6));
+}
+
+#[test]
+fn supply_wave_is_told_to_all_and_made_good() {
+    let mut world = World::new(LANTERN, 3, offers(&ZONES));
+    world.run(Duration::from_mins(1));
+    let taken = world.reclaim("salish-a", Duration::from_secs(30));
+    assert_eq!(taken.len(), 2);
+    world.run(Duration::from_secs(3));
+    for node in &world.nodes {
+        let leaves = |host: &dogwoodturn::upstream::HostRecord| {
+            !taken.contains(&host.host) || host.state != HostState::Live
+        };
+        assert!(node.snapshot.hosts.iter().all(leaves), "{} sends work to them", node.daemon);
+    }
+    world.run(Duration::from_mins(1));
+    assert_eq!(world.cloud.hosts().count(), 6);
+}
+
+#[test]
+fn supply_host_list_notice_comes_first() {
+    let mut world = World::new(LANTERN, 2, offers(&ZONES));
+    world.run(Duration::from_mins(1));
+    let host = world.hosts[0].host.clone();
+    let at = world.wall() + Duration::from_secs(30);
+    world.hosts[0].state = HostState::Leaving { at };
+    world.hosts_changed();
+    world.run(Duration::from_secs(3));
+    assert!(world.leaving_told.contains(&host));
+}
+
+#[test]
+fn supply_price_flip_within_the_gain_moves_nothing() {
+    let mut world = World::new(LANTERN, 2, offers(&ZONES));
+    world.run(Duration::from_mins(1));
+    for round in 0..10 {
+        let mut flipped = offers(&ZONES);
+        for (index, offer) in flipped.iter_mut().enumerate() {
+            let dearer = (index + round) % 2 == 0;
+            offer.price.0 = offer.price.0 * if dearer { 105 } else { 95 } / 100;
+        }
+        world.cloud.set_offers(world.now, flipped);
+        world.run(Duration::from_mins(2));
+    }
+    assert_eq!(world.cloud.started(), 6);
+}
+
+#[test]
+fn supply_price_flip_for_good_moves_hosts_without_a_gap() {
+    let mut world = World::new(LANTERN, 2, offers(&ZONES));
+    world.run(Duration::from_mins(1));
+    let mut flipped = offers(&ZONES);
+    for zone in ZONES {
+        flipped.push(offer(zone, "small", HostKind::Reclaimable, 100_000));
+    }
+    world.cloud.set_offers(world.now, flipped);
+    let until = world.now + REPLACED;
+    while world.now < until {
+        world.step();
+        let running = world.cloud.hosts().filter(|host| host.running).count();
+        assert!(running >= 6, "only {running} hosts run at {:?}", world.now);
+    }
+    assert!(world.cloud.hosts().all(|host| host.start.class.as_str() == "small"));
+    assert_eq!(world.cloud.hosts().count(), 6);
+}
+
+#[test]
+fn supply_service_no_longer_declared_is_released() {
+    let mut world = World::new(LANTERN, 2, offers(&ZONES));
+    world.run(Duration::from_mins(1));
+    let ledger = "
+[service ledger]
+kind = plain
+version = v1
+repeat = safe
+managed = true
+smallest = 1
+largest = 3
+
+[version ledger/v1]
+";
+    world.publish(ledger, "c2");
+    world.run(Duration::from_mins(2));
+    let left = world.cloud.hosts().filter(|host| host.start.service.as_str() == "lantern").count();
+    assert_eq!(left, 0);
+}
+
+#[test]
+fn supply_paused_by_operators_starts_nothing() {
+    let paused = LANTERN.replace("managed = true", "managed = true\npaused = true");
+    let mut world = World::new(&paused, 2, offers(&ZONES));
+    world.run(Duration::from_mins(1));
+    assert_eq!(world.cloud.started(), 0);
+    assert!(world.nodes.iter().any(|node| node.snapshot.supply.iter().any(|s| s.paused)));
+}
+
+#[test]
+fn supply_every_start_is_in_the_audit_trail() {
+    let mut world = World::new(LANTERN, 2, offers(&ZONES));
+    world.run(Duration::from_mins(1));
+    for host in world.cloud.hosts() {
+        let token = &*host.start.client_token;
+        assert!(world.audits.iter().any(|line| line.contains(token)), "{token} is not recorded");
+    }
+}
--- /dev/null
+++ b/lib/tests/supply_world/mod.rs
@@ -0,0 +1,320 @@
+//! Several daemons' control parts before one store and one cloud, on a clock that tests move.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{collections::VecDeque, time::Duration};
+
+use dogwoodturn::{
+    declaration::{
+        DeclarationSet, check,
+        publish::{Publication, Step},
+    },
+    ids::{DaemonId, HostId, Incarnation, ZoneName},
+    ini::Source,
+    node::{
+        control::{Control, Input, Output, Owner},
+        message::PeerMessage,
+        snapshot::Snapshot,
+    },
+    peer::{Member, Recipient},
+    platform::{
+        CallError, Operation, Reply,
+        cloud::{CloudHost, HostKind, Offer},
+        memory::MemoryStore,
+    },
+    supply::{
+        Identity,
+        lease::Holder,
+        orders::{OrderCall, OrderEnd},
+    },
+    units::{PricePerHour, Time, WallTime},
+    upstream::{HostRecord, HostState},
+};
+use dogwoodturn_standins::cloud::{Cloud, HostEvent};
+
+/// The wall time at which every world begins.
+pub const EPOCH: WallTime = WallTime(1_800_000_000_000);
+/// The step of the clock.
+pub const STEP: Duration = Duration::from_millis(500);
+
+/// One daemon of the world.
+pub struct Node {
+    pub daemon: DaemonId,
+    pub control: Control,
+    pub snapshot: Snapshot,
+    pub paused: bool,
+    inbox: VecDeque<Input>,
+}
+
+/// Daemons, the platform and the cloud.
+pub struct World {
+    pub now: Time,
+    pub store: MemoryStore,
+    pub cloud: Cloud,
+    pub nodes: Vec<Node>,
+    pub hosts: Vec<HostRecord>,
+    pub outage: bool,
+    pub lose_answers: u32,
+    pub orders: Vec<(DaemonId, OrderCall)>,
+    pub leaving_told: Vec<HostId>,
+    pub audits: Vec<String>,
+    hosts_revision: u64,
+    held_hosts: Vec<(usize, Owner, dogwoodturn::ids::CallId, dogwoodturn::ids::Revision)>,
+}
+
+pub fn set(text: &str) -> DeclarationSet {
+    let source = Source { file: "test.ini".into(), text: text.into() };
+    check::check(&[source]).expect("the declarations are sound").set
+}
+
+pub fn offer(zone: &str, class: &str, kind: HostKind, price: u64) -> Offer {
+    Offer {
+        zone: zone.parse().expect("a name"),
+        class: class.parse().expect("a name"),
+        kind,
+        price: PricePerHour(price),
+    }
+}
+
+/// Offers of one class in each zone, reclaimable at a third of the on-demand price.
+pub fn offers(zones: &[&str]) -> Vec<Offer> {
+    let both = |zone: &&str| {
+        let cheap = offer(zone, "standard", HostKind::Reclaimable, 400_000);
+        [cheap, offer(zone, "standard", HostKind::OnDemand, 1_200_000)]
+    };
+    zones.iter().flat_map(both).collect()
+}
+
+impl World {
+    pub fn new(declarations: &str, daemons: usize, offers: Vec<Offer>) -> Self {
+        let mut world = Self {
+            now: Time(0),
+            store: MemoryStore::new(),
+            cloud: Cloud::new(),
+            nodes: Vec::new(),
+            hosts: Vec::new(),
+            outage: false,
+            lose_answers: 0,
+            orders: Vec::new(),
+            leaving_told: Vec::new(),
+            audits: Vec::new(),
+            hosts_revision: 1,
+            held_hosts: Vec::new(),
+        };
+        world.cloud.set_offers(Time(0), offers);
+        world.publish(declarations, "c1");
+        for index in 0..daemons {
+            world.add(index);
+        }
+        world
+    }
+
+    pub fn publish(&mut self, declarations: &str, change: &str) {
+        let change = change.parse().expect("a name");
+        let (mut publication, mut operation) =
+            Publication::begin(&set(declarations), change, "test".into(), EPOCH, None);
+        loop {
+            match publication.handle(self.store.apply(&operation)) {
+                Step::Call(next) => operation = next,
+                Step::Done(done) => {
+                    done.expect("published");
+                    return;
+                }
+            }
+        }
+    }
+
+    fn add(&mut self, index: usize) {
+        let daemon: DaemonId = format!("d-{index}").parse().expect("a name");
+        let mut control = Control::new();
+        let holder = Holder { daemon: daemon.clone(), incarnation: Incarnation(1) };
+        let data_centre = "salish-a".parse().expect("a name");
+        let mut out = Vec::new();
+        control.handle(self.now, Input::Clock(self.wall()), &mut out);
+        control.identify(self.now, Identity { holder, data_centre }, &mut out);
+        let inbox = VecDeque::from([Input::Started]);
+        let snapshot = Snapshot::default();
+        self.nodes.push(Node { daemon, control, snapshot, paused: false, inbox });
+    }
+
+    pub fn wall(&self) -> WallTime {
+        EPOCH + self.now.since(Time(0))
+    }
+
+    /// Runs for a span of time.
+    pub fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.cloud.advance(self.now);
+        self.follow_cloud();
+        for index in 0..self.nodes.len() {
+            self.run_node(index);
+        }
+    }
+
+    fn follow_cloud(&mut self) {
+        for event in self.cloud.take_events() {
+            match event {
+                HostEvent::Runs(host) => self.hosts.push(record(&host)),
+                HostEvent::Gone(host) => self.hosts.retain(|record| record.host != host),
+            }
+            self.hosts_revision += 1;
+        }
+        let held = std::mem::take(&mut self.held_hosts);
+        for (node, owner, call, after) in held {
+            if self.outage {
+                let result = Err(CallError::Unavailable);
+                self.nodes[node].inbox.push_back(Input::Called(owner, call, result));
+            } else if after.0 < self.hosts_revision {
+                let result = Ok(self.hosts_reply());
+                self.nodes[node].inbox.push_back(Input::Called(owner, call, result));
+            } else {
+                self.held_hosts.push((node, owner, call, after));
+            }
+        }
+    }
+
+    /// Tells that the list has changed, after a test has changed it.
+    pub fn hosts_changed(&mut self) {
+        self.hosts_revision += 1;
+    }
+
+    fn hosts_reply(&self) -> Reply {
+        let revision = dogwoodturn::ids::Revision(self.hosts_revision);
+        Reply::Hosts { revision, hosts: self.hosts.clone() }
+    }
+
+    fn run_node(&mut self, index: usize) {
+        if self.nodes[index].paused {
+            return;
+        }
+        let (now, wall) = (self.now, self.wall());
+        let mut out = Vec::new();
+        let node = &mut self.nodes[index];
+        node.control.handle(now, Input::Clock(wall), &mut out);
+        node.control.handle(now, Input::Woken, &mut out);
+        self.carry_out(index, out);
+        while let Some(input) = self.nodes[index].inbox.pop_front() {
+            let mut out = Vec::new();
+            self.nodes[index].control.handle(now, input, &mut out);
+            self.carry_out(index, out);
+        }
+    }
+
+    /// Hands an input to a daemon.
+    pub fn tell(&mut self, index: usize, input: Input) {
+        self.nodes[index].inbox.push_back(input);
+    }
+
+    fn carry_out(&mut self, index: usize, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Call { owner, call, operation, .. } => {
+                    self.call(index, owner, call, &operation);
+                }
+                Output::Publish(snapshot) => self.nodes[index].snapshot = (*snapshot).clone(),
+                Output::Send(to, message) => self.send(index, &to, &message),
+                Output::Order(order) => {
+                    let end = if order.may_be_sent(self.now) {
+                        OrderEnd::Applied
+                    } else {
+                        OrderEnd::TooLate
+                    };
+                    let input = Input::Ordered(order.id.clone(), end);
+                    self.orders.push((self.nodes[index].daemon.clone(), order));
+                    self.nodes[index].inbox.push_back(input);
+                }
+                Output::Audit(event) => {
+                    self.audits.push(format!("{}: {}", event.object, event.action))
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn call(
+        &mut self,
+        index: usize,
+        owner: Owner,
+        call: dogwoodturn::ids::CallId,
+        operation: &Operation,
+    ) {
+        let result = match operation {
+            _ if self.outage => Err(CallError::Unavailable),
+            Operation::Hosts { after, .. } if after.0 >= self.hosts_revision => {
+                return self.held_hosts.push((index, owner, call, *after));
+            }
+            Operation::Hosts { .. } => Ok(self.hosts_reply()),
+            Operation::Cloud(operation) => self.cloud.apply(self.now, operation).map(Reply::Cloud),
+            // A watch that tells of nothing would be asked for again within the same step.
+            Operation::Watch { .. } => match self.store.apply(operation) {
+                Ok(Reply::Changes { changes, .. }) if changes.is_empty() => {
+                    Err(CallError::Unavailable)
+                }
+                result => result,
+            },
+            operation => self.store.apply(operation),
+        };
+        let is_lost = operation.is_write() && self.lose_answers > 0 && !self.outage;
+        self.lose_answers -= u32::from(is_lost);
+        let result = if is_lost { Err(CallError::Unknown) } else { result };
+        self.nodes[index].inbox.push_back(Input::Called(owner, call, result));
+    }
+
+    fn send(&mut self, from: usize, to: &Recipient, message: &PeerMessage) {
+        if let PeerMessage::Leaving(leaving) = message {
+            self.leaving_told.push(leaving.host.clone());
+        }
+        let sender = self.nodes[from].daemon.clone();
+        for (index, node) in self.nodes.iter_mut().enumerate() {
+            let is_to = match to {
+                Recipient::Daemon(daemon) => *daemon == node.daemon,
+                _ => index != from,
+            };
+            if is_to {
+                node.inbox.push_back(Input::Peer(sender.clone(), message.clone()));
+            }
+        }
+    }
+
+    /// Gives notice to a zone's reclaimable hosts.
+    pub fn reclaim(&mut self, zone: &str, notice: Duration) -> Vec<HostId> {
+        let wall = self.wall();
+        let zone: ZoneName = zone.parse().expect("a name");
+        self.cloud.reclaim(self.now, wall, &zone, notice)
+    }
+}
+
+/// Returns the host list's entry of a host that runs.
+pub fn record(host: &CloudHost) -> HostRecord {
+    let start = &host.start;
+    HostRecord {
+        host: host.host.clone(),
+        upstream: host.host.as_str().parse().expect("a name"),
+        address: ([127, 0, 0, 1], 9).into(),
+        data_centre: start.zone.as_str().parse().expect("a name"),
+        zone: start.zone.clone(),
+        class: start.class.clone(),
+        kind: start.kind,
+        service: start.service.clone(),
+        version: start.version.clone(),
+        state: HostState::Live,
+    }
+}
+
+/// Returns a member for tests that give the members themselves.
+pub fn member(daemon: &str) -> Member {
+    Member {
+        daemon: daemon.parse().expect("a name"),
+        incarnation: Incarnation(1),
+        address: ([127, 0, 0, 1], 9).into(),
+        data_centre: "salish-a".parse().expect("a name"),
+        region: "salish".parse().expect("a name"),
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`plain`] is an ordinary service. Each is a process of its own (`dogwoodturn-standin`) or a
 //! thread of a test. See `docs/standins.md`.
 
+pub mod cloud;
 pub mod engine;
 pub mod http;
 pub mod plain;
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -21,7 +21,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use crate::http::{self, Running, header_text, json, json_body, query, text};
+use crate::{
+    cloud::http::CloudEdge,
+    http::{self, Running, header_text, json, json_body, query, text},
+};
 
 /// How often a held call looks for changes.
 const POLL: Duration = Duration::from_millis(2);
@@ -100,6 +103,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Platform {
     state: Arc<Mutex<State>>,
+    cloud: CloudEdge,
 }
 
 impl Platform {
@@ -119,6 +123,11 @@
         })
     }
 
+    /// Returns the cloud.
+    pub fn cloud(&self) -> &CloudEdge {
+        &self.cloud
+    }
+
     /// Replaces the host list, at once whatever its lag.
     pub fn set_hosts(&self, hosts: Vec<HostRecord>) {
         let mut state = self.lock();
@@ -181,6 +190,7 @@
         }
         let path = req.path().to_owned();
         match (req.method().clone(), path.as_str()) {
+            (_, path) if path.starts_with("/cloud/") => self.cloud.answer(&mut req).await,
             (Method::GET, "/objects") => self.list(&req),
             (Method::GET, "/watch") => self.watch(&req).await,
             (Method::GET, "/hosts") => self.hosts(&req).await,
