--- a/cli/src/command/mod.rs
+++ b/cli/src/command/mod.rs
@@ -5,3 +5,4 @@
 pub mod moves;
 pub mod publish;
 pub mod status;
+pub mod supply;
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -13,3 +13,5 @@
 pub mod requests;
 pub mod snapshot;
 pub mod traffic;
+
+mod supply;
--- a/lib/src/node/snapshot.rs
+++ b/lib/src/node/snapshot.rs
@@ -9,6 +9,7 @@
     ids::{Generation, ServiceName},
     moves::{report::MoveReport, share::VersionChoice},
     peer::Member,
+    supply::status::ServiceStatus,
     upstream::HostRecord,
 };
 
@@ -27,6 +28,8 @@
     pub moves: Arc<[MoveReport]>,
     /// The daemons that are taken to be live, this one included.
     pub members: Arc<[Member]>,
+    /// What operators see of the supply at this daemon.
+    pub supply: Arc<[ServiceStatus]>,
     /// Whether the daemon knows what is in force now.
     pub informed: bool,
     /// Whether the daemon has been asked to shut down.
@@ -42,6 +45,7 @@
             versions: Arc::default(),
             moves: Arc::new([]),
             members: Arc::new([]),
+            supply: Arc::new([]),
             informed: false,
             draining: false,
         }
