edge: a connection that ends before the answer is no failure to connect

Cause: awc reports it as ConnectError::Disconnected, after the request was sent; read as a failure to connect it gave refusals marked not-run for calls that had run, also on the thin path.

--- a/lib/src/edge/adapter.rs
+++ b/lib/src/edge/adapter.rs
@@ -38,6 +38,8 @@
 
 /// How often the timers of the traffic part are looked at.
 const TICK: Duration = Duration::from_millis(5);
+/// How long an upstream may take to accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The bytes that may wait for a slow caller before its upstream is read no further.
 const MAX_WAITING_BYTES: usize = 1 << 20;
 
@@ -108,7 +110,7 @@
         snapshot: Arc<ArcSwap<Snapshot>>,
         control: Box<dyn Fn(Input)>,
     ) -> Rc<Self> {
-        let connector = awc::Connector::new().limit(0);
+        let connector = awc::Connector::new().limit(0).timeout(CONNECT_TIMEOUT);
         let client = Client::builder()
             .connector(connector)
             .disable_timeout()
--- a/lib/src/edge/upstream.rs
+++ b/lib/src/edge/upstream.rs
@@ -2,7 +2,11 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use awc::{Client, error::SendRequestError, http::Method};
+use awc::{
+    Client,
+    error::{ConnectError, SendRequestError},
+    http::Method,
+};
 use futures_util::StreamExt as _;
 use serde_json::json;
 
@@ -75,9 +79,16 @@
     Ok(())
 }
 
+/// Says whether a byte of the request can have reached the upstream.
+///
+/// awc reports a connection that ended before an answer as a failure to connect as well; by then
+/// the request was sent.
 fn send_end(error: &SendRequestError) -> StreamEnd {
     let detail = error.to_string().into();
     match error {
+        SendRequestError::Connect(ConnectError::Disconnected | ConnectError::H2(_)) => {
+            StreamEnd::Broken(detail)
+        }
         SendRequestError::Connect(_) | SendRequestError::Url(_) => StreamEnd::Unreachable(detail),
         _ => StreamEnd::Broken(detail),
     }
