--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -72,6 +72,8 @@
     pub settings: Settings,
     /// Where snapshots are published.
     pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// The daemon's run, as requests' names and claims carry it.
+    pub incarnation: Incarnation,
     /// Take what the traffic threads are told, in the order of the threads.
     pub inboxes: Vec<mpsc::UnboundedSender<Event>>,
     /// The operators' listener.
@@ -200,10 +202,9 @@
 
     /// Returns this run of the daemon as its peers know it.
     fn member(&self) -> std::io::Result<Member> {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Ok(Member {
             daemon: self.settings.name.clone(),
-            incarnation: Incarnation(since.as_millis() as u64),
+            incarnation: self.incarnation,
             address: self.peers.local_addr()?,
             data_centre: self.settings.data_centre.clone(),
             region: self.settings.region.clone(),
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -90,6 +90,7 @@
         let to_control = inputs.clone();
         let control = control::Adapter {
             settings: settings.clone(),
+            incarnation,
             inboxes,
             snapshot: daemon.snapshot.clone(),
             operators,
