request: handover and resumption over the peers' links

Change: attempts are counted on across a handover, so that an engine that still runs the old attempt does not take the new one for a duplicate; an engine's 409 is tried elsewhere; a draining daemon, which is no member any more, is still asked for its answers; offers and pieces are bounded in size and number.

--- a/lib/src/node/traffic/arrive.rs
+++ b/lib/src/node/traffic/arrive.rs
@@ -122,6 +122,7 @@
             failed: Vec::new(),
             is_suspect: false,
             moving: None,
+            was_offered: false,
             admitted,
             first_token: None,
             retry_after: None,
--- a/lib/src/node/traffic/deliver.rs
+++ b/lib/src/node/traffic/deliver.rs
@@ -4,19 +4,24 @@
 
 use super::{Effect, Entry, Reader, Reading, Traffic};
 use crate::{
-    ids::RequestId,
+    ids::{DaemonId, RequestId},
     peer::Recipient,
     request::{
         ExchangeId,
         completion::{UsageWire, whole_body, write_done, write_token},
         exchange::Head,
         kept::KeptAnswer,
-        message::{FetchEnd, Message, Pieces},
+        message::{FetchEnd, FetchId, Message, Pieces},
         refusal::Refusal,
     },
     units::Time,
 };
 
+/// The most bytes of tokens in one message to a peer.
+const MAX_PIECES_BYTES: usize = 128 << 10;
+/// The bytes that a token takes besides its text.
+const TOKEN_OVERHEAD_BYTES: usize = 4;
+
 impl Traffic {
     /// Gives the reader of an exchange what it has not got yet.
     pub(super) fn deliver(&mut self, _now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
@@ -125,12 +130,9 @@
             out.push(Effect::Finish(caller));
         }
         Reader::Peer(daemon, id) => {
-            let (id, stream, offset) = (*id, reading.stream, reading.next);
-            let tokens = rest.map(Into::into).collect();
+            let (daemon, id) = (daemon.clone(), *id);
             let end = Some(FetchEnd::Whole(usage));
-            let request = request.clone();
-            let pieces = Pieces { id, request, stream, offset, tokens, end };
-            out.push(Effect::Send(Recipient::Daemon(daemon.clone()), Message::Pieces(pieces)));
+            send_pieces(&daemon, id, reading, request, rest, end, out);
         }
     }
 }
@@ -165,17 +167,46 @@
                 }
             }
             Reader::Peer(daemon, id) => {
-                let (stream, offset) = (self.reading.stream, self.reading.next);
-                let tokens: Vec<Box<str>> = tokens.map(Into::into).collect();
-                self.reading.next += tokens.len() as u64;
-                let request = self.request.clone();
-                let pieces = Pieces { id, request, stream, offset, tokens, end: None };
-                self.out.push(Effect::Send(Recipient::Daemon(daemon), Message::Pieces(pieces)));
+                send_pieces(&daemon, id, self.reading, self.request, tokens, None, self.out);
             }
         }
     }
 }
 
+/// Sends tokens to the daemon that fetches them, in messages of bounded size.
+fn send_pieces<'a>(
+    daemon: &DaemonId,
+    id: FetchId,
+    reading: &mut Reading,
+    request: &RequestId,
+    tokens: impl Iterator<Item = &'a str>,
+    end: Option<FetchEnd>,
+    out: &mut Vec<Effect>,
+) {
+    let mut tokens = tokens.peekable();
+    let mut send = |offset, tokens, end| {
+        let (request, stream) = (request.clone(), reading.stream);
+        let pieces = Pieces { id, request, stream, offset, tokens, end };
+        out.push(Effect::Send(Recipient::Daemon(daemon.clone()), Message::Pieces(pieces)));
+    };
+    let (mut held, mut bytes, mut offset) = (Vec::new(), 0, reading.next);
+    while let Some(token) = tokens.next() {
+        held.push(Box::from(token));
+        bytes += token.len() + TOKEN_OVERHEAD_BYTES;
+        if bytes >= MAX_PIECES_BYTES && tokens.peek().is_some() {
+            let sent = std::mem::take(&mut held);
+            let begin = offset;
+            offset += sent.len() as u64;
+            bytes = 0;
+            send(begin, sent, None);
+        }
+    }
+    let begin = offset;
+    offset += held.len() as u64;
+    send(begin, held, end);
+    reading.next = offset;
+}
+
 fn event_stream_head() -> Head {
     let headers = vec![
         ("content-type".into(), Bytes::from_static(b"text/event-stream")),
--- a/lib/src/node/traffic/fetch.rs
+++ b/lib/src/node/traffic/fetch.rs
@@ -25,8 +25,8 @@
 const FETCH_RETRY: Duration = Duration::from_millis(500);
 /// How often a fetch is repeated before the next daemon is asked.
 const FETCH_TRIES: u32 = 4;
-/// The most daemons that are asked for one answer.
-const MAX_HOLDERS: usize = 4;
+/// The most daemons that are asked whether they have taken a request over.
+const MAX_TAKERS: usize = 3;
 
 /// An answer that is fetched for a caller from the daemon that holds it.
 #[derive(Clone, Debug)]
@@ -75,18 +75,24 @@
         self.ask_holder(now, caller, out);
     }
 
-    /// Lists the daemons that may hold a request, the likeliest first.
+    /// Lists the daemons that may hold a request, in the order in which they are asked.
+    ///
+    /// A daemon that shuts down is no member any more, but holds its requests until it hands them
+    /// over; it is asked after those that may have taken them, and these then once more.
     fn holders_of(&self, request: &RequestId) -> Vec<DaemonId> {
-        let me = &self.cfg.origin.daemon;
         let origin = Origin::of(request).map(|origin| origin.daemon);
         let members = self.snapshot.members.iter().map(|member| &member.daemon);
-        let is_known = |daemon: &DaemonId| {
-            daemon == me || self.snapshot.members.iter().any(|member| member.daemon == *daemon)
+        let is_member = |daemon: &DaemonId| {
+            *daemon == self.cfg.origin.daemon || members.clone().any(|member| member == daemon)
         };
-        let others = members.filter(|daemon| Some(*daemon) != origin.as_ref());
+        let others = members.clone().filter(|daemon| Some(*daemon) != origin.as_ref());
         let takers = rendezvous(request, others);
-        let first = origin.as_ref().filter(|daemon| is_known(daemon));
-        first.into_iter().chain(takers).take(MAX_HOLDERS).cloned().collect()
+        let takers = || takers.iter().copied().take(MAX_TAKERS);
+        let holders: Vec<&DaemonId> = match &origin {
+            Some(origin) if is_member(origin) => std::iter::once(origin).chain(takers()).collect(),
+            origin => takers().chain(origin).chain(takers()).collect(),
+        };
+        holders.into_iter().cloned().collect()
     }
 
     /// Lets a reader read an answer that this thread holds; says whether it does.
--- a/lib/src/node/traffic/handover.rs
+++ b/lib/src/node/traffic/handover.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, sync::Arc, time::Duration};
 
-use super::{Effect, Phase, Timer, Traffic, attempt::name_of};
+use super::{Effect, Entry, Phase, Timer, Traffic, attempt::name_of};
 use crate::{
     declaration::RepeatRule,
     ids::{DaemonId, RequestId},
@@ -22,6 +22,16 @@
 
 /// The longest part of a graceful shutdown that is left for handing requests over.
 const HANDOVER_TIME: Duration = Duration::from_secs(5);
+/// The largest request that is handed over, with its answer so far, in bytes.
+const MAX_HANDOVER_BYTES: usize = 512 << 10;
+/// The most requests that one traffic thread has offered at once.
+const MAX_OFFERS: usize = 64;
+/// The attempts that one peer can make before it uses the numbers of the next.
+const NUMBERS_PER_TAKER: u64 = 1000;
+/// How long until further requests are offered.
+const OFFER_INTERVAL: Duration = Duration::from_millis(20);
+/// The most peers that a request is offered to.
+const MAX_TAKERS: usize = 3;
 /// How long a peer may take to say whether it goes on with a request.
 const TAKER_WAIT: Duration = Duration::from_millis(500);
 /// When a caller may come back for an answer that a peer goes on with.
@@ -35,29 +45,33 @@
         self.timers.push(Reverse((by, Timer::Drain)));
     }
 
-    /// Hands over each request that another daemon can go on with.
+    /// Hands over each request that another daemon can go on with, a bounded number at a time.
     pub(super) fn hand_over_all(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let mut ids: Vec<ExchangeId> = self.entries.keys().copied().collect();
+        let is_offered = |entry: &&Entry| matches!(entry.phase, Phase::HandingOver { .. });
+        let offered = self.entries.values().filter(is_offered).count();
+        let may_move = self.entries.iter().filter(|(_, entry)| may_move(entry));
+        let mut ids: Vec<ExchangeId> = may_move.map(|(id, _)| *id).collect();
         ids.sort_unstable();
-        for id in ids {
+        let left = ids.len();
+        ids.truncate(MAX_OFFERS.saturating_sub(offered));
+        for &id in &ids {
             self.hand_over(now, id, out);
         }
+        if left > ids.len() {
+            self.timers.push(Reverse((now + OFFER_INTERVAL, Timer::Drain)));
+        }
     }
 
     fn hand_over(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
-        let Some(entry) = self.entries.get(&id) else { return };
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        entry.was_offered = true;
         let ask = &entry.exchange.ask;
-        let may_move = ask.completion.is_some()
-            && entry.exchange.plain.is_none()
-            && entry.exchange.may_repeat();
-        if !may_move {
-            return;
-        }
         let me = &self.cfg.origin.daemon;
         let members = self.snapshot.members.iter().map(|member| &member.daemon);
         let others = members.filter(|daemon| *daemon != me);
         let mut takers: Vec<DaemonId> =
             rendezvous(&ask.request, others).into_iter().cloned().collect();
+        takers.truncate(MAX_TAKERS);
         takers.reverse();
         self.offer(now, id, takers, out);
     }
@@ -73,6 +87,7 @@
         // With no peer left, the request goes on here for as long as this daemon does.
         let Some(to) = others.pop() else { return };
         let Some(entry) = self.entries.get_mut(&id) else { return };
+        let tried = (MAX_TAKERS - others.len().min(MAX_TAKERS)) as u64;
         let exchange = &entry.exchange;
         let Some(completion) = exchange.ask.completion.clone() else { return };
         let ask = &exchange.ask;
@@ -86,6 +101,8 @@
             completion,
             digest: ask.digest,
             time_left: ask.deadline.since(now),
+            // Each peer gets numbers of its own, in case two of them go on with the request.
+            attempts_before: exchange.last_attempt().0 + NUMBERS_PER_TAKER * tried,
             tokens: exchange.answer.tokens_from(0).map(Into::into).collect(),
         };
         let message = Message::HandOver(Box::new(handover));
@@ -153,8 +170,9 @@
         let message = Message::Taken { request, taken };
         out.push(Effect::Send(Recipient::Daemon(from), message));
         let (false, true, Ok(answer)) = (holds, taken, answer) else { return };
+        let attempts_before = handover.attempts_before;
         let ask = Arc::new(self.with_prefix(ask_of(now, handover)));
-        let exchange = Exchange::taken_over(ask, answer);
+        let exchange = Exchange::taken_over(ask, answer, attempts_before);
         let id = self.insert(exchange, None, false);
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.is_named = true;
@@ -166,6 +184,17 @@
     }
 }
 
+/// Says whether a request can go on at another daemon.
+fn may_move(entry: &Entry) -> bool {
+    let exchange = &entry.exchange;
+    let Some(wire) = &exchange.ask.completion else { return false };
+    let bytes = wire.prompt.len() + exchange.answer.text().len();
+    !entry.was_offered
+        && exchange.plain.is_none()
+        && exchange.may_repeat()
+        && bytes <= MAX_HANDOVER_BYTES
+}
+
 fn ask_of(now: Time, handover: Handover) -> Ask {
     Ask {
         prefix: None,
--- a/lib/src/node/traffic/mod.rs
+++ b/lib/src/node/traffic/mod.rs
@@ -218,6 +218,7 @@
 
 /// One request with all that is decided about it.
 #[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "what happened to it, in any combination")]
 struct Entry {
     exchange: Exchange,
     phase: Phase,
@@ -230,6 +231,7 @@
     /// Whether an upstream crashed with the request.
     is_suspect: bool,
     moving: Option<Target>,
+    was_offered: bool,
     admitted: bool,
     first_token: Option<Duration>,
     retry_after: Option<Duration>,
--- a/lib/src/request/exchange.rs
+++ b/lib/src/request/exchange.rs
@@ -215,6 +215,8 @@
     pub usage: Option<UsageWire>,
     attempt: Option<Attempt>,
     attempts: AttemptNumber,
+    /// How many attempts another daemon had made before it handed the request over.
+    attempts_before: u64,
     has_computed: bool,
     exposure: Exposure,
     events: Vec<SseEvent>,
@@ -227,9 +229,17 @@
     }
 
     /// Goes on with a request that another daemon has handed over.
-    pub fn taken_over(ask: Arc<Ask>, answer: Answer) -> Self {
+    ///
+    /// Attempts are counted on from `attempts_before`, so that an engine which still runs one of
+    /// them under its name takes the new one for another.
+    pub fn taken_over(ask: Arc<Ask>, answer: Answer, attempts_before: u64) -> Self {
         let exposure = Exposure::Untouched(Untouched::begin()).dispatch().lost();
-        Self { has_computed: answer.next_offset() > 0, ..Self::with(ask, answer, exposure) }
+        Self {
+            has_computed: answer.next_offset() > 0,
+            attempts: AttemptNumber(attempts_before),
+            attempts_before,
+            ..Self::with(ask, answer, exposure)
+        }
     }
 
     fn with(ask: Arc<Ask>, answer: Answer, exposure: Exposure) -> Self {
@@ -240,6 +250,7 @@
             usage: None,
             attempt: None,
             attempts: AttemptNumber(0),
+            attempts_before: 0,
             has_computed: false,
             exposure,
             events: Vec::new(),
@@ -251,9 +262,14 @@
         self.attempt.as_ref()
     }
 
-    /// Returns how many attempts have begun.
+    /// Returns how many attempts have begun here.
     pub fn attempts(&self) -> u64 {
-        self.attempts.0
+        self.attempts.0 - self.attempts_before
+    }
+
+    /// Returns the number of the last attempt, here or at a daemon that handed the request over.
+    pub fn last_attempt(&self) -> AttemptNumber {
+        self.attempts
     }
 
     /// Says whether a part of the answer is there.
@@ -299,7 +315,7 @@
             let cause = Cause::Refused { retry_after: head.retry_after };
             return Step::Over(cause, "the upstream refused the request".into());
         }
-        if is_engine && head.status >= 500 {
+        if is_engine && !is_final(head.status) {
             let detail = format!("the engine answered {}", head.status);
             return Step::Over(Cause::Failed, detail.into());
         }
@@ -433,3 +449,8 @@
         self.exposure = change(std::mem::replace(&mut self.exposure, placeholder));
     }
 }
+
+/// Says whether an engine's answer is the caller's, as any other engine would answer alike.
+fn is_final(status: u16) -> bool {
+    matches!(status, 200..300 | 400 | 413 | 422)
+}
--- a/lib/src/request/message.rs
+++ b/lib/src/request/message.rs
@@ -92,6 +92,8 @@
     pub digest: Digest,
     /// How long the answer is still of use.
     pub time_left: Duration,
+    /// The number from which attempts are counted on.
+    pub attempts_before: u64,
     /// The tokens of the answer so far.
     pub tokens: Vec<Box<str>>,
 }
@@ -154,6 +156,8 @@
     digest: Digest,
     #[serde(rename = "l")]
     left_ms: u64,
+    #[serde(rename = "n")]
+    attempts_before: u64,
     #[serde(rename = "t")]
     tokens: Vec<Box<str>>,
 }
@@ -190,6 +194,7 @@
             completion: handover.completion,
             digest: handover.digest,
             left_ms: handover.time_left.as_millis() as u64,
+            attempts_before: handover.attempts_before,
             tokens: handover.tokens,
         }
     }
@@ -209,6 +214,7 @@
             completion: wire.completion,
             digest: wire.digest,
             time_left: Duration::from_millis(wire.left_ms),
+            attempts_before: wire.attempts_before,
             tokens: wire.tokens,
         }
     }
--- a/lib/tests/traffic.rs
+++ b/lib/tests/traffic.rs
@@ -7,7 +7,7 @@
 use dogwoodturn::{
     node::traffic::Event,
     request::{
-        exchange::StreamEnd,
+        exchange::{Head, StreamEnd},
         outcome::RunOutcome,
         refusal::{Refusal, RefusalKind},
     },
@@ -543,3 +543,42 @@
     }
     assert_eq!(world.end_of(0, running), Some(&End::Whole));
 }
+
+#[test]
+fn attempts_have_names_of_their_own() {
+    let mut world = World::new(3, 0);
+    world.complete(0, "a phrase", 30, true);
+    world.progress(0, 10, 0);
+    world.cut(0, false);
+    world.pass(SECOND);
+    world.drain(0);
+    world.progress(1, 5, 0);
+    world.pass(2 * SECOND);
+    world.progress(1, 1, 0);
+    world.pass(2 * SECOND);
+    world.progress(1, 1, 0);
+    // The first peer takes the request, but its word is lost, so the second takes it as well.
+    world.pass(1010 * MS);
+    world.deliver(0);
+    world.links.clear();
+    world.pass(500 * MS);
+    world.deliver_all();
+    world.deliver_all();
+    let mut names: Vec<_> = world.attempts.iter().map(|attempt| &attempt.name).collect();
+    assert!(names.len() >= 4, "{names:?}");
+    names.sort();
+    names.dedup();
+    assert_eq!(names.len(), world.attempts.len());
+}
+
+#[test]
+fn stream_engine_that_knows_the_name_is_left() {
+    let mut world = World::new(1, 0);
+    let caller = world.complete(0, "a phrase", 30, true);
+    let head = Head { status: 409, ..Head::default() };
+    let id = world.attempts[0].id;
+    world.feed(0, Event::Head(id, Box::new(head)));
+    world.pass(SECOND);
+    world.progress(1, 30, 0);
+    assert_eq!(world.end_of(0, caller), Some(&End::Whole));
+}
--- a/load/tests/requests.rs
+++ b/load/tests/requests.rs
@@ -1,16 +1,21 @@
 //! Requests over real sockets while upstreams, daemons and callers fail.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::time::timeout;
 use awc::Client;
 use dogwoodturn::upstream::HostState;
+use dogwoodturn_daemon::Daemon;
 use dogwoodturn_load::{
     local::{LocalFleet, Standin, UpstreamPlan, now},
     sample,
 };
 use dogwoodturn_standins::{
-    engine::{Engine, faults::Faults, token},
+    engine::{
+        Engine,
+        faults::{Bad, BadKind, Faults},
+        token,
+    },
     plain,
 };
 use futures_util::StreamExt as _;
@@ -74,8 +79,9 @@
             Some(body) => req.send_json(&body).await,
             None => req.send().await,
         };
-        let res = sent.expect("an answer");
-        assert_eq!(res.status(), 200);
+        let mut res = sent.expect("an answer");
+        let refusal = if res.status() == 200 { None } else { res.body().await.ok() };
+        assert_eq!(refusal, None);
         let request = res.headers().get("x-request-id").expect("a name");
         let request = request.to_str().expect("text").to_owned();
         let body = Box::pin(res);
@@ -324,3 +330,76 @@
     });
     assert_eq!(runs.sum::<u64>(), 1);
 }
+
+/// Starts three daemons that know each other.
+fn three_daemons(drain_timeout: Duration) -> LocalFleet {
+    let set = sample::declarations().expect("the samples have no fault");
+    let mut fleet = LocalFleet::start(&PLAN).expect("the stand-ins start");
+    fleet.publish(&set, "c1").expect("published");
+    for index in 0..3 {
+        let mut settings = fleet.settings(index, "salish-a", 2).expect("settings");
+        settings.drain_timeout = drain_timeout;
+        fleet.daemons.push(Daemon::start(&settings).expect("the daemon starts"));
+    }
+    fleet.wait_ready().expect("the daemons are ready");
+    let deadline = Instant::now() + PATIENCE;
+    let know_all = |daemon: &Daemon| daemon.snapshot().members.len() == 3;
+    while !fleet.daemons.iter().all(know_all) {
+        assert!(Instant::now() < deadline, "the daemons do not find each other");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    fleet
+}
+
+#[test]
+fn caller_comes_back_at_another_daemon() {
+    let fleet = three_daemons(Duration::from_secs(10));
+    run(async {
+        let bases: Vec<String> =
+            fleet.daemons.iter().map(|daemon| format!("http://{}", daemon.callers())).collect();
+        let client = Client::default();
+        let mut reader = Reader::ask(&client, &bases[0]).await;
+        for round in 1..6 {
+            reader.read(round * 80).await;
+            reader = Reader::resume(&client, &bases[round as usize % 3], &reader).await;
+        }
+        reader.read(TOKENS).await;
+        reader.assert_whole();
+        let generated: u64 = (0..4).map(|index| engine(&fleet, index).generated()).sum();
+        assert_eq!(generated, TOKENS, "nothing is computed again");
+    });
+}
+
+#[test]
+fn drain_hands_streams_to_peers() {
+    let mut fleet = three_daemons(Duration::from_millis(600));
+    let bases: Vec<String> =
+        fleet.daemons.iter().map(|daemon| format!("http://{}", daemon.callers())).collect();
+    let daemon = fleet.daemons.remove(0);
+    // Slow enough that no answer is whole before the drain timeout.
+    for index in 0..4 {
+        let kind = BadKind::Slow(4.0);
+        let bad = Some(Bad { kind, after_ms: 0, above_running: 0, path: String::new() });
+        engine(&fleet, index).set_faults(Faults { bad, ..Faults::default() });
+    }
+    run(async {
+        let client = Client::default();
+        let mut readers = Vec::new();
+        for _ in 0..6 {
+            let mut reader = Reader::ask(&client, &bases[0]).await;
+            reader.read(5).await;
+            readers.push(reader);
+        }
+        let drained = actix_rt::task::spawn_blocking(move || daemon.drain());
+        for (index, reader) in readers.iter_mut().enumerate() {
+            reader.read(TOKENS).await;
+            assert!(!reader.done, "the answer was to be too slow");
+            let last = reader.last_event.as_ref().expect("a word on where it goes on");
+            assert_eq!(last["resume"], format!("/requests/{}", reader.request).as_str());
+            let mut resumed = Reader::resume(&client, &bases[1 + index % 2], reader).await;
+            resumed.read(TOKENS).await;
+            resumed.assert_whole();
+        }
+        assert!(drained.await.expect("it drains"), "requests were left");
+    });
+}
