audit: the trail in bounded segments, and the command that reads it

Cause: nothing told who or which rule changed what. Change: audit/trail.rs batches the changes of one run of a daemon into segments of its own, changed by conditional update and settled by reading after a lost answer; a bounded buffer holds changes during an outage, and what it or the bound on segments drops is recorded. One daemon, by rendezvous, drops the oldest segments. A publication is recorded by its publisher, in an object named by time, change and generation, so that a repeated publication makes no second record; 'dogwoodturn audit' adds the publication in force if its publisher was lost before that. Glue: node/audit.rs, Owner::Audit, Control::members_changed.

--- a/cli/src/command/mod.rs
+++ b/cli/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one module each.
 
+pub mod audit;
 pub mod check;
 pub mod demo;
 pub mod publish;
--- a/cli/src/command/publish.rs
+++ b/cli/src/command/publish.rs
@@ -3,12 +3,14 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use dogwoodturn::{
+    audit::wire::record_publication,
     declaration::{
         check,
         publish::{Publication, Step},
+        wire::HeadWire,
     },
     ids::{ChangeId, Generation},
-    platform::http::HttpPlatform,
+    platform::{CallError, http::HttpPlatform},
     units::WallTime,
 };
 use eyre::{Result, WrapErr as _};
@@ -55,7 +57,12 @@
             let result = platform.call(&operation).await;
             match publication.handle(result) {
                 Step::Call(next) => operation = next,
-                Step::Done(done) => return done,
+                Step::Done(done) => {
+                    if let Ok(head) = &done {
+                        record(&platform, head).await;
+                    }
+                    return done;
+                }
             }
         }
     });
@@ -66,3 +73,11 @@
     );
     Ok(Verdict::Good)
 }
+
+/// Records the publication in the audit trail; a repeated one is recorded once.
+async fn record(platform: &HttpPlatform, head: &HeadWire) {
+    match platform.call(&record_publication(head)).await {
+        Ok(_) | Err(CallError::Conflict(_)) => {}
+        Err(error) => eprintln!("warning: the audit trail has no record of this change: {error}"),
+    }
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -8,7 +8,7 @@
 
 use gumdrop::Options;
 
-use crate::command::{check, demo, publish, status};
+use crate::command::{audit, check, demo, publish, status};
 
 #[derive(Debug, Options)]
 struct Args {
@@ -26,6 +26,8 @@
     Publish(publish::Args),
     #[options(help = "show the status of a daemon")]
     Status(status::Args),
+    #[options(help = "read the trail of changes")]
+    Audit(audit::Args),
     #[options(help = "run stand-ins, daemons and callers in this process")]
     Demo(demo::Args),
 }
@@ -36,6 +38,7 @@
         Some(Command::Check(args)) => check::run(&args),
         Some(Command::Publish(args)) => publish::run(args),
         Some(Command::Status(args)) => status::run(&args),
+        Some(Command::Audit(args)) => audit::run(&args),
         Some(Command::Demo(args)) => demo::run(&args),
         None => {
             eprintln!("{}\n\nCommands:\n{}", Args::usage(), Command::usage());
--- /dev/null
+++ b/lib/src/node/audit.rs
@@ -0,0 +1,48 @@
+//! Joins the audit trail to the other slices of the control part.
+
+use crate::{
+    audit::{
+        self,
+        trail::{Config, Effect, Event, Trail},
+    },
+    ids::{DaemonId, Incarnation},
+    node::control::{Control, Output, Owner},
+    units::Time,
+};
+
+/// What the daemon that drops old segments is chosen by.
+const COLLECTOR: &str = "audit";
+
+impl Control {
+    pub(super) fn begin_trail(&mut self, daemon: DaemonId, incarnation: Incarnation) {
+        self.trail = Some(Trail::new(Config::default(), daemon, incarnation));
+    }
+
+    /// Records a change that a slice has made: in the log and in the audit trail.
+    pub fn audit(&mut self, now: Time, event: audit::Event, out: &mut Vec<Output>) {
+        out.push(Output::Audit(event.clone()));
+        self.trail(now, Event::Changed(event), out);
+    }
+
+    pub(super) fn trail(&mut self, now: Time, event: Event, out: &mut Vec<Output>) {
+        let wall = self.wall(now);
+        let Some(trail) = &mut self.trail else { return };
+        let mut effects = Vec::new();
+        trail.handle(now, wall, event, &mut effects);
+        for Effect::Call(call, priority, operation) in effects {
+            out.push(Output::Call { owner: Owner::Audit, call, priority, operation });
+        }
+    }
+
+    /// Tells the slices that choose daemons by the list of members that it has changed.
+    pub(super) fn members_changed(&mut self, now: Time, out: &mut Vec<Output>) {
+        let members = self.snapshot.members.clone();
+        let weight = |daemon: &DaemonId| {
+            xxhash_rust::xxh3::xxh3_64(format!("{COLLECTOR}/{daemon}").as_bytes())
+        };
+        let chosen = members.iter().map(|member| &member.daemon).max_by_key(|d| weight(d));
+        let collects = chosen.is_none_or(|chosen| Some(chosen) == self.daemon.as_ref());
+        self.trail(now, Event::Collects(collects), out);
+        self.claims(now, crate::claim::claims::Event::Members(members), out);
+    }
+}
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -3,7 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    audit,
+    audit::{
+        self,
+        trail::{self, Trail},
+    },
     claim::{
         ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket,
         claims::{self, Claims},
@@ -29,6 +32,8 @@
     Hosts,
     /// [`claims`].
     Claims,
+    /// [`trail`].
+    Audit,
 }
 
 /// What the control part is told.
@@ -89,6 +94,8 @@
     hosts: HostList,
     pub(super) snapshot: Snapshot,
     clock: (Time, WallTime),
+    pub(super) daemon: Option<DaemonId>,
+    pub(super) trail: Option<Trail>,
     pub(super) claims: Option<Claims>,
     pub(super) claims_config: claims::Config,
     pub(super) client: Client<CallTag>,
@@ -106,7 +113,8 @@
         let claims = self.claims.as_ref().and_then(Claims::next_wakeup);
         let refused = (!self.refused.is_empty()).then_some(Time(0));
         let client = self.client.next_wakeup();
-        [self.in_force.next_wakeup(), self.hosts.next_wakeup(), claims, client, refused]
+        let trail = self.trail.as_ref().and_then(Trail::next_wakeup);
+        [self.in_force.next_wakeup(), self.hosts.next_wakeup(), claims, client, refused, trail]
             .into_iter()
             .flatten()
             .min()
@@ -127,6 +135,7 @@
                 self.in_force(now, in_force::Event::Woken, out);
                 self.hosts(now, hosts::Event::Woken, out);
                 self.claims(now, claims::Event::Woken, out);
+                self.trail(now, trail::Event::Woken, out);
             }
             Input::Drain => {
                 self.snapshot.draining = true;
@@ -139,7 +148,12 @@
             Input::Peer(from, PeerMessage::Claim(message)) => {
                 self.claims(now, claims::Event::Peer(from, message), out);
             }
-            Input::Identity(daemon, incarnation) => self.begin_claims(now, daemon, incarnation),
+            Input::Identity(daemon, incarnation) => {
+                self.daemon = Some(daemon.clone());
+                self.begin_trail(daemon.clone(), incarnation);
+                self.begin_claims(now, daemon, incarnation);
+                self.members_changed(now, out);
+            }
             Input::Clock(wall) => self.clock = (now, wall),
             Input::Attempt(_) | Input::Peer(..) => {}
         }
@@ -159,6 +173,7 @@
             Owner::InForce => self.in_force(now, in_force::Event::Called(call, result), out),
             Owner::Hosts => self.hosts(now, hosts::Event::Called(call, result), out),
             Owner::Claims => self.claims(now, claims::Event::Called(call, result), out),
+            Owner::Audit => self.trail(now, trail::Event::Called(call, result), out),
         }
     }
 
@@ -168,11 +183,6 @@
         wall + now.since(told)
     }
 
-    /// Records a change that a slice has made: in the log and in the audit trail.
-    pub fn audit(&mut self, _now: Time, event: audit::Event, out: &mut Vec<Output>) {
-        out.push(Output::Audit(event));
-    }
-
     fn publish(&self, out: &mut Vec<Output>) {
         out.push(Output::Publish(Arc::new(self.snapshot.clone())));
     }
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -3,6 +3,7 @@
 //! [`control::Control`] owns the control state and runs on one thread; it publishes a
 //! [`snapshot::Snapshot`], from which the traffic threads decide per request.
 
+mod audit;
 mod claims;
 pub mod control;
 pub mod message;
