--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -13,9 +13,13 @@
     },
     declaration::in_force::{self, InForce},
     ids::{CallId, DaemonId, Incarnation, RequestId},
-    node::{message::PeerMessage, platform::CallTag, report::AttemptReport, snapshot::Snapshot},
+    node::{
+        message::PeerMessage, platform::CallTag, report::AttemptReport, requests,
+        snapshot::Snapshot,
+    },
     peer::Recipient,
     platform::{CallError, Operation, Priority, Reply, client::Client},
+    request,
     units::{Time, WallTime},
     upstream::hosts::{self, HostList},
 };
@@ -59,6 +63,8 @@
     Identity(DaemonId, Incarnation),
     /// The wall clock shows this time now; told before `Started` and at least once a minute.
     Clock(WallTime),
+    /// A traffic thread sends a message about a request.
+    Request(Recipient, request::message::Message),
 }
 
 /// What the control part wants done.
@@ -79,6 +85,10 @@
     Publish(Arc<Snapshot>),
     /// Answer the claim that a request has asked for.
     ClaimAnswered(RequestId, ClaimAnswer),
+    /// Tell each traffic thread of a request that crashes upstreams, and for how long to refuse it.
+    Poison(request::poison::Digest, Duration),
+    /// Give a message about a request to the traffic thread that it concerns.
+    Request(DaemonId, request::message::Message),
     /// Send a message to peers.
     Send(Recipient, PeerMessage),
     /// Log a warning about something refused.
@@ -155,6 +165,12 @@
                 self.members_changed(now, out);
             }
             Input::Clock(wall) => self.clock = (now, wall),
+            Input::Request(recipient, message) => {
+                requests::send(recipient, message, out);
+            }
+            Input::Peer(from, PeerMessage::Request(message)) => {
+                requests::receive(from, message, out);
+            }
             Input::Attempt(_) | Input::Peer(..) => {}
         }
         self.schedule_calls(now, out);
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -9,4 +9,6 @@
 pub mod message;
 mod platform;
 pub mod report;
+pub mod requests;
 pub mod snapshot;
+pub mod traffic;
