claim: small heads, and summaries of sealed pages

Cause: heads of up to 200 kB made 9.6 MB/s of writes at 100 claims/s, and a daemon that takes a shard over had to read every sealed page of the retention, one call each. Change: a head is sealed at 24 kB; 64 sealed pages are covered by one summary with the fingerprints of their keys, listed in place of them (claim/index.rs). Taking a shard over reads the summaries and at most 64 pages.

--- a/lib/src/claim/claims.rs
+++ b/lib/src/claim/claims.rs
@@ -52,6 +52,8 @@
     pub forward_timeout: Duration,
     /// The size at which a head page is sealed, in bytes.
     pub seal_bytes: usize,
+    /// The sealed pages that one summary covers.
+    pub summary_pages: usize,
 }
 
 impl Default for Config {
@@ -61,7 +63,8 @@
             writes_per_second: 200,
             ask_timeout: Duration::from_secs(2),
             forward_timeout: Duration::from_millis(500),
-            seal_bytes: 200_000,
+            seal_bytes: 24_000,
+            summary_pages: 64,
         }
     }
 }
@@ -177,8 +180,13 @@
 
     /// Takes an event and adds the effects that follow from it.
     pub fn handle(&mut self, now: Time, wall: WallTime, event: Event, out: &mut Vec<Effect>) {
-        let cx =
-            Context { now, wall, retention: self.cfg.retention, seal_bytes: self.cfg.seal_bytes };
+        let cx = Context {
+            now,
+            wall,
+            retention: self.cfg.retention,
+            seal_bytes: self.cfg.seal_bytes,
+            summary_pages: self.cfg.summary_pages,
+        };
         match event {
             Event::Ask(ask) => self.ask(&cx, ask, out),
             Event::Ended(ticket, end) => self.ended(&cx, &ticket, end, out),
--- a/lib/src/claim/collect.rs
+++ b/lib/src/claim/collect.rs
@@ -43,7 +43,7 @@
     pub fn begin(&mut self) -> Option<Operation> {
         let shard = self.shards.front()?;
         self.work = Work::Listing;
-        Some(Operation::List(shard.sealed_prefix()))
+        Some(Operation::List(shard.prefix()))
     }
 
     /// Takes the result of the last call and returns the next; `None` at the end of the round.
@@ -102,19 +102,23 @@
     }
 }
 
-/// Returns the sealed pages that no head lists or ever will.
+/// Returns the sealed pages and summaries that no head lists or ever will.
 fn garbage(
     shard: &ShardKey,
     listed: &[(ObjectKey, Revision)],
     head: Revision,
     page: &Page,
 ) -> VecDeque<(ObjectKey, Revision)> {
-    let prefix = shard.sealed_prefix();
+    let name = |key: &ObjectKey, prefix: &str| -> Option<Revision> {
+        key.as_str().strip_prefix(prefix)?.parse().ok()
+    };
+    let (sealed, summary) = (shard.sealed_prefix(), shard.summary_prefix());
     let unlisted = |key: &ObjectKey| {
-        let name = key.as_str().strip_prefix(&*prefix).and_then(|name| name.parse().ok());
-        name.is_some_and(|name: Revision| {
-            name < head && !page.sealed.iter().any(|sealed| sealed.revision == name)
-        })
+        if let Some(revision) = name(key, &sealed) {
+            return revision < head && !page.needs(revision);
+        }
+        let lists = |revision| page.summaries.iter().any(|s| s.revision == revision);
+        name(key, &summary).is_some_and(|revision| revision < head && !lists(revision))
     };
     listed.iter().filter(|(key, _)| unlisted(key)).cloned().collect()
 }
--- /dev/null
+++ b/lib/src/claim/index.rs
@@ -0,0 +1,123 @@
+//! Where the records are that a head has sealed: by fingerprint of their keys.
+
+use indexmap::{IndexMap, IndexSet};
+use sha2::{Digest as _, Sha256};
+
+use crate::{claim::page::Page, ids::Revision};
+
+/// The fingerprint of a key. It is cryptographic, so that no caller can make two keys alike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Fingerprint(pub u128);
+
+impl Fingerprint {
+    /// Computes the fingerprint of a key.
+    pub fn of(key: &str) -> Self {
+        let digest: [u8; 32] = Sha256::digest(key).into();
+        let bytes = digest.iter().take(size_of::<u128>());
+        Self(bytes.fold(0, |print, &byte| print << 8 | u128::from(byte)))
+    }
+}
+
+/// The keys of one sealed page.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sealed {
+    /// The revision of the head that the page is a copy of.
+    pub revision: Revision,
+    /// The fingerprints of its keys, sorted.
+    pub prints: Box<[Fingerprint]>,
+}
+
+impl Sealed {
+    /// Lists the keys of a page.
+    pub fn of(revision: Revision, page: &Page) -> Self {
+        let mut prints: Vec<_> = page.records.keys().map(|key| Fingerprint::of(key)).collect();
+        prints.sort_unstable();
+        Self { revision, prints: prints.into() }
+    }
+}
+
+/// A page that has to be read before every sealed key is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Missing {
+    /// A sealed page.
+    Sealed(Revision),
+    /// A summary of sealed pages.
+    Summary(Revision),
+}
+
+/// All sealed keys of a shard, each with the last page that holds its record.
+#[derive(Clone, Debug, Default)]
+pub struct Index {
+    places: IndexMap<Fingerprint, Revision>,
+    loaded: IndexSet<Missing>,
+    /// The pages that no summary covers yet, to make the next one from.
+    recent: Vec<Sealed>,
+}
+
+impl Index {
+    /// Names a page that the head lists and that has not been read.
+    pub fn missing(&self, head: &Page) -> Option<Missing> {
+        let summaries = head.summaries.iter().map(|summary| Missing::Summary(summary.revision));
+        let sealed = head.sealed.iter().map(|sealed| Missing::Sealed(sealed.revision));
+        summaries.chain(sealed).find(|page| !self.loaded.contains(page))
+    }
+
+    /// Takes in the keys of a sealed page that the head lists.
+    pub fn add_sealed(&mut self, sealed: Sealed) {
+        if self.loaded.insert(Missing::Sealed(sealed.revision)) {
+            self.add(&sealed);
+            self.recent.push(sealed);
+        }
+    }
+
+    /// Takes in the keys of a summary that the head lists.
+    pub fn add_summary(&mut self, revision: Revision, pages: &[Sealed]) {
+        if self.loaded.insert(Missing::Summary(revision)) {
+            for sealed in pages {
+                self.add(sealed);
+            }
+        }
+    }
+
+    fn add(&mut self, sealed: &Sealed) {
+        for &print in &sealed.prints {
+            // Revisions grow, so the larger one is the page that was sealed later.
+            let place = self.places.entry(print).or_insert(sealed.revision);
+            *place = (*place).max(sealed.revision);
+        }
+    }
+
+    /// Takes note of a summary of this head that this daemon has made itself.
+    pub fn made_summary(&mut self, head: &Page) {
+        if let Some(summary) = head.summaries.last() {
+            self.loaded.insert(Missing::Summary(summary.revision));
+        }
+    }
+
+    /// Returns the last sealed page that holds a record of the key.
+    pub fn place(&self, key: &str) -> Option<Revision> {
+        self.places.get(&Fingerprint::of(key)).copied()
+    }
+
+    /// Returns the pages that a summary of this head covers, in the head's order.
+    pub fn covered(&self, head: &Page) -> Vec<Sealed> {
+        let find = |revision| self.recent.iter().find(|sealed| sealed.revision == revision);
+        head.sealed.iter().filter_map(|listed| find(listed.revision).cloned()).collect()
+    }
+
+    /// Forgets what this head no longer lists.
+    pub fn follow(&mut self, head: &Page) {
+        let sealed = |revision| head.sealed.iter().any(|listed| listed.revision == revision);
+        let summary = |revision| head.summaries.iter().any(|listed| listed.revision == revision);
+        let before = self.loaded.len();
+        self.loaded.retain(|page| match *page {
+            Missing::Sealed(revision) => sealed(revision),
+            Missing::Summary(revision) => summary(revision),
+        });
+        self.recent.retain(|page| sealed(page.revision));
+        if self.loaded.len() != before {
+            let oldest = head.oldest();
+            self.places.retain(|_, place| oldest.is_some_and(|oldest| *place >= oldest));
+        }
+    }
+}
--- a/lib/src/claim/mod.rs
+++ b/lib/src/claim/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod claims;
 pub mod collect;
+pub mod index;
 pub mod item;
 pub mod message;
 pub mod page;
--- a/lib/src/claim/page.rs
+++ b/lib/src/claim/page.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use sha2::{Digest as _, Sha256};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -50,20 +49,27 @@
         format!("claims/{}/{}/sealed/", self.service, self.number).into()
     }
 
+    /// Returns what the names of all summaries begin with.
+    pub fn summary_prefix(&self) -> Box<str> {
+        format!("claims/{}/{}/summary/", self.service, self.number).into()
+    }
+
+    /// Returns the name of the summary of the pages that the head lists at this revision.
+    pub fn summary(&self, revision: Revision) -> ObjectKey {
+        ObjectKey::new(format!("{}{revision}", self.summary_prefix()))
+    }
+
+    /// Returns what the names of all pages of the shard begin with.
+    pub fn prefix(&self) -> Box<str> {
+        format!("claims/{}/{}/", self.service, self.number).into()
+    }
+
     /// Returns the name of the sealed copy of the head at this revision.
     pub fn sealed(&self, revision: Revision) -> ObjectKey {
         ObjectKey::new(format!("{}{revision}", self.sealed_prefix()))
     }
 }
 
-/// Returns the fingerprint of a key, by which a sealed page is known to hold it or not.
-///
-/// It is cryptographic, so that no caller can make two keys alike.
-pub fn fingerprint(key: &str) -> u128 {
-    let digest: [u8; 32] = Sha256::digest(key).into();
-    digest.iter().take(size_of::<u128>()).fold(0, |print, &byte| print << 8 | u128::from(byte))
-}
-
 /// What is known of a claimed call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RecordState {
@@ -96,6 +102,17 @@
     }
 }
 
+/// Several sealed pages, as the head lists their summary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SummaryRef {
+    /// The revision of the head whose sealed pages it covers.
+    pub revision: Revision,
+    /// The first sealed page that it covers; all others lie between it and `revision`.
+    pub first: Revision,
+    /// When the youngest claim of the pages was made.
+    pub newest: WallTime,
+}
+
 /// A sealed page, as the head lists it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SealedRef {
@@ -110,8 +127,10 @@
 pub struct Page {
     /// The records by key.
     pub records: IndexMap<Box<str>, Record>,
-    /// The sealed pages that may still matter, oldest first; empty in a sealed page.
+    /// The sealed pages that no summary covers, oldest first; empty in a sealed page.
     pub sealed: Vec<SealedRef>,
+    /// The summaries of older sealed pages, oldest first; empty in a sealed page.
+    pub summaries: Vec<SummaryRef>,
 }
 
 /// What the last record of a key means for an item.
@@ -187,31 +206,49 @@
 impl Page {
     /// Drops what is past its retention; returns whether anything was.
     pub fn expire(&mut self, wall: WallTime, retention: Duration) -> bool {
-        let before = (self.records.len(), self.sealed.len());
+        let before = (self.records.len(), self.sealed.len(), self.summaries.len());
         self.records.retain(|_, record| !record.expired(wall, retention));
         self.sealed.retain(|sealed| sealed.newest + retention >= wall);
-        before != (self.records.len(), self.sealed.len())
+        self.summaries.retain(|summary| summary.newest + retention >= wall);
+        before != (self.records.len(), self.sealed.len(), self.summaries.len())
     }
 
     /// Begins an empty page after this one, at `revision`, has been sealed.
     #[must_use]
     pub fn after_sealing(&self, revision: Revision) -> Self {
         let newest = self.records.values().map(|record| record.at).max().unwrap_or_default();
-        let mut sealed = self.sealed.clone();
-        sealed.push(SealedRef { revision, newest });
-        Self { records: IndexMap::new(), sealed }
+        let mut next = self.clone();
+        next.records.clear();
+        next.sealed.push(SealedRef { revision, newest });
+        next
     }
 
-    /// Returns the sealed copy of this page.
+    /// Lists one summary in place of all sealed pages of this one, at `revision`.
     #[must_use]
-    pub fn sealed_copy(&self) -> Self {
-        Self { records: self.records.clone(), sealed: Vec::new() }
+    pub fn after_summary(&self, revision: Revision) -> Self {
+        let newest = self.sealed.iter().map(|sealed| sealed.newest).max().unwrap_or_default();
+        let first = self.sealed.first().map_or(revision, |sealed| sealed.revision);
+        let mut next = self.clone();
+        next.sealed.clear();
+        next.summaries.push(SummaryRef { revision, first, newest });
+        next
+    }
+
+    /// Returns the oldest sealed page that the head may still need.
+    pub fn oldest(&self) -> Option<Revision> {
+        let summaries = self.summaries.iter().map(|summary| summary.first);
+        summaries.chain(self.sealed.iter().map(|sealed| sealed.revision)).min()
     }
 
-    /// Returns the fingerprints of all keys, sorted.
-    pub fn fingerprints(&self) -> Box<[u128]> {
-        let mut fingerprints: Vec<u128> = self.records.keys().map(|key| fingerprint(key)).collect();
-        fingerprints.sort_unstable();
-        fingerprints.into()
+    /// Says whether the head may need the sealed page of this revision.
+    pub fn needs(&self, sealed: Revision) -> bool {
+        self.sealed.iter().any(|listed| listed.revision == sealed)
+            || self.summaries.iter().any(|s| (s.first..=s.revision).contains(&sealed))
+    }
+
+    /// Returns the sealed copy of this page.
+    #[must_use]
+    pub fn sealed_copy(&self) -> Self {
+        Self { records: self.records.clone(), ..Self::default() }
     }
 }
--- a/lib/src/claim/shard.rs
+++ b/lib/src/claim/shard.rs
@@ -7,14 +7,14 @@
 use std::{collections::VecDeque, time::Duration};
 
 use bytes::Bytes;
-use indexmap::IndexMap;
 
 use crate::{
     claim::{
         ClaimId,
+        index::{Index, Missing, Sealed},
         item::{Item, ItemAnswer, Wish},
-        page::{Judgement, Page, Record, ShardKey, fingerprint, judge},
-        wire::PageWire,
+        page::{Judgement, Page, Record, ShardKey, judge},
+        wire::{PageWire, SummaryWire},
     },
     declaration::wire,
     ids::{DaemonId, Revision},
@@ -30,8 +30,6 @@
 const MAX_BATCH: usize = 1_000;
 /// The largest head that is written, in bytes, with room below the platform's bound.
 const MAX_HEAD_BYTES: usize = MAX_VALUE_BYTES * 9 / 10;
-/// The most sealed pages that a head may list.
-const MAX_SEALED: usize = 20_000;
 /// The first wait after the platform has refused a call; doubled with each further refusal.
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 /// The longest wait after the platform has refused a call.
@@ -52,6 +50,8 @@
     pub retention: Duration,
     /// The size at which a head is sealed, in bytes.
     pub seal_bytes: usize,
+    /// The sealed pages that one summary covers.
+    pub summary_pages: usize,
 }
 
 /// What a shard wants done.
@@ -110,7 +110,9 @@
     Idle,
     ReadingHead,
     ReadingSealed(Revision),
-    Sealing(Revision),
+    ReadingSummary(Revision),
+    Sealing(Sealed),
+    Summarising,
     Writing {
         page: Page,
         bytes: usize,
@@ -123,9 +125,12 @@
     key: ShardKey,
     queue: VecDeque<Waiting>,
     head: Option<Head>,
-    fingerprints: IndexMap<Revision, Box<[u128]>>,
+    index: Index,
     opened: Option<(Revision, Page)>,
-    sealed: bool,
+    /// The sealed copy of the head, once it is written.
+    sealed: Option<Sealed>,
+    /// Whether the summary of the head's sealed pages is written.
+    summarised: bool,
     work: Work,
     issued: (Time, u64),
     order: u64,
@@ -146,9 +151,10 @@
             key,
             queue: VecDeque::new(),
             head: None,
-            fingerprints: IndexMap::new(),
+            index: Index::default(),
             opened: None,
-            sealed: false,
+            sealed: None,
+            summarised: false,
             work: Work::Idle,
             issued: (Time(0), 0),
             order: 0,
@@ -173,7 +179,6 @@
         let old = self.head.as_ref().is_some_and(|head| head.at < since);
         if old && matches!(self.work, Work::Idle) {
             self.head = None;
-            self.sealed = false;
         }
     }
 
@@ -224,9 +229,10 @@
         let Some(head) = &self.head else {
             return self.issue(cx, Work::ReadingHead, Operation::Get(self.key.head()), out);
         };
-        let mut listed = head.page.sealed.iter().map(|sealed| sealed.revision);
-        if let Some(revision) = listed.find(|r| !self.fingerprints.contains_key(r)) {
-            return self.read_sealed(cx, revision, out);
+        match self.index.missing(&head.page) {
+            Some(Missing::Sealed(revision)) => return self.read_sealed(cx, revision, out),
+            Some(Missing::Summary(revision)) => return self.read_summary(cx, revision, out),
+            None => {}
         }
         self.settle(cx, out);
         self.issue_next(cx, budget, out);
@@ -248,12 +254,24 @@
             (Work::ReadingSealed(revision), Ok(Reply::Object(Some(object)))) => {
                 self.sealed_read(cx, revision, &object, out);
             }
-            // The bytes of a sealed page follow from its name, so one that exists is the same.
-            (Work::Sealing(revision), Ok(_) | Err(CallError::Conflict(_))) => {
-                self.sealed_written(revision);
+            (Work::ReadingSummary(revision), Ok(Reply::Object(Some(object)))) => {
+                self.summary_read(cx, revision, &object, out);
+            }
+            // The bytes of a sealed page or summary follow from its name, so one that exists is
+            // the same.
+            (Work::Sealing(sealed), Ok(_) | Err(CallError::Conflict(_))) => {
+                self.failures = 0;
+                self.sealed = Some(sealed);
+            }
+            (Work::Summarising, Ok(_) | Err(CallError::Conflict(_))) => {
+                self.failures = 0;
+                self.summarised = true;
             }
             (Work::Writing { page, bytes }, Ok(Reply::Written(revision))) => {
                 self.failures = 0;
+                if self.summarised {
+                    self.index.made_summary(&page);
+                }
                 let (at, confirmed) = self.issued;
                 let head = Head { revision: Some(revision), page, bytes, at, confirmed };
                 self.moved_to(head);
@@ -261,7 +279,7 @@
             (Work::Writing { .. }, Err(CallError::Unknown | CallError::Conflict(_))) => {
                 self.head = None;
             }
-            (Work::Sealing(_), Err(CallError::Unknown)) => {}
+            (Work::Sealing(_) | Work::Summarising, Err(CallError::Unknown)) => {}
             (_, Err(CallError::Unknown)) => self.back_off(cx),
             (_, Err(error)) => self.failed(cx, &error, out),
             // A listed page that is gone was collected after the head was read.
@@ -319,12 +337,38 @@
     }
 
     fn moved_to(&mut self, head: Head) {
-        let listed = &head.page.sealed;
-        self.fingerprints.retain(|revision, _| listed.iter().any(|s| s.revision == *revision));
-        self.sealed = false;
+        if let Some(sealed) = self.sealed.take()
+            && head.page.sealed.iter().any(|listed| listed.revision == sealed.revision)
+        {
+            self.index.add_sealed(sealed);
+        }
+        let same = self.head.as_ref().is_some_and(|old| old.revision == head.revision);
+        self.summarised &= same;
+        self.index.follow(&head.page);
         self.head = Some(head);
     }
 
+    fn read_summary(&mut self, cx: &Context, revision: Revision, out: &mut Vec<Effect>) {
+        let operation = Operation::Get(self.key.summary(revision));
+        self.issue(cx, Work::ReadingSummary(revision), operation, out);
+    }
+
+    fn summary_read(
+        &mut self,
+        cx: &Context,
+        revision: Revision,
+        object: &Object,
+        out: &mut Vec<Effect>,
+    ) {
+        match wire::decode::<SummaryWire>(&object.value) {
+            Ok(summary) => self.index.add_summary(revision, &Vec::from(summary)),
+            Err(error) => {
+                damaged(&self.key.summary(revision), &error, out);
+                self.refuse_for_now(cx, out);
+            }
+        }
+    }
+
     fn sealed_read(
         &mut self,
         cx: &Context,
@@ -335,7 +379,7 @@
         match wire::decode::<PageWire>(&object.value) {
             Ok(page) => {
                 let page = Page::from(page);
-                self.fingerprints.insert(revision, page.fingerprints());
+                self.index.add_sealed(Sealed::of(revision, &page));
                 self.opened = Some((revision, page));
             }
             Err(error) => {
@@ -345,22 +389,12 @@
         }
     }
 
-    fn sealed_written(&mut self, revision: Revision) {
-        self.failures = 0;
-        self.sealed = true;
-        if let Some(head) = &self.head {
-            self.fingerprints.insert(revision, head.page.fingerprints());
-            self.opened = Some((revision, head.page.sealed_copy()));
-        }
-    }
-
     fn failed(&mut self, cx: &Context, error: &CallError, out: &mut Vec<Effect>) {
         if let CallError::Refused(reason) = error {
             out.push(Effect::Refused(format!("claims of {:?}: {reason}", self.key).into()));
         }
         // The head may have been changed by others until the platform is back.
         self.head = None;
-        self.sealed = false;
         self.refuse_for_now(cx, out);
     }
 
@@ -405,27 +439,23 @@
         });
     }
 
-    /// Finds the last record of a key in `head` and the sealed pages that it lists.
-    fn find<'a>(&'a self, head: &'a Page, key: &str) -> Found<'a> {
-        if let Some(record) = head.records.get(key) {
+    /// Finds the last record of a key in `page` and in what it or its head has sealed.
+    fn find<'a>(&'a self, page: &'a Page, key: &str) -> Found<'a> {
+        if let Some(record) = page.records.get(key) {
             return Found::Record(Some(record));
         }
-        let print = fingerprint(key);
-        for sealed in head.sealed.iter().rev() {
-            let prints = self.fingerprints.get(&sealed.revision);
-            if prints.is_some_and(|prints| prints.binary_search(&print).is_err()) {
-                continue;
-            }
-            match &self.opened {
-                Some((revision, page)) if *revision == sealed.revision => {
-                    if let Some(record) = page.records.get(key) {
-                        return Found::Record(Some(record));
-                    }
-                }
-                _ => return Found::InSealed(sealed.revision),
+        if let Some(head) = &self.head
+            && let Some(record) = head.page.records.get(key)
+        {
+            return Found::Record(Some(record));
+        }
+        match (self.index.place(key), &self.opened) {
+            (None, _) => Found::Record(None),
+            (Some(place), Some((revision, opened))) if place == *revision => {
+                Found::Record(opened.records.get(key))
             }
+            (Some(place), _) => Found::InSealed(place),
         }
-        Found::Record(None)
     }
 
     /// Answers every item that the known head decides.
@@ -488,16 +518,24 @@
         if !self.wants_write(cx, &head.page) || !budget.take(cx.now) {
             return false;
         }
-        let full = head.bytes >= cx.seal_bytes && head.page.sealed.len() < MAX_SEALED;
-        if let Some(revision) = head.revision
-            && full
-            && !self.sealed
-        {
-            let value = wire::encode(&PageWire::from(head.page.sealed_copy())).into();
-            let key = self.key.sealed(revision);
-            let operation = Operation::Put { key, value, condition: Condition::Absent };
-            self.issue(cx, Work::Sealing(revision), operation, out);
-            return true;
+        if let Some(revision) = head.revision {
+            let pages = self.index.covered(&head.page);
+            let complete = pages.len() == head.page.sealed.len();
+            if complete && pages.len() >= cx.summary_pages && !self.summarised {
+                let value = wire::encode(&SummaryWire::from(&*pages)).into();
+                let key = self.key.summary(revision);
+                let operation = Operation::Put { key, value, condition: Condition::Absent };
+                self.issue(cx, Work::Summarising, operation, out);
+                return true;
+            }
+            if head.bytes >= cx.seal_bytes && self.sealed.is_none() {
+                let sealed = Sealed::of(revision, &head.page);
+                let value = wire::encode(&PageWire::from(head.page.sealed_copy())).into();
+                let key = self.key.sealed(revision);
+                let operation = Operation::Put { key, value, condition: Condition::Absent };
+                self.issue(cx, Work::Sealing(sealed), operation, out);
+                return true;
+            }
         }
         let base = head.revision;
         let (page, written) = self.next_page(cx, head);
@@ -530,13 +568,16 @@
 
     /// Makes the page that follows `head`, and names the items that it takes in.
     fn next_page(&self, cx: &Context, head: &Head) -> (Page, Vec<usize>) {
-        let mut page = match head.revision {
-            Some(revision) if self.sealed => head.page.after_sealing(revision),
-            _ => head.page.clone(),
-        };
+        let mut page = head.page.clone();
+        if let Some(revision) = head.revision.filter(|_| self.summarised) {
+            page = page.after_summary(revision);
+        }
+        if let Some(sealed) = &self.sealed {
+            page = page.after_sealing(sealed.revision);
+        }
         page.expire(cx.wall, cx.retention);
         let mut written = Vec::new();
-        let held = if self.sealed { 0 } else { head.bytes };
+        let held = if self.sealed.is_some() { 0 } else { head.bytes };
         let mut room = MAX_HEAD_BYTES.saturating_sub(held);
         for (index, waiting) in self.queue.iter().enumerate() {
             let Found::Record(record) = self.find(&page, &waiting.item.key) else { continue };
--- a/lib/src/claim/wire.rs
+++ b/lib/src/claim/wire.rs
@@ -8,8 +8,9 @@
 use crate::{
     claim::{
         ClaimId, StoredAnswer,
+        index::{Fingerprint, Sealed},
         item::{Item, ItemAnswer, Wish},
-        page::{Page, Record, RecordState, SealedRef},
+        page::{Page, Record, RecordState, SealedRef, SummaryRef},
     },
     declaration::wire::WireError,
     ids::{DaemonId, Incarnation, RequestId, Revision, ServiceName},
@@ -104,12 +105,15 @@
     records: Vec<RecordWire>,
     #[serde(rename = "s")]
     sealed: Vec<(Revision, WallTime)>,
+    #[serde(rename = "m")]
+    summaries: Vec<(Revision, Revision, WallTime)>,
 }
 
 impl From<Page> for PageWire {
     fn from(page: Page) -> Self {
         let sealed = page.sealed.iter().map(|sealed| (sealed.revision, sealed.newest)).collect();
-        Self { records: page.records.into_iter().map(Into::into).collect(), sealed }
+        let summaries = page.summaries.iter().map(|s| (s.revision, s.first, s.newest)).collect();
+        Self { records: page.records.into_iter().map(Into::into).collect(), sealed, summaries }
     }
 }
 
@@ -117,7 +121,38 @@
     fn from(wire: PageWire) -> Self {
         let sealed = wire.sealed.into_iter();
         let sealed = sealed.map(|(revision, newest)| SealedRef { revision, newest }).collect();
-        Self { records: wire.records.into_iter().map(Into::into).collect(), sealed }
+        let summaries = wire.summaries.into_iter();
+        let summaries = summaries
+            .map(|(revision, first, newest)| SummaryRef { revision, first, newest })
+            .collect();
+        Self { records: wire.records.into_iter().map(Into::into).collect(), sealed, summaries }
+    }
+}
+
+/// A summary as it is stored: the fingerprints of each sealed page, in bytes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SummaryWire(Vec<(Revision, serde_bytes::ByteBuf)>);
+
+impl From<&[Sealed]> for SummaryWire {
+    fn from(pages: &[Sealed]) -> Self {
+        let prints = |sealed: &Sealed| {
+            sealed.prints.iter().flat_map(|print| print.0.to_be_bytes()).collect::<Vec<u8>>()
+        };
+        let pages = pages.iter();
+        Self(pages.map(|sealed| (sealed.revision, prints(sealed).into())).collect())
+    }
+}
+
+impl From<SummaryWire> for Vec<Sealed> {
+    fn from(wire: SummaryWire) -> Self {
+        let print = |bytes: &[u8]| {
+            Fingerprint(bytes.iter().fold(0, |print, &byte| print << 8 | u128::from(byte)))
+        };
+        let sealed = |(revision, bytes): (Revision, serde_bytes::ByteBuf)| Sealed {
+            revision,
+            prints: bytes.chunks_exact(size_of::<u128>()).map(print).collect(),
+        };
+        wire.0.into_iter().map(sealed).collect()
     }
 }
 
--- a/lib/tests/claims.rs
+++ b/lib/tests/claims.rs
@@ -136,7 +136,7 @@
 
 #[test]
 fn claim_sealed_page_still_answers() {
-    let cfg = Config { seal_bytes: 600, ..Config::default() };
+    let cfg = Config { seal_bytes: 600, summary_pages: 3, ..Config::default() };
     let mut fleet = Fleet::new(1, cfg, false);
     for key in 0..200 {
         fleet.ask(0, &format!("k{key}"));
@@ -144,6 +144,7 @@
         fleet.run(0, Run::Answers);
         fleet.settle();
     }
+    assert!(fleet.count("/summary/") > 0);
     fleet.replace(0, false);
     for key in 0..200 {
         let again = fleet.ask(0, &format!("k{key}"));
@@ -191,7 +192,7 @@
 
 #[test]
 fn claim_sealed_pages_past_retention_are_collected() {
-    let cfg = Config { seal_bytes: 600, ..Config::default() };
+    let cfg = Config { seal_bytes: 600, summary_pages: 3, ..Config::default() };
     let mut fleet = Fleet::new(1, cfg, false);
     for key in 0..100 {
         fleet.ask(0, &format!("k{key}"));
@@ -204,11 +205,12 @@
     fleet.pass(Duration::from_mins(11));
     fleet.settle();
     assert_eq!(sealed(&mut fleet), 0);
+    assert_eq!(fleet.count("/summary/"), 0);
 }
 
 #[test]
 fn claim_sealed_page_within_retention_survives_collection() {
-    let cfg = Config { seal_bytes: 600, ..Config::default() };
+    let cfg = Config { seal_bytes: 600, summary_pages: 3, ..Config::default() };
     let mut fleet = Fleet::new(1, cfg, false);
     for key in 0..100 {
         fleet.ask(0, &format!("k{key}"));
--- a/lib/tests/fuzz_claims.rs
+++ b/lib/tests/fuzz_claims.rs
@@ -119,7 +119,11 @@
 
 /// Runs the steps, then lets all come to rest without faults and looks at every answer.
 fn run(steps: &[Step], broken: Broken) -> Result<(), String> {
-    let cfg = Config { seal_bytes: 500, ..Config::default() };
+    // Every other run seals its heads after each write, and summarises them soon.
+    let cfg = match steps.len() % 2 {
+        0 => Config::default(),
+        _ => Config { seal_bytes: 1, summary_pages: 2, ..Config::default() },
+    };
     let mut fleet = Fleet::new(DAEMONS, cfg, true);
     fleet.broken = broken;
     for step in steps {
