--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -8,7 +8,7 @@
 
 use gumdrop::Options;
 
-use crate::command::{audit, check, demo, publish, status};
+use crate::command::{audit, check, demo, moves, publish, status, supply};
 
 #[derive(Debug, Options)]
 struct Args {
@@ -28,6 +28,10 @@
     Status(status::Args),
     #[options(help = "read the trail of changes")]
     Audit(audit::Args),
+    #[options(help = "show where each move stands")]
+    Moves(moves::Args),
+    #[options(help = "show the plan of hosts, its reason and its cost")]
+    Supply(supply::Args),
     #[options(help = "run stand-ins, daemons and callers in this process")]
     Demo(demo::Args),
 }
@@ -39,6 +43,8 @@
         Some(Command::Publish(args)) => publish::run(args),
         Some(Command::Status(args)) => status::run(&args),
         Some(Command::Audit(args)) => audit::run(&args),
+        Some(Command::Moves(args)) => moves::run(&args),
+        Some(Command::Supply(args)) => supply::run(&args),
         Some(Command::Demo(args)) => demo::run(&args),
         None => {
             eprintln!("{}\n\nCommands:\n{}", Args::usage(), Command::usage());
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -21,9 +21,10 @@
         snapshot::Snapshot,
         traffic::Event,
     },
-    peer::Recipient,
+    peer::{Member, Recipient, peers::Config},
     platform::{client, http::HttpPlatform},
     request::{message::Message, name::thread_of},
+    supply,
     units::{Time, WallTime},
 };
 use tokio::{
@@ -31,7 +32,10 @@
     time::{Duration, sleep},
 };
 
-use crate::settings::Settings;
+use crate::{
+    peers::{EVENT_QUEUE, PeerCounters, PeerLinks},
+    settings::Settings,
+};
 
 /// How long to sleep when the control state wants no wakeup.
 const LONGEST_SLEEP: Duration = Duration::from_mins(1);
@@ -41,6 +45,26 @@
     WallTime(elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64))
 }
 
+/// What orders to engines are sent with: a client, and the clock that their times go by.
+#[derive(Clone)]
+struct Engines {
+    client: awc::Client,
+    started: Instant,
+}
+
+impl Engines {
+    fn now(&self) -> Time {
+        Time(self.started.elapsed().as_micros() as u64)
+    }
+}
+
+/// What the control thread reaches outside the daemon.
+struct Outside {
+    platform: HttpPlatform,
+    links: PeerLinks,
+    engines: Engines,
+}
+
 /// What the control thread works with.
 #[derive(Debug)]
 pub struct Adapter {
@@ -52,6 +76,10 @@
     pub inboxes: Vec<mpsc::UnboundedSender<Event>>,
     /// The operators' listener.
     pub operators: TcpListener,
+    /// The listener for other daemons.
+    pub peers: TcpListener,
+    /// Counts what crosses the links to other daemons.
+    pub peer_counters: Arc<PeerCounters>,
     /// Takes inputs, so that answers to calls come back.
     pub inputs: mpsc::UnboundedSender<Input>,
     /// Gives inputs.
@@ -68,7 +96,51 @@
 
     async fn run_here(mut self) {
         let started = Instant::now();
+        self.serve_operators();
+        let (link_events, mut link_received) = mpsc::channel(EVENT_QUEUE);
+        let own = match self.member() {
+            Ok(own) => own,
+            Err(error) => return log::error!(event = "no-peer-address", error:%; ""),
+        };
+        let links = self.peers.try_clone().and_then(|listener| {
+            let counters = self.peer_counters.clone();
+            PeerLinks::start(own.clone(), self.settings.peer_key, listener, link_events, counters)
+        });
+        let links = match links {
+            Ok(links) => links,
+            Err(error) => return log::error!(event = "no-peer-listener", error:%; ""),
+        };
         let platform = HttpPlatform::new(&self.settings.platform);
+        let engines = Engines { client: awc::Client::default(), started };
+        let mut outside = Outside { platform, links, engines };
+        let mut control = self.control(own.clone());
+        self.handle(Input::Identity(own), &mut control, &mut outside);
+        let mut input = Input::Started;
+        loop {
+            self.handle(input, &mut control, &mut outside);
+            let now = outside.engines.now();
+            let wait = control.next_wakeup().map_or(LONGEST_SLEEP, |at| at.since(now));
+            input = tokio::select! {
+                received = self.received.recv() => match received {
+                    Some(received) => received,
+                    None => break,
+                },
+                Some(event) = link_received.recv() => Input::Link(event),
+                event = outside.links.next_opened() => Input::Link(event),
+                () = sleep(wait) => Input::Woken,
+                _ = self.stop.wait_for(|&stop| stop) => break,
+            };
+        }
+        // A daemon that drains tells its peers that it leaves, even if it stops at once.
+        while let Ok(input) = self.received.try_recv() {
+            if matches!(input, Input::Drain) {
+                self.handle(input, &mut control, &mut outside);
+            }
+        }
+        outside.links.flush().await;
+    }
+
+    fn serve_operators(&self) {
         let edge = OperatorEdge::new(
             self.snapshot.clone(),
             &self.settings.operator_token,
@@ -86,30 +158,23 @@
                 log::error!(event = "operators-listener-ended", error:% = error; "");
             }
         });
-        let Settings { name, calls_per_second, claims, .. } = &self.settings;
+    }
+
+    fn control(&self, own: Member) -> Control {
+        let Settings { name, calls_per_second, claims, seeds, heartbeat, .. } = &self.settings;
         let calls_per_second = f64::from(*calls_per_second);
         let calls = client::Config { calls_per_second, ..client::Config::default() };
-        let mut control = Control::new().with_platform(calls, name).with_claims(claims.clone());
-        let identity = Input::Identity(self.settings.name.clone(), Incarnation(wall_now().0));
-        control.handle(Time(0), identity, &mut Vec::new());
-        let mut input = Input::Started;
-        loop {
-            let now = Time(started.elapsed().as_micros() as u64);
-            let mut out = Vec::new();
-            control.handle(now, Input::Clock(wall_now()), &mut out);
-            control.handle(now, input, &mut out);
-            for output in out {
-                self.carry_out(&platform, output);
-            }
-            let wait = control.next_wakeup().map_or(LONGEST_SLEEP, |at| at.since(now));
-            input = tokio::select! {
-                received = self.received.recv() => match received {
-                    Some(received) => received,
-                    None => return,
-                },
-                () = sleep(wait) => Input::Woken,
-                _ = self.stop.wait_for(|&stop| stop) => return,
-            };
+        let peers = Config { own, seeds: seeds.clone(), heartbeat: *heartbeat };
+        Control::new().with_platform(calls, name).with_claims(claims.clone()).with_peers(peers)
+    }
+
+    fn handle(&self, input: Input, control: &mut Control, outside: &mut Outside) {
+        let now = outside.engines.now();
+        let mut out = Vec::new();
+        control.handle(now, Input::Clock(wall_now()), &mut out);
+        control.handle(now, input, &mut out);
+        for output in out {
+            self.carry_out(outside, output);
         }
     }
 
@@ -133,10 +198,22 @@
         self.tell(thread, Event::Peer(from, message));
     }
 
-    fn carry_out(&self, platform: &HttpPlatform, output: Output) {
+    /// Returns this run of the daemon as its peers know it.
+    fn member(&self) -> std::io::Result<Member> {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Ok(Member {
+            daemon: self.settings.name.clone(),
+            incarnation: Incarnation(since.as_millis() as u64),
+            address: self.peers.local_addr()?,
+            data_centre: self.settings.data_centre.clone(),
+            region: self.settings.region.clone(),
+        })
+    }
+
+    fn carry_out(&self, outside: &mut Outside, output: Output) {
         match output {
             Output::Call { owner, call, operation, .. } => {
-                let platform = platform.clone();
+                let platform = outside.platform.clone();
                 let inputs = self.inputs.clone();
                 actix_rt::spawn(async move {
                     let result = platform.call(&operation).await;
@@ -149,11 +226,23 @@
                     event = "snapshot",
                     generation:% = snapshot.generation,
                     hosts = snapshot.hosts.len(),
+                    members = snapshot.members.len(),
                     ready = snapshot.ready();
                     ""
                 );
                 self.snapshot.store(snapshot);
             }
+            Output::Link(effect) => outside.links.carry_out(effect),
+            Output::Order(order) => {
+                let engines = outside.engines.clone();
+                let inputs = self.inputs.clone();
+                actix_rt::spawn(async move {
+                    let clock = || engines.now();
+                    let end = supply::http::give(&engines.client, &order, clock).await;
+                    // The receiver is gone only when the thread ends.
+                    let _ = inputs.send(Input::Ordered(order.id, end));
+                });
+            }
             Output::Audit(event) => log::info!(
                 event = "audit",
                 actor:% = event.actor,
--- a/lib/src/edge/operator.rs
+++ b/lib/src/edge/operator.rs
@@ -10,7 +10,9 @@
 use arc_swap::ArcSwap;
 use serde::Serialize;
 
-use crate::{edge::problem::Problem, ids::Generation, node::snapshot::Snapshot};
+use crate::{
+    edge::problem::Problem, ids::Generation, moves::report::MoveReport, node::snapshot::Snapshot,
+};
 
 /// The status of one daemon as operators read it.
 #[derive(Clone, Debug, Serialize)]
@@ -21,6 +23,8 @@
     pub generation: Generation,
     /// How many hosts it knows.
     pub hosts: usize,
+    /// The moves that are declared.
+    pub moves: Vec<MoveReport>,
 }
 
 /// The operators' listener of a daemon.
@@ -54,6 +58,7 @@
             }
             "/metrics" => text(StatusCode::OK, (self.metrics)()),
             "/status" => self.status(),
+            "/supply" => json(&self.snapshot.load().supply[..]),
             path => {
                 let detail = format!("there is no {path}");
                 Problem::not_run(StatusCode::NOT_FOUND, "unknown-path", detail).into_response()
@@ -73,14 +78,19 @@
             ready: snapshot.ready(),
             generation: snapshot.generation,
             hosts: snapshot.hosts.len(),
+            moves: snapshot.moves.to_vec(),
         };
-        let body = serde_json::to_vec(&wire).expect("a status is valid JSON");
-        let mut builder = Response::build(StatusCode::OK);
-        builder.insert_header((header::CONTENT_TYPE, "application/json"));
-        builder.body(body).map_into_boxed_body()
+        json(&wire)
     }
 }
 
+fn json<T: Serialize + ?Sized>(value: &T) -> Response<BoxBody> {
+    let body = serde_json::to_vec(value).expect("a wire type is valid JSON");
+    let mut builder = Response::build(StatusCode::OK);
+    builder.insert_header((header::CONTENT_TYPE, "application/json"));
+    builder.body(body).map_into_boxed_body()
+}
+
 fn text(status: StatusCode, body: impl Into<String>) -> Response<BoxBody> {
     let mut builder = Response::build(status);
     builder.insert_header((header::CONTENT_TYPE, "text/plain; charset=utf-8"));
--- /dev/null
+++ b/lib/src/moves/message.rs
@@ -0,0 +1,254 @@
+//! What daemons tell each other about moves.
+
+use indexmap::IndexSet;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    declaration::wire::WireError,
+    ids::{ClassName, DaemonId, Incarnation, RouteName, ZoneName},
+    moves::{
+        MoveId,
+        ending::{EndRecord, Hold},
+        evidence::{CellKey, Cells, Counts, Moments, Side, Source, Stratum},
+        running::Reached,
+        verdict::{Badness, Measure},
+    },
+    units::WallTime,
+};
+
+/// The sums of one source in one window.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// The number of the window.
+    pub window: u32,
+    /// Whose sums they are.
+    pub source: Source,
+    /// The sums.
+    pub cells: Cells,
+}
+
+/// A message about moves.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Message {
+    /// Asks for every hold and record; answered to the sender alone.
+    Ask,
+    /// Answers [`Message::Ask`]; holds and records have been sent before it.
+    Answered,
+    /// Evidence, and the step that the sender has reached.
+    Evidence {
+        /// The move.
+        id: MoveId,
+        /// Where the sender has got to.
+        reached: Reached,
+        /// Sums that have grown.
+        entries: Vec<Entry>,
+    },
+    /// The new version gets no more requests; flooded.
+    Hold(MoveId, Hold),
+    /// The move has ended; flooded.
+    End(MoveId, EndRecord),
+}
+
+impl Message {
+    /// Says whether the message may be lost, as a later one makes up for it.
+    pub fn droppable(&self) -> bool {
+        matches!(self, Self::Evidence { .. })
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct MomentsWire(u64, u64, u64);
+
+impl From<Moments> for MomentsWire {
+    fn from(moments: Moments) -> Self {
+        Self(moments.count, moments.sum, moments.squares)
+    }
+}
+
+impl From<MomentsWire> for Moments {
+    fn from(wire: MomentsWire) -> Self {
+        Self { count: wire.0, sum: wire.1, squares: wire.2 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct ReachedWire(u32, u8, WallTime);
+
+impl From<Reached> for ReachedWire {
+    fn from(reached: Reached) -> Self {
+        Self(reached.doubts, reached.step, reached.entered)
+    }
+}
+
+impl From<ReachedWire> for Reached {
+    fn from(wire: ReachedWire) -> Self {
+        Self { doubts: wire.0, step: wire.1, entered: wire.2 }
+    }
+}
+
+/// Entries with the names that they use, each name once.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct EntriesWire {
+    #[serde(rename = "r")]
+    routes: IndexSet<RouteName>,
+    #[serde(rename = "c")]
+    classes: IndexSet<ClassName>,
+    #[serde(rename = "z")]
+    zones: IndexSet<ZoneName>,
+    #[serde(rename = "e")]
+    entries: Vec<EntryWire>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct EntryWire(u32, DaemonId, Incarnation, Vec<CellWire>);
+
+/// The positions of route, class and zone, the version, the size, and the counts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct CellWire(
+    usize,
+    usize,
+    usize,
+    bool,
+    u8,
+    u64,
+    u64,
+    u32,
+    Option<MomentsWire>,
+    Option<MomentsWire>,
+);
+
+fn moments_wire(moments: Moments) -> Option<MomentsWire> {
+    (moments.count > 0).then(|| moments.into())
+}
+
+impl EntriesWire {
+    fn add(&mut self, cell: CellKey, counts: &Counts) -> CellWire {
+        CellWire(
+            self.routes.insert_full(cell.route).0,
+            self.classes.insert_full(cell.stratum.class).0,
+            self.zones.insert_full(cell.stratum.zone).0,
+            cell.side == Side::New,
+            cell.stratum.size,
+            counts.good,
+            counts.bad,
+            counts.bad_upstreams,
+            moments_wire(counts.start),
+            moments_wire(counts.pace),
+        )
+    }
+
+    fn cell(&self, wire: &CellWire) -> Result<(CellKey, Counts), WireError> {
+        let &CellWire(route, class, zone, is_new, size, good, bad, bad_upstreams, start, pace) =
+            wire;
+        let unknown = |what: &str, index| WireError::Word(format!("{what} {index}").into());
+        let route = self.routes.get_index(route).ok_or_else(|| unknown("route", route))?.clone();
+        let class = self.classes.get_index(class).ok_or_else(|| unknown("class", class))?.clone();
+        let zone = self.zones.get_index(zone).ok_or_else(|| unknown("zone", zone))?.clone();
+        let side = if is_new { Side::New } else { Side::Old };
+        let start = start.map_or_else(Moments::default, Moments::from);
+        let pace = pace.map_or_else(Moments::default, Moments::from);
+        let counts = Counts { good, bad, bad_upstreams, start, pace };
+        Ok((CellKey { route, side, stratum: Stratum { class, zone, size } }, counts))
+    }
+}
+
+impl From<Vec<Entry>> for EntriesWire {
+    fn from(entries: Vec<Entry>) -> Self {
+        let mut wire = Self::default();
+        for Entry { window, source, cells } in entries {
+            let cells = cells.into_iter().map(|(cell, counts)| wire.add(cell, &counts)).collect();
+            wire.entries.push(EntryWire(window, source.daemon, source.incarnation, cells));
+        }
+        wire
+    }
+}
+
+impl TryFrom<EntriesWire> for Vec<Entry> {
+    type Error = WireError;
+
+    fn try_from(wire: EntriesWire) -> Result<Self, WireError> {
+        let entry = |EntryWire(window, daemon, incarnation, cells): &EntryWire| {
+            let source = Source { daemon: daemon.clone(), incarnation: *incarnation };
+            let cells: Result<_, _> = cells.iter().map(|cell| wire.cell(cell)).collect();
+            Ok(Entry { window: *window, source, cells: cells? })
+        };
+        wire.entries.iter().map(entry).collect()
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct BadnessWire(RouteName, u8);
+
+impl From<Badness> for BadnessWire {
+    fn from(badness: Badness) -> Self {
+        Self(badness.route, badness.measure as u8)
+    }
+}
+
+impl TryFrom<BadnessWire> for Badness {
+    type Error = WireError;
+
+    fn try_from(wire: BadnessWire) -> Result<Self, WireError> {
+        let BadnessWire(route, measure) = wire;
+        let known = Measure::ALL.get(usize::from(measure)).copied();
+        let unknown = || WireError::Word(format!("measure {measure}").into());
+        Ok(Self { route, measure: known.ok_or_else(unknown)? })
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct HoldWire(BadnessWire, DaemonId, WallTime);
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Body {
+    #[serde(rename = "a")]
+    Ask,
+    #[serde(rename = "r")]
+    Answered,
+    #[serde(rename = "v")]
+    Evidence(MoveId, ReachedWire, Box<EntriesWire>),
+    #[serde(rename = "h")]
+    Hold(MoveId, HoldWire),
+    #[serde(rename = "e")]
+    End(MoveId, EndRecord),
+}
+
+/// A [`Message`] as it travels.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct MessageWire(Body);
+
+impl From<Message> for MessageWire {
+    fn from(message: Message) -> Self {
+        Self(match message {
+            Message::Ask => Body::Ask,
+            Message::Answered => Body::Answered,
+            Message::Evidence { id, reached, entries } => {
+                Body::Evidence(id, reached.into(), Box::new(entries.into()))
+            }
+            Message::Hold(id, hold) => {
+                Body::Hold(id, HoldWire(hold.cause.into(), hold.by, hold.at))
+            }
+            Message::End(id, record) => Body::End(id, record),
+        })
+    }
+}
+
+impl TryFrom<MessageWire> for Message {
+    type Error = WireError;
+
+    fn try_from(wire: MessageWire) -> Result<Self, WireError> {
+        Ok(match wire.0 {
+            Body::Ask => Self::Ask,
+            Body::Answered => Self::Answered,
+            Body::Evidence(id, reached, entries) => {
+                let entries = (*entries).try_into()?;
+                Self::Evidence { id, reached: reached.into(), entries }
+            }
+            Body::Hold(id, HoldWire(cause, by, at)) => {
+                Self::Hold(id, Hold { cause: cause.try_into()?, by, at })
+            }
+            Body::End(id, record) => Self::End(id, record),
+        })
+    }
+}
--- a/lib/src/node/audit.rs
+++ b/lib/src/node/audit.rs
@@ -1,5 +1,7 @@
 //! Joins the audit trail to the other slices of the control part.
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::{
     audit::{
         self,
@@ -34,15 +36,16 @@
         }
     }
 
-    /// Tells the slices that choose daemons by the list of members that it has changed.
-    pub(super) fn members_changed(&mut self, now: Time, out: &mut Vec<Output>) {
-        let members = self.snapshot.members.clone();
-        let weight = |daemon: &DaemonId| {
-            xxhash_rust::xxh3::xxh3_64(format!("{COLLECTOR}/{daemon}").as_bytes())
-        };
-        let chosen = members.iter().map(|member| &member.daemon).max_by_key(|d| weight(d));
-        let collects = chosen.is_none_or(|chosen| Some(chosen) == self.daemon.as_ref());
+    /// Chooses the daemon that drops old segments.
+    pub(super) fn choose_audit_collector(
+        &mut self,
+        now: Time,
+        own: &DaemonId,
+        out: &mut Vec<Output>,
+    ) {
+        let weight = |daemon: &DaemonId| xxh3_64(format!("{COLLECTOR}/{daemon}").as_bytes());
+        let live = self.snapshot.members.iter().map(|member| &member.daemon);
+        let collects = live.max_by_key(|daemon| weight(daemon)).is_none_or(|chosen| chosen == own);
         self.trail(now, Event::Collects(collects), out);
-        self.claims(now, crate::claim::claims::Event::Members(members), out);
     }
 }
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -12,16 +12,31 @@
         claims::{self, Claims},
     },
     declaration::in_force::{self, InForce},
-    ids::{CallId, DaemonId, Incarnation, RequestId},
+    ids::{CallId, DaemonId, RequestId},
+    moves::{
+        evidence::Source,
+        run::{self, Moves},
+    },
     node::{
         message::PeerMessage, platform::CallTag, report::AttemptReport, requests,
         snapshot::Snapshot,
     },
-    peer::Recipient,
+    peer::{
+        Member, Recipient,
+        peers::{self, LinkEffect, LinkEvent, Peers},
+    },
     platform::{CallError, Operation, Priority, Reply, client::Client},
     request,
+    supply::{
+        self, Supply,
+        lease::Holder,
+        orders::{OrderCall, OrderEnd},
+    },
     units::{Time, WallTime},
-    upstream::hosts::{self, HostList},
+    upstream::{
+        hosts::{self, HostList},
+        leaving::LeavingHosts,
+    },
 };
 
 /// When a caller may ask again after a claim that could not be written.
@@ -36,6 +51,10 @@
     Hosts,
     /// [`claims`].
     Claims,
+    /// [`crate::moves`].
+    Moves,
+    /// [`supply`].
+    Supply,
     /// [`trail`].
     Audit,
 }
@@ -59,12 +78,16 @@
     Attempt(Box<AttemptReport>),
     /// A peer has sent a message.
     Peer(DaemonId, PeerMessage),
-    /// This is the daemon and its run; told before `Started`.
-    Identity(DaemonId, Incarnation),
+    /// This is the daemon's run as its peers know it; told before `Started`.
+    Identity(Member),
+    /// An order to an engine has ended.
+    Ordered(Box<str>, OrderEnd),
     /// The wall clock shows this time now; told before `Started` and at least once a minute.
     Clock(WallTime),
     /// A traffic thread sends a message about a request.
     Request(Recipient, request::message::Message),
+    /// Something has happened to a link to a peer.
+    Link(LinkEvent),
 }
 
 /// What the control part wants done.
@@ -89,8 +112,12 @@
     Poison(request::poison::Digest, Duration),
     /// Give a message about a request to the traffic thread that it concerns.
     Request(DaemonId, request::message::Message),
-    /// Send a message to peers.
+    /// Send a message to peers; only a control part without [`Control::with_peers`] gives it out.
     Send(Recipient, PeerMessage),
+    /// Do something with a link to a peer.
+    Link(LinkEffect),
+    /// Give an order to an engine and answer with [`Input::Ordered`].
+    Order(OrderCall),
     /// Log a warning about something refused.
     Refused(Box<str>),
     /// Log a change; the control part also appends it to the audit trail.
@@ -102,9 +129,14 @@
 pub struct Control {
     in_force: InForce,
     hosts: HostList,
+    pub(super) peers: Option<Peers>,
+    /// Whether most of the known peers are reached; a daemon without peers misses none.
+    pub(super) reaches_peers: bool,
+    pub(super) moves: Option<Moves>,
+    pub(super) leaving: LeavingHosts,
+    pub(super) supply: Supply,
     pub(super) snapshot: Snapshot,
     clock: (Time, WallTime),
-    pub(super) daemon: Option<DaemonId>,
     pub(super) trail: Option<Trail>,
     pub(super) claims: Option<Claims>,
     pub(super) claims_config: claims::Config,
@@ -115,19 +147,35 @@
 impl Control {
     /// Makes the control part of a daemon that knows nothing yet.
     pub fn new() -> Self {
-        Self::default()
+        Self { reaches_peers: true, ..Self::default() }
+    }
+
+    /// Lets the daemon form a fleet with its peers; to be told before any input.
+    #[must_use]
+    pub fn with_peers(mut self, cfg: peers::Config) -> Self {
+        self.peers = Some(Peers::new(cfg));
+        self
+    }
+
+    /// Returns the peer slice, if the daemon has peers.
+    pub fn peers(&self) -> Option<&Peers> {
+        self.peers.as_ref()
     }
 
     /// Returns when [`Input::Woken`] is wanted.
     pub fn next_wakeup(&self) -> Option<Time> {
-        let claims = self.claims.as_ref().and_then(Claims::next_wakeup);
-        let refused = (!self.refused.is_empty()).then_some(Time(0));
-        let client = self.client.next_wakeup();
-        let trail = self.trail.as_ref().and_then(Trail::next_wakeup);
-        [self.in_force.next_wakeup(), self.hosts.next_wakeup(), claims, client, refused, trail]
-            .into_iter()
-            .flatten()
-            .min()
+        let wakeups = [
+            self.in_force.next_wakeup(),
+            self.hosts.next_wakeup(),
+            self.claims.as_ref().and_then(Claims::next_wakeup),
+            self.client.next_wakeup(),
+            (!self.refused.is_empty()).then_some(Time(0)),
+            self.peers.as_ref().and_then(Peers::next_wakeup),
+            self.moves.as_ref().and_then(Moves::next_wakeup),
+            self.supply.next_wakeup(),
+            self.trail.as_ref().and_then(Trail::next_wakeup),
+        ];
+        wakeups.into_iter().flatten().min()
     }
 
     /// Takes an input and adds the outputs that follow from it.
@@ -135,47 +183,60 @@
         self.deliver_refusals(now, out);
         match input {
             Input::Started => {
+                self.handle_peers(now, peers::Event::Started, out);
                 self.in_force(now, in_force::Event::Started, out);
                 self.hosts(now, hosts::Event::Started, out);
+                self.moves(now, run::Event::Started, out);
             }
             Input::Called(owner, call, result) => {
                 self.call_ended(now, (owner, call), result, out);
             }
+            Input::Ordered(id, end) => self.supply(now, supply::Event::Ordered(id, end), out),
             Input::Woken => {
                 self.in_force(now, in_force::Event::Woken, out);
                 self.hosts(now, hosts::Event::Woken, out);
                 self.claims(now, claims::Event::Woken, out);
+                self.handle_peers(now, peers::Event::Woken, out);
+                self.moves(now, run::Event::Woken, out);
+                self.tell_supply(now, out);
+                self.supply(now, supply::Event::Woken, out);
                 self.trail(now, trail::Event::Woken, out);
             }
             Input::Drain => {
                 self.snapshot.draining = true;
                 self.publish(out);
+                self.handle_peers(now, peers::Event::Leave, out);
             }
             Input::Claim(ask) => self.claims(now, claims::Event::Ask(ask), out),
             Input::ClaimEnded(ticket, end) => {
                 self.claims(now, claims::Event::Ended(ticket, end), out);
             }
-            Input::Peer(from, PeerMessage::Claim(message)) => {
-                self.claims(now, claims::Event::Peer(from, message), out);
-            }
-            Input::Identity(daemon, incarnation) => {
-                self.daemon = Some(daemon.clone());
-                self.begin_trail(daemon.clone(), incarnation);
-                self.begin_claims(now, daemon, incarnation);
-                self.members_changed(now, out);
-            }
+            Input::Identity(own) => self.begin(now, own, out),
             Input::Clock(wall) => self.clock = (now, wall),
             Input::Request(recipient, message) => {
                 requests::send(recipient, message, out);
             }
-            Input::Peer(from, PeerMessage::Request(message)) => {
-                requests::receive(from, message, out);
+            Input::Peer(from, message) => self.peer_message(now, &from, message, out),
+            Input::Link(event) => self.handle_peers(now, peers::Event::Link(event), out),
+            Input::Attempt(report) => {
+                self.moves(now, run::Event::Attempt(&report), out);
+                self.supply(now, supply::Event::Attempt(report), out);
             }
-            Input::Attempt(_) | Input::Peer(..) => {}
         }
+        self.send_to_peers(now, out);
         self.schedule_calls(now, out);
     }
 
+    /// Makes the slices that have to know whose they are.
+    fn begin(&mut self, now: Time, own: Member, out: &mut Vec<Output>) {
+        let Member { daemon, incarnation, data_centre, .. } = own;
+        self.moves = Some(Moves::new(Source { daemon: daemon.clone(), incarnation }));
+        self.begin_claims(now, daemon.clone(), incarnation);
+        self.begin_trail(daemon.clone(), incarnation);
+        let identity = supply::Identity { holder: Holder { daemon, incarnation }, data_centre };
+        self.supply(now, supply::Event::Started(identity), out);
+    }
+
     /// Gives a slice the result of its call.
     pub(super) fn called(
         &mut self,
@@ -189,21 +250,49 @@
             Owner::InForce => self.in_force(now, in_force::Event::Called(call, result), out),
             Owner::Hosts => self.hosts(now, hosts::Event::Called(call, result), out),
             Owner::Claims => self.claims(now, claims::Event::Called(call, result), out),
+            Owner::Moves => self.moves(now, run::Event::Called(call, result), out),
+            Owner::Supply => self.supply(now, supply::Event::Called(call, result), out),
             Owner::Audit => self.trail(now, trail::Event::Called(call, result), out),
         }
     }
 
+    /// Gives a message of a peer to its slice.
+    pub(super) fn peer_message(
+        &mut self,
+        now: Time,
+        from: &DaemonId,
+        message: PeerMessage,
+        out: &mut Vec<Output>,
+    ) {
+        match message {
+            PeerMessage::Declaration(message) => {
+                self.in_force(now, in_force::Event::Peer(from.clone(), message), out);
+            }
+            PeerMessage::Claim(message) => {
+                self.claims(now, claims::Event::Peer(from.clone(), message), out);
+            }
+            PeerMessage::Request(message) => requests::receive(from.clone(), message, out),
+            PeerMessage::Moves(message) => {
+                self.moves(now, run::Event::Peer(from.clone(), message), out);
+            }
+            PeerMessage::Supply(message) => {
+                self.supply(now, supply::Event::Peer(from.clone(), message), out);
+            }
+            PeerMessage::Leaving(message) => self.heard_leaving(now, from, message, out),
+        }
+    }
+
     /// Returns the wall time at `now`, as the last [`Input::Clock`] tells it.
     pub fn wall(&self, now: Time) -> WallTime {
         let (told, wall) = self.clock;
         wall + now.since(told)
     }
 
-    fn publish(&self, out: &mut Vec<Output>) {
+    pub(super) fn publish(&self, out: &mut Vec<Output>) {
         out.push(Output::Publish(Arc::new(self.snapshot.clone())));
     }
 
-    fn in_force(&mut self, now: Time, event: in_force::Event, out: &mut Vec<Output>) {
+    pub(super) fn in_force(&mut self, now: Time, event: in_force::Event, out: &mut Vec<Output>) {
         let mut effects = Vec::new();
         self.in_force.handle(now, event, &mut effects);
         for effect in effects {
@@ -213,10 +302,18 @@
                 }
                 in_force::Effect::Adopted(generation, set) => {
                     self.snapshot.generation = generation;
-                    self.snapshot.set = set;
-                    self.snapshot.informed = true;
+                    self.snapshot.set = set.clone();
                     self.publish(out);
+                    self.moves(now, run::Event::Declared(&set), out);
                     self.services_changed(now, out);
+                    self.handle_peers(now, peers::Event::InForce(generation), out);
+                }
+                in_force::Effect::Informed(informed) => {
+                    self.snapshot.informed = informed;
+                    self.publish(out);
+                }
+                in_force::Effect::Send(recipient, message) => {
+                    out.push(Output::Send(recipient, PeerMessage::Declaration(message)));
                 }
                 in_force::Effect::Refused(reason) => out.push(Output::Refused(reason)),
             }
@@ -232,7 +329,8 @@
                     out.push(Output::Call { owner: Owner::Hosts, call, priority, operation });
                 }
                 hosts::Effect::Changed(hosts) => {
-                    self.snapshot.hosts = hosts;
+                    self.leaving.follow(&self.snapshot.hosts, &hosts);
+                    self.snapshot.hosts = self.leaving.apply(&hosts);
                     self.publish(out);
                 }
             }
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -7,8 +7,12 @@
 mod claims;
 pub mod control;
 pub mod message;
+mod moves;
+mod peers;
 mod platform;
 pub mod report;
 pub mod requests;
 pub mod snapshot;
 pub mod traffic;
+
+mod supply;
--- a/lib/src/node/snapshot.rs
+++ b/lib/src/node/snapshot.rs
@@ -7,8 +7,9 @@
 use crate::{
     declaration::DeclarationSet,
     ids::{Generation, ServiceName},
-    moves::share::VersionChoice,
+    moves::{report::MoveReport, share::VersionChoice},
     peer::Member,
+    supply::status::ServiceStatus,
     upstream::HostRecord,
 };
 
@@ -23,8 +24,12 @@
     pub hosts: Arc<[HostRecord]>,
     /// The services whose requests are spread over two versions; others use their version.
     pub versions: Arc<IndexMap<ServiceName, VersionChoice>>,
+    /// The moves as operators read them.
+    pub moves: Arc<[MoveReport]>,
     /// The daemons that are taken to be live, this one included.
     pub members: Arc<[Member]>,
+    /// What operators see of the supply at this daemon.
+    pub supply: Arc<[ServiceStatus]>,
     /// Whether the daemon knows what is in force now.
     pub informed: bool,
     /// Whether the daemon has been asked to shut down.
@@ -38,7 +43,9 @@
             set: Arc::default(),
             hosts: Arc::new([]),
             versions: Arc::default(),
+            moves: Arc::new([]),
             members: Arc::new([]),
+            supply: Arc::new([]),
             informed: false,
             draining: false,
         }
--- a/load/src/local.rs
+++ b/load/src/local.rs
@@ -32,6 +32,10 @@
 const READY_POLL: Duration = Duration::from_millis(2);
 /// The calls per second that each daemon may make to the platform.
 const CALLS_PER_SECOND: u32 = 200;
+/// How many of the first daemons are seeds of the later ones.
+const SEEDS: usize = 2;
+/// How often the daemons of a local fleet send heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(200);
 /// The token of operators in a local fleet.
 pub const OPERATOR_TOKEN: &str = "local-operator";
 
@@ -145,7 +149,8 @@
             claims: Config::default(),
             operator_token: OPERATOR_TOKEN.into(),
             peer_key: [7; 32],
-            seeds: Vec::new(),
+            seeds: self.daemons.iter().take(SEEDS).map(Daemon::peers).collect(),
+            heartbeat: HEARTBEAT,
         })
     }
 
