--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -8,7 +8,7 @@
 
 use gumdrop::Options;
 
-use crate::command::{check, demo, moves, publish, status, supply};
+use crate::command::{audit, check, demo, moves, publish, status, supply};
 
 #[derive(Debug, Options)]
 struct Args {
@@ -26,6 +26,8 @@
     Publish(publish::Args),
     #[options(help = "show the status of a daemon")]
     Status(status::Args),
+    #[options(help = "read the trail of changes")]
+    Audit(audit::Args),
     #[options(help = "show where each move stands")]
     Moves(moves::Args),
     #[options(help = "show the plan of hosts, its reason and its cost")]
@@ -40,6 +42,7 @@
         Some(Command::Check(args)) => check::run(&args),
         Some(Command::Publish(args)) => publish::run(args),
         Some(Command::Status(args)) => status::run(&args),
+        Some(Command::Audit(args)) => audit::run(&args),
         Some(Command::Moves(args)) => moves::run(&args),
         Some(Command::Supply(args)) => supply::run(&args),
         Some(Command::Demo(args)) => demo::run(&args),
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -3,7 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    audit,
+    audit::{
+        self,
+        trail::{self, Trail},
+    },
     claim::{
         ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket,
         claims::{self, Claims},
@@ -52,6 +55,8 @@
     Moves,
     /// [`supply`].
     Supply,
+    /// [`trail`].
+    Audit,
 }
 
 /// What the control part is told.
@@ -132,6 +137,7 @@
     pub(super) supply: Supply,
     pub(super) snapshot: Snapshot,
     clock: (Time, WallTime),
+    pub(super) trail: Option<Trail>,
     pub(super) claims: Option<Claims>,
     pub(super) claims_config: claims::Config,
     pub(super) client: Client<CallTag>,
@@ -167,6 +173,7 @@
             self.peers.as_ref().and_then(Peers::next_wakeup),
             self.moves.as_ref().and_then(Moves::next_wakeup),
             self.supply.next_wakeup(),
+            self.trail.as_ref().and_then(Trail::next_wakeup),
         ];
         wakeups.into_iter().flatten().min()
     }
@@ -193,6 +200,7 @@
                 self.moves(now, run::Event::Woken, out);
                 self.tell_supply(now, out);
                 self.supply(now, supply::Event::Woken, out);
+                self.trail(now, trail::Event::Woken, out);
             }
             Input::Drain => {
                 self.snapshot.draining = true;
@@ -224,6 +232,7 @@
         let Member { daemon, incarnation, data_centre, .. } = own;
         self.moves = Some(Moves::new(Source { daemon: daemon.clone(), incarnation }));
         self.begin_claims(now, daemon.clone(), incarnation);
+        self.begin_trail(daemon.clone(), incarnation);
         let identity = supply::Identity { holder: Holder { daemon, incarnation }, data_centre };
         self.supply(now, supply::Event::Started(identity), out);
     }
@@ -243,6 +252,7 @@
             Owner::Claims => self.claims(now, claims::Event::Called(call, result), out),
             Owner::Moves => self.moves(now, run::Event::Called(call, result), out),
             Owner::Supply => self.supply(now, supply::Event::Called(call, result), out),
+            Owner::Audit => self.trail(now, trail::Event::Called(call, result), out),
         }
     }
 
@@ -278,11 +288,6 @@
         wall + now.since(told)
     }
 
-    /// Records a change that a slice has made: in the log and in the audit trail.
-    pub fn audit(&mut self, _now: Time, event: audit::Event, out: &mut Vec<Output>) {
-        out.push(Output::Audit(event));
-    }
-
     pub(super) fn publish(&self, out: &mut Vec<Output>) {
         out.push(Output::Publish(Arc::new(self.snapshot.clone())));
     }
