--- a/lib/examples/fleet_slopes.rs
+++ b/lib/examples/fleet_slopes.rs
@@ -21,10 +21,10 @@
 const REGIONS: usize = 5;
 const CHANGES: usize = 40;
 const SERVICES: usize = 20;
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 /// The interval between changes at 30,000 a day.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(2_880);
-const MEASURED: Duration = Duration::from_secs(120);
+const MEASURED: Duration = Duration::from_mins(2);
 const PAGE_BYTES: u64 = 4_096;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -7,12 +7,13 @@
     claim::{ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket},
     declaration::in_force::{self, InForce},
     ids::{CallId, DaemonId, RequestId},
-    node::{message::PeerMessage, report::AttemptReport, snapshot::Snapshot},
+    node::{message::PeerMessage, report::AttemptReport, requests, snapshot::Snapshot},
     peer::{
         Recipient,
         peers::{self, Config, LinkEffect, LinkEvent, Peers},
     },
     platform::{CallError, Operation, Priority, Reply},
+    request,
     units::{Time, WallTime},
     upstream::hosts::{self, HostList},
 };
@@ -52,6 +53,8 @@
     Clock(WallTime),
     /// Something has happened to a link to a peer.
     Link(LinkEvent),
+    /// A traffic thread sends a message about a request.
+    Request(Recipient, request::message::Message),
 }
 
 /// What the control part wants done.
@@ -72,6 +75,10 @@
     Publish(Arc<Snapshot>),
     /// Answer the claim that a request has asked for.
     ClaimAnswered(RequestId, ClaimAnswer),
+    /// Tell each traffic thread of a request that crashes upstreams, and for how long to refuse it.
+    Poison(request::poison::Digest, Duration),
+    /// Give a message about a request to the traffic thread that it concerns.
+    Request(DaemonId, request::message::Message),
     /// Send a message to peers; only a control part without [`Control::with_peers`] gives it out.
     Send(Recipient, PeerMessage),
     /// Do something with a link to a peer.
@@ -147,6 +154,7 @@
             }
             Input::Clock(wall) => self.clock = (now, wall),
             Input::Peer(from, message) => self.peer_message(now, &from, message, out),
+            Input::Request(recipient, message) => requests::send(recipient, message, out),
             Input::Link(event) => self.handle_peers(now, peers::Event::Link(event), out),
             Input::ClaimEnded(..) | Input::Attempt(_) => {}
         }
@@ -165,6 +173,7 @@
             PeerMessage::Declaration(message) => {
                 self.in_force(now, in_force::Event::Peer(from.clone(), message), out);
             }
+            PeerMessage::Request(message) => requests::receive(from.clone(), message, out),
             PeerMessage::Leaving(_) => {}
         }
     }
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -7,4 +7,6 @@
 pub mod message;
 mod peers;
 pub mod report;
+pub mod requests;
 pub mod snapshot;
+pub mod traffic;
