--- /dev/null
+++ b/cli/src/command/diff.rs
@@ -0,0 +1,64 @@
+//! `diff`: shows what publishing a set would change, and what speaks against it.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use dogwoodturn::{
+    declaration::{DeclarationSet, against::against, check, delta},
+    ids::Generation,
+    platform::http::HttpPlatform,
+    units::WallTime,
+};
+use eyre::{Result, WrapErr as _};
+use gumdrop::Options;
+use serde_json::json;
+
+use crate::{command::check::print_faults, files, in_force, output::Verdict};
+
+/// The arguments of `diff`.
+#[derive(Debug, Options)]
+pub struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(required, help = "the base of the platform's URLs", no_short)]
+    platform: String,
+    #[options(help = "print JSON", no_short)]
+    json: bool,
+    #[options(free, help = "files or directories with declarations")]
+    paths: Vec<String>,
+}
+
+/// Runs `diff`.
+pub fn run(args: &Args) -> Result<Verdict> {
+    let sources = files::read(&args.paths)?;
+    let checked = match check::check(&sources) {
+        Ok(checked) => checked,
+        Err(faults) => {
+            print_faults(&faults, args.json);
+            return Ok(Verdict::Bad);
+        }
+    };
+    let read = actix_rt::System::new().block_on(async {
+        let platform = HttpPlatform::new(&args.platform);
+        in_force::read(&platform).await
+    });
+    let (generation, current) = match read.wrap_err("cannot read what is in force")? {
+        Some((head, set)) => (head.generation, set),
+        None => (Generation(0), DeclarationSet::default()),
+    };
+    let changes = delta::describe(&current, &checked.set);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
+    let objections = against(&current, &checked.set, WallTime(now.try_into()?));
+    if args.json {
+        println!("{}", json!({ "generation": generation, "changes": changes }));
+    } else {
+        println!("against generation {generation}: {} changes", changes.len());
+        for change in &changes {
+            println!("{change}");
+        }
+    }
+    if objections.is_empty() {
+        return Ok(Verdict::Good);
+    }
+    print_faults(&checked.faults(&objections), args.json);
+    Ok(Verdict::Bad)
+}
--- a/cli/src/command/mod.rs
+++ b/cli/src/command/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod check;
 pub mod demo;
+pub mod diff;
 pub mod publish;
 pub mod status;
--- a/cli/src/command/publish.rs
+++ b/cli/src/command/publish.rs
@@ -1,20 +1,30 @@
 //! `publish`: checks the set and publishes it by one conditional update.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use dogwoodturn::{
     declaration::{
-        check,
-        publish::{Publication, Step},
+        check::{self, Checked},
+        publish::{Publication, PublishError, Step},
+        wire::HeadWire,
     },
     ids::{ChangeId, Generation},
     platform::http::HttpPlatform,
     units::WallTime,
 };
-use eyre::{Result, WrapErr as _};
+use eyre::{Result, WrapErr as _, bail};
 use gumdrop::Options;
 
-use crate::{command::check::print_faults, files, output::Verdict};
+use crate::{
+    command::{check::print_faults, status},
+    files,
+    output::Verdict,
+};
+
+/// How often `--wait` asks the daemon.
+const WAIT_POLL: Duration = Duration::from_millis(200);
+/// How long `--wait` waits when `--wait-for` is not given.
+const DEFAULT_WAIT: Duration = Duration::from_mins(1);
 
 /// The arguments of `publish`.
 #[derive(Debug, Options)]
@@ -29,27 +39,72 @@
     author: String,
     #[options(help = "refuse unless this generation is in force", no_short)]
     expect: Option<Generation>,
+    #[options(help = "publish above this generation, after the platform was restored", no_short)]
+    above: Option<Generation>,
+    #[options(help = "wait until each live daemon holds the generation", no_short)]
+    wait: bool,
+    #[options(help = "how long to wait, in seconds", no_short)]
+    wait_for: Option<u64>,
+    #[options(help = "with --wait: the base of a daemon's operators' URLs", no_short)]
+    daemon: Option<String>,
+    #[options(help = "with --wait: the operators' token", no_short)]
+    token: Option<String>,
     #[options(free, help = "files or directories with declarations")]
     paths: Vec<String>,
 }
 
 /// Runs `publish`.
 pub fn run(args: Args) -> Result<Verdict> {
+    if args.wait && (args.daemon.is_none() || args.token.is_none()) {
+        bail!("--wait needs --daemon and --token");
+    }
     let sources = files::read(&args.paths)?;
-    let set = match check::check(&sources) {
-        Ok(checked) => checked.set,
+    let checked = match check::check(&sources) {
+        Ok(checked) => checked,
         Err(faults) => {
             print_faults(&faults, false);
             return Ok(Verdict::Bad);
         }
     };
+    let change: ChangeId = args.change.parse()?;
+    let head = match publish(&args, &checked, &change)? {
+        Ok(head) => head,
+        Err(PublishError::Refused(objections)) => {
+            print_faults(&checked.faults(&objections), false);
+            return Ok(Verdict::Bad);
+        }
+        Err(PublishError::Conflict { theirs, author, generation, their_objects, our_objects }) => {
+            println!("conflict: change {theirs} by {author} is generation {generation}");
+            print_objects("theirs", &their_objects);
+            print_objects("ours", &our_objects);
+            println!("read it with diff, then publish again with --expect {generation}");
+            return Ok(Verdict::Bad);
+        }
+        Err(error) => return Err(error).wrap_err("the set was not published"),
+    };
+    let generation = head.generation_of(&change).unwrap_or(head.generation);
+    println!("published generation={generation} change={change} digest={}", head.digest);
+    match (args.wait, args.daemon, args.token) {
+        (true, Some(daemon), Some(token)) => {
+            let patience = args.wait_for.map_or(DEFAULT_WAIT, Duration::from_secs);
+            actix_rt::System::new().block_on(wait(&daemon, &token, generation, patience))
+        }
+        _ => Ok(Verdict::Good),
+    }
+}
+
+fn publish(
+    args: &Args,
+    checked: &Checked,
+    change: &ChangeId,
+) -> Result<Result<HeadWire, PublishError>> {
     let at = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
     let at = WallTime(at.try_into()?);
-    let change: ChangeId = args.change.parse()?;
-    let author = args.author.into();
-    let (mut publication, mut operation) =
-        Publication::begin(&set, change, author, at, args.expect);
-    let head = actix_rt::System::new().block_on(async {
+    let author = args.author.as_str().into();
+    let (publication, mut operation) =
+        Publication::begin(&checked.set, change.clone(), author, at, args.expect);
+    let mut publication = publication.above(args.above.unwrap_or_default());
+    Ok(actix_rt::System::new().block_on(async {
         let platform = HttpPlatform::new(&args.platform);
         loop {
             let result = platform.call(&operation).await;
@@ -58,11 +113,39 @@
                 Step::Done(done) => return done,
             }
         }
-    });
-    let head = head.wrap_err("the set was not published")?;
-    println!(
-        "published generation={} change={} digest={}",
-        head.generation, head.change, head.digest
-    );
-    Ok(Verdict::Good)
+    }))
+}
+
+fn print_objects(whose: &str, objects: &[Box<str>]) {
+    for object in objects {
+        println!("  {whose}: {object}");
+    }
+}
+
+/// Waits until the daemon has heard that each live daemon holds the generation.
+async fn wait(
+    daemon: &str,
+    token: &str,
+    generation: Generation,
+    patience: Duration,
+) -> Result<Verdict> {
+    let began = Instant::now();
+    loop {
+        let status = status::read(daemon, token).await?;
+        let number = |name: &str| status[name].as_u64().unwrap_or(0);
+        let (here, everywhere) = (number("generation"), number("everywhere"));
+        let members = status["members"].as_array().map_or(0, Vec::len);
+        if everywhere >= generation.0 {
+            let after = began.elapsed().as_secs_f64();
+            println!("in force at {members} live daemons after {after:.1} s");
+            return Ok(Verdict::Good);
+        }
+        if began.elapsed() >= patience {
+            println!(
+                "not yet in force everywhere: {here} here, {everywhere} at each of {members} daemons"
+            );
+            return Ok(Verdict::Bad);
+        }
+        tokio::time::sleep(WAIT_POLL).await;
+    }
 }
--- a/cli/src/command/status.rs
+++ b/cli/src/command/status.rs
@@ -21,7 +21,7 @@
 
 /// Runs `status`.
 pub fn run(args: &Args) -> Result<Verdict> {
-    let status = actix_rt::System::new().block_on(read(args))?;
+    let status = actix_rt::System::new().block_on(read(&args.daemon, &args.token))?;
     if args.json {
         println!("{status}");
     } else if let Value::Object(members) = &status {
@@ -32,9 +32,10 @@
     Ok(if status["ready"] == Value::Bool(true) { Verdict::Good } else { Verdict::Bad })
 }
 
-async fn read(args: &Args) -> Result<Value> {
-    let url = format!("{}/status", args.daemon);
-    let req = awc::Client::default().get(&url).bearer_auth(&args.token);
+/// Reads the status of a daemon.
+pub async fn read(daemon: &str, token: &str) -> Result<Value> {
+    let url = format!("{daemon}/status");
+    let req = awc::Client::default().get(&url).bearer_auth(token);
     let sent = req.send().await.map_err(|error| eyre!("{error}"));
     let mut res = sent.wrap_err_with(|| format!("cannot read {url}"))?;
     if !res.status().is_success() {
--- /dev/null
+++ b/cli/src/in_force.rs
@@ -0,0 +1,34 @@
+//! Reads what is in force from the platform.
+
+use dogwoodturn::{
+    declaration::{
+        DeclarationSet, delta,
+        wire::{self, HEAD_KEY, HeadWire, SetDigest},
+    },
+    platform::{ObjectKey, Operation, Reply, http::HttpPlatform},
+};
+use eyre::{Result, bail};
+
+/// Returns the head and the set in force; `None` if nothing was published yet.
+pub async fn read(platform: &HttpPlatform) -> Result<Option<(HeadWire, DeclarationSet)>> {
+    let Some(value) = get(platform, HEAD_KEY).await? else { return Ok(None) };
+    let head: HeadWire = wire::decode(&value)?;
+    let mut encoded = Vec::new();
+    for part in 0..head.base.parts {
+        let key = wire::part_key(&head.base, part);
+        let Some(value) = get(platform, &key).await? else {
+            bail!("{key} is gone; another change was published meanwhile, try again");
+        };
+        encoded.extend_from_slice(&value);
+    }
+    let base = wire::decode_set(&encoded)?;
+    let (set, _) = delta::apply_all(&head.deltas, &base, SetDigest::of(&encoded))?;
+    Ok(Some((head, set)))
+}
+
+async fn get(platform: &HttpPlatform, key: &str) -> Result<Option<bytes::Bytes>> {
+    match platform.call(&Operation::Get(ObjectKey::new(key))).await? {
+        Reply::Object(object) => Ok(object.map(|object| object.value)),
+        _ => bail!("the platform answered with something else than an object"),
+    }
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -2,13 +2,14 @@
 
 mod command;
 mod files;
+mod in_force;
 mod output;
 
 use std::process::ExitCode;
 
 use gumdrop::Options;
 
-use crate::command::{check, demo, publish, status};
+use crate::command::{check, demo, diff, publish, status};
 
 #[derive(Debug, Options)]
 struct Args {
@@ -22,6 +23,8 @@
 enum Command {
     #[options(help = "check declarations and name every fault")]
     Check(check::Args),
+    #[options(help = "show what publishing would change")]
+    Diff(diff::Args),
     #[options(help = "publish declarations to the platform")]
     Publish(publish::Args),
     #[options(help = "show the status of a daemon")]
@@ -34,6 +37,7 @@
     let args = Args::parse_args_default_or_exit();
     let result = match args.command {
         Some(Command::Check(args)) => check::run(&args),
+        Some(Command::Diff(args)) => diff::run(&args),
         Some(Command::Publish(args)) => publish::run(args),
         Some(Command::Status(args)) => status::run(&args),
         Some(Command::Demo(args)) => demo::run(&args),
--- a/lib/src/declaration/check.rs
+++ b/lib/src/declaration/check.rs
@@ -7,7 +7,7 @@
 use crate::{
     declaration::{
         Customer, DeclarationSet, LatencyTarget, Move, RequestClass, Route, Service, SupplyBounds,
-        Version,
+        Version, against::Objection,
     },
     ids::{CustomerName, MoveName, RouteName, ServiceName, VersionName},
     ini::{self, Fault, Place, Section, Source, fields::Fields},
@@ -18,6 +18,22 @@
 pub struct Checked {
     /// The set.
     pub set: DeclarationSet,
+    places: IndexMap<Box<str>, Place>,
+}
+
+impl Checked {
+    /// Turns what speaks against publishing the set into faults with file and line.
+    ///
+    /// An object that the set no longer holds has no line; its title is named instead.
+    pub fn faults(&self, objections: &[Objection]) -> Vec<Fault> {
+        let fault = |objection: &Objection| {
+            let removed = Place { file: format!("[{}]", objection.title).into(), line: 0 };
+            let place = self.places.get(&objection.title).unwrap_or(&removed);
+            let reason = format!("[{}] {}", objection.title, objection.reason);
+            Fault::new(place, reason).with_hint(objection.hint.clone())
+        };
+        objections.iter().map(fault).collect()
+    }
 }
 
 /// Reads and checks all files as one set.
@@ -33,7 +49,7 @@
     reader.overlapping_routes();
     reader.moves_of_one_service();
     if reader.faults.is_empty() {
-        return Ok(Checked { set: reader.set });
+        return Ok(Checked { set: reader.set, places: reader.places });
     }
     reader.faults.sort();
     Err(reader.faults)
@@ -141,6 +157,14 @@
                 );
                 self.fault(&title, reason, "finish or remove one of them first");
             }
+            let serves = self.set.services.get(&m.service).map(|service| &service.version);
+            if serves.is_some_and(|serves| *serves != m.from) {
+                let reason = format!(
+                    "move {} goes from {}, which is not the version of service {}",
+                    m.name, m.from, m.service
+                );
+                self.fault(&title, reason, "name the version that the service declares");
+            }
             if m.from == m.to {
                 let reason = format!("move {} goes from {} to itself", m.name, m.from);
                 self.fault(&title, reason, "name two versions");
--- a/lib/src/declaration/in_force/mod.rs
+++ b/lib/src/declaration/in_force/mod.rs
@@ -440,7 +440,6 @@
                     }
                 }
             }
-            Message::Ask(_) | Message::Holds(..) => {}
         }
     }
 
--- a/lib/src/declaration/message.rs
+++ b/lib/src/declaration/message.rs
@@ -9,7 +9,7 @@
         delta::DeltaWire,
         wire::{SetDigest, WireError},
     },
-    ids::{DaemonId, Generation},
+    ids::Generation,
 };
 
 /// One message about the configuration.
@@ -26,10 +26,6 @@
     Deltas(Vec<DeltaWire>),
     /// Answers with a part of a whole set.
     Part(SetPart),
-    /// Asks every daemon for the generation in force at it; answered hop by hop.
-    Ask(u64),
-    /// The generations in force at the sender and at those it has asked.
-    Holds(u64, Vec<(DaemonId, Generation)>),
 }
 
 /// A part of an encoded set.
@@ -59,12 +55,6 @@
     /// See [`Message::Part`].
     #[serde(rename = "s")]
     Part(Generation, SetDigest, u32, u32, #[serde(with = "serde_bytes")] Vec<u8>),
-    /// See [`Message::Ask`].
-    #[serde(rename = "a")]
-    Ask(u64),
-    /// See [`Message::Holds`].
-    #[serde(rename = "h")]
-    Holds(u64, Vec<(DaemonId, Generation)>),
 }
 
 impl From<Message> for MessageWire {
@@ -75,8 +65,6 @@
             Message::Part(SetPart { generation, digest, part, parts, bytes }) => {
                 Self::Part(generation, digest, part, parts, bytes)
             }
-            Message::Ask(ask) => Self::Ask(ask),
-            Message::Holds(ask, held) => Self::Holds(ask, held),
         }
     }
 }
@@ -91,8 +79,6 @@
             MessageWire::Part(generation, digest, part, parts, bytes) => {
                 Self::Part(SetPart { generation, digest, part, parts, bytes })
             }
-            MessageWire::Ask(ask) => Self::Ask(ask),
-            MessageWire::Holds(ask, held) => Self::Holds(ask, held),
         })
     }
 }
--- a/lib/src/edge/operator.rs
+++ b/lib/src/edge/operator.rs
@@ -10,7 +10,11 @@
 use arc_swap::ArcSwap;
 use serde::Serialize;
 
-use crate::{edge::problem::Problem, ids::Generation, node::snapshot::Snapshot};
+use crate::{
+    edge::problem::Problem,
+    ids::{DaemonId, Generation},
+    node::snapshot::Snapshot,
+};
 
 /// The status of one daemon as operators read it.
 #[derive(Clone, Debug, Serialize)]
@@ -19,6 +23,10 @@
     pub ready: bool,
     /// The generation in force.
     pub generation: Generation,
+    /// A generation that each live daemon has reached, as far as this one has heard.
+    pub everywhere: Generation,
+    /// The daemons that it takes to be live, itself included.
+    pub members: Vec<DaemonId>,
     /// How many hosts it knows.
     pub hosts: usize,
 }
@@ -72,6 +80,8 @@
         let wire = StatusWire {
             ready: snapshot.ready(),
             generation: snapshot.generation,
+            everywhere: snapshot.everywhere,
+            members: snapshot.members.iter().map(|member| member.daemon.clone()).collect(),
             hosts: snapshot.hosts.len(),
         };
         let body = serde_json::to_vec(&wire).expect("a status is valid JSON");
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -15,6 +15,7 @@
         peers.handle(now, event, &mut effects);
         let reaches = peers.reaches_most();
         let own = peers.own().clone();
+        let everywhere = peers.everywhere();
         for effect in effects {
             match effect {
                 Effect::Link(effect) => out.push(Output::Link(effect)),
@@ -30,6 +31,10 @@
                 Effect::Refused(reason) => out.push(Output::Refused(reason)),
             }
         }
+        if everywhere != self.snapshot.everywhere {
+            self.snapshot.everywhere = everywhere;
+            self.publish(out);
+        }
         if reaches != self.reaches_peers {
             self.reaches_peers = reaches;
             self.in_force(now, in_force::Event::Reaches(reaches), out);
--- a/lib/src/node/snapshot.rs
+++ b/lib/src/node/snapshot.rs
@@ -17,6 +17,8 @@
 pub struct Snapshot {
     /// The generation in force, zero if none.
     pub generation: Generation,
+    /// A generation that each live daemon has reached, as far as this one has heard.
+    pub everywhere: Generation,
     /// The declarations in force.
     pub set: Arc<DeclarationSet>,
     /// The hosts of the host list.
@@ -35,6 +37,7 @@
     fn default() -> Self {
         Self {
             generation: Generation(0),
+            everywhere: Generation(0),
             set: Arc::default(),
             hosts: Arc::new([]),
             versions: Arc::default(),
--- a/lib/src/peer/message.rs
+++ b/lib/src/peer/message.rs
@@ -51,8 +51,11 @@
     pub by: DaemonId,
 }
 
+/// How many links the knowledge of [`Beat::within`] reaches.
+pub const DEPTH: usize = 8;
+
 /// Compares the two ends of a link.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Beat {
     /// The digest of the sender's live members.
     pub members: u64,
@@ -60,6 +63,8 @@
     pub generation: Generation,
     /// Whether the sender wants to keep the link.
     pub keep: bool,
+    /// The lowest generation in force within 1, 2, and so on up to [`DEPTH`] links of the sender.
+    pub within: Vec<Generation>,
 }
 
 /// One message of the peer slice.
@@ -109,7 +114,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 enum FrameWire {
     #[serde(rename = "b")]
-    Beat(u64, Generation, bool),
+    Beat(u64, Generation, bool, Vec<u64>),
     #[serde(rename = "r")]
     Records(Vec<RecordWire>),
     #[serde(rename = "a")]
@@ -157,7 +162,11 @@
 impl From<Frame> for FrameWire {
     fn from(frame: Frame) -> Self {
         match frame {
-            Frame::Beat(beat) => Self::Beat(beat.members, beat.generation, beat.keep),
+            Frame::Beat(Beat { members, generation, keep, within }) => {
+                // Most daemons hold the sender's generation, and a small number is a short one.
+                let behind = within.iter().map(|held| generation.0.saturating_sub(held.0));
+                Self::Beat(members, generation, keep, behind.collect())
+            }
             Frame::Records(records) => Self::Records(records.into_iter().map(Into::into).collect()),
             Frame::Accuse(Accusation { of, incarnation, refutation, by }) => {
                 Self::Accuse(of, incarnation, refutation, by)
@@ -175,8 +184,10 @@
 
     fn try_from(wire: FrameWire) -> Result<Self, WireError> {
         Ok(match wire {
-            FrameWire::Beat(members, generation, keep) => {
-                Self::Beat(Beat { members, generation, keep })
+            FrameWire::Beat(members, generation, keep, behind) => {
+                let within = behind.iter().take(DEPTH);
+                let within = within.map(|behind| Generation(generation.0.saturating_sub(*behind)));
+                Self::Beat(Beat { members, generation, keep, within: within.collect() })
             }
             FrameWire::Records(records) => {
                 let records = records.into_iter().map(TryInto::try_into);
--- a/lib/src/peer/peers.rs
+++ b/lib/src/peer/peers.rs
@@ -13,7 +13,7 @@
         flood::Floods,
         links::{LinkId, Links},
         membership::{Change, Membership},
-        message::{Accusation, Beat, Frame, Packet, Record, Standing},
+        message::{Accusation, Beat, DEPTH, Frame, Packet, Record, Standing},
     },
     units::Time,
 };
@@ -171,6 +171,29 @@
         live > gone && 2 * linked > self.neighbours.len()
     }
 
+    /// Returns a generation that each live daemon has reached, as far as beats have told.
+    ///
+    /// It lags by a heartbeat for each link on the way, and is zero while a neighbour is silent.
+    pub fn everywhere(&self) -> Generation {
+        self.within().last().copied().unwrap_or(self.generation)
+    }
+
+    /// Returns the lowest generation within each number of links, from 1 to [`DEPTH`].
+    fn within(&self) -> Vec<Generation> {
+        let beats = self.neighbours.iter().map(|peer| {
+            self.links.to(peer).map(|(_, link)| &link.beat).filter(|beat| !beat.within.is_empty())
+        });
+        let beats: Vec<Option<&Beat>> = beats.collect();
+        let lowest = |of: &dyn Fn(&Beat) -> Generation| {
+            let theirs = beats.iter().map(|beat| beat.map_or(Generation(0), of)).min();
+            theirs.unwrap_or(self.generation).min(self.generation)
+        };
+        let near = lowest(&|beat| beat.generation);
+        let far = (1..DEPTH)
+            .map(|links| lowest(&|beat| beat.within.get(links - 1).copied().unwrap_or_default()));
+        std::iter::once(near).chain(far).collect()
+    }
+
     /// Takes an event and adds the effects that follow from it.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
         match event {
@@ -502,10 +525,10 @@
         let Some(link) = self.links.get_mut(id) else { return };
         let first = !std::mem::replace(&mut link.beating, true);
         link.beat = beat;
-        if beat.generation > self.generation {
-            out.push(Effect::Later(peer.clone(), beat.generation));
+        if link.beat.generation > self.generation {
+            out.push(Effect::Later(peer.clone(), link.beat.generation));
         }
-        if first && beat.members != self.digest && self.own() < peer {
+        if first && link.beat.members != self.digest && self.own() < peer {
             self.ask_to_compare(id);
         }
     }
@@ -570,11 +593,11 @@
     }
 
     fn add_beat(&mut self, now: Time, id: LinkId) {
-        let (members, generation) = (self.digest, self.generation);
+        let (members, generation, within) = (self.digest, self.generation, self.within());
         let Some(link) = self.links.get_mut(id) else { return };
         let keep = self.neighbours.contains(&link.peer);
         link.beat_sent = Some(now);
-        link.frames.push(Frame::Beat(Beat { members, generation, keep }));
+        link.frames.push(Frame::Beat(Beat { members, generation, keep, within }));
     }
 
     /// Tells the neighbours that do not have a generation yet that it is in force here.
--- a/lib/tests/fleet/main.rs
+++ b/lib/tests/fleet/main.rs
@@ -8,12 +8,13 @@
 use dogwoodturn::{
     ids::Generation,
     node::control::Input,
-    peer::{Member, peers::Peers},
+    peer::{Member, Recipient, peers::Peers},
     platform::memory::MemoryStore,
+    request::message::Message,
 };
 
 use build::{address, agrees, config, formed, in_force, publish, set};
-use queue::Queue;
+use queue::{Node, Queue};
 
 /// In force everywhere within this time: the stated goal at 128 daemons.
 const GOAL: Duration = Duration::from_secs(2);
@@ -218,3 +219,47 @@
         assert!(others.any(|member| member.region != node.own.region));
     }
 }
+
+fn flood(queue: &mut Queue, from: usize) {
+    let message = Message::Poison { digest: [1; 32], refused_for: LONG };
+    queue.input(Duration::ZERO, from, Input::Request(Recipient::Flood, message));
+}
+
+#[test]
+fn flood_reaches_each_once() {
+    let mut queue = formed(14, 64, 13, 5);
+    queue.loss = 0.05;
+    for count in 1..=5 {
+        flood(&mut queue, 20);
+        queue.run(GOAL * 2, |_| false);
+        let got: Vec<u64> = queue.live().map(|node| node.floods).collect();
+        assert!(got.iter().all(|&floods| floods == count), "{got:?}");
+    }
+}
+
+#[test]
+fn flood_reaches_a_daemon_that_links_up_later() {
+    let mut queue = formed(15, 16, 4, 2);
+    queue.groups[6] = 1;
+    queue.run(Duration::from_secs(8), |_| false);
+    flood(&mut queue, 0);
+    queue.run(GOAL, |_| false);
+    assert_eq!(queue.nodes[6].as_ref().map(|node| node.floods), Some(0));
+    queue.groups[6] = 0;
+    queue.run(Duration::from_secs(20), |_| false);
+    assert!(queue.live().all(|node| node.floods == 1));
+}
+
+#[test]
+fn everywhere_tells_when_each_daemon_holds_a_generation() {
+    let mut queue = formed(16, 128, 13, 5);
+    queue.run(Duration::from_secs(20), |_| false);
+    let generation = change(&mut queue, 1);
+    let told = |queue: &Queue| {
+        let told = |node: &Node| node.snapshot.everywhere.0 >= generation;
+        let all = in_force(queue, generation);
+        assert!(all || !queue.live().any(told), "told before it is true");
+        queue.live().all(told)
+    };
+    assert!(queue.run(Duration::from_secs(20), told));
+}
--- a/lib/tests/fleet/queue.rs
+++ b/lib/tests/fleet/queue.rs
@@ -42,6 +42,8 @@
     /// The generation with which it first was informed.
     pub informed_with: Option<u64>,
     pub refused: Vec<Box<str>>,
+    /// How many flooded messages have come.
+    pub floods: u64,
     pub bytes_sent: u64,
     pub packets_sent: u64,
     pub platform_calls: u64,
@@ -104,6 +106,7 @@
             adopted,
             informed_with: None,
             refused,
+            floods: 0,
             bytes_sent,
             packets_sent,
             platform_calls,
@@ -198,6 +201,7 @@
                 node.snapshot = snapshot;
             }
             Output::Refused(reason) => node.refused.push(reason),
+            Output::Poison(..) => node.floods += 1,
             Output::Link(LinkEffect::Dial(link, address)) => {
                 let found = |node: &Option<Node>| {
                     node.as_ref().is_some_and(|node| node.own.address == address)
--- /dev/null
+++ b/lib/tests/peers.rs
@@ -0,0 +1,146 @@
+//! The handshake and the packets of daemons against whatever bytes may come.
+
+use dogwoodturn::{
+    declaration::wire::{decode, encode},
+    ids::{Generation, Incarnation},
+    peer::{
+        Member,
+        handshake::{Handshake, HandshakeError, NONCE_BYTES, Side},
+        message::{Accusation, Beat, Frame, Packet, PacketWire, Record, Standing},
+    },
+};
+use quickcheck::{Gen, QuickCheck, TestResult};
+
+const KEY: [u8; 32] = [1; 32];
+const TESTS: u64 = 2_000;
+const LARGEST_INPUT: usize = 512;
+
+fn member(name: &str) -> Member {
+    Member {
+        daemon: name.parse().expect("a name"),
+        incarnation: Incarnation(7),
+        address: ([10, 0, 0, 1], 7000).into(),
+        data_centre: "salish-a".parse().expect("a name"),
+        region: "salish".parse().expect("a name"),
+    }
+}
+
+fn begin(side: Side, key: [u8; 32], nonce: u8) -> (Handshake, Vec<u8>) {
+    Handshake::begin(side, key, member("a"), [nonce; NONCE_BYTES])
+}
+
+/// Lets two ends meet; returns what the dialler and the acceptor say of each other's proof.
+fn meet(
+    dialler_key: [u8; 32],
+    acceptor_key: [u8; 32],
+) -> (Result<(), HandshakeError>, Result<(), HandshakeError>) {
+    let (mut dialler, dialler_hello) = begin(Side::Dialler, dialler_key, 1);
+    let (mut acceptor, acceptor_hello) = begin(Side::Acceptor, acceptor_key, 2);
+    let (_, dialler_proof) = dialler.hello(&acceptor_hello).expect("a hello");
+    let (_, acceptor_proof) = acceptor.hello(&dialler_hello).expect("a hello");
+    (dialler.proof(&acceptor_proof), acceptor.proof(&dialler_proof))
+}
+
+#[test]
+fn handshake_keys_agree_or_differ() {
+    assert_eq!(meet(KEY, KEY), (Ok(()), Ok(())));
+    let refused = Err(HandshakeError::Unauthenticated);
+    assert_eq!(meet(KEY, [2; 32]), (refused.clone(), refused));
+}
+
+#[test]
+fn handshake_replayed_proof_is_refused() {
+    let (mut dialler, dialler_hello) = begin(Side::Dialler, KEY, 1);
+    let (mut acceptor, acceptor_hello) = begin(Side::Acceptor, KEY, 2);
+    let (_, recorded) = dialler.hello(&acceptor_hello).expect("a hello");
+    acceptor.hello(&dialler_hello).expect("a hello");
+    assert_eq!(acceptor.proof(&recorded), Ok(()));
+    let (mut later, _) = begin(Side::Acceptor, KEY, 3);
+    later.hello(&dialler_hello).expect("a hello");
+    assert_eq!(later.proof(&recorded), Err(HandshakeError::Unauthenticated));
+}
+
+#[test]
+fn handshake_reflected_proof_is_refused() {
+    let (mut dialler, dialler_hello) = begin(Side::Dialler, KEY, 1);
+    let (_, own_proof) = dialler.hello(&dialler_hello).expect("its own hello sent back");
+    assert_eq!(dialler.proof(&own_proof), Err(HandshakeError::Unauthenticated));
+}
+
+#[test]
+fn handshake_other_version_is_refused() {
+    let (mut acceptor, _) = begin(Side::Acceptor, KEY, 2);
+    let (_, mut hello) = begin(Side::Dialler, KEY, 1);
+    // The version is the first element of the array.
+    assert_eq!(hello[1], 1);
+    hello[1] = 2;
+    assert_eq!(acceptor.hello(&hello).expect_err("refused"), HandshakeError::Version(2));
+}
+
+fn check(property: fn(Vec<u8>) -> TestResult) {
+    let random = Gen::from_size_and_seed(LARGEST_INPUT, 11);
+    QuickCheck::new().rng(random).tests(TESTS).quickcheck(property);
+}
+
+fn packet() -> Packet {
+    let record = Record { member: member("b"), refutation: 3, standing: Standing::Gone };
+    let accusation = Accusation {
+        of: record.member.daemon.clone(),
+        incarnation: Incarnation(7),
+        refutation: 3,
+        by: member("c").daemon,
+    };
+    let within = vec![Generation(8), Generation(7)];
+    let beat = Beat { members: 1 << 63, generation: Generation(9), keep: true, within };
+    Packet(vec![
+        Frame::Beat(beat),
+        Frame::Records(vec![record]),
+        Frame::Accuse(accusation),
+        Frame::Compare(vec![0, u64::MAX]),
+        Frame::Want(vec![0, 31]),
+    ])
+}
+
+#[test]
+fn packet_round_trip() {
+    let wire: PacketWire = decode(&encode(&PacketWire::from(packet()))).expect("a packet");
+    assert_eq!(Packet::try_from(wire), Ok(packet()));
+}
+
+#[test]
+fn packet_arbitrary_bytes_are_refused_or_read() {
+    check(|bytes| {
+        // Neither may panic, or take memory beyond what the bytes stand for.
+        if let Ok(wire) = decode::<PacketWire>(&bytes) {
+            let _ = Packet::try_from(wire);
+        }
+        let (mut acceptor, _) = begin(Side::Acceptor, KEY, 2);
+        let _ = acceptor.hello(&bytes);
+        TestResult::from_bool(acceptor.proof(&bytes).is_err())
+    });
+}
+
+#[test]
+fn packet_with_changed_bytes_is_refused_or_read() {
+    check(|bytes| {
+        let mut encoded = encode(&PacketWire::from(packet()));
+        for pair in bytes.chunks_exact(2) {
+            let place = usize::from(pair[0]) % encoded.len();
+            encoded[place] = pair[1];
+        }
+        if let Ok(wire) = decode::<PacketWire>(&encoded) {
+            let _ = Packet::try_from(wire);
+        }
+        TestResult::passed()
+    });
+}
+
+#[test]
+fn packet_claimed_length_takes_no_memory() {
+    // An array of 2^40 frames, and a byte string of 2^40 bytes, of which none follows.
+    for head in [0x9b_u8, 0x5b] {
+        let mut bytes = vec![head];
+        bytes.extend((1_u64 << 40).to_be_bytes());
+        assert!(decode::<PacketWire>(&bytes).is_err());
+    }
+}
