--- a/cli/src/command/mod.rs
+++ b/cli/src/command/mod.rs
@@ -3,5 +3,6 @@
 pub mod check;
 pub mod demo;
 pub mod diff;
+pub mod moves;
 pub mod publish;
 pub mod status;
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -21,7 +21,7 @@
         traffic::Event,
     },
     peer::{Member, peers::Config},
-    platform::http::HttpPlatform,
+    platform::{client, http::HttpPlatform},
     request::{message::Message, name::thread_of},
     units::{Time, WallTime},
 };
@@ -92,6 +92,9 @@
                 log::error!(event = "operators-listener-ended", error:% = error; "");
             }
         });
+        let Settings { name, calls_per_second, claims, .. } = &self.settings;
+        let calls_per_second = f64::from(*calls_per_second);
+        let calls = client::Config { calls_per_second, ..client::Config::default() };
         let (link_events, mut link_received) = mpsc::channel(EVENT_QUEUE);
         let own = match self.member() {
             Ok(own) => own,
@@ -105,11 +108,12 @@
             Ok(links) => links,
             Err(error) => return log::error!(event = "no-peer-listener", error:%; ""),
         };
-        let mut control = Control::with_peers(Config {
-            own,
-            seeds: self.settings.seeds.clone(),
-            heartbeat: self.settings.heartbeat,
-        });
+        let identity = Input::Identity(own.daemon.clone(), own.incarnation);
+        let peers =
+            Config { own, seeds: self.settings.seeds.clone(), heartbeat: self.settings.heartbeat };
+        let mut control =
+            Control::new().with_platform(calls, name).with_claims(claims.clone()).with_peers(peers);
+        control.handle(Time(0), identity, &mut Vec::new());
         let mut input = Input::Started;
         loop {
             let now = Time(started.elapsed().as_micros() as u64);
@@ -153,18 +157,6 @@
         }
     }
 
-    /// Returns this run of the daemon as its peers know it.
-    fn member(&self) -> std::io::Result<Member> {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Ok(Member {
-            daemon: self.settings.name.clone(),
-            incarnation: Incarnation(since.as_millis() as u64),
-            address: self.peers.local_addr()?,
-            data_centre: self.settings.data_centre.clone(),
-            region: self.settings.region.clone(),
-        })
-    }
-
     fn threads(&self) -> u16 {
         u16::try_from(self.inboxes.len()).unwrap_or(u16::MAX)
     }
@@ -185,6 +177,18 @@
         self.tell(thread, Event::Peer(from, message));
     }
 
+    /// Returns this run of the daemon as its peers know it.
+    fn member(&self) -> std::io::Result<Member> {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Ok(Member {
+            daemon: self.settings.name.clone(),
+            incarnation: Incarnation(since.as_millis() as u64),
+            address: self.peers.local_addr()?,
+            data_centre: self.settings.data_centre.clone(),
+            region: self.settings.region.clone(),
+        })
+    }
+
     fn carry_out(&self, platform: &HttpPlatform, links: &mut PeerLinks, output: Output) {
         match output {
             Output::Call { owner, call, operation, .. } => {
--- a/lib/src/edge/operator.rs
+++ b/lib/src/edge/operator.rs
@@ -13,6 +13,7 @@
 use crate::{
     edge::problem::Problem,
     ids::{DaemonId, Generation},
+    moves::report::MoveReport,
     node::snapshot::Snapshot,
 };
 
@@ -29,6 +30,8 @@
     pub members: Vec<DaemonId>,
     /// How many hosts it knows.
     pub hosts: usize,
+    /// The moves that are declared.
+    pub moves: Vec<MoveReport>,
 }
 
 /// The operators' listener of a daemon.
@@ -83,6 +86,7 @@
             everywhere: snapshot.everywhere,
             members: snapshot.members.iter().map(|member| member.daemon.clone()).collect(),
             hosts: snapshot.hosts.len(),
+            moves: snapshot.moves.to_vec(),
         };
         let body = serde_json::to_vec(&wire).expect("a status is valid JSON");
         let mut builder = Response::build(StatusCode::OK);
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -4,22 +4,32 @@
 
 use crate::{
     audit,
-    claim::{ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket},
+    claim::{
+        ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket,
+        claims::{self, Claims},
+    },
     declaration::in_force::{self, InForce},
-    ids::{CallId, DaemonId, RequestId},
-    node::{message::PeerMessage, report::AttemptReport, requests, snapshot::Snapshot},
+    ids::{CallId, DaemonId, Incarnation, RequestId},
+    moves::{
+        evidence::Source,
+        run::{self, Moves},
+    },
+    node::{
+        message::PeerMessage, platform::CallTag, report::AttemptReport, requests,
+        snapshot::Snapshot,
+    },
     peer::{
         Recipient,
-        peers::{self, Config, LinkEffect, LinkEvent, Peers},
+        peers::{self, LinkEffect, LinkEvent, Peers},
     },
-    platform::{CallError, Operation, Priority, Reply},
+    platform::{CallError, Operation, Priority, Reply, client::Client},
     request,
     units::{Time, WallTime},
     upstream::hosts::{self, HostList},
 };
 
 /// When a caller may ask again after a claim that could not be written.
-const CLAIM_RETRY: Duration = Duration::from_secs(1);
+pub(super) const CLAIM_RETRY: Duration = Duration::from_secs(1);
 
 /// Tells which slice asked for a call to the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -28,6 +38,10 @@
     InForce,
     /// [`hosts`].
     Hosts,
+    /// [`claims`].
+    Claims,
+    /// [`crate::moves`].
+    Moves,
 }
 
 /// What the control part is told.
@@ -49,12 +63,14 @@
     Attempt(Box<AttemptReport>),
     /// A peer has sent a message.
     Peer(DaemonId, PeerMessage),
+    /// This is the daemon and its run; told before `Started`.
+    Identity(DaemonId, Incarnation),
     /// The wall clock shows this time now; told before `Started` and at least once a minute.
     Clock(WallTime),
-    /// Something has happened to a link to a peer.
-    Link(LinkEvent),
     /// A traffic thread sends a message about a request.
     Request(Recipient, request::message::Message),
+    /// Something has happened to a link to a peer.
+    Link(LinkEvent),
 }
 
 /// What the control part wants done.
@@ -97,8 +113,13 @@
     pub(super) peers: Option<Peers>,
     /// Whether most of the known peers are reached; a daemon without peers misses none.
     pub(super) reaches_peers: bool,
+    pub(super) moves: Option<Moves>,
     pub(super) snapshot: Snapshot,
     clock: (Time, WallTime),
+    pub(super) claims: Option<Claims>,
+    pub(super) claims_config: claims::Config,
+    pub(super) client: Client<CallTag>,
+    pub(super) refused: Vec<(CallTag, CallError)>,
 }
 
 impl Control {
@@ -107,9 +128,11 @@
         Self { reaches_peers: true, ..Self::default() }
     }
 
-    /// Makes the control part of a daemon that forms a fleet with its peers.
-    pub fn with_peers(config: Config) -> Self {
-        Self { peers: Some(Peers::new(config)), ..Self::new() }
+    /// Lets the daemon form a fleet with its peers; to be told before any input.
+    #[must_use]
+    pub fn with_peers(mut self, cfg: peers::Config) -> Self {
+        self.peers = Some(Peers::new(cfg));
+        self
     }
 
     /// Returns the peer slice, if the daemon has peers.
@@ -119,46 +142,81 @@
 
     /// Returns when [`Input::Woken`] is wanted.
     pub fn next_wakeup(&self) -> Option<Time> {
+        let claims = self.claims.as_ref().and_then(Claims::next_wakeup);
+        let refused = (!self.refused.is_empty()).then_some(Time(0));
+        let client = self.client.next_wakeup();
         let peers = self.peers.as_ref().and_then(Peers::next_wakeup);
-        [self.in_force.next_wakeup(), self.hosts.next_wakeup(), peers].into_iter().flatten().min()
+        let moves = self.moves.as_ref().and_then(Moves::next_wakeup);
+        [self.in_force.next_wakeup(), self.hosts.next_wakeup(), claims, client, refused, peers]
+            .into_iter()
+            .chain([moves])
+            .flatten()
+            .min()
     }
 
     /// Takes an input and adds the outputs that follow from it.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        self.deliver_refusals(now, out);
         match input {
             Input::Started => {
                 self.handle_peers(now, peers::Event::Started, out);
                 self.in_force(now, in_force::Event::Started, out);
                 self.hosts(now, hosts::Event::Started, out);
+                self.moves(now, run::Event::Started, out);
             }
-            Input::Called(Owner::InForce, call, result) => {
-                self.in_force(now, in_force::Event::Called(call, result), out);
-            }
-            Input::Called(Owner::Hosts, call, result) => {
-                self.hosts(now, hosts::Event::Called(call, result), out);
+            Input::Called(owner, call, result) => {
+                self.call_ended(now, (owner, call), result, out);
             }
             Input::Woken => {
                 self.in_force(now, in_force::Event::Woken, out);
                 self.hosts(now, hosts::Event::Woken, out);
+                self.claims(now, claims::Event::Woken, out);
                 self.handle_peers(now, peers::Event::Woken, out);
+                self.moves(now, run::Event::Woken, out);
             }
             Input::Drain => {
                 self.snapshot.draining = true;
                 self.publish(out);
                 self.handle_peers(now, peers::Event::Leave, out);
             }
-            Input::Claim(ask) => {
-                let retry_after = CLAIM_RETRY;
-                let answer = ClaimAnswer::Unavailable { retry_after };
-                out.push(Output::ClaimAnswered(ask.request, answer));
+            Input::Claim(ask) => self.claims(now, claims::Event::Ask(ask), out),
+            Input::ClaimEnded(ticket, end) => {
+                self.claims(now, claims::Event::Ended(ticket, end), out);
             }
+            Input::Identity(daemon, incarnation) => self.begin(now, daemon, incarnation),
             Input::Clock(wall) => self.clock = (now, wall),
+            Input::Request(recipient, message) => {
+                requests::send(recipient, message, out);
+            }
             Input::Peer(from, message) => self.peer_message(now, &from, message, out),
-            Input::Request(recipient, message) => requests::send(recipient, message, out),
             Input::Link(event) => self.handle_peers(now, peers::Event::Link(event), out),
-            Input::ClaimEnded(..) | Input::Attempt(_) => {}
+            Input::Attempt(report) => self.moves(now, run::Event::Attempt(&report), out),
         }
         self.send_to_peers(now, out);
+        self.schedule_calls(now, out);
+    }
+
+    /// Makes the slices that have to know whose they are.
+    fn begin(&mut self, now: Time, daemon: DaemonId, incarnation: Incarnation) {
+        self.moves = Some(Moves::new(Source { daemon: daemon.clone(), incarnation }));
+        self.begin_claims(now, daemon, incarnation);
+    }
+
+    /// Gives a slice the result of its call.
+    pub(super) fn called(
+        &mut self,
+        now: Time,
+        owner: Owner,
+        call: CallId,
+        result: Result<Reply, CallError>,
+        out: &mut Vec<Output>,
+    ) {
+        match owner {
+            Owner::InForce => self.in_force(now, in_force::Event::Called(call, result), out),
+            Owner::Hosts => self.hosts(now, hosts::Event::Called(call, result), out),
+            Owner::Claims => self.claims(now, claims::Event::Called(call, result), out),
+            Owner::Moves => self.moves(now, run::Event::Called(call, result), out),
+        }
     }
 
     /// Gives a message of a peer to its slice.
@@ -173,7 +231,13 @@
             PeerMessage::Declaration(message) => {
                 self.in_force(now, in_force::Event::Peer(from.clone(), message), out);
             }
+            PeerMessage::Claim(message) => {
+                self.claims(now, claims::Event::Peer(from.clone(), message), out);
+            }
             PeerMessage::Request(message) => requests::receive(from.clone(), message, out),
+            PeerMessage::Moves(message) => {
+                self.moves(now, run::Event::Peer(from.clone(), message), out);
+            }
             PeerMessage::Leaving(_) => {}
         }
     }
@@ -203,8 +267,10 @@
                 }
                 in_force::Effect::Adopted(generation, set) => {
                     self.snapshot.generation = generation;
-                    self.snapshot.set = set;
+                    self.snapshot.set = set.clone();
                     self.publish(out);
+                    self.moves(now, run::Event::Declared(&set), out);
+                    self.services_changed(now, out);
                     self.handle_peers(now, peers::Event::InForce(generation), out);
                 }
                 in_force::Effect::Informed(informed) => {
--- a/lib/src/node/message.rs
+++ b/lib/src/node/message.rs
@@ -10,10 +10,14 @@
 /// A message from one daemon to another.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PeerMessage {
-    /// Carries the configuration in force.
-    Declaration(crate::declaration::message::Message),
     /// Speaks about requests: fetching, handover and poison.
     Request(crate::request::message::Message),
+    /// Carries claims to the daemon that writes them, and its answers.
+    Claim(crate::claim::message::Message),
+    /// Carries the configuration in force.
+    Declaration(crate::declaration::message::Message),
+    /// Evidence, holds and ends of moves.
+    Moves(crate::moves::message::Message),
     /// Tells that a host is leaving; flooded to all daemons.
     Leaving(crate::upstream::message::Message),
 }
@@ -24,7 +28,8 @@
     /// Only statistics may be dropped; nothing that a promise rests on.
     pub fn droppable(&self) -> bool {
         match self {
-            Self::Declaration(_) | Self::Request(_) | Self::Leaving(_) => false,
+            Self::Moves(message) => message.droppable(),
+            Self::Request(_) | Self::Claim(_) | Self::Declaration(_) | Self::Leaving(_) => false,
         }
     }
 }
@@ -32,12 +37,18 @@
 /// A [`PeerMessage`] as it travels, in CBOR.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessageWire {
-    /// See [`PeerMessage::Declaration`].
-    #[serde(rename = "d")]
-    Declaration(crate::declaration::message::MessageWire),
     /// See [`PeerMessage::Request`].
     #[serde(rename = "q")]
     Request(crate::request::message::MessageWire),
+    /// See [`PeerMessage::Claim`].
+    #[serde(rename = "c")]
+    Claim(crate::claim::message::MessageWire),
+    /// See [`PeerMessage::Declaration`].
+    #[serde(rename = "d")]
+    Declaration(crate::declaration::message::MessageWire),
+    /// See [`PeerMessage::Moves`].
+    #[serde(rename = "m")]
+    Moves(crate::moves::message::MessageWire),
     /// See [`PeerMessage::Leaving`].
     #[serde(rename = "u")]
     Leaving(crate::upstream::message::MessageWire),
@@ -46,8 +57,10 @@
 impl From<PeerMessage> for PeerMessageWire {
     fn from(message: PeerMessage) -> Self {
         match message {
-            PeerMessage::Declaration(message) => Self::Declaration(message.into()),
             PeerMessage::Request(message) => Self::Request(message.into()),
+            PeerMessage::Claim(message) => Self::Claim(message.into()),
+            PeerMessage::Declaration(message) => Self::Declaration(message.into()),
+            PeerMessage::Moves(message) => Self::Moves(message.into()),
             PeerMessage::Leaving(message) => Self::Leaving(message.into()),
         }
     }
@@ -58,8 +71,10 @@
 
     fn try_from(wire: PeerMessageWire) -> Result<Self, WireError> {
         Ok(match wire {
-            PeerMessageWire::Declaration(wire) => Self::Declaration(wire.try_into()?),
             PeerMessageWire::Request(wire) => Self::Request(wire.try_into()?),
+            PeerMessageWire::Claim(wire) => Self::Claim(wire.try_into()?),
+            PeerMessageWire::Declaration(wire) => Self::Declaration(wire.try_into()?),
+            PeerMessageWire::Moves(wire) => Self::Moves(wire.try_into()?),
             PeerMessageWire::Leaving(wire) => Self::Leaving(wire.try_into()?),
         })
     }
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -1,6 +1,7 @@
 //! Joins the peer slice to the control part.
 
 use crate::{
+    claim::claims,
     declaration::in_force,
     node::control::{Control, Output},
     peer::peers::{Effect, Event},
@@ -23,6 +24,7 @@
                 Effect::Members(members) => {
                     self.snapshot.members = members.clone();
                     self.publish(out);
+                    self.claims(now, claims::Event::Members(members.clone()), out);
                     self.in_force(now, in_force::Event::Members(own.clone(), members), out);
                 }
                 Effect::Later(peer, generation) => {
--- a/lib/tests/fleet/queue.rs
+++ b/lib/tests/fleet/queue.rs
@@ -95,7 +95,7 @@
 
     pub fn add(&mut self, config: Config) -> usize {
         let own = config.own.clone();
-        let control = Control::with_peers(config);
+        let control = Control::new().with_peers(config);
         let (adopted, refused) = (Vec::new(), Vec::new());
         let snapshot = Arc::default();
         let (bytes_sent, packets_sent, platform_calls) = (0, 0, 0);
