--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -17,11 +17,10 @@
     ids::{DaemonId, Incarnation},
     node::{
         control::{Control, Input, Output},
-        message::PeerMessage,
         snapshot::Snapshot,
         traffic::Event,
     },
-    peer::{Member, Recipient, peers::Config},
+    peer::{Member, peers::Config},
     platform::{client, http::HttpPlatform},
     request::{message::Message, name::thread_of},
     supply,
@@ -257,11 +256,6 @@
                 let thread = thread_of(&request, &self.settings.name, self.threads());
                 self.tell(thread, Event::Claim(request, answer));
             }
-            Output::Send(Recipient::Daemon(to), PeerMessage::Request(message))
-                if to == self.settings.name =>
-            {
-                self.tell_about_request(to, message);
-            }
             Output::Poison(digest, refused_for) => {
                 for thread in 0..self.threads() {
                     self.tell(thread, Event::Poison(digest, refused_for));
--- a/lib/src/peer/membership.rs
+++ b/lib/src/peer/membership.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     ids::{DaemonId, Incarnation},
@@ -271,6 +271,6 @@
 
 fn digest_of(record: &Record) -> u64 {
     let member = &record.member;
-    let text = format!("{} {} {}", member.daemon, member.incarnation, record.refutation);
-    xxh3_64(text.as_bytes())
+    let run = xxh3_64_with_seed(member.daemon.as_str().as_bytes(), member.incarnation.0);
+    xxh3_64_with_seed(&record.refutation.to_be_bytes(), run)
 }
--- a/lib/src/peer/overlay.rs
+++ b/lib/src/peer/overlay.rs
@@ -34,14 +34,26 @@
 
 /// Adds the daemons before and after one on a ring.
 fn beside(daemon: &DaemonId, members: &[&Member], ring: u64, chosen: &mut IndexSet<DaemonId>) {
-    let place = |id: &DaemonId| (xxh3_64_with_seed(id.as_str().as_bytes(), ring), id.clone());
-    let own = place(daemon);
-    let places = members.iter().map(|member| place(&member.daemon));
-    let others: Vec<_> = places.filter(|place| *place != own).collect();
-    let (before, after): (Vec<_>, Vec<_>) = others.iter().partition(|place| **place < own);
-    let next = after.iter().min().or(before.iter().min());
-    let last = before.iter().max().or(after.iter().max());
-    chosen.extend(next.into_iter().chain(last).map(|place| place.1.clone()));
+    let own = place(daemon, ring);
+    let mut next: [Option<Place<'_>>; 2] = [None, None];
+    let mut last: [Option<Place<'_>>; 2] = [None, None];
+    for other in members.iter().map(|member| place(&member.daemon, ring)) {
+        if other == own {
+            continue;
+        }
+        // Beyond the own place first; the others only where the ring closes.
+        let (after, before) = (usize::from(other < own), usize::from(other > own));
+        next[after] = Some(next[after].map_or(other, |found| found.min(other)));
+        last[before] = Some(last[before].map_or(other, |found| found.max(other)));
+    }
+    let found = [next[0].or(next[1]), last[0].or(last[1])];
+    chosen.extend(found.into_iter().flatten().map(|(_, id)| id.clone()));
+}
+
+type Place<'a> = (u64, &'a DaemonId);
+
+fn place(id: &DaemonId, ring: u64) -> Place<'_> {
+    (xxh3_64_with_seed(id.as_str().as_bytes(), ring), id)
 }
 
 /// Adds the nearest member by hash that fits, unless a fitting one is chosen already.
