--- a/lib/tests/moves.rs
+++ b/lib/tests/moves.rs
@@ -52,7 +52,7 @@
     }
 }
 
-fn assert_finished(spec: Spec) {
+fn assert_finished(spec: &Spec) {
     let shown = run(spec.clone());
     assert_eq!(shown.outcome(), Some(Outcome::Finished), "{:?} {spec:?}", shown.cause);
     assert!(shown.in_time(), "recorded late: {spec:?}");
@@ -101,7 +101,7 @@
 
 #[test]
 fn move_good() {
-    assert_finished(spec(7, Kind::Good));
+    assert_finished(&spec(7, Kind::Good));
 }
 
 #[test]
@@ -109,26 +109,26 @@
     for seed in 0..2 {
         let noise = Noise::ALL;
         let length = Duration::from_mins(4);
-        assert_finished(Spec { noise, seed, length, ..spec(9, Kind::Good) });
+        assert_finished(&Spec { length, noise, seed, ..spec(9, Kind::Good) });
     }
 }
 
 #[test]
 fn move_good_with_lossy_peers_and_lost_answers() {
     let spec = Spec { loss: 0.2, lost_answers: 0.5, ..spec(9, Kind::Good) };
-    assert_finished(spec);
+    assert_finished(&spec);
 }
 
 #[test]
 fn move_good_through_an_outage() {
     let outage = Some((Duration::from_secs(30), Duration::from_secs(70)));
-    assert_finished(Spec { outage, ..spec(7, Kind::Good) });
+    assert_finished(&Spec { outage, ..spec(7, Kind::Good) });
 }
 
 #[test]
 fn move_good_with_a_restarted_daemon() {
     let restart = Some(Duration::from_secs(50));
-    assert_finished(Spec { restart, ..spec(7, Kind::Good) });
+    assert_finished(&Spec { restart, ..spec(7, Kind::Good) });
 }
 
 #[test]
