--- a/lib/src/moves/schedule.rs
+++ b/lib/src/moves/schedule.rs
@@ -12,7 +12,7 @@
 pub const FULL_STEP: u8 = STEPS.len() as u8 - 1;
 
 /// The shortest and longest time between the last write of `finished` and the operator's time.
-const MARGIN: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(30));
+const MARGIN: (Duration, Duration) = (Duration::from_secs(4), Duration::from_secs(30));
 /// The part of a move's time that the margin takes, as a divisor.
 const MARGIN_PART: u32 = 20;
 /// The shortest and longest window over which the versions are compared.
--- /dev/null
+++ b/lib/tests/control_moves.rs
@@ -0,0 +1,162 @@
+//! The control part of a single daemon conducts a move to its recorded end.
+
+use std::{sync::Arc, time::Duration};
+
+use dogwoodturn::{
+    declaration::{
+        check,
+        publish::{Publication, Step},
+    },
+    ids::{Incarnation, ServiceName},
+    ini::Source,
+    moves::report::{MoveReport, Stage},
+    node::{
+        control::{Control, Input, Output},
+        report::{AttemptEnd, AttemptReport},
+        snapshot::Snapshot,
+    },
+    platform::{Operation, memory::MemoryStore},
+    units::{Time, Tokens, WallTime},
+};
+
+const BEGIN: WallTime = WallTime(1_800_000_000_000);
+const TICK: Duration = Duration::from_millis(10);
+const LENGTH: Duration = Duration::from_mins(1);
+
+/// One daemon with its platform, and what it has put out.
+struct Daemon {
+    control: Control,
+    store: MemoryStore,
+    now: Time,
+    snapshot: Arc<Snapshot>,
+    audited: Vec<String>,
+}
+
+impl Daemon {
+    fn start() -> Self {
+        let mut store = MemoryStore::new();
+        publish(&mut store);
+        let (control, now) = (Control::new(), Time(0));
+        let mut daemon =
+            Self { control, store, now, snapshot: Arc::default(), audited: Vec::new() };
+        let identity = Input::Identity("d0".parse().expect("a name"), Incarnation(1));
+        daemon.handle(identity);
+        daemon.handle(Input::Clock(BEGIN));
+        daemon.handle(Input::Started);
+        daemon
+    }
+
+    fn handle(&mut self, input: Input) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            let mut out = Vec::new();
+            self.control.handle(self.now, input, &mut out);
+            for output in out {
+                inputs.extend(self.carry_out(output));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) -> Option<Input> {
+        match output {
+            Output::Publish(snapshot) => self.snapshot = snapshot,
+            Output::Audit(event) => self.audited.push(event.action.to_string()),
+            // A platform holds these until there is something to tell.
+            Output::Call {
+                operation: Operation::Watch { .. } | Operation::Hosts { .. }, ..
+            } => {}
+            Output::Call { owner, call, operation, .. } => {
+                return Some(Input::Called(owner, call, self.store.apply(&operation)));
+            }
+            _ => {}
+        }
+        None
+    }
+
+    /// Runs until the move's time, with one attempt each tick.
+    fn run(&mut self, new_is_bad: bool) {
+        let ticks = (LENGTH.as_millis() / TICK.as_millis()) as u64;
+        for tick in 0..ticks {
+            self.now = self.now + TICK;
+            if self.control.next_wakeup().is_some_and(|at| at <= self.now) {
+                self.handle(Input::Woken);
+            }
+            let service: ServiceName = "lantern".parse().expect("a name");
+            let request = format!("r{tick}").parse().expect("a name");
+            let choice = self.snapshot.versions.get(&service);
+            let version = choice.map_or("v1", |choice| choice.choose(&request, 0).as_str());
+            let report = attempt(version, new_is_bad && version == "v2");
+            self.handle(Input::Attempt(Box::new(report)));
+        }
+    }
+
+    fn report(&self) -> &MoveReport {
+        &self.snapshot.moves[0]
+    }
+}
+
+fn publish(store: &mut MemoryStore) {
+    let finish_by = BEGIN + LENGTH;
+    let text = format!(
+        "[service lantern]\nkind = plain\nversion = v1\nrepeat = safe\n[version lantern/v1]\n\
+         [version lantern/v2]\n[route phrases]\npath = /phrases\nservice = lantern\n\
+         [route unused]\npath = /unused\nservice = lantern\n[move m]\nservice = lantern\n\
+         from = v1\nto = v2\nstart = {BEGIN}\nfinish-by = {finish_by}\nwatch = 10s\n"
+    );
+    let source = Source { file: "test.ini".into(), text: text.into() };
+    let set = check::check(&[source]).expect("the set has no fault").set;
+    let change = "c1".parse().expect("a change id");
+    let (mut publication, mut operation) =
+        Publication::begin(&set, change, "test".into(), BEGIN, None);
+    loop {
+        match publication.handle(store.apply(&operation)) {
+            Step::Call(next) => operation = next,
+            Step::Done(done) => break drop(done.expect("published")),
+        }
+    }
+}
+
+fn attempt(version: &str, is_bad: bool) -> AttemptReport {
+    AttemptReport {
+        route: "phrases".parse().expect("a name"),
+        service: "lantern".parse().expect("a name"),
+        version: version.parse().expect("a name"),
+        under_move: Some("m".parse().expect("a name")),
+        upstream: "u1".parse().expect("a name"),
+        zone: "z".parse().expect("a name"),
+        class: "c".parse().expect("a name"),
+        end: if is_bad { AttemptEnd::Failure } else { AttemptEnd::Success },
+        first_token: Some(Duration::from_millis(20)),
+        generation: Duration::ZERO,
+        uncached_prompt: Tokens(0),
+        prompt: Tokens(0),
+        generated: Tokens(0),
+        computed_again: Tokens(0),
+    }
+}
+
+#[test]
+fn control_good_move_is_finished_and_recorded() {
+    let mut daemon = Daemon::start();
+    daemon.run(false);
+    let report = daemon.report();
+    assert_eq!(report.stage, Stage::Finished, "{report:?}");
+    assert!(report.recorded);
+    assert!(daemon.audited.iter().any(|action| action == "finished"), "{:?}", daemon.audited);
+    let choice = daemon.snapshot.versions.values().next().expect("a choice");
+    assert_eq!((choice.share.0, choice.cap), (1_000_000, None));
+}
+
+#[test]
+fn control_bad_move_is_held_and_taken_back() {
+    let mut daemon = Daemon::start();
+    daemon.run(true);
+    let report = daemon.report();
+    assert_eq!(report.stage, Stage::TakenBack, "{report:?}");
+    assert!(report.recorded);
+    for action in ["held", "taken back"] {
+        assert!(daemon.audited.iter().any(|done| done == action), "{:?}", daemon.audited);
+    }
+    let choice = daemon.snapshot.versions.values().next().expect("a choice");
+    assert_eq!(choice.share.0, 0);
+}
