--- a/lib/src/supply/demand.rs
+++ b/lib/src/supply/demand.rs
@@ -24,13 +24,15 @@
 /// The room left above the forecast, in per cent.
 const HEADROOM_PERCENT: i64 = 15;
 /// What a host is taken to carry before anything has been learnt.
-pub const UNKNOWN_CAPACITY: WorkRate = WorkRate(400);
+pub const UNKNOWN_CAPACITY: WorkRate = WorkRate(100);
 /// The least share of requests within the target, in thousandths, at which capacity is kept.
 const WITHIN_PER_MILLE: u64 = 950;
 /// The least load, in per cent of the capacity, at which an interval says anything about it.
 const LOADED_PERCENT: u64 = 60;
-/// What is taken as the capacity when a load was carried within the target, in per cent of it.
-const SHOWN_PERCENT: u64 = 110;
+/// The part of the extrapolated capacity that is relied on, in per cent.
+const RELIED_PERCENT: u64 = 90;
+/// The least latency, in thousandths of the target, from which capacity is extrapolated.
+const LEAST_PRESSURE: u64 = 50;
 /// What is left of the capacity when a load was carried outside the target, in per cent.
 const OUTSIDE_PERCENT: u64 = 90;
 
@@ -72,6 +74,7 @@
                 entry.work = entry.work + Work(rate.0 * INTERVAL.as_secs());
                 entry.within += sum.within;
                 entry.outside += sum.outside;
+                entry.pressure += sum.pressure;
             }
         }
         total
@@ -135,11 +138,14 @@
         }
         let rate = sum.work.over(INTERVAL).0 / u64::from(hosts);
         let known = self.of(class).0;
-        if rate * 100 < known * LOADED_PERCENT {
+        let is_within = sum.within * 1000 >= requests * WITHIN_PER_MILLE;
+        if !is_within && rate * 100 < known * LOADED_PERCENT {
             return;
         }
-        let learnt = if sum.within * 1000 >= requests * WITHIN_PER_MILLE {
-            known.max(rate * SHOWN_PERCENT / 100)
+        let learnt = if is_within {
+            // Latency grows with the load from more than zero, so that this is a lower bound.
+            let pressure = (sum.pressure / requests).max(LEAST_PRESSURE);
+            known.max(rate * 1000 / pressure * RELIED_PERCENT / 100)
         } else {
             (known * OUTSIDE_PERCENT / 100).max(1)
         };
--- a/lib/src/supply/lease.rs
+++ b/lib/src/supply/lease.rs
@@ -376,6 +376,12 @@
             Some(seen) if seen.revision == revision => seen.at,
             _ => now,
         };
+        if let Some(record) =
+            record.as_ref().filter(|record| record.holder.as_ref() == Some(&self.me))
+        {
+            // Writes before the one that stands there can no longer take effect.
+            self.sent.retain(|(write, _)| *write >= record.write);
+        }
         self.seen = Some(Seen { revision, record, at });
         self.take_term(now);
         self.next = self.following(now);
--- a/lib/src/supply/message.rs
+++ b/lib/src/supply/message.rs
@@ -19,6 +19,8 @@
     pub within: u64,
     /// The requests outside the latency target, those that were refused for lack of room included.
     pub outside: u64,
+    /// The sum over the requests of their latency as a part of the target, in thousandths.
+    pub pressure: u64,
 }
 
 /// Where a sum comes from.
@@ -59,7 +61,7 @@
 pub enum MessageWire {
     /// See [`Message::Demand`].
     #[serde(rename = "d")]
-    Demand(ServiceName, DataCentre, Level, u32, Vec<(ClassName, Work, u64, u64)>),
+    Demand(ServiceName, DataCentre, Level, u32, Vec<(ClassName, Work, u64, u64, u64)>),
     /// See [`Message::Refused`].
     #[serde(rename = "r")]
     Refused(ZoneName, ClassName, bool, u32),
@@ -81,7 +83,8 @@
         match message {
             Message::Demand(demand) => {
                 let classes = demand.classes.into_iter();
-                let classes = classes.map(|(c, sum)| (c, sum.work, sum.within, sum.outside));
+                let classes =
+                    classes.map(|(c, sum)| (c, sum.work, sum.within, sum.outside, sum.pressure));
                 Self::Demand(
                     demand.service,
                     demand.data_centre,
@@ -104,8 +107,8 @@
         Ok(match wire {
             MessageWire::Demand(service, data_centre, level, interval, classes) => {
                 let classes = classes.into_iter();
-                let classes = classes.map(|(class, work, within, outside)| {
-                    (class, ClassSum { work, within, outside })
+                let classes = classes.map(|(class, work, within, outside, pressure)| {
+                    (class, ClassSum { work, within, outside, pressure })
                 });
                 let interval = span(interval)?;
                 let classes = classes.collect();
--- a/lib/src/supply/orders.rs
+++ b/lib/src/supply/orders.rs
@@ -137,7 +137,7 @@
 }
 
 /// The orders of the holder of one lease.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Orders {
     scope: Box<str>,
     entries: IndexMap<UpstreamId, Entry>,
--- a/lib/src/supply/tell.rs
+++ b/lib/src/supply/tell.rs
@@ -3,6 +3,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::{
+    declaration::LatencyTarget,
     ids::{ClassName, DaemonId, DataCentre, ServiceName},
     node::report::{AttemptEnd, AttemptReport},
     peer::Recipient,
@@ -29,6 +30,9 @@
         let in_time = report.first_token.is_some_and(|took| took <= target.first_token);
         let tokens = report.generated.0.max(1) as u32;
         let is_fast = report.generation / tokens <= target.between_tokens;
+        if report.end == AttemptEnd::Success {
+            sum.pressure += pressure(report, &target);
+        }
         match report.end {
             AttemptEnd::Success if in_time && is_fast => {
                 sum.work = sum.work + Work::of(report);
@@ -130,6 +134,16 @@
     }
 }
 
+/// Returns the latency of an attempt as a part of the target, in thousandths.
+fn pressure(report: &AttemptReport, target: &LatencyTarget) -> u64 {
+    let (took, allowed) = if report.generated.0 > 1 {
+        (report.generation / (report.generated.0 - 1) as u32, target.between_tokens)
+    } else {
+        (report.first_token.unwrap_or(target.first_token), target.first_token)
+    };
+    (took.as_micros() as u64 * 1000) / (allowed.as_micros() as u64).max(1)
+}
+
 fn demand_of(
     service: &ServiceName,
     data_centre: &DataCentre,
