--- a/lib/examples/supply_measure.rs
+++ b/lib/examples/supply_measure.rs
@@ -539,7 +539,9 @@
             let threads = traces.map(run);
             threads.map(|thread| thread.join().expect("a run does not panic"))
         });
-        lines.iter().for_each(|lines| print!("{lines}"));
+        for lines in &lines {
+            print!("{lines}");
+        }
     }
 }
 
