declaration: a change that is published again is recognised by any later head

Cause: model checking of publishing found that a change whose answer and whose settling were both lost is published twice when its operator repeats it after another change, and so takes the other one back. Deltas in the head mended most of it; what remained were the change of the base and, once a new base replaced the deltas, all changes before it. Change: HeadWire::generation_of looks at the base too, and a head remembers the last 1,000 changes before its base (about 40 kB). lib/tests/model_publish.rs drives Publication and InForce over lost answers, late writes, repeats, replaced daemons and a restored platform; broken variants without the condition, without reading after a lost answer, and without memory of the generation are caught.

--- a/lib/src/declaration/publish.rs
+++ b/lib/src/declaration/publish.rs
@@ -12,7 +12,7 @@
         DeclarationSet,
         against::{Objection, against},
         delta::{ChangeOf, DeltaError, DeltaWire, apply_all},
-        wire::{self, BaseWire, HEAD_KEY, HeadWire, SetDigest, WireError},
+        wire::{self, BaseWire, EarlierWire, HEAD_KEY, HeadWire, SetDigest, WireError},
     },
     ids::{ChangeId, Generation, Revision},
     platform::{CallError, Condition, ObjectKey, Operation, Reply},
@@ -24,6 +24,9 @@
 /// The most bytes of deltas that a head carries before a new base is written.
 pub const MAX_DELTA_BYTES: usize = 64 << 10;
 
+/// The most changes before its base that a head remembers.
+pub const MAX_EARLIER: usize = 1_000;
+
 /// Says why a publication did not take place.
 #[derive(Clone, Debug, Error, PartialEq)]
 pub enum PublishError {
@@ -239,6 +242,11 @@
             }
         }
         let new_base = base.generation == generation;
+        let earlier = match head {
+            Some(head) if new_base => earlier_than_new_base(head),
+            Some(head) => head.earlier.clone(),
+            None => Vec::new(),
+        };
         self.new_head = Some(HeadWire {
             generation,
             digest: self.digest,
@@ -247,6 +255,7 @@
             at: self.at,
             base,
             deltas,
+            earlier,
         });
         if new_base { self.write_part(0) } else { self.write_head() }
     }
@@ -357,6 +366,16 @@
     }
 }
 
+/// Lists the changes that a head remembers, once they are before the new base.
+fn earlier_than_new_base(head: &HeadWire) -> Vec<EarlierWire> {
+    let mut earlier = head.earlier.clone();
+    earlier.push(EarlierWire(head.base.change.clone(), head.base.generation));
+    earlier.extend(head.deltas.iter().map(|d| EarlierWire(d.change.clone(), d.to)));
+    let surplus = earlier.len().saturating_sub(MAX_EARLIER);
+    earlier.drain(..surplus);
+    earlier
+}
+
 fn read_head(
     result: Result<Reply, CallError>,
 ) -> Result<Option<(Revision, HeadWire)>, PublishError> {
--- a/lib/src/declaration/wire.rs
+++ b/lib/src/declaration/wire.rs
@@ -86,15 +86,27 @@
     pub base: BaseWire,
     /// All changes from the base to this generation, in order.
     pub deltas: Vec<DeltaWire>,
+    /// The last changes before the base, so that one that is published again is recognised.
+    #[serde(default)]
+    pub earlier: Vec<EarlierWire>,
 }
 
+/// A change that made a generation before a head's base.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EarlierWire(pub ChangeId, pub Generation);
+
 impl HeadWire {
     /// Returns the generation that a change has made, as far as the head remembers.
     pub fn generation_of(&self, change: &ChangeId) -> Option<Generation> {
         if self.change == *change {
             return Some(self.generation);
         }
-        self.deltas.iter().find(|delta| delta.change == *change).map(|delta| delta.to)
+        if self.base.change == *change {
+            return Some(self.base.generation);
+        }
+        let delta = self.deltas.iter().find(|delta| delta.change == *change).map(|delta| delta.to);
+        let earlier = || self.earlier.iter().find(|earlier| earlier.0 == *change);
+        delta.or_else(|| earlier().map(|earlier| earlier.1))
     }
 }
 
--- /dev/null
+++ b/lib/tests/model_publish.rs
@@ -0,0 +1,495 @@
+//! Publishing and coming into force in every order of calls, faults and losses, to stated bounds.
+//!
+//! The model drives [`Publication`] and [`InForce`] themselves; see `docs/design/models.md`.
+
+mod support {
+    pub mod explore;
+}
+
+use dogwoodturn::{
+    declaration::{
+        DeclarationSet, check,
+        in_force::{self, InForce},
+        publish::{Publication, PublishError, Step},
+        wire::{self, HEAD_KEY, HeadWire},
+    },
+    ids::{CallId, ChangeId, Generation},
+    ini::Source,
+    platform::{CallError, Condition, Operation, Reply, memory::MemoryStore},
+    units::{Time, WallTime},
+};
+
+use support::explore::{Explored, Model, explore};
+
+/// A part of the protocol that is left out, to show that the checks see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Broken {
+    Nothing,
+    /// Writes take effect whatever the head's revision is.
+    NoCondition,
+    /// A write whose answer was lost is taken to have taken effect, without reading again.
+    NoReading,
+    /// A daemon forgets which generation it has when it reads the head.
+    NoMemory,
+}
+
+/// How far the exploration goes.
+#[derive(Clone, Copy, Debug)]
+struct Bounds {
+    publishers: usize,
+    daemons: usize,
+    faults: u32,
+    repeats: u32,
+    losses: u32,
+    restores: u32,
+    wakeups: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Answered,
+    AnswerLost,
+    Late,
+    Unavailable,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Action {
+    Publish {
+        publisher: usize,
+    },
+    PublisherCall {
+        publisher: usize,
+        fate: Fate,
+    },
+    TakeEffect {
+        index: usize,
+    },
+    DaemonCall {
+        daemon: usize,
+        fate: Fate,
+    },
+    Replace {
+        daemon: usize,
+    },
+    /// The platform comes back with the objects that it had at first.
+    Restore,
+    Wake,
+}
+
+#[derive(Clone, Debug)]
+enum Publisher {
+    Idle,
+    Calling(Box<Publication>, Operation),
+    Published,
+    Refused,
+    /// No answer came; the operator may publish the same change again.
+    Unknown,
+}
+
+#[derive(Clone, Debug)]
+struct Daemon {
+    slice: InForce,
+    call: Option<(CallId, Operation)>,
+    generation: Generation,
+}
+
+#[derive(Clone)]
+struct PublishModel {
+    store: MemoryStore,
+    first: MemoryStore,
+    late: Vec<Operation>,
+    publishers: Vec<Publisher>,
+    daemons: Vec<Daemon>,
+    history: Vec<(Generation, ChangeId)>,
+    now: Time,
+    left: Bounds,
+    broken: Broken,
+    fault: Option<String>,
+}
+
+fn set() -> DeclarationSet {
+    set_with(1)
+}
+
+/// Makes a set with so many versions.
+fn set_with(versions: usize) -> DeclarationSet {
+    let mut text = "[service lantern]\nkind = model\nversion = v1\nrepeat = safe\n".to_owned();
+    text.extend((1..=versions).map(|version| format!("[version lantern/v{version}]\n")));
+    let source = Source { file: "model.ini".into(), text: text.into() };
+    check::check(&[source]).expect("the set has no fault").set
+}
+
+fn begin(change: &str) -> (Publication, Operation) {
+    begin_with(change, &set())
+}
+
+fn begin_with(change: &str, set: &DeclarationSet) -> (Publication, Operation) {
+    let change = change.parse().expect("a change id");
+    Publication::begin(set, change, "model".into(), WallTime(0), None)
+}
+
+impl PublishModel {
+    /// Begins with one published generation.
+    fn new(left: Bounds, broken: Broken) -> Self {
+        let mut model = Self {
+            store: MemoryStore::new(),
+            first: MemoryStore::new(),
+            late: Vec::new(),
+            publishers: vec![Publisher::Idle; left.publishers],
+            daemons: Vec::new(),
+            history: Vec::new(),
+            now: Time(0),
+            left,
+            broken,
+            fault: None,
+        };
+        let (mut publication, mut operation) = begin("first");
+        while let Step::Call(next) = publication.handle(model.store_apply(&operation)) {
+            operation = next;
+        }
+        model.first = model.store.clone();
+        for _ in 0..left.daemons {
+            let slice = InForce::new();
+            model.daemons.push(Daemon { slice, call: None, generation: Generation(0) });
+        }
+        for daemon in 0..left.daemons {
+            model.give(daemon, in_force::Event::Started);
+        }
+        model
+    }
+
+    fn head(&self) -> Option<HeadWire> {
+        let read = self
+            .store
+            .clone()
+            .apply(&Operation::Get(dogwoodturn::platform::ObjectKey::new(HEAD_KEY)));
+        let Ok(Reply::Object(Some(object))) = read else { return None };
+        wire::decode(&object.value).ok()
+    }
+
+    fn store_apply(&mut self, operation: &Operation) -> Result<Reply, CallError> {
+        let mut result = self.store.apply(operation);
+        if let (Err(CallError::Conflict(current)), Operation::Put { key, value, .. }) =
+            (&result, operation)
+            && self.broken == Broken::NoCondition
+            && key.as_str() == HEAD_KEY
+        {
+            let condition = current.map_or(Condition::Absent, Condition::Revision);
+            let (key, value) = (key.clone(), value.clone());
+            result = self.store.apply(&Operation::Put { key, value, condition });
+        }
+        let is_head = matches!(operation, Operation::Put { key, .. } if key.as_str() == HEAD_KEY);
+        if result.is_ok()
+            && is_head
+            && let Some(head) = self.head()
+        {
+            self.published(&head);
+        }
+        result
+    }
+
+    fn published(&mut self, head: &HeadWire) {
+        let last = self.history.last().map_or(Generation(0), |(generation, _)| *generation);
+        if head.generation <= last {
+            self.fault = Some(format!("generation {} follows {last}", head.generation));
+        }
+        if self.history.iter().any(|(_, change)| *change == head.change) {
+            self.fault = Some(format!("change {} is published twice", head.change));
+        }
+        self.history.push((head.generation, head.change.clone()));
+    }
+
+    fn call(&mut self, operation: &Operation, fate: Fate) -> Result<Reply, CallError> {
+        let result = match fate {
+            Fate::Answered => self.store_apply(operation),
+            Fate::AnswerLost => {
+                let _ = self.store_apply(operation);
+                Err(CallError::Unknown)
+            }
+            Fate::Late => {
+                self.late.push(operation.clone());
+                Err(CallError::Unknown)
+            }
+            Fate::Unavailable => Err(CallError::Unavailable),
+        };
+        if self.broken == Broken::NoReading
+            && operation.is_write()
+            && result == Err(CallError::Unknown)
+        {
+            return Ok(Reply::Written(self.store.revision()));
+        }
+        result
+    }
+
+    fn publisher_call(&mut self, publisher: usize, fate: Fate) {
+        let taken = std::mem::replace(&mut self.publishers[publisher], Publisher::Idle);
+        let Publisher::Calling(mut publication, operation) = taken else { return };
+        let result = self.call(&operation, fate);
+        self.publishers[publisher] = match publication.handle(result) {
+            Step::Call(next) => Publisher::Calling(publication, next),
+            Step::Done(Ok(head)) => {
+                if !self.history.contains(&(head.generation, head.change.clone())) {
+                    self.fault = Some(format!("change {} is accepted and lost", head.change));
+                }
+                Publisher::Published
+            }
+            Step::Done(Err(PublishError::Platform(_))) => Publisher::Unknown,
+            Step::Done(Err(_)) => Publisher::Refused,
+        };
+    }
+
+    fn give(&mut self, daemon: usize, event: in_force::Event) {
+        let mut effects = Vec::new();
+        let state = &mut self.daemons[daemon];
+        state.slice.handle(self.now, event, &mut effects);
+        for effect in effects {
+            match effect {
+                in_force::Effect::Call(call, _, operation) => state.call = Some((call, operation)),
+                in_force::Effect::Adopted(generation, _) => {
+                    if generation <= state.generation {
+                        let before = state.generation;
+                        self.fault =
+                            Some(format!("daemon {daemon} goes from {before} to {generation}"));
+                    }
+                    state.generation = generation;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn daemon_call(&mut self, daemon: usize, fate: Fate) {
+        let Some((call, operation)) = self.daemons[daemon].call.take() else { return };
+        let result = self.call(&operation, fate);
+        if self.broken == Broken::NoMemory
+            && matches!(&operation, Operation::Get(key) if key.as_str() == HEAD_KEY)
+        {
+            let state = &mut self.daemons[daemon];
+            state.slice = InForce::new();
+            state.call = None;
+            self.give(daemon, in_force::Event::Started);
+            let Some((call, _)) = self.daemons[daemon].call.take() else { return };
+            return self.give(daemon, in_force::Event::Called(call, result));
+        }
+        self.give(daemon, in_force::Event::Called(call, result));
+    }
+
+    fn next_wakeup(&self) -> Option<Time> {
+        self.daemons.iter().filter_map(|daemon| daemon.slice.next_wakeup()).min()
+    }
+
+    /// A watch is answered only when there is something to tell.
+    fn answerable(&self, operation: &Operation) -> bool {
+        match operation {
+            Operation::Watch { prefix, after, .. } => {
+                let mut store = self.store.clone();
+                let watch = Operation::Watch {
+                    prefix: prefix.clone(),
+                    after: *after,
+                    wait: std::time::Duration::ZERO,
+                };
+                matches!(store.apply(&watch), Ok(Reply::Changes { changes, .. }) if !changes.is_empty())
+            }
+            _ => true,
+        }
+    }
+}
+
+impl Model for PublishModel {
+    type Action = Action;
+
+    fn actions(&self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let faults = self.left.faults > 0;
+        for (publisher, state) in self.publishers.iter().enumerate() {
+            match state {
+                Publisher::Idle => actions.push(Action::Publish { publisher }),
+                Publisher::Unknown if self.left.repeats > 0 => {
+                    actions.push(Action::Publish { publisher });
+                }
+                Publisher::Calling(_, operation) => {
+                    actions.push(Action::PublisherCall { publisher, fate: Fate::Answered });
+                    if faults && operation.is_write() {
+                        let fates = [Fate::AnswerLost, Fate::Late, Fate::Unavailable];
+                        let call = |fate| Action::PublisherCall { publisher, fate };
+                        actions.extend(fates.map(call));
+                    } else if faults {
+                        let fate = Fate::Unavailable;
+                        actions.push(Action::PublisherCall { publisher, fate });
+                    }
+                }
+                _ => {}
+            }
+        }
+        for (daemon, state) in self.daemons.iter().enumerate() {
+            if let Some((_, operation)) = &state.call {
+                if self.answerable(operation) {
+                    actions.push(Action::DaemonCall { daemon, fate: Fate::Answered });
+                }
+                if faults {
+                    actions.push(Action::DaemonCall { daemon, fate: Fate::Unavailable });
+                }
+            }
+            if self.left.losses > 0 {
+                actions.push(Action::Replace { daemon });
+            }
+        }
+        actions.extend((0..self.late.len()).map(|index| Action::TakeEffect { index }));
+        if self.left.restores > 0 {
+            actions.push(Action::Restore);
+        }
+        if self.left.wakeups > 0 && self.next_wakeup().is_some() {
+            actions.push(Action::Wake);
+        }
+        actions
+    }
+
+    fn apply(&mut self, action: &Action) {
+        match *action {
+            Action::Publish { publisher } => {
+                if matches!(self.publishers[publisher], Publisher::Unknown) {
+                    self.left.repeats -= 1;
+                }
+                let (publication, first) = begin(&format!("c{publisher}"));
+                self.publishers[publisher] = Publisher::Calling(Box::new(publication), first);
+            }
+            Action::PublisherCall { publisher, fate } => {
+                self.left.faults -= u32::from(fate != Fate::Answered);
+                self.publisher_call(publisher, fate);
+            }
+            Action::TakeEffect { index } => {
+                let operation = self.late.remove(index);
+                let _ = self.store_apply(&operation);
+            }
+            Action::DaemonCall { daemon, fate } => {
+                self.left.faults -= u32::from(fate != Fate::Answered);
+                self.daemon_call(daemon, fate);
+            }
+            Action::Replace { daemon } => {
+                self.left.losses -= 1;
+                let slice = InForce::new();
+                self.daemons[daemon] = Daemon { slice, call: None, generation: Generation(0) };
+                self.give(daemon, in_force::Event::Started);
+            }
+            Action::Restore => {
+                self.left.restores -= 1;
+                self.store = self.first.clone();
+                self.history.truncate(1);
+            }
+            Action::Wake => {
+                self.left.wakeups -= 1;
+                self.now = self.next_wakeup().expect("a wakeup");
+                for daemon in 0..self.daemons.len() {
+                    self.give(daemon, in_force::Event::Woken);
+                }
+            }
+        }
+    }
+
+    fn key(&self) -> String {
+        let Self { store, late, publishers, daemons, history, now, left, fault, .. } = self;
+        format!("{store:?}{late:?}{publishers:?}{daemons:?}{history:?}{now:?}{left:?}{fault:?}")
+    }
+
+    fn check(&self) -> Result<(), String> {
+        self.fault.clone().map_or(Ok(()), Err)
+    }
+}
+
+/// Two operators race, with lost answers and late writes, and publish again after no answer.
+fn race(broken: Broken) -> Explored {
+    let left = Bounds {
+        publishers: 2,
+        daemons: 1,
+        faults: 2,
+        repeats: 1,
+        losses: 0,
+        restores: 0,
+        wakeups: 0,
+    };
+    explore(&PublishModel::new(left, broken))
+}
+
+/// Daemons fail calls and are replaced while a change is published; the platform may be restored.
+fn adopt(broken: Broken) -> Explored {
+    let left = Bounds {
+        publishers: 1,
+        daemons: 2,
+        faults: 1,
+        repeats: 0,
+        losses: 1,
+        restores: 1,
+        wakeups: 1,
+    };
+    explore(&PublishModel::new(left, broken))
+}
+
+#[test]
+fn publish_race_publishes_each_change_at_most_once() {
+    let explored = race(Broken::Nothing);
+    println!("{explored:?}");
+    explored.assert_sound();
+}
+
+#[test]
+fn publish_adopted_generation_never_goes_back() {
+    let explored = adopt(Broken::Nothing);
+    println!("{explored:?}");
+    explored.assert_sound();
+}
+
+#[test]
+fn publish_without_condition_is_caught() {
+    let (fault, trace) = race(Broken::NoCondition).violation.expect("a violation");
+    println!("{fault}: {trace:#?}");
+    assert!(fault.contains("follows") || fault.ends_with("published twice"), "{fault}");
+}
+
+#[test]
+fn publish_without_reading_after_a_lost_answer_is_caught() {
+    let (fault, trace) = race(Broken::NoReading).violation.expect("a violation");
+    println!("{fault}: {trace:#?}");
+    assert!(fault.ends_with("accepted and lost"), "{fault}");
+}
+
+#[test]
+fn publish_without_memory_of_the_generation_is_caught() {
+    let (fault, trace) = adopt(Broken::NoMemory).violation.expect("a violation");
+    println!("{fault}: {trace:#?}");
+    assert!(fault.starts_with("daemon"), "{fault}");
+}
+
+/// A publication whose answer and whose settling were both lost, then a change too large for the
+/// head's list of changes, then the first one published again, as its operator may.
+#[test]
+fn publish_again_after_a_large_change_publishes_once() {
+    let left = Bounds {
+        publishers: 1,
+        daemons: 0,
+        faults: 2,
+        repeats: 1,
+        losses: 0,
+        restores: 0,
+        wakeups: 0,
+    };
+    let mut model = PublishModel::new(left, Broken::Nothing);
+    model.apply(&Action::Publish { publisher: 0 });
+    while !matches!(&model.publishers[0], Publisher::Calling(_, Operation::Put { key, .. }) if key.as_str() == HEAD_KEY)
+    {
+        model.apply(&Action::PublisherCall { publisher: 0, fate: Fate::Answered });
+    }
+    model.apply(&Action::PublisherCall { publisher: 0, fate: Fate::AnswerLost });
+    model.apply(&Action::PublisherCall { publisher: 0, fate: Fate::Unavailable });
+    let (mut other, mut operation) = begin_with("large", &set_with(4_000));
+    while let Step::Call(next) = other.handle(model.store_apply(&operation)) {
+        operation = next;
+    }
+    model.apply(&Action::Publish { publisher: 0 });
+    while matches!(model.publishers[0], Publisher::Calling(..)) {
+        model.apply(&Action::PublisherCall { publisher: 0, fate: Fate::Answered });
+    }
+    assert!(matches!(model.publishers[0], Publisher::Published));
+    assert_eq!(model.check(), Ok(()));
+    assert_eq!(model.history.len(), 3);
+}
--- a/lib/tests/publish.rs
+++ b/lib/tests/publish.rs
@@ -94,3 +94,12 @@
     let done = run(&mut store, begin("c2", Some(0)), &[]);
     assert!(matches!(done, Err(PublishError::Conflict { .. })));
 }
+
+#[test]
+fn publish_first_change_again_after_another_is_idempotent() {
+    let mut store = MemoryStore::new();
+    run(&mut store, begin("c1", None), &[]).expect("published");
+    run(&mut store, begin("c2", None), &[]).expect("published");
+    let again = run(&mut store, begin("c1", None), &[]).expect("found");
+    assert_eq!(again.generation, Generation(2));
+}
