peer: a full seed makes room for daemons that start; links against strangers and slow peers

Tests: links_of_a_seed_make_room_for_daemons_that_start, and over sockets: malformed and too large messages, a peer that does not read, a generation in force and told everywhere.

--- a/lib/examples/fleet_slopes.rs
+++ b/lib/examples/fleet_slopes.rs
@@ -37,6 +37,10 @@
 fn main() {
     let sizes: Vec<usize> = std::env::args().skip(1).filter_map(|text| text.parse().ok()).collect();
     let sizes = if sizes.is_empty() { vec![8, 16, 32, 64, 128] } else { sizes };
+    println!("resident memory of one daemon, kB, the queue included");
+    // Kept until the end, so that no size reuses the memory of another.
+    let kept: Vec<Queue> = sizes.iter().map(|&size| memory_of(size)).collect();
+    println!();
     println!("accepted to in force at every daemon, ms, {CHANGES} changes");
     println!("{:>8} {:>14} {:>8} {:>8} {:>8}", "daemons", "fault", "p50", "p99", "longest");
     for &size in &sizes {
@@ -47,21 +51,21 @@
     println!();
     println!("one daemon, {MEASURED:?}, headers counted");
     println!(
-        "{:>8} {:>12} {:>8} {:>10} {:>10} {:>8} {:>12} {:>10} {:>12}",
-        "daemons",
-        "changes/s",
-        "links",
-        "bytes/s",
-        "packets/s",
-        "cpu %",
-        "calls/s",
-        "fleet",
-        "memory kB"
+        "{:>8} {:>12} {:>8} {:>10} {:>10} {:>8} {:>12} {:>10}",
+        "daemons", "changes/s", "links", "bytes/s", "packets/s", "cpu %", "calls/s", "fleet"
     );
     for &size in &sizes {
         cost(size, false);
         cost(size, true);
     }
+    drop(kept);
+}
+
+fn memory_of(size: usize) -> Queue {
+    let before = memory();
+    let queue = formed(size as u64, size, CENTRES, REGIONS);
+    println!("{size:>8} {:>8}", memory().saturating_sub(before) / size as u64);
+    queue
 }
 
 fn publish_change(queue: &mut Queue, step: usize) -> u64 {
@@ -110,10 +114,8 @@
 }
 
 fn cost(size: usize, changing: bool) {
-    let before = memory();
     let began = Instant::now();
     let mut queue = formed(size as u64, size, CENTRES, REGIONS);
-    let memory = memory().saturating_sub(before) / size as u64;
     let sum = |queue: &Queue, of: fn(&Node) -> f64| queue.live().map(of).sum::<f64>();
     let measures: [fn(&Node) -> f64; 4] = [
         |node| node.bytes_sent as f64,
@@ -139,7 +141,7 @@
         queue.live().filter_map(|node| node.control.peers()).map(|p| p.linked().count()).sum();
     let each: Vec<f64> = fleet.iter().map(|value| value / size as f64).collect();
     println!(
-        "{size:>8} {:>12.2} {:>8.1} {:>10.0} {:>10.2} {:>8.4} {:>12.4} {:>10.1} {memory:>12}",
+        "{size:>8} {:>12.2} {:>8.1} {:>10.0} {:>10.2} {:>8.4} {:>12.4} {:>10.1}",
         f64::from(step as u32) / seconds,
         links as f64 / size as f64,
         each[0],
--- a/lib/src/peer/links.rs
+++ b/lib/src/peer/links.rs
@@ -61,8 +61,10 @@
     pub sent: Time,
     /// When a beat was last sent.
     pub beat_sent: Option<Time>,
+    /// When it was opened.
+    pub opened: Time,
     /// When a message was last carried, so that an idle link is closed.
-    pub used: Time,
+    pub used: Option<Time>,
     /// Whether the other end has told of itself.
     pub beating: bool,
     /// What the other end last said of itself.
@@ -151,7 +153,8 @@
             heard: now,
             sent: now,
             beat_sent: None,
-            used: now,
+            opened: now,
+            used: None,
             beating: false,
             beat: Beat::default(),
             differs: None,
--- a/lib/src/peer/peers.rs
+++ b/lib/src/peer/peers.rs
@@ -28,6 +28,8 @@
 const DIFFER_BEATS: u32 = 2;
 /// For how many heartbeats a link that neither end wants is kept after its last message.
 const LINGER_BEATS: u32 = 30;
+/// For how many heartbeats a link is kept that neither end wants and that carries no messages.
+const VISIT_BEATS: u32 = 3;
 /// How many heartbeats lie between two attempts at a seed or a member that is gone.
 const RECONNECT_BEATS: u32 = 5;
 /// How many ticks a heartbeat has.
@@ -253,6 +255,7 @@
                 return;
             }
         }
+        self.make_room(now, out);
         if !self.links.has_room() {
             let reason = format!("no room for a link to {peer}");
             out.push(Effect::Refused(reason.into()));
@@ -272,6 +275,26 @@
         }
     }
 
+    /// Closes the oldest link of a daemon that has only asked for the members, if there is no room.
+    ///
+    /// A seed would else keep daemons out while many start at once.
+    fn make_room(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.links.has_room() {
+            return;
+        }
+        let visits = self.links.open().filter(|(_, link)| {
+            link.used.is_none()
+                && link.beating
+                && !link.beat.keep
+                && !self.neighbours.contains(&link.peer)
+        });
+        let oldest = visits.min_by_key(|(_, link)| link.opened).map(|(id, _)| id);
+        if let Some(id) = oldest {
+            self.links.closed(now, id);
+            out.push(Effect::Link(LinkEffect::Close(id)));
+        }
+    }
+
     /// Chooses one of two links to the same peer: both ends keep that of the smaller name.
     fn kept_of(&self, old: LinkId, new: LinkId, peer: &DaemonId) -> LinkId {
         let preferred = |id: LinkId| matches!(id, LinkId::Dialled(_)) == (self.own() < peer);
@@ -293,10 +316,14 @@
     }
 
     fn close_idle_links(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let linger = self.beats(LINGER_BEATS);
+        let (linger, visit) = (self.beats(LINGER_BEATS), self.beats(VISIT_BEATS));
         let idle = self.links.open().filter(|(_, link)| {
             let wanted = self.neighbours.contains(&link.peer) || link.beat.keep;
-            !wanted && now.since(link.used) > linger
+            let over = match link.used {
+                Some(used) => now.since(used) > linger,
+                None => now.since(link.opened) > visit,
+            };
+            !wanted && over
         });
         let idle: Vec<LinkId> = idle.map(|(id, _)| id).collect();
         for id in idle {
@@ -505,7 +532,7 @@
                 }
                 Frame::Message(message) => {
                     if let Some(link) = self.links.get_mut(id) {
-                        link.used = now;
+                        link.used = Some(now);
                     }
                     out.push(Effect::Deliver(peer.clone(), message));
                 }
@@ -568,7 +595,7 @@
         if let Some((id, _)) = self.links.to(peer)
             && let Some(link) = self.links.get_mut(id)
         {
-            link.used = now;
+            link.used = Some(now);
             link.frames.push(frame);
             return;
         }
--- a/lib/tests/peers.rs
+++ b/lib/tests/peers.rs
@@ -1,13 +1,18 @@
 //! The handshake and the packets of daemons against whatever bytes may come.
 
+use std::time::Duration;
+
 use dogwoodturn::{
     declaration::wire::{decode, encode},
     ids::{Generation, Incarnation},
     peer::{
         Member,
         handshake::{Handshake, HandshakeError, NONCE_BYTES, Side},
+        links::{LinkId, MAX_LINKS},
         message::{Accusation, Beat, Frame, Packet, PacketWire, Record, Standing},
+        peers::{Config, Effect, Event, LinkEffect, LinkEvent, Peers},
     },
+    units::Time,
 };
 use quickcheck::{Gen, QuickCheck, TestResult};
 
@@ -144,3 +149,23 @@
         assert!(decode::<PacketWire>(&bytes).is_err());
     }
 }
+
+#[test]
+fn links_of_a_seed_make_room_for_daemons_that_start() {
+    let config =
+        Config { own: member("seed"), seeds: Vec::new(), heartbeat: Duration::from_secs(1) };
+    let mut seed = Peers::new(config);
+    let mut out = Vec::new();
+    seed.handle(Time(0), Event::Started, &mut out);
+    for index in 0..3 * MAX_LINKS as u64 {
+        let id = LinkId::Accepted(index);
+        let mut visitor = member(&format!("d{index}"));
+        visitor.address = ([10, 1, (index / 200) as u8, (index % 200) as u8], 7000).into();
+        out.clear();
+        seed.handle(Time(index), Event::Link(LinkEvent::Opened(id, visitor)), &mut out);
+        let closed = Effect::Link(LinkEffect::Close(id));
+        assert!(!out.contains(&closed), "daemon {index} is kept out");
+        let beat = Packet(vec![Frame::Beat(Beat::default())]);
+        seed.handle(Time(index), Event::Link(LinkEvent::Received(id, beat)), &mut out);
+    }
+}
--- a/load/tests/fleet.rs
+++ b/load/tests/fleet.rs
@@ -1,9 +1,28 @@
 //! Daemons form a fleet over real sockets, and lose and find each other.
 
-use std::time::{Duration, Instant};
+use std::{
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpStream},
+    sync::atomic::{AtomicU64, Ordering},
+    time::{Duration, Instant},
+};
 
-use dogwoodturn_daemon::Daemon;
+use dogwoodturn::{
+    declaration::{message::Message as Declaration, wire},
+    ids::{Generation, Incarnation},
+    node::message::PeerMessage,
+    peer::{
+        Member,
+        handshake::{Handshake, Side},
+        message::{Frame, Packet, PacketWire},
+    },
+};
+use dogwoodturn_daemon::{
+    Daemon,
+    peers::{MAX_PACKET_BYTES, PeerCounters},
+};
 use dogwoodturn_load::{local::LocalFleet, sample};
+use tokio_tungstenite::tungstenite::{Message, WebSocket, client};
 
 /// How long a fleet may take to agree; it bounds a hang, not the speed.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -67,3 +86,95 @@
     assert_eq!(stranger.snapshot().members.len(), 1);
     assert!(agree(&fleet.daemons, 2));
 }
+
+fn count(fleet: &LocalFleet, of: fn(&PeerCounters) -> &AtomicU64) -> u64 {
+    fleet.daemons.iter().map(|daemon| of(daemon.peer_counters()).load(Ordering::Relaxed)).sum()
+}
+
+#[test]
+fn generation_in_force_everywhere_and_told() {
+    let mut fleet = fleet(&["salish-a", "salish-b", "salish-c", "salish-a"]);
+    wait_for("four members", || agree(&fleet.daemons, 4));
+    let mut set = sample::declarations().expect("the samples have no fault");
+    set.customers.pop();
+    let head = fleet.publish(&set, "c2").expect("published");
+    let holds = |daemon: &Daemon| daemon.snapshot().generation == head.generation;
+    wait_for("the generation at each", || fleet.daemons.iter().all(holds));
+    let told = |daemon: &Daemon| daemon.snapshot().everywhere == head.generation;
+    wait_for("each to know of all", || fleet.daemons.iter().all(told));
+    fleet.add_daemon("salish-b", 1).expect("the daemon starts");
+    wait_for("a late one", || fleet.daemons.iter().all(|daemon| daemon.ready() && holds(daemon)));
+    assert_eq!(head.generation, Generation(2));
+}
+
+fn connect(address: SocketAddr) -> WebSocket<TcpStream> {
+    let stream = TcpStream::connect(address).expect("it accepts");
+    client(format!("ws://{address}/peer"), stream).expect("a websocket").0
+}
+
+#[test]
+fn links_refuse_what_is_malformed_or_too_large() {
+    let fleet = fleet(&["salish-a", "salish-b"]);
+    wait_for("two members", || agree(&fleet.daemons, 2));
+    let address = fleet.daemons[0].peers();
+
+    let mut socket = connect(address);
+    socket.send(Message::binary(vec![0xff; 100])).expect("sent");
+    wait_for("a malformed hello", || count(&fleet, |c| &c.malformed) == 1);
+
+    let mut socket = connect(address);
+    // The daemon may close while the message is still being sent.
+    let _ = socket.send(Message::binary(vec![0; MAX_PACKET_BYTES + 1]));
+    wait_for("a message that is too large", || count(&fleet, |c| &c.too_large) == 1);
+
+    let mut stream = TcpStream::connect(address).expect("it accepts");
+    stream.write_all(b"no websocket at all\r\n\r\n").expect("sent");
+    let mut rest = Vec::new();
+    let _ = stream.read_to_end(&mut rest);
+
+    let mut socket = peer(address, "odd");
+    socket.send(Message::binary(vec![0x81, 0x01])).expect("sent");
+    wait_for("a malformed packet", || count(&fleet, |c| &c.malformed) >= 2);
+    assert!(fleet.daemons.iter().all(Daemon::ready));
+}
+
+/// Opens a link as a daemon that holds the key.
+fn peer(address: SocketAddr, name: &str) -> WebSocket<TcpStream> {
+    let own = Member {
+        daemon: name.parse().expect("a name"),
+        incarnation: Incarnation(1),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        data_centre: "salish-a".parse().expect("a name"),
+        region: "local".parse().expect("a name"),
+    };
+    let mut socket = connect(address);
+    let (mut handshake, hello) = Handshake::begin(Side::Dialler, [7; 32], own, [3; 32]);
+    socket.send(Message::binary(hello)).expect("sent");
+    let answer = socket.read().expect("a hello").into_data();
+    let (_, proof) = handshake.hello(&answer).expect("a hello");
+    socket.send(Message::binary(proof)).expect("sent");
+    handshake.proof(&socket.read().expect("a proof").into_data()).expect("it holds the key");
+    socket
+}
+
+#[test]
+fn links_to_a_slow_peer_are_closed() {
+    let fleet = fleet(&["salish-a", "salish-b"]);
+    wait_for("two ready members", || {
+        agree(&fleet.daemons, 2) && fleet.daemons.iter().all(Daemon::ready)
+    });
+    let mut socket = peer(fleet.daemons[0].peers(), "slow");
+    let pull = PeerMessage::Declaration(Declaration::Pull { have: None, part: 0 });
+    let packet = Packet(vec![Frame::Message(pull); 200]);
+    let encoded = wire::encode(&PacketWire::from(packet));
+    // It asks for the whole set over and over and reads none of the answers.
+    let deadline = Instant::now() + PATIENCE;
+    while count(&fleet, |c| &c.too_slow) == 0 {
+        assert!(Instant::now() < deadline, "the link stays open");
+        if socket.send(Message::binary(encoded.clone())).is_err() {
+            break;
+        }
+    }
+    wait_for("the link to be closed", || count(&fleet, |c| &c.too_slow) > 0);
+    wait_for("the others to go on", || fleet.daemons.iter().all(Daemon::ready));
+}
