daemon: metrics of the links to peers

Cause: refused links and slow peers were counted, but operators could not read the counts. A daemon takes at most 64 parts of a set from a peer.

--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -2,7 +2,6 @@
 
 use std::{
     net::TcpListener,
-    rc::Rc,
     sync::Arc,
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
@@ -31,6 +30,7 @@
 };
 
 use crate::{
+    metrics,
     peers::{EVENT_QUEUE, PeerCounters, PeerLinks},
     settings::Settings,
 };
@@ -78,7 +78,7 @@
         let edge = OperatorEdge::new(
             self.snapshot.clone(),
             &self.settings.operator_token,
-            Rc::new(String::new),
+            metrics::encoder(self.peer_counters.clone()),
         );
         let operators = self.operators.try_clone();
         let stop = self.stop.clone();
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod flight;
 pub mod logs;
+pub mod metrics;
 pub mod peers;
 pub mod settings;
 pub mod traffic;
--- a/lib/src/declaration/in_force/held.rs
+++ b/lib/src/declaration/in_force/held.rs
@@ -17,7 +17,7 @@
 /// The size of the parts in which a whole set is given to peers, in bytes.
 pub const PEER_PART_BYTES: usize = 256 << 10;
 /// The most parts of a whole set that a daemon takes from a peer.
-pub const MAX_PEER_PARTS: u32 = 256;
+pub const MAX_PEER_PARTS: u32 = 64;
 
 /// A set that is in force at a daemon.
 #[derive(Clone, Debug)]
