--- a/cli/src/command/mod.rs
+++ b/cli/src/command/mod.rs
@@ -1,8 +1,10 @@
 //! The commands, one module each.
 
+pub mod audit;
 pub mod check;
 pub mod demo;
 pub mod diff;
 pub mod moves;
 pub mod publish;
 pub mod status;
+pub mod supply;
--- a/cli/src/command/publish.rs
+++ b/cli/src/command/publish.rs
@@ -3,13 +3,14 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use dogwoodturn::{
+    audit::wire::record_publication,
     declaration::{
         check::{self, Checked},
         publish::{Publication, PublishError, Step},
         wire::HeadWire,
     },
     ids::{ChangeId, Generation},
-    platform::http::HttpPlatform,
+    platform::{CallError, http::HttpPlatform},
     units::WallTime,
 };
 use eyre::{Result, WrapErr as _, bail};
@@ -110,7 +111,12 @@
             let result = platform.call(&operation).await;
             match publication.handle(result) {
                 Step::Call(next) => operation = next,
-                Step::Done(done) => return done,
+                Step::Done(done) => {
+                    if let Ok(head) = &done {
+                        record(&platform, head).await;
+                    }
+                    return done;
+                }
             }
         }
     }))
@@ -149,3 +155,11 @@
         tokio::time::sleep(WAIT_POLL).await;
     }
 }
+
+/// Records the publication in the audit trail; a repeated one is recorded once.
+async fn record(platform: &HttpPlatform, head: &HeadWire) {
+    match platform.call(&record_publication(head)).await {
+        Ok(_) | Err(CallError::Conflict(_)) => {}
+        Err(error) => eprintln!("warning: the audit trail has no record of this change: {error}"),
+    }
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -9,7 +9,7 @@
 
 use gumdrop::Options;
 
-use crate::command::{check, demo, diff, moves, publish, status};
+use crate::command::{audit, check, demo, diff, moves, publish, status, supply};
 
 #[derive(Debug, Options)]
 struct Args {
@@ -29,8 +29,12 @@
     Publish(publish::Args),
     #[options(help = "show the status of a daemon")]
     Status(status::Args),
+    #[options(help = "read the trail of changes")]
+    Audit(audit::Args),
     #[options(help = "show where each move stands")]
     Moves(moves::Args),
+    #[options(help = "show the plan of hosts, its reason and its cost")]
+    Supply(supply::Args),
     #[options(help = "run stand-ins, daemons and callers in this process")]
     Demo(demo::Args),
 }
@@ -42,7 +46,9 @@
         Some(Command::Diff(args)) => diff::run(&args),
         Some(Command::Publish(args)) => publish::run(args),
         Some(Command::Status(args)) => status::run(&args),
+        Some(Command::Audit(args)) => audit::run(&args),
         Some(Command::Moves(args)) => moves::run(&args),
+        Some(Command::Supply(args)) => supply::run(&args),
         Some(Command::Demo(args)) => demo::run(&args),
         None => {
             eprintln!("{}\n\nCommands:\n{}", Args::usage(), Command::usage());
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -22,6 +22,7 @@
     peer::{Member, peers::Config},
     platform::{client, http::HttpPlatform},
     request::{message::Message, name::thread_of},
+    supply,
     units::{Time, WallTime},
 };
 use tokio::{
@@ -43,6 +44,26 @@
     WallTime(elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64))
 }
 
+/// What orders to engines are sent with: a client, and the clock that their times go by.
+#[derive(Clone)]
+struct Engines {
+    client: awc::Client,
+    started: Instant,
+}
+
+impl Engines {
+    fn now(&self) -> Time {
+        Time(self.started.elapsed().as_micros() as u64)
+    }
+}
+
+/// What the control thread reaches outside the daemon.
+struct Outside {
+    platform: HttpPlatform,
+    links: PeerLinks,
+    engines: Engines,
+}
+
 /// What the control thread works with.
 #[derive(Debug)]
 pub struct Adapter {
@@ -50,6 +71,8 @@
     pub settings: Settings,
     /// Where snapshots are published.
     pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// The daemon's run, as requests' names and claims carry it.
+    pub incarnation: Incarnation,
     /// Take what the traffic threads are told, in the order of the threads.
     pub inboxes: Vec<mpsc::UnboundedSender<Event>>,
     /// The operators' listener.
@@ -74,27 +97,7 @@
 
     async fn run_here(mut self) {
         let started = Instant::now();
-        let platform = HttpPlatform::new(&self.settings.platform);
-        let edge = OperatorEdge::new(
-            self.snapshot.clone(),
-            &self.settings.operator_token,
-            metrics::encoder(self.peer_counters.clone()),
-        );
-        let operators = self.operators.try_clone();
-        let stop = self.stop.clone();
-        actix_rt::spawn(async move {
-            let handler = move |req: Request| std::future::ready(edge.handle(&req));
-            let served = match operators {
-                Ok(listener) => serve(listener, handler, Connections::default(), stop).await,
-                Err(error) => Err(error),
-            };
-            if let Err(error) = served {
-                log::error!(event = "operators-listener-ended", error:% = error; "");
-            }
-        });
-        let Settings { name, calls_per_second, claims, .. } = &self.settings;
-        let calls_per_second = f64::from(*calls_per_second);
-        let calls = client::Config { calls_per_second, ..client::Config::default() };
+        self.serve_operators();
         let (link_events, mut link_received) = mpsc::channel(EVENT_QUEUE);
         let own = match self.member() {
             Ok(own) => own,
@@ -104,21 +107,19 @@
             let counters = self.peer_counters.clone();
             PeerLinks::start(own.clone(), self.settings.peer_key, listener, link_events, counters)
         });
-        let mut links = match links {
+        let links = match links {
             Ok(links) => links,
             Err(error) => return log::error!(event = "no-peer-listener", error:%; ""),
         };
-        let identity = Input::Identity(own.daemon.clone(), own.incarnation);
-        let peers =
-            Config { own, seeds: self.settings.seeds.clone(), heartbeat: self.settings.heartbeat };
-        let mut control =
-            Control::new().with_platform(calls, name).with_claims(claims.clone()).with_peers(peers);
-        control.handle(Time(0), identity, &mut Vec::new());
+        let platform = HttpPlatform::new(&self.settings.platform);
+        let engines = Engines { client: awc::Client::default(), started };
+        let mut outside = Outside { platform, links, engines };
+        let mut control = self.control(own.clone());
+        self.handle(Input::Identity(own), &mut control, &mut outside);
         let mut input = Input::Started;
         loop {
-            let now = Time(started.elapsed().as_micros() as u64);
-            self.handle(now, input, &mut control, &platform, &mut links);
-            let now = Time(started.elapsed().as_micros() as u64);
+            self.handle(input, &mut control, &mut outside);
+            let now = outside.engines.now();
             let wait = control.next_wakeup().map_or(LONGEST_SLEEP, |at| at.since(now));
             input = tokio::select! {
                 received = self.received.recv() => match received {
@@ -126,7 +127,7 @@
                     None => break,
                 },
                 Some(event) = link_received.recv() => Input::Link(event),
-                event = links.next_opened() => Input::Link(event),
+                event = outside.links.next_opened() => Input::Link(event),
                 () = sleep(wait) => Input::Woken,
                 _ = self.stop.wait_for(|&stop| stop) => break,
             };
@@ -134,26 +135,47 @@
         // A daemon that drains tells its peers that it leaves, even if it stops at once.
         while let Ok(input) = self.received.try_recv() {
             if matches!(input, Input::Drain) {
-                let now = Time(started.elapsed().as_micros() as u64);
-                self.handle(now, input, &mut control, &platform, &mut links);
+                self.handle(input, &mut control, &mut outside);
             }
         }
-        links.flush().await;
+        outside.links.flush().await;
     }
 
-    fn handle(
-        &self,
-        now: Time,
-        input: Input,
-        control: &mut Control,
-        platform: &HttpPlatform,
-        links: &mut PeerLinks,
-    ) {
+    fn serve_operators(&self) {
+        let edge = OperatorEdge::new(
+            self.snapshot.clone(),
+            &self.settings.operator_token,
+            metrics::encoder(self.peer_counters.clone()),
+        );
+        let operators = self.operators.try_clone();
+        let stop = self.stop.clone();
+        actix_rt::spawn(async move {
+            let handler = move |req: Request| std::future::ready(edge.handle(&req));
+            let served = match operators {
+                Ok(listener) => serve(listener, handler, Connections::default(), stop).await,
+                Err(error) => Err(error),
+            };
+            if let Err(error) = served {
+                log::error!(event = "operators-listener-ended", error:% = error; "");
+            }
+        });
+    }
+
+    fn control(&self, own: Member) -> Control {
+        let Settings { name, calls_per_second, claims, seeds, heartbeat, .. } = &self.settings;
+        let calls_per_second = f64::from(*calls_per_second);
+        let calls = client::Config { calls_per_second, ..client::Config::default() };
+        let peers = Config { own, seeds: seeds.clone(), heartbeat: *heartbeat };
+        Control::new().with_platform(calls, name).with_claims(claims.clone()).with_peers(peers)
+    }
+
+    fn handle(&self, input: Input, control: &mut Control, outside: &mut Outside) {
+        let now = outside.engines.now();
         let mut out = Vec::new();
         control.handle(now, Input::Clock(wall_now()), &mut out);
         control.handle(now, input, &mut out);
         for output in out {
-            self.carry_out(platform, links, output);
+            self.carry_out(outside, output);
         }
     }
 
@@ -179,20 +201,19 @@
 
     /// Returns this run of the daemon as its peers know it.
     fn member(&self) -> std::io::Result<Member> {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Ok(Member {
             daemon: self.settings.name.clone(),
-            incarnation: Incarnation(since.as_millis() as u64),
+            incarnation: self.incarnation,
             address: self.peers.local_addr()?,
             data_centre: self.settings.data_centre.clone(),
             region: self.settings.region.clone(),
         })
     }
 
-    fn carry_out(&self, platform: &HttpPlatform, links: &mut PeerLinks, output: Output) {
+    fn carry_out(&self, outside: &mut Outside, output: Output) {
         match output {
             Output::Call { owner, call, operation, .. } => {
-                let platform = platform.clone();
+                let platform = outside.platform.clone();
                 let inputs = self.inputs.clone();
                 actix_rt::spawn(async move {
                     let result = platform.call(&operation).await;
@@ -211,7 +232,17 @@
                 );
                 self.snapshot.store(snapshot);
             }
-            Output::Link(effect) => links.carry_out(effect),
+            Output::Link(effect) => outside.links.carry_out(effect),
+            Output::Order(order) => {
+                let engines = outside.engines.clone();
+                let inputs = self.inputs.clone();
+                actix_rt::spawn(async move {
+                    let clock = || engines.now();
+                    let end = supply::http::give(&engines.client, &order, clock).await;
+                    // The receiver is gone only when the thread ends.
+                    let _ = inputs.send(Input::Ordered(order.id, end));
+                });
+            }
             Output::Audit(event) => log::info!(
                 event = "audit",
                 actor:% = event.actor,
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -3,13 +3,16 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    audit,
+    audit::{
+        self,
+        trail::{self, Trail},
+    },
     claim::{
         ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket,
         claims::{self, Claims},
     },
     declaration::in_force::{self, InForce},
-    ids::{CallId, DaemonId, Incarnation, RequestId},
+    ids::{CallId, DaemonId, RequestId},
     moves::{
         evidence::Source,
         run::{self, Moves},
@@ -19,13 +22,21 @@
         snapshot::Snapshot,
     },
     peer::{
-        Recipient,
+        Member, Recipient,
         peers::{self, LinkEffect, LinkEvent, Peers},
     },
     platform::{CallError, Operation, Priority, Reply, client::Client},
     request,
+    supply::{
+        self, Supply,
+        lease::Holder,
+        orders::{OrderCall, OrderEnd},
+    },
     units::{Time, WallTime},
-    upstream::hosts::{self, HostList},
+    upstream::{
+        hosts::{self, HostList},
+        leaving::LeavingHosts,
+    },
 };
 
 /// When a caller may ask again after a claim that could not be written.
@@ -42,6 +53,10 @@
     Claims,
     /// [`crate::moves`].
     Moves,
+    /// [`supply`].
+    Supply,
+    /// [`trail`].
+    Audit,
 }
 
 /// What the control part is told.
@@ -63,8 +78,10 @@
     Attempt(Box<AttemptReport>),
     /// A peer has sent a message.
     Peer(DaemonId, PeerMessage),
-    /// This is the daemon and its run; told before `Started`.
-    Identity(DaemonId, Incarnation),
+    /// This is the daemon's run as its peers know it; told before `Started`.
+    Identity(Member),
+    /// An order to an engine has ended.
+    Ordered(Box<str>, OrderEnd),
     /// The wall clock shows this time now; told before `Started` and at least once a minute.
     Clock(WallTime),
     /// A traffic thread sends a message about a request.
@@ -99,6 +116,8 @@
     Send(Recipient, PeerMessage),
     /// Do something with a link to a peer.
     Link(LinkEffect),
+    /// Give an order to an engine and answer with [`Input::Ordered`].
+    Order(OrderCall),
     /// Log a warning about something refused.
     Refused(Box<str>),
     /// Log a change; the control part also appends it to the audit trail.
@@ -114,8 +133,11 @@
     /// Whether most of the known peers are reached; a daemon without peers misses none.
     pub(super) reaches_peers: bool,
     pub(super) moves: Option<Moves>,
+    pub(super) leaving: LeavingHosts,
+    pub(super) supply: Supply,
     pub(super) snapshot: Snapshot,
     clock: (Time, WallTime),
+    pub(super) trail: Option<Trail>,
     pub(super) claims: Option<Claims>,
     pub(super) claims_config: claims::Config,
     pub(super) client: Client<CallTag>,
@@ -142,16 +164,18 @@
 
     /// Returns when [`Input::Woken`] is wanted.
     pub fn next_wakeup(&self) -> Option<Time> {
-        let claims = self.claims.as_ref().and_then(Claims::next_wakeup);
-        let refused = (!self.refused.is_empty()).then_some(Time(0));
-        let client = self.client.next_wakeup();
-        let peers = self.peers.as_ref().and_then(Peers::next_wakeup);
-        let moves = self.moves.as_ref().and_then(Moves::next_wakeup);
-        [self.in_force.next_wakeup(), self.hosts.next_wakeup(), claims, client, refused, peers]
-            .into_iter()
-            .chain([moves])
-            .flatten()
-            .min()
+        let wakeups = [
+            self.in_force.next_wakeup(),
+            self.hosts.next_wakeup(),
+            self.claims.as_ref().and_then(Claims::next_wakeup),
+            self.client.next_wakeup(),
+            (!self.refused.is_empty()).then_some(Time(0)),
+            self.peers.as_ref().and_then(Peers::next_wakeup),
+            self.moves.as_ref().and_then(Moves::next_wakeup),
+            self.supply.next_wakeup(),
+            self.trail.as_ref().and_then(Trail::next_wakeup),
+        ];
+        wakeups.into_iter().flatten().min()
     }
 
     /// Takes an input and adds the outputs that follow from it.
@@ -167,12 +191,16 @@
             Input::Called(owner, call, result) => {
                 self.call_ended(now, (owner, call), result, out);
             }
+            Input::Ordered(id, end) => self.supply(now, supply::Event::Ordered(id, end), out),
             Input::Woken => {
                 self.in_force(now, in_force::Event::Woken, out);
                 self.hosts(now, hosts::Event::Woken, out);
                 self.claims(now, claims::Event::Woken, out);
                 self.handle_peers(now, peers::Event::Woken, out);
                 self.moves(now, run::Event::Woken, out);
+                self.tell_supply(now, out);
+                self.supply(now, supply::Event::Woken, out);
+                self.trail(now, trail::Event::Woken, out);
             }
             Input::Drain => {
                 self.snapshot.draining = true;
@@ -183,23 +211,30 @@
             Input::ClaimEnded(ticket, end) => {
                 self.claims(now, claims::Event::Ended(ticket, end), out);
             }
-            Input::Identity(daemon, incarnation) => self.begin(now, daemon, incarnation),
+            Input::Identity(own) => self.begin(now, own, out),
             Input::Clock(wall) => self.clock = (now, wall),
             Input::Request(recipient, message) => {
                 requests::send(recipient, message, out);
             }
             Input::Peer(from, message) => self.peer_message(now, &from, message, out),
             Input::Link(event) => self.handle_peers(now, peers::Event::Link(event), out),
-            Input::Attempt(report) => self.moves(now, run::Event::Attempt(&report), out),
+            Input::Attempt(report) => {
+                self.moves(now, run::Event::Attempt(&report), out);
+                self.supply(now, supply::Event::Attempt(report), out);
+            }
         }
         self.send_to_peers(now, out);
         self.schedule_calls(now, out);
     }
 
     /// Makes the slices that have to know whose they are.
-    fn begin(&mut self, now: Time, daemon: DaemonId, incarnation: Incarnation) {
+    fn begin(&mut self, now: Time, own: Member, out: &mut Vec<Output>) {
+        let Member { daemon, incarnation, data_centre, .. } = own;
         self.moves = Some(Moves::new(Source { daemon: daemon.clone(), incarnation }));
-        self.begin_claims(now, daemon, incarnation);
+        self.begin_claims(now, daemon.clone(), incarnation);
+        self.begin_trail(daemon.clone(), incarnation);
+        let identity = supply::Identity { holder: Holder { daemon, incarnation }, data_centre };
+        self.supply(now, supply::Event::Started(identity), out);
     }
 
     /// Gives a slice the result of its call.
@@ -216,6 +251,8 @@
             Owner::Hosts => self.hosts(now, hosts::Event::Called(call, result), out),
             Owner::Claims => self.claims(now, claims::Event::Called(call, result), out),
             Owner::Moves => self.moves(now, run::Event::Called(call, result), out),
+            Owner::Supply => self.supply(now, supply::Event::Called(call, result), out),
+            Owner::Audit => self.trail(now, trail::Event::Called(call, result), out),
         }
     }
 
@@ -238,7 +275,10 @@
             PeerMessage::Moves(message) => {
                 self.moves(now, run::Event::Peer(from.clone(), message), out);
             }
-            PeerMessage::Leaving(_) => {}
+            PeerMessage::Supply(message) => {
+                self.supply(now, supply::Event::Peer(from.clone(), message), out);
+            }
+            PeerMessage::Leaving(message) => self.heard_leaving(now, from, message, out),
         }
     }
 
@@ -248,11 +288,6 @@
         wall + now.since(told)
     }
 
-    /// Records a change that a slice has made: in the log and in the audit trail.
-    pub fn audit(&mut self, _now: Time, event: audit::Event, out: &mut Vec<Output>) {
-        out.push(Output::Audit(event));
-    }
-
     pub(super) fn publish(&self, out: &mut Vec<Output>) {
         out.push(Output::Publish(Arc::new(self.snapshot.clone())));
     }
@@ -294,7 +329,8 @@
                     out.push(Output::Call { owner: Owner::Hosts, call, priority, operation });
                 }
                 hosts::Effect::Changed(hosts) => {
-                    self.snapshot.hosts = hosts;
+                    self.leaving.follow(&self.snapshot.hosts, &hosts);
+                    self.snapshot.hosts = self.leaving.apply(&hosts);
                     self.publish(out);
                 }
             }
--- a/lib/src/node/message.rs
+++ b/lib/src/node/message.rs
@@ -18,6 +18,8 @@
     Declaration(crate::declaration::message::Message),
     /// Evidence, holds and ends of moves.
     Moves(crate::moves::message::Message),
+    /// Tells demand and refused starts to the daemons that plan hosts.
+    Supply(crate::supply::message::Message),
     /// Tells that a host is leaving; flooded to all daemons.
     Leaving(crate::upstream::message::Message),
 }
@@ -29,6 +31,7 @@
     pub fn droppable(&self) -> bool {
         match self {
             Self::Moves(message) => message.droppable(),
+            Self::Supply(_) => true,
             Self::Request(_) | Self::Claim(_) | Self::Declaration(_) | Self::Leaving(_) => false,
         }
     }
@@ -49,6 +52,9 @@
     /// See [`PeerMessage::Moves`].
     #[serde(rename = "m")]
     Moves(crate::moves::message::MessageWire),
+    /// See [`PeerMessage::Supply`].
+    #[serde(rename = "s")]
+    Supply(crate::supply::message::MessageWire),
     /// See [`PeerMessage::Leaving`].
     #[serde(rename = "u")]
     Leaving(crate::upstream::message::MessageWire),
@@ -61,6 +67,7 @@
             PeerMessage::Claim(message) => Self::Claim(message.into()),
             PeerMessage::Declaration(message) => Self::Declaration(message.into()),
             PeerMessage::Moves(message) => Self::Moves(message.into()),
+            PeerMessage::Supply(message) => Self::Supply(message.into()),
             PeerMessage::Leaving(message) => Self::Leaving(message.into()),
         }
     }
@@ -75,6 +82,7 @@
             PeerMessageWire::Claim(wire) => Self::Claim(wire.try_into()?),
             PeerMessageWire::Declaration(wire) => Self::Declaration(wire.try_into()?),
             PeerMessageWire::Moves(wire) => Self::Moves(wire.try_into()?),
+            PeerMessageWire::Supply(wire) => Self::Supply(wire.try_into()?),
             PeerMessageWire::Leaving(wire) => Self::Leaving(wire.try_into()?),
         })
     }
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -3,6 +3,7 @@
 //! [`control::Control`] owns the control state and runs on one thread; it publishes a
 //! [`snapshot::Snapshot`], from which the traffic threads decide per request.
 
+mod audit;
 mod claims;
 pub mod control;
 pub mod message;
@@ -13,3 +14,5 @@
 pub mod requests;
 pub mod snapshot;
 pub mod traffic;
+
+mod supply;
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -25,6 +25,7 @@
                     self.snapshot.members = members.clone();
                     self.publish(out);
                     self.claims(now, claims::Event::Members(members.clone()), out);
+                    self.choose_audit_collector(now, &own, out);
                     self.in_force(now, in_force::Event::Members(own.clone(), members), out);
                 }
                 Effect::Later(peer, generation) => {
