--- a/lib/src/moves/evidence.rs
+++ b/lib/src/moves/evidence.rs
@@ -79,7 +79,8 @@
         (squares - mean * mean).max(0.0) / 1e6
     }
 
-    fn plus(&mut self, other: &Self) {
+    /// Adds other durations to these.
+    pub fn plus(&mut self, other: &Self) {
         self.count += other.count;
         self.sum += other.sum;
         self.squares += other.squares;
--- a/lib/src/moves/run.rs
+++ b/lib/src/moves/run.rs
@@ -27,7 +27,7 @@
 const SEND_INTERVAL: Duration = Duration::from_secs(1);
 /// How soon evidence against a new version is sent.
 const URGENT_INTERVAL: Duration = Duration::from_millis(100);
-/// How soon evidence is judged after it has grown.
+/// How soon evidence is judged after it has grown, while one or two moves run.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(250);
 /// How soon evidence against a new version is judged.
 const URGENT_JUDGE_INTERVAL: Duration = Duration::from_millis(50);
@@ -214,7 +214,7 @@
                 let has_stepped = running.follow(reached);
                 if growth.any {
                     let bad = growth.bad;
-                    let interval = if bad { URGENT_JUDGE_INTERVAL } else { JUDGE_INTERVAL };
+                    let interval = if bad { URGENT_JUDGE_INTERVAL } else { self.judge_interval() };
                     self.judge_by(clock.now + interval);
                 }
                 if has_stepped {
@@ -398,6 +398,10 @@
         SEND_INTERVAL * (self.running.len() as u32).div_ceil(2).max(1)
     }
 
+    fn judge_interval(&self) -> Duration {
+        JUDGE_INTERVAL * (self.running.len() as u32).div_ceil(2).max(1)
+    }
+
     fn send_by(&mut self, at: Time) {
         self.send_at = Some(self.send_at.map_or(at, |earlier| earlier.min(at)));
     }
--- a/lib/src/moves/verdict.rs
+++ b/lib/src/moves/verdict.rs
@@ -228,7 +228,7 @@
                 continue;
             }
             let block = self.block(&test, cells);
-            let Evidence { ratios, is_thin } = self.evidence(&test, &block);
+            let Evidence { ratios, is_thin } = self.evidence(&test, &[&block]);
             if is_thin {
                 self.thin.insert(test, block);
                 continue;
@@ -259,18 +259,13 @@
 
     fn log_with(&self, test: &Test, open: &[(&Cells, bool)]) -> f64 {
         let mut detector = self.detector(test);
-        let mut block = self.thin.get(test).cloned().unwrap_or_default();
-        let windows = open.iter().filter(|(_, is_full)| test.applies(*is_full));
-        for (cells, _) in windows {
-            if test.measure == Measure::Failures {
-                detector = detector.after(&self.evidence(test, cells).ratios);
-                continue;
-            }
-            add_cells(&mut block, cells, test);
+        let mut block: Vec<&Cells> = self.thin.get(test).into_iter().collect();
+        for (cells, _) in open.iter().filter(|(_, is_full)| test.applies(*is_full)) {
+            block.push(cells);
             let Evidence { ratios, is_thin } = self.evidence(test, &block);
             if !is_thin {
                 detector = detector.after(&ratios);
-                block = Cells::new();
+                block.clear();
             }
         }
         detector.log()
@@ -278,7 +273,8 @@
 
     fn has_failures(&self, test: &Test, open: &[(&Cells, bool)]) -> bool {
         let sealed = self.failures.get(&test.route).copied().unwrap_or_default();
-        let open: u64 = open.iter().map(|(cells, _)| route_sums(cells, &test.route).new.bad).sum();
+        let open: u64 =
+            open.iter().map(|(cells, _)| route_sums(&[cells], &test.route).new.bad).sum();
         test.measure != Measure::Failures || sealed + open >= FEWEST_FAILURES
     }
 
@@ -292,23 +288,23 @@
         block
     }
 
-    fn evidence(&self, test: &Test, cells: &Cells) -> Evidence {
+    fn evidence(&self, test: &Test, block: &[&Cells]) -> Evidence {
         let Test { route, measure, against } = test;
         match (measure, against) {
             (Measure::Failures, Against::SameMinutes) => {
-                Evidence::whole(failure_ratios(&route_sums(cells, route)))
+                Evidence::whole(failure_ratios(&route_sums(block, route)))
             }
             (Measure::Failures, Against::OtherMinutes) => {
-                let old = route_sums(&self.baseline, route).old;
-                let new = route_sums(cells, route).new;
+                let old = route_sums(&[&self.baseline], route).old;
+                let new = route_sums(block, route).new;
                 Evidence::whole(failure_ratios_other_minutes(&new, &old))
             }
             (_, Against::SameMinutes) => {
-                let compared = compare(cells, cells, route, *measure);
+                let compared = compare(block, block, route, *measure);
                 slowness(compared, SLOWNESS_TOLERANCE)
             }
             (_, Against::OtherMinutes) => {
-                let compared = compare(cells, &self.baseline, route, *measure);
+                let compared = compare(block, &[&self.baseline], route, *measure);
                 slowness(compared, SLOWNESS_TOLERANCE_OTHER_MINUTES)
             }
         }
@@ -346,9 +342,10 @@
     }
 }
 
-fn route_sums(cells: &Cells, route: &RouteName) -> RouteSums {
+fn route_sums(block: &[&Cells], route: &RouteName) -> RouteSums {
     let mut sums = RouteSums::default();
-    for (cell, counts) in cells.iter().filter(|(cell, _)| cell.route == *route) {
+    let cells = block.iter().flat_map(|cells| cells.iter());
+    for (cell, counts) in cells.filter(|(cell, _)| cell.route == *route) {
         match cell.side {
             Side::Old => sums.old.plus(counts),
             Side::New => sums.new.plus(counts),
@@ -415,26 +412,39 @@
     Evidence { ratios, is_thin: variance > LARGEST_VARIANCE }
 }
 
-/// Groups of attempts that may be compared: first within a zone, then across zones.
-type Groups = IndexMap<(ClassName, Option<ZoneName>, u8), (Moments, Moments)>;
+/// The class, the zone unless all zones are taken together, and the size.
+type GroupKey<'a> = (&'a ClassName, Option<&'a ZoneName>, u8);
+
+/// Groups of attempts that may be compared, with the times of the old and the new version.
+type Groups<'a> = IndexMap<GroupKey<'a>, (Moments, Moments)>;
 
-fn compare(new: &Cells, old: &Cells, route: &RouteName, measure: Measure) -> Option<Difference> {
+/// Compares the new version's times with the old one's: within a zone where it has enough of them,
+/// else across zones.
+fn compare(
+    new: &[&Cells],
+    old: &[&Cells],
+    route: &RouteName,
+    measure: Measure,
+) -> Option<Difference> {
     let mut zones = Groups::new();
-    for (cells, side) in [(old, Side::Old), (new, Side::New)] {
-        let of_side = cells.iter().filter(|(cell, _)| cell.side == side && cell.route == *route);
-        for (cell, counts) in of_side {
+    for (block, side) in [(old, Side::Old), (new, Side::New)] {
+        let cells = block.iter().flat_map(|cells| cells.iter());
+        for (cell, counts) in cells.filter(|(cell, _)| cell.side == side && cell.route == *route) {
             let moments = if measure == Measure::Pace { counts.pace } else { counts.start };
             let stratum = &cell.stratum;
-            let key = (stratum.class.clone(), Some(stratum.zone.clone()), stratum.size);
-            add(&mut zones, key, side, &moments);
+            let (old, new) =
+                zones.entry((&stratum.class, Some(&stratum.zone), stratum.size)).or_default();
+            let sums = if side == Side::Old { old } else { new };
+            sums.plus(&moments);
         }
     }
     let mut classes = Groups::new();
     let mut weighted = (0.0, 0.0);
     for ((class, _, size), (old, new)) in zones {
         if !weigh(&old, &new, &mut weighted) {
-            add(&mut classes, (class.clone(), None, size), Side::Old, &old);
-            add(&mut classes, (class, None, size), Side::New, &new);
+            let (all_old, all_new) = classes.entry((class, None, size)).or_default();
+            all_old.plus(&old);
+            all_new.plus(&new);
         }
     }
     for (old, new) in classes.values() {
@@ -444,14 +454,6 @@
     (weight > 0.0).then(|| Difference { mean: sum / weight, variance: 1.0 / weight })
 }
 
-fn add(groups: &mut Groups, key: (ClassName, Option<ZoneName>, u8), side: Side, moments: &Moments) {
-    let (old, new) = groups.entry(key).or_default();
-    let sums = if side == Side::Old { old } else { new };
-    sums.count += moments.count;
-    sums.sum += moments.sum;
-    sums.squares += moments.squares;
-}
-
 /// Adds the difference of a group, weighed by its inverse variance; false if it has too few times.
 fn weigh(old: &Moments, new: &Moments, weighted: &mut (f64, f64)) -> bool {
     if old.count < FEWEST_TIMES || new.count < FEWEST_TIMES {
