--- /dev/null
+++ b/lib/tests/supply_plan.rs
@@ -0,0 +1,306 @@
+//! The plan, loads of moves and orders, each as a pure function or a slice without I/O.
+
+mod supply_world;
+
+use std::time::Duration;
+
+use dogwoodturn::{
+    declaration::SupplyBounds,
+    ids::{FencingNumber, Incarnation},
+    moves::share::Share,
+    node::message::{PeerMessage, PeerMessageWire},
+    platform::{CallError, ObjectKey, Operation, memory::MemoryStore},
+    supply::{
+        lease::{self, Holder, Lease, LeaseTimes},
+        loads::{LoadTimes, MoveView, hosts_on_new, latest_begins},
+        message::{ClassSum, Demand, Level, Message},
+        orders::{Effect, Event, Order, OrderEnd, Orders},
+        plan::{Plan, PlanInput, Pool, PoolView, Reason, plan},
+        rate::{Work, WorkRate},
+    },
+    units::{PricePerHour, Time, WallTime},
+};
+use indexmap::IndexMap;
+use quickcheck::{Arbitrary, Gen};
+use supply_world::{World, offers};
+
+const ZONES: [&str; 3] = ["salish-a", "salish-b", "salish-c"];
+
+fn pool(zone: &str, reclaimable: bool) -> Pool {
+    let class = "standard".parse().expect("a name");
+    Pool { zone: zone.parse().expect("a name"), class, reclaimable }
+}
+
+fn view(price: u64) -> PoolView {
+    PoolView {
+        price: PricePerHour(price),
+        capacity: WorkRate(100),
+        present: 0,
+        refused: false,
+        waves_per_hour: 0.0,
+        start_time: Duration::from_mins(2),
+    }
+}
+
+fn market() -> IndexMap<Pool, PoolView> {
+    let both = |zone: &&str| [(pool(zone, true), view(300)), (pool(zone, false), view(1000))];
+    ZONES.iter().flat_map(both).collect()
+}
+
+fn planned(pools: &IndexMap<Pool, PoolView>, demand: u64, bounds: SupplyBounds) -> Plan {
+    plan(&PlanInput { demand: WorkRate(demand), pools, bounds })
+}
+
+/// Returns the work that is left when one zone is lost, counted apart from the plan's own count.
+fn left_without(plan: &Plan, pools: &IndexMap<Pool, PoolView>, zone: &str) -> u64 {
+    let others = plan.want.iter().filter(|(pool, _)| pool.zone.as_str() != zone);
+    others.map(|(pool, &count)| u64::from(count) * pools[pool].capacity.0).sum()
+}
+
+#[test]
+fn plan_any_market_holds_with_any_zone_lost() {
+    for seed in 0..300 {
+        let mut g = Gen::from_size_and_seed(100, seed);
+        let mut pools = market();
+        for view in pools.values_mut() {
+            view.price = PricePerHour(100 + u64::from(u16::arbitrary(&mut g) % 900));
+            view.capacity = WorkRate(20 + u64::from(u8::arbitrary(&mut g)));
+            view.present = u32::from(u8::arbitrary(&mut g) % 4);
+        }
+        let demand = u64::from(u16::arbitrary(&mut g) % 4000);
+        let plan = planned(&pools, demand, SupplyBounds::default());
+        for zone in ZONES {
+            let left = left_without(&plan, &pools, zone);
+            assert!(left >= demand, "seed {seed}: {left} of {demand} without {zone}: {plan:?}");
+        }
+    }
+}
+
+#[test]
+fn plan_calm_market_is_reclaimable_only() {
+    let plan = planned(&market(), 1000, SupplyBounds::default());
+    assert!(plan.want.keys().all(|pool| pool.reclaimable));
+    assert_eq!((plan.want.values().sum::<u32>(), plan.reason), (15, Reason::Demand));
+}
+
+#[test]
+fn plan_frequent_waves_add_on_demand_for_a_second_one() {
+    let mut pools = market();
+    pools.values_mut().for_each(|view| view.waves_per_hour = 2.0);
+    let plan = planned(&pools, 1000, SupplyBounds::default());
+    let mut taken: Vec<u64> = ZONES
+        .iter()
+        .map(|zone| plan.want.get(&pool(zone, true)).map_or(0, |&count| u64::from(count) * 100))
+        .collect();
+    taken.sort_unstable();
+    let all: u64 = plan.want.values().map(|&count| u64::from(count) * 100).sum();
+    assert!(all - taken[1] - taken[2] >= 1000, "{plan:?}");
+}
+
+#[test]
+fn plan_refused_zone_is_carried_by_the_others() {
+    let mut pools = market();
+    for reclaimable in [true, false] {
+        pools[&pool("salish-b", reclaimable)].refused = true;
+    }
+    let plan = planned(&pools, 1000, SupplyBounds::default());
+    assert!(plan.want.keys().all(|pool| pool.zone.as_str() != "salish-b"));
+    assert_eq!(plan.assured, WorkRate(1000));
+}
+
+#[test]
+fn plan_refused_class_goes_on_demand() {
+    let mut pools = market();
+    for zone in ZONES {
+        pools[&pool(zone, true)].refused = true;
+    }
+    let plan = planned(&pools, 1000, SupplyBounds::default());
+    assert!(plan.want.keys().all(|pool| !pool.reclaimable));
+    assert_eq!(plan.assured, WorkRate(1000));
+}
+
+#[test]
+fn plan_bounds_go_before_demand() {
+    let budget = Some(PricePerHour(1200));
+    let bounds = SupplyBounds { budget, ..SupplyBounds::default() };
+    let plan = planned(&market(), 1000, bounds);
+    assert!(plan.cost <= PricePerHour(1200));
+    assert_eq!(plan.reason, Reason::Budget);
+    let bounds = SupplyBounds { largest: 5, ..SupplyBounds::default() };
+    let plan = planned(&market(), 1000, bounds);
+    assert_eq!((plan.want.values().sum::<u32>(), plan.reason), (5, Reason::Largest));
+    let bounds = SupplyBounds { smallest: 7, ..SupplyBounds::default() };
+    let plan = planned(&market(), 0, bounds);
+    assert_eq!((plan.want.values().sum::<u32>(), plan.reason), (7, Reason::Smallest));
+}
+
+#[test]
+fn plan_price_flip_within_the_gain_keeps_hosts() {
+    let mut pools = market();
+    for (zone, present) in [("salish-a", 5), ("salish-b", 5), ("salish-c", 5)] {
+        pools[&pool(zone, true)].present = present;
+    }
+    let before = planned(&pools, 1000, SupplyBounds::default());
+    pools[&pool("salish-a", true)].price = PricePerHour(315);
+    pools[&pool("salish-b", true)].price = PricePerHour(285);
+    assert_eq!(planned(&pools, 1000, SupplyBounds::default()).want, before.want);
+}
+
+fn move_view(share: Share) -> MoveView {
+    MoveView {
+        from: "v1".parse().expect("a name"),
+        to: "v2".parse().expect("a name"),
+        start: WallTime(1_000_000),
+        finish_by: WallTime(2_000_000),
+        watch: Duration::from_secs(100),
+        share,
+        held: false,
+    }
+}
+
+const LOAD: LoadTimes =
+    LoadTimes { load: Duration::from_secs(60), spacing: Duration::from_secs(20) };
+
+#[test]
+fn latest_begins_are_spaced_and_end_before_the_watch() {
+    for hosts in 1..200 {
+        let begins = latest_begins(hosts, &move_view(Share::NONE), LOAD);
+        assert!(begins.windows(2).all(|pair| pair[1].0 >= pair[0].0 + 20_000));
+        let last = begins.last().expect("there are hosts");
+        assert!(last.0 + 60_000 <= 1_900_000, "{hosts} hosts");
+    }
+}
+
+#[test]
+fn hosts_on_new_held_move_loads_nothing() {
+    let held = MoveView { held: true, ..move_view(Share::NONE) };
+    assert_eq!(hosts_on_new(WallTime(1_500_000), 10, &held, LOAD), 0);
+    assert_eq!(hosts_on_new(WallTime(1_890_000), 10, &move_view(Share::FULL), LOAD), 10);
+    let first = hosts_on_new(WallTime(1_000_000), 10, &move_view(Share::NONE), LOAD);
+    assert!((1..=3).contains(&first), "the old version keeps what it needs, not {first}");
+}
+
+fn lease() -> (Lease, MemoryStore) {
+    let holder = Holder { daemon: "d-0".parse().expect("a name"), incarnation: Incarnation(1) };
+    let key = ObjectKey::new("supply/leases/lantern/salish-a");
+    (Lease::new(key, holder, LeaseTimes::default()), MemoryStore::new())
+}
+
+fn second(seconds: u64) -> Time {
+    Time(seconds * 1_000_000)
+}
+
+fn drive(lease: &mut Lease, store: &mut MemoryStore, now: Time, event: lease::Event, lose: bool) {
+    let mut effects = Vec::new();
+    lease.handle(now, event, &mut effects);
+    for lease::Effect::Call(call, _, operation) in effects {
+        let result = store.apply(&operation);
+        let is_write = matches!(operation, Operation::Put { .. });
+        let result = if lose && is_write { Err(CallError::Unknown) } else { result };
+        drive(lease, store, now, lease::Event::Called(call, result), false);
+    }
+}
+
+#[test]
+fn lease_lost_answer_is_settled_by_reading() {
+    let (mut lease, mut store) = lease();
+    drive(&mut lease, &mut store, second(1), lease::Event::Wanted(true), false);
+    drive(&mut lease, &mut store, second(6), lease::Event::Woken, true);
+    let held = lease.held(second(6)).expect("the write took effect");
+    assert_eq!(held.until, second(6) + LeaseTimes::default().term);
+}
+
+#[test]
+fn lease_paused_past_its_term_is_not_held() {
+    let (mut lease, mut store) = lease();
+    drive(&mut lease, &mut store, second(1), lease::Event::Wanted(true), false);
+    assert!(lease.held(second(15)).is_some());
+    assert!(lease.held(second(16)).is_none());
+    assert!(lease.may_order(second(13), true).is_some());
+    assert!(lease.may_order(second(14), false).is_none(), "the margin is not for orders");
+    assert!(lease.may_order(second(2), false).is_none(), "the old holder's orders are waited out");
+}
+
+#[test]
+fn orders_unanswered_keep_their_id_and_stale_ones_stop() {
+    let mut orders = Orders::new("lantern.salish-a.d-0.1");
+    let upstream = "engine".parse().expect("a name");
+    let order = Order::LoadModel { version: "v2".parse().expect("a name") };
+    let want = vec![(upstream, ([127, 0, 0, 1], 9).into(), order)];
+    let permit = Some((FencingNumber(3), second(10)));
+    let mut out = Vec::new();
+    orders.handle(second(1), None, Event::Want(want.clone()), &mut out);
+    assert!(out.is_empty(), "without the lease no order is given");
+    orders.handle(second(1), permit, Event::Want(want), &mut out);
+    let first = given(&mut out).expect("given");
+    assert!(first.may_be_sent(second(9)) && !first.may_be_sent(second(10)));
+    orders.handle(second(2), permit, Event::Ended(first.id.clone(), OrderEnd::Unknown), &mut out);
+    orders.handle(second(3), permit, Event::Woken, &mut out);
+    let again = given(&mut out).expect("given again");
+    assert_eq!((&again.id, again.fencing), (&first.id, FencingNumber(3)));
+    let stale = OrderEnd::Stale(FencingNumber(4));
+    orders.handle(second(4), None, Event::Ended(again.id, stale), &mut out);
+    assert!(out.contains(&Effect::Stale(FencingNumber(4))));
+}
+
+fn given(out: &mut Vec<Effect>) -> Option<dogwoodturn::supply::orders::OrderCall> {
+    let calls = out.drain(..).filter_map(|effect| match effect {
+        Effect::Order(call) => Some(call),
+        _ => None,
+    });
+    calls.last()
+}
+
+#[test]
+fn message_round_trips_and_refuses_a_span_of_nothing() {
+    let sum = ClassSum { work: Work(7), within: 2, outside: 1, pressure: 900 };
+    let demand = Demand {
+        service: "lantern".parse().expect("a name"),
+        data_centre: "salish-a".parse().expect("a name"),
+        level: Level::Daemon,
+        interval: Duration::from_secs(5),
+        classes: vec![("standard".parse().expect("a name"), sum)],
+    };
+    let message = PeerMessage::Supply(Message::Demand(demand.clone()));
+    let wire = PeerMessageWire::from(message.clone());
+    assert_eq!(PeerMessage::try_from(wire).expect("valid"), message);
+    let empty = Message::Demand(Demand { interval: Duration::ZERO, ..demand });
+    assert!(PeerMessage::try_from(PeerMessageWire::from(PeerMessage::Supply(empty))).is_err());
+}
+
+/// A service whose move begins after a minute and must have ended after twenty.
+fn with_move(checks_fencing: bool) -> String {
+    let start = supply_world::EPOCH + Duration::from_mins(1);
+    let finish_by = start + Duration::from_mins(20);
+    format!(
+        "[service lantern]\nkind = model\nversion = v1\nrepeat = safe\nmanaged = true\n\
+         checks-fencing = {checks_fencing}\nsmallest = 6\nlargest = 20\n\
+         [version lantern/v1]\nmodel = phrase-1\n[version lantern/v2]\nmodel = phrase-2\n\
+         [move lantern-v2]\nservice = lantern\nfrom = v1\nto = v2\nstart = {start}\n\
+         finish-by = {finish_by}\nwatch = 2m\n"
+    )
+}
+
+#[test]
+fn orders_move_loads_one_host_a_zone_first_and_no_stale_number() {
+    for checks_fencing in [true, false] {
+        let mut world = World::new(&with_move(checks_fencing), 2, offers(&ZONES));
+        world.run(Duration::from_mins(2));
+        assert!(!world.orders.is_empty(), "the first loads are due");
+        let upstreams: std::collections::BTreeSet<_> =
+            world.orders.iter().map(|(_, call)| call.upstream.clone()).collect();
+        assert!(upstreams.len() <= ZONES.len(), "at most one host of each zone before any share");
+    }
+}
+
+#[test]
+fn orders_wave_in_the_middle_of_a_move_is_made_good() {
+    let mut world = World::new(&with_move(true), 2, offers(&ZONES));
+    world.run(Duration::from_secs(90));
+    world.reclaim("salish-a", Duration::from_secs(20));
+    world.run(Duration::from_mins(1));
+    let running = world.cloud.hosts().filter(|host| host.running).count();
+    assert_eq!(running, 6);
+    let v1 = world.cloud.hosts().filter(|host| host.start.version.as_str() == "v1").count();
+    assert!(v1 >= 4, "the old version keeps its hosts, not {v1}");
+}
