--- a/lib/tests/model_lease.rs
+++ b/lib/tests/model_lease.rs
@@ -58,7 +58,7 @@
 
 impl Bounds {
     fn times(&self) -> LeaseTimes {
-        let order_delay = if self.broken == Broken::NoWaitingOut { 0 } else { 1 };
+        let order_delay = u64::from(self.broken != Broken::NoWaitingOut);
         LeaseTimes {
             term: Duration::from_secs(2),
             renew_after: Duration::from_secs(1),
--- a/lib/tests/supply_plan.rs
+++ b/lib/tests/supply_plan.rs
@@ -254,7 +254,7 @@
         Effect::Order(call) => Some(call),
         _ => None,
     });
-    calls.last()
+    calls.next_back()
 }
 
 #[test]
