--- a/lib/src/claim/claims.rs
+++ b/lib/src/claim/claims.rs
@@ -4,11 +4,14 @@
 //! saves writes: whoever writes, the condition on the page alone keeps a key from being granted
 //! twice. If that daemon does not answer in time, the asking daemon writes the page itself.
 
+mod pending;
+
 use std::{sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::pending::Pending;
 use crate::{
     claim::{
         ClaimAnswer, ClaimAsk, ClaimEnd, ClaimId, ClaimTicket,
@@ -24,14 +27,10 @@
     units::{Time, WallTime},
 };
 
-/// How long a daemon that did not answer in time is passed over.
-const SUSPECT_WAIT: Duration = Duration::from_secs(5);
 /// The shortest time after which a caller is told to ask again.
 const SHORTEST_RETRY: Duration = Duration::from_secs(1);
 /// The most ends of calls that wait to be written.
 const MAX_ENDS: usize = 10_000;
-/// The most refused asks that are remembered, in case a peer writes one late.
-const MAX_GIVEN_UP: usize = 1_000;
 /// How often a daemon collects what is past its retention in the shards that it gathers.
 const COLLECT_INTERVAL: Duration = Duration::from_mins(10);
 /// How many writes may be made at once after a quiet time.
@@ -101,20 +100,6 @@
     Refused(Box<str>),
 }
 
-#[derive(Clone, Debug)]
-struct Pending {
-    item: Item,
-    deadline: Option<Time>,
-    /// When the daemon that gathers the shard must have answered; `None` once written here.
-    forwarded: Option<(DaemonId, Time)>,
-    /// Whether a peer has the item and has not answered it.
-    at_peer: bool,
-    /// Whether a shard of this daemon has the item and has not answered it.
-    at_shard: bool,
-    /// Whether a release has to be written again.
-    again: bool,
-}
-
 /// The claims of one daemon.
 #[derive(Clone, Debug)]
 pub struct Claims {
@@ -251,27 +236,6 @@
         self.begin(cx, item, Some(cx.now + self.cfg.ask_timeout), out);
     }
 
-    fn begin(&mut self, cx: &Context, item: Item, deadline: Option<Time>, out: &mut Vec<Effect>) {
-        let gatherer = self.gatherer(&ShardKey::of(&item.service, &item.key));
-        let suspected = self.suspects.get(&gatherer).is_some_and(|&until| until > cx.now);
-        let here = gatherer == self.daemon || suspected;
-        let forwarded = (!here).then(|| (gatherer.clone(), cx.now + self.cfg.forward_timeout));
-        let pending = Pending {
-            item: item.clone(),
-            deadline,
-            forwarded,
-            at_peer: !here,
-            at_shard: here,
-            again: false,
-        };
-        self.pending.insert(item.id.clone(), pending);
-        if here {
-            self.push(cx, Origin::Local, item, deadline, out);
-        } else {
-            out.push(Effect::Send(gatherer, Message::Item(Box::new(item))));
-        }
-    }
-
     fn push(
         &mut self,
         cx: &Context,
@@ -394,24 +358,6 @@
         out.push(Effect::Call(self.call, Priority::Background, operation));
     }
 
-    /// Writes here what the daemon that gathers the shard has not answered in time.
-    fn take_back_forwarded(&mut self, cx: &Context, out: &mut Vec<Effect>) {
-        let mut items = Vec::new();
-        for pending in self.pending.values_mut() {
-            if let Some((gatherer, at)) = &pending.forwarded
-                && *at <= cx.now
-            {
-                self.suspects.insert(gatherer.clone(), cx.now + SUSPECT_WAIT);
-                pending.forwarded = None;
-                pending.at_shard = true;
-                items.push((pending.item.clone(), pending.deadline));
-            }
-        }
-        for (item, deadline) in items {
-            self.push(cx, Origin::Local, item, deadline, out);
-        }
-    }
-
     fn carry_out(
         &mut self,
         cx: &Context,
@@ -433,108 +379,4 @@
             }
         }
     }
-
-    fn item_answered(
-        &mut self,
-        cx: &Context,
-        origin: Origin,
-        id: ClaimId,
-        answer: ItemAnswer,
-        out: &mut Vec<Effect>,
-    ) {
-        match origin {
-            Origin::Local => {
-                if let Some(pending) = self.pending.get_mut(&id) {
-                    pending.at_shard = false;
-                }
-                self.answered(cx, &id, answer, out);
-            }
-            Origin::Peer(peer) => out.push(Effect::Send(peer, Message::Answer(id, answer))),
-        }
-    }
-
-    fn peer_answered(
-        &mut self,
-        cx: &Context,
-        id: &ClaimId,
-        answer: ItemAnswer,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(pending) = self.pending.get_mut(id) else {
-            return self.late_answer(cx, id, &answer, out);
-        };
-        let failed = matches!(answer, ItemAnswer::Failed { .. });
-        pending.at_peer = matches!(answer, ItemAnswer::Failed { may_stand: true, .. });
-        if !(failed && pending.at_shard) {
-            self.answered(cx, id, answer, out);
-        }
-    }
-
-    /// Takes the answer to an item of this daemon; only the first one counts.
-    fn answered(&mut self, cx: &Context, id: &ClaimId, answer: ItemAnswer, out: &mut Vec<Effect>) {
-        let Some(pending) = self.pending.get_mut(id) else {
-            return self.late_answer(cx, id, &answer, out);
-        };
-        if pending.item.wish == Wish::Release && answer == ItemAnswer::Granted {
-            // Written after the release was; it has to be released again.
-            pending.again = true;
-        }
-        if (pending.item.wish == Wish::Claim) == (answer == ItemAnswer::Done) {
-            return;
-        }
-        let Some(pending) = self.pending.swap_remove(id) else { return };
-        let request = pending.item.request.clone();
-        let open = pending.at_peer || pending.at_shard;
-        let (answer, may_stand) = match answer {
-            ItemAnswer::Done if pending.again => return self.release(cx, pending.item, out),
-            ItemAnswer::Done => return,
-            ItemAnswer::Granted => {
-                let ticket = ticket_of(&pending.item);
-                self.tickets.insert(ticket.clone(), id.clone());
-                (ClaimAnswer::Granted(ticket), false)
-            }
-            ItemAnswer::Stored(answer) => (ClaimAnswer::Stored(answer), open),
-            ItemAnswer::Unresolved => (ClaimAnswer::Unresolved, open),
-            ItemAnswer::OtherCall => (ClaimAnswer::OtherCall, open),
-            ItemAnswer::Failed { retry_after, may_stand } => {
-                (ClaimAnswer::Unavailable { retry_after }, open || may_stand)
-            }
-        };
-        if may_stand {
-            self.release(cx, pending.item, out);
-        }
-        out.push(Effect::Answered(request, answer));
-    }
-
-    /// Releases a claim that a peer has written after this daemon gave it up.
-    fn late_answer(
-        &mut self,
-        cx: &Context,
-        id: &ClaimId,
-        answer: &ItemAnswer,
-        out: &mut Vec<Effect>,
-    ) {
-        if *answer == ItemAnswer::Granted
-            && let Some(item) = self.given_up.get(id).cloned()
-        {
-            self.release(cx, item, out);
-        }
-    }
-
-    /// Releases a claim that this daemon gave up and never dispatches, should it stand.
-    fn release(&mut self, cx: &Context, item: Item, out: &mut Vec<Effect>) {
-        if self.pending.len() >= MAX_ENDS {
-            return;
-        }
-        if self.given_up.len() >= MAX_GIVEN_UP {
-            self.given_up.shift_remove_index(0);
-        }
-        self.given_up.insert(item.id.clone(), item.clone());
-        self.begin(cx, Item { wish: Wish::Release, ..item }, None, out);
-    }
-}
-
-fn ticket_of(item: &Item) -> ClaimTicket {
-    let Item { service, key, request, .. } = item;
-    ClaimTicket { service: service.clone(), key: key.clone(), request: request.clone() }
 }
--- /dev/null
+++ b/lib/src/claim/claims/pending.rs
@@ -0,0 +1,186 @@
+//! Items of this daemon that wait for their answers, here or at the daemon that gathers.
+
+use std::time::Duration;
+
+use super::{Claims, Effect, MAX_ENDS};
+use crate::{
+    claim::{
+        ClaimAnswer, ClaimId, ClaimTicket,
+        item::{Item, ItemAnswer, Wish},
+        message::Message,
+        page::ShardKey,
+        shard::{Context, Origin},
+    },
+    ids::DaemonId,
+    units::Time,
+};
+
+/// How long a daemon that did not answer in time is passed over.
+const SUSPECT_WAIT: Duration = Duration::from_secs(5);
+/// The most refused asks that are remembered, in case a peer writes one late.
+const MAX_GIVEN_UP: usize = 1_000;
+
+#[derive(Clone, Debug)]
+pub(super) struct Pending {
+    pub(super) item: Item,
+    pub(super) deadline: Option<Time>,
+    /// When the daemon that gathers the shard must have answered; `None` once written here.
+    pub(super) forwarded: Option<(DaemonId, Time)>,
+    /// Whether a peer has the item and has not answered it.
+    pub(super) at_peer: bool,
+    /// Whether a shard of this daemon has the item and has not answered it.
+    pub(super) at_shard: bool,
+    /// Whether a release has to be written again.
+    pub(super) again: bool,
+}
+
+impl Claims {
+    pub(super) fn begin(
+        &mut self,
+        cx: &Context,
+        item: Item,
+        deadline: Option<Time>,
+        out: &mut Vec<Effect>,
+    ) {
+        let gatherer = self.gatherer(&ShardKey::of(&item.service, &item.key));
+        let suspected = self.suspects.get(&gatherer).is_some_and(|&until| until > cx.now);
+        let here = gatherer == self.daemon || suspected;
+        let forwarded = (!here).then(|| (gatherer.clone(), cx.now + self.cfg.forward_timeout));
+        let pending = Pending {
+            item: item.clone(),
+            deadline,
+            forwarded,
+            at_peer: !here,
+            at_shard: here,
+            again: false,
+        };
+        self.pending.insert(item.id.clone(), pending);
+        if here {
+            self.push(cx, Origin::Local, item, deadline, out);
+        } else {
+            out.push(Effect::Send(gatherer, Message::Item(Box::new(item))));
+        }
+    }
+
+    /// Writes here what the daemon that gathers the shard has not answered in time.
+    pub(super) fn take_back_forwarded(&mut self, cx: &Context, out: &mut Vec<Effect>) {
+        let mut items = Vec::new();
+        for pending in self.pending.values_mut() {
+            if let Some((gatherer, at)) = &pending.forwarded
+                && *at <= cx.now
+            {
+                self.suspects.insert(gatherer.clone(), cx.now + SUSPECT_WAIT);
+                pending.forwarded = None;
+                pending.at_shard = true;
+                items.push((pending.item.clone(), pending.deadline));
+            }
+        }
+        for (item, deadline) in items {
+            self.push(cx, Origin::Local, item, deadline, out);
+        }
+    }
+
+    pub(super) fn item_answered(
+        &mut self,
+        cx: &Context,
+        origin: Origin,
+        id: ClaimId,
+        answer: ItemAnswer,
+        out: &mut Vec<Effect>,
+    ) {
+        match origin {
+            Origin::Local => {
+                if let Some(pending) = self.pending.get_mut(&id) {
+                    pending.at_shard = false;
+                }
+                self.answered(cx, &id, answer, out);
+            }
+            Origin::Peer(peer) => out.push(Effect::Send(peer, Message::Answer(id, answer))),
+        }
+    }
+
+    pub(super) fn peer_answered(
+        &mut self,
+        cx: &Context,
+        id: &ClaimId,
+        answer: ItemAnswer,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.pending.get_mut(id) else {
+            return self.late_answer(cx, id, &answer, out);
+        };
+        let failed = matches!(answer, ItemAnswer::Failed { .. });
+        pending.at_peer = matches!(answer, ItemAnswer::Failed { may_stand: true, .. });
+        if !(failed && pending.at_shard) {
+            self.answered(cx, id, answer, out);
+        }
+    }
+
+    /// Takes the answer to an item of this daemon; only the first one counts.
+    fn answered(&mut self, cx: &Context, id: &ClaimId, answer: ItemAnswer, out: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get_mut(id) else {
+            return self.late_answer(cx, id, &answer, out);
+        };
+        if pending.item.wish == Wish::Release && answer == ItemAnswer::Granted {
+            // Written after the release was; it has to be released again.
+            pending.again = true;
+        }
+        if (pending.item.wish == Wish::Claim) == (answer == ItemAnswer::Done) {
+            return;
+        }
+        let Some(pending) = self.pending.swap_remove(id) else { return };
+        let request = pending.item.request.clone();
+        let open = pending.at_peer || pending.at_shard;
+        let (answer, may_stand) = match answer {
+            ItemAnswer::Done if pending.again => return self.release(cx, pending.item, out),
+            ItemAnswer::Done => return,
+            ItemAnswer::Granted => {
+                let ticket = ticket_of(&pending.item);
+                self.tickets.insert(ticket.clone(), id.clone());
+                (ClaimAnswer::Granted(ticket), false)
+            }
+            ItemAnswer::Stored(answer) => (ClaimAnswer::Stored(answer), open),
+            ItemAnswer::Unresolved => (ClaimAnswer::Unresolved, open),
+            ItemAnswer::OtherCall => (ClaimAnswer::OtherCall, open),
+            ItemAnswer::Failed { retry_after, may_stand } => {
+                (ClaimAnswer::Unavailable { retry_after }, open || may_stand)
+            }
+        };
+        if may_stand {
+            self.release(cx, pending.item, out);
+        }
+        out.push(Effect::Answered(request, answer));
+    }
+
+    /// Releases a claim that a peer has written after this daemon gave it up.
+    fn late_answer(
+        &mut self,
+        cx: &Context,
+        id: &ClaimId,
+        answer: &ItemAnswer,
+        out: &mut Vec<Effect>,
+    ) {
+        if *answer == ItemAnswer::Granted
+            && let Some(item) = self.given_up.get(id).cloned()
+        {
+            self.release(cx, item, out);
+        }
+    }
+
+    /// Releases a claim that this daemon gave up and never dispatches, should it stand.
+    fn release(&mut self, cx: &Context, item: Item, out: &mut Vec<Effect>) {
+        if self.pending.len() >= MAX_ENDS {
+            return;
+        }
+        if self.given_up.len() >= MAX_GIVEN_UP {
+            self.given_up.shift_remove_index(0);
+        }
+        self.given_up.insert(item.id.clone(), item.clone());
+        self.begin(cx, Item { wish: Wish::Release, ..item }, None, out);
+    }
+}
+
+fn ticket_of(item: &Item) -> ClaimTicket {
+    let Item { service, key, request, .. } = item;
+    ClaimTicket { service: service.clone(), key: key.clone(), request: request.clone() }
+}
--- /dev/null
+++ b/lib/src/claim/shard/read.rs
@@ -0,0 +1,104 @@
+//! What a shard reads: its head, sealed pages and summaries.
+
+use super::{Context, Effect, Head, Shard, Work};
+use crate::{
+    claim::{
+        index::Sealed,
+        page::Page,
+        wire::{PageWire, SummaryWire},
+    },
+    declaration::wire,
+    ids::Revision,
+    platform::{Object, ObjectKey, Operation},
+};
+
+impl Shard {
+    pub(super) fn read_sealed(&mut self, cx: &Context, revision: Revision, out: &mut Vec<Effect>) {
+        let operation = Operation::Get(self.key.sealed(revision));
+        self.issue(cx, Work::ReadingSealed(revision), operation, out);
+    }
+
+    pub(super) fn head_read(
+        &mut self,
+        cx: &Context,
+        object: Option<Object>,
+        out: &mut Vec<Effect>,
+    ) {
+        self.failures = 0;
+        let (at, confirmed) = self.issued;
+        let head = match object {
+            None => Head { revision: None, page: Page::default(), bytes: 0, at, confirmed },
+            Some(object) => match wire::decode::<PageWire>(&object.value) {
+                Ok(page) => Head {
+                    revision: Some(object.revision),
+                    page: page.into(),
+                    bytes: object.value.len(),
+                    at,
+                    confirmed,
+                },
+                Err(error) => {
+                    damaged(&self.key.head(), &error, out);
+                    return self.refuse_for_now(cx, out);
+                }
+            },
+        };
+        self.moved_to(head);
+    }
+
+    pub(super) fn moved_to(&mut self, head: Head) {
+        if let Some(sealed) = self.sealed.take()
+            && head.page.sealed.iter().any(|listed| listed.revision == sealed.revision)
+        {
+            self.index.add_sealed(sealed);
+        }
+        let same = self.head.as_ref().is_some_and(|old| old.revision == head.revision);
+        self.summarised &= same;
+        self.index.follow(&head.page);
+        self.head = Some(head);
+    }
+
+    pub(super) fn read_summary(&mut self, cx: &Context, revision: Revision, out: &mut Vec<Effect>) {
+        let operation = Operation::Get(self.key.summary(revision));
+        self.issue(cx, Work::ReadingSummary(revision), operation, out);
+    }
+
+    pub(super) fn summary_read(
+        &mut self,
+        cx: &Context,
+        revision: Revision,
+        object: &Object,
+        out: &mut Vec<Effect>,
+    ) {
+        match wire::decode::<SummaryWire>(&object.value) {
+            Ok(summary) => self.index.add_summary(revision, &Vec::from(summary)),
+            Err(error) => {
+                damaged(&self.key.summary(revision), &error, out);
+                self.refuse_for_now(cx, out);
+            }
+        }
+    }
+
+    pub(super) fn sealed_read(
+        &mut self,
+        cx: &Context,
+        revision: Revision,
+        object: &Object,
+        out: &mut Vec<Effect>,
+    ) {
+        match wire::decode::<PageWire>(&object.value) {
+            Ok(page) => {
+                let page = Page::from(page);
+                self.index.add_sealed(Sealed::of(revision, &page));
+                self.opened = Some((revision, page));
+            }
+            Err(error) => {
+                damaged(&self.key.sealed(revision), &error, out);
+                self.refuse_for_now(cx, out);
+            }
+        }
+    }
+}
+
+fn damaged(key: &ObjectKey, error: &wire::WireError, out: &mut Vec<Effect>) {
+    out.push(Effect::Refused(format!("claims page {key} is damaged: {error}").into()));
+}
--- /dev/null
+++ b/lib/src/claim/shard/write.rs
@@ -0,0 +1,198 @@
+//! What a shard's head decides, and the writes that follow from it.
+
+use bytes::Bytes;
+
+use super::{Context, Effect, Head, Shard, Tried, Work};
+use crate::{
+    claim::{
+        index::Sealed,
+        item::{Item, ItemAnswer, Wish},
+        page::{Judgement, Page, Record, judge},
+        wire::{PageWire, SummaryWire},
+    },
+    declaration::wire,
+    ids::Revision,
+    platform::{Condition, MAX_VALUE_BYTES, Operation, budget::Budget},
+};
+
+/// The most items that one write takes in.
+const MAX_BATCH: usize = 1_000;
+/// The largest head that is written, in bytes, with room below the platform's bound.
+const MAX_HEAD_BYTES: usize = MAX_VALUE_BYTES * 9 / 10;
+
+enum Found<'a> {
+    Record(Option<&'a Record>),
+    InSealed(Revision),
+}
+
+impl Shard {
+    /// Finds the last record of a key in `page` and in what it or its head has sealed.
+    fn find<'a>(&'a self, page: &'a Page, key: &str) -> Found<'a> {
+        if let Some(record) = page.records.get(key) {
+            return Found::Record(Some(record));
+        }
+        if let Some(head) = &self.head
+            && let Some(record) = head.page.records.get(key)
+        {
+            return Found::Record(Some(record));
+        }
+        match (self.index.place(key), &self.opened) {
+            (None, _) => Found::Record(None),
+            (Some(place), Some((revision, opened))) if place == *revision => {
+                Found::Record(opened.records.get(key))
+            }
+            (Some(place), _) => Found::InSealed(place),
+        }
+    }
+
+    /// Answers every item that the known head decides.
+    pub(super) fn settle(&mut self, cx: &Context, out: &mut Vec<Effect>) {
+        let Some(head) = self.head.take() else { return };
+        let queue = std::mem::take(&mut self.queue);
+        for mut waiting in queue {
+            let judgement = match self.find(&head.page, &waiting.item.key) {
+                Found::Record(record) => judge(&waiting.item, record, cx.wall, cx.retention),
+                Found::InSealed(_) => {
+                    self.queue.push_back(waiting);
+                    continue;
+                }
+            };
+            match judgement {
+                // Another daemon may have changed the record since the head was confirmed.
+                Judgement::Answer(ItemAnswer::Unresolved | ItemAnswer::Done)
+                    if waiting.arrived > head.confirmed =>
+                {
+                    self.read_next = true;
+                    self.queue.push_back(waiting);
+                }
+                Judgement::Answer(answer) => {
+                    out.push(Effect::Answer(waiting.origin, waiting.item.id, answer));
+                }
+                Judgement::Write(_) => {
+                    waiting.tried = waiting.tried.filter(|tried| tried.base == head.revision);
+                    self.queue.push_back(waiting);
+                }
+            }
+        }
+        self.head = Some(head);
+    }
+
+    pub(super) fn issue_next(&mut self, cx: &Context, budget: &mut Budget, out: &mut Vec<Effect>) {
+        let Some(head) = &self.head else { return };
+        let needed =
+            self.queue.iter().find_map(|waiting| match self.find(&head.page, &waiting.item.key) {
+                Found::InSealed(revision) => Some(revision),
+                Found::Record(_) => None,
+            });
+        if let Some(revision) = needed
+            && self.read_next
+        {
+            self.read_next = false;
+            return self.read_sealed(cx, revision, out);
+        }
+        if self.write(cx, budget, out) {
+            self.read_next = needed.is_some();
+        } else if let Some(revision) = needed {
+            self.read_sealed(cx, revision, out);
+        } else if std::mem::take(&mut self.read_next) {
+            self.issue(cx, Work::ReadingHead, Operation::Get(self.key.head()), out);
+        }
+    }
+
+    /// Issues the next write if there is something to write and the budget allows it.
+    fn write(&mut self, cx: &Context, budget: &mut Budget, out: &mut Vec<Effect>) -> bool {
+        let Some(head) = &self.head else { return false };
+        if !self.wants_write(cx, &head.page) || !budget.take(cx.now) {
+            return false;
+        }
+        if let Some(revision) = head.revision {
+            let pages = self.index.covered(&head.page);
+            let complete = pages.len() == head.page.sealed.len();
+            if complete && pages.len() >= cx.summary_pages && !self.summarised {
+                let value = wire::encode(&SummaryWire::from(&*pages)).into();
+                let key = self.key.summary(revision);
+                let operation = Operation::Put { key, value, condition: Condition::Absent };
+                self.issue(cx, Work::Summarising, operation, out);
+                return true;
+            }
+            if head.bytes >= cx.seal_bytes && self.sealed.is_none() {
+                let sealed = Sealed::of(revision, &head.page);
+                let value = wire::encode(&PageWire::from(head.page.sealed_copy())).into();
+                let key = self.key.sealed(revision);
+                let operation = Operation::Put { key, value, condition: Condition::Absent };
+                self.issue(cx, Work::Sealing(sealed), operation, out);
+                return true;
+            }
+        }
+        let base = head.revision;
+        let (page, written) = self.next_page(cx, head);
+        if written.is_empty() {
+            // The page has no room until older claims expire.
+            self.refuse_for_now(cx, out);
+            return true;
+        }
+        for index in written {
+            let tried = &mut self.queue[index].tried;
+            *tried = tried.or(Some(Tried { base, open: true }));
+        }
+        let value = wire::encode(&PageWire::from(page.clone()));
+        let bytes = value.len();
+        let condition = base.map_or(Condition::Absent, Condition::Revision);
+        let operation = Operation::Put { key: self.key.head(), value: value.into(), condition };
+        self.issue(cx, Work::Writing { page, bytes }, operation, out);
+        true
+    }
+
+    fn wants_write(&self, cx: &Context, page: &Page) -> bool {
+        self.queue.iter().any(|waiting| match self.find(page, &waiting.item.key) {
+            Found::Record(record) => {
+                let judgement = judge(&waiting.item, record, cx.wall, cx.retention);
+                matches!(judgement, Judgement::Write(_))
+            }
+            Found::InSealed(_) => false,
+        })
+    }
+
+    /// Makes the page that follows `head`, and names the items that it takes in.
+    fn next_page(&self, cx: &Context, head: &Head) -> (Page, Vec<usize>) {
+        let mut page = head.page.clone();
+        if let Some(revision) = head.revision.filter(|_| self.summarised) {
+            page = page.after_summary(revision);
+        }
+        if let Some(sealed) = &self.sealed {
+            page = page.after_sealing(sealed.revision);
+        }
+        page.expire(cx.wall, cx.retention);
+        let mut written = Vec::new();
+        let held = if self.sealed.is_some() { 0 } else { head.bytes };
+        let mut room = MAX_HEAD_BYTES.saturating_sub(held);
+        for (index, waiting) in self.queue.iter().enumerate() {
+            let Found::Record(record) = self.find(&page, &waiting.item.key) else { continue };
+            let Judgement::Write(record) = judge(&waiting.item, record, cx.wall, cx.retention)
+            else {
+                continue;
+            };
+            let bytes = record_bytes(&waiting.item);
+            if bytes > room || written.len() >= MAX_BATCH {
+                break;
+            }
+            room -= bytes;
+            page.records.insert(waiting.item.key.clone(), record);
+            written.push(index);
+        }
+        (page, written)
+    }
+}
+
+/// Returns an upper bound of the bytes that an item adds to its page.
+fn record_bytes(item: &Item) -> usize {
+    const FIXED_BYTES: usize = 160;
+    let answer = match &item.wish {
+        Wish::Keep(answer) => {
+            answer.content_type.len() + answer.body.as_ref().map_or(0, Bytes::len)
+        }
+        Wish::Claim | Wish::Release => 0,
+    };
+    let names = item.id.daemon.as_str().len() + item.request.as_str().len();
+    FIXED_BYTES + names + item.key.len() + answer
+}
