--- a/cli/src/command/mod.rs
+++ b/cli/src/command/mod.rs
@@ -3,6 +3,7 @@
 pub mod audit;
 pub mod check;
 pub mod demo;
+pub mod diff;
 pub mod moves;
 pub mod publish;
 pub mod status;
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -2,7 +2,6 @@
 
 use std::{
     net::TcpListener,
-    rc::Rc,
     sync::Arc,
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
@@ -17,11 +16,10 @@
     ids::{DaemonId, Incarnation},
     node::{
         control::{Control, Input, Output},
-        message::PeerMessage,
         snapshot::Snapshot,
         traffic::Event,
     },
-    peer::{Member, Recipient, peers::Config},
+    peer::{Member, peers::Config},
     platform::{client, http::HttpPlatform},
     request::{message::Message, name::thread_of},
     supply,
@@ -33,6 +31,7 @@
 };
 
 use crate::{
+    metrics,
     peers::{EVENT_QUEUE, PeerCounters, PeerLinks},
     settings::Settings,
 };
@@ -72,6 +71,8 @@
     pub settings: Settings,
     /// Where snapshots are published.
     pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// The daemon's run, as requests' names and claims carry it.
+    pub incarnation: Incarnation,
     /// Take what the traffic threads are told, in the order of the threads.
     pub inboxes: Vec<mpsc::UnboundedSender<Event>>,
     /// The operators' listener.
@@ -144,7 +145,7 @@
         let edge = OperatorEdge::new(
             self.snapshot.clone(),
             &self.settings.operator_token,
-            Rc::new(String::new),
+            metrics::encoder(self.peer_counters.clone()),
         );
         let operators = self.operators.try_clone();
         let stop = self.stop.clone();
@@ -200,10 +201,9 @@
 
     /// Returns this run of the daemon as its peers know it.
     fn member(&self) -> std::io::Result<Member> {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Ok(Member {
             daemon: self.settings.name.clone(),
-            incarnation: Incarnation(since.as_millis() as u64),
+            incarnation: self.incarnation,
             address: self.peers.local_addr()?,
             data_centre: self.settings.data_centre.clone(),
             region: self.settings.region.clone(),
@@ -256,11 +256,6 @@
                 let thread = thread_of(&request, &self.settings.name, self.threads());
                 self.tell(thread, Event::Claim(request, answer));
             }
-            Output::Send(Recipient::Daemon(to), PeerMessage::Request(message))
-                if to == self.settings.name =>
-            {
-                self.tell_about_request(to, message);
-            }
             Output::Poison(digest, refused_for) => {
                 for thread in 0..self.threads() {
                     self.tell(thread, Event::Poison(digest, refused_for));
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod flight;
 pub mod logs;
+pub mod metrics;
 pub mod peers;
 pub mod settings;
 pub mod traffic;
@@ -90,6 +91,7 @@
         let to_control = inputs.clone();
         let control = control::Adapter {
             settings: settings.clone(),
+            incarnation,
             inboxes,
             snapshot: daemon.snapshot.clone(),
             operators,
--- a/lib/src/edge/operator.rs
+++ b/lib/src/edge/operator.rs
@@ -11,7 +11,10 @@
 use serde::Serialize;
 
 use crate::{
-    edge::problem::Problem, ids::Generation, moves::report::MoveReport, node::snapshot::Snapshot,
+    edge::problem::Problem,
+    ids::{DaemonId, Generation},
+    moves::report::MoveReport,
+    node::snapshot::Snapshot,
 };
 
 /// The status of one daemon as operators read it.
@@ -21,6 +24,10 @@
     pub ready: bool,
     /// The generation in force.
     pub generation: Generation,
+    /// A generation that each live daemon has reached, as far as this one has heard.
+    pub everywhere: Generation,
+    /// The daemons that it takes to be live, itself included.
+    pub members: Vec<DaemonId>,
     /// How many hosts it knows.
     pub hosts: usize,
     /// The moves that are declared.
@@ -77,6 +84,8 @@
         let wire = StatusWire {
             ready: snapshot.ready(),
             generation: snapshot.generation,
+            everywhere: snapshot.everywhere,
+            members: snapshot.members.iter().map(|member| member.daemon.clone()).collect(),
             hosts: snapshot.hosts.len(),
             moves: snapshot.moves.to_vec(),
         };
--- a/lib/src/peer/peers.rs
+++ b/lib/src/peer/peers.rs
@@ -13,7 +13,7 @@
         flood::Floods,
         links::{LinkId, Links},
         membership::{Change, Membership},
-        message::{Accusation, Beat, Frame, Packet, Record, Standing},
+        message::{Accusation, Beat, DEPTH, Frame, Packet, Record, Standing},
     },
     units::Time,
 };
@@ -28,6 +28,8 @@
 const DIFFER_BEATS: u32 = 2;
 /// For how many heartbeats a link that neither end wants is kept after its last message.
 const LINGER_BEATS: u32 = 30;
+/// For how many heartbeats a link is kept that neither end wants and that carries no messages.
+const VISIT_BEATS: u32 = 3;
 /// How many heartbeats lie between two attempts at a seed or a member that is gone.
 const RECONNECT_BEATS: u32 = 5;
 /// How many ticks a heartbeat has.
@@ -171,6 +173,29 @@
         live > gone && 2 * linked > self.neighbours.len()
     }
 
+    /// Returns a generation that each live daemon has reached, as far as beats have told.
+    ///
+    /// It lags by a heartbeat for each link on the way, and is zero while a neighbour is silent.
+    pub fn everywhere(&self) -> Generation {
+        self.within().last().copied().unwrap_or(self.generation)
+    }
+
+    /// Returns the lowest generation within each number of links, from 1 to [`DEPTH`].
+    fn within(&self) -> Vec<Generation> {
+        let beats = self.neighbours.iter().map(|peer| {
+            self.links.to(peer).map(|(_, link)| &link.beat).filter(|beat| !beat.within.is_empty())
+        });
+        let beats: Vec<Option<&Beat>> = beats.collect();
+        let lowest = |of: &dyn Fn(&Beat) -> Generation| {
+            let theirs = beats.iter().map(|beat| beat.map_or(Generation(0), of)).min();
+            theirs.unwrap_or(self.generation).min(self.generation)
+        };
+        let near = lowest(&|beat| beat.generation);
+        let far = (1..DEPTH)
+            .map(|links| lowest(&|beat| beat.within.get(links - 1).copied().unwrap_or_default()));
+        std::iter::once(near).chain(far).collect()
+    }
+
     /// Takes an event and adds the effects that follow from it.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
         match event {
@@ -230,6 +255,7 @@
                 return;
             }
         }
+        self.make_room(now, out);
         if !self.links.has_room() {
             let reason = format!("no room for a link to {peer}");
             out.push(Effect::Refused(reason.into()));
@@ -249,6 +275,26 @@
         }
     }
 
+    /// Closes the oldest link of a daemon that has only asked for the members, if there is no room.
+    ///
+    /// A seed would else keep daemons out while many start at once.
+    fn make_room(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.links.has_room() {
+            return;
+        }
+        let visits = self.links.open().filter(|(_, link)| {
+            link.used.is_none()
+                && link.beating
+                && !link.beat.keep
+                && !self.neighbours.contains(&link.peer)
+        });
+        let oldest = visits.min_by_key(|(_, link)| link.opened).map(|(id, _)| id);
+        if let Some(id) = oldest {
+            self.links.closed(now, id);
+            out.push(Effect::Link(LinkEffect::Close(id)));
+        }
+    }
+
     /// Chooses one of two links to the same peer: both ends keep that of the smaller name.
     fn kept_of(&self, old: LinkId, new: LinkId, peer: &DaemonId) -> LinkId {
         let preferred = |id: LinkId| matches!(id, LinkId::Dialled(_)) == (self.own() < peer);
@@ -270,10 +316,14 @@
     }
 
     fn close_idle_links(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let linger = self.beats(LINGER_BEATS);
+        let (linger, visit) = (self.beats(LINGER_BEATS), self.beats(VISIT_BEATS));
         let idle = self.links.open().filter(|(_, link)| {
             let wanted = self.neighbours.contains(&link.peer) || link.beat.keep;
-            !wanted && now.since(link.used) > linger
+            let over = match link.used {
+                Some(used) => now.since(used) > linger,
+                None => now.since(link.opened) > visit,
+            };
+            !wanted && over
         });
         let idle: Vec<LinkId> = idle.map(|(id, _)| id).collect();
         for id in idle {
@@ -482,7 +532,7 @@
                 }
                 Frame::Message(message) => {
                     if let Some(link) = self.links.get_mut(id) {
-                        link.used = now;
+                        link.used = Some(now);
                     }
                     out.push(Effect::Deliver(peer.clone(), message));
                 }
@@ -502,10 +552,10 @@
         let Some(link) = self.links.get_mut(id) else { return };
         let first = !std::mem::replace(&mut link.beating, true);
         link.beat = beat;
-        if beat.generation > self.generation {
-            out.push(Effect::Later(peer.clone(), beat.generation));
+        if link.beat.generation > self.generation {
+            out.push(Effect::Later(peer.clone(), link.beat.generation));
         }
-        if first && beat.members != self.digest && self.own() < peer {
+        if first && link.beat.members != self.digest && self.own() < peer {
             self.ask_to_compare(id);
         }
     }
@@ -545,7 +595,7 @@
         if let Some((id, _)) = self.links.to(peer)
             && let Some(link) = self.links.get_mut(id)
         {
-            link.used = now;
+            link.used = Some(now);
             link.frames.push(frame);
             return;
         }
@@ -570,11 +620,11 @@
     }
 
     fn add_beat(&mut self, now: Time, id: LinkId) {
-        let (members, generation) = (self.digest, self.generation);
+        let (members, generation, within) = (self.digest, self.generation, self.within());
         let Some(link) = self.links.get_mut(id) else { return };
         let keep = self.neighbours.contains(&link.peer);
         link.beat_sent = Some(now);
-        link.frames.push(Frame::Beat(Beat { members, generation, keep }));
+        link.frames.push(Frame::Beat(Beat { members, generation, keep, within }));
     }
 
     /// Tells the neighbours that do not have a generation yet that it is in force here.
