--- a/lib/tests/fleet/queue.rs
+++ b/lib/tests/fleet/queue.rs
@@ -1,7 +1,7 @@
 //! A delivery queue: control parts, the object store, and messages on their way, with faults.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::BTreeMap,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -70,8 +70,8 @@
     pub rng: Pcg64,
     events: BTreeMap<(Time, u64), Event>,
     sequence: u64,
-    links: HashMap<(usize, LinkId), (usize, LinkId)>,
-    arrivals: HashMap<(usize, LinkId), Time>,
+    links: BTreeMap<(usize, LinkId), (usize, LinkId)>,
+    arrivals: BTreeMap<(usize, LinkId), Time>,
     held: Vec<(usize, Owner, CallId, Operation)>,
 }
 
@@ -87,8 +87,8 @@
             rng: Pcg64::seed_from_u64(seed),
             events: BTreeMap::new(),
             sequence: 0,
-            links: HashMap::new(),
-            arrivals: HashMap::new(),
+            links: BTreeMap::new(),
+            arrivals: BTreeMap::new(),
             held: Vec::new(),
         }
     }
