load: a platform outage and an older restore over sockets

A daemon that starts in an outage gets the set from its peers, and one that starts after an older restore is ready with the fleet's generation only.

--- a/load/tests/fleet.rs
+++ b/load/tests/fleet.rs
@@ -22,6 +22,7 @@
     peers::{MAX_PACKET_BYTES, PeerCounters},
 };
 use dogwoodturn_load::{local::LocalFleet, sample};
+use dogwoodturn_standins::platform::Faults;
 use tokio_tungstenite::tungstenite::{Message, WebSocket, client};
 
 /// How long a fleet may take to agree; it bounds a hang, not the speed.
@@ -178,3 +179,35 @@
     wait_for("the link to be closed", || count(&fleet, |c| &c.too_slow) > 0);
     wait_for("the others to go on", || fleet.daemons.iter().all(Daemon::ready));
 }
+
+fn outage(fleet: &LocalFleet, outage: bool) {
+    fleet.platform.set_faults(Faults { outage, ..Faults::default() });
+}
+
+#[test]
+fn generation_platform_outage_and_older_restore() {
+    let mut fleet = fleet(&["salish-a", "salish-b", "salish-c"]);
+    let ready = |fleet: &LocalFleet| fleet.daemons.iter().all(Daemon::ready);
+    wait_for("three ready members", || agree(&fleet.daemons, 3) && ready(&fleet));
+    let older = fleet.platform.objects();
+    let mut set = sample::declarations().expect("the samples have no fault");
+    set.customers.pop();
+    fleet.publish(&set, "c2").expect("published");
+    let hold = |fleet: &LocalFleet, generation: u64| {
+        let holds = |daemon: &Daemon| daemon.snapshot().generation == Generation(generation);
+        fleet.daemons.iter().all(holds)
+    };
+    wait_for("generation 2", || hold(&fleet, 2));
+
+    outage(&fleet, true);
+    assert!(fleet.publish(&set, "c3").is_err(), "publishing is refused");
+    // A daemon that starts now gets the set from its peers.
+    fleet.add_daemon("salish-a", 1).expect("the daemon starts");
+    wait_for("a daemon that starts in the outage", || hold(&fleet, 2) && ready(&fleet));
+
+    fleet.platform.restore(older);
+    outage(&fleet, false);
+    fleet.add_daemon("salish-b", 1).expect("the daemon starts");
+    wait_for("a daemon that starts after the restore", || ready(&fleet));
+    assert!(hold(&fleet, 2), "nobody goes back, and the fresh one takes the highest");
+}
