--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -17,6 +17,7 @@
     ids::{DaemonId, Incarnation},
     node::{
         control::{Control, Input, Output},
+        metrics,
         snapshot::Snapshot,
         traffic::Event,
     },
@@ -142,10 +143,11 @@
     }
 
     fn serve_operators(&self) {
+        let snapshot = self.snapshot.clone();
         let edge = OperatorEdge::new(
             self.snapshot.clone(),
             &self.settings.operator_token,
-            Rc::new(String::new),
+            Rc::new(move || metrics::encode(&snapshot.load())),
         );
         let operators = self.operators.try_clone();
         let stop = self.stop.clone();
--- a/lib/src/moves/mod.rs
+++ b/lib/src/moves/mod.rs
@@ -7,6 +7,7 @@
 pub mod ending;
 pub mod evidence;
 pub mod message;
+pub mod metrics;
 pub mod report;
 pub mod run;
 pub mod running;
--- a/lib/src/node/mod.rs
+++ b/lib/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod claims;
 pub mod control;
 pub mod message;
+pub mod metrics;
 mod moves;
 mod peers;
 mod platform;
--- a/lib/tests/control_moves.rs
+++ b/lib/tests/control_moves.rs
@@ -12,6 +12,7 @@
     moves::report::{MoveReport, Stage},
     node::{
         control::{Control, Input, Output},
+        metrics,
         report::{AttemptEnd, AttemptReport},
         snapshot::Snapshot,
     },
@@ -159,4 +160,7 @@
     }
     let choice = daemon.snapshot.versions.values().next().expect("a choice");
     assert_eq!(choice.share.0, 0);
+    let metrics = metrics::encode(&daemon.snapshot);
+    let stage = "dogwoodturn_move_stage{move=\"m\",stage=\"taken-back\"} 1";
+    assert!(metrics.contains(stage), "{metrics}");
 }
