--- a/lib/tests/control_moves.rs
+++ b/lib/tests/control_moves.rs
@@ -16,6 +16,7 @@
         report::{AttemptEnd, AttemptReport},
         snapshot::Snapshot,
     },
+    peer::Member,
     platform::{Operation, memory::MemoryStore},
     units::{Time, Tokens, WallTime},
 };
@@ -40,8 +41,13 @@
         let (control, now) = (Control::new(), Time(0));
         let mut daemon =
             Self { control, store, now, snapshot: Arc::default(), audited: Vec::new() };
-        let identity = Input::Identity("d0".parse().expect("a name"), Incarnation(1));
-        daemon.handle(identity);
+        daemon.handle(Input::Identity(Member {
+            daemon: "d0".parse().expect("a name"),
+            incarnation: Incarnation(1),
+            address: ([127, 0, 0, 1], 9).into(),
+            data_centre: "dc".parse().expect("a name"),
+            region: "r".parse().expect("a name"),
+        }));
         daemon.handle(Input::Clock(BEGIN));
         daemon.handle(Input::Started);
         daemon
