--- a/lib/tests/supply_plan.rs
+++ b/lib/tests/supply_plan.rs
@@ -250,7 +250,7 @@
 }
 
 fn given(out: &mut Vec<Effect>) -> Option<dogwoodturn::supply::orders::OrderCall> {
-    let calls = out.drain(..).filter_map(|effect| match effect {
+    let mut calls = out.drain(..).filter_map(|effect| match effect {
         Effect::Order(call) => Some(call),
         _ => None,
     });
