--- /dev/null
+++ b/lib/tests/supply_http.rs
@@ -0,0 +1,44 @@
+//! Orders over HTTP to the engine stand-in, which checks fencing numbers.
+
+use std::net::SocketAddr;
+
+use dogwoodturn::{
+    ids::FencingNumber,
+    supply::{
+        http::give,
+        orders::{Order, OrderCall, OrderEnd},
+    },
+    units::Time,
+};
+use dogwoodturn_standins::engine::{Engine, model::EngineConfig};
+
+fn order(address: SocketAddr, id: &str, fencing: u64) -> OrderCall {
+    OrderCall {
+        id: id.into(),
+        upstream: "engine".parse().expect("a name"),
+        address,
+        fencing: FencingNumber(fencing),
+        order: Order::LoadModel { version: "v2".parse().expect("a name") },
+        not_after: Time(100),
+    }
+}
+
+#[test]
+fn give_applied_repeated_stale_and_too_late() {
+    let engine = Engine::new(EngineConfig::default());
+    let running = engine.start(([127, 0, 0, 1], 0).into()).expect("the engine starts");
+    let address = running.address();
+    actix_rt::System::new().block_on(async {
+        let client = awc::Client::default();
+        let early = || Time(1);
+        let first = order(address, "a.1", 5);
+        assert_eq!(give(&client, &first, early).await, OrderEnd::Applied);
+        assert_eq!(give(&client, &first, early).await, OrderEnd::Applied);
+        assert_eq!(engine.orders().len(), 1, "a repeated order is applied once");
+        let stale = order(address, "b.1", 4);
+        assert_eq!(give(&client, &stale, early).await, OrderEnd::Stale(FencingNumber(5)));
+        let late = order(address, "a.2", 6);
+        assert_eq!(give(&client, &late, || Time(100)).await, OrderEnd::TooLate);
+        assert_eq!(engine.orders().len(), 1, "an order past its time is not sent");
+    });
+}
