supply: tests that fail when a token is dropped, a surplus goes early or a notice is not applied

Change: late starts, replacements slower than a surplus lasts, and a wave whose check comes before any newer host list.

--- a/lib/tests/supply_control.rs
+++ b/lib/tests/supply_control.rs
@@ -22,7 +22,9 @@
 ";
 const ZONES: [&str; 3] = ["salish-a", "salish-b", "salish-c"];
 /// The release of hosts that were replaced: their surplus must last, then they drain.
-const REPLACED: Duration = Duration::from_mins(10);
+const REPLACED: Duration = Duration::from_mins(25);
+/// A start that takes longer than a surplus must last.
+const SLOW_START: Duration = Duration::from_mins(8);
 
 fn in_zone(world: &World, zone: &str) -> usize {
     world.cloud.hosts().filter(|host| host.start.zone.as_str() == zone).count()
@@ -47,6 +49,15 @@
     assert_eq!(world.cloud.started(), 6);
 }
 
+#[test]
+fn supply_late_starts_are_not_asked_for_anew() {
+    let mut world = World::new(LANTERN, 2, offers(&ZONES));
+    let faults = CloudFaults { late_starts: 6, late_by_ms: 20_000, ..CloudFaults::default() };
+    world.cloud.set_faults(faults);
+    world.run(Duration::from_mins(2));
+    assert_eq!((world.cloud.hosts().count(), world.cloud.started()), (6, 6));
+}
+
 #[test]
 fn supply_refused_zone_is_replaced_by_others() {
     let mut world = World::new(LANTERN, 2, offers(&ZONES));
@@ -87,6 +98,9 @@
 fn supply_wave_is_told_to_all_and_made_good() {
     let mut world = World::new(LANTERN, 3, offers(&ZONES));
     world.run(Duration::from_mins(1));
+    // Replacements come later than the check, so that no newer host list helps the notice.
+    let class = "standard".parse().expect("a name");
+    world.cloud.set_start_time(class, Duration::from_secs(30));
     let taken = world.reclaim("salish-a", Duration::from_secs(30));
     assert_eq!(taken.len(), 2);
     world.run(Duration::from_secs(3));
@@ -137,6 +151,7 @@
         flipped.push(offer(zone, "small", HostKind::Reclaimable, 100_000));
     }
     world.cloud.set_offers(world.now, flipped);
+    world.cloud.set_start_time("small".parse().expect("a name"), SLOW_START);
     let until = world.now + REPLACED;
     while world.now < until {
         world.step();
