--- a/lib/tests/control_moves.rs
+++ b/lib/tests/control_moves.rs
@@ -20,6 +20,7 @@
     platform::{Operation, memory::MemoryStore},
     units::{Time, Tokens, WallTime},
 };
+use prometheus_client::{encoding::text::encode, registry::Registry};
 
 const BEGIN: WallTime = WallTime(1_800_000_000_000);
 const TICK: Duration = Duration::from_millis(10);
@@ -166,7 +167,15 @@
     }
     let choice = daemon.snapshot.versions.values().next().expect("a choice");
     assert_eq!(choice.share.0, 0);
-    let metrics = metrics::encode(&daemon.snapshot);
+    let metrics = encoded_metrics(&daemon.snapshot);
     let stage = "dogwoodturn_move_stage{move=\"m\",stage=\"taken-back\"} 1";
     assert!(metrics.contains(stage), "{metrics}");
 }
+
+fn encoded_metrics(snapshot: &Snapshot) -> String {
+    let mut registry = Registry::default();
+    metrics::register(snapshot, &mut registry);
+    let mut text = String::new();
+    encode(&mut text, &registry).expect("writing to a string does not fail");
+    text
+}
