demo: a reclaim, a good and a bad move while callers of both fleets send requests

Cause: the demo sent 240 requests in a quiet fleet, so it proved little. Change: callers go on for the whole demo, a host is reclaimed under long answers, one service moves to a good version and one to a bad one; the daemons count attempts and tokens, also as metrics.

--- a/cli/src/command/demo.rs
+++ b/cli/src/command/demo.rs
@@ -1,21 +1,66 @@
 //! `demo`: stand-ins, daemons and callers as threads of one process on loopback.
+//!
+//! While callers of both fleets send requests, a host is reclaimed, one service moves to a good
+//! version and another to a bad one. The end of each request is counted.
 
+mod callers;
+
+use std::{
+    sync::atomic::Ordering,
+    thread::sleep,
+    time::{Duration, Instant},
+};
+
+use dogwoodturn::{
+    moves::report::{MoveReport, Stage},
+    upstream::HostState,
+};
 use dogwoodturn_load::{
-    caller::{Ask, Seen, ask},
-    local::{LocalFleet, Standin},
-    sample,
+    local::{LocalFleet, Standin, UpstreamPlan, now},
+    sample::{self, LK_CENTRAL, SALISH},
 };
-use eyre::{Result, eyre};
+use dogwoodturn_standins::engine::faults::{Bad, BadKind, Faults};
+use eyre::{Result, bail, eyre};
 use gumdrop::Options;
+use indexmap::IndexMap;
 
+use self::callers::{Callers, Tally};
 use crate::output::Verdict;
 
-/// How many requests each of the demo's callers sends to each route.
-const ROUNDS: usize = 40;
 /// The daemons of the demo, by data centre.
 const DAEMONS: [&str; 3] = ["salish-a", "salish-b", "kandy-a"];
 /// How many threads of each daemon answer callers.
-const TRAFFIC_THREADS: usize = 2;
+const TRAFFIC_THREADS: usize = 1;
+/// How long the moves may take.
+const MOVE_TIME: Duration = Duration::from_secs(50);
+/// How long callers send requests before the moves begin.
+const WARM_UP: Duration = Duration::from_secs(3);
+/// When the host is reclaimed, from the beginning.
+const RECLAIM_AFTER: Duration = Duration::from_secs(6);
+/// How long before its end a host is announced.
+const RECLAIM_NOTICE: Duration = Duration::from_secs(2);
+/// How often the moves are looked at.
+const POLL: Duration = Duration::from_millis(100);
+/// How long after their time the moves are waited for.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// The new versions: the bad one of one fleet and the good one of the other.
+const NEW_VERSIONS: [UpstreamPlan; 2] = [
+    UpstreamPlan {
+        service: "lantern",
+        version: "v2",
+        engine: true,
+        count: 4,
+        data_centres: &SALISH,
+    },
+    UpstreamPlan {
+        service: "appraiser-llm",
+        version: "v2",
+        engine: true,
+        count: 12,
+        data_centres: &LK_CENTRAL,
+    },
+];
 
 /// The arguments of `demo`.
 #[derive(Debug, Options)]
@@ -24,90 +69,134 @@
     help: bool,
 }
 
-#[derive(Debug, Default)]
-struct Tally {
-    accepted: u64,
-    whole: u64,
-    not_run: u64,
-    may_have_run: u64,
-    lost: u64,
-}
-
-impl Tally {
-    fn add(&mut self, seen: &Seen) {
-        match seen {
-            Seen::Whole => self.whole += 1,
-            Seen::NotRun => self.not_run += 1,
-            Seen::MayHaveRun => self.may_have_run += 1,
-            Seen::Lost(_) => self.lost += 1,
-        }
-        if *seen != Seen::NotRun {
-            self.accepted += 1;
-        }
-    }
-}
-
 /// Runs `demo`.
 pub fn run(_args: &Args) -> Result<Verdict> {
-    let set = sample::declarations().map_err(|faults| eyre!("{} faults", faults.len()))?;
-    let mut fleet = LocalFleet::start(&sample::UPSTREAMS)?;
+    let mut plans = sample::UPSTREAMS.to_vec();
+    plans.extend(NEW_VERSIONS);
+    let mut fleet = LocalFleet::start(&plans)?;
+    fleet.platform.set_hosts(fleet.upstreams.iter().map(|up| up.record.clone()).collect());
+    make_bad(&fleet, "lantern", "v2");
+    let set = sample::declarations_with(&moves()).map_err(|faults| eyre!("{faults:?}"))?;
     let head = fleet.publish(&set, "demo-1")?;
-    println!("published generation {}", head.generation);
+    println!("published generation {} of both fleets and two moves", head.generation);
     for data_centre in DAEMONS {
         fleet.add_daemon(data_centre, TRAFFIC_THREADS)?;
     }
     fleet.wait_ready()?;
-    let tally = call_all(&fleet);
-    let run_twice = run_twice(&fleet);
-    println!("requests accepted                    {:>8}", tally.accepted);
-    println!("answered whole                       {:>8}", tally.whole);
-    println!("refused as not run                   {:>8}", tally.not_run);
-    println!("may have run                         {:>8}", tally.may_have_run);
-    println!("lost                                 {:>8}", tally.lost);
-    println!("non-idempotent calls run more than once {run_twice:>5}");
-    let held = tally.lost == 0 && run_twice == 0 && tally.whole > 0;
-    Ok(if held { Verdict::Good } else { Verdict::Bad })
+    println!("{} daemons are ready before {} upstreams", DAEMONS.len(), fleet.upstreams.len());
+    let callers = Callers::start(&fleet);
+    sleep(RECLAIM_AFTER);
+    reclaim(&mut fleet, "lantern");
+    let reports = wait_for_moves(&fleet);
+    let tally = callers.stop()?;
+    let reports = reports?;
+    for report in &reports {
+        print_move(report);
+    }
+    Ok(print_table(&fleet, &tally, &reports))
 }
 
-fn call_all(fleet: &LocalFleet) -> Tally {
-    let bases: Vec<String> =
-        fleet.daemons.iter().map(|daemon| format!("http://{}", daemon.callers())).collect();
-    actix_rt::System::new().block_on(async move {
-        let client = awc::Client::default();
-        let mut tally = Tally::default();
-        for round in 0..ROUNDS {
-            let base = &bases[round % bases.len()];
-            for (token, one) in asks(round) {
-                tally.add(&ask(&client, base, token, &one).await);
-            }
+/// Returns the declarations of the new versions and the moves to them.
+fn moves() -> String {
+    let start = now() + WARM_UP;
+    let finish_by = start + MOVE_TIME;
+    let of_service = |service: &str| {
+        format!(
+            "[version {service}/v2]\n[move {service}-v2]\nservice = {service}\nfrom = v1\nto = v2\n\
+             start = {start}\nfinish-by = {finish_by}\nwatch = 6s\n"
+        )
+    };
+    of_service("lantern") + &of_service("appraiser-llm")
+}
+
+fn make_bad(fleet: &LocalFleet, service: &str, version: &str) {
+    let bad = Bad { kind: BadKind::Fail, after_ms: 0, above_running: 0, path: String::new() };
+    for up in &fleet.upstreams {
+        let is_meant = up.record.service.as_str() == service;
+        if let Standin::Engine(engine) = &up.standin
+            && is_meant
+            && up.record.version.as_str() == version
+        {
+            engine.set_faults(Faults { bad: Some(bad.clone()), ..Faults::default() });
         }
-        tally
-    })
+    }
+}
+
+/// Announces that a host of a service will go, and ends it when its time has come.
+fn reclaim(fleet: &mut LocalFleet, service: &str) {
+    let Some(place) = fleet.upstreams.iter().position(|up| up.record.service.as_str() == service)
+    else {
+        return;
+    };
+    fleet.upstreams[place].record.state = HostState::Leaving { at: now() + RECLAIM_NOTICE };
+    fleet.tell_hosts();
+    sleep(RECLAIM_NOTICE);
+    fleet.upstreams[place].kill();
+    let gone = fleet.upstreams.remove(place);
+    fleet.tell_hosts();
+    println!("reclaimed {} after a notice of {RECLAIM_NOTICE:?}", gone.record.host);
 }
 
-fn asks(round: usize) -> Vec<(&'static str, Ask)> {
-    let completion = |path: &str, stream| Ask::Completion {
-        path: path.into(),
-        prompt: format!("{path} {round}"),
-        max_tokens: 12,
-        stream,
+/// Waits until a daemon reports the recorded end of each move.
+fn wait_for_moves(fleet: &LocalFleet) -> Result<Vec<MoveReport>> {
+    let deadline = Instant::now() + WARM_UP + MOVE_TIME + PATIENCE;
+    loop {
+        let snapshot = fleet.daemons[0].snapshot();
+        let reports = &snapshot.moves;
+        let ended = |report: &MoveReport| {
+            report.recorded && matches!(report.stage, Stage::Finished | Stage::TakenBack)
+        };
+        if !reports.is_empty() && reports.iter().all(ended) {
+            return Ok(reports.to_vec());
+        }
+        if Instant::now() > deadline {
+            bail!("a move has not ended by its time");
+        }
+        sleep(POLL);
+    }
+}
+
+fn print_move(report: &MoveReport) {
+    let cause = report.cause.as_deref().unwrap_or("");
+    println!("move {}: {} ({cause})", report.name, report.stage);
+}
+
+fn print_table(fleet: &LocalFleet, tally: &Tally, reports: &[MoveReport]) -> Verdict {
+    let sum = |pick: &dyn Fn(&dogwoodturn_load::AttemptCounters) -> u64| -> u64 {
+        fleet.daemons.iter().map(|daemon| pick(daemon.attempt_counters())).sum()
+    };
+    let generated = sum(&|counters| counters.generated_tokens.load(Ordering::Relaxed));
+    let again = sum(&|counters| counters.tokens_again.load(Ordering::Relaxed));
+    let run_twice = run_twice(fleet);
+    let rows = [
+        ("requests accepted", tally.accepted()),
+        ("answered whole", tally.whole),
+        ("refused as not run", tally.not_run),
+        ("lost", tally.lost),
+        ("tokens generated", generated),
+        ("tokens computed twice", again),
+        ("non-idempotent calls run more than once", run_twice),
+    ];
+    for (name, value) in rows {
+        println!("{name:<42}{value:>10}");
+    }
+    for example in &tally.examples {
+        println!("lost: {example}");
+    }
+    let stage_of = |name: &str| {
+        let report = reports.iter().find(|report| report.name.as_str() == name);
+        report.map(|report| report.stage)
     };
-    let booking =
-        |path: &str| Ask::Booking { path: path.into(), key: format!("{}-{round}", &path[1..]) };
-    vec![
-        ("ferries-token", completion("/phrases", true)),
-        ("clinics-token", completion("/glossaries", false)),
-        ("members-token", booking("/purchases")),
-        ("brokers-token", completion("/grades", true)),
-        ("mill-buyers-token", completion("/appraisals", false)),
-        ("growers-token", booking("/consignments")),
-    ]
+    let moved = stage_of("appraiser-llm-v2") == Some(Stage::Finished)
+        && stage_of("lantern-v2") == Some(Stage::TakenBack);
+    let kept = tally.lost == 0 && run_twice == 0 && tally.whole > 0;
+    if moved && kept { Verdict::Good } else { Verdict::Bad }
 }
 
 fn run_twice(fleet: &LocalFleet) -> u64 {
-    let mut runs = indexmap::IndexMap::new();
-    for upstream in &fleet.upstreams {
-        if let Standin::Plain(plain) = &upstream.standin {
+    let mut runs = IndexMap::new();
+    for up in &fleet.upstreams {
+        if let Standin::Plain(plain) = &up.standin {
             for (key, count) in plain.runs() {
                 *runs.entry(key).or_insert(0) += count;
             }
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -31,6 +31,7 @@
 };
 
 use crate::{
+    counters::AttemptCounters,
     metrics,
     peers::{EVENT_QUEUE, PeerCounters, PeerLinks},
     settings::Settings,
@@ -81,6 +82,8 @@
     pub peers: TcpListener,
     /// Counts what crosses the links to other daemons.
     pub peer_counters: Arc<PeerCounters>,
+    /// Counts the attempts of all traffic threads.
+    pub attempt_counters: Arc<AttemptCounters>,
     /// Takes inputs, so that answers to calls come back.
     pub inputs: mpsc::UnboundedSender<Input>,
     /// Gives inputs.
@@ -145,7 +148,11 @@
         let edge = OperatorEdge::new(
             self.snapshot.clone(),
             &self.settings.operator_token,
-            metrics::encoder(self.peer_counters.clone(), self.snapshot.clone()),
+            metrics::encoder(
+                self.peer_counters.clone(),
+                self.attempt_counters.clone(),
+                self.snapshot.clone(),
+            ),
         );
         let operators = self.operators.try_clone();
         let stop = self.stop.clone();
@@ -171,6 +178,9 @@
 
     fn handle(&self, input: Input, control: &mut Control, outside: &mut Outside) {
         let now = outside.engines.now();
+        if let Input::Attempt(report) = &input {
+            self.attempt_counters.add(report);
+        }
         let mut out = Vec::new();
         control.handle(now, Input::Clock(wall_now()), &mut out);
         control.handle(now, input, &mut out);
--- /dev/null
+++ b/daemon/src/counters.rs
@@ -0,0 +1,56 @@
+//! Totals over all attempts of a daemon.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use dogwoodturn::node::report::{AttemptEnd, AttemptReport};
+
+/// What the attempts of a daemon have come to since its start.
+#[derive(Debug, Default)]
+pub struct AttemptCounters {
+    /// Attempts that brought the whole answer.
+    pub answered: AtomicU64,
+    /// Attempts that failed, broke or were overdue.
+    pub failed: AtomicU64,
+    /// Attempts that an upstream refused as too much.
+    pub refused: AtomicU64,
+    /// Tokens of prompts.
+    pub prompt_tokens: AtomicU64,
+    /// Tokens of prompts that no cache held.
+    pub uncached_tokens: AtomicU64,
+    /// Tokens generated.
+    pub generated_tokens: AtomicU64,
+    /// Tokens computed that another attempt had computed before.
+    pub tokens_again: AtomicU64,
+}
+
+impl AttemptCounters {
+    /// Adds an attempt that has ended.
+    pub fn add(&self, report: &AttemptReport) {
+        let ended = match report.end {
+            AttemptEnd::Success => Some(&self.answered),
+            AttemptEnd::Failure | AttemptEnd::Broken | AttemptEnd::Overdue => Some(&self.failed),
+            AttemptEnd::Refused => Some(&self.refused),
+            AttemptEnd::Abandoned => None,
+        };
+        if let Some(ended) = ended {
+            ended.fetch_add(1, Ordering::Relaxed);
+        }
+        self.prompt_tokens.fetch_add(report.prompt.0, Ordering::Relaxed);
+        self.uncached_tokens.fetch_add(report.uncached_prompt.0, Ordering::Relaxed);
+        self.generated_tokens.fetch_add(report.generated.0, Ordering::Relaxed);
+        self.tokens_again.fetch_add(report.computed_again.0, Ordering::Relaxed);
+    }
+
+    /// Returns each counter with its name and what it counts.
+    pub fn named(&self) -> [(&'static str, &'static str, &AtomicU64); 7] {
+        [
+            ("attempts_answered", "Attempts that brought the whole answer", &self.answered),
+            ("attempts_failed", "Attempts that failed, broke or were overdue", &self.failed),
+            ("attempts_refused", "Attempts that an upstream refused", &self.refused),
+            ("prompt_tokens", "Tokens of prompts", &self.prompt_tokens),
+            ("uncached_tokens", "Tokens of prompts that no cache held", &self.uncached_tokens),
+            ("generated_tokens", "Tokens generated", &self.generated_tokens),
+            ("tokens_again", "Tokens computed a second time", &self.tokens_again),
+        ]
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! program `dogwoodturnd` adds settings, logs and signals.
 
 pub mod control;
+pub mod counters;
 pub mod flight;
 pub mod logs;
 pub mod metrics;
@@ -28,7 +29,7 @@
 use thiserror::Error;
 use tokio::sync::{mpsc, watch};
 
-use crate::{flight::InFlight, peers::PeerCounters, settings::Settings};
+use crate::{counters::AttemptCounters, flight::InFlight, peers::PeerCounters, settings::Settings};
 
 /// How often a draining daemon looks whether requests are still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
@@ -56,6 +57,7 @@
     operators: SocketAddr,
     peers: SocketAddr,
     peer_counters: Arc<PeerCounters>,
+    attempt_counters: Arc<AttemptCounters>,
     drain_timeout: Duration,
     snapshot: Arc<ArcSwap<Snapshot>>,
     inputs: mpsc::UnboundedSender<Input>,
@@ -77,6 +79,7 @@
             operators: address_of(&operators, settings.operators)?,
             peers: address_of(&peers, settings.peers)?,
             peer_counters: Arc::default(),
+            attempt_counters: Arc::default(),
             drain_timeout: settings.drain_timeout,
             snapshot: Arc::default(),
             inputs: inputs.clone(),
@@ -97,6 +100,7 @@
             operators,
             peers,
             peer_counters: daemon.peer_counters.clone(),
+            attempt_counters: daemon.attempt_counters.clone(),
             inputs,
             received,
             stop: stopped.clone(),
@@ -144,6 +148,11 @@
         &self.peer_counters
     }
 
+    /// Returns what the attempts have come to.
+    pub fn attempt_counters(&self) -> &AttemptCounters {
+        &self.attempt_counters
+    }
+
     /// Says whether the daemon takes requests.
     pub fn ready(&self) -> bool {
         self.snapshot.load().ready()
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -2,7 +2,10 @@
 
 use std::{
     rc::Rc,
-    sync::{Arc, atomic::Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use arc_swap::ArcSwap;
@@ -14,16 +17,18 @@
     registry::Registry,
 };
 
-use crate::peers::PeerCounters;
+use crate::{counters::AttemptCounters, peers::PeerCounters};
 
 /// Returns what encodes the metrics of a daemon.
 pub fn encoder(
     peers: Arc<PeerCounters>,
+    attempts: Arc<AttemptCounters>,
     snapshot: Arc<ArcSwap<Snapshot>>,
 ) -> Rc<dyn Fn() -> String> {
     Rc::new(move || {
         let mut registry = Registry::with_prefix("dogwoodturn");
         registry.register_collector(Box::new(PeerCollector(peers.clone())));
+        registry.register_collector(Box::new(AttemptCollector(attempts.clone())));
         node::metrics::register(&snapshot.load(), &mut registry);
         let mut text = String::new();
         encode(&mut text, &registry).expect("writing to a string does not fail");
@@ -49,11 +54,27 @@
             ("peer_dropped", "Statistics dropped at slow links", &peers.dropped),
             ("peer_too_slow", "Links closed as they were too slow", &peers.too_slow),
         ];
-        for (name, help, counter) in counters {
-            let counter = ConstCounter::new(counter.load(Ordering::Relaxed));
-            let metric = encoder.encode_descriptor(name, help, None, counter.metric_type())?;
-            counter.encode(metric)?;
-        }
-        Ok(())
+        encode_counters(&mut encoder, &counters)
     }
 }
+
+#[derive(Debug)]
+struct AttemptCollector(Arc<AttemptCounters>);
+
+impl Collector for AttemptCollector {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
+        encode_counters(&mut encoder, &self.0.named())
+    }
+}
+
+fn encode_counters(
+    encoder: &mut DescriptorEncoder<'_>,
+    counters: &[(&str, &str, &AtomicU64)],
+) -> Result<(), std::fmt::Error> {
+    for (name, help, counter) in counters {
+        let counter = ConstCounter::new(counter.load(Ordering::Relaxed));
+        let metric = encoder.encode_descriptor(name, help, None, counter.metric_type())?;
+        counter.encode(metric)?;
+    }
+    Ok(())
+}
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -7,3 +7,5 @@
 pub mod memory;
 pub mod sample;
 pub mod workload;
+
+pub use dogwoodturn_daemon::counters::AttemptCounters;
--- a/load/src/sample.rs
+++ b/load/src/sample.rs
@@ -61,7 +61,13 @@
 
 /// Returns the declarations of both fleets as one set.
 pub fn declarations() -> Result<DeclarationSet, Vec<Fault>> {
+    declarations_with("")
+}
+
+/// Returns the declarations of both fleets and further ones as one set.
+pub fn declarations_with(further: &str) -> Result<DeclarationSet, Vec<Fault>> {
     let source = |(file, text): (&str, &str)| Source { file: file.into(), text: text.into() };
-    let sources: Vec<Source> = FILES.into_iter().map(source).collect();
+    let files = FILES.into_iter().chain([("further.ini", further)]);
+    let sources: Vec<Source> = files.map(source).collect();
     check::check(&sources).map(|checked| checked.set)
 }
