load: the reclaim test proves that the KV cache was moved

Cause: the notice left so much time that the stream could finish where it was; nothing moved. Change: slow engines, and a check that the engine which went on found the text in its cache.

--- a/load/tests/requests.rs
+++ b/load/tests/requests.rs
@@ -135,6 +135,15 @@
     }
 }
 
+/// Makes the engines so slow that no answer is whole before the time that a test allows for it.
+fn slow_down(fleet: &LocalFleet) {
+    for index in 0..fleet.upstreams.len() {
+        let kind = BadKind::Slow(4.0);
+        let bad = Some(Bad { kind, after_ms: 0, above_running: 0, path: String::new() });
+        engine(fleet, index).set_faults(Faults { bad, ..Faults::default() });
+    }
+}
+
 fn run<T>(test: impl Future<Output = T>) -> T {
     actix_rt::System::new().block_on(test)
 }
@@ -175,16 +184,22 @@
 #[test]
 fn stream_upstream_reclaimed_moves_its_cache() {
     let mut fleet = fleet(1);
+    slow_down(&fleet);
     run(async {
         let client = Client::default();
         let mut reader = Reader::ask(&client, &base(&fleet)).await;
         reader.read(100).await;
         let first = busiest(&fleet);
-        let at = now() + Duration::from_millis(1800);
+        let at = now() + Duration::from_secs(2);
         fleet.upstreams[first].record.state = HostState::Leaving { at };
         fleet.tell_hosts();
         reader.read(TOKENS).await;
         reader.assert_whole();
+        let others: Vec<usize> = (0..4).filter(|&index| index != first).collect();
+        let went_on = others.iter().any(|&index| engine(&fleet, index).generated() > 0);
+        // Only a cache that was moved holds the text, as no other request was ever sent.
+        let cached: u64 = others.iter().map(|&index| engine(&fleet, index).prompt_tokens().1).sum();
+        assert!(went_on && cached > 0, "went on: {went_on}, cached: {cached}");
     });
 }
 
@@ -376,12 +391,7 @@
     let bases: Vec<String> =
         fleet.daemons.iter().map(|daemon| format!("http://{}", daemon.callers())).collect();
     let daemon = fleet.daemons.remove(0);
-    // Slow enough that no answer is whole before the drain timeout.
-    for index in 0..4 {
-        let kind = BadKind::Slow(4.0);
-        let bad = Some(Bad { kind, after_ms: 0, above_running: 0, path: String::new() });
-        engine(&fleet, index).set_faults(Faults { bad, ..Faults::default() });
-    }
+    slow_down(&fleet);
     run(async {
         let client = Client::default();
         let mut readers = Vec::new();
