--- /dev/null
+++ b/lib/src/node/traffic/choose.rs
@@ -0,0 +1,86 @@
+//! The choice of an upstream for an attempt.
+
+use super::{Entry, Traffic};
+use crate::{
+    ids::{MoveName, UpstreamId, VersionName},
+    placement::Wanted,
+    request::{
+        ExchangeId,
+        exchange::{Ask, Target},
+    },
+    units::Time,
+    upstream::HostRecord,
+};
+
+impl Traffic {
+    /// Chooses an upstream for a request, by the moves and by the room that upstreams have.
+    pub(super) fn choose(&mut self, now: Time, id: ExchangeId) -> Option<Target> {
+        let entry = self.entries.get(&id)?;
+        let ask = entry.exchange.ask.clone();
+        let except = self.avoided(id, entry);
+        let service = self.snapshot.set.services.get(&ask.service)?;
+        let Some(choice) = self.snapshot.versions.get(&ask.service).cloned() else {
+            let version = service.version.clone();
+            return self.choose_of(now, &ask, &except, &version, None);
+        };
+        let at_to = (ask.service.clone(), choice.to.clone());
+        let outstanding = self.at_version.get(&at_to).copied().unwrap_or(0);
+        // The cap is for the daemon; each thread takes the others to be like itself.
+        let outstanding = outstanding.saturating_mul(u32::from(self.cfg.threads.max(1)));
+        let version = choice.choose(&ask.request, outstanding);
+        let under_move = Some(&choice.under_move);
+        // Going back to the old version is always allowed, going on to the new one is not.
+        let chosen = self.choose_of(now, &ask, &except, version, under_move);
+        match chosen {
+            None if *version == choice.to => {
+                self.choose_of(now, &ask, &except, &choice.from, under_move)
+            }
+            chosen => chosen,
+        }
+    }
+
+    /// Lists the upstreams that a request should not go to.
+    ///
+    /// Requests that were at an upstream when it crashed are kept apart, so that the one which
+    /// crashes upstreams does not bring suspicion on the others a second time.
+    fn avoided(&self, id: ExchangeId, entry: &Entry) -> Vec<UpstreamId> {
+        let mut avoided = entry.failed.clone();
+        if !entry.is_suspect {
+            return avoided;
+        }
+        let others = self.entries.iter().filter(|(other, e)| **other != id && e.is_suspect);
+        let at = others.filter_map(|(_, other)| other.exchange.attempt());
+        avoided.extend(at.map(|attempt| attempt.target.upstream.clone()));
+        avoided
+    }
+
+    fn choose_of(
+        &mut self,
+        now: Time,
+        ask: &Ask,
+        except: &[UpstreamId],
+        version: &VersionName,
+        under_move: Option<&MoveName>,
+    ) -> Option<Target> {
+        let snapshot = self.snapshot.clone();
+        let mut choose = |except: &[UpstreamId]| {
+            let service = &ask.service;
+            let wanted = Wanted { service, version, class: ask.class, prefix: ask.prefix, except };
+            self.placement.choose(now, &snapshot.hosts, &wanted)
+        };
+        // An upstream that failed once is better than none.
+        let host = choose(except).or_else(|| choose(&[]))?;
+        Some(target_of(host, under_move))
+    }
+}
+
+fn target_of(host: &HostRecord, under_move: Option<&MoveName>) -> Target {
+    Target {
+        upstream: host.upstream.clone(),
+        address: host.address,
+        zone: host.zone.clone(),
+        class: host.class.clone(),
+        version: host.version.clone(),
+        under_move: under_move.cloned(),
+    }
+}
--- a/lib/src/node/traffic/mod.rs
+++ b/lib/src/node/traffic/mod.rs
@@ -5,6 +5,7 @@
 
 mod arrive;
 mod attempt;
+mod choose;
 mod deliver;
 mod fetch;
 mod handover;
