daemon: a draining daemon waits until the ends of claimed calls are written

Cause: a daemon that ended right after its last request lost the stored answers and audit records that waited for their write, and their keys stayed 'may-have-run'. Change: Control::unwritten counts open tickets, unwritten ends and waiting changes; Daemon::drain waits for them too, 5 s at most. A gatherer has 1 s instead of 500 ms before it is passed over.

--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::TcpListener,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
@@ -85,6 +88,8 @@
     pub inputs: mpsc::UnboundedSender<Input>,
     /// Gives inputs.
     pub received: mpsc::UnboundedReceiver<Input>,
+    /// Tells what the daemon must not be lost before: ends of claims, changes for the trail.
+    pub unwritten: Arc<AtomicUsize>,
     /// Turns true when the thread must end.
     pub stop: watch::Receiver<bool>,
 }
@@ -177,6 +182,7 @@
         for output in out {
             self.carry_out(outside, output);
         }
+        self.unwritten.store(control.unwritten(), Ordering::SeqCst);
     }
 
     fn threads(&self) -> u16 {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -14,7 +14,10 @@
 use std::{
     io,
     net::{SocketAddr, TcpListener},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread::JoinHandle,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -32,6 +35,8 @@
 
 /// How often a draining daemon looks whether requests are still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
+/// How long a draining daemon waits for what it has to write to the platform.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Says why a daemon did not start.
 #[derive(Debug, Error)]
@@ -60,6 +65,7 @@
     snapshot: Arc<ArcSwap<Snapshot>>,
     inputs: mpsc::UnboundedSender<Input>,
     in_flight: InFlight,
+    unwritten: Arc<AtomicUsize>,
     stop: watch::Sender<bool>,
     threads: Vec<JoinHandle<()>>,
 }
@@ -81,6 +87,7 @@
             snapshot: Arc::default(),
             inputs: inputs.clone(),
             in_flight: InFlight::default(),
+            unwritten: Arc::default(),
             stop,
             threads: Vec::new(),
         };
@@ -99,6 +106,7 @@
             peer_counters: daemon.peer_counters.clone(),
             inputs,
             received,
+            unwritten: daemon.unwritten.clone(),
             stop: stopped.clone(),
         };
         daemon.spawn("control", move || control.run())?;
@@ -164,6 +172,11 @@
         while self.in_flight.count() > 0 && Instant::now() < deadline {
             std::thread::sleep(DRAIN_POLL);
         }
+        // The ends of claimed calls go to the platform after their callers have been answered.
+        let deadline = deadline.min(Instant::now() + WRITE_TIMEOUT);
+        while self.unwritten.load(Ordering::SeqCst) > 0 && Instant::now() < deadline {
+            std::thread::sleep(DRAIN_POLL);
+        }
         self.in_flight.count() == 0
     }
 
--- a/lib/src/claim/claims.rs
+++ b/lib/src/claim/claims.rs
@@ -61,7 +61,7 @@
             retention: Duration::from_hours(24),
             writes_per_second: 200,
             ask_timeout: Duration::from_secs(2),
-            forward_timeout: Duration::from_millis(500),
+            forward_timeout: Duration::from_secs(1),
             seal_bytes: 24_000,
             summary_pages: 64,
         }
@@ -158,9 +158,10 @@
         shards.chain(forwarded).chain(collect).min()
     }
 
-    /// Returns how many claims are granted whose calls have not ended.
-    pub fn open_tickets(&self) -> usize {
-        self.tickets.len()
+    /// Returns how many granted calls have an end that is not written yet.
+    pub fn unwritten(&self) -> usize {
+        let ends = self.pending.values().filter(|pending| pending.item.wish != Wish::Claim);
+        self.tickets.len() + ends.count()
     }
 
     /// Takes an event and adds the effects that follow from it.
--- a/lib/src/node/claims.rs
+++ b/lib/src/node/claims.rs
@@ -1,6 +1,7 @@
 //! Joins the claims to the other slices of the control part.
 
 use crate::{
+    audit::trail::Trail,
     claim::{
         ClaimAnswer, ClaimAsk,
         claims::{Claims, Config, Effect, Event},
@@ -23,6 +24,12 @@
         self
     }
 
+    /// Returns how many ends of claimed calls and changes for the audit trail are not written yet.
+    pub fn unwritten(&self) -> usize {
+        let claims = self.claims.as_ref().map_or(0, Claims::unwritten);
+        claims + self.trail.as_ref().map_or(0, Trail::waiting)
+    }
+
     pub(super) fn begin_claims(&mut self, now: Time, daemon: DaemonId, incarnation: Incarnation) {
         let mut claims = Claims::new(self.claims_config.clone(), daemon, incarnation);
         let wall = self.wall(now);
