--- a/lib/tests/claims.rs
+++ b/lib/tests/claims.rs
@@ -255,3 +255,17 @@
     println!("{asked} asked, {} granted, {} refused", fleet.grants.len(), refused.count());
     assert!(fleet.grants.len() > asked / 2);
 }
+
+#[test]
+fn claim_end_counts_as_unwritten_until_the_platform_has_it() {
+    let mut fleet = alone();
+    fleet.ask(0, "k");
+    fleet.settle();
+    assert_eq!(fleet.daemons[0].unwritten(), 1);
+    fleet.run(0, Run::Answers);
+    assert_eq!(fleet.daemons[0].unwritten(), 1);
+    fleet.end_call(0, Fate::Unavailable);
+    assert_eq!(fleet.daemons[0].unwritten(), 1);
+    fleet.settle();
+    assert_eq!(fleet.daemons[0].unwritten(), 0);
+}
