--- a/lib/src/claim/claims.rs
+++ b/lib/src/claim/claims.rs
@@ -61,7 +61,7 @@
             retention: Duration::from_hours(24),
             writes_per_second: 200,
             ask_timeout: Duration::from_secs(2),
-            forward_timeout: Duration::from_secs(1),
+            forward_timeout: Duration::from_millis(500),
             seal_bytes: 24_000,
             summary_pages: 64,
         }
--- a/lib/src/claim/shard.rs
+++ b/lib/src/claim/shard.rs
@@ -23,6 +23,8 @@
 
 /// The most items that wait at one shard.
 const MAX_QUEUE: usize = 4_000;
+/// The most sealed pages that are held in memory.
+const MAX_OPENED: usize = 8;
 /// The first wait after the platform has refused a call; doubled with each further refusal.
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 /// The longest wait after the platform has refused a call.
@@ -119,7 +121,8 @@
     queue: VecDeque<Waiting>,
     head: Option<Head>,
     index: Index,
-    opened: Option<(Revision, Page)>,
+    /// The sealed pages last written or read.
+    opened: VecDeque<(Revision, Page)>,
     /// The sealed copy of the head, once it is written.
     sealed: Option<Sealed>,
     /// Whether the summary of the head's sealed pages is written.
@@ -140,7 +143,7 @@
             queue: VecDeque::new(),
             head: None,
             index: Index::default(),
-            opened: None,
+            opened: VecDeque::new(),
             sealed: None,
             summarised: false,
             work: Work::Idle,
@@ -249,6 +252,10 @@
             // the same.
             (Work::Sealing(sealed), Ok(_) | Err(CallError::Conflict(_))) => {
                 self.failures = 0;
+                if let Some(head) = &self.head {
+                    let page = head.page.sealed_copy();
+                    self.open(sealed.revision, page);
+                }
                 self.sealed = Some(sealed);
             }
             (Work::Summarising, Ok(_) | Err(CallError::Conflict(_))) => {
@@ -275,6 +282,15 @@
         }
     }
 
+    /// Holds a sealed page, in place of the one held longest.
+    fn open(&mut self, revision: Revision, page: Page) {
+        self.opened.retain(|(opened, _)| *opened != revision);
+        if self.opened.len() >= MAX_OPENED {
+            self.opened.pop_front();
+        }
+        self.opened.push_back((revision, page));
+    }
+
     fn next_order(&mut self) -> u64 {
         self.order += 1;
         self.order
--- a/lib/src/claim/shard/read.rs
+++ b/lib/src/claim/shard/read.rs
@@ -89,7 +89,7 @@
             Ok(page) => {
                 let page = Page::from(page);
                 self.index.add_sealed(Sealed::of(revision, &page));
-                self.opened = Some((revision, page));
+                self.open(revision, page);
             }
             Err(error) => {
                 damaged(&self.key.sealed(revision), &error, out);
--- a/lib/src/claim/shard/write.rs
+++ b/lib/src/claim/shard/write.rs
@@ -36,12 +36,10 @@
         {
             return Found::Record(Some(record));
         }
-        match (self.index.place(key), &self.opened) {
-            (None, _) => Found::Record(None),
-            (Some(place), Some((revision, opened))) if place == *revision => {
-                Found::Record(opened.records.get(key))
-            }
-            (Some(place), _) => Found::InSealed(place),
+        let Some(place) = self.index.place(key) else { return Found::Record(None) };
+        match self.opened.iter().find(|(revision, _)| *revision == place) {
+            Some((_, page)) => Found::Record(page.records.get(key)),
+            None => Found::InSealed(place),
         }
     }
 
