--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -15,7 +15,10 @@
 use std::{
     io,
     net::{SocketAddr, TcpListener},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread::JoinHandle,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -33,6 +36,8 @@
 
 /// How often a draining daemon looks whether requests are still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
+/// How long a draining daemon waits for what it has to write to the platform.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Says why a daemon did not start.
 #[derive(Debug, Error)]
@@ -62,6 +67,7 @@
     snapshot: Arc<ArcSwap<Snapshot>>,
     inputs: mpsc::UnboundedSender<Input>,
     in_flight: InFlight,
+    unwritten: Arc<AtomicUsize>,
     stop: watch::Sender<bool>,
     threads: Vec<JoinHandle<()>>,
 }
@@ -84,6 +90,7 @@
             snapshot: Arc::default(),
             inputs: inputs.clone(),
             in_flight: InFlight::default(),
+            unwritten: Arc::default(),
             stop,
             threads: Vec::new(),
         };
@@ -103,6 +110,7 @@
             attempt_counters: daemon.attempt_counters.clone(),
             inputs,
             received,
+            unwritten: daemon.unwritten.clone(),
             stop: stopped.clone(),
         };
         daemon.spawn("control", move || control.run())?;
@@ -173,6 +181,11 @@
         while self.in_flight.count() > 0 && Instant::now() < deadline {
             std::thread::sleep(DRAIN_POLL);
         }
+        // The ends of claimed calls go to the platform after their callers have been answered.
+        let deadline = deadline.min(Instant::now() + WRITE_TIMEOUT);
+        while self.unwritten.load(Ordering::SeqCst) > 0 && Instant::now() < deadline {
+            std::thread::sleep(DRAIN_POLL);
+        }
         self.in_flight.count() == 0
     }
 
