--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -145,7 +145,7 @@
         let edge = OperatorEdge::new(
             self.snapshot.clone(),
             &self.settings.operator_token,
-            metrics::encoder(self.peer_counters.clone()),
+            metrics::encoder(self.peer_counters.clone(), self.snapshot.clone()),
         );
         let operators = self.operators.try_clone();
         let stop = self.stop.clone();
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -5,6 +5,8 @@
     sync::{Arc, atomic::Ordering},
 };
 
+use arc_swap::ArcSwap;
+use dogwoodturn::node::{self, snapshot::Snapshot};
 use prometheus_client::{
     collector::Collector,
     encoding::{DescriptorEncoder, EncodeMetric as _, text::encode},
@@ -15,10 +17,14 @@
 use crate::peers::PeerCounters;
 
 /// Returns what encodes the metrics of a daemon.
-pub fn encoder(peers: Arc<PeerCounters>) -> Rc<dyn Fn() -> String> {
-    let mut registry = Registry::with_prefix("dogwoodturn");
-    registry.register_collector(Box::new(PeerCollector(peers)));
+pub fn encoder(
+    peers: Arc<PeerCounters>,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+) -> Rc<dyn Fn() -> String> {
     Rc::new(move || {
+        let mut registry = Registry::with_prefix("dogwoodturn");
+        registry.register_collector(Box::new(PeerCollector(peers.clone())));
+        node::metrics::register(&snapshot.load(), &mut registry);
         let mut text = String::new();
         encode(&mut text, &registry).expect("writing to a string does not fail");
         text
--- a/lib/tests/control_moves.rs
+++ b/lib/tests/control_moves.rs
@@ -12,6 +12,7 @@
     moves::report::{MoveReport, Stage},
     node::{
         control::{Control, Input, Output},
+        metrics,
         report::{AttemptEnd, AttemptReport},
         snapshot::Snapshot,
     },
@@ -19,6 +20,7 @@
     platform::{Operation, memory::MemoryStore},
     units::{Time, Tokens, WallTime},
 };
+use prometheus_client::{encoding::text::encode, registry::Registry};
 
 const BEGIN: WallTime = WallTime(1_800_000_000_000);
 const TICK: Duration = Duration::from_millis(10);
@@ -40,14 +42,13 @@
         let (control, now) = (Control::new(), Time(0));
         let mut daemon =
             Self { control, store, now, snapshot: Arc::default(), audited: Vec::new() };
-        let identity = Input::Identity(Member {
+        daemon.handle(Input::Identity(Member {
             daemon: "d0".parse().expect("a name"),
             incarnation: Incarnation(1),
-            address: ([127, 0, 0, 1], 1).into(),
-            data_centre: "salish-a".parse().expect("a name"),
-            region: "salish".parse().expect("a name"),
-        });
-        daemon.handle(identity);
+            address: ([127, 0, 0, 1], 9).into(),
+            data_centre: "dc".parse().expect("a name"),
+            region: "r".parse().expect("a name"),
+        }));
         daemon.handle(Input::Clock(BEGIN));
         daemon.handle(Input::Started);
         daemon
@@ -166,4 +167,15 @@
     }
     let choice = daemon.snapshot.versions.values().next().expect("a choice");
     assert_eq!(choice.share.0, 0);
+    let metrics = encoded_metrics(&daemon.snapshot);
+    let stage = "dogwoodturn_move_stage{move=\"m\",stage=\"taken-back\"} 1";
+    assert!(metrics.contains(stage), "{metrics}");
+}
+
+fn encoded_metrics(snapshot: &Snapshot) -> String {
+    let mut registry = Registry::default();
+    metrics::register(snapshot, &mut registry);
+    let mut text = String::new();
+    encode(&mut text, &registry).expect("writing to a string does not fail");
+    text
 }
