moves: routes of a later generation are judged too

Cause: a move kept the routes of the generation that it began with, so a route declared later was never judged. Change: Judge::set_routes, from each generation in force.

--- a/lib/src/moves/run.rs
+++ b/lib/src/moves/run.rs
@@ -166,7 +166,8 @@
             set.moves.values().map(|m| (MoveId::of(m), m)).collect();
         self.running.retain(|id, _| declared.contains_key(id));
         for (id, m) in declared {
-            if self.running.contains_key(&id) {
+            if let Some(running) = self.running.get_mut(&id) {
+                running.declared_again(set);
                 continue;
             }
             let running = Running::new(&id, m, set, &self.me.daemon, clock);
--- a/lib/src/moves/running.rs
+++ b/lib/src/moves/running.rs
@@ -115,8 +115,7 @@
     /// Joins a move.
     pub fn new(id: &MoveId, m: &Move, set: &DeclarationSet, me: &DaemonId, clock: Clock) -> Self {
         let plan = Plan::of(m);
-        let of_service = set.routes.values().filter(|route| route.service == m.service);
-        let routes: IndexSet<RouteName> = of_service.map(|route| route.name.clone()).collect();
+        let routes = routes_of(m, set);
         let stagger = stagger(me, id, plan);
         Self {
             declared: m.clone(),
@@ -137,6 +136,15 @@
         }
     }
 
+    /// Takes the routes of a later generation.
+    pub fn declared_again(&mut self, set: &DeclarationSet) {
+        let routes = routes_of(&self.declared, set);
+        if routes != self.routes {
+            self.judge.set_routes(&routes, self.plan.windows());
+            self.routes = routes;
+        }
+    }
+
     /// Returns where the move has got to.
     pub fn reached(&self) -> Reached {
         self.reached
@@ -437,6 +445,11 @@
     }
 }
 
+fn routes_of(m: &Move, set: &DeclarationSet) -> IndexSet<RouteName> {
+    let of_service = set.routes.values().filter(|route| route.service == m.service);
+    of_service.map(|route| route.name.clone()).collect()
+}
+
 /// Spreads the daemons' writes at the closing time over a short while.
 fn stagger(me: &DaemonId, id: &MoveId, plan: Plan) -> Duration {
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(me.as_str().as_bytes(), id.digest);
--- a/lib/src/moves/verdict.rs
+++ b/lib/src/moves/verdict.rs
@@ -184,23 +184,30 @@
 impl Judge {
     /// Makes the tests of a move with these routes and this many windows.
     pub fn new(routes: &IndexSet<RouteName>, windows: u32) -> Self {
-        let mut tests = Vec::new();
+        let mut judge = Self {
+            tests: Vec::new(),
+            log_threshold: 0.0,
+            sealed: IndexMap::new(),
+            thin: IndexMap::new(),
+            failures: IndexMap::new(),
+            baseline: Cells::new(),
+        };
+        judge.set_routes(routes, windows);
+        judge
+    }
+
+    /// Tests these routes from now on; what is known of routes that stay is kept.
+    pub fn set_routes(&mut self, routes: &IndexSet<RouteName>, windows: u32) {
+        self.tests.clear();
         for route in routes {
             for measure in Measure::ALL {
                 for against in [Against::SameMinutes, Against::OtherMinutes] {
-                    tests.push(Test { route: route.clone(), measure, against });
+                    self.tests.push(Test { route: route.clone(), measure, against });
                 }
             }
         }
-        let looks = f64::from(windows) * tests.len().max(1) as f64;
-        Self {
-            tests,
-            log_threshold: (looks / FALSE_ALARM_RATE).ln(),
-            sealed: IndexMap::new(),
-            thin: IndexMap::new(),
-            failures: IndexMap::new(),
-            baseline: Cells::new(),
-        }
+        let looks = f64::from(windows) * self.tests.len().max(1) as f64;
+        self.log_threshold = (looks / FALSE_ALARM_RATE).ln();
     }
 
     /// Judges by the sealed windows and by these open ones, the oldest first; each comes with
