--- /dev/null
+++ b/lib/tests/verdict.rs
@@ -0,0 +1,40 @@
+//! The tests of a move on sums made by hand.
+
+use dogwoodturn::{
+    ids::RouteName,
+    moves::{
+        evidence::{CellKey, Cells, Counts, Side, Stratum},
+        verdict::{Finding, Judge},
+    },
+};
+
+fn route(name: &str) -> RouteName {
+    name.parse().expect("a name")
+}
+
+/// One window in which half of the new version's attempts on a route fail, at these upstreams.
+fn failing(name: &str, bad_upstreams: u32) -> Cells {
+    let key = |side| {
+        let (class, zone) = ("c".parse().expect("a name"), "z".parse().expect("a name"));
+        CellKey { route: route(name), side, stratum: Stratum { class, zone, size: 0 } }
+    };
+    let old = Counts { good: 1_000, ..Counts::default() };
+    let new = Counts { good: 10, bad: 10, bad_upstreams, ..Counts::default() };
+    Cells::from([(key(Side::Old), old), (key(Side::New), new)])
+}
+
+#[test]
+fn judge_route_declared_later() {
+    let mut judge = Judge::new(&[route("first")].into(), 100);
+    let cells = failing("later", 0b11);
+    assert_eq!(judge.judge(&[(&cells, false)]), Finding::Good);
+    judge.set_routes(&[route("first"), route("later")].into(), 100);
+    assert!(matches!(judge.judge(&[(&cells, false)]), Finding::Bad(_)));
+}
+
+#[test]
+fn judge_one_broken_upstream_does_not_convict() {
+    let judge = Judge::new(&[route("first")].into(), 100);
+    let cells = failing("first", 0b1);
+    assert!(!matches!(judge.judge(&[(&cells, false)]), Finding::Bad(_)));
+}
