supply: a move counts as held only after two minutes without share

Cause: a holder that is uninformed for a moment has no share either, and would have ordered hosts of a running move back to the old version. Change: the time without share is counted, in place of the time since the start.

--- a/lib/src/supply/act.rs
+++ b/lib/src/supply/act.rs
@@ -21,7 +21,7 @@
     upstream::{HostRecord, HostState},
 };
 
-/// How long after its start a move without any share is taken to be held.
+/// How long a move that has started must be without any share to be taken as held.
 const HELD_AFTER: std::time::Duration = std::time::Duration::from_mins(2);
 
 impl Supply {
@@ -220,7 +220,8 @@
     }
 
     fn decide(&mut self, now: Time, wall: WallTime, service: &Service, key: &UnitKey) -> Steps {
-        let under_move = self.move_view(wall, &service.name);
+        self.note_share(now, wall, &service.name);
+        let under_move = self.move_view(now, &service.name);
         let routes = self.known.set.routes.values().filter(|route| route.service == service.name);
         let drain = crate::supply::service::drain_time(routes.map(|route| route.deadline));
         let Some(state) = self.services.get(&service.name) else { return Steps::default() };
@@ -240,11 +241,28 @@
         }
     }
 
-    fn move_view(&self, wall: WallTime, service: &ServiceName) -> Option<MoveView> {
+    fn share(&self, service: &ServiceName) -> Share {
+        let choice = self.known.versions.get(service);
+        choice.map_or(Share::NONE, |choice| choice.share)
+    }
+
+    /// Notes since when a move that has started gives its new version nothing.
+    ///
+    /// A daemon that is uninformed for a moment gives nothing either; no host is to be ordered back
+    /// for that.
+    fn note_share(&mut self, now: Time, wall: WallTime, service: &ServiceName) {
+        let has_started = self.known.set.move_of(service).is_some_and(|m| m.start < wall);
+        if has_started && self.share(service) == Share::NONE {
+            self.without_share.entry(service.clone()).or_insert(now);
+        } else {
+            self.without_share.shift_remove(service);
+        }
+    }
+
+    fn move_view(&self, now: Time, service: &ServiceName) -> Option<MoveView> {
         let m = self.known.set.move_of(service)?;
-        let choice = self.known.versions.get(service).filter(|c| c.under_move == m.name);
-        let share = choice.map_or(Share::NONE, |choice| choice.share);
-        let held = share == Share::NONE && wall > m.start + HELD_AFTER;
+        let share = self.share(service);
+        let held = self.without_share.get(service).is_some_and(|at| now.since(*at) > HELD_AFTER);
         Some(MoveView {
             from: m.from.clone(),
             to: m.to.clone(),
--- a/lib/src/supply/mod.rs
+++ b/lib/src/supply/mod.rs
@@ -165,6 +165,7 @@
     told_leaving: IndexSet<HostId>,
     zone_leaving: IndexMap<ZoneName, (Time, u32)>,
     status: Arc<[status::ServiceStatus]>,
+    without_share: IndexMap<ServiceName, Time>,
 }
 
 impl Supply {
