request: a retry under a move goes to the old version; attempts are counted in batches

A request that the move sends to the new version went there with each of its four tries, and the new version failed every one. Change: once an attempt of a request has failed, its next try goes to the old version. The counters follow Input::Attempts. Result: move_retry_goes_to_the_old_version fails before ('v2', wanted 'v1') and passes after; the other 34 tests of traffic and the fuzzer pass. Conclusion: the harm of a bad version ends with its first answer.

--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -183,8 +183,8 @@
 
     fn handle(&self, input: Input, control: &mut Control, outside: &mut Outside) {
         let now = outside.engines.now();
-        if let Input::Attempt(report) = &input {
-            self.attempt_counters.add(report);
+        if let Input::Attempts(reports) = &input {
+            reports.iter().for_each(|report| self.attempt_counters.add(report));
         }
         let mut out = Vec::new();
         control.handle(now, Input::Clock(wall_now()), &mut out);
--- a/lib/src/node/traffic/choose.rs
+++ b/lib/src/node/traffic/choose.rs
@@ -18,6 +18,7 @@
         let entry = self.entries.get(&id)?;
         let ask = entry.exchange.ask.clone();
         let except = self.avoided(id, entry);
+        let has_failed = !entry.failed.is_empty();
         let service = self.snapshot.set.services.get(&ask.service)?;
         let Some(choice) = self.snapshot.versions.get(&ask.service).cloned() else {
             let version = service.version.clone();
@@ -27,7 +28,9 @@
         let outstanding = self.at_version.get(&at_to).copied().unwrap_or(0);
         // The cap is for the daemon; each thread takes the others to be like itself.
         let outstanding = outstanding.saturating_mul(u32::from(self.cfg.threads.max(1)));
-        let version = choice.choose(&ask.request, outstanding);
+        // A retry goes to the old version: one that fails every request must not use up all tries.
+        let version =
+            if has_failed { &choice.from } else { choice.choose(&ask.request, outstanding) };
         let under_move = Some(&choice.under_move);
         // Going back to the old version is always allowed, going on to the new one is not.
         let chosen = self.choose_of(now, &ask, &except, version, under_move);
--- a/lib/tests/fake_world/mod.rs
+++ b/lib/tests/fake_world/mod.rs
@@ -12,8 +12,9 @@
 use dogwoodturn::{
     claim::{ClaimAnswer, ClaimAsk, ClaimEnd, ClaimTicket},
     declaration::check,
-    ids::{DaemonId, Generation, Incarnation, RequestId},
+    ids::{DaemonId, Generation, Incarnation, RequestId, ServiceName},
     ini::Source,
+    moves::share::VersionChoice,
     node::{
         report::AttemptReport,
         snapshot::Snapshot,
@@ -140,6 +141,7 @@
     pub pending_claims: Vec<(usize, ClaimAsk)>,
     pub runs: IndexMap<String, u64>,
     pub cancelled: Vec<Box<str>>,
+    pub versions: IndexMap<ServiceName, VersionChoice>,
     not_run: IndexSet<RequestId>,
     claims: IndexMap<String, ClaimState>,
     set: Arc<dogwoodturn::declaration::DeclarationSet>,
@@ -192,6 +194,7 @@
             pending_claims: Vec::new(),
             runs: IndexMap::new(),
             cancelled: Vec::new(),
+            versions: IndexMap::new(),
             not_run: IndexSet::new(),
             claims: IndexMap::new(),
             set,
@@ -213,6 +216,7 @@
                 set: self.set.clone(),
                 hosts: self.hosts.clone().into(),
                 members: members.clone(),
+                versions: Arc::new(self.versions.clone()),
                 informed: true,
                 draining: self.nodes[node].draining,
                 ..Snapshot::default()
--- a/lib/tests/traffic.rs
+++ b/lib/tests/traffic.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dogwoodturn::{
+    moves::share::{Share, VersionChoice},
     node::traffic::Event,
     request::{
         exchange::{Head, StreamEnd},
@@ -269,6 +270,34 @@
     assert_eq!(world.end_of(0, caller), Some(&End::Whole));
 }
 
+#[test]
+fn move_retry_goes_to_the_old_version() {
+    let mut world = World::new(1, 0);
+    for host in world.hosts.iter_mut().filter(|host| host.service.as_str() == "llm").skip(1) {
+        host.version = "v2".parse().expect("a name");
+    }
+    let choice = VersionChoice {
+        under_move: "to-v2".parse().expect("a name"),
+        from: "v1".parse().expect("a name"),
+        to: "v2".parse().expect("a name"),
+        share: Share::FULL,
+        cap: None,
+    };
+    world.versions.insert("llm".parse().expect("a name"), choice);
+    world.tell_hosts();
+    let caller = world.complete(0, "a phrase", 3, true);
+    let version_of = |world: &World, index: usize| {
+        let host = &world.hosts[world.attempts[index].host];
+        host.version.to_string()
+    };
+    assert_eq!(version_of(&world, 0), "v2");
+    world.fail(0);
+    world.pass(SECOND);
+    assert_eq!(version_of(&world, 1), "v1");
+    world.stream(1, 10);
+    assert_eq!(world.end_of(0, caller), Some(&End::Whole));
+}
+
 #[test]
 fn reclaim_short_streams_finish_and_long_ones_move() {
     let mut world = World::new(1, 0);
