--- a/lib/examples/claims_cost.rs
+++ b/lib/examples/claims_cost.rs
@@ -1,6 +1,6 @@
 //! Prints what claims cost the platform, by approach and load, and what an outage refuses.
 //!
-//! `cargo run --release -p dogwoodturn --example claims_cost`
+//! `cargo run --release -p dogwoodturn --example claims_cost [-- Objects|Pages|Gathered]`
 //!
 //! Nine daemons run in this process over a store in memory, with the delays of the brief. The
 //! figures are counts of calls, so they do not depend on the machine.
@@ -308,7 +308,9 @@
 }
 
 fn main() {
-    let approaches = [Approach::Objects, Approach::Pages, Approach::Gathered];
+    let only = std::env::args().nth(1);
+    let mut approaches = vec![Approach::Objects, Approach::Pages, Approach::Gathered];
+    approaches.retain(|approach| only.as_ref().is_none_or(|o| *o == format!("{approach:?}")));
     for outage in [false, true] {
         if outage {
             println!("\nplatform unavailable from second {} to {}", OUTAGE.0, OUTAGE.1);
@@ -328,7 +330,7 @@
             "p50 ms",
             "p99 ms"
         );
-        for approach in approaches {
+        for &approach in &approaches {
             for load in LOADS.into_iter().filter(|&load| !outage || load == 100) {
                 print(approach, load, outage);
             }
