--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -184,7 +184,9 @@
     fn handle(&self, input: Input, control: &mut Control, outside: &mut Outside) {
         let now = outside.engines.now();
         if let Input::Attempts(reports) = &input {
-            reports.iter().for_each(|report| self.attempt_counters.add(report));
+            for report in reports {
+                self.attempt_counters.add(report);
+            }
         }
         let mut out = Vec::new();
         control.handle(now, Input::Clock(wall_now()), &mut out);
