--- a/cli/src/command/demo.rs
+++ b/cli/src/command/demo.rs
@@ -131,7 +131,6 @@
     fleet.upstreams[place].record.state = HostState::Leaving { at: now() + RECLAIM_NOTICE };
     fleet.tell_hosts();
     sleep(RECLAIM_NOTICE);
-    fleet.upstreams[place].kill();
     let gone = fleet.upstreams.remove(place);
     fleet.tell_hosts();
     println!("reclaimed {} after a notice of {RECLAIM_NOTICE:?}", gone.record.host);
--- a/cli/src/command/demo/callers.rs
+++ b/cli/src/command/demo/callers.rs
@@ -51,7 +51,7 @@
         match seen {
             Seen::Whole => self.whole += 1,
             Seen::NotRun => self.not_run += 1,
-            Seen::MayHaveRun | Seen::Lost(_) => {
+            Seen::Unreached | Seen::MayHaveRun | Seen::Lost(_) => {
                 self.lost += 1;
                 if self.examples.len() < MAX_EXAMPLES {
                     self.examples.push(format!("{one:?}: {seen:?}"));
--- a/load/src/caller.rs
+++ b/load/src/caller.rs
@@ -1,17 +1,34 @@
 //! One caller: sends a request and checks the answer.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use awc::{Client, http::Method};
+use awc::{
+    Client,
+    error::{ConnectError, PayloadError, SendRequestError},
+    http::{Method, StatusCode},
+};
+use bytes::{Bytes, BytesMut};
 use dogwoodturn_standins::engine;
+use futures_util::{Stream, StreamExt as _};
 use serde_json::{Value, json};
 
 /// How long a caller waits for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// What a caller saw, and when.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heard {
+    /// How the request ended.
+    pub seen: Seen,
+    /// The time to the first byte of the answer's body.
+    pub first: Option<Duration>,
+}
+
 /// What a caller saw.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Seen {
+    /// No daemon took the connection.
+    Unreached,
     /// The whole, right answer.
     Whole,
     /// A refusal that says that the request did not run.
@@ -52,6 +69,12 @@
 
 /// Sends one request to the daemon at `base` and checks the answer.
 pub async fn ask(client: &Client, base: &str, token: &str, ask: &Ask) -> Seen {
+    hear(client, base, token, ask).await.seen
+}
+
+/// Sends one request to the daemon at `base`, checks the answer and tells when it began.
+pub async fn hear(client: &Client, base: &str, token: &str, ask: &Ask) -> Heard {
+    let began = Instant::now();
     match ask {
         Ask::Completion { path, prompt, max_tokens, stream } => {
             let url = format!("{base}{path}{}", engine::COMPLETIONS);
@@ -62,14 +85,14 @@
                 let text = if *stream { streamed_text(body) } else { whole_text(body) };
                 text.as_deref() == Some(&*expected)
             };
-            judge(req.send_json(&body).await, check).await
+            judge(req.send_json(&body).await, began, check).await
         }
         Ask::Read { path } => {
             let req = client.get(format!("{base}{path}")).bearer_auth(token);
             let check = |body: &[u8]| {
                 serde_json::from_slice::<Value>(body).is_ok_and(|v| v["path"] == path.as_str())
             };
-            judge(req.timeout(ANSWER_TIMEOUT).send().await, check).await
+            judge(req.timeout(ANSWER_TIMEOUT).send().await, began, check).await
         }
         Ask::Booking { path, key } => {
             let req = client.request(Method::POST, format!("{base}{path}"));
@@ -78,37 +101,53 @@
             let check = |body: &[u8]| {
                 serde_json::from_slice::<Value>(body).is_ok_and(|v| v["key"] == key.as_str())
             };
-            judge(req.send_body("{}").await, check).await
+            judge(req.send_body("{}").await, began, check).await
         }
     }
 }
 
 async fn judge<S>(
-    sent: Result<awc::ClientResponse<S>, awc::error::SendRequestError>,
+    sent: Result<awc::ClientResponse<S>, SendRequestError>,
+    began: Instant,
     is_right: impl Fn(&[u8]) -> bool,
-) -> Seen
+) -> Heard
 where
-    S: futures_util::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
 {
+    let unheard = |seen| Heard { seen, first: None };
     let mut res = match sent {
         Ok(res) => res,
-        Err(error) => return Seen::Lost(error.to_string()),
-    };
-    let body = match res.body().limit(64 << 20).await {
-        Ok(body) => body,
-        Err(error) => return Seen::Lost(error.to_string()),
+        Err(SendRequestError::Connect(ConnectError::Io(_))) => {
+            return unheard(Seen::Unreached);
+        }
+        Err(error) => return unheard(Seen::Lost(error.to_string())),
     };
-    if res.status().is_success() {
-        if is_right(&body) {
+    let mut first = None;
+    let mut body = BytesMut::new();
+    while let Some(chunk) = res.next().await {
+        match chunk {
+            Ok(chunk) => {
+                first.get_or_insert_with(|| began.elapsed());
+                body.extend_from_slice(&chunk);
+            }
+            Err(error) => return Heard { seen: Seen::Lost(error.to_string()), first },
+        }
+    }
+    Heard { seen: seen_of(res.status(), &body, is_right), first }
+}
+
+fn seen_of(status: StatusCode, body: &[u8], is_right: impl Fn(&[u8]) -> bool) -> Seen {
+    if status.is_success() {
+        if is_right(body) {
             return Seen::Whole;
         }
         return Seen::Lost("the answer is wrong or cut".into());
     }
-    let problem: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let problem: Value = serde_json::from_slice(body).unwrap_or_default();
     match problem["outcome"].as_str() {
         Some("not-run") => Seen::NotRun,
         Some("may-have-run") => Seen::MayHaveRun,
-        _ => Seen::Lost(format!("status {}", res.status())),
+        _ => Seen::Lost(format!("status {status}")),
     }
 }
 
--- a/load/src/command/compare.rs
+++ b/load/src/command/compare.rs
@@ -23,6 +23,9 @@
 /// How long an upstream holds the requests whose memory is measured, in milliseconds.
 const HOLD_MS: u64 = 3000;
 
+/// How many times as many callers send the mix.
+const MIXED_CALLERS: usize = 8;
+
 /// The arguments of `compare`.
 #[derive(Debug, Options)]
 pub struct Args {
@@ -79,7 +82,10 @@
     println!("mix {} through the daemon, {} a second", args.mix, args.rate / 10);
     let mixed = move |turn| mixed_call(turn, weights);
     let rate = Some(args.rate / 10);
-    let through = drive(&load(args, daemon_targets(&fleet), rate), mixed)?;
+    let plan = load(args, daemon_targets(&fleet), rate);
+    // Long answers keep a caller for longer, so that more of them are needed for the rate.
+    let plan = Plan { callers: plan.callers * MIXED_CALLERS, ..plan };
+    let through = drive(&plan, mixed)?;
     print_line("daemon", &through);
     measure_memory(&fleet)
 }
--- a/load/src/command/mod.rs
+++ b/load/src/command/mod.rs
@@ -1,4 +1,5 @@
 //! The commands, one module each.
 
 pub mod compare;
+pub mod experiment;
 pub mod placement;
--- a/load/src/drive.rs
+++ b/load/src/drive.rs
@@ -64,7 +64,7 @@
                 self.latency.saturating_record(latency.as_micros() as u64);
             }
             Seen::NotRun => self.not_run += 1,
-            Seen::MayHaveRun | Seen::Lost(_) => self.other += 1,
+            Seen::Unreached | Seen::MayHaveRun | Seen::Lost(_) => self.other += 1,
         }
     }
 
--- a/load/src/local.rs
+++ b/load/src/local.rs
@@ -94,15 +94,20 @@
 }
 
 impl LocalFleet {
-    /// Starts a platform and upstreams, without daemons.
+    /// Starts a platform and fast upstreams, without daemons.
     pub fn start(plans: &[UpstreamPlan]) -> Result<Self> {
+        Self::start_with(plans, EngineConfig::fast())
+    }
+
+    /// Starts a platform and upstreams whose engines can do this much, without daemons.
+    pub fn start_with(plans: &[UpstreamPlan], engine: EngineConfig) -> Result<Self> {
         let platform = Platform::new();
         let platform_server = platform.start(loopback())?;
         let mut fleet =
             Self { platform, platform_server, upstreams: Vec::new(), daemons: Vec::new() };
         for plan in plans {
             for index in 0..plan.count {
-                fleet.upstreams.push(start_upstream(plan, index)?);
+                fleet.upstreams.push(start_upstream(plan, index, engine)?);
             }
         }
         fleet.tell_hosts();
@@ -114,6 +119,23 @@
         self.platform.set_hosts(self.upstreams.iter().map(|up| up.record.clone()).collect());
     }
 
+    /// Announces that a share of a service's hosts will go.
+    pub fn announce_leaving(&mut self, service: &str, share: f64, at: WallTime) {
+        let of_service = |up: &&mut Upstream| up.record.service.as_str() == service;
+        let count = self.upstreams.iter_mut().filter(of_service).count();
+        let leaving = (count as f64 * share).round() as usize;
+        for up in self.upstreams.iter_mut().filter(of_service).take(leaving) {
+            up.record.state = HostState::Leaving { at };
+        }
+        self.tell_hosts();
+    }
+
+    /// Ends the hosts that were announced, and takes them off the host list.
+    pub fn kill_leaving(&mut self) {
+        self.upstreams.retain(|up| up.record.state == HostState::Live);
+        self.tell_hosts();
+    }
+
     /// Publishes a set.
     pub fn publish(&self, set: &DeclarationSet, change: &str) -> Result<HeadWire> {
         let change: ChangeId = change.parse()?;
@@ -186,9 +208,9 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-fn start_upstream(plan: &UpstreamPlan, index: usize) -> Result<Upstream> {
+fn start_upstream(plan: &UpstreamPlan, index: usize, engine: EngineConfig) -> Result<Upstream> {
     let (standin, running) = if plan.engine {
-        let engine = Engine::new(EngineConfig::fast());
+        let engine = Engine::new(engine);
         let running = engine.start(loopback())?;
         (Standin::Engine(engine), running)
     } else {
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -6,7 +6,7 @@
 
 use gumdrop::Options;
 
-use crate::command::{compare, placement};
+use crate::command::{compare, experiment, placement};
 
 #[derive(Debug, Options)]
 struct Args {
@@ -20,6 +20,8 @@
 enum Command {
     #[options(help = "run callers through a daemon and straight against the upstreams")]
     Compare(compare::Args),
+    #[options(help = "run scenarios and write a report, or compare two reports")]
+    Experiment(experiment::Args),
     #[options(help = "compare the choice of upstreams with baselines, without I/O")]
     Placement(placement::Args),
 }
@@ -28,6 +30,7 @@
     let args = Args::parse_args_default_or_exit();
     let result = match args.command {
         Some(Command::Compare(args)) => compare::run(&args),
+        Some(Command::Experiment(args)) => experiment::run(&args),
         Some(Command::Placement(args)) => placement::run(&args),
         None => {
             eprintln!("{}\n\nCommands:\n{}", Args::usage(), Command::usage());
