placement: load told in answers' heads, and first tokens, reach the choice

Cause: in the daemon each attempt counted as waiting until its end, and the load that other daemons cause was learnt from refusals only. Change: the traffic part tells the first token of an attempt, and takes x-load-running, x-load-waiting and x-load-age-ms of an upstream's answer; the engine stand-in sends its lagging load.

--- a/lib/src/edge/upstream.rs
+++ b/lib/src/edge/upstream.rs
@@ -5,7 +5,7 @@
 use awc::{
     Client,
     error::{ConnectError, SendRequestError},
-    http::Method,
+    http::{Method, header::HeaderMap},
 };
 use futures_util::StreamExt as _;
 use serde_json::json;
@@ -16,6 +16,7 @@
         caller::{passed_on, text_of},
     },
     node::traffic::{Dispatch, Event},
+    placement::load::LoadReport,
     request::exchange::{Head, StreamEnd},
 };
 
@@ -37,6 +38,16 @@
     adapter.feed(Event::Ended(attempt, end));
 }
 
+/// Reads the load that an upstream tells with its answer.
+fn load_of(headers: &HeaderMap) -> Option<LoadReport> {
+    let number = |name| text_of(headers, name)?.parse::<u32>().ok();
+    Some(LoadReport {
+        running: number("x-load-running")?,
+        waiting: number("x-load-waiting")?,
+        age: Duration::from_millis(number("x-load-age-ms").unwrap_or(0).into()),
+    })
+}
+
 async fn send(
     adapter: &Rc<Adapter>,
     client: &Client,
@@ -67,6 +78,7 @@
         retry_after: text_of(headers, "retry-after")
             .and_then(|seconds| seconds.parse().ok())
             .map(Duration::from_secs),
+        load: load_of(headers),
     };
     adapter.feed(Event::Head(dispatch.attempt, Box::new(head)));
     while let Some(chunk) = res.next().await {
--- a/lib/src/node/traffic/attempt.rs
+++ b/lib/src/node/traffic/attempt.rs
@@ -129,6 +129,11 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(entry) = self.entries.get_mut(&attempt.exchange) else { return };
+        if let (Some(load), Some(current)) = (head.load, entry.exchange.attempt())
+            && current.number == attempt.number
+        {
+            self.placement.reported(now, &current.target.upstream, load);
+        }
         let step = entry.exchange.head(now, attempt.number, head);
         self.step(now, attempt.exchange, step, out);
     }
@@ -141,7 +146,14 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(entry) = self.entries.get_mut(&attempt.exchange) else { return };
+        let had_first = entry.exchange.attempt().is_some_and(|current| current.first.is_some());
         let step = entry.exchange.chunk(now, attempt.number, bytes);
+        if let Some(current) = entry.exchange.attempt()
+            && !had_first
+            && current.first.is_some()
+        {
+            self.placement.first_token(&current.target.upstream);
+        }
         self.step(now, attempt.exchange, step, out);
     }
 
@@ -195,6 +207,10 @@
         let Some(attempt) = entry.exchange.attempt() else { return };
         let (number, arrived) = (attempt.number, entry.exchange.ask.arrived);
         entry.first_token = entry.first_token.or(attempt.first.map(|first| first.since(arrived)));
+        if attempt.first.is_none() {
+            // It waits for its first token no longer.
+            self.placement.first_token(&attempt.target.upstream);
+        }
         if cut {
             out.push(Effect::Close(AttemptId { exchange: id, number }));
         }
--- a/lib/src/request/exchange.rs
+++ b/lib/src/request/exchange.rs
@@ -14,6 +14,7 @@
         UpstreamId, VersionName, ZoneName,
     },
     node::report::{AttemptEnd, AttemptReport},
+    placement::load::LoadReport,
     request::{
         answer::Answer,
         completion::{CompletionWire, DONE, PieceWire, UsageWire},
@@ -106,6 +107,8 @@
     pub says_not_run: bool,
     /// When the upstream wants to be asked again.
     pub retry_after: Option<Duration>,
+    /// The upstream's load, if it says.
+    pub load: Option<LoadReport>,
 }
 
 impl Head {
--- a/standins/src/engine/server.rs
+++ b/standins/src/engine/server.rs
@@ -142,11 +142,15 @@
             id
         };
         self.shared.submitted.notify_one();
+        let load = self.lagging_load();
         let held = Held { engine: self.clone(), id, rx };
         if wire.stream {
             let body = BodyStream::new(events(held, hash));
             let mut builder = Response::build(StatusCode::OK);
             builder.insert_header((header::CONTENT_TYPE, "text/event-stream"));
+            builder.insert_header(("x-load-running", load.running));
+            builder.insert_header(("x-load-waiting", load.waiting));
+            builder.insert_header(("x-load-age-ms", load.age_ms));
             return builder.body(body).map_into_boxed_body();
         }
         let mut builder = Response::build(StatusCode::OK);
