daemon: tests with daemons as processes that are killed, frozen and asked to stop

Cause: the whole path was proved with daemons as threads of one process only. Change: four tests start dogwoodturnd as processes before stand-ins: SIGKILL with a booking sent again, SIGSTOP across a publication, SIGTERM under a stream of 800 tokens, and a platform outage together with a kill.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -33,7 +33,8 @@
     log::info!(
         event = "listening",
         callers:% = daemon.callers(),
-        operators:% = daemon.operators();
+        operators:% = daemon.operators(),
+        peers:% = daemon.peers();
         ""
     );
     actix_rt::System::new().block_on(wait_for_signal())?;
--- /dev/null
+++ b/daemon/tests/process.rs
@@ -0,0 +1,228 @@
+//! Daemons as processes of their own, which are killed, frozen and asked to stop.
+
+use std::{
+    io::{BufRead as _, BufReader, Write as _},
+    net::SocketAddr,
+    process::{Child, Command, ExitStatus, Stdio},
+    thread::sleep,
+    time::{Duration, Instant},
+};
+
+use awc::Client;
+use dogwoodturn_load::{
+    caller::{Ask, Seen, ask},
+    local::{LocalFleet, Standin},
+    sample,
+};
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::Value;
+use tempfile::NamedTempFile;
+
+/// A bound on waiting for something that must come; its length decides nothing.
+const PATIENCE: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(20);
+const KEY: &str = "0000000000000000000000000000000000000000000000000000000000000001";
+
+struct Process {
+    child: Child,
+    callers: SocketAddr,
+    operators: SocketAddr,
+    peers: SocketAddr,
+    _settings: NamedTempFile,
+}
+
+impl Process {
+    fn start(fleet: &LocalFleet, name: &str, seeds: &[SocketAddr]) -> Self {
+        let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+        let settings = format!(
+            "[daemon]\nname = {name}\ndata-centre = salish-a\nregion = salish\n\
+             callers = 127.0.0.1:0\noperators = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
+             [platform]\nurl = {}\n[operators]\ntoken = t\n[peers]\nkey = {KEY}\nseeds = {}\n",
+            fleet.platform_server.url(),
+            seeds.join(", ")
+        );
+        let mut file = NamedTempFile::new().expect("a file for the settings");
+        file.write_all(settings.as_bytes()).expect("the settings are written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_dogwoodturnd"))
+            .arg(file.path())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the daemon starts");
+        let stderr = child.stderr.take().expect("the logs");
+        let mut lines = BufReader::new(stderr).lines();
+        let listening =
+            lines.by_ref().map_while(Result::ok).find(|l| l.contains("event=listening"));
+        let listening = listening.expect("the daemon listens");
+        // The logs are read on, so that the daemon never waits for room.
+        std::thread::spawn(move || lines.for_each(drop));
+        let address = |key: &str| {
+            let value = listening.split(' ').find_map(|pair| pair.strip_prefix(key));
+            value.and_then(|value| value.parse().ok()).expect("an address")
+        };
+        Self {
+            callers: address("callers="),
+            operators: address("operators="),
+            peers: address("peers="),
+            child,
+            _settings: file,
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).expect("a process id");
+        kill(Pid::from_raw(pid), signal).expect("the signal is sent");
+    }
+
+    fn wait_exit(&mut self) -> ExitStatus {
+        wait_for(|| self.child.try_wait().expect("the process can be waited for"))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn wait_for<T>(mut look: impl FnMut() -> Option<T>) -> T {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(Instant::now() < deadline, "what must come has not come");
+        sleep(POLL);
+    }
+}
+
+fn start(count: usize) -> (LocalFleet, Vec<Process>) {
+    let fleet = LocalFleet::start(&sample::UPSTREAMS).expect("the stand-ins start");
+    let set = sample::declarations().expect("the samples have no fault");
+    fleet.publish(&set, "first").expect("published");
+    let mut processes: Vec<Process> = Vec::new();
+    for index in 0..count {
+        let seeds: Vec<SocketAddr> = processes.iter().take(1).map(|first| first.peers).collect();
+        processes.push(Process::start(&fleet, &format!("d{index}"), &seeds));
+    }
+    for process in &processes {
+        wait_for(|| (status(process, "ready")? == true).then_some(()));
+        wait_for(|| (status(process, "hosts")?.as_u64()? > 0).then_some(()));
+    }
+    (fleet, processes)
+}
+
+fn status(process: &Process, member: &str) -> Option<Value> {
+    let url = format!("http://{}/status", process.operators);
+    let status: Option<Value> = actix_rt::System::new().block_on(async move {
+        let client = Client::builder().timeout(Duration::from_secs(1)).finish();
+        client.get(url).bearer_auth("t").send().await.ok()?.json().await.ok()
+    });
+    Some(status?[member].clone())
+}
+
+fn see(process: &Process, token: &str, one: &Ask) -> Seen {
+    let base = format!("http://{}", process.callers);
+    actix_rt::System::new().block_on(async {
+        let client = Client::builder().disable_timeout().finish();
+        ask(&client, &base, token, one).await
+    })
+}
+
+fn phrase() -> Ask {
+    let prompt = "where is the pharmacy".into();
+    Ask::Completion { path: "/phrases".into(), prompt, max_tokens: 20, stream: true }
+}
+
+fn booking(key: &str) -> Ask {
+    Ask::Booking { path: "/consignments".into(), key: key.into() }
+}
+
+fn runs_of(fleet: &LocalFleet, key: &str) -> u64 {
+    let plain = fleet.upstreams.iter().filter_map(|up| match &up.standin {
+        Standin::Plain(plain) => Some(plain),
+        Standin::Engine(_) => None,
+    });
+    plain.filter_map(|plain| plain.runs().get(key).copied()).sum()
+}
+
+#[test]
+fn process_killed_daemon_is_not_missed() {
+    let (fleet, mut processes) = start(3);
+    assert_eq!(see(&processes[0], "growers-token", &booking("lot-1")), Seen::Whole);
+    processes[0].signal(Signal::SIGKILL);
+    processes[0].wait_exit();
+    // The balancer sends its callers to the others; a booking that is sent again runs no more.
+    for process in &processes[1..] {
+        assert_eq!(see(process, "ferries-token", &phrase()), Seen::Whole);
+        let seen = wait_for(|| {
+            let seen = see(process, "growers-token", &booking("lot-1"));
+            (seen != Seen::NotRun).then_some(seen)
+        });
+        assert!(matches!(seen, Seen::Whole | Seen::MayHaveRun), "{seen:?}");
+    }
+    assert_eq!(runs_of(&fleet, "lot-1"), 1);
+}
+
+#[test]
+fn process_frozen_daemon_comes_back_with_what_is_in_force() {
+    let (fleet, processes) = start(3);
+    processes[0].signal(Signal::SIGSTOP);
+    let further =
+        "[service extra]\nkind = plain\nversion = v1\nrepeat = safe\n[version extra/v1]\n";
+    let set = sample::declarations_with(further).expect("no fault");
+    fleet.publish(&set, "second").expect("published");
+    for process in &processes[1..] {
+        wait_for(|| (status(process, "generation")?.as_u64()? == 2).then_some(()));
+    }
+    processes[0].signal(Signal::SIGCONT);
+    wait_for(|| (status(&processes[0], "generation")?.as_u64()? == 2).then_some(()));
+    wait_for(|| (status(&processes[0], "ready")? == true).then_some(()));
+    assert_eq!(see(&processes[0], "ferries-token", &phrase()), Seen::Whole);
+}
+
+#[test]
+fn process_asked_to_stop_finishes_its_streams() {
+    let (_fleet, mut processes) = start(2);
+    let base = format!("http://{}", processes[0].callers);
+    let long = Ask::Completion {
+        path: "/glossaries".into(),
+        prompt: "list the words of a border crossing".into(),
+        max_tokens: 800,
+        stream: true,
+    };
+    let caller = std::thread::spawn(move || {
+        actix_rt::System::new().block_on(async {
+            let client = Client::builder().disable_timeout().finish();
+            ask(&client, &base, "clinics-token", &long).await
+        })
+    });
+    sleep(Duration::from_millis(300));
+    processes[0].signal(Signal::SIGTERM);
+    assert_eq!(caller.join().expect("the caller ends"), Seen::Whole);
+    assert!(processes[0].wait_exit().success());
+    assert_eq!(see(&processes[1], "ferries-token", &phrase()), Seen::Whole);
+}
+
+#[test]
+fn process_platform_outage_and_a_killed_daemon_at_once() {
+    let (fleet, mut processes) = start(3);
+    let outage = dogwoodturn_standins::platform::Faults { outage: true, ..Default::default() };
+    fleet.platform.set_faults(outage);
+    processes[2].signal(Signal::SIGKILL);
+    processes[2].wait_exit();
+    for process in &processes[..2] {
+        assert_eq!(see(process, "ferries-token", &phrase()), Seen::Whole);
+        assert_eq!(see(process, "growers-token", &booking("lot-2")), Seen::NotRun);
+    }
+    assert_eq!(runs_of(&fleet, "lot-2"), 0);
+    fleet.platform.set_faults(dogwoodturn_standins::platform::Faults::default());
+    wait_for(|| {
+        let seen = see(&processes[0], "growers-token", &booking("lot-2"));
+        (seen == Seen::Whole).then_some(())
+    });
+    assert_eq!(runs_of(&fleet, "lot-2"), 1);
+}
