limit: the window learns at the first token, and shrinks by how late answers are

Change: the latency is told with the first token, answers to requests from before the last change do not count, and the window shrinks by the ratio of allowed to mean latency.

--- a/lib/src/limit/mod.rs
+++ b/lib/src/limit/mod.rs
@@ -87,13 +87,10 @@
         }
     }
 
-    /// Takes that an upstream had no room.
+    /// Takes that an upstream had no room: its queue is full, for whichever class.
     fn no_room(&mut self, now: Time) {
-        if self.batch.shares.total() > 0 && !self.batch.window.is_smallest() {
-            self.batch.window.refused(now);
-        } else {
-            self.urgent.window.refused(now);
-        }
+        self.batch.window.refused(now);
+        self.urgent.window.refused(now);
     }
 }
 
@@ -137,21 +134,29 @@
         Admission::Refused(Overload { retry_after })
     }
 
-    /// Ends a request that was admitted; `latency` is its time to the first token, if it had one.
-    pub fn finished(&mut self, now: Time, asked: &Asked<'_>, latency: Option<Duration>) {
-        let target = self.target(asked.service).first_token;
+    /// Ends a request that was admitted.
+    pub fn finished(&mut self, now: Time, asked: &Asked<'_>) {
         let Some(service) = self.services.get_mut(asked.service) else { return };
         let limits = service.class(asked.class);
         let work = asked.work();
-        let total = limits.shares.total();
         limits.shares.remove(asked.customer, work);
         limits.window.finished(now, work);
-        let Some(latency) = latency else { return };
+    }
+
+    /// Takes the time to the first token of an answer, or to the whole answer of a plain service.
+    ///
+    /// It is told as soon as it is known, since a window that learns at the end of long answers
+    /// would change too late.
+    pub fn answered(&mut self, now: Time, asked: &Asked<'_>, latency: Duration) {
+        let target = self.target(asked.service).first_token;
+        let Some(service) = self.services.get_mut(asked.service) else { return };
+        let limits = service.class(asked.class);
+        let total = limits.shares.total();
         let allowed = match asked.class {
             RequestClass::Interactive => target * URGENT_PERCENT / 100,
             RequestClass::Batch => target * BATCH_PERCENT / 100,
         };
-        let shrank = limits.window.answered(now, latency > allowed, total);
+        let shrank = limits.window.answered(now, latency, allowed, total);
         if shrank && asked.class == RequestClass::Interactive {
             service.batch.window.make_room();
         }
--- a/lib/src/limit/window.rs
+++ b/lib/src/limit/window.rs
@@ -16,14 +16,18 @@
 const FEWEST_ANSWERS: u64 = 10;
 /// The answers that may be late without the window shrinking, in 100.
 const LATE_PERCENT: u64 = 5;
-/// What remains of the window when half of the answers or more are late.
-const LEAST_SHRINK_TO: f64 = 0.6;
+/// What remains of the window at least when answers are much too late.
+const LEAST_SHRINK_TO: f64 = 0.25;
+/// What remains of it at most when answers are late.
+const MOST_SHRINK_TO: f64 = 0.9;
+/// What remains of the window of requests that make room for urgent ones.
+const MAKE_ROOM_TO: f64 = 0.6;
 /// By how much the window grows in an interval, once it has shrunk for the first time.
 const GROWTH: f64 = 1.05;
 /// By how much it grows before.
-const FIRST_GROWTH: f64 = 2.0;
+const FIRST_GROWTH: f64 = 1.5;
 /// What remains of the window when an upstream had no room.
-const REFUSED_SHRINK_TO: f64 = 0.9;
+const REFUSED_SHRINK_TO: f64 = 0.8;
 /// The part of the window that must have been in use for it to grow.
 const GROW_ABOVE: f64 = 0.5;
 /// The time over which finished work is counted, for the time until there is room.
@@ -37,6 +41,7 @@
     began: Time,
     answers: u64,
     late: u64,
+    waited: Duration,
     most_outstanding: u64,
     refused_at: Option<Time>,
     rate: f64,
@@ -52,6 +57,7 @@
             began: Time(0),
             answers: 0,
             late: 0,
+            waited: Duration::ZERO,
             most_outstanding: 0,
             refused_at: None,
             rate: 0.0,
@@ -72,21 +78,34 @@
         self.size <= SMALLEST_WINDOW
     }
 
-    /// Takes an answer that was late or not, while `outstanding` work was under way.
+    /// Takes an answer that began after `latency`, while `outstanding` work was under way.
     ///
     /// At the end of an interval the window shrinks if more answers were late than the latency
-    /// target allows, and else grows if it was in use; returns whether it shrank.
-    pub fn answered(&mut self, now: Time, is_late: bool, outstanding: u64) -> bool {
+    /// target allows, and else grows if it was in use; returns whether it shrank. Answers to
+    /// requests from before the last change say nothing of it and are not counted.
+    pub fn answered(
+        &mut self,
+        now: Time,
+        latency: Duration,
+        allowed: Duration,
+        outstanding: u64,
+    ) -> bool {
+        if now - latency < self.began {
+            return false;
+        }
         self.answers += 1;
-        self.late += u64::from(is_late);
+        self.late += u64::from(latency > allowed);
+        self.waited += latency;
         self.most_outstanding = self.most_outstanding.max(outstanding);
         if now.since(self.began) < INTERVAL || self.answers < FEWEST_ANSWERS {
             return false;
         }
         let shrinks = self.late * 100 > self.answers * LATE_PERCENT;
         if shrinks {
-            let late = self.late as f64 / self.answers as f64;
-            self.shrink_to(1.0 - (1.0 - LEAST_SHRINK_TO) * (late * 2.0).min(1.0));
+            // The wait grows with what is outstanding, so the ratio of times is that of windows.
+            let mean = self.waited.as_secs_f64() / self.answers as f64;
+            let part = allowed.as_secs_f64() / mean.max(1e-6);
+            self.shrink_to(part.clamp(LEAST_SHRINK_TO, MOST_SHRINK_TO));
         } else if self.most_outstanding as f64 >= self.size * GROW_ABOVE {
             let growth = if self.has_shrunk { GROWTH } else { FIRST_GROWTH };
             self.size = (self.size * growth).min(LARGEST_WINDOW);
@@ -94,6 +113,7 @@
         self.began = now;
         self.answers = 0;
         self.late = 0;
+        self.waited = Duration::ZERO;
         self.most_outstanding = outstanding;
         shrinks
     }
@@ -109,7 +129,7 @@
 
     /// Shrinks the window to make room for requests of another class.
     pub fn make_room(&mut self) {
-        self.shrink_to(LEAST_SHRINK_TO);
+        self.shrink_to(MAKE_ROOM_TO);
     }
 
     fn shrink_to(&mut self, part: f64) {
--- a/lib/src/node/traffic/attempt.rs
+++ b/lib/src/node/traffic/attempt.rs
@@ -153,10 +153,23 @@
             && current.first.is_some()
         {
             self.placement.first_token(&current.target.upstream);
+            self.note_first_token(now, attempt.exchange);
         }
         self.step(now, attempt.exchange, step, out);
     }
 
+    /// Tells the limits how long the request has waited for its answer to begin, once.
+    fn note_first_token(&mut self, now: Time, id: ExchangeId) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let first = entry.exchange.attempt().and_then(|attempt| attempt.first);
+        let Some(first) = first.filter(|_| entry.first_token.is_none()) else { return };
+        let latency = first.since(entry.exchange.ask.arrived);
+        entry.first_token = Some(latency);
+        if entry.admitted {
+            self.limits.answered(now, &asked(&entry.exchange.ask), latency);
+        }
+    }
+
     pub(super) fn ended(
         &mut self,
         now: Time,
@@ -203,10 +216,10 @@
         cut: bool,
         out: &mut Vec<Effect>,
     ) {
+        self.note_first_token(now, id);
         let Some(entry) = self.entries.get_mut(&id) else { return };
         let Some(attempt) = entry.exchange.attempt() else { return };
-        let (number, arrived) = (attempt.number, entry.exchange.ask.arrived);
-        entry.first_token = entry.first_token.or(attempt.first.map(|first| first.since(arrived)));
+        let number = attempt.number;
         if attempt.first.is_none() {
             // It waits for its first token no longer.
             self.placement.first_token(&attempt.target.upstream);
@@ -393,7 +406,7 @@
             self.by_caller.swap_remove(&caller);
         }
         if entry.admitted {
-            self.limits.finished(now, &asked(&entry.exchange.ask), entry.first_token);
+            self.limits.finished(now, &asked(&entry.exchange.ask));
         }
         Some(entry)
     }
--- a/lib/tests/limit.rs
+++ b/lib/tests/limit.rs
@@ -81,7 +81,8 @@
     for tenth in 1..=seconds * 10 {
         let now = Time(0) + Duration::from_millis(tenth * 100);
         for _ in 0..10 {
-            limits.finished(now, asked, Some(latency));
+            limits.answered(now, asked, latency);
+            limits.finished(now, asked);
             limits.admit(now, asked);
         }
     }
@@ -126,7 +127,7 @@
     let asked = asked(&service, &one, RequestClass::Batch);
     let count = admitted(&mut limits, &asked, 1000);
     for _ in 0..count {
-        limits.finished(Time(0), &asked, None);
+        limits.finished(Time(0), &asked);
     }
     assert_eq!(limits.usage(&service, asked.class).0, 0);
 }
--- a/load/src/bench_engines.rs
+++ b/load/src/bench_engines.rs
@@ -203,7 +203,7 @@
             self.placements[daemon].refused(now, &self.hosts[engine].upstream);
             if self.bench.limits {
                 self.limits[daemon].upstream_refused(now, &self.service);
-                self.limits[daemon].finished(now, &asked, None);
+                self.limits[daemon].finished(now, &asked);
             }
             return;
         }
@@ -283,6 +283,16 @@
                 request.last = at;
                 let upstream = &self.hosts[request.engine].upstream;
                 self.placements[request.daemon].first_token(upstream);
+                if self.bench.limits {
+                    let asked = Asked {
+                        customer: None,
+                        service: &self.service,
+                        class: request.class,
+                        tokens: request.tokens,
+                    };
+                    let latency = at.since(request.arrived);
+                    self.limits[request.daemon].answered(at, &asked, latency);
+                }
             }
             Output::Token(_) => {
                 let gap = at.since(request.last);
@@ -309,7 +319,7 @@
                 class: request.class,
                 tokens: request.tokens,
             };
-            self.limits[request.daemon].finished(at, &asked, first);
+            self.limits[request.daemon].finished(at, &asked);
         }
         let in_time = first.is_some_and(|first| first <= Duration::from_millis(880));
         match request.class {
