limit, placement: no growth before late answers tell, and no affinity to long queues

Cause: at twice the peak under affinity urgent answers took 2.6 s: two engines of twelve were idle while the others had 100 requests waiting, as the bound on load grew with the mean; and windows grew until answers were late. Change: a window grows only while answers begin within half of the allowed time, by a fixed amount after its first shrink; the load of a first choice may exceed the mean by 16 at most, and the slack. Ruled out: ejections (none) and requests that may wait (at their smallest windows).

--- a/lib/src/limit/window.rs
+++ b/lib/src/limit/window.rs
@@ -22,9 +22,9 @@
 const MOST_SHRINK_TO: f64 = 0.9;
 /// What remains of the window of requests that make room for urgent ones.
 const MAKE_ROOM_TO: f64 = 0.6;
-/// By how much the window grows in an interval, once it has shrunk for the first time.
-const GROWTH: f64 = 1.05;
-/// By how much it grows before.
+/// What an interval adds to the window, once it has shrunk for the first time.
+const GROWTH: f64 = 6.0;
+/// By how much it is multiplied before.
 const FIRST_GROWTH: f64 = 1.5;
 /// What remains of the window when an upstream had no room.
 const REFUSED_SHRINK_TO: f64 = 0.8;
@@ -106,9 +106,9 @@
             let mean = self.waited.as_secs_f64() / self.answers as f64;
             let part = allowed.as_secs_f64() / mean.max(1e-6);
             self.shrink_to(part.clamp(LEAST_SHRINK_TO, MOST_SHRINK_TO));
-        } else if self.most_outstanding as f64 >= self.size * GROW_ABOVE {
-            let growth = if self.has_shrunk { GROWTH } else { FIRST_GROWTH };
-            self.size = (self.size * growth).min(LARGEST_WINDOW);
+        } else if self.may_grow(allowed) {
+            let grown = if self.has_shrunk { self.size + GROWTH } else { self.size * FIRST_GROWTH };
+            self.size = grown.min(LARGEST_WINDOW);
         }
         self.began = now;
         self.answers = 0;
@@ -118,6 +118,15 @@
         shrinks
     }
 
+    /// Says whether the window was in use while answers began well in time.
+    ///
+    /// Between half of the allowed time and the whole the window stays as it is, so that it does
+    /// not go beyond what upstreams can take before late answers tell.
+    fn may_grow(&self, allowed: Duration) -> bool {
+        let mean = self.waited / (self.answers as u32).max(1);
+        mean * 2 <= allowed && self.most_outstanding as f64 >= self.size * GROW_ABOVE
+    }
+
     /// Takes that an upstream had no room; the window shrinks once in an interval.
     pub fn refused(&mut self, now: Time) {
         if self.refused_at.is_some_and(|at| now.since(at) < INTERVAL) {
--- a/lib/src/placement/pool.rs
+++ b/lib/src/placement/pool.rs
@@ -12,6 +12,8 @@
 const FIRST_CHOICES: usize = 4;
 /// By how much the load of a first choice may exceed the mean, in percent.
 const LOAD_EXCESS_PERCENT: u32 = 25;
+/// By how much it may exceed it at most: a long queue costs more than a cached prefix saves.
+const LARGEST_EXCESS: u32 = 16;
 /// The load at which work goes to another data centre if that one has less.
 const SPILL_LOAD: u32 = 96;
 /// The largest share of a pool that may be ejected at once, in percent.
@@ -122,7 +124,8 @@
         } else {
             self.first(scan, |_| true)
         };
-        let bound = mean + mean * LOAD_EXCESS_PERCENT / 100 + scan.slack.0;
+        let excess = (mean * LOAD_EXCESS_PERCENT / 100).min(LARGEST_EXCESS);
+        let bound = mean + excess + scan.slack.0;
         let first = first.into_iter().flatten().map(|choice| choice.candidate);
         let within = first.clone().find(|&candidate| scan.load(candidate) <= bound);
         within.or_else(|| self.less_loaded(scan, first))
