--- a/load/src/command/mod.rs
+++ b/load/src/command/mod.rs
@@ -3,3 +3,4 @@
 pub mod compare;
 pub mod experiment;
 pub mod placement;
+pub mod slopes;
--- a/load/src/local.rs
+++ b/load/src/local.rs
@@ -179,7 +179,12 @@
     /// Starts a daemon.
     pub fn add_daemon(&mut self, data_centre: &str, threads: usize) -> Result<()> {
         let settings = self.settings(self.daemons.len(), data_centre, threads)?;
-        self.daemons.push(Daemon::start(&settings)?);
+        self.add_daemon_with(&settings)
+    }
+
+    /// Starts a daemon with settings of its own.
+    pub fn add_daemon_with(&mut self, settings: &Settings) -> Result<()> {
+        self.daemons.push(Daemon::start(settings)?);
         Ok(())
     }
 
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -6,7 +6,7 @@
 
 use gumdrop::Options;
 
-use crate::command::{compare, experiment, placement};
+use crate::command::{compare, experiment, placement, slopes};
 
 #[derive(Debug, Options)]
 struct Args {
@@ -24,6 +24,8 @@
     Experiment(experiment::Args),
     #[options(help = "compare the choice of upstreams with baselines, without I/O")]
     Placement(placement::Args),
+    #[options(help = "measure what daemons on loopback cost at rest")]
+    Slopes(slopes::Args),
 }
 
 fn main() -> ExitCode {
@@ -32,6 +34,7 @@
         Some(Command::Compare(args)) => compare::run(&args),
         Some(Command::Experiment(args)) => experiment::run(&args),
         Some(Command::Placement(args)) => placement::run(&args),
+        Some(Command::Slopes(args)) => slopes::run(&args),
         None => {
             eprintln!("{}\n\nCommands:\n{}", Args::usage(), Command::usage());
             return ExitCode::from(2);
