--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -34,6 +34,8 @@
 
 use crate::{counters::AttemptCounters, flight::InFlight, peers::PeerCounters, settings::Settings};
 
+/// How long a daemon drains at least, so that callers with idle connections are told to leave.
+const DRAIN_SETTLE: Duration = Duration::from_secs(1);
 /// How often a draining daemon looks whether requests are still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 /// How long a draining daemon waits for what it has to write to the platform.
@@ -177,8 +179,11 @@
     pub fn drain(self) -> bool {
         // The control thread ends only after `stop`, so that the input arrives.
         let _ = self.inputs.send(Input::Drain);
-        let deadline = Instant::now() + self.drain_timeout;
-        while self.in_flight.count() > 0 && Instant::now() < deadline {
+        let began = Instant::now();
+        let deadline = began + self.drain_timeout;
+        let settled = began + DRAIN_SETTLE.min(self.drain_timeout);
+        let is_busy = || self.in_flight.count() > 0 || Instant::now() < settled;
+        while is_busy() && Instant::now() < deadline {
             std::thread::sleep(DRAIN_POLL);
         }
         // The ends of claimed calls go to the platform after their callers have been answered.
