load: waves that outlast their notice, a bench with smaller caches

Cause: the wave's answers all ended within the notice, so that nothing moved. Change: answers of 3,000 tokens; lost requests are printed; '--cache' sets the engines' caches.

--- a/load/src/bench_engines.rs
+++ b/load/src/bench_engines.rs
@@ -46,6 +46,8 @@
     pub limits: bool,
     /// How many engines there are.
     pub engines: usize,
+    /// The tokens that each engine's prefix cache holds.
+    pub cache_tokens: u64,
     /// How many daemons there are.
     pub daemons: usize,
     /// Requests a second.
@@ -140,6 +142,7 @@
             limit.refresh(set.clone());
             limits.push(limit);
         }
+        let engine = EngineConfig { cache_capacity: bench.cache_tokens, ..EngineConfig::default() };
         let classes = [RequestClass::Interactive, RequestClass::Batch];
         let mut histograms = IndexMap::new();
         for class in classes {
@@ -156,7 +159,7 @@
         };
         Ok(Self {
             bench,
-            engines: vec![EngineModel::new(EngineConfig::default()); hosts.len()],
+            engines: vec![EngineModel::new(engine); hosts.len()],
             reports: vec![(Time(0), LoadReport::default()); hosts.len()],
             hosts,
             placements,
--- a/load/src/command/placement.rs
+++ b/load/src/command/placement.rs
@@ -20,6 +20,8 @@
     help: bool,
     #[options(help = "engines", default = "12", no_short)]
     engines: usize,
+    #[options(help = "tokens that each engine's cache holds", default = "400000", no_short)]
+    cache: u64,
     #[options(help = "daemons", default = "9", no_short)]
     daemons: usize,
     #[options(help = "seconds of arrivals", default = "60", no_short)]
@@ -53,6 +55,7 @@
         policy,
         limits,
         engines: args.engines,
+        cache_tokens: args.cache,
         daemons: args.daemons,
         rate,
         urgent_share: args.urgent,
--- a/load/src/experiment/record.rs
+++ b/load/src/experiment/record.rs
@@ -125,6 +125,9 @@
                 let sent = Instant::now();
                 let heard = hear(&client, &bases[turn % bases.len()], token, &one).await;
                 let end = end_of(&heard.seen);
+                if end == End::Lost {
+                    println!("lost: {one:?}: {:?}", heard.seen);
+                }
                 let at = began.elapsed();
                 let total = sent.elapsed();
                 samples.borrow_mut().push(Sample { at, class, end, first: heard.first, total });
--- a/load/src/experiment/scenario.rs
+++ b/load/src/experiment/scenario.rs
@@ -92,7 +92,7 @@
     pub fn duration(self) -> Duration {
         match self {
             Self::BadVersion => Duration::from_secs(30),
-            Self::Wave => Duration::from_secs(20),
+            Self::Wave => Duration::from_secs(25),
             _ => Duration::from_secs(12),
         }
     }
@@ -124,7 +124,7 @@
     pub fn callers(self) -> CallerPlan {
         match self {
             Self::Overload => CallerPlan { urgent: 120, batch: 80, long_tokens: 100 },
-            Self::Wave => CallerPlan { urgent: 24, batch: 24, long_tokens: 1000 },
+            Self::Wave => CallerPlan { urgent: 24, batch: 24, long_tokens: 3000 },
             _ => CallerPlan { urgent: 24, batch: 8, long_tokens: 300 },
         }
     }
