--- a/cli/src/command/status.rs
+++ b/cli/src/command/status.rs
@@ -1,10 +1,10 @@
 //! `status`: shows what a daemon says of itself.
 
-use eyre::{Result, WrapErr as _, bail, eyre};
+use eyre::Result;
 use gumdrop::Options;
 use serde_json::Value;
 
-use crate::output::Verdict;
+use crate::{operator, output::Verdict};
 
 /// The arguments of `status`.
 #[derive(Debug, Options)]
@@ -34,12 +34,5 @@
 
 /// Reads the status of a daemon.
 pub async fn read(daemon: &str, token: &str) -> Result<Value> {
-    let url = format!("{daemon}/status");
-    let req = awc::Client::default().get(&url).bearer_auth(token);
-    let sent = req.send().await.map_err(|error| eyre!("{error}"));
-    let mut res = sent.wrap_err_with(|| format!("cannot read {url}"))?;
-    if !res.status().is_success() {
-        bail!("{url} answered {}; check the token", res.status());
-    }
-    res.json().await.map_err(|error| eyre!("{error}"))
+    operator::read(daemon, "/status", token).await
 }
--- a/cli/src/command/supply.rs
+++ b/cli/src/command/supply.rs
@@ -1,10 +1,10 @@
 //! `supply`: shows the plan of hosts, its reason and its cost at a daemon.
 
 use dogwoodturn::supply::status::ServiceStatus;
-use eyre::{Result, WrapErr as _, bail, eyre};
+use eyre::Result;
 use gumdrop::Options;
 
-use crate::output::Verdict;
+use crate::{operator, output::Verdict};
 
 /// The arguments of `supply`.
 #[derive(Debug, Options)]
@@ -66,12 +66,5 @@
 }
 
 async fn read(args: &Args) -> Result<Vec<ServiceStatus>> {
-    let url = format!("{}/supply", args.daemon);
-    let req = awc::Client::default().get(&url).bearer_auth(&args.token);
-    let sent = req.send().await.map_err(|error| eyre!("{error}"));
-    let mut res = sent.wrap_err_with(|| format!("cannot read {url}"))?;
-    if !res.status().is_success() {
-        bail!("{url} answered {}; check the token", res.status());
-    }
-    res.json().await.map_err(|error| eyre!("{error}"))
+    operator::read(&args.daemon, "/supply", &args.token).await
 }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod command;
 mod files;
 mod in_force;
+mod operator;
 mod output;
 
 use std::process::ExitCode;
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -74,8 +74,6 @@
     Claim(ClaimAsk),
     /// A claimed call has ended.
     ClaimEnded(ClaimTicket, ClaimEnd),
-    /// An attempt has ended.
-    Attempt(Box<AttemptReport>),
     /// Attempts have ended since a traffic thread last told of some.
     Attempts(Vec<AttemptReport>),
     /// A peer has sent a message.
@@ -220,7 +218,6 @@
             }
             Input::Peer(from, message) => self.peer_message(now, &from, message, out),
             Input::Link(event) => self.handle_peers(now, peers::Event::Link(event), out),
-            Input::Attempt(report) => self.attempt_ended(now, *report, out),
             Input::Attempts(reports) => {
                 for report in reports {
                     self.attempt_ended(now, report, out);
@@ -287,7 +284,7 @@
             PeerMessage::Supply(message) => {
                 self.supply(now, supply::Event::Peer(from.clone(), message), out);
             }
-            PeerMessage::Leaving(message) => self.heard_leaving(now, from, message, out),
+            PeerMessage::Leaving(message) => self.heard_leaving(now, message, out),
         }
     }
 
--- a/lib/src/node/supply.rs
+++ b/lib/src/node/supply.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     audit,
-    ids::{DaemonId, HostId},
+    ids::HostId,
     node::{
         control::{Control, Output, Owner},
         message::PeerMessage,
@@ -62,7 +62,6 @@
     pub(super) fn heard_leaving(
         &mut self,
         now: Time,
-        _from: &DaemonId,
         message: message::Message,
         out: &mut Vec<Output>,
     ) {
--- a/lib/src/node/traffic/arrive.rs
+++ b/lib/src/node/traffic/arrive.rs
@@ -232,7 +232,7 @@
         };
         let headers = vec![("content-type".into(), stored.content_type.into_string().into())];
         let head = Head { status: stored.status, headers, ..Head::default() };
-        let Some(entry) = self.remove(now, id, out) else { return };
+        let Some(entry) = self.remove(now, id) else { return };
         if let Some(Reading { reader: Reader::Caller(caller), .. }) = entry.reading {
             let request = entry.exchange.ask.request.clone();
             out.push(Effect::Answer(caller, request, Box::new(head), body));
--- a/lib/src/node/traffic/attempt.rs
+++ b/lib/src/node/traffic/attempt.rs
@@ -371,7 +371,7 @@
         out: &mut Vec<Effect>,
     ) {
         self.cancel(now, id, out);
-        let Some(mut entry) = self.remove(now, id, out) else { return };
+        let Some(mut entry) = self.remove(now, id) else { return };
         let reading = entry.reading.take();
         let ticket = entry.ticket.take();
         let request = entry.exchange.ask.request.clone();
@@ -394,19 +394,14 @@
         detail: &str,
         out: &mut Vec<Effect>,
     ) {
-        let Some(entry) = self.remove(now, id, out) else { return };
+        let Some(entry) = self.remove(now, id) else { return };
         let request = entry.exchange.ask.request.clone();
         let refusal = Refusal::new(kind, RunOutcome::MayHaveRun, detail);
         Self::tell_refusal(entry.reading, request, refusal, out);
     }
 
     /// Forgets a request whose attempt has been closed.
-    pub(super) fn remove(
-        &mut self,
-        now: Time,
-        id: ExchangeId,
-        _out: &mut Vec<Effect>,
-    ) -> Option<Entry> {
+    pub(super) fn remove(&mut self, now: Time, id: ExchangeId) -> Option<Entry> {
         let entry = self.entries.swap_remove(&id)?;
         self.by_request.swap_remove(&entry.exchange.ask.request);
         if let Some(caller) = caller_of(entry.reading.as_ref()) {
--- a/lib/src/node/traffic/deliver.rs
+++ b/lib/src/node/traffic/deliver.rs
@@ -51,7 +51,7 @@
     /// Gives the reader the end of the answer, and keeps the answer for those that come back.
     pub(super) fn finish(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
         self.deliver_rest(id, out);
-        let Some(mut entry) = self.remove(now, id, out) else { return };
+        let Some(mut entry) = self.remove(now, id) else { return };
         Self::end_claim(&mut entry, out);
         let exchange = entry.exchange;
         if exchange.ask.completion.is_some() && exchange.plain.is_none() && entry.is_named {
--- a/lib/src/node/traffic/handover.rs
+++ b/lib/src/node/traffic/handover.rs
@@ -146,7 +146,7 @@
         if !taken {
             return self.next_taker(now, id, out);
         }
-        let Some(entry) = self.remove(now, id, out) else { return };
+        let Some(entry) = self.remove(now, id) else { return };
         let request = request.clone();
         let detail = "another daemon goes on with the request";
         let refusal = Refusal::new(RefusalKind::HandedOver, RunOutcome::MayHaveRun, detail)
--- a/lib/tests/control_moves.rs
+++ b/lib/tests/control_moves.rs
@@ -94,7 +94,7 @@
             let choice = self.snapshot.versions.get(&service);
             let version = choice.map_or("v1", |choice| choice.choose(&request, 0).as_str());
             let report = attempt(version, new_is_bad && version == "v2");
-            self.handle(Input::Attempt(Box::new(report)));
+            self.handle(Input::Attempts(vec![report]));
         }
     }
 
