--- /dev/null
+++ b/gateway/src/directory.rs
@@ -0,0 +1,165 @@
+//! Which upstreams there are, and which of them may take new work.
+//!
+//! Load pattern: entries vanish together when the store was away, and singly when an upstream has
+//! left without a word. A vanished entry is used no more at once, unless the store has just been
+//! away: then the upstream may only have missed its heartbeat and is back within
+//! [`RETURN_GRACE`]. While a service has no live upstream at all, one that vanished a moment ago
+//! is still better than a refusal.
+
+use std::time::Duration;
+
+use dogwoodturn::{
+    ids::{ServiceName, UpstreamId, VersionName},
+    units::Time,
+};
+use indexmap::IndexMap;
+
+use crate::store::UpstreamRecord;
+
+/// How long after the store's return entries that lapsed meanwhile may be missing. Upstreams
+/// write again within two seconds of it; the margin keeps new work inside the drain time.
+const RETURN_GRACE: Duration = Duration::from_millis(1800);
+/// How long a vanished upstream serves as a last resort; stays below the drain time of upstreams
+/// that leave unannounced.
+const LAST_RESORT: Duration = Duration::from_millis(1200);
+
+/// What the store last said of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Presence {
+    Listed,
+    Vanished(Time),
+}
+
+/// One upstream.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// What it said of itself.
+    pub record: UpstreamRecord,
+    presence: Presence,
+}
+
+/// All upstreams that are known.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    upstreams: IndexMap<UpstreamId, Upstream>,
+    store_away: bool,
+    store_back: Option<Time>,
+}
+
+impl Directory {
+    /// Takes an entry that was listed or changed; says whether it is a new start.
+    pub fn set(&mut self, record: UpstreamRecord) -> bool {
+        let known = self.upstreams.get(&record.id);
+        let is_new = known.is_none_or(|known| known.record.started != record.started);
+        let upstream = Upstream { presence: Presence::Listed, record };
+        self.upstreams.insert(upstream.record.id.clone(), upstream);
+        is_new
+    }
+
+    /// Takes that an entry is gone.
+    pub fn vanished(&mut self, now: Time, id: &str) {
+        let found = self.upstreams.iter_mut().find(|(known, _)| known.as_str() == id);
+        if let Some((_, upstream)) = found
+            && upstream.presence == Presence::Listed
+        {
+            upstream.presence = Presence::Vanished(now);
+        }
+    }
+
+    /// Takes that an upstream is leaving, as a peer has heard.
+    pub fn leaving(&mut self, id: &UpstreamId) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.record.draining = true;
+        }
+    }
+
+    /// Returns the upstreams that are leaving, for the peers.
+    pub fn all_leaving(&self) -> Vec<UpstreamId> {
+        let leaving = |record: &&UpstreamRecord| record.draining;
+        self.listed().filter(leaving).map(|record| record.id.clone()).collect()
+    }
+
+    /// Takes that only these entries are listed; all others have vanished.
+    pub fn retain_listed(&mut self, now: Time, listed: &[UpstreamId]) {
+        let missing: Vec<_> =
+            self.upstreams.keys().filter(|id| !listed.contains(id)).cloned().collect();
+        for id in missing {
+            self.vanished(now, id.as_str());
+        }
+    }
+
+    /// Takes that the store does not answer.
+    pub fn store_lost(&mut self) {
+        self.store_away = true;
+    }
+
+    /// Takes that the store answers again.
+    pub fn store_regained(&mut self, now: Time) {
+        if std::mem::take(&mut self.store_away) {
+            self.store_back = Some(now);
+        }
+    }
+
+    /// Forgets upstreams that vanished so long ago that nothing can return to them.
+    pub fn forget_gone(&mut self, now: Time) -> Vec<UpstreamId> {
+        let keep = |upstream: &Upstream| match upstream.presence {
+            Presence::Listed => true,
+            Presence::Vanished(at) => {
+                self.store_away || now.since(at) < RETURN_GRACE.max(LAST_RESORT) * 2
+            }
+        };
+        let gone: Vec<_> =
+            self.upstreams.values().filter(|u| !keep(u)).map(|u| u.record.id.clone()).collect();
+        for id in &gone {
+            self.upstreams.shift_remove(id);
+        }
+        gone
+    }
+
+    fn is_live(&self, now: Time, upstream: &Upstream) -> bool {
+        if upstream.record.draining {
+            return false;
+        }
+        match upstream.presence {
+            Presence::Listed => true,
+            Presence::Vanished(at) => {
+                let lapsed = |back: Time| now.since(back) < RETURN_GRACE && at.since(back) < RETURN_GRACE;
+                let grace = now.since(at) < RETURN_GRACE;
+                grace && (self.store_away || self.store_back.is_some_and(lapsed))
+            }
+        }
+    }
+
+    /// Returns the upstreams of a service that may take new work.
+    pub fn live(&self, now: Time, service: &ServiceName) -> Vec<&Upstream> {
+        let of_service = || self.upstreams.values().filter(|u| u.record.service == *service);
+        let live: Vec<_> = of_service().filter(|u| self.is_live(now, u)).collect();
+        if !live.is_empty() {
+            return live;
+        }
+        let last_resort = |upstream: &&Upstream| {
+            let recent = |at: Time| now.since(at) < LAST_RESORT;
+            !upstream.record.draining
+                && matches!(upstream.presence, Presence::Vanished(at) if recent(at))
+        };
+        of_service().filter(last_resort).collect()
+    }
+
+    /// Returns an upstream by its id.
+    pub fn get(&self, id: &UpstreamId) -> Option<&Upstream> {
+        self.upstreams.get(id)
+    }
+
+    /// Returns all upstreams that are listed.
+    pub fn listed(&self) -> impl Iterator<Item = &UpstreamRecord> {
+        let listed = |upstream: &&Upstream| upstream.presence == Presence::Listed;
+        self.upstreams.values().filter(listed).map(|upstream| &upstream.record)
+    }
+
+    /// Says whether a service has a listed upstream of a version.
+    pub fn has_version(&self, service: &ServiceName, version: &VersionName) -> bool {
+        let of_version =
+            |r: &UpstreamRecord| r.service == *service && r.version == *version && !r.draining;
+        self.listed().any(of_version)
+    }
+}
--- /dev/null
+++ b/gateway/src/forward/admission.rs
@@ -0,0 +1,117 @@
+//! What is decided about a request before any upstream is chosen.
+
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+
+use dogwoodturn::{
+    ids::{CustomerName, ServiceName},
+    units::Time,
+};
+
+use crate::{
+    gateway::Gateway,
+    quota::Charge,
+    request::{OwnAnswer, Progress, Request},
+    suspect::Digest,
+    table::{Route, Table},
+};
+
+/// When a caller may come back while the daemon knows no configuration.
+const RETRY_WHEN_STARTING: Duration = Duration::from_millis(500);
+/// The urgency of the first rank at an upstream; lower ranks follow.
+const FIRST_URGENCY: u8 = 3;
+/// The last urgency that upstreams know.
+const LAST_URGENCY: u8 = 9;
+
+/// A request that may go to an upstream.
+pub struct Admitted {
+    cx: Rc<Gateway>,
+    pub(super) table: Arc<Table>,
+    pub(super) route: Arc<Route>,
+    pub(super) service: ServiceName,
+    pub(super) customer: Option<CustomerName>,
+    pub(super) urgency: u8,
+    pub(super) digest: Digest,
+    /// When the caller or the route gives up.
+    pub(super) ends: Time,
+    charge: Option<Charge>,
+    has_run: Cell<bool>,
+}
+
+impl Admitted {
+    /// Takes that an upstream may have run the request, so that its charge stands.
+    pub(super) fn may_have_run(&self) {
+        self.has_run.set(true);
+    }
+
+    /// Takes that each upstream that got the request said that it did not run it.
+    pub(super) fn has_not_run(&self) {
+        self.has_run.set(false);
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        if let (Some(customer), Some(charge), false) = (&self.customer, self.charge, self.has_run.get())
+        {
+            self.cx.state.borrow_mut().quotas.refund(customer, charge);
+        }
+    }
+}
+
+/// Finds the route and the customer of a request and charges the quota.
+pub fn admit(cx: &Rc<Gateway>, req: &Request) -> Result<Admitted, OwnAnswer> {
+    let now = cx.now();
+    let unsent = || Progress::NotRun.not_run().expect("nothing was sent");
+    let mut state = cx.state.borrow_mut();
+    let Some(table) = state.table.clone() else {
+        return Err(OwnAnswer::refused(unsent(), "refused-starting", RETRY_WHEN_STARTING));
+    };
+    let host = req.head.headers.text("host").unwrap_or_default();
+    let Some(route) = table.route(host, req.head.path()).cloned() else {
+        return Err(OwnAnswer::denied(404, "denied-no-route"));
+    };
+    let customer = if route.anonymous || table.customers.is_empty() {
+        None
+    } else {
+        let key = req.key(&cx.dialect).and_then(|key| table.keys.get(key));
+        Some(key.cloned().ok_or_else(|| OwnAnswer::denied(401, "denied-key"))?)
+    };
+    let Some(service) = route.service(req.hash).cloned() else {
+        return Err(OwnAnswer::refused(unsent(), "refused-no-service", RETRY_WHEN_STARTING));
+    };
+    let digest = req.digest(customer.as_ref());
+    if state.suspects.is_refused(now, digest) {
+        let later = Duration::from_secs(10);
+        return Err(OwnAnswer::refused(unsent(), "refused-crashes-upstreams", later));
+    }
+    let waits = req.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let known = customer.as_ref().and_then(|name| table.customers.get(name));
+    let mut charge = None;
+    if let Some((customer, quota)) = known.and_then(|known| known.quota.map(|quota| (known, quota))) {
+        let tokens = req.prompt.input + req.prompt.output;
+        let units = match quota.counts_tokens {
+            true if tokens > 0 => tokens,
+            true => quota.default_tokens,
+            false => 1,
+        };
+        let peers = state.mesh.spent(now, &customer.name);
+        let admitted = state.quotas.admit(now, &customer.name, quota, units, peers);
+        charge = Some(admitted.map_err(|room_in| {
+            OwnAnswer::over_quota(unsent(), room_in.min(waits / super::RETRY_SHARE))
+        })?);
+    }
+    state.retries.request(now, &service);
+    let rank = known.and_then(|known| known.priority).unwrap_or(route.priority);
+    Ok(Admitted {
+        cx: cx.clone(),
+        ends: req.arrived + waits,
+        urgency: (FIRST_URGENCY + rank).min(LAST_URGENCY),
+        table,
+        route,
+        service,
+        customer,
+        digest,
+        charge,
+        has_run: Cell::new(false),
+    })
+}
--- /dev/null
+++ b/gateway/src/forward/attempt.rs
@@ -0,0 +1,292 @@
+//! One request at one upstream, up to the head of its answer.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use dogwoodturn::{
+    ids::{RouteName, ServiceName},
+    units::Time,
+};
+use tokio::{io::Interest, time::timeout};
+
+use crate::{
+    forward::admission::Admitted,
+    gateway::Gateway,
+    http::{
+        connection::{Connection, MAX_RESPONSE_HEAD},
+        head::ResponseHead,
+    },
+    placement::{Ticket, Verdict},
+    request::{Forwarded, Request},
+    store::UpstreamRecord,
+    suspect::Digest,
+};
+
+/// How long a connection may take to open; a data centre is a few milliseconds away.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// How many answers to other requests are passed over before a connection is given up.
+const MAX_FOREIGN_ANSWERS: u32 = 2;
+/// How many times its predicted time a request that may be repeated waits for a head.
+const HANG_FACTOR: u32 = 4;
+/// The part of the time left after which such a request is tried elsewhere.
+const HANG_SHARE: u32 = 2;
+/// Taken off the time that an upstream is given, so that its own time-out arrives in time.
+const ANSWER_TRAVEL: Duration = Duration::from_millis(10);
+/// How long after a broken connection its upstream is asked whether it is still there.
+const CRASH_CHECK_AFTER: Duration = Duration::from_millis(60);
+
+/// What sending came to.
+pub enum Sent {
+    /// No connection could be opened; nothing was sent.
+    Unreachable,
+    /// The upstream said that it did not run the request.
+    NotRun,
+    /// The connection broke before an answer to the request.
+    Broken,
+    /// No answer came in time.
+    TimedOut,
+    /// The head of the answer.
+    Head(ResponseHead),
+}
+
+/// One request at one upstream; what it tells of the upstream is counted when it is dropped.
+pub struct Attempt {
+    cx: Rc<Gateway>,
+    pub(super) upstream: UpstreamRecord,
+    pub(super) service: ServiceName,
+    route: RouteName,
+    target: Duration,
+    digest: Digest,
+    pub(super) ticket: Ticket,
+    pub(super) connection: Option<Connection>,
+    /// Whether the upstream has taken the whole request.
+    pub(super) is_taken: bool,
+    has_failed: bool,
+    first_answer: Option<Duration>,
+    verdict: Verdict,
+}
+
+impl Attempt {
+    pub(super) fn new(
+        cx: &Rc<Gateway>,
+        admitted: &Admitted,
+        upstream: UpstreamRecord,
+        ticket: Ticket,
+    ) -> Self {
+        Self {
+            cx: cx.clone(),
+            service: admitted.service.clone(),
+            route: admitted.route.name.clone(),
+            target: admitted.route.target,
+            digest: admitted.digest,
+            upstream,
+            ticket,
+            connection: None,
+            is_taken: false,
+            has_failed: false,
+            first_answer: None,
+            verdict: Verdict::Unknown,
+        }
+    }
+
+    /// Ends the attempt and closes its connection.
+    pub(super) fn end(mut self, verdict: Verdict) {
+        self.verdict = verdict;
+        self.has_failed = verdict != Verdict::Answered;
+    }
+
+    /// Sets how the attempt ends.
+    pub(super) fn judge(&mut self, verdict: Verdict) {
+        self.verdict = verdict;
+        self.has_failed = verdict != Verdict::Answered;
+    }
+
+    /// Takes that the first event, or the whole answer, has arrived.
+    pub(super) fn answered(&mut self) {
+        let now = self.cx.now();
+        if self.first_answer.is_none() {
+            self.first_answer = Some(now.since(self.ticket.chosen));
+            self.cx.state.borrow_mut().placement.answered(now, &self.service, &mut self.ticket);
+        }
+    }
+
+    /// Gives the connection back for the next request.
+    pub(super) fn keep_connection(&mut self, head: &ResponseHead) {
+        let Some(connection) = self.connection.take() else { return };
+        if !head.keep_alive || !self.is_taken || !connection.is_quiet() {
+            return;
+        }
+        let granted = head.headers.text("keep-alive").and_then(idle_time);
+        let now = self.cx.now();
+        self.cx.pool.borrow_mut().put(now, &self.upstream.id, connection, granted);
+    }
+
+    /// Sends the request and reads the head of its answer.
+    ///
+    /// `may_try_again` says that another upstream could be asked, so that a silent one is left.
+    pub(super) async fn send(
+        &mut self,
+        req: &Request,
+        admitted: &Admitted,
+        last_event: Option<u64>,
+        may_try_again: bool,
+    ) -> Sent {
+        let mut connection = match self.connect(admitted.ends).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                self.cx.state.borrow_mut().placement.unreachable(self.cx.now(), &self.upstream.id);
+                log::warn!(event = "unreachable", request:% = req.id, upstream:% = self.upstream.id, error:%; "");
+                return Sent::Unreachable;
+            }
+        };
+        let left = admitted.ends.since(self.cx.now());
+        let to = Forwarded {
+            left: left.saturating_sub(ANSWER_TRAVEL),
+            upstream: self.upstream.id.as_str(),
+            customer: admitted.customer.as_ref(),
+            urgency: admitted.table.services.get(&self.service).and_then(|service| service.engine).map(|_| admitted.urgency),
+            last_event,
+        };
+        let bytes = req.for_upstream(&self.cx.dialect, &to);
+        let patience = match may_try_again {
+            true => (self.ticket.predicted.max(admitted.route.target) * HANG_FACTOR).min(left / HANG_SHARE),
+            false => left,
+        };
+        admitted.may_have_run();
+        let answer = timeout(patience, self.exchange(&mut connection, &bytes, req)).await;
+        match answer {
+            Err(_) => {
+                log::warn!(event = "silent", request:% = req.id, upstream:% = self.upstream.id, patience_ms = patience.as_millis() as u64; "");
+                Sent::TimedOut
+            }
+            Ok(Err(error)) => {
+                log::warn!(event = "broken", request:% = req.id, upstream:% = self.upstream.id, reused = connection.reused, error:%; "");
+                drop(connection);
+                self.check_crash();
+                Sent::Broken
+            }
+            Ok(Ok(head)) => {
+                if let Some(load) = head.headers.text(self.cx.dialect.load).and_then(self.cx.dialect.read_load) {
+                    self.cx.state.borrow_mut().placement.told(self.cx.now(), &self.upstream.id, load);
+                }
+                self.connection = Some(connection);
+                if is_not_run(&head, self.cx.dialect.not_run) {
+                    log::info!(event = "not-run", request:% = req.id, upstream:% = self.upstream.id, status = head.status; "");
+                    return Sent::NotRun;
+                }
+                Sent::Head(head)
+            }
+        }
+    }
+
+    async fn connect(&self, ends: Time) -> io::Result<Connection> {
+        let now = self.cx.now();
+        let kept = self.cx.pool.borrow_mut().take(now, &self.upstream.id);
+        if let Some(connection) = kept {
+            return Ok(connection);
+        }
+        self.cx.metrics.connections.inc();
+        Connection::open(self.upstream.address, ends.since(now).min(CONNECT_TIMEOUT)).await
+    }
+
+    /// Writes the request while an answer may already come, and reads the head of its own answer.
+    async fn exchange(
+        &mut self,
+        connection: &mut Connection,
+        bytes: &[u8],
+        req: &Request,
+    ) -> io::Result<ResponseHead> {
+        let mut sent = 0;
+        while sent < bytes.len() {
+            let ready = connection.stream.ready(Interest::READABLE | Interest::WRITABLE).await?;
+            if ready.is_writable() {
+                match connection.stream.try_write(&bytes[sent..]) {
+                    Ok(written) => sent += written,
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(error) => return Err(error),
+                }
+            }
+            if ready.is_readable() && sent < bytes.len() {
+                match connection.stream.try_read_buf(&mut connection.buf) {
+                    Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                    Ok(_) => {
+                        let head = ResponseHead::take(&mut connection.buf, MAX_RESPONSE_HEAD, req.is_head());
+                        if let Ok(Some(head)) = head {
+                            return self.own_answer(connection, head, req).await;
+                        }
+                    }
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(error) => return Err(error),
+                }
+            }
+        }
+        self.is_taken = true;
+        let head = connection.read_head(req.is_head()).await?;
+        self.own_answer(connection, head, req).await
+    }
+
+    /// Passes over late answers to earlier requests of the connection.
+    async fn own_answer(
+        &mut self,
+        connection: &mut Connection,
+        mut head: ResponseHead,
+        req: &Request,
+    ) -> io::Result<ResponseHead> {
+        for _ in 0..MAX_FOREIGN_ANSWERS {
+            let echoed = head.headers.text(self.cx.dialect.request_id);
+            let is_own = match echoed {
+                Some(id) => *id == *req.id,
+                None => is_not_run(&head, self.cx.dialect.not_run),
+            };
+            if is_own {
+                return Ok(head);
+            }
+            log::warn!(event = "foreign-answer", request:% = req.id, upstream:% = self.upstream.id, echoed = echoed.unwrap_or("-"); "");
+            // What follows such an answer is not to be trusted with another request.
+            self.is_taken = false;
+            connection.read_whole(&head, MAX_RESPONSE_HEAD).await?;
+            head = connection.read_head(req.is_head()).await?;
+        }
+        Err(io::Error::new(io::ErrorKind::InvalidData, "only answers to other requests"))
+    }
+
+    /// Counts the request as one that crashes upstreams if its upstream is gone a moment later.
+    pub(super) fn check_crash(&self) {
+        let (cx, address, digest): (_, SocketAddr, _) =
+            (self.cx.clone(), self.upstream.address, self.digest);
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(CRASH_CHECK_AFTER).await;
+            if Connection::open(address, CONNECT_TIMEOUT).await.is_err() {
+                cx.state.borrow_mut().suspects.crashed(cx.now(), digest);
+            }
+        });
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        let now = self.cx.now();
+        let waited = now.since(self.ticket.chosen);
+        let left_late = self.verdict == Verdict::Unknown && waited > self.target;
+        let first_answer = self.first_answer.or(left_late.then_some(waited));
+        let is_told = self.verdict != Verdict::Unknown || first_answer.is_some();
+        let mut state = self.cx.state.borrow_mut();
+        state.placement.ended(now, &self.service, &self.ticket, self.verdict);
+        if is_told {
+            let (version, route) = (&self.upstream.version, &self.route);
+            let failed = self.has_failed;
+            let timed = first_answer.filter(|_| !failed);
+            state.rollouts.ended(&self.service, version, route, failed, timed);
+        }
+    }
+}
+
+/// Says whether an upstream stated that it did not run the request.
+fn is_not_run(head: &ResponseHead, not_run: &str) -> bool {
+    head.status == 421 || (head.status >= 400 && head.headers.get(not_run).is_some())
+}
+
+/// Reads the idle time out of a `Keep-Alive` value such as `timeout=5, max=100`.
+fn idle_time(value: &str) -> Option<Duration> {
+    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/gateway/src/forward/mod.rs
@@ -0,0 +1,344 @@
+//! From a request that was read whole to its one answer.
+//!
+//! [`admission`] decides without any upstream, [`attempt`] sends the request to one upstream and
+//! reads its head, [`relay`] passes the answer on. What may be answered when no upstream does
+//! follows from [`Progress`]: a refusal needs the proof that nothing ran.
+
+mod admission;
+mod attempt;
+mod relay;
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::{BufMut as _, Bytes, BytesMut};
+use dogwoodturn::ids::UpstreamId;
+use tokio::{io::AsyncWriteExt as _, net::tcp::WriteHalf, time::timeout};
+
+use crate::{
+    forward::{
+        admission::Admitted,
+        attempt::{Attempt, Sent},
+        relay::Relayed,
+    },
+    gateway::Gateway,
+    http::{body::LAST_CHUNK, body::put_chunk, head::ResponseHead},
+    placement::{Choice, Need, Verdict},
+    request::{NotRun, OwnAnswer, Progress, Request, phrase, put_header},
+};
+
+/// Connections that could not be opened, one after the other, before a request is given up.
+const MAX_UNREACHABLE: u32 = 3;
+/// When a caller may come back if no upstream takes work; starts and returns take seconds.
+const RETRY_WHEN_NOBODY: Duration = Duration::from_millis(700);
+/// When a caller may come back after an upstream refused its request.
+const RETRY_WHEN_REFUSED: Duration = Duration::from_millis(250);
+/// The part of the time left after which callers no longer come back.
+const RETRY_SHARE: u32 = 3;
+
+/// Where a request's connection stands after its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The answer is whole.
+    Answered,
+    /// The answer broke off; the connection has to show it.
+    Cut,
+}
+
+/// The caller's side of one exchange.
+pub struct Out<'a> {
+    stream: WriteHalf<'a>,
+    /// Whether the connection may carry another request.
+    pub keep_alive: bool,
+    has_head: bool,
+}
+
+impl<'a> Out<'a> {
+    /// Begins an answer on a caller's connection.
+    pub fn new(stream: WriteHalf<'a>, keep_alive: bool) -> Self {
+        Self { stream, keep_alive, has_head: false }
+    }
+
+    async fn write(&mut self, bytes: &[u8], left: Duration) -> bool {
+        matches!(timeout(left, self.stream.write_all(bytes)).await, Ok(Ok(())))
+    }
+
+    /// Writes an answer of the gateway's own.
+    pub async fn own(&mut self, cx: &Gateway, id: &str, answer: &OwnAnswer) -> Ending {
+        self.keep_alive &= !answer.closes();
+        let bytes = answer.write(&cx.dialect, id, self.keep_alive);
+        self.has_head = true;
+        // A caller that does not take a few hundred bytes within its idle time has left.
+        let is_written = self.write(&bytes, Duration::from_secs(5)).await;
+        if is_written { Ending::Answered } else { Ending::Cut }
+    }
+
+    fn head(&mut self, head: &ResponseHead, length: Option<usize>) -> BytesMut {
+        let mut out = BytesMut::with_capacity(512);
+        out.put_slice(format!("HTTP/1.1 {} {}\r\n", head.status, phrase(head.status)).as_bytes());
+        for (name, value) in head.headers.end_to_end() {
+            put_header(&mut out, name, value);
+        }
+        match length {
+            Some(length) => put_header(&mut out, b"Content-Length", length.to_string().as_bytes()),
+            None => put_header(&mut out, b"Transfer-Encoding", b"chunked"),
+        }
+        if !self.keep_alive {
+            put_header(&mut out, b"Connection", b"close");
+        }
+        out.put_slice(b"\r\n");
+        self.has_head = true;
+        out
+    }
+
+    /// Writes a whole answer of an upstream.
+    async fn whole(&mut self, head: &ResponseHead, body: &[u8], left: Duration) -> Ending {
+        let mut out = self.head(head, Some(body.len()));
+        out.put_slice(body);
+        if self.write(&out, left).await { Ending::Answered } else { Ending::Cut }
+    }
+
+    /// Writes the next piece of an answer in chunks, with the head before the first one.
+    async fn piece(
+        &mut self,
+        head: &ResponseHead,
+        data: &[u8],
+        is_last: bool,
+        left: Duration,
+    ) -> bool {
+        let mut out = if self.has_head { BytesMut::new() } else { self.head(head, None) };
+        put_chunk(&mut out, data);
+        if is_last {
+            out.put_slice(LAST_CHUNK);
+        }
+        self.write(&out, left).await
+    }
+}
+
+/// One request on its way.
+struct Exchange<'a> {
+    cx: &'a Rc<Gateway>,
+    req: &'a Request,
+    admitted: Admitted,
+    progress: Progress,
+    tried: Vec<UpstreamId>,
+    unreachable: u32,
+    /// The answer of an upstream with a failure, kept while another one is tried.
+    failure: Option<(ResponseHead, Bytes)>,
+    /// The head that the caller has been sent, and the last event after it.
+    first_head: Option<ResponseHead>,
+    last_event: Option<u64>,
+}
+
+/// Answers a request.
+pub async fn answer(cx: &Rc<Gateway>, req: &Request, out: &mut Out<'_>) -> Ending {
+    let admitted = match admission::admit(cx, req) {
+        Ok(admitted) => admitted,
+        Err(own) => {
+            cx.metrics.ended("", own.reason);
+            log::info!(event = "refused", request:% = req.id, reason = own.reason, status = own.status(); "");
+            return out.own(cx, &req.id, &own).await;
+        }
+    };
+    let mut exchange = Exchange {
+        cx,
+        req,
+        admitted,
+        progress: Progress::default(),
+        tried: Vec::new(),
+        unreachable: 0,
+        failure: None,
+        first_head: None,
+        last_event: req.last_event,
+    };
+    exchange.run(out).await
+}
+
+impl Exchange<'_> {
+    async fn run(&mut self, out: &mut Out<'_>) -> Ending {
+        loop {
+            let mut attempt = match self.choose() {
+                Ok(attempt) => attempt,
+                Err(own) => return self.give_up(out, &own).await,
+            };
+            let sent = attempt.send(self.req, &self.admitted, self.last_event, self.may_try_again()).await;
+            match sent {
+                Sent::Unreachable => {
+                    self.unreachable += 1;
+                    attempt.end(Verdict::Broken);
+                    if self.unreachable < MAX_UNREACHABLE {
+                        continue;
+                    }
+                    let own = self.refusal_or_loss("refused-unreachable", RETRY_WHEN_REFUSED);
+                    return self.give_up(out, &own).await;
+                }
+                Sent::NotRun => {
+                    if self.progress == Progress::NotRun {
+                        self.admitted.has_not_run();
+                    }
+                    attempt.end(Verdict::Failed);
+                    if self.may_repeat() {
+                        continue;
+                    }
+                    let own = self.refusal_or_loss("refused-by-upstream", RETRY_WHEN_REFUSED);
+                    return self.give_up(out, &own).await;
+                }
+                Sent::Broken => {
+                    self.progress = Progress::MayHaveRun;
+                    attempt.end(Verdict::Broken);
+                    if self.admitted.route.repeatability.may_repeat() && self.may_repeat() {
+                        continue;
+                    }
+                    return self.give_up(out, &OwnAnswer::lost("lost-by-upstream")).await;
+                }
+                Sent::TimedOut => {
+                    self.progress = Progress::MayHaveRun;
+                    attempt.end(Verdict::Broken);
+                    let repeats = self.admitted.route.repeatability.may_repeat();
+                    if repeats && !self.left().is_zero() && self.may_repeat() {
+                        continue;
+                    }
+                    return self.give_up(out, &OwnAnswer::timed_out()).await;
+                }
+                Sent::Head(head) => {
+                    self.progress = Progress::MayHaveRun;
+                    match self.relay(&mut attempt, head, out).await {
+                        Relayed::Done(ending) => return ending,
+                        Relayed::TryAgain => {}
+                    }
+                }
+            }
+        }
+    }
+
+    fn left(&self) -> Duration {
+        self.admitted.ends.since(self.cx.now())
+    }
+
+    /// Chooses the next upstream, or says why the request has to end here.
+    fn choose(&mut self) -> Result<Attempt, OwnAnswer> {
+        let now = self.cx.now();
+        let left = self.left();
+        if left.is_zero() {
+            return Err(self.time_is_up());
+        }
+        let admitted = &self.admitted;
+        let mut state = self.cx.state.borrow_mut();
+        let table = &admitted.table;
+        let service = table.services.get(&admitted.service);
+        let rollouts = std::mem::take(&mut state.rollouts);
+        let need = Need {
+            service: &admitted.service,
+            engine: service.and_then(|service| service.engine),
+            prompt: &self.req.prompt,
+            near: &self.cx.settings.data_centre,
+            target: admitted.route.target,
+            left,
+            tried: &self.tried,
+            versions: rollouts.rule(&admitted.service, self.req.hash),
+        };
+        let choice = state.choose(now, &need);
+        state.rollouts = rollouts;
+        match choice {
+            Choice::Upstream(ticket) => {
+                let upstream = state.directory.get(&ticket.upstream).map(|u| u.record.clone());
+                drop(state);
+                let Some(upstream) = upstream else {
+                    return Err(self.refusal_or_loss("refused-nobody", RETRY_WHEN_NOBODY));
+                };
+                self.tried.push(ticket.upstream.clone());
+                Ok(Attempt::new(self.cx, &self.admitted, upstream, ticket))
+            }
+            Choice::Refused { retry_after, wait } => {
+                drop(state);
+                let wait_ms = wait.as_millis() as u64;
+                log::debug!(event = "wait-too-long", request:% = self.req.id, wait_ms; "");
+                Err(self.refusal_or_loss("refused-wait", retry_after))
+            }
+            Choice::Nobody => {
+                drop(state);
+                Err(self.refusal_or_loss("refused-nobody", RETRY_WHEN_NOBODY))
+            }
+        }
+    }
+
+    fn time_is_up(&self) -> OwnAnswer {
+        match self.progress.not_run() {
+            Some(proof) => OwnAnswer::refused(proof, "refused-late", RETRY_WHEN_REFUSED),
+            None => OwnAnswer::timed_out(),
+        }
+    }
+
+    fn refusal_or_loss(&self, reason: &'static str, retry_after: Duration) -> OwnAnswer {
+        match self.progress.not_run() {
+            Some(proof) => self.refuse(proof, reason, retry_after),
+            None => OwnAnswer::lost("lost-no-other-upstream"),
+        }
+    }
+
+    fn refuse(&self, proof: NotRun, reason: &'static str, retry_after: Duration) -> OwnAnswer {
+        // Callers spread out, so that those refused together do not return together.
+        let spread = retry_after.mul_f64((self.req.hash % 1000) as f64 / 2000.0);
+        let latest = self.left() / RETRY_SHARE;
+        OwnAnswer::refused(proof, reason, (retry_after + spread).min(latest))
+    }
+
+    /// Says whether another upstream could be asked, without taking it from the budget.
+    fn may_try_again(&self) -> bool {
+        let route = &self.admitted.route;
+        route.repeatability.may_repeat() && (self.tried.len() as u32) < route.max_attempts + self.unreachable
+    }
+
+    /// Takes a second send out of the budget if the route allows one.
+    fn may_repeat(&mut self) -> bool {
+        let sent = self.tried.len() as u32 - self.unreachable;
+        if sent >= self.admitted.route.max_attempts {
+            return false;
+        }
+        let now = self.cx.now();
+        let mut state = self.cx.state.borrow_mut();
+        let daemons = state.mesh.size();
+        let allowed = state.retries.try_repeat(now, &self.admitted.service, daemons);
+        if allowed {
+            self.cx.metrics.repeats.inc();
+        }
+        allowed
+    }
+
+    /// Ends the request without an upstream's success.
+    async fn give_up(&mut self, out: &mut Out<'_>, own: &OwnAnswer) -> Ending {
+        let route = self.admitted.route.name.as_str();
+        if self.first_head.is_some() {
+            self.log("cut", 0);
+            self.cx.metrics.ended(route, "cut");
+            return Ending::Cut;
+        }
+        if let Some((head, body)) = self.failure.take() {
+            self.log("upstream-failure", head.status);
+            self.cx.metrics.ended(route, "upstream-failure");
+            return out.whole(&head, &body, self.left().max(Duration::from_secs(1))).await;
+        }
+        self.log(own.reason, own.status());
+        self.cx.metrics.ended(route, own.reason);
+        out.own(self.cx, &self.req.id, own).await
+    }
+
+    /// Writes the one line that explains how a request ended.
+    fn log(&self, outcome: &'static str, status: u16) {
+        let ms = self.cx.now().since(self.req.arrived).as_millis() as u64;
+        let upstream = self.tried.last().map_or("-", UpstreamId::as_str);
+        log::info!(
+            event = "request",
+            request:% = self.req.id,
+            route:% = self.admitted.route.name,
+            customer = self.admitted.customer.as_ref().map_or("-", |name| name.as_str()),
+            table = self.admitted.table.version,
+            outcome,
+            status,
+            ms,
+            upstream,
+            attempts = self.tried.len(),
+            tokens = self.req.prompt.input;
+            ""
+        );
+    }
+}
--- /dev/null
+++ b/gateway/src/forward/relay.rs
@@ -0,0 +1,229 @@
+//! Passes an upstream's answer on to the caller.
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use tokio::time::timeout;
+
+use crate::{
+    forward::{Ending, Exchange, Out, attempt::Attempt},
+    http::{
+        body::{BodyDecoder, Step},
+        connection::Connection,
+        head::{Framing, ResponseHead},
+    },
+    placement::Verdict,
+    request::OwnAnswer,
+    sse::EventBuffer,
+};
+
+/// The longest answer that is read whole before it is passed on, so that a broken one can still be
+/// asked for again or be told as a failure.
+const MAX_WHOLE: usize = 256 * 1024;
+/// How long a stream that may be resumed elsewhere may be silent, in allowed pauses.
+const SILENT_PAUSES: u32 = 3;
+/// The allowed pause where a route names none.
+const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
+/// The shortest time for which the last bytes of an answer are written.
+const LAST_WRITE: Duration = Duration::from_millis(500);
+
+/// What passing on an answer came to.
+pub enum Relayed {
+    /// The request has ended.
+    Done(Ending),
+    /// The answer broke and another upstream may be asked.
+    TryAgain,
+}
+
+enum Fed {
+    More,
+    End,
+    Broken(&'static str),
+}
+
+impl Exchange<'_> {
+    /// Passes on the answer of an attempt.
+    pub(super) async fn relay(
+        &mut self,
+        attempt: &mut Attempt,
+        head: ResponseHead,
+        out: &mut Out<'_>,
+    ) -> Relayed {
+        let is_stream = self.admitted.route.repeatability.is_stream();
+        let is_success = (200..300).contains(&head.status);
+        let is_long = matches!(head.framing, Framing::Length(length) if length > MAX_WHOLE as u64);
+        if self.first_head.is_some() && !is_success {
+            attempt.judge(Verdict::Failed);
+            return Relayed::Done(self.give_up(out, &OwnAnswer::lost("lost-resume-failed")).await);
+        }
+        if (is_stream && is_success) || is_long {
+            return self.relay_pieces(attempt, head, out, is_stream).await;
+        }
+        self.relay_whole(attempt, head, out).await
+    }
+
+    async fn relay_whole(
+        &mut self,
+        attempt: &mut Attempt,
+        head: ResponseHead,
+        out: &mut Out<'_>,
+    ) -> Relayed {
+        self.cx.began(self.admitted.customer.as_ref());
+        let Some(connection) = attempt.connection.as_mut() else {
+            return Relayed::Done(self.give_up(out, &OwnAnswer::lost("lost-by-upstream")).await);
+        };
+        let body = timeout(self.left(), connection.read_whole(&head, MAX_WHOLE)).await;
+        let body = match body {
+            Ok(Ok(body)) => body.freeze(),
+            Ok(Err(error)) => {
+                log::warn!(event = "broken-body", request:% = self.req.id, upstream:% = attempt.upstream.id, error:%; "");
+                attempt.judge(Verdict::Broken);
+                attempt.check_crash();
+                return self.broken(out).await;
+            }
+            Err(_) => {
+                attempt.judge(Verdict::Broken);
+                return Relayed::Done(self.give_up(out, &OwnAnswer::timed_out()).await);
+            }
+        };
+        attempt.answered();
+        let failed = head.status >= 500;
+        attempt.judge(if failed { Verdict::Failed } else { Verdict::Answered });
+        attempt.keep_connection(&head);
+        if failed && self.admitted.route.repeatability.may_repeat() && self.may_repeat() {
+            self.failure = Some((head, body));
+            return Relayed::TryAgain;
+        }
+        let outcome = if failed { "upstream-failure" } else { "answered" };
+        if !failed {
+            self.cx.state.borrow_mut().suspects.answered(self.admitted.digest);
+        }
+        self.note_first_answer();
+        self.log(outcome, head.status);
+        self.cx.metrics.ended(self.admitted.route.name.as_str(), outcome);
+        Relayed::Done(out.whole(&head, &body, self.left().max(LAST_WRITE)).await)
+    }
+
+    async fn relay_pieces(
+        &mut self,
+        attempt: &mut Attempt,
+        head: ResponseHead,
+        out: &mut Out<'_>,
+        is_stream: bool,
+    ) -> Relayed {
+        let Some(mut connection) = attempt.connection.take() else {
+            return Relayed::Done(self.give_up(out, &OwnAnswer::lost("lost-by-upstream")).await);
+        };
+        let mut decoder = BodyDecoder::new(head.framing);
+        let mut events = EventBuffer::default();
+        let pause = self.admitted.route.target_gap.unwrap_or(DEFAULT_PAUSE) * SILENT_PAUSES;
+        let mut fed = Fed::More;
+        loop {
+            let mut piece = BytesMut::new();
+            if matches!(fed, Fed::More) {
+                fed = self.feed(&mut connection, &mut decoder, &mut events, &mut piece, is_stream);
+            }
+            let is_end = matches!(fed, Fed::End);
+            if !piece.is_empty() || is_end {
+                if !self.send_piece(attempt, &head, &piece, is_end, out).await {
+                    return Relayed::Done(Ending::Cut);
+                }
+            }
+            match fed {
+                Fed::End => break,
+                Fed::Broken(reason) => {
+                    log::warn!(event = "broken-stream", request:% = self.req.id, upstream:% = attempt.upstream.id, reason; "");
+                    attempt.judge(Verdict::Broken);
+                    attempt.check_crash();
+                    return self.broken(out).await;
+                }
+                Fed::More => {}
+            }
+            let left = self.left();
+            let may_resume = is_stream && self.may_try_again();
+            let patience = if may_resume && self.first_head.is_some() { left.min(pause) } else { left };
+            fed = match timeout(patience, connection.read()).await {
+                Ok(Ok(0)) if decoder.ends_with_connection() => Fed::End,
+                Ok(Ok(0)) => Fed::Broken("closed"),
+                Ok(Ok(_)) => Fed::More,
+                Ok(Err(_)) => Fed::Broken("reset"),
+                Err(_) if left <= patience => {
+                    attempt.judge(Verdict::Broken);
+                    return Relayed::Done(self.give_up(out, &OwnAnswer::timed_out()).await);
+                }
+                Err(_) => Fed::Broken("silent"),
+            };
+        }
+        attempt.judge(Verdict::Answered);
+        attempt.connection = Some(connection);
+        attempt.keep_connection(&head);
+        self.log("answered", head.status);
+        self.cx.metrics.ended(self.admitted.route.name.as_str(), "answered");
+        self.cx.state.borrow_mut().suspects.answered(self.admitted.digest);
+        Relayed::Done(Ending::Answered)
+    }
+
+    /// Moves what was read into the next piece: whole events that the caller does not have.
+    fn feed(
+        &mut self,
+        connection: &mut Connection,
+        decoder: &mut BodyDecoder,
+        events: &mut EventBuffer,
+        piece: &mut BytesMut,
+        is_stream: bool,
+    ) -> Fed {
+        loop {
+            match decoder.step(&mut connection.buf) {
+                Ok(Step::Data(data)) if is_stream => {
+                    if events.push(&data).is_err() {
+                        return Fed::Broken("event-too-long");
+                    }
+                    while let Some(event) = events.next_event() {
+                        let is_known = event.id.is_some() && event.id <= self.last_event;
+                        if !is_known {
+                            piece.extend_from_slice(&event.bytes);
+                            self.last_event = event.id.or(self.last_event);
+                        }
+                    }
+                }
+                Ok(Step::Data(data)) => piece.extend_from_slice(&data),
+                Ok(Step::NeedsMore) => return Fed::More,
+                Ok(Step::End) => {
+                    piece.extend_from_slice(&events.rest());
+                    return Fed::End;
+                }
+                Err(_) => return Fed::Broken("malformed"),
+            }
+        }
+    }
+
+    async fn send_piece(
+        &mut self,
+        attempt: &mut Attempt,
+        head: &ResponseHead,
+        piece: &[u8],
+        is_end: bool,
+        out: &mut Out<'_>,
+    ) -> bool {
+        attempt.answered();
+        if self.first_head.is_none() {
+            self.cx.began(self.admitted.customer.as_ref());
+            self.note_first_answer();
+            self.first_head = Some(head.clone());
+        }
+        out.piece(head, piece, is_end, self.left().max(LAST_WRITE)).await
+    }
+
+    /// Goes on at another upstream if the route and the budget allow it.
+    async fn broken(&mut self, out: &mut Out<'_>) -> Relayed {
+        if self.admitted.route.repeatability.may_repeat() && self.may_repeat() {
+            return Relayed::TryAgain;
+        }
+        Relayed::Done(self.give_up(out, &OwnAnswer::lost("lost-by-upstream")).await)
+    }
+
+    fn note_first_answer(&self) {
+        let after = self.cx.now().since(self.req.arrived);
+        self.cx.metrics.answered(self.admitted.route.name.as_str(), after);
+    }
+}
--- /dev/null
+++ b/gateway/src/gateway.rs
@@ -0,0 +1,261 @@
+//! The state of one gateway, and the moments at which its parts meet.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use dogwoodturn::{
+    ids::{CustomerName, Incarnation, ServiceName, UpstreamId},
+    units::{Time, WallTime},
+};
+use indexmap::IndexSet;
+use nix::time::{ClockId, clock_gettime};
+use tokio::sync::Notify;
+
+use crate::{
+    dialect::Dialect,
+    directory::Directory,
+    lease::Lease,
+    mesh::{Mesh, Message},
+    metrics::Metrics,
+    placement::{Choice, Need, Placement},
+    pool::Pool,
+    quota::Quotas,
+    retry::RetryBudgets,
+    rollout::Rollouts,
+    settings::Settings,
+    store::Store,
+    suspect::{Digest, Suspects},
+    table::Table,
+    usage::Usage,
+};
+
+/// All that decisions are made from.
+#[derive(Debug)]
+pub struct State {
+    /// The configuration in force.
+    pub table: Option<Arc<Table>>,
+    /// The upstreams.
+    pub directory: Directory,
+    /// The choice among them.
+    pub placement: Placement,
+    /// Customers' quotas.
+    pub quotas: Quotas,
+    /// Budgets for second sends.
+    pub retries: RetryBudgets,
+    /// Requests that crash upstreams.
+    pub suspects: Suspects,
+    /// Moves between versions.
+    pub rollouts: Rollouts,
+    /// Counts for usage reports.
+    pub usage: Usage,
+    /// The other daemons.
+    pub mesh: Mesh,
+    /// The lease of the daemon that acts for all.
+    pub lease: Lease,
+    /// Whether the upstreams were listed once.
+    pub has_upstreams: bool,
+}
+
+impl State {
+    /// Puts a newer table in force; an older one is left alone.
+    pub fn take_table(&mut self, table: Table) -> bool {
+        let is_newer = self.table.as_ref().is_none_or(|known| known.version < table.version);
+        if is_newer {
+            self.table = Some(Arc::new(table));
+        }
+        is_newer
+    }
+
+    /// Chooses an upstream for a request.
+    pub fn choose(&mut self, now: Time, need: &Need<'_>) -> Choice {
+        let live = self.directory.live(now, need.service);
+        self.placement.choose(now, &live, need)
+    }
+
+    /// Takes a peer's message.
+    pub fn take_message(&mut self, now: Time, from: std::net::SocketAddr, message: Message) {
+        for (digest, count) in &message.crashes {
+            let peer = message.daemon.as_str();
+            self.suspects.peer_counted(now, peer, Digest(*digest), *count);
+        }
+        for (service, version) in &message.holds {
+            self.rollouts.hold(service, version);
+        }
+        for upstream in &message.leaving {
+            self.directory.leaving(upstream);
+        }
+        let run = (message.daemon.clone(), message.incarnation);
+        self.usage.peer_counted(run, &message.usage);
+        self.mesh.heard(now, from, message);
+    }
+
+    /// Forgets an upstream that is gone or starts anew.
+    pub fn forget_upstream(&mut self, upstream: &UpstreamId) {
+        self.placement.forget(upstream);
+    }
+}
+
+/// One gateway; everything of it runs on one thread.
+pub struct Gateway {
+    /// The settings.
+    pub settings: Settings,
+    /// The names and formats of headers.
+    pub dialect: Dialect,
+    /// The object store and the cloud.
+    pub store: Store,
+    /// What decisions are made from.
+    pub state: RefCell<State>,
+    /// Kept connections to upstreams.
+    pub pool: RefCell<Pool>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Tells this run of the daemon from others.
+    pub incarnation: Incarnation,
+    /// Woken when the daemon begins to shut down.
+    pub stopping: Notify,
+    /// Usage windows that this run has reported or is reporting.
+    pub reported: RefCell<IndexSet<u64>>,
+    /// Services whose move's state is being recorded.
+    pub recording: RefCell<IndexSet<ServiceName>>,
+    draining: Cell<bool>,
+    in_flight: Cell<u32>,
+    messages: Cell<u64>,
+}
+
+impl Gateway {
+    /// Makes a gateway that knows nothing yet.
+    pub fn new(settings: Settings, dialect: Dialect, store: Store) -> Rc<Self> {
+        let now = clock();
+        let incarnation = Incarnation(wall_clock().0);
+        let bounds = &settings.bounds;
+        let run = format!("{}.{incarnation}", settings.name);
+        let state = State {
+            table: None,
+            directory: Directory::default(),
+            placement: Placement::default(),
+            quotas: Quotas::new(bounds.quota_window, now, settings.first_start),
+            retries: RetryBudgets::new(bounds.retries),
+            suspects: Suspects::default(),
+            rollouts: Rollouts::default(),
+            usage: Usage::new(bounds.usage_window),
+            mesh: Mesh::new(settings.name.clone()),
+            lease: Lease::new(run.into(), now),
+            has_upstreams: false,
+        };
+        Rc::new(Self {
+            settings,
+            dialect,
+            store,
+            state: RefCell::new(state),
+            pool: RefCell::default(),
+            metrics: Metrics::default(),
+            incarnation,
+            stopping: Notify::new(),
+            reported: RefCell::default(),
+            recording: RefCell::default(),
+            draining: Cell::new(false),
+            in_flight: Cell::new(0),
+            messages: Cell::new(0),
+        })
+    }
+
+    /// Returns the time on a clock that counts suspension, which leases depend on.
+    pub fn now(&self) -> Time {
+        clock()
+    }
+
+    /// Says whether new connections are welcome.
+    pub fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        !self.draining.get() && state.table.is_some() && state.has_upstreams
+    }
+
+    /// Says whether the daemon is shutting down.
+    pub fn is_draining(&self) -> bool {
+        self.draining.get()
+    }
+
+    /// Begins to shut down.
+    pub fn drain(&self) {
+        self.draining.set(true);
+        self.stopping.notify_waiters();
+    }
+
+    /// Counts a request in flight until the guard is dropped.
+    pub fn enter(self: &Rc<Self>) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        InFlight(self.clone())
+    }
+
+    /// Returns the number of requests in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Counts a request that began to run, for the usage report.
+    pub fn began(&self, customer: Option<&CustomerName>) {
+        if let Some(customer) = customer {
+            self.state.borrow_mut().usage.began(wall_clock(), customer);
+        }
+    }
+
+    /// Returns what the peers are to know.
+    pub fn message(&self) -> Message {
+        let now = self.now();
+        let state = self.state.borrow();
+        self.messages.set(self.messages.get() + 1);
+        let percent = |part: f64| (part * 100.0).round().clamp(0.0, 100.0) as u8;
+        let work = state.placement.own().into_iter().map(|(upstream, work, trouble)| {
+            (upstream, work.requests, work.unread, work.memory, percent(trouble))
+        });
+        let crashes = state.suspects.recent(now).into_iter();
+        Message {
+            daemon: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            number: self.messages.get(),
+            table: state.table.as_ref().map_or(0, |table| table.version),
+            spent: state.quotas.all_spent(now),
+            usage: state.usage.own(),
+            work: work.collect(),
+            crashes: crashes.map(|(digest, count)| (digest.0, count)).collect(),
+            tallies: state.rollouts.own(),
+            holds: state.rollouts.holds().to_vec(),
+            leaving: state.directory.all_leaving(),
+        }
+    }
+
+    /// Says whether any daemon has work at upstreams of a service other than a version's.
+    pub fn is_idle_besides(&self, service: &ServiceName, version: &dogwoodturn::ids::VersionName) -> bool {
+        let state = self.state.borrow();
+        let mut others = state
+            .directory
+            .listed()
+            .filter(|record| record.service == *service && record.version != *version);
+        others.all(|record| state.placement.work(&record.id).requests == 0)
+    }
+}
+
+/// Counts a request in flight while it lives.
+pub struct InFlight(Rc<Gateway>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+/// Returns the time since the host's start, suspension included.
+pub fn clock() -> Time {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from);
+    Time(time.unwrap_or_default().as_micros() as u64)
+}
+
+/// Returns the time of day.
+pub fn wall_clock() -> WallTime {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    WallTime(since.as_millis() as u64)
+}
--- /dev/null
+++ b/gateway/src/http/body.rs
@@ -0,0 +1,130 @@
+//! Bodies: where they end, and how one is written.
+
+use bytes::{Buf as _, BufMut as _, Bytes, BytesMut};
+use thiserror::Error;
+
+use crate::http::head::Framing;
+
+/// The longest line that gives a chunk's size, or a trailer, in bytes.
+const MAX_LINE: usize = 4096;
+
+/// Says that the bytes of a body break its framing.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("malformed chunk")]
+pub struct BadChunk;
+
+/// What [`BodyDecoder::step`] found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// More bytes have to be read first.
+    NeedsMore,
+    /// The body is whole; what is left in the buffer belongs to what follows.
+    End,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Length(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailer,
+    UntilClose,
+    Done,
+}
+
+/// Finds the end of one body in the bytes of a connection.
+#[derive(Clone, Debug)]
+pub struct BodyDecoder(State);
+
+impl BodyDecoder {
+    /// Begins a body with the framing that its head announced.
+    pub fn new(framing: Framing) -> Self {
+        Self(match framing {
+            Framing::Length(length) => State::Length(length),
+            Framing::Chunked => State::ChunkSize,
+            Framing::UntilClose => State::UntilClose,
+        })
+    }
+
+    /// Says whether the end of the connection is the proper end of the body.
+    pub fn ends_with_connection(&self) -> bool {
+        self.0 == State::UntilClose
+    }
+
+    /// Takes the next piece of the body from the front of the buffer.
+    pub fn step(&mut self, buf: &mut BytesMut) -> Result<Step, BadChunk> {
+        loop {
+            match self.0 {
+                State::Done | State::Length(0) => {
+                    self.0 = State::Done;
+                    return Ok(Step::End);
+                }
+                State::Length(left) => {
+                    let Some(data) = take_up_to(buf, left) else { return Ok(Step::NeedsMore) };
+                    self.0 = State::Length(left - data.len() as u64);
+                    return Ok(Step::Data(data));
+                }
+                State::UntilClose => {
+                    let data = take_up_to(buf, u64::MAX);
+                    return Ok(data.map_or(Step::NeedsMore, Step::Data));
+                }
+                State::ChunkSize => match httparse::parse_chunk_size(buf) {
+                    Ok(httparse::Status::Complete((length, size))) => {
+                        buf.advance(length);
+                        self.0 = if size == 0 { State::Trailer } else { State::ChunkData(size) };
+                    }
+                    Ok(httparse::Status::Partial) if buf.len() < MAX_LINE => {
+                        return Ok(Step::NeedsMore);
+                    }
+                    Ok(httparse::Status::Partial) | Err(_) => return Err(BadChunk),
+                },
+                State::ChunkData(0) => self.0 = State::ChunkEnd,
+                State::ChunkData(left) => {
+                    let Some(data) = take_up_to(buf, left) else { return Ok(Step::NeedsMore) };
+                    self.0 = State::ChunkData(left - data.len() as u64);
+                    return Ok(Step::Data(data));
+                }
+                State::ChunkEnd => {
+                    if buf.len() < 2 {
+                        return Ok(Step::NeedsMore);
+                    }
+                    if !buf.starts_with(b"\r\n") {
+                        return Err(BadChunk);
+                    }
+                    buf.advance(2);
+                    self.0 = State::ChunkSize;
+                }
+                State::Trailer => {
+                    let Some(end) = buf.windows(2).position(|pair| pair == b"\r\n") else {
+                        let too_long = buf.len() > MAX_LINE;
+                        return if too_long { Err(BadChunk) } else { Ok(Step::NeedsMore) };
+                    };
+                    buf.advance(end + 2);
+                    if end == 0 {
+                        self.0 = State::Done;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn take_up_to(buf: &mut BytesMut, most: u64) -> Option<Bytes> {
+    let length = usize::try_from(most).unwrap_or(usize::MAX).min(buf.len());
+    (length > 0).then(|| buf.split_to(length).freeze())
+}
+
+/// Appends one chunk; an empty one would end the body, so it is left out.
+pub fn put_chunk(out: &mut BytesMut, data: &[u8]) {
+    if !data.is_empty() {
+        out.put_slice(format!("{:x}\r\n", data.len()).as_bytes());
+        out.put_slice(data);
+        out.put_slice(b"\r\n");
+    }
+}
+
+/// The bytes that end a body in chunks.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
--- /dev/null
+++ b/gateway/src/http/connection.rs
@@ -0,0 +1,118 @@
+//! Connections with time-outs of their own, since a silent peer shows in no other way.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+    time::timeout,
+};
+
+use crate::http::{
+    body::{BodyDecoder, Step},
+    head::ResponseHead,
+};
+
+/// How long unacknowledged bytes may stay in flight; a data centre is a few milliseconds away.
+const USER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long a connection is idle before the peer is probed.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+/// The room that a read asks for; most heads and events are shorter.
+const READ_BYTES: usize = 4096;
+/// The longest head that a server or the store may send, in bytes.
+pub const MAX_RESPONSE_HEAD: usize = 32 * 1024;
+
+/// A connection to a server, with what was read and not yet used.
+#[derive(Debug)]
+pub struct Connection {
+    /// The socket.
+    pub stream: TcpStream,
+    /// Bytes that were read and not yet used.
+    pub buf: BytesMut,
+    /// Whether a request was answered on it before.
+    pub reused: bool,
+}
+
+impl Connection {
+    /// Connects within a limit.
+    pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let stream = timeout(limit, TcpStream::connect(address)).await??;
+        tune(&stream)?;
+        Ok(Self { stream, buf: BytesMut::new(), reused: false })
+    }
+
+    /// Says whether nothing has arrived and the peer has not closed, so that the next bytes to be
+    /// read answer the next request.
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        let nothing = self.stream.try_read(&mut byte);
+        self.buf.is_empty() && matches!(nothing, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Writes all of a request.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Reads more bytes; zero at the end of the stream.
+    pub async fn read(&mut self) -> io::Result<usize> {
+        self.buf.reserve(READ_BYTES);
+        self.stream.read_buf(&mut self.buf).await
+    }
+
+    /// Reads the head of a response.
+    pub async fn read_head(&mut self, to_head_request: bool) -> io::Result<ResponseHead> {
+        loop {
+            match ResponseHead::take(&mut self.buf, MAX_RESPONSE_HEAD, to_head_request) {
+                Ok(Some(head)) => return Ok(head),
+                Ok(None) => {}
+                Err(error) => return Err(io::Error::new(io::ErrorKind::InvalidData, error)),
+            }
+            if self.read().await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    /// Reads the next piece of a body; `None` at its proper end.
+    pub async fn read_body(&mut self, decoder: &mut BodyDecoder) -> io::Result<Option<Bytes>> {
+        loop {
+            match decoder.step(&mut self.buf) {
+                Ok(Step::Data(data)) => return Ok(Some(data)),
+                Ok(Step::End) => return Ok(None),
+                Ok(Step::NeedsMore) => {}
+                Err(error) => return Err(io::Error::new(io::ErrorKind::InvalidData, error)),
+            }
+            if self.read().await? == 0 {
+                return match decoder.ends_with_connection() {
+                    true => Ok(None),
+                    false => Err(io::ErrorKind::UnexpectedEof.into()),
+                };
+            }
+        }
+    }
+
+    /// Reads a body whole, up to a number of bytes.
+    pub async fn read_whole(&mut self, head: &ResponseHead, most: usize) -> io::Result<BytesMut> {
+        let mut decoder = BodyDecoder::new(head.framing);
+        let mut whole = BytesMut::new();
+        while let Some(data) = self.read_body(&mut decoder).await? {
+            if whole.len() + data.len() > most {
+                return Err(io::Error::new(io::ErrorKind::InvalidData, "the body is too long"));
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole)
+    }
+}
+
+/// Sets the options that make a dead peer show within seconds.
+pub fn tune(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_IDLE).with_interval(KEEPALIVE_IDLE);
+    socket.set_tcp_keepalive(&keepalive)
+}
--- /dev/null
+++ b/gateway/src/http/head.rs
@@ -0,0 +1,236 @@
+//! Heads of requests and responses, and what they say about the framing of the body.
+
+use std::ops::Range;
+
+use bytes::{Bytes, BytesMut};
+use thiserror::Error;
+
+/// The most header lines of one head.
+const MAX_HEADERS: usize = 96;
+
+/// Headers that concern one connection only and are never forwarded.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+];
+
+/// Says why bytes are no acceptable head.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum HeadError {
+    /// The bytes are no HTTP/1.1.
+    #[error("malformed head: {0}")]
+    Malformed(httparse::Error),
+    /// The head is longer than allowed.
+    #[error("the head is too long")]
+    TooLong,
+    /// The headers contradict each other about the length of the body.
+    #[error("ambiguous framing")]
+    AmbiguousFraming,
+    /// The transfer coding is not `chunked`.
+    #[error("unknown transfer coding")]
+    UnknownCoding,
+    /// There is not exactly one `Host`.
+    #[error("not exactly one host")]
+    Host,
+    /// The target is no path.
+    #[error("the target is no path")]
+    Target,
+}
+
+/// The header lines of a head, in order.
+#[derive(Clone, Debug, Default)]
+pub struct Headers(Vec<(Bytes, Bytes)>);
+
+impl Headers {
+    /// Returns the first value under a name.
+    pub fn get(&self, name: &str) -> Option<&Bytes> {
+        self.0.iter().find(|line| line.0.eq_ignore_ascii_case(name.as_bytes())).map(|line| &line.1)
+    }
+
+    /// Returns the first value under a name if it is text.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.get(name).and_then(|value| std::str::from_utf8(value).ok())
+    }
+
+    /// Returns all values under a name.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a Bytes> {
+        let same = move |line: &&(Bytes, Bytes)| line.0.eq_ignore_ascii_case(name.as_bytes());
+        self.0.iter().filter(same).map(|(_, value)| value)
+    }
+
+    /// Returns the lines that may be forwarded: all but those that concern one connection.
+    pub fn end_to_end(&self) -> impl Iterator<Item = &(Bytes, Bytes)> {
+        self.0.iter().filter(|(name, _)| !self.is_hop(name))
+    }
+
+    fn is_hop(&self, name: &[u8]) -> bool {
+        HOP_HEADERS.iter().any(|hop| name.eq_ignore_ascii_case(hop.as_bytes()))
+            || self.lists("connection", name)
+    }
+
+    /// Says whether a comma-separated header names a token.
+    pub fn lists(&self, header: &str, token: &[u8]) -> bool {
+        let mut tokens = self.all(header).flat_map(|value| value.split(|&byte| byte == b','));
+        tokens.any(|part| part.trim_ascii().eq_ignore_ascii_case(token))
+    }
+
+    fn content_length(&self) -> Result<Option<u64>, HeadError> {
+        let mut values = self.all("content-length");
+        let Some(value) = values.next() else { return Ok(None) };
+        let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+        let text = std::str::from_utf8(value).ok().filter(|_| digits && values.next().is_none());
+        let length = text.and_then(|text| text.parse().ok());
+        length.map(Some).ok_or(HeadError::AmbiguousFraming)
+    }
+
+    fn is_chunked(&self) -> Result<bool, HeadError> {
+        let mut values = self.all("transfer-encoding");
+        let Some(value) = values.next() else { return Ok(false) };
+        if values.next().is_some() || !value.eq_ignore_ascii_case(b"chunked") {
+            return Err(HeadError::UnknownCoding);
+        }
+        Ok(true)
+    }
+}
+
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// The body has this many bytes; zero if there is none.
+    Length(u64),
+    /// The body comes in chunks.
+    Chunked,
+    /// The body ends with the connection.
+    UntilClose,
+}
+
+/// The head of a request.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    /// The method as it was sent.
+    pub method: Bytes,
+    /// The path with its query as it was sent.
+    pub target: Bytes,
+    /// The header lines.
+    pub headers: Headers,
+    /// How the body is framed.
+    pub framing: Framing,
+    /// Whether the caller wants to send more requests on the connection.
+    pub keep_alive: bool,
+}
+
+impl RequestHead {
+    /// Takes a head from the front of a buffer once it is whole.
+    pub fn take(buf: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>, HeadError> {
+        let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Request::new(&mut lines);
+        let length = match parsed.parse(buf) {
+            Ok(httparse::Status::Complete(length)) if length <= max_bytes => length,
+            Ok(httparse::Status::Partial) if buf.len() <= max_bytes => return Ok(None),
+            Ok(_) => return Err(HeadError::TooLong),
+            Err(error) => return Err(HeadError::Malformed(error)),
+        };
+        let is_current = parsed.version == Some(1);
+        let (method, target) = (parsed.method.unwrap_or(""), parsed.path.unwrap_or(""));
+        let (method, target) = (range_in(buf, method.as_bytes()), range_in(buf, target.as_bytes()));
+        let ranges = header_ranges(buf, parsed.headers);
+        let bytes = buf.split_to(length).freeze();
+        let headers = slice_headers(&bytes, ranges);
+        let framing = match (headers.content_length()?, headers.is_chunked()?) {
+            (Some(_), true) => return Err(HeadError::AmbiguousFraming),
+            (None, true) => Framing::Chunked,
+            (length, false) => Framing::Length(length.unwrap_or(0)),
+        };
+        if headers.all("host").count() != 1 {
+            return Err(HeadError::Host);
+        }
+        let keep_alive = is_current && !headers.lists("connection", b"close");
+        let head =
+            Self { method: bytes.slice(method), target: bytes.slice(target), headers, framing, keep_alive };
+        if !head.target.starts_with(b"/") {
+            return Err(HeadError::Target);
+        }
+        Ok(Some(head))
+    }
+
+    /// Returns the path without its query.
+    pub fn path(&self) -> &[u8] {
+        self.target.split(|&byte| byte == b'?').next().unwrap_or_default()
+    }
+}
+
+/// The head of a response.
+#[derive(Clone, Debug)]
+pub struct ResponseHead {
+    /// The status code.
+    pub status: u16,
+    /// The header lines.
+    pub headers: Headers,
+    /// How the body is framed.
+    pub framing: Framing,
+    /// Whether the connection may carry another request.
+    pub keep_alive: bool,
+}
+
+impl ResponseHead {
+    /// Takes a head from the front of a buffer once it is whole; interim responses are skipped.
+    pub fn take(
+        buf: &mut BytesMut,
+        max_bytes: usize,
+        to_head_request: bool,
+    ) -> Result<Option<Self>, HeadError> {
+        loop {
+            let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
+            let mut parsed = httparse::Response::new(&mut lines);
+            let length = match parsed.parse(buf) {
+                Ok(httparse::Status::Complete(length)) if length <= max_bytes => length,
+                Ok(httparse::Status::Partial) if buf.len() <= max_bytes => return Ok(None),
+                Ok(_) => return Err(HeadError::TooLong),
+                Err(error) => return Err(HeadError::Malformed(error)),
+            };
+            let (is_current, status) = (parsed.version == Some(1), parsed.code.unwrap_or(0));
+            let ranges = header_ranges(buf, parsed.headers);
+            let bytes = buf.split_to(length).freeze();
+            if (100..200).contains(&status) {
+                continue;
+            }
+            let headers = slice_headers(&bytes, ranges);
+            let bodiless = to_head_request || status == 204 || status == 304;
+            let framing = match (headers.content_length()?, headers.is_chunked()?) {
+                (Some(_), true) => return Err(HeadError::AmbiguousFraming),
+                _ if bodiless => Framing::Length(0),
+                (None, true) => Framing::Chunked,
+                (Some(length), false) => Framing::Length(length),
+                (None, false) => Framing::UntilClose,
+            };
+            let keep_alive = is_current
+                && framing != Framing::UntilClose
+                && !headers.lists("connection", b"close");
+            return Ok(Some(Self { status, headers, framing, keep_alive }));
+        }
+    }
+}
+
+fn range_in(buf: &[u8], part: &[u8]) -> Range<usize> {
+    let start = part.as_ptr() as usize - buf.as_ptr() as usize;
+    start..start + part.len()
+}
+
+fn header_ranges(
+    buf: &[u8],
+    lines: &[httparse::Header<'_>],
+) -> Vec<(Range<usize>, Range<usize>)> {
+    lines.iter().map(|line| (range_in(buf, line.name.as_bytes()), range_in(buf, line.value))).collect()
+}
+
+fn slice_headers(bytes: &Bytes, ranges: Vec<(Range<usize>, Range<usize>)>) -> Headers {
+    let slice = |(name, value)| (bytes.slice(name), bytes.slice(value));
+    Headers(ranges.into_iter().map(slice).collect())
+}
--- /dev/null
+++ b/gateway/src/lease.rs
@@ -0,0 +1,160 @@
+//! The lease of the daemon that acts for all, kept in one object of the store.
+//!
+//! A daemon takes over when it has not seen the object change for [`EXPIRY`], on a clock that
+//! counts suspension. The holder stops acting [`ACT_FOR`] after it sent its last renewal that
+//! succeeded, well before anyone may take over. The fence rises with each change of holder by a
+//! conditional write, and the cloud refuses calls with a lower fence.
+
+use std::time::Duration;
+
+use dogwoodturn::{ids::Revision, units::Time};
+
+use crate::store::{Fence, LeaseRecord, UsageWindow};
+
+/// How long the object must not change before another daemon takes over.
+const EXPIRY: Duration = Duration::from_millis(3400);
+/// How long a holder acts after its last renewal was sent.
+const ACT_FOR: Duration = Duration::from_millis(2200);
+/// How often the holder renews.
+const RENEW_EVERY: Duration = Duration::from_millis(1000);
+/// How much later the next daemon in line tries, so that they do not collide.
+const STAGGER: Duration = Duration::from_millis(250);
+/// How many closed windows the lease remembers.
+const CLOSED_WINDOWS: usize = 3;
+
+/// A write that the lease asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LeaseWrite {
+    /// The revision that is replaced; none to create the object.
+    pub replaces: Option<Revision>,
+    /// What is written.
+    pub record: LeaseRecord,
+    /// When the write was decided.
+    pub sent: Time,
+}
+
+/// The lease as one daemon sees it.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    me: Box<str>,
+    rank: u32,
+    known: Option<(Revision, LeaseRecord)>,
+    changed: Time,
+    held_since: Option<Time>,
+    acts_until: Time,
+    is_writing: bool,
+    to_close: Vec<UsageWindow>,
+    last_write: Time,
+}
+
+impl Lease {
+    /// Makes the view of a daemon that has read nothing yet. `me` names this run of the daemon,
+    /// since a later run must not act under an earlier one's fence.
+    pub fn new(me: Box<str>, now: Time) -> Self {
+        Self {
+            me,
+            rank: 0,
+            known: None,
+            changed: now,
+            held_since: None,
+            acts_until: Time::default(),
+            is_writing: false,
+            to_close: Vec::new(),
+            last_write: Time::default(),
+        }
+    }
+
+    /// Sets this daemon's place in the line of successors.
+    pub fn set_rank(&mut self, rank: u32) {
+        self.rank = rank;
+    }
+
+    /// Takes the object as the store has it.
+    pub fn seen(&mut self, now: Time, revision: Revision, record: LeaseRecord) {
+        if self.known.as_ref().is_some_and(|(known, _)| *known >= revision) {
+            return;
+        }
+        if record.holder != self.me {
+            self.held_since = None;
+            self.acts_until = Time::default();
+        }
+        self.changed = now;
+        self.known = Some((revision, record));
+    }
+
+    /// Returns the write that is due, if any.
+    pub fn due(&mut self, now: Time) -> Option<LeaseWrite> {
+        if self.is_writing {
+            return None;
+        }
+        let (replaces, mut record) = match &self.known {
+            None => {
+                if now.since(self.changed) < STAGGER * self.rank {
+                    return None;
+                }
+                let first = LeaseRecord { holder: self.me.clone(), fence: 1, ..LeaseRecord::default() };
+                (None, first)
+            }
+            Some((revision, known)) if known.holder == self.me => {
+                let due = now.since(self.last_write) >= RENEW_EVERY || !self.to_close.is_empty();
+                if !due {
+                    return None;
+                }
+                (Some(*revision), known.clone())
+            }
+            Some((revision, known)) => {
+                if now.since(self.changed) < EXPIRY + STAGGER * self.rank {
+                    return None;
+                }
+                let mut record = known.clone();
+                record.holder = self.me.clone();
+                record.fence += 1;
+                (Some(*revision), record)
+            }
+        };
+        record.renewals += 1;
+        record.closed.append(&mut self.to_close);
+        let excess = record.closed.len().saturating_sub(CLOSED_WINDOWS);
+        record.closed.drain(..excess);
+        self.is_writing = true;
+        self.last_write = now;
+        Some(LeaseWrite { replaces, record, sent: now })
+    }
+
+    /// Takes that a write succeeded.
+    pub fn written(&mut self, now: Time, revision: Revision, write: LeaseWrite) {
+        self.is_writing = false;
+        let newer = self.known.as_ref().is_some_and(|(known, _)| *known > revision);
+        if newer {
+            return;
+        }
+        self.known = Some((revision, write.record));
+        self.changed = now;
+        self.held_since.get_or_insert(now);
+        self.acts_until = write.sent + ACT_FOR;
+    }
+
+    /// Takes that a write failed or that its outcome is unknown; the object has to be read again.
+    pub fn failed(&mut self) {
+        self.is_writing = false;
+    }
+
+    /// Returns the fence while this daemon may act.
+    pub fn fence(&self, now: Time) -> Option<Fence> {
+        let (_, record) = self.known.as_ref()?;
+        let acts = record.holder == self.me && self.held_since.is_some() && now < self.acts_until;
+        acts.then(|| Fence { holder: self.me.clone(), number: record.fence })
+    }
+
+    /// Says whether a window was closed, by this holder or an earlier one.
+    pub fn closed(&self) -> &[UsageWindow] {
+        self.known.as_ref().map_or(&[], |(_, record)| &record.closed)
+    }
+
+    /// Asks to record the counts of a window before they are sent.
+    pub fn close(&mut self, window: UsageWindow) {
+        if self.to_close.iter().all(|asked| asked.number != window.number) {
+            self.to_close.push(window);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/links.rs
@@ -0,0 +1,105 @@
+//! Datagrams between daemons, and the internal calls that carry what is too long for one.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use tokio::{net::UdpSocket, time::interval};
+
+use crate::{
+    gateway::Gateway,
+    http::{connection::Connection, head::RequestHead},
+    mesh::Message,
+    serve::Short,
+};
+
+/// How often each daemon tells its peers what it knows; quotas overshoot by what is admitted
+/// meanwhile.
+const TELL_EVERY: Duration = Duration::from_millis(200);
+/// The most peers that are told at a time; with more, they are told in turn.
+const MAX_TOLD: usize = 12;
+/// The longest datagram.
+const MAX_DATAGRAM: usize = 60 * 1024;
+/// How long fetching a table from a peer may take.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// The longest table document.
+const MAX_TABLE: usize = 4 << 20;
+/// The path of the table in force.
+const TABLE_PATH: &[u8] = b"/table";
+/// The path of the metrics.
+const METRICS_PATH: &[u8] = b"/metrics";
+
+/// Answers an internal call.
+pub fn answer(cx: &Gateway, head: &RequestHead) -> Short {
+    match head.path() {
+        METRICS_PATH => Short { status: 200, body: cx.metrics.text().into() },
+        TABLE_PATH => match &cx.state.borrow().table {
+            Some(table) => Short { status: 200, body: table.document.clone() },
+            None => Short { status: 404, body: Bytes::new() },
+        },
+        _ => Short { status: 404, body: Bytes::new() },
+    }
+}
+
+/// Tells the peers what this daemon knows, again and again.
+pub async fn tell(cx: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut ticks = interval(TELL_EVERY);
+    let mut turn = 0;
+    loop {
+        ticks.tick().await;
+        let peers = cx.state.borrow().mesh.addresses();
+        if peers.is_empty() {
+            continue;
+        }
+        let mut datagram = Vec::with_capacity(2048);
+        if let Err(error) = ciborium::into_writer(&cx.message(), &mut datagram) {
+            log::error!(event = "message-not-encoded", error:%; "");
+            continue;
+        }
+        for step in 0..peers.len().min(MAX_TOLD) {
+            let peer = peers[(turn + step) % peers.len()];
+            if let Err(error) = socket.send_to(&datagram, peer).await {
+                log::debug!(event = "message-not-sent", peer:%, error:%; "");
+            }
+        }
+        turn = (turn + MAX_TOLD) % peers.len();
+    }
+}
+
+/// Takes the peers' messages.
+pub async fn hear(cx: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut datagram = vec![0; MAX_DATAGRAM];
+    loop {
+        let (length, from) = match socket.recv_from(&mut datagram).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::warn!(event = "receive-failed", error:%; "");
+                tokio::time::sleep(TELL_EVERY).await;
+                continue;
+            }
+        };
+        match ciborium::from_reader::<Message, _>(&datagram[..length]) {
+            Ok(message) => {
+                let now = cx.now();
+                cx.state.borrow_mut().take_message(now, from, message);
+            }
+            Err(error) => {
+                cx.metrics.malformed_messages.inc();
+                log::warn!(event = "malformed-message", from:%, error:%; "");
+            }
+        }
+    }
+}
+
+/// Fetches the table in force at a peer.
+pub async fn fetch_table(peer: SocketAddr) -> std::io::Result<Bytes> {
+    let fetch = async {
+        let mut connection = Connection::open(peer, FETCH_TIMEOUT).await?;
+        connection.write(b"GET /table HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n\r\n").await?;
+        let head = connection.read_head(false).await?;
+        if head.status != 200 {
+            return Err(std::io::Error::other(format!("the peer answered {}", head.status)));
+        }
+        connection.read_whole(&head, MAX_TABLE).await
+    };
+    Ok(tokio::time::timeout(FETCH_TIMEOUT, fetch).await??.freeze())
+}
--- /dev/null
+++ b/gateway/src/mesh.rs
@@ -0,0 +1,187 @@
+//! What daemons tell each other, and what each knows of the others.
+//!
+//! Every message carries a daemon's whole state of what is shared: sums that only grow or that
+//! replace earlier ones. So a lost, repeated or late datagram does no harm, and nothing has to be
+//! repaired after a partition. See `docs/design/platform.md` for what it costs.
+
+use std::{net::SocketAddr, time::Duration};
+
+use dogwoodturn::{
+    ids::{CustomerName, DaemonId, Incarnation, RouteName, ServiceName, UpstreamId, VersionName},
+    units::Time,
+};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    placement::{PeerView, Work},
+    quota,
+    rollout::Tally,
+    store::MemberRecord,
+};
+
+/// How long a peer counts as heard after its last message, a few message intervals.
+const HEARD_FOR: Duration = Duration::from_millis(1200);
+/// How long a silent peer counts for quotas before it is taken to be gone.
+const REMEMBERED_FOR: Duration = Duration::from_secs(30);
+
+/// One daemon's state of what is shared.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Message {
+    /// The sender.
+    pub daemon: DaemonId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Rises with each message of a run.
+    pub number: u64,
+    /// The version of its table; zero if it has none.
+    pub table: u64,
+    /// Units admitted within the quota window.
+    pub spent: Vec<(CustomerName, u64)>,
+    /// Requests that began to run, by window and customer.
+    pub usage: Vec<(u64, Vec<(CustomerName, u64)>)>,
+    /// Work at upstreams, and what is held against them in percent.
+    pub work: Vec<(UpstreamId, u32, u64, u64, u8)>,
+    /// Digests of requests that crashed upstreams, with how often.
+    pub crashes: Vec<(u64, u32)>,
+    /// What versions under a move have done.
+    pub tallies: Vec<(ServiceName, VersionName, RouteName, Tally)>,
+    /// Versions that were found bad.
+    pub holds: Vec<(ServiceName, VersionName)>,
+    /// Upstreams that are leaving.
+    pub leaving: Vec<UpstreamId>,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    address: SocketAddr,
+    heard: Option<Time>,
+    joined: Time,
+    last: Option<Message>,
+}
+
+/// The other daemons as one daemon knows them.
+#[derive(Clone, Debug)]
+pub struct Mesh {
+    me: DaemonId,
+    peers: IndexMap<DaemonId, Peer>,
+}
+
+impl Mesh {
+    /// Makes the view of a daemon that knows nobody.
+    pub fn new(me: DaemonId) -> Self {
+        Self { me, peers: IndexMap::new() }
+    }
+
+    /// Takes a daemon that the store lists.
+    pub fn listed(&mut self, now: Time, member: MemberRecord) {
+        if member.daemon == self.me {
+            return;
+        }
+        let peer = Peer { address: member.address, heard: None, joined: now, last: None };
+        self.peers.entry(member.daemon).or_insert(peer).address = member.address;
+    }
+
+    /// Takes that the store no longer lists a daemon.
+    pub fn unlisted(&mut self, name: &str) {
+        self.peers.retain(|daemon, _| daemon.as_str() != name);
+    }
+
+    /// Takes a message; false if it is older than what is known.
+    pub fn heard(&mut self, now: Time, from: SocketAddr, message: Message) -> bool {
+        if message.daemon == self.me {
+            return false;
+        }
+        let fresh = Peer { address: from, heard: None, joined: now, last: None };
+        let peer = self.peers.entry(message.daemon.clone()).or_insert(fresh);
+        let order = |message: &Message| (message.incarnation, message.number);
+        if peer.last.as_ref().is_some_and(|last| order(last) >= order(&message)) {
+            return false;
+        }
+        peer.heard = Some(now);
+        peer.address = from;
+        peer.last = Some(message);
+        true
+    }
+
+    /// Returns where all known peers listen.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers.values().map(|peer| peer.address).collect()
+    }
+
+    /// Returns the number of daemons that are known, this one included.
+    pub fn size(&self) -> u32 {
+        self.peers.len() as u32 + 1
+    }
+
+    /// Returns this daemon's place among those that are heard, by name.
+    pub fn rank(&self, now: Time) -> u32 {
+        let before = |(daemon, peer): &(&DaemonId, &Peer)| **daemon < self.me && is_heard(peer, now);
+        self.peers.iter().filter(before).count() as u32
+    }
+
+    /// Returns what the peers say of a customer's quota.
+    pub fn spent(&self, now: Time, customer: &CustomerName) -> quota::Peers {
+        let mut sum = quota::Peers::default();
+        for peer in self.peers.values() {
+            match &peer.last {
+                Some(last) if is_heard(peer, now) => {
+                    sum.heard += 1;
+                    let spent = last.spent.iter().find(|(name, _)| name == customer);
+                    sum.spent += spent.map_or(0, |(_, units)| *units);
+                }
+                _ if now.since(peer.heard.unwrap_or(peer.joined)) < REMEMBERED_FOR => {
+                    sum.silent += 1;
+                }
+                _ => {}
+            }
+        }
+        sum
+    }
+
+    /// Adds up what the peers that are heard say of each upstream.
+    pub fn views(&self, now: Time) -> IndexMap<UpstreamId, PeerView> {
+        let mut views = IndexMap::<UpstreamId, PeerView>::new();
+        for message in self.current(now) {
+            for (id, requests, unread, memory, trouble) in &message.work {
+                let view = views.entry(id.clone()).or_default();
+                view.work = Work {
+                    requests: view.work.requests + requests,
+                    unread: view.work.unread + unread,
+                    memory: view.work.memory + memory,
+                };
+                view.trouble = view.trouble.max(f64::from(*trouble) / 100.0);
+            }
+        }
+        views
+    }
+
+    /// Returns a peer with a newer table than `version`, the newest first.
+    pub fn newer_table(&self, now: Time, version: u64) -> Option<SocketAddr> {
+        let newer = |peer: &&Peer| {
+            is_heard(peer, now) && peer.last.as_ref().is_some_and(|last| last.table > version)
+        };
+        let newest = self.peers.values().filter(newer);
+        let newest = newest.max_by_key(|peer| peer.last.as_ref().map(|last| last.table));
+        newest.map(|peer| peer.address)
+    }
+
+    /// Returns what each run told last of versions under a move.
+    pub fn tallies<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a (ServiceName, VersionName, RouteName, Tally)> {
+        let last = self.peers.values().filter_map(|peer| peer.last.as_ref());
+        last.flat_map(|last| &last.tallies).filter(move |(name, ..)| name == service)
+    }
+
+    /// Returns the last messages of the peers that are heard.
+    pub fn current(&self, now: Time) -> impl Iterator<Item = &Message> {
+        let heard = move |peer: &&Peer| is_heard(peer, now);
+        self.peers.values().filter(heard).filter_map(|peer| peer.last.as_ref())
+    }
+}
+
+fn is_heard(peer: &Peer, now: Time) -> bool {
+    peer.heard.is_some_and(|at| now.since(at) < HEARD_FOR)
+}
--- /dev/null
+++ b/gateway/src/metrics.rs
@@ -0,0 +1,111 @@
+//! Counters and latency histograms of a gateway, in the text format of Prometheus.
+
+use std::time::Duration;
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// What a request came to.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabels {
+    /// The route, or empty if there was none.
+    pub route: String,
+    /// The outcome, such as `answered` or `refused-wait`.
+    pub outcome: &'static str,
+}
+
+/// The route of a latency.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RouteLabels {
+    /// The route.
+    pub route: String,
+}
+
+/// All metrics of one daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<OutcomeLabels, Counter>,
+    first_answer: Family<RouteLabels, Histogram>,
+    /// Connections to upstreams that were opened.
+    pub connections: Counter,
+    /// Requests sent to a second upstream.
+    pub repeats: Counter,
+    /// Calls to the store and the cloud.
+    pub store_calls: Counter,
+    /// Calls to the store and the cloud that failed.
+    pub store_failures: Counter,
+    /// Objects of the store that could not be read.
+    pub unreadable: Counter,
+    /// Messages from peers that could not be read.
+    pub malformed_messages: Counter,
+    /// Callers' connections that are open.
+    pub callers: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("dogwoodturn_gateway");
+        let requests = Family::<OutcomeLabels, Counter>::default();
+        // From 2 ms, a call of a plain service, to 16 s, the longest that a caller waits.
+        let first_answer = Family::<RouteLabels, Histogram>::new_with_constructor(|| {
+            Histogram::new(exponential_buckets(0.002, 2.0, 14))
+        });
+        registry.register("requests", "Requests by route and outcome", requests.clone());
+        let help = "Seconds from a request's arrival to its first event or answer";
+        registry.register("first_answer_seconds", help, first_answer.clone());
+        let mut counter = |name: &str, help: &str| {
+            let counter = Counter::default();
+            registry.register(name, help, counter.clone());
+            counter
+        };
+        let connections = counter("upstream_connections", "Connections opened to upstreams");
+        let repeats = counter("repeats", "Requests sent to a second upstream");
+        let store_calls = counter("store_calls", "Calls to the store and the cloud");
+        let store_failures = counter("store_failures", "Calls to the store and cloud that failed");
+        let unreadable = counter("unreadable_objects", "Objects that could not be read");
+        let malformed_messages = counter("malformed_messages", "Peers' messages not understood");
+        let callers = Gauge::default();
+        registry.register("caller_connections", "Open connections of callers", callers.clone());
+        Self {
+            registry,
+            requests,
+            first_answer,
+            connections,
+            repeats,
+            store_calls,
+            store_failures,
+            unreadable,
+            malformed_messages,
+            callers,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts what a request came to.
+    pub fn ended(&self, route: &str, outcome: &'static str) {
+        self.requests.get_or_create(&OutcomeLabels { route: route.into(), outcome }).inc();
+    }
+
+    /// Counts the time to a first answer.
+    pub fn answered(&self, route: &str, after: Duration) {
+        let labels = RouteLabels { route: route.into() };
+        self.first_answer.get_or_create(&labels).observe(after.as_secs_f64());
+    }
+
+    /// Returns all metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("writing to a string does not fail");
+        text
+    }
+}
--- /dev/null
+++ b/gateway/src/placement.rs
@@ -0,0 +1,439 @@
+//! Which upstream gets a request, and whether any should.
+//!
+//! Load pattern: bursts and reclaimed data centres leave fewer engines than the requests need,
+//! while the daemons' knowledge of each other's work is some hundred milliseconds old. For each
+//! upstream the time to the first answer is predicted from the work that this daemon and its peers
+//! have there, from what the prompt shares with prompts sent there before, and from how far
+//! earlier predictions were off. The request goes where that time is shortest. When the wait ahead
+//! of it is long everywhere, it is refused at once with the time at which there will be room:
+//! queueing it would make those behind it late as well. The bound is on the wait alone, so that
+//! long prompts are not refused for their length.
+
+use std::time::Duration;
+
+use dogwoodturn::{
+    ids::{DataCentre, ServiceName, UpstreamId},
+    units::Time,
+};
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    dialect::{LoadReport, Prompt, PromptPart},
+    directory::Upstream,
+    rollout::VersionRule,
+    table::EngineShape,
+};
+
+/// Prompt tokens that an engine reads in a millisecond, until it is learnt.
+const INITIAL_READ_RATE: f64 = 100.0;
+/// Time to a first token besides reading the prompt, in milliseconds, until it is learnt.
+const INITIAL_BASE_MS: f64 = 50.0;
+/// Time that a request takes in all, in milliseconds, until it is learnt.
+const INITIAL_RUN_MS: f64 = 40.0;
+/// Weight of a new sample in a learnt figure.
+const LEARNING_RATE: f64 = 0.05;
+/// Weight of a new sample in what is held against one upstream; a daemon sees few of each.
+const TROUBLE_RATE: f64 = 0.2;
+/// After this time, half of what was held against an upstream is forgotten.
+const TROUBLE_HALF_LIFE_MS: f64 = 2500.0;
+/// The share of failures above which an upstream is held to be in trouble; some services answer
+/// with errors of their own.
+const TOLERATED_TROUBLE: f64 = 0.25;
+/// Milliseconds that an upstream in full trouble counts as slower.
+const TROUBLE_COST_MS: f64 = 1500.0;
+/// Milliseconds that an upstream of another data centre counts as slower.
+const REMOTE_COST_MS: f64 = 3.0;
+/// How long an upstream that refused connections is left alone if there are others.
+const DOWN_TIME: Duration = Duration::from_millis(700);
+/// How long after its last use a prompt part is taken to be still in an engine's memory.
+const PART_MEMORY: Duration = Duration::from_secs(20);
+/// The most prompt parts that are kept for an upstream.
+const MAX_PARTS: usize = 2048;
+/// The part of an engine's memory that running requests may take; the rest holds shared parts.
+const MEMORY_SHARE: f64 = 0.9;
+/// The part of the target that the wait ahead of a request may take.
+const WAIT_SHARE: f64 = 0.6;
+/// The shortest wait that a refused caller is told.
+const SHORTEST_RETRY: Duration = Duration::from_millis(100);
+/// The most by which an upstream counts as slower than the others.
+const MAX_SLOWNESS: f64 = 12.0;
+
+/// Work that is under way at one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Requests.
+    pub requests: u32,
+    /// Prompt tokens that are still to be read.
+    pub unread: u64,
+    /// Tokens of memory that its requests take.
+    pub memory: u64,
+}
+
+/// What the peers told of an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PeerView {
+    /// Their work there.
+    pub work: Work,
+    /// The most that one of them holds against it, from 0 to 1.
+    pub trouble: f64,
+}
+
+#[derive(Clone, Debug)]
+struct UpstreamState {
+    work: Work,
+    failures: f64,
+    slowness: f64,
+    judged: Time,
+    down_until: Time,
+    parts: IndexMap<u64, Time>,
+    load: Option<(Time, LoadReport)>,
+    peers: PeerView,
+}
+
+impl Default for UpstreamState {
+    fn default() -> Self {
+        Self {
+            work: Work::default(),
+            failures: 0.0,
+            slowness: 1.0,
+            judged: Time::default(),
+            down_until: Time::default(),
+            parts: IndexMap::new(),
+            load: None,
+            peers: PeerView::default(),
+        }
+    }
+}
+
+impl UpstreamState {
+    /// Forgets with time, so that an upstream that was left alone is tried again.
+    fn forget(&mut self, now: Time) {
+        let passed = now.since(self.judged).as_secs_f64() * 1000.0;
+        let kept = 0.5_f64.powf(passed / TROUBLE_HALF_LIFE_MS);
+        self.failures *= kept;
+        self.slowness = 1.0 + (self.slowness - 1.0) * kept;
+        self.judged = now;
+    }
+
+    fn all_work(&self) -> Work {
+        Work {
+            requests: self.work.requests + self.peers.work.requests,
+            unread: self.work.unread + self.peers.work.unread,
+            memory: self.work.memory + self.peers.work.memory,
+        }
+    }
+
+    fn trouble_ms(&self) -> f64 {
+        let trouble = self.failures.max(self.peers.trouble);
+        if trouble > TOLERATED_TROUBLE { trouble * TROUBLE_COST_MS } else { 0.0 }
+    }
+}
+
+/// What is learnt of a service's upstreams together.
+#[derive(Clone, Copy, Debug)]
+struct ServiceState {
+    read_rate: f64,
+    base_ms: f64,
+    run_ms: f64,
+}
+
+impl Default for ServiceState {
+    fn default() -> Self {
+        Self { read_rate: INITIAL_READ_RATE, base_ms: INITIAL_BASE_MS, run_ms: INITIAL_RUN_MS }
+    }
+}
+
+/// What a request needs of an upstream.
+#[derive(Clone, Debug)]
+pub struct Need<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The engines, if it is a model service.
+    pub engine: Option<EngineShape>,
+    /// The prompt; empty for a plain service.
+    pub prompt: &'a Prompt,
+    /// The data centre of this daemon.
+    pub near: &'a DataCentre,
+    /// The time within which an answer earns its full worth.
+    pub target: Duration,
+    /// The time that the caller still waits.
+    pub left: Duration,
+    /// Upstreams that have had the request already.
+    pub tried: &'a [UpstreamId],
+    /// The versions that may run it, while a move is under way.
+    pub versions: VersionRule<'a>,
+}
+
+/// The outcome of [`Placement::choose`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum Choice {
+    /// The request goes to this upstream.
+    Upstream(Ticket),
+    /// The wait is too long everywhere.
+    Refused {
+        /// When there should be room.
+        retry_after: Duration,
+        /// The shortest wait that was found.
+        wait: Duration,
+    },
+    /// No upstream takes new work.
+    Nobody,
+}
+
+/// A request's work at an upstream, from the choice to the end of its answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ticket {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The time to the first answer that was predicted.
+    pub predicted: Duration,
+    /// When it was chosen.
+    pub chosen: Time,
+    unread: u64,
+    memory: u64,
+    unread_ahead: u64,
+    is_reading: bool,
+}
+
+/// How an attempt ended, as far as it tells something of the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It answered.
+    Answered,
+    /// It answered with an error of its own, or refused.
+    Failed,
+    /// It could not be reached or broke the connection.
+    Broken,
+    /// The caller left; nothing is known.
+    Unknown,
+}
+
+/// The state from which upstreams are chosen.
+#[derive(Clone, Debug, Default)]
+pub struct Placement {
+    upstreams: IndexMap<UpstreamId, UpstreamState>,
+    services: IndexMap<ServiceName, ServiceState>,
+}
+
+struct Estimate<'a> {
+    upstream: &'a UpstreamId,
+    score: f64,
+    predicted: f64,
+    wait: f64,
+    unread: u64,
+    unread_ahead: u64,
+}
+
+impl Placement {
+    /// Chooses an upstream and counts the request's work there.
+    pub fn choose(&mut self, now: Time, live: &[&Upstream], need: &Need<'_>) -> Choice {
+        let fits = |upstream: &&&Upstream| {
+            need.versions.allows(&upstream.record.version)
+                && !need.tried.contains(&upstream.record.id)
+        };
+        let fitting: Vec<_> = live.iter().filter(fits).copied().collect();
+        let is_up = |upstream: &&Upstream| {
+            self.upstreams.get(&upstream.record.id).is_none_or(|state| state.down_until <= now)
+        };
+        let up: Vec<_> = fitting.iter().filter(|upstream| is_up(upstream)).copied().collect();
+        let candidates = if up.is_empty() { fitting } else { up };
+        let home = home_of(need.prompt, &candidates);
+        let mut best: Option<Estimate<'_>> = None;
+        let mut shortest_wait = f64::MAX;
+        for upstream in &candidates {
+            let is_home = home == Some(&upstream.record.id);
+            let estimate = self.estimate(now, upstream, need, is_home);
+            shortest_wait = shortest_wait.min(estimate.wait);
+            if best.as_ref().is_none_or(|best| estimate.score < best.score) {
+                best = Some(estimate);
+            }
+        }
+        let Some(best) = best else { return Choice::Nobody };
+        let allowed = need.target.as_secs_f64() * 1000.0 * WAIT_SHARE;
+        let left = need.left.as_secs_f64() * 1000.0;
+        if shortest_wait > allowed || best.predicted > left {
+            let room_in = Duration::from_secs_f64((shortest_wait - allowed / 2.0).max(0.0) / 1000.0);
+            return Choice::Refused {
+                retry_after: room_in.max(SHORTEST_RETRY),
+                wait: Duration::from_secs_f64(shortest_wait / 1000.0),
+            };
+        }
+        let memory = need.prompt.input + need.prompt.output;
+        let ticket = Ticket {
+            upstream: best.upstream.clone(),
+            predicted: Duration::from_secs_f64(best.predicted / 1000.0),
+            chosen: now,
+            unread: best.unread,
+            memory,
+            unread_ahead: best.unread_ahead,
+            is_reading: true,
+        };
+        let state = self.upstreams.entry(ticket.upstream.clone()).or_default();
+        state.work.requests += 1;
+        state.work.unread += ticket.unread;
+        state.work.memory += memory;
+        remember_parts(&mut state.parts, now, &need.prompt.parts);
+        Choice::Upstream(ticket)
+    }
+
+    fn estimate<'a>(
+        &mut self,
+        now: Time,
+        upstream: &'a Upstream,
+        need: &Need<'_>,
+        is_home: bool,
+    ) -> Estimate<'a> {
+        let service = self.services.get(need.service).copied().unwrap_or_default();
+        let id = &upstream.record.id;
+        let state = self.upstreams.entry(id.clone()).or_default();
+        state.forget(now);
+        let work = state.all_work();
+        let unread = unread_tokens(&state.parts, now, need.prompt, is_home);
+        let slots = f64::from(upstream.record.slots.max(1));
+        let reading = |tokens: u64| tokens as f64 / service.read_rate;
+        let turns = (f64::from(work.requests) + 1.0 - slots).max(0.0) / slots;
+        let mut wait = turns * service.run_ms;
+        if let Some(engine) = need.engine {
+            wait = wait.max(reading(work.unread));
+            let memory = (work.memory + need.prompt.input + need.prompt.output) as f64;
+            let excess = memory / (engine.memory_tokens as f64 * MEMORY_SHARE) - 1.0;
+            wait += excess.max(0.0) * service.run_ms;
+        }
+        let wait = wait * state.slowness;
+        let own = service.base_ms + reading(unread);
+        let predicted = wait + own * state.slowness;
+        let remote = if upstream.record.data_centre == *need.near { 0.0 } else { REMOTE_COST_MS };
+        let cold = upstream.record.warm_up.as_secs_f64() * 10.0;
+        let crowding = f64::from(work.requests) / slots * REMOTE_COST_MS * 4.0;
+        let score = predicted + remote + cold + crowding + state.trouble_ms();
+        Estimate { upstream: id, score, predicted, wait, unread, unread_ahead: work.unread }
+    }
+
+    /// Takes that the first event, or the whole answer, has arrived.
+    pub fn answered(&mut self, now: Time, service: &ServiceName, ticket: &mut Ticket) {
+        if !std::mem::take(&mut ticket.is_reading) {
+            return;
+        }
+        let learnt = self.services.entry(service.clone()).or_default();
+        let observed = now.since(ticket.chosen).as_secs_f64() * 1000.0;
+        let predicted = ticket.predicted.as_secs_f64() * 1000.0;
+        let tokens = (ticket.unread + ticket.unread_ahead) as f64;
+        let reading = tokens / learnt.read_rate;
+        if reading < learnt.base_ms / 4.0 {
+            let base = (observed - reading).clamp(1.0, learnt.base_ms * 4.0);
+            learnt.base_ms += LEARNING_RATE * (base - learnt.base_ms);
+        } else if observed > learnt.base_ms * 1.2 {
+            let rate = tokens / (observed - learnt.base_ms);
+            let rate = rate.clamp(learnt.read_rate / 4.0, learnt.read_rate * 4.0);
+            learnt.read_rate += LEARNING_RATE * (rate - learnt.read_rate);
+        }
+        if let Some(state) = self.upstreams.get_mut(&ticket.upstream) {
+            state.work.unread = state.work.unread.saturating_sub(ticket.unread);
+            let ratio = (observed / predicted.max(1.0)).clamp(1.0, MAX_SLOWNESS);
+            state.forget(now);
+            state.slowness += TROUBLE_RATE * (ratio - state.slowness);
+        }
+    }
+
+    /// Takes that an attempt has ended.
+    pub fn ended(&mut self, now: Time, service: &ServiceName, ticket: &Ticket, verdict: Verdict) {
+        if verdict == Verdict::Answered {
+            let learnt = self.services.entry(service.clone()).or_default();
+            let run = now.since(ticket.chosen).as_secs_f64() * 1000.0;
+            learnt.run_ms += LEARNING_RATE * (run - learnt.run_ms);
+        }
+        let Some(state) = self.upstreams.get_mut(&ticket.upstream) else { return };
+        state.work.requests = state.work.requests.saturating_sub(1);
+        state.work.memory = state.work.memory.saturating_sub(ticket.memory);
+        if ticket.is_reading {
+            state.work.unread = state.work.unread.saturating_sub(ticket.unread);
+        }
+        state.forget(now);
+        let sample = match verdict {
+            Verdict::Answered => 0.0,
+            Verdict::Failed | Verdict::Broken => 1.0,
+            Verdict::Unknown => return,
+        };
+        state.failures += TROUBLE_RATE * (sample - state.failures);
+    }
+
+    /// Takes that an upstream could not be reached.
+    pub fn unreachable(&mut self, now: Time, upstream: &UpstreamId) {
+        self.upstreams.entry(upstream.clone()).or_default().down_until = now + DOWN_TIME;
+    }
+
+    /// Takes the load that an upstream told with an answer.
+    pub fn told(&mut self, now: Time, upstream: &UpstreamId, load: LoadReport) {
+        self.upstreams.entry(upstream.clone()).or_default().load = Some((now, load));
+    }
+
+    /// Takes what the peers say of all upstreams.
+    pub fn set_peers(&mut self, views: &IndexMap<UpstreamId, PeerView>) {
+        for (id, state) in &mut self.upstreams {
+            state.peers = views.get(id).copied().unwrap_or_default();
+        }
+        for (id, view) in views {
+            self.upstreams.entry(id.clone()).or_default().peers = *view;
+        }
+    }
+
+    /// Returns this daemon's work and what it holds against each upstream, for the peers.
+    pub fn own(&self) -> Vec<(UpstreamId, Work, f64)> {
+        let told = |state: &UpstreamState| state.work.requests > 0 || state.failures > 0.1;
+        let own = self.upstreams.iter().filter(|(_, state)| told(state));
+        own.map(|(id, state)| (id.clone(), state.work, state.failures)).collect()
+    }
+
+    /// Returns the work of all daemons at an upstream.
+    pub fn work(&self, upstream: &UpstreamId) -> Work {
+        self.upstreams.get(upstream).map(UpstreamState::all_work).unwrap_or_default()
+    }
+
+    /// Forgets an upstream that is gone, or that starts anew and remembers nothing.
+    pub fn forget(&mut self, upstream: &UpstreamId) {
+        self.upstreams.shift_remove(upstream);
+    }
+}
+
+/// Returns the upstream that all daemons send requests with the same shared part to first.
+fn home_of<'a>(prompt: &Prompt, candidates: &[&'a Upstream]) -> Option<&'a UpstreamId> {
+    let shared = match prompt.parts.as_slice() {
+        [] => return None,
+        [only] => only,
+        [.., shared, _own] => shared,
+    };
+    let weight = |upstream: &&&Upstream| {
+        xxh3_64_with_seed(upstream.record.id.as_str().as_bytes(), shared.id)
+    };
+    candidates.iter().max_by_key(weight).map(|upstream| &upstream.record.id)
+}
+
+/// Returns the tokens of a prompt that an engine has to read; a part is found only if all before
+/// it are.
+fn unread_tokens(
+    parts: &IndexMap<u64, Time>,
+    now: Time,
+    prompt: &Prompt,
+    is_home: bool,
+) -> u64 {
+    let known = |part: &&PromptPart| {
+        parts.get(&part.id).is_some_and(|used| now.since(*used) < PART_MEMORY)
+    };
+    let held: u64 = prompt.parts.iter().take_while(known).map(|part| part.tokens).sum();
+    let unread = prompt.input.saturating_sub(held);
+    // Peers send the same parts to the same home, so it probably holds what they share.
+    let shared: u64 = prompt.parts.iter().rev().skip(1).map(|part| part.tokens).sum();
+    if is_home { unread.saturating_sub(shared.saturating_sub(held) / 2) } else { unread }
+}
+
+fn remember_parts(parts: &mut IndexMap<u64, Time>, now: Time, sent: &[PromptPart]) {
+    for part in sent {
+        parts.insert(part.id, now);
+    }
+    if parts.len() > MAX_PARTS {
+        parts.retain(|_, used| now.since(*used) < PART_MEMORY);
+        let excess = parts.len().saturating_sub(MAX_PARTS);
+        parts.drain(..excess);
+    }
+}
--- /dev/null
+++ b/gateway/src/request.rs
@@ -0,0 +1,249 @@
+//! One request of a caller, and the answers that the gateway gives on its own.
+
+use std::time::Duration;
+
+use bytes::{BufMut as _, Bytes, BytesMut};
+use dogwoodturn::{ids::CustomerName, units::Time};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+
+use crate::{
+    dialect::{Dialect, Prompt},
+    http::head::RequestHead,
+    suspect::Digest,
+};
+
+/// A request that was read whole.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its head.
+    pub head: RequestHead,
+    /// Its body.
+    pub body: Bytes,
+    /// When its first byte was read.
+    pub arrived: Time,
+    /// The caller's id for it; empty if it has none.
+    pub id: Box<str>,
+    /// A hash of the id, for choices that all attempts must share.
+    pub hash: u64,
+    /// How long the caller waits.
+    pub deadline: Option<Duration>,
+    /// The prompt; empty if it names none.
+    pub prompt: Prompt,
+    /// The last event that the caller has of an earlier answer.
+    pub last_event: Option<u64>,
+}
+
+impl Request {
+    /// Reads what the gateway needs from the headers.
+    pub fn new(dialect: &Dialect, head: RequestHead, body: Bytes, arrived: Time) -> Self {
+        let headers = &head.headers;
+        let id: Box<str> = headers.text(dialect.request_id).unwrap_or_default().into();
+        let number = |name: &str| headers.text(name).and_then(|text| text.trim().parse().ok());
+        let deadline = number(dialect.deadline_ms).map(Duration::from_millis);
+        let last_event = number(dialect.last_event);
+        let prompt = (dialect.read_prompt)(headers);
+        let hash = xxh3_64(id.as_bytes());
+        Self { head, body, arrived, id, hash, deadline, prompt, last_event }
+    }
+
+    /// Returns the key that the caller sent.
+    pub fn key(&self, dialect: &Dialect) -> Option<&str> {
+        let value = self.head.headers.text(dialect.authorization)?;
+        let (scheme, key) = value.split_once(' ')?;
+        scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+    }
+
+    /// Returns what identifies the request beyond this attempt.
+    pub fn digest(&self, customer: Option<&CustomerName>) -> Digest {
+        let mut hasher = Xxh3::new();
+        hasher.update(&self.head.target);
+        hasher.update(customer.map_or("", CustomerName::as_str).as_bytes());
+        hasher.update(&self.body);
+        Digest(hasher.digest())
+    }
+
+    /// Says whether the response has no body whatever its head says.
+    pub fn is_head(&self) -> bool {
+        &*self.head.method == b"HEAD"
+    }
+
+    /// Writes the request for an upstream.
+    pub fn for_upstream(&self, dialect: &Dialect, to: &Forwarded<'_>) -> BytesMut {
+        let mut out = BytesMut::with_capacity(512 + self.body.len());
+        out.put_slice(&self.head.method);
+        out.put_u8(b' ');
+        out.put_slice(&self.head.target);
+        out.put_slice(b" HTTP/1.1\r\n");
+        let replaced = [
+            dialect.deadline_ms,
+            dialect.authorization,
+            dialect.customer,
+            dialect.expected_upstream,
+            dialect.urgency,
+            dialect.last_event,
+        ];
+        for (name, value) in self.head.headers.end_to_end() {
+            let is = |other: &&str| name.eq_ignore_ascii_case(other.as_bytes());
+            if !replaced.iter().any(|other| is(other)) && !dialect.reserved.iter().any(|r| is(r)) {
+                put_header(&mut out, name, value);
+            }
+        }
+        let millis = to.left.as_millis().max(1).to_string();
+        put_header(&mut out, dialect.deadline_ms.as_bytes(), millis.as_bytes());
+        put_header(&mut out, dialect.expected_upstream.as_bytes(), to.upstream.as_bytes());
+        if let Some(customer) = to.customer {
+            put_header(&mut out, dialect.customer.as_bytes(), customer.as_str().as_bytes());
+        }
+        if let Some(urgency) = to.urgency {
+            put_header(&mut out, dialect.urgency.as_bytes(), urgency.to_string().as_bytes());
+        }
+        if let Some(id) = to.last_event {
+            put_header(&mut out, dialect.last_event.as_bytes(), id.to_string().as_bytes());
+        }
+        let has_body = !self.body.is_empty()
+            || self.head.headers.get("content-length").is_some()
+            || self.head.headers.get("transfer-encoding").is_some();
+        if has_body {
+            put_header(&mut out, b"Content-Length", self.body.len().to_string().as_bytes());
+        }
+        out.put_slice(b"\r\n");
+        out.put_slice(&self.body);
+        out
+    }
+}
+
+/// What the gateway sets when it forwards a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Forwarded<'a> {
+    /// The time that is left.
+    pub left: Duration,
+    /// The upstream that may run it.
+    pub upstream: &'a str,
+    /// Whose request it is.
+    pub customer: Option<&'a CustomerName>,
+    /// The urgency at the upstream.
+    pub urgency: Option<u8>,
+    /// The last event that the caller has.
+    pub last_event: Option<u64>,
+}
+
+/// Appends a header line.
+pub fn put_header(out: &mut BytesMut, name: &[u8], value: &[u8]) {
+    out.put_slice(name);
+    out.put_slice(b": ");
+    out.put_slice(value);
+    out.put_slice(b"\r\n");
+}
+
+/// Proof that a request has not run and never will: no upstream got it, or each that did said so.
+#[derive(Clone, Copy, Debug)]
+pub struct NotRun(());
+
+/// What is known of a request's attempts so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Progress {
+    /// No upstream can have acted on it.
+    #[default]
+    NotRun,
+    /// An upstream may have run it.
+    MayHaveRun,
+}
+
+impl Progress {
+    /// Returns the proof that refusals need.
+    pub fn not_run(self) -> Option<NotRun> {
+        (self == Self::NotRun).then_some(NotRun(()))
+    }
+}
+
+/// An answer of the gateway's own.
+#[derive(Clone, Debug)]
+pub struct OwnAnswer {
+    status: u16,
+    /// Says why, for logs and metrics.
+    pub reason: &'static str,
+    retry_after: Option<Duration>,
+    closes: bool,
+}
+
+impl OwnAnswer {
+    /// Refuses a request that has not run; the caller may come back.
+    pub fn refused(_proof: NotRun, reason: &'static str, retry_after: Duration) -> Self {
+        Self { status: 503, reason, retry_after: Some(retry_after), closes: false }
+    }
+
+    /// Refuses a request beyond its customer's quota.
+    pub fn over_quota(_proof: NotRun, retry_after: Duration) -> Self {
+        Self { status: 429, reason: "refused-quota", retry_after: Some(retry_after), closes: false }
+    }
+
+    /// Answers a request that may have run, whose answer was lost.
+    pub fn lost(reason: &'static str) -> Self {
+        Self { status: 502, reason, retry_after: None, closes: false }
+    }
+
+    /// Answers a request that may have run, whose time is up.
+    pub fn timed_out() -> Self {
+        Self { status: 504, reason: "timed-out", retry_after: None, closes: false }
+    }
+
+    /// Answers a request that is not allowed, and that nobody should send again.
+    pub fn denied(status: u16, reason: &'static str) -> Self {
+        Self { status, reason, retry_after: None, closes: false }
+    }
+
+    /// Answers bytes that are no acceptable request; what follows cannot be told apart.
+    pub fn malformed(status: u16, reason: &'static str) -> Self {
+        Self { status, reason, retry_after: None, closes: true }
+    }
+
+    /// Returns the status code.
+    pub fn status(&self) -> u16 {
+        self.status
+    }
+
+    /// Says whether the connection must not carry another request.
+    pub fn closes(&self) -> bool {
+        self.closes
+    }
+
+    /// Writes the answer.
+    pub fn write(&self, dialect: &Dialect, id: &str, keep_alive: bool) -> BytesMut {
+        let mut out = BytesMut::with_capacity(256);
+        let body = format!("{{\"title\":\"{}\"}}", self.reason);
+        out.put_slice(format!("HTTP/1.1 {} {}\r\n", self.status, phrase(self.status)).as_bytes());
+        if !id.is_empty() {
+            put_header(&mut out, dialect.request_id.as_bytes(), id.as_bytes());
+        }
+        put_header(&mut out, b"Content-Type", b"application/problem+json");
+        put_header(&mut out, b"Content-Length", body.len().to_string().as_bytes());
+        if let Some(after) = self.retry_after {
+            let seconds = format!("{:.3}", after.as_secs_f64());
+            put_header(&mut out, b"Retry-After", seconds.as_bytes());
+        }
+        if !keep_alive || self.closes {
+            put_header(&mut out, b"Connection", b"close");
+        }
+        out.put_slice(b"\r\n");
+        out.put_slice(body.as_bytes());
+        out
+    }
+}
+
+/// Returns the customary phrase of a status code.
+pub fn phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/gateway/src/rollout.rs
@@ -0,0 +1,326 @@
+//! Moves of a service's traffic to a version that may be bad.
+//!
+//! Load pattern: a version fails or is slow at once, later, under load or on one route only. It
+//! gets a share below the allowed exposure until most of its time has passed, then steps up
+//! quickly, each step only while the pooled evidence of all daemons speaks for it. Evidence is
+//! compared by route with the old version over the same time. A version that was found bad by any
+//! daemon gets nothing from all of them, for good.
+
+use std::time::Duration;
+
+use dogwoodturn::{
+    ids::{Revision, RouteName, ServiceName, VersionName},
+    units::Time,
+};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::store::{MoveRecord, MoveState};
+
+/// The share of requests until the version is trusted; below the exposure that is allowed.
+const CANARY_SHARE: f64 = 0.07;
+/// The later shares, each of which has to be earned.
+const STEPS: [f64; 3] = [0.2, 0.5, 1.0];
+/// The part of the move's time after which the steps begin.
+const STEPS_FROM: f64 = 0.55;
+/// The part of the move's time between two steps, and its bounds.
+const STEP_EVERY: f64 = 0.06;
+const SHORTEST_STEP: Duration = Duration::from_millis(600);
+/// The part of the move's time by which it is completed even if the old version is still at work.
+const COMPLETE_BY: f64 = 0.9;
+/// How long all traffic goes to the target before the move is completed.
+const FULL_SHARE_FOR: Duration = Duration::from_millis(1500);
+/// The requests without which nothing is concluded.
+const MIN_REQUESTS: u64 = 6;
+/// The failures without which a version is not bad.
+const MIN_ERRORS: u64 = 3;
+/// How far the error rate may exceed that of the old version.
+const ERROR_FACTOR: f64 = 2.0;
+const ERROR_EXCESS: f64 = 0.12;
+/// Timed answers without which a version is not slow.
+const MIN_TIMED: u64 = 8;
+/// How many times as long answers may take, as a geometric mean.
+const SLOW_FACTOR: f64 = 1.7;
+
+/// What one version did on one route; sums that only grow within a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Requests that ended.
+    pub requests: u64,
+    /// Requests that failed.
+    pub errors: u64,
+    /// Requests whose time to the first answer counts.
+    pub timed: u64,
+    /// The sum of the logarithms of these times in milliseconds.
+    pub log_ms: f64,
+}
+
+impl Tally {
+    fn add(&mut self, other: &Tally) {
+        self.requests += other.requests;
+        self.errors += other.errors;
+        self.timed += other.timed;
+        self.log_ms += other.log_ms;
+    }
+
+    fn error_rate(&self) -> f64 {
+        self.errors as f64 / self.requests.max(1) as f64
+    }
+
+    fn mean_log(&self) -> Option<f64> {
+        (self.timed >= MIN_TIMED).then(|| self.log_ms / self.timed as f64)
+    }
+
+    /// Says whether this is worse than what the old version did.
+    fn is_worse_than(&self, old: &Tally) -> bool {
+        let allowed = old.error_rate() * ERROR_FACTOR + ERROR_EXCESS;
+        let fails = self.requests >= MIN_REQUESTS
+            && self.errors >= MIN_ERRORS
+            && self.error_rate() > allowed;
+        let slow = match (self.mean_log(), old.mean_log()) {
+            (Some(new), Some(old)) => new - old > SLOW_FACTOR.ln(),
+            _ => false,
+        };
+        fails || slow
+    }
+}
+
+/// Which versions may run a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VersionRule<'a> {
+    /// Any version.
+    Any,
+    /// Only this one.
+    Only(&'a VersionName),
+    /// Any but this one.
+    Not(&'a VersionName),
+}
+
+impl VersionRule<'_> {
+    /// Says whether a version may run the request.
+    pub fn allows(self, version: &VersionName) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => version == only,
+            Self::Not(not) => version != not,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Move {
+    record: MoveRecord,
+    revision: Revision,
+    began: Time,
+    share: f64,
+    stepped: Time,
+    own: IndexMap<(VersionName, RouteName), Tally>,
+}
+
+/// The moves under way and the versions that were found bad.
+#[derive(Clone, Debug, Default)]
+pub struct Rollouts {
+    moves: IndexMap<ServiceName, Move>,
+    holds: Vec<(ServiceName, VersionName)>,
+}
+
+/// A status that should be recorded.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StatusDue {
+    /// The revision that the record had.
+    pub revision: Revision,
+    /// The move.
+    pub record: MoveRecord,
+    /// Its state.
+    pub state: MoveState,
+}
+
+impl Rollouts {
+    /// Takes an order as the store has it.
+    pub fn seen(&mut self, now: Time, revision: Revision, record: MoveRecord) {
+        if record.state == Some(MoveState::Reverted) {
+            self.hold(&record.service, &record.target);
+        }
+        match self.moves.get_mut(&record.service) {
+            Some(known) if known.record.target == record.target => {
+                known.revision = known.revision.max(revision);
+                let ended = |state| matches!(state, Some(MoveState::Completed | MoveState::Reverted));
+                if !ended(known.record.state) {
+                    known.record.state = record.state;
+                }
+            }
+            _ => {
+                let fresh = Move {
+                    revision,
+                    began: now,
+                    share: CANARY_SHARE,
+                    stepped: now,
+                    own: IndexMap::new(),
+                    record,
+                };
+                self.moves.insert(fresh.record.service.clone(), fresh);
+            }
+        }
+    }
+
+    /// Takes that an order is gone.
+    pub fn removed(&mut self, service: &str) {
+        self.moves.retain(|name, _| name.as_str() != service);
+    }
+
+    /// Takes that a version is bad, for good.
+    pub fn hold(&mut self, service: &ServiceName, version: &VersionName) {
+        if !self.is_held(service, version) {
+            self.holds.push((service.clone(), version.clone()));
+        }
+    }
+
+    /// Returns the versions that were found bad.
+    pub fn holds(&self) -> &[(ServiceName, VersionName)] {
+        &self.holds
+    }
+
+    fn is_held(&self, service: &ServiceName, version: &VersionName) -> bool {
+        self.holds.iter().any(|(held, bad)| held == service && bad == version)
+    }
+
+    /// Chooses the versions that may run a request, by its hash.
+    pub fn rule(&self, service: &ServiceName, hash: u64) -> VersionRule<'_> {
+        let Some(under_way) = self.moves.get(service) else { return VersionRule::Any };
+        let target = &under_way.record.target;
+        if self.is_held(service, target) {
+            return VersionRule::Not(target);
+        }
+        if under_way.record.state == Some(MoveState::Completed) {
+            return VersionRule::Only(target);
+        }
+        let point = (hash >> 11) as f64 / (1_u64 << 53) as f64;
+        if point < under_way.share { VersionRule::Only(target) } else { VersionRule::Not(target) }
+    }
+
+    /// Counts how a request ended.
+    pub fn ended(
+        &mut self,
+        service: &ServiceName,
+        version: &VersionName,
+        route: &RouteName,
+        failed: bool,
+        first_answer: Option<Duration>,
+    ) {
+        let Some(under_way) = self.moves.get_mut(service) else { return };
+        let tally = under_way.own.entry((version.clone(), route.clone())).or_default();
+        tally.requests += 1;
+        tally.errors += u64::from(failed);
+        if let Some(first_answer) = first_answer {
+            tally.timed += 1;
+            tally.log_ms += (first_answer.as_secs_f64() * 1000.0).max(1.0).ln();
+        }
+    }
+
+    /// Returns the services under a move.
+    pub fn services(&self) -> Vec<ServiceName> {
+        self.moves.keys().cloned().collect()
+    }
+
+    /// Returns what was counted here, for the peers.
+    pub fn own(&self) -> Vec<(ServiceName, VersionName, RouteName, Tally)> {
+        let of_move = |(service, under_way): (&ServiceName, &Move)| {
+            let service = service.clone();
+            let tallies = under_way.own.clone().into_iter();
+            tallies.map(move |((version, route), tally)| (service.clone(), version, route, tally))
+        };
+        self.moves.iter().flat_map(of_move).collect()
+    }
+
+    /// Advances the move of a service and returns the status that should be recorded.
+    ///
+    /// `peers` are the tallies of the other daemons; `old_is_idle` says that no request is at
+    /// work at the old version; `target_is_up` that the target has upstreams.
+    pub fn advance<'a>(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        peers: impl Iterator<Item = &'a (ServiceName, VersionName, RouteName, Tally)>,
+        old_is_idle: bool,
+        target_is_up: bool,
+    ) -> Option<StatusDue> {
+        let under_way = self.moves.get(service)?;
+        let recorded = under_way.record.state;
+        if matches!(recorded, Some(MoveState::Completed | MoveState::Reverted)) {
+            return None;
+        }
+        let target = under_way.record.target.clone();
+        let routes = compare(under_way, peers);
+        let is_bad = self.is_held(service, &target)
+            || routes.values().any(|(new, old)| new.is_worse_than(old));
+        if is_bad {
+            self.hold(service, &target);
+        }
+        let under_way = self.moves.get_mut(service)?;
+        let due = |under_way: &Move, state| {
+            let (revision, record) = (under_way.revision, under_way.record.clone());
+            Some(StatusDue { revision, record, state })
+        };
+        if is_bad {
+            return due(under_way, MoveState::Reverted);
+        }
+        let duration = under_way.record.duration.as_secs_f64().max(0.001);
+        let passed = now.since(under_way.began).as_secs_f64() / duration;
+        let has_evidence =
+            routes.values().map(|(new, _)| new.requests).sum::<u64>() >= MIN_REQUESTS;
+        let step_every = Duration::from_secs_f64(STEP_EVERY * duration).max(SHORTEST_STEP);
+        let may_step = passed >= STEPS_FROM
+            && has_evidence
+            && target_is_up
+            && now.since(under_way.stepped) >= step_every;
+        if may_step && let Some(next) = STEPS.iter().find(|step| **step > under_way.share) {
+            under_way.share = *next;
+            under_way.stepped = now;
+        }
+        let is_full = under_way.share >= 1.0 && now.since(under_way.stepped) >= FULL_SHARE_FOR;
+        if is_full && (old_is_idle || passed >= COMPLETE_BY) {
+            return due(under_way, MoveState::Completed);
+        }
+        if passed >= COMPLETE_BY && !has_evidence {
+            self.hold(service, &target);
+            return due(self.moves.get(service)?, MoveState::Reverted);
+        }
+        if recorded.is_none() { due(under_way, MoveState::InProgress) } else { None }
+    }
+
+    /// Returns the target of a service's move.
+    pub fn target(&self, service: &ServiceName) -> Option<&VersionName> {
+        self.moves.get(service).map(|under_way| &under_way.record.target)
+    }
+
+    /// Returns the share of a service's requests that goes to the target of its move.
+    pub fn share(&self, service: &ServiceName) -> Option<f64> {
+        self.moves.get(service).map(|under_way| under_way.share)
+    }
+}
+
+/// Adds up by route what the target and the other versions did; `None` is all routes together.
+fn compare<'a>(
+    under_way: &Move,
+    peers: impl Iterator<Item = &'a (ServiceName, VersionName, RouteName, Tally)>,
+) -> IndexMap<Option<RouteName>, (Tally, Tally)> {
+    let mut routes = IndexMap::<Option<RouteName>, (Tally, Tally)>::new();
+    let mut add = |version: &VersionName, route: &RouteName, tally: &Tally| {
+        for key in [None, Some(route.clone())] {
+            let (new, old) = routes.entry(key).or_default();
+            if *version == under_way.record.target { new.add(tally) } else { old.add(tally) }
+        }
+    };
+    for ((version, route), tally) in &under_way.own {
+        add(version, route, tally);
+    }
+    for (_, version, route, tally) in peers {
+        add(version, route, tally);
+    }
+    // Times of different routes are not alike, so that only failures are compared over all.
+    if let Some((new, old)) = routes.get_mut(&None) {
+        new.timed = 0;
+        old.timed = 0;
+    }
+    routes
+}
--- /dev/null
+++ b/gateway/src/run.rs
@@ -0,0 +1,110 @@
+//! The life of a gateway's process, from its listeners to its last request.
+
+use std::{io, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use thiserror::Error;
+use tokio::{
+    net::UdpSocket,
+    signal::unix::{SignalKind, signal},
+    time::sleep,
+};
+
+use crate::{
+    dialect::Dialect,
+    gateway::Gateway,
+    links,
+    serve::{Short, accept, accept_short, listen},
+    settings::Settings,
+    store::Store,
+    sync,
+};
+
+/// How long a daemon takes connections after it has become unready: the balancer asks once a
+/// second and takes two misses, and connections on their way still arrive.
+const UNREADY_BEFORE_STOP: Duration = Duration::from_millis(3300);
+/// How long before the end of the grace period the process ends whatever is in flight.
+const GRACE_MARGIN: Duration = Duration::from_millis(700);
+/// How often a draining daemon looks whether requests are still in flight.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Says why a gateway did not start.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// An address of the settings could not be bound.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// Signals cannot be received.
+    #[error("cannot receive signals: {0}")]
+    Signals(io::Error),
+}
+
+/// Runs a gateway until it is asked to stop; `reread` reads the settings again.
+pub async fn run(
+    settings: Settings,
+    dialect: Dialect,
+    store: Store,
+    reread: impl Fn() -> Option<Settings>,
+) -> Result<(), RunError> {
+    let refused = |address| move |source| RunError::Listen { address, source };
+    let callers = listen(settings.callers).await.map_err(refused(settings.callers))?;
+    let readiness = listen(settings.readiness).await.map_err(refused(settings.readiness))?;
+    let internal = listen(settings.peers).await.map_err(refused(settings.peers))?;
+    let socket = UdpSocket::bind(settings.peers).await.map_err(refused(settings.peers))?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
+    let grace = settings.bounds.grace;
+    let cx = Gateway::new(settings, dialect, store);
+    log::info!(event = "start", daemon:% = cx.settings.name, incarnation:% = cx.incarnation, callers:% = cx.settings.callers; "");
+
+    sync::start(&cx);
+    let socket = Rc::new(socket);
+    actix_rt::spawn(links::tell(cx.clone(), socket.clone()));
+    actix_rt::spawn(links::hear(cx.clone(), socket));
+    let probed = cx.clone();
+    actix_rt::spawn(accept_short(readiness, move |head| {
+        let is_probe = head.path() == probed.dialect.readiness_path;
+        let status = match (is_probe, probed.is_ready()) {
+            (false, _) => 404,
+            (true, true) => 200,
+            (true, false) => 503,
+        };
+        Short { status, body: Bytes::new() }
+    }));
+    let called = cx.clone();
+    actix_rt::spawn(accept_short(internal, move |head| links::answer(&called, head)));
+    actix_rt::spawn(accept(cx.clone(), callers));
+
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => match reread() {
+                Some(settings) => {
+                    let changed = settings != cx.settings;
+                    log::info!(event = "reload", changed; "");
+                }
+                None => log::warn!(event = "reload-failed"; ""),
+            },
+        }
+    }
+    cx.drain();
+    log::info!(event = "stop", in_flight = cx.in_flight(), grace_ms = grace.as_millis() as u64; "");
+    let began = cx.now();
+    let (earliest, latest) = (began + UNREADY_BEFORE_STOP, began + grace.saturating_sub(GRACE_MARGIN));
+    loop {
+        let now = cx.now();
+        if now >= latest || (now >= earliest && cx.in_flight() == 0) {
+            break;
+        }
+        sleep(DRAIN_POLL).await;
+    }
+    log::info!(event = "stopped", in_flight = cx.in_flight(); "");
+    Ok(())
+}
--- /dev/null
+++ b/gateway/src/serve.rs
@@ -0,0 +1,271 @@
+//! Callers' connections: reading requests within limits, and noticing that a caller has left.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream, tcp::ReadHalf},
+    time::{sleep, timeout},
+};
+
+use crate::{
+    forward::{self, Ending, Out},
+    gateway::Gateway,
+    http::{
+        body::{BodyDecoder, Step},
+        connection::tune,
+        head::{Framing, HeadError, RequestHead},
+    },
+    request::{OwnAnswer, Request},
+    table::CallerLimits,
+};
+
+/// The room that a read asks for.
+const READ_BYTES: usize = 8 * 1024;
+/// The most bytes that are read ahead while a request is being answered.
+const MAX_READ_AHEAD: usize = 64 * 1024;
+/// The most connections of callers at once; the rest of the descriptors serves upstreams.
+const MAX_CALLERS: i64 = 3000;
+/// How long accepting rests after an error such as a lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long a body may take to arrive; callers give up sooner.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Accepts callers until the process ends.
+pub async fn accept(cx: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if cx.metrics.callers.get() < MAX_CALLERS => {
+                let cx = cx.clone();
+                actix_rt::spawn(async move {
+                    cx.metrics.callers.inc();
+                    // A caller that breaks its connection off is not worth a line each.
+                    let _ = serve(&cx, stream).await;
+                    cx.metrics.callers.dec();
+                });
+            }
+            Ok((_, caller)) => log::warn!(event = "too-many-callers", caller:%; ""),
+            Err(error) => {
+                log::warn!(event = "accept-failed", error:%; "");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Says why a request could not be read.
+enum ReadError {
+    /// The caller is gone, or has been silent for too long between two requests.
+    Gone,
+    /// The bytes are no acceptable request; the answer says so.
+    Refused(OwnAnswer),
+}
+
+impl From<io::Error> for ReadError {
+    fn from(_: io::Error) -> Self {
+        Self::Gone
+    }
+}
+
+impl From<HeadError> for ReadError {
+    fn from(error: HeadError) -> Self {
+        Self::Refused(match error {
+            HeadError::TooLong => OwnAnswer::malformed(431, "denied-long-head"),
+            HeadError::Malformed(_)
+            | HeadError::AmbiguousFraming
+            | HeadError::UnknownCoding
+            | HeadError::Host
+            | HeadError::Target => OwnAnswer::malformed(400, "denied-malformed"),
+        })
+    }
+}
+
+async fn serve(cx: &Rc<Gateway>, mut stream: TcpStream) -> io::Result<()> {
+    tune(&stream)?;
+    let mut buf = BytesMut::new();
+    loop {
+        let limits = cx.state.borrow().table.as_ref().map(|table| table.limits).unwrap_or_default();
+        let read = read_request(cx, &mut stream, &mut buf, &limits).await;
+        let _in_flight = cx.enter();
+        let req = match read {
+            Ok(req) => req,
+            Err(ReadError::Gone) => return Ok(()),
+            Err(ReadError::Refused(own)) => {
+                log::info!(event = "refused", reason = own.reason, status = own.status(); "");
+                cx.metrics.ended("", own.reason);
+                stream.write_all(&own.write(&cx.dialect, "", false)).await?;
+                return stream.shutdown().await;
+            }
+        };
+        let keep_alive = req.head.keep_alive && !cx.is_draining();
+        let (mut read_half, write_half) = stream.split();
+        let mut out = Out::new(write_half, keep_alive);
+        let ending = tokio::select! {
+            biased;
+            ending = forward::answer(cx, &req, &mut out) => ending,
+            () = gone(&mut read_half, &mut buf) => {
+                log::info!(event = "caller-left", request:% = req.id, ms = cx.now().since(req.arrived).as_millis() as u64; "");
+                cx.metrics.ended("", "caller-left");
+                return Ok(());
+            }
+        };
+        let keep_alive = out.keep_alive;
+        if ending == Ending::Cut || !keep_alive {
+            return stream.shutdown().await;
+        }
+    }
+}
+
+/// Returns once the caller has closed its connection; what it sends ahead is kept.
+async fn gone(stream: &mut ReadHalf<'_>, buf: &mut BytesMut) {
+    loop {
+        if buf.len() >= MAX_READ_AHEAD {
+            return std::future::pending().await;
+        }
+        buf.reserve(READ_BYTES);
+        if matches!(stream.read_buf(buf).await, Ok(0) | Err(_)) {
+            return;
+        }
+    }
+}
+
+async fn read_request(
+    cx: &Rc<Gateway>,
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+    limits: &CallerLimits,
+) -> Result<Request, ReadError> {
+    if buf.is_empty() {
+        // An empty buffer gives its memory back while the caller is idle.
+        *buf = BytesMut::new();
+        wait_readable(stream, limits.idle_timeout).await?;
+    }
+    let arrived = cx.now();
+    let head = timeout(limits.header_timeout, read_head(stream, buf, limits.header_bytes));
+    let head = head.await.map_err(|_| {
+        ReadError::Refused(OwnAnswer::malformed(408, "refused-slow-head"))
+    })??;
+    if matches!(head.framing, Framing::Length(length) if length > limits.body_bytes as u64) {
+        return Err(ReadError::Refused(OwnAnswer::malformed(413, "denied-long-body")));
+    }
+    if head.headers.lists("expect", b"100-continue") {
+        stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+    }
+    let body = timeout(BODY_TIMEOUT, read_body(stream, buf, head.framing, limits.body_bytes));
+    let body = body.await.map_err(|_| {
+        ReadError::Refused(OwnAnswer::malformed(408, "refused-slow-body"))
+    })??;
+    Ok(Request::new(&cx.dialect, head, body, arrived))
+}
+
+async fn wait_readable(stream: &TcpStream, limit: Duration) -> Result<(), ReadError> {
+    match timeout(limit, stream.readable()).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) | Err(_) => Err(ReadError::Gone),
+    }
+}
+
+async fn read_head(
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+    max_bytes: usize,
+) -> Result<RequestHead, ReadError> {
+    loop {
+        if !buf.is_empty()
+            && let Some(head) = RequestHead::take(buf, max_bytes)?
+        {
+            return Ok(head);
+        }
+        read_more(stream, buf).await?;
+    }
+}
+
+async fn read_body(
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+    framing: Framing,
+    max_bytes: usize,
+) -> Result<Bytes, ReadError> {
+    let mut decoder = BodyDecoder::new(framing);
+    let mut body = BytesMut::new();
+    loop {
+        match decoder.step(buf) {
+            Ok(Step::Data(data)) if body.is_empty() && framing == Framing::Length(data.len() as u64) => {
+                return Ok(data);
+            }
+            Ok(Step::Data(data)) => body.extend_from_slice(&data),
+            Ok(Step::End) => return Ok(body.freeze()),
+            Ok(Step::NeedsMore) => read_more(stream, buf).await?,
+            Err(_) => {
+                return Err(ReadError::Refused(OwnAnswer::malformed(400, "denied-malformed")));
+            }
+        }
+        if body.len() > max_bytes {
+            return Err(ReadError::Refused(OwnAnswer::malformed(413, "denied-long-body")));
+        }
+    }
+}
+
+async fn read_more(stream: &mut TcpStream, buf: &mut BytesMut) -> Result<(), ReadError> {
+    buf.reserve(READ_BYTES);
+    match stream.read_buf(buf).await? {
+        0 => Err(ReadError::Gone),
+        _ => Ok(()),
+    }
+}
+
+/// A short answer to a probe or an internal call.
+#[derive(Clone, Debug)]
+pub struct Short {
+    /// The status code.
+    pub status: u16,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Serves probes and internal calls, which have no body.
+pub async fn accept_short(listener: TcpListener, answer: impl Fn(&RequestHead) -> Short + Clone + 'static) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let answer = answer.clone();
+                actix_rt::spawn(async move {
+                    // A prober that breaks its connection off asks again.
+                    let _ = serve_short(stream, answer).await;
+                });
+            }
+            Err(error) => {
+                log::warn!(event = "accept-failed", error:%; "");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_short(
+    mut stream: TcpStream,
+    answer: impl Fn(&RequestHead) -> Short,
+) -> io::Result<()> {
+    tune(&stream)?;
+    let limits = CallerLimits::default();
+    let mut buf = BytesMut::new();
+    loop {
+        let head = timeout(limits.idle_timeout, read_head(&mut stream, &mut buf, limits.header_bytes));
+        let Ok(Ok(head)) = head.await else { return Ok(()) };
+        let short = answer(&head);
+        let phrase = crate::request::phrase(short.status);
+        let text = format!("HTTP/1.1 {} {phrase}\r\nContent-Length: {}\r\n\r\n", short.status, short.body.len());
+        let mut out = BytesMut::from(text.as_bytes());
+        out.extend_from_slice(&short.body);
+        stream.write_all(&out).await?;
+        if !head.keep_alive {
+            return stream.shutdown().await;
+        }
+    }
+}
+
+/// Binds a listener.
+pub async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
--- /dev/null
+++ b/gateway/src/settings.rs
@@ -0,0 +1,158 @@
+//! The settings of a gateway, read from an INI file and checked as a whole.
+
+use std::{net::SocketAddr, time::Duration};
+
+use dogwoodturn::{
+    ids::{DaemonId, DataCentre},
+    ini::{self, Fault, Place, Section, Source, fields::Fields},
+};
+
+use crate::retry;
+
+/// The sections of the file.
+const SECTIONS: [&str; 4] = ["daemon", "store", "cloud", "bounds"];
+
+/// All settings of a gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The daemon's name, unique among all daemons.
+    pub name: DaemonId,
+    /// The data centre that it runs in.
+    pub data_centre: DataCentre,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the daemon is ready.
+    pub readiness: SocketAddr,
+    /// Where other daemons send what they know, by UDP, and read tables and metrics, by TCP.
+    pub peers: SocketAddr,
+    /// Whether no daemon of the system ran before.
+    pub first_start: bool,
+    /// Where the object store listens.
+    pub store: SocketAddr,
+    /// Where the cloud listens.
+    pub cloud: SocketAddr,
+    /// Whether this system reports usage.
+    pub reports_usage: bool,
+    /// Whether this system orders hosts.
+    pub orders_hosts: bool,
+    /// What the operators promise or demand.
+    pub bounds: Bounds,
+}
+
+/// Times and shares that the operators of a deployment set.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// The time from SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// The budget for second sends.
+    pub retries: retry::Bounds,
+    /// The window of quotas.
+    pub quota_window: Duration,
+    /// The window of usage reports.
+    pub usage_window: Duration,
+}
+
+impl Settings {
+    /// Reads the settings and names every fault at once.
+    pub fn read(source: &Source) -> Result<Self, Vec<Fault>> {
+        let sections = ini::read(source).map_err(|fault| vec![fault])?;
+        let mut faults = Vec::new();
+        for section in &sections {
+            if !SECTIONS.contains(&&*section.title) {
+                let reason = format!("[{}] is no section of the settings", section.title);
+                let hint = format!("use {}", SECTIONS.join(", "));
+                faults.push(Fault::new(&section.place, reason).with_hint(hint));
+            }
+        }
+        let find = |title: &str| {
+            let found = sections.iter().find(|section| &*section.title == title).cloned();
+            found.unwrap_or_else(|| Section {
+                title: title.into(),
+                place: Place { file: source.file.clone(), line: 1 },
+                properties: Vec::new(),
+            })
+        };
+        let settings = read_sections(&SECTIONS.map(find), &mut faults);
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => {
+                faults.sort();
+                Err(faults)
+            }
+        }
+    }
+}
+
+fn read_sections(sections: &[Section; 4], faults: &mut Vec<Fault>) -> Option<Settings> {
+    let [daemon, store, cloud, bounds] = sections;
+    let mut fields = Fields::new(daemon, faults);
+    let name = fields.required("name");
+    let data_centre = fields.required("data-centre");
+    let callers = fields.required("callers");
+    let readiness = fields.required("readiness");
+    let peers = fields.required("peers");
+    let first_start = fields.optional("first-start").unwrap_or(false);
+    fields.finish();
+
+    let mut fields = Fields::new(store, faults);
+    let store = fields.required("address");
+    fields.finish();
+
+    let mut fields = Fields::new(cloud, faults);
+    let cloud = fields.required("address");
+    let duties: Box<str> = fields.optional::<String>("duties").unwrap_or_default().into();
+    fields.finish();
+    let has_duty = |duty: &str| duties.split(',').any(|part| part.trim() == duty);
+    let (reports_usage, orders_hosts) = (has_duty("usage"), has_duty("autoscale"));
+
+    let bounds = read_bounds(bounds, faults);
+    Some(Settings {
+        name: name?,
+        data_centre: data_centre?,
+        callers: callers?,
+        readiness: readiness?,
+        peers: peers?,
+        first_start,
+        store: store?,
+        cloud: cloud?,
+        reports_usage,
+        orders_hosts,
+        bounds: bounds?,
+    })
+}
+
+fn read_bounds(section: &Section, faults: &mut Vec<Fault>) -> Option<Bounds> {
+    let mut fields = Fields::new(section, faults);
+    let ratio = not_negative(&mut fields, "retry-ratio");
+    let allowance = not_negative(&mut fields, "retry-allowance");
+    let mut seconds = |key: &str| {
+        let seconds = not_negative(&mut fields, key)?;
+        let time = Duration::try_from_secs_f64(seconds).ok().filter(|time| !time.is_zero());
+        if time.is_none() {
+            fields.fault(format!("{key} must be a time above zero"));
+        }
+        time
+    };
+    let grace = seconds("grace-seconds");
+    let retry_window = seconds("retry-window-seconds");
+    let quota_window = seconds("quota-window-seconds");
+    let usage_window = seconds("usage-window-seconds");
+    fields.finish();
+    let retries =
+        retry::Bounds { ratio: ratio?, allowance: allowance?, window: retry_window? };
+    Some(Bounds {
+        grace: grace?,
+        retries,
+        quota_window: quota_window?,
+        usage_window: usage_window?,
+    })
+}
+
+fn not_negative(fields: &mut Fields<'_>, key: &str) -> Option<f64> {
+    let value = fields.required::<f64>(key)?;
+    if !value.is_finite() || value < 0.0 {
+        fields.fault(format!("{key} must not be negative"));
+        return None;
+    }
+    Some(value)
+}
--- /dev/null
+++ b/gateway/src/usage.rs
@@ -0,0 +1,87 @@
+//! Counts of the requests that began to run, by customer and window of the wall clock.
+//!
+//! Each daemon counts its own and tells its peers the sums, which only grow; the holder of the
+//! lease adds them up, with what daemons that are gone last told.
+
+use std::time::Duration;
+
+use dogwoodturn::{
+    ids::{CustomerName, DaemonId, Incarnation},
+    units::WallTime,
+};
+use indexmap::IndexMap;
+
+use crate::store::UsageWindow;
+
+/// How many windows are kept and told; a window is reported two windows after its end at most.
+const KEPT_WINDOWS: u64 = 4;
+
+/// One run of a daemon.
+pub type Run = (DaemonId, Incarnation);
+
+/// The counts of all daemons.
+#[derive(Clone, Debug)]
+pub struct Usage {
+    window: Duration,
+    own: IndexMap<u64, IndexMap<CustomerName, u64>>,
+    peers: IndexMap<Run, IndexMap<u64, IndexMap<CustomerName, u64>>>,
+}
+
+impl Usage {
+    /// Makes empty counts.
+    pub fn new(window: Duration) -> Self {
+        Self { window, own: IndexMap::new(), peers: IndexMap::new() }
+    }
+
+    /// Returns the number of the window that holds a time.
+    pub fn number(&self, at: WallTime) -> u64 {
+        at.0 / (self.window.as_millis() as u64).max(1)
+    }
+
+    /// Returns how long ago a window ended; `None` if it has not.
+    pub fn ended(&self, number: u64, now: WallTime) -> Option<Duration> {
+        let end = (number + 1) * self.window.as_millis() as u64;
+        now.0.checked_sub(end).map(Duration::from_millis)
+    }
+
+    /// Counts a request that began to run.
+    pub fn began(&mut self, at: WallTime, customer: &CustomerName) {
+        let number = self.number(at);
+        *self.own.entry(number).or_default().entry(customer.clone()).or_default() += 1;
+        self.own.retain(|kept, _| kept + KEPT_WINDOWS > number);
+    }
+
+    /// Returns the counts of this daemon, for the peers.
+    pub fn own(&self) -> Vec<(u64, Vec<(CustomerName, u64)>)> {
+        let list = |counts: &IndexMap<CustomerName, u64>| {
+            counts.iter().map(|(customer, count)| (customer.clone(), *count)).collect()
+        };
+        self.own.iter().map(|(number, counts)| (*number, list(counts))).collect()
+    }
+
+    /// Takes the counts of a peer's run.
+    pub fn peer_counted(&mut self, run: Run, windows: &[(u64, Vec<(CustomerName, u64)>)]) {
+        let kept = self.peers.entry(run).or_default();
+        for (number, counts) in windows {
+            let kept = kept.entry(*number).or_default();
+            for (customer, count) in counts {
+                let largest = kept.entry(customer.clone()).or_default();
+                *largest = (*largest).max(*count);
+            }
+        }
+        let newest = kept.keys().copied().max().unwrap_or(0);
+        kept.retain(|number, _| number + KEPT_WINDOWS > newest);
+    }
+
+    /// Adds up one window.
+    pub fn sum(&self, number: u64) -> UsageWindow {
+        let mut sum = UsageWindow { number, counts: IndexMap::new() };
+        let peers = self.peers.values().filter_map(|windows| windows.get(&number));
+        for counts in self.own.get(&number).into_iter().chain(peers) {
+            for (customer, count) in counts {
+                *sum.counts.entry(customer.clone()).or_default() += count;
+            }
+        }
+        sum
+    }
+}
