quota: one bucket replayed from what all daemons admitted

Change: a token bucket replayed from the daemons' histories, so that the flow is even and a new run takes its part of the burst as used. Quotas need the list of members, so nothing is admitted before.

--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -123,7 +123,8 @@
         match upstream.presence {
             Presence::Listed => true,
             Presence::Vanished(at) => {
-                let lapsed = |back: Time| now.since(back) < RETURN_GRACE && at.since(back) < RETURN_GRACE;
+                let lapsed =
+                    |back: Time| now.since(back) < RETURN_GRACE && at.since(back) < RETURN_GRACE;
                 let grace = now.since(at) < RETURN_GRACE;
                 grace && (self.store_away || self.store_back.is_some_and(lapsed))
             }
--- a/gateway/src/forward/admission.rs
+++ b/gateway/src/forward/admission.rs
@@ -12,11 +12,13 @@
     quota::Charge,
     request::{OwnAnswer, Progress, Request},
     suspect::Digest,
-    table::{Route, Table},
+    table::{CallerLimits, Route, Table},
 };
 
 /// When a caller may come back while the daemon knows no configuration.
 const RETRY_WHEN_STARTING: Duration = Duration::from_millis(500);
+/// When a caller may come back to another daemon.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
 /// The urgency of the first rank at an upstream; lower ranks follow.
 const FIRST_URGENCY: u8 = 3;
 /// The last urgency that upstreams know.
@@ -51,7 +53,8 @@
 
 impl Drop for Admitted {
     fn drop(&mut self) {
-        if let (Some(customer), Some(charge), false) = (&self.customer, self.charge, self.has_run.get())
+        if let (Some(customer), Some(charge), false) =
+            (&self.customer, self.charge, self.has_run.get())
         {
             self.cx.state.borrow_mut().quotas.refund(customer, charge);
         }
@@ -63,9 +66,15 @@
     let now = cx.now();
     let unsent = || Progress::NotRun.not_run().expect("nothing was sent");
     let mut state = cx.state.borrow_mut();
-    let Some(table) = state.table.clone() else {
+    let Some(table) = state.table_in_force().cloned() else {
         return Err(OwnAnswer::refused(unsent(), "refused-starting", RETRY_WHEN_STARTING));
     };
+    if cx.is_draining() {
+        let waits = req.deadline.unwrap_or(CallerLimits::default().idle_timeout);
+        if !cx.has_time_for(waits) {
+            return Err(OwnAnswer::refused(unsent(), "refused-stopping", RETRY_ELSEWHERE));
+        }
+    }
     let host = req.head.headers.text("host").unwrap_or_default();
     let Some(route) = table.route(host, req.head.path()).cloned() else {
         return Err(OwnAnswer::denied(404, "denied-no-route"));
@@ -87,15 +96,16 @@
     let waits = req.deadline.unwrap_or(route.timeout).min(route.timeout);
     let known = customer.as_ref().and_then(|name| table.customers.get(name));
     let mut charge = None;
-    if let Some((customer, quota)) = known.and_then(|known| known.quota.map(|quota| (known, quota))) {
+    if let Some((customer, quota)) = known.and_then(|known| known.quota.map(|quota| (known, quota)))
+    {
         let tokens = req.prompt.input + req.prompt.output;
         let units = match quota.counts_tokens {
             true if tokens > 0 => tokens,
             true => quota.default_tokens,
             false => 1,
         };
-        let peers = state.mesh.spent(now, &customer.name);
-        let admitted = state.quotas.admit(now, &customer.name, quota, units, peers);
+        let peers = state.mesh.admitted(now, &customer.name);
+        let admitted = state.quotas.admit(now, &customer.name, quota, units, &peers);
         charge = Some(admitted.map_err(|room_in| {
             OwnAnswer::over_quota(unsent(), room_in.min(waits / super::RETRY_SHARE))
         })?);
--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -143,12 +143,18 @@
             left: left.saturating_sub(ANSWER_TRAVEL),
             upstream: self.upstream.id.as_str(),
             customer: admitted.customer.as_ref(),
-            urgency: admitted.table.services.get(&self.service).and_then(|service| service.engine).map(|_| admitted.urgency),
+            urgency: admitted
+                .table
+                .services
+                .get(&self.service)
+                .and_then(|service| service.engine)
+                .map(|_| admitted.urgency),
             last_event,
         };
         let bytes = req.for_upstream(&self.cx.dialect, &to);
         let patience = match may_try_again {
-            true => (self.ticket.predicted.max(admitted.route.target) * HANG_FACTOR).min(left / HANG_SHARE),
+            true => (self.ticket.predicted.max(admitted.route.target) * HANG_FACTOR)
+                .min(left / HANG_SHARE),
             false => left,
         };
         admitted.may_have_run();
@@ -165,8 +171,14 @@
                 Sent::Broken
             }
             Ok(Ok(head)) => {
-                if let Some(load) = head.headers.text(self.cx.dialect.load).and_then(self.cx.dialect.read_load) {
-                    self.cx.state.borrow_mut().placement.told(self.cx.now(), &self.upstream.id, load);
+                if let Some(load) =
+                    head.headers.text(self.cx.dialect.load).and_then(self.cx.dialect.read_load)
+                {
+                    self.cx.state.borrow_mut().placement.told(
+                        self.cx.now(),
+                        &self.upstream.id,
+                        load,
+                    );
                 }
                 self.connection = Some(connection);
                 if is_not_run(&head, self.cx.dialect.not_run) {
@@ -209,7 +221,11 @@
                 match connection.stream.try_read_buf(&mut connection.buf) {
                     Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
                     Ok(_) => {
-                        let head = ResponseHead::take(&mut connection.buf, MAX_RESPONSE_HEAD, req.is_head());
+                        let head = ResponseHead::take(
+                            &mut connection.buf,
+                            MAX_RESPONSE_HEAD,
+                            req.is_head(),
+                        );
                         if let Ok(Some(head)) = head {
                             return self.own_answer(connection, head, req).await;
                         }
--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -160,7 +160,8 @@
                 Ok(attempt) => attempt,
                 Err(own) => return self.give_up(out, &own).await,
             };
-            let sent = attempt.send(self.req, &self.admitted, self.last_event, self.may_try_again()).await;
+            let sent =
+                attempt.send(self.req, &self.admitted, self.last_event, self.may_try_again()).await;
             match sent {
                 Sent::Unreachable => {
                     self.unreachable += 1;
@@ -285,7 +286,8 @@
     /// Says whether another upstream could be asked, without taking it from the budget.
     fn may_try_again(&self) -> bool {
         let route = &self.admitted.route;
-        route.repeatability.may_repeat() && (self.tried.len() as u32) < route.max_attempts + self.unreachable
+        route.repeatability.may_repeat()
+            && (self.tried.len() as u32) < route.max_attempts + self.unreachable
     }
 
     /// Takes a second send out of the budget if the route allows one.
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -141,7 +141,8 @@
             }
             let left = self.left();
             let may_resume = is_stream && self.may_try_again();
-            let patience = if may_resume && self.first_head.is_some() { left.min(pause) } else { left };
+            let patience =
+                if may_resume && self.first_head.is_some() { left.min(pause) } else { left };
             fed = match timeout(patience, connection.read()).await {
                 Ok(Ok(0)) if decoder.ends_with_connection() => Fed::End,
                 Ok(Ok(0)) => Fed::Broken("closed"),
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -33,6 +33,10 @@
     usage::Usage,
 };
 
+/// How long after the signal to stop any request is taken; the balancer asks once a second, takes
+/// two misses, and connections on their way still arrive.
+const WELCOME_WHILE_STOPPING: Duration = Duration::from_millis(2800);
+
 /// All that decisions are made from.
 #[derive(Debug)]
 pub struct State {
@@ -58,6 +62,8 @@
     pub lease: Lease,
     /// Whether the upstreams were listed once.
     pub has_upstreams: bool,
+    /// Whether the other daemons were listed once; before that, no quota can be shared.
+    pub has_members: bool,
 }
 
 impl State {
@@ -70,6 +76,11 @@
         is_newer
     }
 
+    /// Returns the table once there is all that requests are admitted by.
+    pub fn table_in_force(&self) -> Option<&Arc<Table>> {
+        self.table.as_ref().filter(|_| self.has_members && self.has_upstreams)
+    }
+
     /// Chooses an upstream for a request.
     pub fn choose(&mut self, now: Time, need: &Need<'_>) -> Choice {
         let live = self.directory.live(now, need.service);
@@ -115,13 +126,14 @@
     pub metrics: Metrics,
     /// Tells this run of the daemon from others.
     pub incarnation: Incarnation,
-    /// Woken when the daemon begins to shut down.
-    pub stopping: Notify,
+    /// Woken when callers' idle connections are to be closed.
+    pub closing_idle: Notify,
     /// Usage windows that this run has reported or is reporting.
     pub reported: RefCell<IndexSet<u64>>,
     /// Services whose move's state is being recorded.
     pub recording: RefCell<IndexSet<ServiceName>>,
-    draining: Cell<bool>,
+    /// While shutting down: until when any request is taken, and when the process ends.
+    ends: Cell<Option<(Time, Time)>>,
     in_flight: Cell<u32>,
     messages: Cell<u64>,
 }
@@ -145,6 +157,7 @@
             mesh: Mesh::new(settings.name.clone()),
             lease: Lease::new(run.into(), now),
             has_upstreams: false,
+            has_members: false,
         };
         Rc::new(Self {
             settings,
@@ -154,10 +167,10 @@
             pool: RefCell::default(),
             metrics: Metrics::default(),
             incarnation,
-            stopping: Notify::new(),
+            closing_idle: Notify::new(),
             reported: RefCell::default(),
             recording: RefCell::default(),
-            draining: Cell::new(false),
+            ends: Cell::new(None),
             in_flight: Cell::new(0),
             messages: Cell::new(0),
         })
@@ -171,18 +184,29 @@
     /// Says whether new connections are welcome.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        !self.draining.get() && state.table.is_some() && state.has_upstreams
+        !self.is_draining() && state.table_in_force().is_some()
     }
 
     /// Says whether the daemon is shutting down.
     pub fn is_draining(&self) -> bool {
-        self.draining.get()
+        self.ends.get().is_some()
+    }
+
+    /// Begins to shut down; the process ends at `ends` at the latest.
+    pub fn drain(&self, ends: Time) {
+        self.ends.set(Some((self.now() + WELCOME_WHILE_STOPPING, ends)));
+    }
+
+    /// Closes the connections of callers that have no request under way.
+    pub fn close_idle(&self) {
+        self.closing_idle.notify_waiters();
     }
 
-    /// Begins to shut down.
-    pub fn drain(&self) {
-        self.draining.set(true);
-        self.stopping.notify_waiters();
+    /// Says whether a request may still be taken: soon after the signal any, since the balancer
+    /// has not noticed yet, and later those that end before the process does.
+    pub fn has_time_for(&self, waits: Duration) -> bool {
+        let now = self.now();
+        self.ends.get().is_none_or(|(welcome, ends)| now < welcome || now + waits < ends)
     }
 
     /// Counts a request in flight until the guard is dropped.
@@ -218,7 +242,7 @@
             incarnation: self.incarnation,
             number: self.messages.get(),
             table: state.table.as_ref().map_or(0, |table| table.version),
-            spent: state.quotas.all_spent(now),
+            admitted: state.quotas.all(now),
             usage: state.usage.own(),
             work: work.collect(),
             crashes: crashes.map(|(digest, count)| (digest.0, count)).collect(),
@@ -229,7 +253,11 @@
     }
 
     /// Says whether any daemon has work at upstreams of a service other than a version's.
-    pub fn is_idle_besides(&self, service: &ServiceName, version: &dogwoodturn::ids::VersionName) -> bool {
+    pub fn is_idle_besides(
+        &self,
+        service: &ServiceName,
+        version: &dogwoodturn::ids::VersionName,
+    ) -> bool {
         let state = self.state.borrow();
         let mut others = state
             .directory
--- a/gateway/src/http/connection.rs
+++ b/gateway/src/http/connection.rs
@@ -48,7 +48,8 @@
     pub fn is_quiet(&self) -> bool {
         let mut byte = [0];
         let nothing = self.stream.try_read(&mut byte);
-        self.buf.is_empty() && matches!(nothing, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+        self.buf.is_empty()
+            && matches!(nothing, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Writes all of a request.
--- a/gateway/src/http/head.rs
+++ b/gateway/src/http/head.rs
@@ -152,8 +152,13 @@
             return Err(HeadError::Host);
         }
         let keep_alive = is_current && !headers.lists("connection", b"close");
-        let head =
-            Self { method: bytes.slice(method), target: bytes.slice(target), headers, framing, keep_alive };
+        let head = Self {
+            method: bytes.slice(method),
+            target: bytes.slice(target),
+            headers,
+            framing,
+            keep_alive,
+        };
         if !head.target.starts_with(b"/") {
             return Err(HeadError::Target);
         }
@@ -223,11 +228,11 @@
     start..start + part.len()
 }
 
-fn header_ranges(
-    buf: &[u8],
-    lines: &[httparse::Header<'_>],
-) -> Vec<(Range<usize>, Range<usize>)> {
-    lines.iter().map(|line| (range_in(buf, line.name.as_bytes()), range_in(buf, line.value))).collect()
+fn header_ranges(buf: &[u8], lines: &[httparse::Header<'_>]) -> Vec<(Range<usize>, Range<usize>)> {
+    lines
+        .iter()
+        .map(|line| (range_in(buf, line.name.as_bytes()), range_in(buf, line.value)))
+        .collect()
 }
 
 fn slice_headers(bytes: &Bytes, ranges: Vec<(Range<usize>, Range<usize>)>) -> Headers {
--- a/gateway/src/lease.rs
+++ b/gateway/src/lease.rs
@@ -92,7 +92,8 @@
                 if now.since(self.changed) < STAGGER * self.rank {
                     return None;
                 }
-                let first = LeaseRecord { holder: self.me.clone(), fence: 1, ..LeaseRecord::default() };
+                let first =
+                    LeaseRecord { holder: self.me.clone(), fence: 1, ..LeaseRecord::default() };
                 (None, first)
             }
             Some((revision, known)) if known.holder == self.me => {
--- a/gateway/src/mesh.rs
+++ b/gateway/src/mesh.rs
@@ -36,8 +36,8 @@
     pub number: u64,
     /// The version of its table; zero if it has none.
     pub table: u64,
-    /// Units admitted within the quota window.
-    pub spent: Vec<(CustomerName, u64)>,
+    /// Units admitted lately, by interval.
+    pub admitted: Vec<(CustomerName, quota::History)>,
     /// Requests that began to run, by window and customer.
     pub usage: Vec<(u64, Vec<(CustomerName, u64)>)>,
     /// Work at upstreams, and what is held against them in percent.
@@ -116,24 +116,25 @@
 
     /// Returns this daemon's place among those that are heard, by name.
     pub fn rank(&self, now: Time) -> u32 {
-        let before = |(daemon, peer): &(&DaemonId, &Peer)| **daemon < self.me && is_heard(peer, now);
+        let before =
+            |(daemon, peer): &(&DaemonId, &Peer)| **daemon < self.me && is_heard(peer, now);
         self.peers.iter().filter(before).count() as u32
     }
 
     /// Returns what the peers say of a customer's quota.
-    pub fn spent(&self, now: Time, customer: &CustomerName) -> quota::Peers {
+    pub fn admitted(&self, now: Time, customer: &CustomerName) -> quota::Peers {
         let mut sum = quota::Peers::default();
         for peer in self.peers.values() {
-            match &peer.last {
-                Some(last) if is_heard(peer, now) => {
-                    sum.heard += 1;
-                    let spent = last.spent.iter().find(|(name, _)| name == customer);
-                    sum.spent += spent.map_or(0, |(_, units)| *units);
+            if let (Some(last), Some(heard)) = (&peer.last, peer.heard) {
+                let told = last.admitted.iter().find(|(name, _)| name == customer);
+                if let Some((_, history)) = told {
+                    sum.add(history, now.since(heard));
                 }
-                _ if now.since(peer.heard.unwrap_or(peer.joined)) < REMEMBERED_FOR => {
-                    sum.silent += 1;
-                }
-                _ => {}
+            }
+            if is_heard(peer, now) {
+                sum.heard += 1;
+            } else if now.since(peer.heard.unwrap_or(peer.joined)) < REMEMBERED_FOR {
+                sum.silent += 1;
             }
         }
         sum
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -253,7 +253,8 @@
         let allowed = need.target.as_secs_f64() * 1000.0 * WAIT_SHARE;
         let left = need.left.as_secs_f64() * 1000.0;
         if shortest_wait > allowed || best.predicted > left {
-            let room_in = Duration::from_secs_f64((shortest_wait - allowed / 2.0).max(0.0) / 1000.0);
+            let room_in =
+                Duration::from_secs_f64((shortest_wait - allowed / 2.0).max(0.0) / 1000.0);
             return Choice::Refused {
                 retry_after: room_in.max(SHORTEST_RETRY),
                 wait: Duration::from_secs_f64(shortest_wait / 1000.0),
@@ -411,15 +412,9 @@
 
 /// Returns the tokens of a prompt that an engine has to read; a part is found only if all before
 /// it are.
-fn unread_tokens(
-    parts: &IndexMap<u64, Time>,
-    now: Time,
-    prompt: &Prompt,
-    is_home: bool,
-) -> u64 {
-    let known = |part: &&PromptPart| {
-        parts.get(&part.id).is_some_and(|used| now.since(*used) < PART_MEMORY)
-    };
+fn unread_tokens(parts: &IndexMap<u64, Time>, now: Time, prompt: &Prompt, is_home: bool) -> u64 {
+    let known =
+        |part: &&PromptPart| parts.get(&part.id).is_some_and(|used| now.since(*used) < PART_MEMORY);
     let held: u64 = prompt.parts.iter().take_while(known).map(|part| part.tokens).sum();
     let unread = prompt.input.saturating_sub(held);
     // Peers send the same parts to the same home, so it probably holds what they share.
--- a/gateway/src/quota.rs
+++ b/gateway/src/quota.rs
@@ -1,11 +1,13 @@
-//! Customers' quotas across all daemons.
+//! Customers' quotas across all daemons, as one token bucket that nobody holds.
 //!
 //! Load pattern: one customer sends many times its usual, over connections that the balancer
-//! spreads unevenly. Each daemon adds up what it and its peers admitted in the sliding window and
-//! admits while the sum is below the limit; what the peers admit between two messages is covered
-//! by the overshoot that the operator allows. For each peer that is not heard, an equal part of
-//! the limit is set aside, so that parts that cannot hear each other stay below the limit
-//! together.
+//! spreads unevenly, while daemons are killed. Each daemon tells its peers what it admitted lately,
+//! by short intervals, and replays the sum through the bucket: what was admitted in the meantime
+//! shows as debt that is paid off before more is admitted. For each peer that is not heard, an
+//! equal part of the bucket is set aside, so that parts that cannot hear each other stay within the
+//! quota together. A bucket rather than a window keeps a customer's flow even, so that a daemon
+//! that starts after a crash does little harm by not knowing what went before: it takes its part
+//! of the burst as used.
 
 use std::time::Duration;
 
@@ -14,53 +16,72 @@
 
 use crate::table::Quota;
 
-/// The length of a bucket; the window slides by it.
-const BUCKET: Duration = Duration::from_millis(250);
+/// The length of one interval of the history.
+const INTERVAL: Duration = Duration::from_millis(500);
+/// The part of the allowed overshoot that is used on purpose; the rest covers what is admitted
+/// between two messages.
+const RATE_MARGIN: f64 = 1.02;
+/// The shortest time after which a refused caller may come back.
+const SHORTEST_RETRY: Duration = Duration::from_millis(200);
 
-/// What one customer was admitted here, by bucket.
-#[derive(Clone, Debug, Default)]
-struct Spent {
-    buckets: IndexMap<u64, u64>,
-}
-
-impl Spent {
-    fn sum(&self, oldest: u64) -> u64 {
-        self.buckets.iter().filter(|(at, _)| **at >= oldest).map(|(_, units)| units).sum()
-    }
-}
+/// Units admitted in each interval, the current one first.
+pub type History = Vec<u64>;
 
-/// What the peers say.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// What the peers say of one customer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Peers {
-    /// Units that the peers that are heard admitted within the window.
-    pub spent: u64,
+    /// Units that the peers that are heard admitted, by interval.
+    pub history: History,
     /// How many peers are heard.
     pub heard: u32,
     /// How many peers exist and are not heard.
     pub silent: u32,
 }
 
+impl Peers {
+    /// Adds what one peer told, `age` ago.
+    pub fn add(&mut self, history: &[u64], age: Duration) {
+        let shift = (age.as_micros() / INTERVAL.as_micros()) as usize;
+        let length = shift + history.len();
+        if self.history.len() < length {
+            self.history.resize(length, 0);
+        }
+        for (sum, units) in self.history[shift..].iter_mut().zip(history) {
+            *sum += units;
+        }
+    }
+}
+
 /// The units that one request used, to be given back if it did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Charge {
-    bucket: u64,
+    interval: u64,
     units: u64,
 }
 
 /// The quotas as one daemon keeps them.
 #[derive(Clone, Debug)]
 pub struct Quotas {
-    window: Duration,
-    spent: IndexMap<CustomerName, Spent>,
-    /// The start of a daemon that follows an earlier one, whose admissions are not known.
-    inherited_from: Option<Time>,
+    intervals: u64,
+    started: Time,
+    has_predecessor: bool,
+    admitted: IndexMap<CustomerName, IndexMap<u64, u64>>,
 }
 
 impl Quotas {
     /// Makes the quotas of a daemon; `first_start` says that nothing can have been admitted yet.
     pub fn new(window: Duration, now: Time, first_start: bool) -> Self {
-        let inherited_from = (!first_start).then_some(now);
-        Self { window, spent: IndexMap::new(), inherited_from }
+        let intervals = (window.as_micros() / INTERVAL.as_micros()).max(1) as u64;
+        Self { intervals, started: now, has_predecessor: !first_start, admitted: IndexMap::new() }
+    }
+
+    /// Takes this daemon's part of a customer's burst as used by the run before this one.
+    pub fn inherit(&mut self, customer: &CustomerName, quota: Quota, daemons: u32) {
+        if self.has_predecessor && !self.admitted.contains_key(customer) {
+            let part = quota.burst / f64::from(daemons.max(1));
+            let used = IndexMap::from([(interval_of(self.started), part as u64)]);
+            self.admitted.insert(customer.clone(), used);
+        }
     }
 
     /// Admits a request, or says when there may be room for it.
@@ -70,58 +91,68 @@
         customer: &CustomerName,
         quota: Quota,
         units: u64,
-        peers: Peers,
+        peers: &Peers,
     ) -> Result<Charge, Duration> {
-        let limit = quota.rate * self.window.as_secs_f64() + quota.burst;
+        self.inherit(customer, quota, 1 + peers.heard + peers.silent);
         let daemons = f64::from(1 + peers.heard + peers.silent);
-        let reachable = limit * f64::from(1 + peers.heard) / daemons;
-        let inherited = self.inherited(now) * limit / daemons;
-        let used = self.spent(now, customer) as f64 + peers.spent as f64 + inherited;
-        let excess = used + units as f64 - reachable;
-        if excess > 0.0 {
-            let seconds = (excess / quota.rate.max(1.0)).min(self.window.as_secs_f64());
-            return Err(Duration::from_secs_f64(seconds).max(BUCKET));
+        let part = f64::from(1 + peers.heard) / daemons;
+        let (rate, burst) = (quota.rate * RATE_MARGIN * part, quota.burst * part);
+        let own = self.history(now, customer);
+        let level = replay(&own, &peers.history, rate, burst, self.intervals, now);
+        let missing = (units as f64).min(burst) - level;
+        if missing > 0.0 {
+            let room_in = Duration::from_secs_f64((missing / rate.max(1.0)).min(60.0));
+            return Err(room_in.max(SHORTEST_RETRY));
         }
-        let bucket = bucket_of(now);
-        let oldest = bucket.saturating_sub(self.buckets());
-        let spent = self.spent.entry(customer.clone()).or_default();
-        spent.buckets.retain(|at, _| *at >= oldest);
-        *spent.buckets.entry(bucket).or_default() += units;
-        Ok(Charge { bucket, units })
+        let interval = interval_of(now);
+        let oldest = interval.saturating_sub(self.intervals);
+        let admitted = self.admitted.entry(customer.clone()).or_default();
+        admitted.retain(|at, _| *at >= oldest);
+        *admitted.entry(interval).or_default() += units;
+        Ok(Charge { interval, units })
     }
 
     /// Gives back what a request was charged that did not run.
     pub fn refund(&mut self, customer: &CustomerName, charge: Charge) {
-        let spent = self.spent.get_mut(customer);
-        if let Some(units) = spent.and_then(|spent| spent.buckets.get_mut(&charge.bucket)) {
+        let admitted = self.admitted.get_mut(customer);
+        if let Some(units) = admitted.and_then(|admitted| admitted.get_mut(&charge.interval)) {
             *units = units.saturating_sub(charge.units);
         }
     }
 
-    /// Returns the units admitted here within the window.
-    pub fn spent(&self, now: Time, customer: &CustomerName) -> u64 {
-        let oldest = bucket_of(now).saturating_sub(self.buckets());
-        self.spent.get(customer).map_or(0, |spent| spent.sum(oldest))
+    /// Returns what a customer was admitted here, the current interval first.
+    pub fn history(&self, now: Time, customer: &CustomerName) -> History {
+        let current = interval_of(now);
+        let admitted = self.admitted.get(customer);
+        let at = |age: u64| {
+            let interval = current.checked_sub(age)?;
+            admitted.and_then(|admitted| admitted.get(&interval)).copied()
+        };
+        (0..=self.intervals).map(|age| at(age).unwrap_or(0)).collect()
     }
 
-    /// Returns what each customer was admitted here within the window, for the peers.
-    pub fn all_spent(&self, now: Time) -> Vec<(CustomerName, u64)> {
-        let sum = |customer: &CustomerName| (customer.clone(), self.spent(now, customer));
-        self.spent.keys().map(sum).filter(|(_, units)| *units > 0).collect()
-    }
-
-    fn buckets(&self) -> u64 {
-        self.window.as_millis() as u64 / BUCKET.as_millis() as u64
+    /// Returns the history of each customer that was admitted something lately, for the peers.
+    pub fn all(&self, now: Time) -> Vec<(CustomerName, History)> {
+        let all = self.admitted.keys().map(|name| (name.clone(), self.history(now, name)));
+        all.filter(|(_, history)| history.iter().any(|units| *units > 0)).collect()
     }
+}
 
-    /// The part of the limit that an earlier run of this daemon may still have in the window.
-    fn inherited(&self, now: Time) -> f64 {
-        let Some(from) = self.inherited_from else { return 0.0 };
-        let passed = now.since(from).as_secs_f64() / self.window.as_secs_f64();
-        (1.0 - passed).max(0.0)
+/// Returns the level of the bucket after all that was admitted; debt shows as a negative level.
+fn replay(own: &[u64], peers: &[u64], rate: f64, burst: f64, intervals: u64, now: Time) -> f64 {
+    let length = INTERVAL.as_secs_f64();
+    let units = |age: usize| {
+        let own = own.get(age).copied().unwrap_or(0);
+        (own + peers.get(age).copied().unwrap_or(0)) as f64
+    };
+    let mut level = burst;
+    for age in (1..=intervals as usize).rev() {
+        level = (level + rate * length).min(burst) - units(age);
     }
+    let passed = (now.0 % INTERVAL.as_micros() as u64) as f64 / 1e6;
+    (level + rate * passed).min(burst) - units(0)
 }
 
-fn bucket_of(now: Time) -> u64 {
-    now.0 / BUCKET.as_micros() as u64
+fn interval_of(now: Time) -> u64 {
+    now.0 / INTERVAL.as_micros() as u64
 }
--- a/gateway/src/rollout.rs
+++ b/gateway/src/rollout.rs
@@ -144,7 +144,8 @@
         match self.moves.get_mut(&record.service) {
             Some(known) if known.record.target == record.target => {
                 known.revision = known.revision.max(revision);
-                let ended = |state| matches!(state, Some(MoveState::Completed | MoveState::Reverted));
+                let ended =
+                    |state| matches!(state, Some(MoveState::Completed | MoveState::Reverted));
                 if !ended(known.record.state) {
                     known.record.state = record.state;
                 }
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -23,8 +23,11 @@
 /// How long a daemon takes connections after it has become unready: the balancer asks once a
 /// second and takes two misses, and connections on their way still arrive.
 const UNREADY_BEFORE_STOP: Duration = Duration::from_millis(3300);
+/// How long callers' idle connections stay open after the signal; most are told with an answer
+/// that the connection closes, and closing one crosses no request then.
+const IDLE_BEFORE_CLOSE: Duration = Duration::from_millis(2000);
 /// How long before the end of the grace period the process ends whatever is in flight.
-const GRACE_MARGIN: Duration = Duration::from_millis(700);
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// How often a draining daemon looks whether requests are still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -94,15 +97,21 @@
             },
         }
     }
-    cx.drain();
-    log::info!(event = "stop", in_flight = cx.in_flight(), grace_ms = grace.as_millis() as u64; "");
     let began = cx.now();
-    let (earliest, latest) = (began + UNREADY_BEFORE_STOP, began + grace.saturating_sub(GRACE_MARGIN));
+    let (earliest, latest) =
+        (began + UNREADY_BEFORE_STOP, began + grace.saturating_sub(GRACE_MARGIN));
+    cx.drain(latest);
+    log::info!(event = "stop", in_flight = cx.in_flight(), grace_ms = grace.as_millis() as u64; "");
+    let mut closes_idle_at = began + IDLE_BEFORE_CLOSE;
     loop {
         let now = cx.now();
         if now >= latest || (now >= earliest && cx.in_flight() == 0) {
             break;
         }
+        if now >= closes_idle_at {
+            cx.close_idle();
+            closes_idle_at = now + IDLE_BEFORE_CLOSE;
+        }
         sleep(DRAIN_POLL).await;
     }
     log::info!(event = "stopped", in_flight = cx.in_flight(); "");
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -139,13 +139,13 @@
     if buf.is_empty() {
         // An empty buffer gives its memory back while the caller is idle.
         *buf = BytesMut::new();
-        wait_readable(stream, limits.idle_timeout).await?;
+        wait_readable(cx, stream, limits.idle_timeout).await?;
     }
     let arrived = cx.now();
     let head = timeout(limits.header_timeout, read_head(stream, buf, limits.header_bytes));
-    let head = head.await.map_err(|_| {
-        ReadError::Refused(OwnAnswer::malformed(408, "refused-slow-head"))
-    })??;
+    let head = head
+        .await
+        .map_err(|_| ReadError::Refused(OwnAnswer::malformed(408, "refused-slow-head")))??;
     if matches!(head.framing, Framing::Length(length) if length > limits.body_bytes as u64) {
         return Err(ReadError::Refused(OwnAnswer::malformed(413, "denied-long-body")));
     }
@@ -153,16 +153,23 @@
         stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
     let body = timeout(BODY_TIMEOUT, read_body(stream, buf, head.framing, limits.body_bytes));
-    let body = body.await.map_err(|_| {
-        ReadError::Refused(OwnAnswer::malformed(408, "refused-slow-body"))
-    })??;
+    let body = body
+        .await
+        .map_err(|_| ReadError::Refused(OwnAnswer::malformed(408, "refused-slow-body")))??;
     Ok(Request::new(&cx.dialect, head, body, arrived))
 }
 
-async fn wait_readable(stream: &TcpStream, limit: Duration) -> Result<(), ReadError> {
-    match timeout(limit, stream.readable()).await {
-        Ok(Ok(())) => Ok(()),
-        Ok(Err(_)) | Err(_) => Err(ReadError::Gone),
+async fn wait_readable(cx: &Gateway, stream: &TcpStream, limit: Duration) -> Result<(), ReadError> {
+    let readable = async {
+        tokio::select! {
+            biased;
+            readable = stream.readable() => readable.is_ok(),
+            () = cx.closing_idle.notified() => false,
+        }
+    };
+    match timeout(limit, readable).await {
+        Ok(true) => Ok(()),
+        Ok(false) | Err(_) => Err(ReadError::Gone),
     }
 }
 
@@ -191,7 +198,9 @@
     let mut body = BytesMut::new();
     loop {
         match decoder.step(buf) {
-            Ok(Step::Data(data)) if body.is_empty() && framing == Framing::Length(data.len() as u64) => {
+            Ok(Step::Data(data))
+                if body.is_empty() && framing == Framing::Length(data.len() as u64) =>
+            {
                 return Ok(data);
             }
             Ok(Step::Data(data)) => body.extend_from_slice(&data),
@@ -225,7 +234,10 @@
 }
 
 /// Serves probes and internal calls, which have no body.
-pub async fn accept_short(listener: TcpListener, answer: impl Fn(&RequestHead) -> Short + Clone + 'static) {
+pub async fn accept_short(
+    listener: TcpListener,
+    answer: impl Fn(&RequestHead) -> Short + Clone + 'static,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -251,11 +263,16 @@
     let limits = CallerLimits::default();
     let mut buf = BytesMut::new();
     loop {
-        let head = timeout(limits.idle_timeout, read_head(&mut stream, &mut buf, limits.header_bytes));
+        let head =
+            timeout(limits.idle_timeout, read_head(&mut stream, &mut buf, limits.header_bytes));
         let Ok(Ok(head)) = head.await else { return Ok(()) };
         let short = answer(&head);
         let phrase = crate::request::phrase(short.status);
-        let text = format!("HTTP/1.1 {} {phrase}\r\nContent-Length: {}\r\n\r\n", short.status, short.body.len());
+        let text = format!(
+            "HTTP/1.1 {} {phrase}\r\nContent-Length: {}\r\n\r\n",
+            short.status,
+            short.body.len()
+        );
         let mut out = BytesMut::from(text.as_bytes());
         out.extend_from_slice(&short.body);
         stream.write_all(&out).await?;
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -138,8 +138,7 @@
     let quota_window = seconds("quota-window-seconds");
     let usage_window = seconds("usage-window-seconds");
     fields.finish();
-    let retries =
-        retry::Bounds { ratio: ratio?, allowance: allowance?, window: retry_window? };
+    let retries = retry::Bounds { ratio: ratio?, allowance: allowance?, window: retry_window? };
     Some(Bounds {
         grace: grace?,
         retries,
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -6,7 +6,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use dogwoodturn::ids::{CustomerName, DaemonId, DataCentre, Revision, ServiceName, UpstreamId, VersionName};
+use dogwoodturn::ids::{
+    CustomerName, DaemonId, DataCentre, Revision, ServiceName, UpstreamId, VersionName,
+};
 use futures_util::future::LocalBoxFuture;
 use indexmap::IndexMap;
 use thiserror::Error;
--- a/gateway/src/sync.rs
+++ b/gateway/src/sync.rs
@@ -9,7 +9,7 @@
 use tokio::time::{interval, sleep};
 
 use crate::{
-    gateway::{Gateway, wall_clock},
+    gateway::{Gateway, State, wall_clock},
     links,
     store::{CallError, Change, Entry, Kind, MemberRecord, Order, Record, Write},
 };
@@ -94,6 +94,9 @@
         state.directory.retain_listed(cx.now(), &listed);
         state.has_upstreams = true;
     }
+    if kind == Kind::Members {
+        cx.state.borrow_mut().has_members = true;
+    }
     for entry in listing.entries {
         take(cx, entry);
     }
@@ -165,8 +168,7 @@
 
 /// Makes this daemon known to the others.
 async fn register(cx: Rc<Gateway>) {
-    let member =
-        MemberRecord { daemon: cx.settings.name.clone(), address: cx.settings.peers };
+    let member = MemberRecord { daemon: cx.settings.name.clone(), address: cx.settings.peers };
     let mut pause = FIRST_PAUSE;
     while counted(&cx, "register", (cx.store.write)(Write::Member(member.clone())).await).is_err() {
         sleep(pause).await;
@@ -220,6 +222,7 @@
             state.placement.set_peers(&views);
             let rank = state.mesh.rank(now);
             state.lease.set_rank(rank);
+            inherit_quotas(&mut state);
             state.directory.forget_gone(now)
         };
         {
@@ -238,6 +241,17 @@
     }
 }
 
+/// Takes the parts of the customers' bursts as used that an earlier run of this daemon had.
+fn inherit_quotas(state: &mut State) {
+    let Some(table) = state.table_in_force().cloned() else { return };
+    let daemons = state.mesh.size();
+    for customer in table.customers.values() {
+        if let Some(quota) = customer.quota {
+            state.quotas.inherit(&customer.name, quota, daemons);
+        }
+    }
+}
+
 fn renew_lease(cx: &Rc<Gateway>) {
     let now = cx.now();
     let Some(write) = cx.state.borrow_mut().lease.due(now) else { return };
@@ -326,8 +340,7 @@
             let is_up = state.directory.has_version(&service, &target);
             let mut rollouts = std::mem::take(&mut state.rollouts);
             let before = (rollouts.share(&service), rollouts.holds().len());
-            let due =
-                rollouts.advance(now, &service, state.mesh.tallies(&service), is_idle, is_up);
+            let due = rollouts.advance(now, &service, state.mesh.tallies(&service), is_idle, is_up);
             let after = (rollouts.share(&service), rollouts.holds().len());
             if before != after {
                 log::info!(event = "move-step", service:%, target:%, share = after.0.unwrap_or(0.0), holds = after.1; "");
--- /dev/null
+++ b/gateway/tests/quota.rs
@@ -0,0 +1,144 @@
+//! Quotas of several daemons that tell each other what they admitted, as the operators check them.
+
+use std::{collections::VecDeque, time::Duration};
+
+use dogwoodturn::{ids::CustomerName, units::Time};
+use dogwoodturn_gateway::{
+    quota::{History, Peers, Quotas},
+    table::Quota,
+};
+
+const WINDOW: Duration = Duration::from_secs(8);
+const TELL_EVERY_MS: u64 = 200;
+const DAEMONS: usize = 7;
+const QUOTA: Quota =
+    Quota { rate: 300_000.0, burst: 300_000.0, counts_tokens: true, default_tokens: 0 };
+/// What the operators allow on top: a tenth, and a fixed allowance.
+const OVERSHOOT: f64 = 1.1;
+const ALLOWANCE: f64 = 140_000.0;
+
+struct Daemon {
+    quotas: Quotas,
+    told: History,
+    told_at: Time,
+}
+
+fn at(ms: u64) -> Time {
+    Time(1_000_000_000 + ms * 1000)
+}
+
+fn customer() -> CustomerName {
+    "hot".parse().unwrap()
+}
+
+fn start(ms: u64, first: bool) -> Daemon {
+    let mut quotas = Quotas::new(WINDOW, at(ms), first);
+    quotas.inherit(&customer(), QUOTA, DAEMONS as u32);
+    Daemon { quotas, told: Vec::new(), told_at: at(ms) }
+}
+
+/// Plays a customer that asks for `demand` times its rate, and returns what was admitted when.
+fn play(
+    demand: f64,
+    until_ms: u64,
+    mut event: impl FnMut(u64, &mut Vec<Daemon>),
+) -> Vec<(u64, u64)> {
+    let mut daemons: Vec<_> = (0..DAEMONS).map(|_| start(0, true)).collect();
+    let mut admitted = Vec::new();
+    let units = 3000;
+    let per_ms = QUOTA.rate * demand / 1000.0;
+    let mut owed = 0.0;
+    let mut turn = 0;
+    for ms in 0..until_ms {
+        event(ms, &mut daemons);
+        if ms % TELL_EVERY_MS == 0 {
+            for daemon in &mut daemons {
+                daemon.told = daemon.quotas.history(at(ms), &customer());
+                daemon.told_at = at(ms);
+            }
+        }
+        owed += per_ms;
+        while owed >= f64::from(units) {
+            owed -= f64::from(units);
+            // The balancer's hash favours the first daemon.
+            turn += 1;
+            let chosen = if turn % 3 == 0 { 0 } else { turn % DAEMONS };
+            let mut peers = Peers { heard: DAEMONS as u32 - 1, ..Peers::default() };
+            for (index, peer) in daemons.iter().enumerate() {
+                if index != chosen {
+                    peers.add(&peer.told, at(ms).since(peer.told_at));
+                }
+            }
+            let quotas = &mut daemons[chosen].quotas;
+            if quotas.admit(at(ms), &customer(), QUOTA, u64::from(units as u32), &peers).is_ok() {
+                admitted.push((ms, u64::from(units as u32)));
+            }
+        }
+    }
+    admitted
+}
+
+fn most_in_window(admitted: &[(u64, u64)]) -> f64 {
+    let (mut window, mut sum, mut most) = (VecDeque::new(), 0, 0);
+    for (ms, units) in admitted {
+        window.push_back((*ms, *units));
+        sum += units;
+        while window.front().is_some_and(|(from, _)| ms - from >= WINDOW.as_millis() as u64) {
+            sum -= window.pop_front().map_or(0, |(_, units)| units);
+        }
+        most = most.max(sum);
+    }
+    most as f64
+}
+
+fn allowed() -> f64 {
+    (QUOTA.rate * WINDOW.as_secs_f64() + QUOTA.burst) * OVERSHOOT + ALLOWANCE
+}
+
+#[test]
+fn admit_one_customer_far_beyond_its_quota() {
+    let admitted = play(4.0, 30_000, |_, _| {});
+    assert!(most_in_window(&admitted) <= allowed(), "{}", most_in_window(&admitted));
+}
+
+#[test]
+fn admit_all_daemons_killed_in_the_middle_of_a_window() {
+    let admitted = play(3.0, 30_000, |ms, daemons| {
+        if ms == 9_100 {
+            *daemons = (0..DAEMONS).map(|_| start(ms, false)).collect();
+        }
+    });
+    assert!(most_in_window(&admitted) <= allowed(), "{}", most_in_window(&admitted));
+}
+
+#[test]
+fn admit_usual_demand_is_never_refused() {
+    let admitted = play(0.6, 20_000, |_, _| {});
+    let asked = QUOTA.rate * 0.6 * 20.0;
+    let units: u64 = admitted.iter().map(|(_, units)| units).sum();
+    assert!(units as f64 >= asked - 6000.0, "{units} of {asked}");
+}
+
+#[test]
+fn admit_silent_peers_leave_each_part_its_share() {
+    let mut quotas = Quotas::new(WINDOW, at(0), true);
+    let peers = Peers { history: Vec::new(), heard: 0, silent: 3 };
+    let mut units = 0;
+    for ms in 0..8_000 {
+        if quotas.admit(at(ms), &customer(), QUOTA, 1000, &peers).is_ok() {
+            units += 1000;
+        }
+    }
+    let part = (QUOTA.rate * WINDOW.as_secs_f64() + QUOTA.burst) / 4.0;
+    assert!(f64::from(units) <= part * OVERSHOOT, "{units} of {part}");
+}
+
+#[test]
+fn refund_makes_room_again() {
+    let mut quotas = Quotas::new(WINDOW, at(0), true);
+    let burst = QUOTA.burst as u64;
+    let charge = quotas.admit(at(0), &customer(), QUOTA, burst, &Peers::default()).unwrap();
+    assert!(quotas.admit(at(1), &customer(), QUOTA, burst, &Peers::default()).is_err());
+    quotas.refund(&customer(), charge);
+    assert!(quotas.admit(at(2), &customer(), QUOTA, burst, &Peers::default()).is_ok());
+}
