--- a/gateway/tests/quota.rs
+++ b/gateway/tests/quota.rs
@@ -107,7 +107,7 @@
 #[test]
 fn admit_all_daemons_killed_in_the_middle_of_a_window() {
     let admitted = play(BURSTY, 3.0, 30_000, |ms, daemons| {
-        if ms == 9_100 {
+        if ms == 3_100 {
             *daemons = (0..DAEMONS).map(|_| start(BURSTY, ms, false)).collect();
         }
     });
