supply: a base for the usual demand and as many reclaimable hosts

Change: the base follows a ten-second average with hysteresis and starts with the measured demand; reclaimable hosts take bursts.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -28,6 +28,7 @@
     rollout::Rollouts,
     settings::Settings,
     store::Store,
+    supply::Supply,
     suspect::{Digest, Suspects},
     table::Table,
     usage::Usage,
@@ -54,6 +55,8 @@
     pub suspects: Suspects,
     /// Moves between versions.
     pub rollouts: Rollouts,
+    /// Orders for hosts.
+    pub supply: Supply,
     /// Counts for usage reports.
     pub usage: Usage,
     /// The other daemons.
@@ -153,6 +156,7 @@
             retries: RetryBudgets::new(bounds.retries),
             suspects: Suspects::default(),
             rollouts: Rollouts::default(),
+            supply: Supply::default(),
             usage: Usage::new(bounds.usage_window),
             mesh: Mesh::new(settings.name.clone()),
             lease: Lease::new(run.into(), now),
@@ -245,6 +249,7 @@
             admitted: state.quotas.all(now),
             usage: state.usage.own(),
             work: work.collect(),
+            demands: state.placement.demands(now),
             crashes: crashes.map(|(digest, count)| (digest.0, count)).collect(),
             tallies: state.rollouts.own(),
             holds: state.rollouts.holds().to_vec(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod settings;
 pub mod sse;
 pub mod store;
+pub mod supply;
 pub mod suspect;
 pub mod sync;
 pub mod table;
--- a/gateway/src/mesh.rs
+++ b/gateway/src/mesh.rs
@@ -42,6 +42,8 @@
     pub usage: Vec<(u64, Vec<(CustomerName, u64)>)>,
     /// Work at upstreams, and what is held against them in percent.
     pub work: Vec<(UpstreamId, u32, u64, u64, u8)>,
+    /// Engines that the requests of each service keep busy, in thousandths.
+    pub demands: Vec<(ServiceName, u32)>,
     /// Digests of requests that crashed upstreams, with how often.
     pub crashes: Vec<(u64, u32)>,
     /// What versions under a move have done.
@@ -176,6 +178,13 @@
         last.flat_map(|last| &last.tallies).filter(move |(name, ..)| name == service)
     }
 
+    /// Returns the engines that requests at the peers keep busy.
+    pub fn demand(&self, now: Time, service: &ServiceName) -> f64 {
+        let told = self.current(now).flat_map(|message| &message.demands);
+        let told = told.filter(|(name, _)| name == service).map(|(_, demand)| *demand);
+        f64::from(told.sum::<u32>()) / 1000.0
+    }
+
     /// Returns the last messages of the peers that are heard.
     pub fn current(&self, now: Time) -> impl Iterator<Item = &Message> {
         let heard = move |peer: &&Peer| is_heard(peer, now);
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -56,6 +56,10 @@
 const WAIT_SHARE: f64 = 0.6;
 /// The shortest wait that a refused caller is told.
 const SHORTEST_RETRY: Duration = Duration::from_millis(100);
+/// The time over which the demand is averaged.
+const DEMAND_WINDOW: Duration = Duration::from_secs(2);
+/// What one generated token costs an engine in milliseconds, besides what a batch shares.
+const WRITE_MS: f64 = 0.12;
 /// The most by which an upstream counts as slower than the others.
 const MAX_SLOWNESS: f64 = 12.0;
 
@@ -136,11 +140,32 @@
     read_rate: f64,
     base_ms: f64,
     run_ms: f64,
+    demand: f64,
+    demand_at: Time,
+}
+
+impl ServiceState {
+    /// Returns the engines that lately arrived requests keep busy.
+    fn demand(&self, now: Time) -> f64 {
+        let passed = now.since(self.demand_at).as_secs_f64();
+        self.demand * (-passed / DEMAND_WINDOW.as_secs_f64()).exp()
+    }
+
+    fn arrived(&mut self, now: Time, work: Duration) {
+        self.demand = self.demand(now) + work.as_secs_f64() / DEMAND_WINDOW.as_secs_f64();
+        self.demand_at = now;
+    }
 }
 
 impl Default for ServiceState {
     fn default() -> Self {
-        Self { read_rate: INITIAL_READ_RATE, base_ms: INITIAL_BASE_MS, run_ms: INITIAL_RUN_MS }
+        Self {
+            read_rate: INITIAL_READ_RATE,
+            base_ms: INITIAL_BASE_MS,
+            run_ms: INITIAL_RUN_MS,
+            demand: 0.0,
+            demand_at: Time::default(),
+        }
     }
 }
 
@@ -250,6 +275,12 @@
             }
         }
         let Some(best) = best else { return Choice::Nobody };
+        if need.engine.is_some() && need.tried.is_empty() {
+            let service = self.services.entry(need.service.clone()).or_default();
+            let reading = best.unread as f64 / service.read_rate;
+            let writing = need.prompt.output as f64 * WRITE_MS;
+            service.arrived(now, Duration::from_secs_f64((reading + writing) / 1000.0));
+        }
         let allowed = need.target.as_secs_f64() * 1000.0 * WAIT_SHARE;
         let left = need.left.as_secs_f64() * 1000.0;
         if shortest_wait > allowed || best.predicted > left {
@@ -325,9 +356,11 @@
             let base = (observed - reading).clamp(1.0, learnt.base_ms * 4.0);
             learnt.base_ms += LEARNING_RATE * (base - learnt.base_ms);
         } else if observed > learnt.base_ms * 1.2 {
+            // Work that is not known here slows single answers, so the faster ones count more.
             let rate = tokens / (observed - learnt.base_ms);
             let rate = rate.clamp(learnt.read_rate / 4.0, learnt.read_rate * 4.0);
-            learnt.read_rate += LEARNING_RATE * (rate - learnt.read_rate);
+            let weight = if rate > learnt.read_rate { LEARNING_RATE } else { LEARNING_RATE / 3.0 };
+            learnt.read_rate += weight * (rate - learnt.read_rate);
         }
         if let Some(state) = self.upstreams.get_mut(&ticket.upstream) {
             state.work.unread = state.work.unread.saturating_sub(ticket.unread);
@@ -391,6 +424,13 @@
         self.upstreams.get(upstream).map(UpstreamState::all_work).unwrap_or_default()
     }
 
+    /// Returns the engines that each service's requests keep busy here, in thousandths.
+    pub fn demands(&self, now: Time) -> Vec<(ServiceName, u32)> {
+        let demand = |state: &ServiceState| (state.demand(now) * 1000.0) as u32;
+        let all = self.services.iter().map(|(service, state)| (service.clone(), demand(state)));
+        all.filter(|(_, demand)| *demand > 0).collect()
+    }
+
     /// Forgets an upstream that is gone, or that starts anew and remembers nothing.
     pub fn forget(&mut self, upstream: &UpstreamId) {
         self.upstreams.shift_remove(upstream);
--- /dev/null
+++ b/gateway/src/supply.rs
@@ -0,0 +1,230 @@
+//! How many hosts a model service should have, of which sort and where.
+//!
+//! Load pattern: the cloud takes all reclaimable hosts of a data centre back at once, on less
+//! notice than a host takes to start, often one data centre after the other, and has no more for a
+//! while. Bursts are as short as a start. So hosts that cannot be reclaimed carry the usual demand,
+//! in the cheapest data centres, and as many reclaimable ones, at a fraction of the price, take the
+//! bursts and make up for crashes. Hosts that were there at the start are given up only once the
+//! demand is known. See `docs/design/platform.md`.
+
+use std::{collections::VecDeque, time::Duration};
+
+use dogwoodturn::{
+    ids::{DataCentre, ServiceName},
+    units::Time,
+};
+use indexmap::IndexMap;
+
+use crate::{store::UpstreamRecord, table::HostBounds};
+
+/// The part of its time that an engine on a host of the base works at the usual demand.
+const BASE_BUSY: f64 = 0.7;
+/// The same while reclaimable hosts are missing, which leaves bursts to the base.
+const BASE_BUSY_ALONE: f64 = 0.55;
+/// The reclaimable hosts for each host of the base.
+const RECLAIMABLE_RATIO: f64 = 1.0;
+/// How many hosts fewer the demand must need before the level is lowered.
+const LEVEL_SLACK: f64 = 2.0;
+/// The fewest hosts of the base, so that a crash does not stop the service.
+const SMALLEST_BASE: u32 = 2;
+/// The time over which the demand is averaged.
+const AVERAGE_OVER: Duration = Duration::from_secs(10);
+/// How long there must have been demand before hosts are given up that were there at the start.
+const SETTLE: Duration = Duration::from_secs(5);
+/// How long after an order for more the next one for fewer may follow.
+const HOLD_AFTER_MORE: Duration = Duration::from_secs(8);
+/// When an order whose effect does not show is sent again, after the start time of a host.
+const REPEAT_AFTER: Duration = Duration::from_secs(4);
+/// How long after a refused order the same one is tried again.
+const RETRY_REFUSED: Duration = Duration::from_secs(4);
+
+/// Hosts of one sort in one data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Place {
+    /// The data centre.
+    pub data_centre: DataCentre,
+    /// Whether the cloud may take them back.
+    pub reclaimable: bool,
+}
+
+/// A number of hosts that should be ordered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostOrder {
+    /// The service.
+    pub service: ServiceName,
+    /// Where and of which sort.
+    pub place: Place,
+    /// How many in all.
+    pub count: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Ordered {
+    count: u32,
+    at: Time,
+    refused: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ServiceSupply {
+    busy_since: Option<Time>,
+    /// Hosts of the base that the usual demand needs.
+    level: u32,
+    samples: VecDeque<(Time, f64)>,
+    ordered: IndexMap<Place, Ordered>,
+    last_more: Option<Time>,
+}
+
+/// The orders of one holder of the lease.
+#[derive(Clone, Debug, Default)]
+pub struct Supply(IndexMap<ServiceName, ServiceSupply>);
+
+impl Supply {
+    /// Returns the orders that are due for a service.
+    ///
+    /// `demand` is the number of engines that its requests would keep busy; `present` are its
+    /// upstreams that take work.
+    pub fn due(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        bounds: &HostBounds,
+        demand: f64,
+        present: &[&UpstreamRecord],
+    ) -> Vec<HostOrder> {
+        if bounds.prices.is_empty() || bounds.max == 0 {
+            return Vec::new();
+        }
+        let supply = self.0.entry(service.clone()).or_default();
+        let demand = supply.average(now, demand);
+        if present.is_empty() {
+            return Vec::new();
+        }
+        let is_settled = supply.busy_since.is_some_and(|since| now.since(since) >= SETTLE);
+        if !is_settled {
+            return Vec::new();
+        }
+        supply.follow(now, demand);
+        let wanted = plan(bounds, supply.level, demand, present);
+        supply.orders(now, service, bounds, &wanted, present)
+    }
+
+    /// Takes whether the cloud accepted an order.
+    pub fn answered(&mut self, now: Time, order: &HostOrder, accepted: bool) {
+        let ordered = self.0.get_mut(&order.service).and_then(|s| s.ordered.get_mut(&order.place));
+        if let Some(ordered) = ordered {
+            ordered.refused = !accepted;
+            ordered.at = now;
+        }
+    }
+
+    /// Forgets everything when the lease is lost, so that a later term starts from what it sees.
+    pub fn forget(&mut self) {
+        self.0.clear();
+    }
+}
+
+impl ServiceSupply {
+    /// Adds a sample and returns the average demand while there is any.
+    fn average(&mut self, now: Time, demand: f64) -> f64 {
+        if demand > 0.0 {
+            self.busy_since.get_or_insert(now);
+            self.samples.push_back((now, demand));
+        }
+        while self.samples.front().is_some_and(|(at, _)| now.since(*at) > AVERAGE_OVER) {
+            self.samples.pop_front();
+        }
+        let sum: f64 = self.samples.iter().map(|(_, demand)| demand).sum();
+        sum / (self.samples.len().max(1)) as f64
+    }
+
+    /// Raises the level with the demand, and lowers it only once that is clearly less.
+    fn follow(&mut self, now: Time, demand: f64) {
+        let exact = demand / BASE_BUSY;
+        let is_held = self.last_more.is_some_and(|at| now.since(at) < HOLD_AFTER_MORE);
+        if exact > f64::from(self.level) {
+            self.level = exact.ceil() as u32;
+        } else if exact < f64::from(self.level) - LEVEL_SLACK && !is_held {
+            self.level = exact.ceil() as u32;
+        }
+        self.level = self.level.max(SMALLEST_BASE);
+    }
+
+    fn orders(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        bounds: &HostBounds,
+        wanted: &IndexMap<Place, u32>,
+        present: &[&UpstreamRecord],
+    ) -> Vec<HostOrder> {
+        let mut orders = Vec::new();
+        for (place, &count) in wanted {
+            let there = count_at(present, place);
+            let last = self.ordered.get(place).copied();
+            let known = last.map_or(there, |last| last.count);
+            let is_more = count > known;
+            let is_fewer = count < known;
+            let since_last = last.map_or(Duration::MAX, |last| now.since(last.at));
+            let is_held = self.last_more.is_some_and(|at| now.since(at) < HOLD_AFTER_MORE);
+            let has_no_effect = there != count && since_last >= bounds.start + REPEAT_AFTER;
+            let may_retry = last.is_none_or(|last| !last.refused) || since_last >= RETRY_REFUSED;
+            let was_refused = last.is_some_and(|last| last.refused);
+            let is_due = (is_more && may_retry)
+                || (is_fewer && !is_held)
+                || (last.is_some() && has_no_effect)
+                || (was_refused && may_retry && there < count);
+            if !is_due {
+                continue;
+            }
+            if is_more {
+                self.last_more = Some(now);
+            }
+            self.ordered.insert(place.clone(), Ordered { count, at: now, refused: false });
+            orders.push(HostOrder { service: service.clone(), place: place.clone(), count });
+        }
+        // Room under the bound of a data centre has to be made before it is filled.
+        orders.sort_by_key(|order| !order.place.reclaimable);
+        orders
+    }
+}
+
+/// Returns the number of hosts of each sort in each data centre.
+fn plan(
+    bounds: &HostBounds,
+    level: u32,
+    demand: f64,
+    present: &[&UpstreamRecord],
+) -> IndexMap<Place, u32> {
+    let centres = bounds.prices.len() as u32;
+    let is_cheap = bounds.reclaimable_price.is_some_and(|price| price < 1.0);
+    let in_all = (f64::from(level) * RECLAIMABLE_RATIO).ceil() as u32;
+    let each = if is_cheap { in_all.div_ceil(centres).min(bounds.max / 2) } else { 0 };
+    let reclaimable = present.iter().filter(|record| record.reclaimable).count() as u32;
+    let is_alone = reclaimable * 2 < each * centres || !is_cheap;
+    let alone = (demand / BASE_BUSY_ALONE).ceil() as u32;
+    let mut base = if is_alone { level.max(alone) } else { level };
+    let mut wanted = IndexMap::new();
+    let mut by_price: Vec<_> = bounds.prices.iter().collect();
+    by_price.sort_by(|a, b| a.1.total_cmp(b.1));
+    for (data_centre, _) in by_price {
+        let here = Place { data_centre: data_centre.clone(), reclaimable: false };
+        let floor = bounds.min.saturating_sub(each);
+        let count = base.min(bounds.max - each).max(floor);
+        base = base.saturating_sub(count);
+        wanted.insert(here, count);
+    }
+    if is_cheap {
+        for data_centre in bounds.prices.keys() {
+            wanted.insert(Place { data_centre: data_centre.clone(), reclaimable: true }, each);
+        }
+    }
+    wanted
+}
+
+fn count_at(present: &[&UpstreamRecord], place: &Place) -> u32 {
+    let is_there = |record: &&&UpstreamRecord| {
+        record.data_centre == place.data_centre && record.reclaimable == place.reclaimable
+    };
+    present.iter().filter(is_there).count() as u32
+}
--- a/gateway/src/sync.rs
+++ b/gateway/src/sync.rs
@@ -11,7 +11,8 @@
 use crate::{
     gateway::{Gateway, State, wall_clock},
     links,
-    store::{CallError, Change, Entry, Kind, MemberRecord, Order, Record, Write},
+    store::{CallError, Change, Entry, Kind, MemberRecord, Order, Record, UpstreamRecord, Write},
+    supply::Place,
 };
 
 /// How long one watch waits; a connection that went silent is noticed after it.
@@ -238,6 +239,7 @@
         }
         close_usage(&cx);
         advance_moves(&cx);
+        order_hosts(&cx);
     }
 }
 
@@ -376,3 +378,50 @@
         });
     }
 }
+
+/// Orders hosts for the services that may have them.
+fn order_hosts(cx: &Rc<Gateway>) {
+    let now = cx.now();
+    if !cx.settings.orders_hosts {
+        return;
+    }
+    let mut orders = Vec::new();
+    let fence = {
+        let mut state = cx.state.borrow_mut();
+        let Some(fence) = state.lease.fence(now) else {
+            state.supply.forget();
+            return;
+        };
+        let Some(table) = state.table_in_force().cloned() else { return };
+        let mut supply = std::mem::take(&mut state.supply);
+        for service in table.services.values() {
+            let Some(bounds) = &service.hosts else { continue };
+            let own = state.placement.demands(now);
+            let own = own.iter().find(|(name, _)| *name == service.name);
+            let own = own.map_or(0.0, |(_, demand)| f64::from(*demand) / 1000.0);
+            let demand = own + state.mesh.demand(now, &service.name);
+            let of_service =
+                |record: &&UpstreamRecord| record.service == service.name && !record.draining;
+            let present: Vec<_> = state.directory.listed().filter(of_service).collect();
+            for order in supply.due(now, &service.name, bounds, demand, &present) {
+                log::info!(event = "order", service:% = order.service, data_centre:% = order.place.data_centre, reclaimable = order.place.reclaimable, count = order.count, demand, present = present.len(), fence = fence.number; "");
+                orders.push(order);
+            }
+        }
+        state.supply = supply;
+        fence
+    };
+    if orders.is_empty() {
+        return;
+    }
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        for order in orders {
+            let Place { data_centre, reclaimable } = order.place.clone();
+            let (service, count) = (order.service.clone(), order.count);
+            let hosts = Order::Hosts { service, data_centre, count, reclaimable };
+            let result = counted(&cx, "order", (cx.store.order)(fence.clone(), hosts).await);
+            cx.state.borrow_mut().supply.answered(cx.now(), &order, result.is_ok());
+        }
+    });
+}
