placement: engines' speed is learnt from answers with nothing known ahead

Change: only answers with nothing ahead count, and faster ones more; a generated token is taken to cost half as much.

--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -33,6 +33,10 @@
 const INITIAL_RUN_MS: f64 = 40.0;
 /// Weight of a new sample in a learnt figure.
 const LEARNING_RATE: f64 = 0.05;
+/// Weight of a sample that shows an engine to be faster than thought, and of one that shows it
+/// slower: work that is not known here slows single answers, so the faster ones tell its speed.
+const RATE_RISE: f64 = 0.06;
+const RATE_FALL: f64 = 0.02;
 /// Weight of a new sample in what is held against one upstream; a daemon sees few of each.
 const TROUBLE_RATE: f64 = 0.2;
 /// After this time, half of what was held against an upstream is forgotten.
@@ -59,7 +63,7 @@
 /// The time over which the demand is averaged.
 const DEMAND_WINDOW: Duration = Duration::from_secs(2);
 /// What one generated token costs an engine in milliseconds, besides what a batch shares.
-const WRITE_MS: f64 = 0.12;
+const WRITE_MS: f64 = 0.06;
 /// The most by which an upstream counts as slower than the others.
 const MAX_SLOWNESS: f64 = 12.0;
 
@@ -355,11 +359,10 @@
         if reading < learnt.base_ms / 4.0 {
             let base = (observed - reading).clamp(1.0, learnt.base_ms * 4.0);
             learnt.base_ms += LEARNING_RATE * (base - learnt.base_ms);
-        } else if observed > learnt.base_ms * 1.2 {
-            // Work that is not known here slows single answers, so the faster ones count more.
-            let rate = tokens / (observed - learnt.base_ms);
-            let rate = rate.clamp(learnt.read_rate / 4.0, learnt.read_rate * 4.0);
-            let weight = if rate > learnt.read_rate { LEARNING_RATE } else { LEARNING_RATE / 3.0 };
+        } else if ticket.unread_ahead == 0 && observed > learnt.base_ms {
+            let rate = tokens / (observed - learnt.base_ms).max(1.0);
+            let rate = rate.clamp(learnt.read_rate / 2.0, learnt.read_rate * 2.0);
+            let weight = if rate > learnt.read_rate { RATE_RISE } else { RATE_FALL };
             learnt.read_rate += weight * (rate - learnt.read_rate);
         }
         if let Some(state) = self.upstreams.get_mut(&ticket.upstream) {
