--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -152,7 +152,7 @@
             table: None,
             directory: Directory::default(),
             placement: Placement::default(),
-            quotas: Quotas::new(bounds.quota_window, now, settings.first_start),
+            quotas: Quotas::new(bounds.quotas, now, settings.first_start),
             retries: RetryBudgets::new(bounds.retries),
             suspects: Suspects::default(),
             rollouts: Rollouts::default(),
--- a/gateway/src/quota.rs
+++ b/gateway/src/quota.rs
@@ -18,12 +18,23 @@
 
 /// The length of one interval of the history.
 const INTERVAL: Duration = Duration::from_millis(500);
-/// The part of the allowed overshoot that is used on purpose; the rest covers what is admitted
-/// between two messages.
-const RATE_MARGIN: f64 = 1.02;
+/// The part of the tolerance that is used on purpose, so that what is within a quota is not refused
+/// for the daemons' views differing; the rest covers what is admitted between two messages.
+const TOLERANCE_USED: f64 = 0.5;
 /// The shortest time after which a refused caller may come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(200);
 
+/// By how much the operators let customers exceed their quotas.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tolerance {
+    /// The window over which quotas hold.
+    pub window: Duration,
+    /// A part of the quota.
+    pub overshoot: f64,
+    /// Units on top.
+    pub allowance: f64,
+}
+
 /// Units admitted in each interval, the current one first.
 pub type History = Vec<u64>;
 
@@ -62,6 +73,7 @@
 /// The quotas as one daemon keeps them.
 #[derive(Clone, Debug)]
 pub struct Quotas {
+    tolerance: Tolerance,
     intervals: u64,
     started: Time,
     has_predecessor: bool,
@@ -70,9 +82,15 @@
 
 impl Quotas {
     /// Makes the quotas of a daemon; `first_start` says that nothing can have been admitted yet.
-    pub fn new(window: Duration, now: Time, first_start: bool) -> Self {
-        let intervals = (window.as_micros() / INTERVAL.as_micros()).max(1) as u64;
-        Self { intervals, started: now, has_predecessor: !first_start, admitted: IndexMap::new() }
+    pub fn new(tolerance: Tolerance, now: Time, first_start: bool) -> Self {
+        let intervals = (tolerance.window.as_micros() / INTERVAL.as_micros()).max(1) as u64;
+        Self {
+            tolerance,
+            intervals,
+            started: now,
+            has_predecessor: !first_start,
+            admitted: IndexMap::new(),
+        }
     }
 
     /// Takes this daemon's part of a customer's burst as used by the run before this one.
@@ -96,7 +114,11 @@
         self.inherit(customer, quota, 1 + peers.heard + peers.silent);
         let daemons = f64::from(1 + peers.heard + peers.silent);
         let part = f64::from(1 + peers.heard) / daemons;
-        let (rate, burst) = (quota.rate * RATE_MARGIN * part, quota.burst * part);
+        let more = 1.0 + self.tolerance.overshoot * TOLERANCE_USED;
+        // The allowance counts tokens where quotas do; a quota of few requests keeps to its burst.
+        let allowance = (self.tolerance.allowance * TOLERANCE_USED).min(quota.burst);
+        let rate = quota.rate * more * part;
+        let burst = (quota.burst * more + allowance) * part;
         let own = self.history(now, customer);
         let level = replay(&own, &peers.history, rate, burst, self.intervals, now);
         let missing = (units as f64).min(burst) - level;
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -7,7 +7,7 @@
     ini::{self, Fault, Place, Section, Source, fields::Fields},
 };
 
-use crate::retry;
+use crate::{quota, retry};
 
 /// The sections of the file.
 const SECTIONS: [&str; 4] = ["daemon", "store", "cloud", "bounds"];
@@ -46,8 +46,8 @@
     pub grace: Duration,
     /// The budget for second sends.
     pub retries: retry::Bounds,
-    /// The window of quotas.
-    pub quota_window: Duration,
+    /// The window of quotas and by how much they may be exceeded.
+    pub quotas: quota::Tolerance,
     /// The window of usage reports.
     pub usage_window: Duration,
 }
@@ -125,6 +125,8 @@
     let mut fields = Fields::new(section, faults);
     let ratio = not_negative(&mut fields, "retry-ratio");
     let allowance = not_negative(&mut fields, "retry-allowance");
+    let overshoot = not_negative(&mut fields, "quota-overshoot");
+    let quota_allowance = not_negative(&mut fields, "quota-allowance");
     let mut seconds = |key: &str| {
         let seconds = not_negative(&mut fields, key)?;
         let time = Duration::try_from_secs_f64(seconds).ok().filter(|time| !time.is_zero());
@@ -139,12 +141,12 @@
     let usage_window = seconds("usage-window-seconds");
     fields.finish();
     let retries = retry::Bounds { ratio: ratio?, allowance: allowance?, window: retry_window? };
-    Some(Bounds {
-        grace: grace?,
-        retries,
-        quota_window: quota_window?,
-        usage_window: usage_window?,
-    })
+    let quotas = quota::Tolerance {
+        window: quota_window?,
+        overshoot: overshoot?,
+        allowance: quota_allowance?,
+    };
+    Some(Bounds { grace: grace?, retries, quotas, usage_window: usage_window? })
 }
 
 fn not_negative(fields: &mut Fields<'_>, key: &str) -> Option<f64> {
