--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -127,6 +127,10 @@
     /// The head that the caller has been sent, and the last event after it.
     first_head: Option<ResponseHead>,
     last_event: Option<u64>,
+    /// The time from arrival to the first event, or to the whole answer.
+    first_answer: Option<Duration>,
+    /// The time to the first answer that was predicted for the last attempt.
+    predicted: Duration,
 }
 
 /// Answers a request.
@@ -149,6 +153,8 @@
         failure: None,
         first_head: None,
         last_event: req.last_event,
+        first_answer: None,
+        predicted: Duration::ZERO,
     };
     exchange.run(out).await
 }
@@ -247,6 +253,7 @@
                     return Err(self.refusal_or_loss("refused-nobody", RETRY_WHEN_NOBODY));
                 };
                 self.tried.push(ticket.upstream.clone());
+                self.predicted = ticket.predicted;
                 Ok(Attempt::new(self.cx, &self.admitted, upstream, ticket))
             }
             Choice::Refused { retry_after, wait } => {
@@ -337,6 +344,8 @@
             outcome,
             status,
             ms,
+            first_ms = self.first_answer.map_or(-1, |after| after.as_millis() as i64),
+            predicted_ms = self.predicted.as_millis() as u64,
             upstream,
             attempts = self.tried.len(),
             tokens = self.req.prompt.input;
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -223,8 +223,9 @@
         Relayed::Done(self.give_up(out, &OwnAnswer::lost("lost-by-upstream")).await)
     }
 
-    fn note_first_answer(&self) {
+    fn note_first_answer(&mut self) {
         let after = self.cx.now().since(self.req.arrived);
+        self.first_answer = Some(after);
         self.cx.metrics.answered(self.admitted.route.name.as_str(), after);
     }
 }
