placement, mesh: daemons tell their work every 50 ms, and late answers are asked for elsewhere

The prediction for such prompts was half of what they took. Ruled out: lack of engines (16 were there) and of slots. Change: work is told by itself every 50 ms; a prompt's cost grows with its square; a request that may be repeated goes elsewhere at half its target if another engine should answer in time, within the retry budget; urgency is the customer's rank, then the route's.

--- a/gateway/src/forward/admission.rs
+++ b/gateway/src/forward/admission.rs
@@ -20,7 +20,7 @@
 /// When a caller may come back to another daemon.
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
 /// The urgency of the first rank at an upstream; lower ranks follow.
-const FIRST_URGENCY: u8 = 3;
+const FIRST_URGENCY: u8 = 2;
 /// The last urgency that upstreams know.
 const LAST_URGENCY: u8 = 9;
 
@@ -111,11 +111,13 @@
         })?);
     }
     state.retries.request(now, &service);
+    // The customer's rank goes first; among requests of one rank the route decides.
     let rank = known.and_then(|known| known.priority).unwrap_or(route.priority);
+    let urgency = FIRST_URGENCY.saturating_add(rank.saturating_mul(2)) + route.priority.min(1);
     Ok(Admitted {
         cx: cx.clone(),
         ends: req.arrived + waits,
-        urgency: (FIRST_URGENCY + rank).min(LAST_URGENCY),
+        urgency: urgency.min(LAST_URGENCY),
         table,
         route,
         service,
--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -1,6 +1,12 @@
 //! One request at one upstream, up to the head of its answer.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    pin::{Pin, pin},
+    rc::Rc,
+    time::Duration,
+};
 
 use dogwoodturn::{
     ids::{RouteName, ServiceName},
@@ -29,6 +35,10 @@
 const HANG_FACTOR: u32 = 4;
 /// The part of the time left after which such a request is tried elsewhere.
 const HANG_SHARE: u32 = 2;
+/// The part of the target after which a request that may be repeated is looked at again.
+const LATE_SHARE: f64 = 0.5;
+/// How many times its predicted time such a request is left alone.
+const LATE_FACTOR: u32 = 2;
 /// Taken off the time that an upstream is given, so that its own time-out arrives in time.
 const ANSWER_TRAVEL: Duration = Duration::from_millis(10);
 /// How long after a broken connection its upstream is asked whether it is still there.
@@ -44,6 +54,8 @@
     Broken,
     /// No answer came in time.
     TimedOut,
+    /// No answer has come yet, and another upstream should answer sooner.
+    Late,
     /// The head of the answer.
     Head(ResponseHead),
 }
@@ -122,13 +134,15 @@
 
     /// Sends the request and reads the head of its answer.
     ///
-    /// `may_try_again` says that another upstream could be asked, so that a silent one is left.
+    /// `may_try_again` says that another upstream could be asked, so that a silent one is left;
+    /// `is_faster_elsewhere` whether that would be in time, if this one is late.
     pub(super) async fn send(
         &mut self,
         req: &Request,
         admitted: &Admitted,
         last_event: Option<u64>,
         may_try_again: bool,
+        is_faster_elsewhere: impl Fn() -> bool,
     ) -> Sent {
         let mut connection = match self.connect(admitted.ends).await {
             Ok(connection) => connection,
@@ -158,9 +172,22 @@
             false => left,
         };
         admitted.may_have_run();
-        let answer = timeout(patience, self.exchange(&mut connection, &bytes, req)).await;
+        let late = match may_try_again {
+            true => {
+                admitted.route.target.mul_f64(LATE_SHARE).max(self.ticket.predicted * LATE_FACTOR)
+            }
+            false => patience,
+        };
+        let answer = {
+            let exchange = pin!(self.exchange(&mut connection, &bytes, req));
+            with_patience(exchange, late.min(patience), patience, is_faster_elsewhere).await
+        };
         match answer {
-            Err(_) => {
+            Err(GaveUp::Late) => {
+                log::info!(event = "late", request:% = req.id, upstream:% = self.upstream.id, late_ms = late.as_millis() as u64; "");
+                Sent::Late
+            }
+            Err(GaveUp::Silent) => {
                 log::warn!(event = "silent", request:% = req.id, upstream:% = self.upstream.id, patience_ms = patience.as_millis() as u64; "");
                 Sent::TimedOut
             }
@@ -296,6 +323,33 @@
     }
 }
 
+/// Says why an answer is no longer waited for.
+enum GaveUp {
+    /// Another upstream should be faster.
+    Late,
+    /// The patience is at its end.
+    Silent,
+}
+
+/// Waits for an answer up to `patience`, but leaves after `late` if that is better.
+async fn with_patience<T>(
+    mut answer: Pin<&mut impl Future<Output = T>>,
+    late: Duration,
+    patience: Duration,
+    leaves: impl Fn() -> bool,
+) -> Result<T, GaveUp> {
+    if let Ok(answer) = timeout(late, answer.as_mut()).await {
+        return Ok(answer);
+    }
+    if late >= patience {
+        return Err(GaveUp::Silent);
+    }
+    if leaves() {
+        return Err(GaveUp::Late);
+    }
+    timeout(patience.saturating_sub(late), answer).await.map_err(|_| GaveUp::Silent)
+}
+
 /// Says whether an upstream stated that it did not run the request.
 fn is_not_run(head: &ResponseHead, not_run: &str) -> bool {
     head.status == 421 || (head.status >= 400 && head.headers.get(not_run).is_some())
--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -20,7 +20,7 @@
         attempt::{Attempt, Sent},
         relay::Relayed,
     },
-    gateway::Gateway,
+    gateway::{Gateway, State},
     http::{body::LAST_CHUNK, body::put_chunk, head::ResponseHead},
     placement::{Choice, Need, Verdict},
     request::{NotRun, OwnAnswer, Progress, Request, phrase, put_header},
@@ -166,8 +166,10 @@
                 Ok(attempt) => attempt,
                 Err(own) => return self.give_up(out, &own).await,
             };
-            let sent =
-                attempt.send(self.req, &self.admitted, self.last_event, self.may_try_again()).await;
+            let may_try_again = self.may_try_again();
+            let is_faster = || self.is_faster_elsewhere();
+            let (req, admitted) = (self.req, &self.admitted);
+            let sent = attempt.send(req, admitted, self.last_event, may_try_again, is_faster).await;
             match sent {
                 Sent::Unreachable => {
                     self.unreachable += 1;
@@ -197,6 +199,10 @@
                     }
                     return self.give_up(out, &OwnAnswer::lost("lost-by-upstream")).await;
                 }
+                Sent::Late => {
+                    self.progress = Progress::MayHaveRun;
+                    attempt.end(Verdict::Late);
+                }
                 Sent::TimedOut => {
                     self.progress = Progress::MayHaveRun;
                     attempt.end(Verdict::Broken);
@@ -228,23 +234,8 @@
         if left.is_zero() {
             return Err(self.time_is_up());
         }
-        let admitted = &self.admitted;
         let mut state = self.cx.state.borrow_mut();
-        let table = &admitted.table;
-        let service = table.services.get(&admitted.service);
-        let rollouts = std::mem::take(&mut state.rollouts);
-        let need = Need {
-            service: &admitted.service,
-            engine: service.and_then(|service| service.engine),
-            prompt: &self.req.prompt,
-            near: &self.cx.settings.data_centre,
-            target: admitted.route.target,
-            left,
-            tried: &self.tried,
-            versions: rollouts.rule(&admitted.service, self.req.hash),
-        };
-        let choice = state.choose(now, &need);
-        state.rollouts = rollouts;
+        let choice = self.with_need(&mut state, left, |state, need| state.choose(now, need));
         match choice {
             Choice::Upstream(ticket) => {
                 let upstream = state.directory.get(&ticket.upstream).map(|u| u.record.clone());
@@ -269,6 +260,43 @@
         }
     }
 
+    /// Calls with what the request needs of an upstream.
+    fn with_need<T>(
+        &self,
+        state: &mut State,
+        left: Duration,
+        call: impl FnOnce(&mut State, &Need<'_>) -> T,
+    ) -> T {
+        let admitted = &self.admitted;
+        let service = admitted.table.services.get(&admitted.service);
+        let rollouts = std::mem::take(&mut state.rollouts);
+        let need = Need {
+            service: &admitted.service,
+            engine: service.and_then(|service| service.engine),
+            prompt: &self.req.prompt,
+            near: &self.cx.settings.data_centre,
+            target: admitted.route.target,
+            left,
+            tried: &self.tried,
+            versions: rollouts.rule(&admitted.service, self.req.hash),
+        };
+        let result = call(state, &need);
+        state.rollouts = rollouts;
+        result
+    }
+
+    /// Says whether another upstream should answer within the target, and takes a second send out
+    /// of the budget if so.
+    fn is_faster_elsewhere(&self) -> bool {
+        let now = self.cx.now();
+        let to_target = (self.req.arrived + self.admitted.route.target).since(now);
+        let left = self.left();
+        let mut state = self.cx.state.borrow_mut();
+        let best = self.with_need(&mut state, left, |state, need| state.best_elsewhere(now, need));
+        drop(state);
+        best.is_some_and(|best| best < to_target) && self.may_repeat()
+    }
+
     fn time_is_up(&self) -> OwnAnswer {
         match self.progress.not_run() {
             Some(proof) => OwnAnswer::refused(proof, "refused-late", RETRY_WHEN_REFUSED),
@@ -298,7 +326,7 @@
     }
 
     /// Takes a second send out of the budget if the route allows one.
-    fn may_repeat(&mut self) -> bool {
+    fn may_repeat(&self) -> bool {
         let sent = self.tried.len() as u32 - self.unreachable;
         if sent >= self.admitted.route.max_attempts {
             return false;
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
     dialect::Dialect,
     directory::Directory,
     lease::Lease,
-    mesh::{Mesh, Message},
+    mesh::{Mesh, Message, ToldWork, WorkMessage},
     metrics::Metrics,
     placement::{Choice, Need, Placement},
     pool::Pool,
@@ -38,6 +38,9 @@
 /// two misses, and connections on their way still arrive.
 const WELCOME_WHILE_STOPPING: Duration = Duration::from_millis(2800);
 
+/// How often the peers' work is added up; they tell it about as often.
+const PEERS_EVERY: Duration = Duration::from_millis(40);
+
 /// All that decisions are made from.
 #[derive(Debug)]
 pub struct State {
@@ -63,6 +66,8 @@
     pub mesh: Mesh,
     /// The lease of the daemon that acts for all.
     pub lease: Lease,
+    /// When the peers' work was last taken into account.
+    pub peers_seen: Time,
     /// Whether the upstreams were listed once.
     pub has_upstreams: bool,
     /// Whether the other daemons were listed once; before that, no quota can be shared.
@@ -86,10 +91,20 @@
 
     /// Chooses an upstream for a request.
     pub fn choose(&mut self, now: Time, need: &Need<'_>) -> Choice {
+        if now.since(self.peers_seen) >= PEERS_EVERY {
+            self.peers_seen = now;
+            self.placement.set_peers(&self.mesh.views(now));
+        }
         let live = self.directory.live(now, need.service);
         self.placement.choose(now, &live, need)
     }
 
+    /// Returns the shortest time to a first answer at an upstream that a request was not sent to.
+    pub fn best_elsewhere(&mut self, now: Time, need: &Need<'_>) -> Option<Duration> {
+        let live = self.directory.live(now, need.service);
+        self.placement.best_elsewhere(now, &live, need)
+    }
+
     /// Takes a peer's message.
     pub fn take_message(&mut self, now: Time, from: std::net::SocketAddr, message: Message) {
         for (digest, count) in &message.crashes {
@@ -160,6 +175,7 @@
             usage: Usage::new(bounds.usage_window),
             mesh: Mesh::new(settings.name.clone()),
             lease: Lease::new(run.into(), now),
+            peers_seen: now,
             has_upstreams: false,
             has_members: false,
         };
@@ -236,10 +252,6 @@
         let now = self.now();
         let state = self.state.borrow();
         self.messages.set(self.messages.get() + 1);
-        let percent = |part: f64| (part * 100.0).round().clamp(0.0, 100.0) as u8;
-        let work = state.placement.own().into_iter().map(|(upstream, work, trouble)| {
-            (upstream, work.requests, work.unread, work.memory, percent(trouble))
-        });
         let crashes = state.suspects.recent(now).into_iter();
         Message {
             daemon: self.settings.name.clone(),
@@ -248,7 +260,7 @@
             table: state.table.as_ref().map_or(0, |table| table.version),
             admitted: state.quotas.all(now),
             usage: state.usage.own(),
-            work: work.collect(),
+            work: told_work(&state.placement),
             demands: state.placement.demands(now),
             crashes: crashes.map(|(digest, count)| (digest.0, count)).collect(),
             tallies: state.rollouts.own(),
@@ -257,6 +269,17 @@
         }
     }
 
+    /// Returns this daemon's work for the peers.
+    pub fn work_message(&self) -> WorkMessage {
+        self.messages.set(self.messages.get() + 1);
+        WorkMessage {
+            daemon: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            number: self.messages.get(),
+            work: told_work(&self.state.borrow().placement),
+        }
+    }
+
     /// Says whether any daemon has work at upstreams of a service other than a version's.
     pub fn is_idle_besides(
         &self,
@@ -272,6 +295,14 @@
     }
 }
 
+fn told_work(placement: &Placement) -> Vec<ToldWork> {
+    let percent = |part: f64| (part * 100.0).round().clamp(0.0, 100.0) as u8;
+    let told = placement.own().into_iter().map(|(upstream, work, trouble)| {
+        (upstream, work.requests, work.unread, work.memory, percent(trouble))
+    });
+    told.collect()
+}
+
 /// Counts a request in flight while it lives.
 pub struct InFlight(Rc<Gateway>);
 
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -8,13 +8,15 @@
 use crate::{
     gateway::Gateway,
     http::{connection::Connection, head::RequestHead},
-    mesh::Message,
+    mesh::Datagram,
     serve::Short,
 };
 
-/// How often each daemon tells its peers what it knows; quotas overshoot by what is admitted
+/// How often each daemon tells its peers its work; prompts take about as long to be read.
+const TELL_WORK_EVERY: Duration = Duration::from_millis(50);
+/// After how many of these it tells its whole state; quotas overshoot by what is admitted
 /// meanwhile.
-const TELL_EVERY: Duration = Duration::from_millis(200);
+const TELL_STATE_EVERY: u64 = 5;
 /// The most peers that are told at a time; with more, they are told in turn.
 const MAX_TOLD: usize = 12;
 /// The longest datagram.
@@ -42,22 +44,33 @@
 
 /// Tells the peers what this daemon knows, again and again.
 pub async fn tell(cx: Rc<Gateway>, socket: Rc<UdpSocket>) {
-    let mut ticks = interval(TELL_EVERY);
-    let mut turn = 0;
+    let mut ticks = interval(TELL_WORK_EVERY);
+    let (mut turn, mut count, mut told) = (0, 0_u64, Vec::new());
     loop {
         ticks.tick().await;
+        count += 1;
         let peers = cx.state.borrow().mesh.addresses();
         if peers.is_empty() {
             continue;
         }
-        let mut datagram = Vec::with_capacity(2048);
-        if let Err(error) = ciborium::into_writer(&cx.message(), &mut datagram) {
+        let datagram = if count.is_multiple_of(TELL_STATE_EVERY) {
+            Datagram::State(Box::new(cx.message()))
+        } else {
+            let message = cx.work_message();
+            if message.work == told {
+                continue;
+            }
+            told.clone_from(&message.work);
+            Datagram::Work(message)
+        };
+        let mut bytes = Vec::with_capacity(2048);
+        if let Err(error) = ciborium::into_writer(&datagram, &mut bytes) {
             log::error!(event = "message-not-encoded", error:%; "");
             continue;
         }
         for step in 0..peers.len().min(MAX_TOLD) {
             let peer = peers[(turn + step) % peers.len()];
-            if let Err(error) = socket.send_to(&datagram, peer).await {
+            if let Err(error) = socket.send_to(&bytes, peer).await {
                 log::debug!(event = "message-not-sent", peer:%, error:%; "");
             }
         }
@@ -73,14 +86,16 @@
             Ok(received) => received,
             Err(error) => {
                 log::warn!(event = "receive-failed", error:%; "");
-                tokio::time::sleep(TELL_EVERY).await;
+                tokio::time::sleep(TELL_WORK_EVERY).await;
                 continue;
             }
         };
-        match ciborium::from_reader::<Message, _>(&datagram[..length]) {
-            Ok(message) => {
-                let now = cx.now();
-                cx.state.borrow_mut().take_message(now, from, message);
+        match ciborium::from_reader::<Datagram, _>(&datagram[..length]) {
+            Ok(Datagram::State(message)) => {
+                cx.state.borrow_mut().take_message(cx.now(), from, *message);
+            }
+            Ok(Datagram::Work(message)) => {
+                cx.state.borrow_mut().mesh.heard_work(cx.now(), message);
             }
             Err(error) => {
                 cx.metrics.malformed_messages.inc();
--- a/gateway/src/mesh.rs
+++ b/gateway/src/mesh.rs
@@ -25,6 +25,31 @@
 /// How long a silent peer counts for quotas before it is taken to be gone.
 const REMEMBERED_FOR: Duration = Duration::from_secs(30);
 
+/// Work at one upstream, and what is held against it in percent.
+pub type ToldWork = (UpstreamId, u32, u64, u64, u8);
+
+/// What one datagram carries.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Datagram {
+    /// A daemon's whole state.
+    State(Box<Message>),
+    /// A daemon's work alone, which changes faster than the rest.
+    Work(WorkMessage),
+}
+
+/// A daemon's work at upstreams.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WorkMessage {
+    /// The sender.
+    pub daemon: DaemonId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Rises with each message of a run, of either sort.
+    pub number: u64,
+    /// The work.
+    pub work: Vec<ToldWork>,
+}
+
 /// One daemon's state of what is shared.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Message {
@@ -40,8 +65,8 @@
     pub admitted: Vec<(CustomerName, quota::History)>,
     /// Requests that began to run, by window and customer.
     pub usage: Vec<(u64, Vec<(CustomerName, u64)>)>,
-    /// Work at upstreams, and what is held against them in percent.
-    pub work: Vec<(UpstreamId, u32, u64, u64, u8)>,
+    /// Work at upstreams.
+    pub work: Vec<ToldWork>,
     /// Engines that the requests of each service keep busy, in thousandths.
     pub demands: Vec<(ServiceName, u32)>,
     /// Digests of requests that crashed upstreams, with how often.
@@ -58,6 +83,7 @@
 struct Peer {
     address: SocketAddr,
     heard: Option<Time>,
+    heard_work: Time,
     joined: Time,
     last: Option<Message>,
 }
@@ -80,7 +106,8 @@
         if member.daemon == self.me {
             return;
         }
-        let peer = Peer { address: member.address, heard: None, joined: now, last: None };
+        let peer =
+            Peer { address: member.address, heard: None, heard_work: now, joined: now, last: None };
         self.peers.entry(member.daemon).or_insert(peer).address = member.address;
     }
 
@@ -94,18 +121,30 @@
         if message.daemon == self.me {
             return false;
         }
-        let fresh = Peer { address: from, heard: None, joined: now, last: None };
+        let fresh = Peer { address: from, heard: None, heard_work: now, joined: now, last: None };
         let peer = self.peers.entry(message.daemon.clone()).or_insert(fresh);
         let order = |message: &Message| (message.incarnation, message.number);
         if peer.last.as_ref().is_some_and(|last| order(last) >= order(&message)) {
             return false;
         }
         peer.heard = Some(now);
+        peer.heard_work = now;
         peer.address = from;
         peer.last = Some(message);
         true
     }
 
+    /// Takes a peer's work; it counts only after its whole state was heard.
+    pub fn heard_work(&mut self, now: Time, message: WorkMessage) {
+        let Some(peer) = self.peers.get_mut(&message.daemon) else { return };
+        let Some(last) = &mut peer.last else { return };
+        if last.incarnation == message.incarnation && last.number < message.number {
+            last.number = message.number;
+            last.work = message.work;
+            peer.heard_work = now;
+        }
+    }
+
     /// Returns where all known peers listen.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.peers.values().map(|peer| peer.address).collect()
@@ -145,7 +184,9 @@
     /// Adds up what the peers that are heard say of each upstream.
     pub fn views(&self, now: Time) -> IndexMap<UpstreamId, PeerView> {
         let mut views = IndexMap::<UpstreamId, PeerView>::new();
-        for message in self.current(now) {
+        let recent = |peer: &&Peer| now.since(peer.heard_work) < HEARD_FOR;
+        let last = self.peers.values().filter(recent).filter_map(|peer| peer.last.as_ref());
+        for message in last {
             for (id, requests, unread, memory, trouble) in &message.work {
                 let view = views.entry(id.clone()).or_default();
                 view.work = Work {
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -27,6 +27,8 @@
 
 /// Prompt tokens that an engine reads in a millisecond, until it is learnt.
 const INITIAL_READ_RATE: f64 = 100.0;
+/// The prompt at which attention costs as much again as everything else; typical of engines.
+const ATTENTION_TOKENS: f64 = 50_000.0;
 /// Time to a first token besides reading the prompt, in milliseconds, until it is learnt.
 const INITIAL_BASE_MS: f64 = 50.0;
 /// Time that a request takes in all, in milliseconds, until it is learnt.
@@ -39,6 +41,8 @@
 const RATE_FALL: f64 = 0.02;
 /// Weight of a new sample in what is held against one upstream; a daemon sees few of each.
 const TROUBLE_RATE: f64 = 0.2;
+/// What a late answer counts against an upstream, where a failure counts one.
+const LATE_SAMPLE: f64 = 0.5;
 /// After this time, half of what was held against an upstream is forgotten.
 const TROUBLE_HALF_LIFE_MS: f64 = 2500.0;
 /// The share of failures above which an upstream is held to be in trouble; some services answer
@@ -234,6 +238,8 @@
     Failed,
     /// It could not be reached or broke the connection.
     Broken,
+    /// It had not answered when another one was asked.
+    Late,
     /// The caller left; nothing is known.
     Unknown,
 }
@@ -281,7 +287,7 @@
         let Some(best) = best else { return Choice::Nobody };
         if need.engine.is_some() && need.tried.is_empty() {
             let service = self.services.entry(need.service.clone()).or_default();
-            let reading = best.unread as f64 / service.read_rate;
+            let reading = reading_cost(best.unread) / service.read_rate;
             let writing = need.prompt.output as f64 * WRITE_MS;
             service.arrived(now, Duration::from_secs_f64((reading + writing) / 1000.0));
         }
@@ -300,7 +306,7 @@
             upstream: best.upstream.clone(),
             predicted: Duration::from_secs_f64(best.predicted / 1000.0),
             chosen: now,
-            unread: best.unread,
+            unread: reading_cost(best.unread) as u64,
             memory,
             unread_ahead: best.unread_ahead,
             is_reading: true,
@@ -313,6 +319,25 @@
         Choice::Upstream(ticket)
     }
 
+    /// Returns the shortest time to a first answer at an upstream that was not tried.
+    pub fn best_elsewhere(
+        &mut self,
+        now: Time,
+        live: &[&Upstream],
+        need: &Need<'_>,
+    ) -> Option<Duration> {
+        let others = live.iter().filter(|upstream| {
+            need.versions.allows(&upstream.record.version)
+                && !need.tried.contains(&upstream.record.id)
+        });
+        let estimates = others.map(|upstream| {
+            let estimate = self.estimate(now, upstream, need, false);
+            estimate.predicted + self.upstreams[&upstream.record.id].trouble_ms()
+        });
+        let best = estimates.min_by(f64::total_cmp)?;
+        Some(Duration::from_secs_f64(best / 1000.0))
+    }
+
     fn estimate<'a>(
         &mut self,
         now: Time,
@@ -327,17 +352,16 @@
         let work = state.all_work();
         let unread = unread_tokens(&state.parts, now, need.prompt, is_home);
         let slots = f64::from(upstream.record.slots.max(1));
-        let reading = |tokens: u64| tokens as f64 / service.read_rate;
         let turns = (f64::from(work.requests) + 1.0 - slots).max(0.0) / slots;
         let mut wait = turns * service.run_ms;
         if let Some(engine) = need.engine {
-            wait = wait.max(reading(work.unread));
+            wait = wait.max(work.unread as f64 / service.read_rate);
             let memory = (work.memory + need.prompt.input + need.prompt.output) as f64;
             let excess = memory / (engine.memory_tokens as f64 * MEMORY_SHARE) - 1.0;
             wait += excess.max(0.0) * service.run_ms;
         }
         let wait = wait * state.slowness;
-        let own = service.base_ms + reading(unread);
+        let own = service.base_ms + reading_cost(unread) / service.read_rate;
         let predicted = wait + own * state.slowness;
         let remote = if upstream.record.data_centre == *need.near { 0.0 } else { REMOTE_COST_MS };
         let cold = upstream.record.warm_up.as_secs_f64() * 10.0;
@@ -389,6 +413,7 @@
         state.forget(now);
         let sample = match verdict {
             Verdict::Answered => 0.0,
+            Verdict::Late => LATE_SAMPLE,
             Verdict::Failed | Verdict::Broken => 1.0,
             Verdict::Unknown => return,
         };
@@ -465,6 +490,11 @@
     if is_home { unread.saturating_sub(shared.saturating_sub(held) / 2) } else { unread }
 }
 
+/// Returns a prompt's reading cost in tokens of a short one, since attention grows with the square.
+fn reading_cost(unread: u64) -> f64 {
+    unread as f64 * (1.0 + unread as f64 / ATTENTION_TOKENS)
+}
+
 fn remember_parts(parts: &mut IndexMap<u64, Time>, now: Time, sent: &[PromptPart]) {
     for part in sent {
         parts.insert(part.id, now);
--- a/gateway/src/sync.rs
+++ b/gateway/src/sync.rs
@@ -219,8 +219,6 @@
         let now = cx.now();
         let gone = {
             let mut state = cx.state.borrow_mut();
-            let views = state.mesh.views(now);
-            state.placement.set_peers(&views);
             let rank = state.mesh.rank(now);
             state.lease.set_rank(rank);
             inherit_quotas(&mut state);
