lease: read only while nobody says that it acts

Change: the holder says in its messages that it acts; the object is read after a second of silence and must stay unchanged for 2.3 s before another daemon takes over. Watches wait 25 s, since probes of the connection show a silent one sooner.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -117,6 +117,9 @@
         for upstream in &message.leaving {
             self.directory.leaving(upstream);
         }
+        if message.acts {
+            self.lease.heard(now);
+        }
         let run = (message.daemon.clone(), message.incarnation);
         self.usage.peer_counted(run, &message.usage);
         self.mesh.heard(now, from, message);
@@ -258,6 +261,7 @@
             incarnation: self.incarnation,
             number: self.messages.get(),
             table: state.table.as_ref().map_or(0, |table| table.version),
+            acts: state.lease.fence(now).is_some(),
             admitted: state.quotas.all(now),
             usage: state.usage.own(),
             work: told_work(&state.placement),
--- a/gateway/src/lease.rs
+++ b/gateway/src/lease.rs
@@ -1,7 +1,9 @@
 //! The lease of the daemon that acts for all, kept in one object of the store.
 //!
-//! A daemon takes over when it has not seen the object change for [`EXPIRY`], on a clock that
-//! counts suspension. The holder stops acting [`ACT_FOR`] after it sent its last renewal that
+//! While a peer says that it acts, the object is not read: with many daemons, watching each renewal
+//! would cost more calls than all other work. Once nobody has said so for [`SILENCE`], a daemon reads
+//! the object, and takes over if it is unchanged [`UNCHANGED`] later and [`EXPIRY`] after the last word,
+//! on a clock that counts suspension. The holder stops acting [`ACT_FOR`] after it sent its last renewal that
 //! succeeded, well before anyone may take over. The fence rises with each change of holder by a
 //! conditional write, and the cloud refuses calls with a lower fence.
 
@@ -11,8 +13,14 @@
 
 use crate::store::{Fence, LeaseRecord, UsageWindow};
 
-/// How long the object must not change before another daemon takes over.
+/// How long nobody must have said that it acts before another daemon takes over.
 const EXPIRY: Duration = Duration::from_millis(3400);
+/// How long nobody must have said that it acts before the object is read.
+const SILENCE: Duration = Duration::from_millis(1000);
+/// How long the object must not have changed since it was read; longer than a holder acts.
+const UNCHANGED: Duration = Duration::from_millis(2300);
+/// How often the object is read while nobody acts.
+const READ_EVERY: Duration = Duration::from_millis(1000);
 /// How long a holder acts after its last renewal was sent.
 const ACT_FOR: Duration = Duration::from_millis(2200);
 /// How often the holder renews.
@@ -39,7 +47,13 @@
     me: Box<str>,
     rank: u32,
     known: Option<(Revision, LeaseRecord)>,
+    /// When the object was seen to change, or was read for the first time.
     changed: Time,
+    /// When somebody last said that it acts.
+    last_word: Time,
+    last_read: Option<Time>,
+    /// Whether the object does not exist, as far as is known.
+    is_missing: bool,
     held_since: Option<Time>,
     acts_until: Time,
     is_writing: bool,
@@ -56,6 +70,9 @@
             rank: 0,
             known: None,
             changed: now,
+            last_word: now,
+            last_read: None,
+            is_missing: false,
             held_since: None,
             acts_until: Time::default(),
             is_writing: false,
@@ -69,6 +86,29 @@
         self.rank = rank;
     }
 
+    /// Takes that a peer says that it acts.
+    pub fn heard(&mut self, now: Time) {
+        self.last_word = now;
+    }
+
+    /// Says whether the object has to be read, and takes that it is.
+    pub fn must_read(&mut self, now: Time) -> bool {
+        let is_own = self.known.as_ref().is_some_and(|(_, known)| known.holder == self.me);
+        let is_silent = now.since(self.last_word) >= SILENCE;
+        let is_first = self.known.is_none() && !self.is_missing;
+        let is_due = self.last_read.is_none_or(|at| now.since(at) >= READ_EVERY);
+        let reads = is_due && (is_first || (is_silent && !is_own));
+        if reads {
+            self.last_read = Some(now);
+        }
+        reads
+    }
+
+    /// Takes that the object does not exist.
+    pub fn missing(&mut self) {
+        self.is_missing = self.known.is_none();
+    }
+
     /// Takes the object as the store has it.
     pub fn seen(&mut self, now: Time, revision: Revision, record: LeaseRecord) {
         if self.known.as_ref().is_some_and(|(known, _)| *known >= revision) {
@@ -89,7 +129,7 @@
         }
         let (replaces, mut record) = match &self.known {
             None => {
-                if now.since(self.changed) < STAGGER * self.rank {
+                if !self.is_missing || now.since(self.changed) < STAGGER * self.rank {
                     return None;
                 }
                 let first =
@@ -104,7 +144,9 @@
                 (Some(*revision), known.clone())
             }
             Some((revision, known)) => {
-                if now.since(self.changed) < EXPIRY + STAGGER * self.rank {
+                let stagger = STAGGER * self.rank;
+                let is_silent = now.since(self.last_word) >= EXPIRY + stagger;
+                if !is_silent || now.since(self.changed) < UNCHANGED + stagger {
                     return None;
                 }
                 let mut record = known.clone();
--- a/gateway/src/mesh.rs
+++ b/gateway/src/mesh.rs
@@ -61,6 +61,8 @@
     pub number: u64,
     /// The version of its table; zero if it has none.
     pub table: u64,
+    /// Whether the daemon holds the lease and acts for all.
+    pub acts: bool,
     /// Units admitted lately, by interval.
     pub admitted: Vec<(CustomerName, quota::History)>,
     /// Requests that began to run, by window and customer.
--- a/gateway/src/sync.rs
+++ b/gateway/src/sync.rs
@@ -15,8 +15,9 @@
     supply::Place,
 };
 
-/// How long one watch waits; a connection that went silent is noticed after it.
-const WATCH_FOR: Duration = Duration::from_secs(5);
+/// How long one watch waits; each costs a call, and probes of the connection show sooner when it
+/// has gone silent.
+const WATCH_FOR: Duration = Duration::from_secs(25);
 /// The pause after a failed call, at first and at most.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
@@ -31,7 +32,7 @@
 
 /// Starts all that follows the store.
 pub fn start(cx: &Rc<Gateway>) {
-    for kind in [Kind::Declarations, Kind::Upstreams, Kind::Moves, Kind::Members, Kind::Leases] {
+    for kind in [Kind::Declarations, Kind::Upstreams, Kind::Moves, Kind::Members] {
         actix_rt::spawn(follow(cx.clone(), kind));
     }
     actix_rt::spawn(register(cx.clone()));
@@ -233,6 +234,7 @@
             }
         }
         if !cx.is_draining() {
+            read_lease(&cx);
             renew_lease(&cx);
         }
         close_usage(&cx);
@@ -252,6 +254,25 @@
     }
 }
 
+/// Reads the lease while nobody says that it acts.
+fn read_lease(cx: &Rc<Gateway>) {
+    if !cx.state.borrow_mut().lease.must_read(cx.now()) {
+        return;
+    }
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        let Ok(listing) = counted(&cx, "read-lease", (cx.store.list)(Kind::Leases).await) else {
+            return;
+        };
+        if listing.entries.is_empty() {
+            cx.state.borrow_mut().lease.missing();
+        }
+        for entry in listing.entries {
+            take(&cx, entry);
+        }
+    });
+}
+
 fn renew_lease(cx: &Rc<Gateway>) {
     let now = cx.now();
     let Some(write) = cx.state.borrow_mut().lease.due(now) else { return };
