gateway: forwarding tested over real sockets; an idle caller is never answered

Cause: a test with an idle connection got a 408 after the header timeout: readiness may be reported with nothing to read, and the head was then waited for. Change: the first bytes are read before the header timeout begins.

--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -139,7 +139,9 @@
     if buf.is_empty() {
         // An empty buffer gives its memory back while the caller is idle.
         *buf = BytesMut::new();
-        wait_readable(cx, stream, limits.idle_timeout).await?;
+        timeout(limits.idle_timeout, first_bytes(cx, stream, buf))
+            .await
+            .map_err(|_| ReadError::Gone)??;
     }
     let arrived = cx.now();
     let head = timeout(limits.header_timeout, read_head(stream, buf, limits.header_bytes));
@@ -159,17 +161,26 @@
     Ok(Request::new(&cx.dialect, head, body, arrived))
 }
 
-async fn wait_readable(cx: &Gateway, stream: &TcpStream, limit: Duration) -> Result<(), ReadError> {
-    let readable = async {
+/// Waits for the first bytes of a request without holding memory for them.
+async fn first_bytes(
+    cx: &Gateway,
+    stream: &TcpStream,
+    buf: &mut BytesMut,
+) -> Result<(), ReadError> {
+    loop {
         tokio::select! {
             biased;
-            readable = stream.readable() => readable.is_ok(),
-            () = cx.closing_idle.notified() => false,
+            readable = stream.readable() => readable?,
+            () = cx.closing_idle.notified() => return Err(ReadError::Gone),
+        }
+        // Readiness may be reported with nothing to read.
+        buf.reserve(READ_BYTES);
+        match stream.try_read_buf(buf) {
+            Ok(0) => return Err(ReadError::Gone),
+            Ok(_) => return Ok(()),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => *buf = BytesMut::new(),
+            Err(error) => return Err(error.into()),
         }
-    };
-    match timeout(limit, readable).await {
-        Ok(true) => Ok(()),
-        Ok(false) | Err(_) => Err(ReadError::Gone),
     }
 }
 
--- /dev/null
+++ b/gateway/tests/support/mod.rs
@@ -0,0 +1,335 @@
+//! A gateway on loopback before an in-memory store and upstreams that follow a script.
+#![allow(dead_code)]
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use dogwoodturn::{ids::Revision, ini::Source};
+use dogwoodturn_gateway::{
+    dialect::{Dialect, LoadReport, Prompt, PromptPart},
+    gateway::Gateway,
+    http::{
+        body::{BodyDecoder, Step},
+        head::{Headers, RequestHead},
+    },
+    serve,
+    settings::Settings,
+    store::{CallError, Store, Unreadable, UpstreamRecord},
+    table::{CallerLimits, Customer, EngineShape, Repeatability, Route, Service, Table},
+};
+use indexmap::IndexMap;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpSocket, TcpStream},
+    time::timeout,
+};
+
+/// How long a test waits for anything before it fails.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub fn dialect() -> Dialect {
+    Dialect {
+        request_id: "X-Id",
+        deadline_ms: "X-Deadline",
+        authorization: "Authorization",
+        customer: "X-Customer",
+        expected_upstream: "X-Expected",
+        not_run: "X-Not-Run",
+        load: "X-Load",
+        last_event: "X-Last-Event",
+        urgency: "X-Urgency",
+        reserved: &["X-Pin"],
+        readiness_path: b"/ready",
+        read_prompt: |headers: &Headers| {
+            let input = headers.text("X-Tokens").and_then(|text| text.parse().ok()).unwrap_or(0);
+            let parts = headers.text("X-Part").and_then(|text| text.parse().ok());
+            let parts = parts.map(|id| PromptPart { id, tokens: input }).into_iter().collect();
+            Prompt { input, output: 0, parts }
+        },
+        read_load: |_| None::<LoadReport>,
+    }
+}
+
+pub fn settings() -> Settings {
+    let text = "[daemon]\nname = one\ndata-centre = here\ncallers = 127.0.0.1:0\n\
+        readiness = 127.0.0.1:0\npeers = 127.0.0.1:0\nfirst-start = true\n\
+        [store]\naddress = 127.0.0.1:1\n[cloud]\naddress = 127.0.0.1:1\n\
+        [bounds]\ngrace-seconds = 8\nretry-ratio = 0.2\nretry-allowance = 50\n\
+        retry-window-seconds = 10\nquota-window-seconds = 8\nusage-window-seconds = 5\n\
+        quota-overshoot = 0.1\nquota-allowance = 1000\n";
+    Settings::read(&Source { file: "test.ini".into(), text: text.into() }).unwrap()
+}
+
+fn unavailable<T: 'static>() -> dogwoodturn_gateway::store::Reply<T> {
+    Box::pin(async { Err(CallError::NotDone("no store in this test".into())) })
+}
+
+pub fn no_store() -> Store {
+    Store {
+        list: Box::new(|_| unavailable()),
+        watch: Box::new(|_, _: Revision, _| unavailable()),
+        write: Box::new(|_| unavailable()),
+        order: Box::new(|_, _| unavailable()),
+        read_table: |_| Err(Unreadable("no tables in this test".into())),
+    }
+}
+
+pub fn route(name: &str, path: &str, repeatability: Repeatability, max_attempts: u32) -> Route {
+    Route {
+        name: name.parse().unwrap(),
+        host: "example".into(),
+        path_prefix: path.into(),
+        repeatability,
+        timeout: Duration::from_secs(5),
+        target: Duration::from_secs(1),
+        target_gap: Some(Duration::from_millis(400)),
+        priority: 0,
+        max_attempts,
+        anonymous: false,
+        services: vec![("plain".parse().unwrap(), 1)],
+    }
+}
+
+pub fn table(routes: Vec<Route>) -> Table {
+    let service = Service {
+        name: "plain".parse().unwrap(),
+        max_connections: 100,
+        engine: None::<EngineShape>,
+        hosts: None,
+    };
+    let customer = Customer { name: "ada".parse().unwrap(), priority: None, quota: None };
+    Table {
+        version: 1,
+        document: Bytes::new(),
+        routes: Table::group(routes),
+        services: IndexMap::from([(service.name.clone(), service)]),
+        customers: IndexMap::from([(customer.name.clone(), customer)]),
+        keys: IndexMap::from([("key".into(), "ada".parse().unwrap())]),
+        limits: CallerLimits::default(),
+    }
+}
+
+pub fn all_routes() -> Vec<Route> {
+    vec![
+        route("book", "/book/", Repeatability::AtMostOnce, 1),
+        route("look", "/look/", Repeatability::Idempotent, 2),
+        route("render", "/render/", Repeatability::ResumableStream, 2),
+        route("build", "/build/", Repeatability::Stream, 1),
+    ]
+}
+
+/// What an upstream does with one request.
+#[derive(Clone, Debug)]
+pub enum Reaction {
+    /// Writes these bytes; `{id}` stands for the request's id.
+    Write(String),
+    /// Writes these bytes after a pause.
+    WriteAfter(Duration, String),
+    /// Writes these bytes and closes the connection.
+    WriteAndClose(String),
+    /// Closes the connection without an answer.
+    Close,
+    /// Never answers.
+    Hang,
+    /// Answers from the head alone and reads the rest of the request later.
+    AnswerEarly(String),
+}
+
+/// A request as an upstream read it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub head: RequestHead,
+    pub body: Bytes,
+    pub connection: usize,
+}
+
+/// An upstream that follows a script and keeps what it read.
+#[derive(Clone)]
+pub struct Upstream {
+    pub address: SocketAddr,
+    pub seen: Rc<RefCell<Vec<Seen>>>,
+    /// Set once a connection was closed by the gateway while its request was unanswered.
+    pub abandoned: Rc<RefCell<u32>>,
+}
+
+impl Upstream {
+    pub async fn start(script: impl Fn(&Seen) -> Reaction + 'static) -> Self {
+        // A small window, so that a long request is not taken whole by the system.
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(16 * 1024).unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(64).unwrap();
+        let address = listener.local_addr().unwrap();
+        let (seen, abandoned) = (Rc::default(), Rc::default());
+        let upstream = Self { address, seen, abandoned };
+        let (script, kept) = (Rc::new(script), upstream.clone());
+        actix_rt::spawn(async move {
+            let mut connections = 0;
+            while let Ok((stream, _)) = listener.accept().await {
+                connections += 1;
+                actix_rt::spawn(kept.clone().serve(stream, connections, script.clone()));
+            }
+        });
+        upstream
+    }
+
+    async fn serve(
+        self,
+        mut stream: TcpStream,
+        connection: usize,
+        script: Rc<impl Fn(&Seen) -> Reaction + 'static>,
+    ) {
+        let mut buf = BytesMut::new();
+        loop {
+            let head = loop {
+                if let Ok(Some(head)) = RequestHead::take(&mut buf, 65536) {
+                    break head;
+                }
+                if stream.read_buf(&mut buf).await.unwrap_or(0) == 0 {
+                    return;
+                }
+            };
+            let mut seen = Seen { head, body: Bytes::new(), connection };
+            if let Reaction::AnswerEarly(text) = script(&seen) {
+                let text = text.replace("{id}", seen.head.headers.text("X-Id").unwrap_or(""));
+                self.seen.borrow_mut().push(seen);
+                let _ = stream.write_all(text.as_bytes()).await;
+                actix_rt::time::sleep(Duration::from_millis(300)).await;
+                let _ = stream.read_buf(&mut buf).await;
+                return;
+            }
+            let mut decoder = BodyDecoder::new(seen.head.framing);
+            let mut body = BytesMut::new();
+            loop {
+                match decoder.step(&mut buf).unwrap() {
+                    Step::Data(data) => body.extend_from_slice(&data),
+                    Step::End => break,
+                    Step::NeedsMore => {
+                        if stream.read_buf(&mut buf).await.unwrap_or(0) == 0 {
+                            return;
+                        }
+                    }
+                }
+            }
+            seen.body = body.freeze();
+            let id = seen.head.headers.text("X-Id").unwrap_or("").to_owned();
+            let reaction = script(&seen);
+            self.seen.borrow_mut().push(seen);
+            let (text, closes) = match reaction {
+                Reaction::Write(text) | Reaction::AnswerEarly(text) => (text, false),
+                Reaction::WriteAndClose(text) => (text, true),
+                Reaction::WriteAfter(pause, text) => {
+                    actix_rt::time::sleep(pause).await;
+                    (text, false)
+                }
+                Reaction::Close => return,
+                Reaction::Hang => {
+                    let _ = stream.read_buf(&mut buf).await;
+                    *self.abandoned.borrow_mut() += 1;
+                    return;
+                }
+            };
+            let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+            if closes {
+                return;
+            }
+        }
+    }
+
+    pub fn count(&self) -> usize {
+        self.seen.borrow().len()
+    }
+}
+
+/// A gateway with its callers' address.
+pub struct World {
+    pub cx: Rc<Gateway>,
+    pub callers: SocketAddr,
+}
+
+impl World {
+    pub async fn start(upstreams: &[&Upstream]) -> Self {
+        Self::with_table(upstreams, table(all_routes())).await
+    }
+
+    pub async fn with_table(upstreams: &[&Upstream], table: Table) -> Self {
+        let cx = Gateway::new(settings(), dialect(), no_store());
+        {
+            let mut state = cx.state.borrow_mut();
+            state.take_table(table);
+            state.has_members = true;
+            state.has_upstreams = true;
+            for (index, upstream) in upstreams.iter().enumerate() {
+                state.directory.set(record(index, upstream.address));
+            }
+        }
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let callers = listener.local_addr().unwrap();
+        actix_rt::spawn(serve::accept(cx.clone(), listener));
+        Self { cx, callers }
+    }
+
+    /// Sends bytes and reads until the gateway closes the connection, or for a while.
+    pub async fn exchange(&self, request: &str) -> String {
+        let mut stream = TcpStream::connect(self.callers).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        let _ = timeout(PATIENCE, stream.read_to_end(&mut answer)).await.expect("no close in time");
+        String::from_utf8(answer).unwrap()
+    }
+}
+
+pub fn record(index: usize, address: SocketAddr) -> UpstreamRecord {
+    UpstreamRecord {
+        id: format!("u{index}").parse().unwrap(),
+        started: 1,
+        service: "plain".parse().unwrap(),
+        version: "v1".parse().unwrap(),
+        address,
+        data_centre: "here".parse().unwrap(),
+        slots: 8,
+        draining: false,
+        reclaimable: false,
+        warm_up: Duration::ZERO,
+    }
+}
+
+/// Returns a request that asks for its connection to be closed.
+pub fn get(path: &str, id: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nHost: example\r\nX-Id: {id}\r\nAuthorization: Bearer key\r\n\
+         X-Deadline: 4000\r\nConnection: close\r\n\r\n"
+    )
+}
+
+/// Returns a whole answer that bears the request's id.
+pub fn ok(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nX-Id: {{id}}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Returns the head of a stream and these events, without the end.
+pub fn events(ids: impl IntoIterator<Item = u64>) -> String {
+    let mut text = "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nContent-Type: text/event-stream\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+        .to_owned();
+    for id in ids {
+        let event = format!("id: {id}\ndata: e{id}\n\n");
+        text += &format!("{:x}\r\n{event}\r\n", event.len());
+    }
+    text
+}
+
+/// Returns the bodies of an answer in chunks, joined.
+pub fn unchunked(answer: &str) -> (String, bool) {
+    let (_, body) = answer.split_once("\r\n\r\n").unwrap_or(("", ""));
+    let mut buf = BytesMut::from(body.as_bytes());
+    let mut decoder = BodyDecoder::new(dogwoodturn_gateway::http::head::Framing::Chunked);
+    let mut whole = String::new();
+    loop {
+        match decoder.step(&mut buf) {
+            Ok(Step::Data(data)) => whole += std::str::from_utf8(&data).unwrap(),
+            Ok(Step::End) => return (whole, true),
+            Ok(Step::NeedsMore) | Err(_) => return (whole, false),
+        }
+    }
+}
