--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -193,6 +193,10 @@
                 }
                 Sent::Broken => {
                     self.progress = Progress::MayHaveRun;
+                    if attempt.is_taken {
+                        // Most upstreams that break a connection had begun what was on it.
+                        self.cx.began(self.admitted.customer.as_ref());
+                    }
                     attempt.end(Verdict::Broken);
                     if self.admitted.route.repeatability.may_repeat() && self.may_repeat() {
                         continue;
@@ -205,6 +209,9 @@
                 }
                 Sent::TimedOut => {
                     self.progress = Progress::MayHaveRun;
+                    if !self.admitted.route.repeatability.is_stream() {
+                        self.cx.began(self.admitted.customer.as_ref());
+                    }
                     attempt.end(Verdict::Broken);
                     let repeats = self.admitted.route.repeatability.may_repeat();
                     if repeats && !self.left().is_zero() && self.may_repeat() {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -122,7 +122,7 @@
         }
         let run = (message.daemon.clone(), message.incarnation);
         self.usage.peer_counted(run, &message.usage);
-        self.mesh.heard(now, from, message);
+        self.mesh.heard(now, wall_clock(), from, message);
     }
 
     /// Forgets an upstream that is gone or starts anew.
@@ -246,7 +246,9 @@
     /// Counts a request that began to run, for the usage report.
     pub fn began(&self, customer: Option<&CustomerName>) {
         if let Some(customer) = customer {
-            self.state.borrow_mut().usage.began(wall_clock(), customer);
+            let mut state = self.state.borrow_mut();
+            let at = state.mesh.agreed_time(self.now(), wall_clock());
+            state.usage.began(at, customer);
         }
     }
 
@@ -260,6 +262,7 @@
             daemon: self.settings.name.clone(),
             incarnation: self.incarnation,
             number: self.messages.get(),
+            wall: wall_clock(),
             table: state.table.as_ref().map_or(0, |table| table.version),
             acts: state.lease.fence(now).is_some(),
             admitted: state.quotas.all(now),
--- a/gateway/src/mesh.rs
+++ b/gateway/src/mesh.rs
@@ -8,7 +8,7 @@
 
 use dogwoodturn::{
     ids::{CustomerName, DaemonId, Incarnation, RouteName, ServiceName, UpstreamId, VersionName},
-    units::Time,
+    units::{Time, WallTime},
 };
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -59,6 +59,8 @@
     pub incarnation: Incarnation,
     /// Rises with each message of a run.
     pub number: u64,
+    /// The sender's time of day.
+    pub wall: WallTime,
     /// The version of its table; zero if it has none.
     pub table: u64,
     /// Whether the daemon holds the lease and acts for all.
@@ -86,6 +88,8 @@
     address: SocketAddr,
     heard: Option<Time>,
     heard_work: Time,
+    /// How far its time of day is ahead of this daemon's, in milliseconds.
+    clock_ahead: i64,
     joined: Time,
     last: Option<Message>,
 }
@@ -108,8 +112,14 @@
         if member.daemon == self.me {
             return;
         }
-        let peer =
-            Peer { address: member.address, heard: None, heard_work: now, joined: now, last: None };
+        let peer = Peer {
+            address: member.address,
+            heard: None,
+            heard_work: now,
+            clock_ahead: 0,
+            joined: now,
+            last: None,
+        };
         self.peers.entry(member.daemon).or_insert(peer).address = member.address;
     }
 
@@ -119,17 +129,25 @@
     }
 
     /// Takes a message; false if it is older than what is known.
-    pub fn heard(&mut self, now: Time, from: SocketAddr, message: Message) -> bool {
+    pub fn heard(&mut self, now: Time, wall: WallTime, from: SocketAddr, message: Message) -> bool {
         if message.daemon == self.me {
             return false;
         }
-        let fresh = Peer { address: from, heard: None, heard_work: now, joined: now, last: None };
+        let fresh = Peer {
+            address: from,
+            heard: None,
+            heard_work: now,
+            clock_ahead: 0,
+            joined: now,
+            last: None,
+        };
         let peer = self.peers.entry(message.daemon.clone()).or_insert(fresh);
         let order = |message: &Message| (message.incarnation, message.number);
         if peer.last.as_ref().is_some_and(|last| order(last) >= order(&message)) {
             return false;
         }
         peer.heard = Some(now);
+        peer.clock_ahead = message.wall.0.cast_signed() - wall.0.cast_signed();
         peer.heard_work = now;
         peer.address = from;
         peer.last = Some(message);
@@ -152,6 +170,17 @@
         self.peers.values().map(|peer| peer.address).collect()
     }
 
+    /// Returns the time of day that most daemons agree on.
+    ///
+    /// The clocks of some hosts may jump by seconds; usage windows are cut by the clock, and the
+    /// median holds while fewer than half of the clocks are wrong.
+    pub fn agreed_time(&self, now: Time, wall: WallTime) -> WallTime {
+        let heard = self.peers.values().filter(|peer| is_heard(peer, now));
+        let mut ahead: Vec<i64> = heard.map(|peer| peer.clock_ahead).chain([0]).collect();
+        ahead.sort_unstable();
+        WallTime(wall.0.saturating_add_signed(ahead[ahead.len() / 2]))
+    }
+
     /// Returns the number of daemons that are known, this one included.
     pub fn size(&self) -> u32 {
         self.peers.len() as u32 + 1
--- a/gateway/src/sync.rs
+++ b/gateway/src/sync.rs
@@ -310,8 +310,8 @@
     if !cx.settings.reports_usage {
         return;
     }
-    let wall = wall_clock();
     let mut state = cx.state.borrow_mut();
+    let wall = state.mesh.agreed_time(now, wall_clock());
     if state.lease.fence(now).is_none() {
         return;
     }
@@ -329,7 +329,8 @@
 /// Reports a closed window under the fence; an exact repeat does no harm.
 fn report(cx: &Rc<Gateway>, window: crate::store::UsageWindow) {
     let state = cx.state.borrow();
-    let ended = state.usage.ended(window.number, wall_clock()).unwrap_or_default();
+    let wall = state.mesh.agreed_time(cx.now(), wall_clock());
+    let ended = state.usage.ended(window.number, wall).unwrap_or_default();
     let Some(fence) = state.lease.fence(cx.now()) else { return };
     if ended > REPORT_WITHIN || !cx.reported.borrow_mut().insert(window.number) {
         return;
