--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -127,6 +127,7 @@
     /// The head that the caller has been sent, and the last event after it.
     first_head: Option<ResponseHead>,
     last_event: Option<u64>,
+    has_begun: bool,
     /// The time from arrival to the first event, or to the whole answer.
     first_answer: Option<Duration>,
     /// The time to the first answer that was predicted for the last attempt.
@@ -153,6 +154,7 @@
         failure: None,
         first_head: None,
         last_event: req.last_event,
+        has_begun: false,
         first_answer: None,
         predicted: Duration::ZERO,
     };
@@ -195,7 +197,7 @@
                     self.progress = Progress::MayHaveRun;
                     if attempt.is_taken {
                         // Most upstreams that break a connection had begun what was on it.
-                        self.cx.began(self.admitted.customer.as_ref());
+                        self.began();
                     }
                     attempt.end(Verdict::Broken);
                     if self.admitted.route.repeatability.may_repeat() && self.may_repeat() {
@@ -210,7 +212,7 @@
                 Sent::TimedOut => {
                     self.progress = Progress::MayHaveRun;
                     if !self.admitted.route.repeatability.is_stream() {
-                        self.cx.began(self.admitted.customer.as_ref());
+                        self.began();
                     }
                     attempt.end(Verdict::Broken);
                     let repeats = self.admitted.route.repeatability.may_repeat();
@@ -230,6 +232,13 @@
         }
     }
 
+    /// Counts the request for the usage report, once however often it runs.
+    fn began(&mut self) {
+        if !std::mem::replace(&mut self.has_begun, true) {
+            self.cx.began(self.admitted.customer.as_ref());
+        }
+    }
+
     fn left(&self) -> Duration {
         self.admitted.ends.since(self.cx.now())
     }
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -68,7 +68,7 @@
         head: ResponseHead,
         out: &mut Out<'_>,
     ) -> Relayed {
-        self.cx.began(self.admitted.customer.as_ref());
+        self.began();
         let Some(connection) = attempt.connection.as_mut() else {
             return Relayed::Done(self.give_up(out, &OwnAnswer::lost("lost-by-upstream")).await);
         };
@@ -208,7 +208,7 @@
     ) -> bool {
         attempt.answered();
         if self.first_head.is_none() {
-            self.cx.began(self.admitted.customer.as_ref());
+            self.began();
             self.note_first_answer();
             self.first_head = Some(head.clone());
         }
