--- /dev/null
+++ b/gateway/tests/lease.rs
@@ -0,0 +1,172 @@
+//! The lease under lost answers, pauses and partitions, against the store's own order of writes.
+
+use std::time::Duration;
+
+use dogwoodturn::{ids::Revision, units::Time};
+use dogwoodturn_gateway::{
+    lease::{Lease, LeaseWrite},
+    store::{LeaseRecord, UsageWindow},
+};
+use rand::RngExt as _;
+use rand_pcg::{Pcg64, rand_core::SeedableRng as _};
+
+const DAEMONS: usize = 4;
+/// How often a daemon is paused, cut off or restarted in a step; each about every 100 s.
+const TROUBLE_PERMILLE: u32 = 2;
+const STEP: Duration = Duration::from_millis(200);
+
+/// The store's object.
+#[derive(Default)]
+struct Object {
+    revision: u64,
+    record: Option<LeaseRecord>,
+}
+
+impl Object {
+    fn write(&mut self, write: &LeaseWrite) -> Option<Revision> {
+        let holds = match write.replaces {
+            None => self.record.is_none(),
+            Some(revision) => self.record.is_some() && revision.0 == self.revision,
+        };
+        if !holds {
+            return None;
+        }
+        self.revision += 1;
+        self.record = Some(write.record.clone());
+        Some(Revision(self.revision))
+    }
+}
+
+struct Daemon {
+    lease: Lease,
+    /// Until when it neither runs nor hears anything.
+    paused_until: u64,
+    /// Until when it does not reach the store.
+    cut_until: u64,
+}
+
+fn start(index: usize, run: u64, now: Time) -> Daemon {
+    let mut lease = Lease::new(format!("d{index}.{run}").into(), now);
+    lease.set_rank(index as u32);
+    Daemon { lease, paused_until: 0, cut_until: 0 }
+}
+
+/// Plays one seed and returns the fences under which somebody acted, in order, with the holder.
+fn play(seed: u64) -> Vec<(u64, Box<str>)> {
+    let mut random = Pcg64::seed_from_u64(seed);
+    let mut chance = |permille: u32| random.random_range(0..1000) < permille;
+    let mut object = Object::default();
+    let mut now = Time(0);
+    let mut daemons: Vec<_> = (0..DAEMONS).map(|index| start(index, 0, now)).collect();
+    let mut acted: Vec<(u64, Box<str>)> = Vec::new();
+    for step in 0..600_u64 {
+        now = now + STEP;
+        for index in 0..DAEMONS {
+            if chance(TROUBLE_PERMILLE) {
+                daemons[index].paused_until = step + 30;
+            }
+            if chance(TROUBLE_PERMILLE) {
+                daemons[index].cut_until = step + 25;
+            }
+            if chance(TROUBLE_PERMILLE) {
+                daemons[index] = start(index, step, now);
+            }
+        }
+        let acting = daemons.iter().any(|d| d.paused_until <= step && d.lease.fence(now).is_some());
+        for daemon in daemons.iter_mut().filter(|daemon| daemon.paused_until <= step) {
+            if acting && chance(900) {
+                daemon.lease.heard(now);
+            }
+            let reaches = daemon.cut_until <= step;
+            if daemon.lease.must_read(now) && reaches {
+                match &object.record {
+                    Some(record) => {
+                        daemon.lease.seen(now, Revision(object.revision), record.clone());
+                    }
+                    None => daemon.lease.missing(),
+                }
+            }
+            if let Some(write) = daemon.lease.due(now) {
+                let done = if reaches { object.write(&write) } else { None };
+                match done {
+                    // The answer of a write that was done may be lost.
+                    Some(revision) if !chance(100) => daemon.lease.written(now, revision, write),
+                    Some(_) | None => daemon.lease.failed(),
+                }
+                if done.is_none()
+                    && reaches
+                    && let Some(record) = &object.record
+                {
+                    daemon.lease.seen(now, Revision(object.revision), record.clone());
+                }
+            }
+        }
+        for daemon in daemons.iter().filter(|daemon| daemon.paused_until <= step) {
+            if let Some(fence) = daemon.lease.fence(now) {
+                acted.push((fence.number, fence.holder));
+            }
+        }
+    }
+    acted
+}
+
+#[test]
+fn fence_one_holder_for_each_number() {
+    for seed in 0..300 {
+        let acted = play(seed);
+        for (number, holder) in &acted {
+            let others = acted.iter().filter(|(other, _)| other == number);
+            assert!(others.clone().all(|(_, other)| other == holder), "seed {seed}: {number}");
+        }
+    }
+}
+
+#[test]
+fn fence_somebody_acts_most_of_the_time() {
+    let steps: usize = (0..50).map(|seed| play(seed).len()).sum();
+    assert!(steps > 50 * 600 / 2, "acted in {steps} of {} steps", 50 * 600);
+}
+
+#[test]
+fn fence_ends_before_anyone_may_take_over() {
+    let start_at = Time(1_000_000);
+    let mut holder = Lease::new("a".into(), start_at);
+    assert!(holder.must_read(start_at));
+    holder.missing();
+    let write = holder.due(start_at).unwrap();
+    let record = write.record.clone();
+    holder.written(start_at, Revision(1), write);
+    assert!(holder.fence(start_at).is_some());
+
+    let mut other = Lease::new("b".into(), start_at);
+    other.heard(start_at);
+    let mut now = start_at;
+    let taken = loop {
+        now = now + Duration::from_millis(50);
+        if other.must_read(now) {
+            other.seen(now, Revision(1), record.clone());
+        }
+        if let Some(write) = other.due(now) {
+            break write;
+        }
+    };
+    assert!(holder.fence(now).is_none(), "the holder still acts when another one takes over");
+    assert_eq!(taken.record.fence, record.fence + 1);
+}
+
+#[test]
+fn close_window_survives_a_change_of_holder() {
+    let now = Time(1_000_000);
+    let mut holder = Lease::new("a".into(), now);
+    holder.missing();
+    let write = holder.due(now).unwrap();
+    holder.written(now, Revision(1), write);
+    holder.close(UsageWindow { number: 7, ..UsageWindow::default() });
+    let write = holder.due(now).unwrap();
+    let record = write.record.clone();
+    holder.written(now, Revision(2), write);
+
+    let mut other = Lease::new("b".into(), now);
+    other.seen(now, Revision(2), record);
+    assert_eq!(other.closed().iter().map(|window| window.number).collect::<Vec<_>>(), [7]);
+}
--- /dev/null
+++ b/gateway/tests/rollout.rs
@@ -0,0 +1,171 @@
+//! Moves to versions that are good, bad at once, late, under load, slow, or on one route only.
+
+use std::time::Duration;
+
+use dogwoodturn::{
+    ids::{Revision, RouteName, ServiceName, VersionName},
+    units::Time,
+};
+use dogwoodturn_gateway::{
+    rollout::{Rollouts, VersionRule},
+    store::{MoveRecord, MoveState},
+};
+use rand::RngExt as _;
+use rand_pcg::{Pcg64, rand_core::SeedableRng as _};
+
+const DAEMONS: usize = 7;
+const DURATION: Duration = Duration::from_secs(20);
+const REQUESTS_PER_SECOND: u64 = 150;
+/// What the operators allow a bad version: a share of the requests, and some on top.
+const EXPOSURE_SHARE: f64 = 0.1;
+const EXPOSURE_ALLOWANCE: f64 = 50.0;
+/// How long after its fiftieth bad answer a bad version may still get requests.
+const ROLLBACK: Duration = Duration::from_secs(5);
+
+struct Outcome {
+    all: u64,
+    to_target: Vec<u64>,
+    bad: Vec<u64>,
+    state: Option<(u64, MoveState)>,
+}
+
+/// Plays a move; `bad` says for a request, by time in ms, share of load and route, whether the target
+/// fails it, and `slow` how many times as long it takes.
+fn play(seed: u64, bad: impl Fn(u64, f64, usize) -> f64, slow: f64) -> Outcome {
+    let mut random = Pcg64::seed_from_u64(seed);
+    let service: ServiceName = "s".parse().unwrap();
+    let (old, target): (VersionName, VersionName) = ("v1".parse().unwrap(), "v2".parse().unwrap());
+    let routes: [RouteName; 2] = ["r0".parse().unwrap(), "r1".parse().unwrap()];
+    let order = MoveRecord {
+        service: service.clone(),
+        target: target.clone(),
+        duration: DURATION,
+        state: None,
+    };
+    let at = |ms: u64| Time(ms * 1000);
+    let mut daemons: Vec<_> = (0..DAEMONS).map(|_| Rollouts::default()).collect();
+    for daemon in &mut daemons {
+        daemon.seen(at(0), Revision(1), order.clone());
+    }
+    let mut outcome = Outcome { all: 0, to_target: Vec::new(), bad: Vec::new(), state: None };
+    for ms in 0..DURATION.as_millis() as u64 {
+        if random.random_range(0..1000) < REQUESTS_PER_SECOND {
+            let daemon = &mut daemons[random.random_range(0..DAEMONS)];
+            let route = random.random_range(0..2_usize);
+            let chosen = daemon.rule(&service, random.random());
+            let to_target = chosen == VersionRule::Only(&target);
+            let load = daemon.share(&service).unwrap_or(0.0);
+            let fails =
+                random.random::<f64>() < if to_target { bad(ms, load, route) } else { 0.02 };
+            let spread = 0.5 + random.random::<f64>();
+            let first = 80.0 * spread * if to_target { slow } else { 1.0 };
+            let version = if to_target { &target } else { &old };
+            let first = (!fails).then(|| Duration::from_secs_f64(first / 1000.0));
+            daemon.ended(&service, version, &routes[route], fails, first);
+            outcome.all += 1;
+            if to_target {
+                outcome.to_target.push(ms);
+                if fails || slow > 1.5 {
+                    outcome.bad.push(ms);
+                }
+            }
+        }
+        if ms % 200 == 0 {
+            let own: Vec<_> = daemons.iter().map(Rollouts::own).collect();
+            let holds: Vec<_> = daemons.iter().flat_map(|daemon| daemon.holds().to_vec()).collect();
+            for (index, daemon) in daemons.iter_mut().enumerate() {
+                for (service, version) in &holds {
+                    daemon.hold(service, version);
+                }
+                let peers = own.iter().enumerate().filter(|(peer, _)| *peer != index);
+                let peers = peers.flat_map(|(_, tallies)| tallies);
+                let due = daemon.advance(at(ms), &service, peers, ms % 600 == 0, true);
+                if let Some(due) =
+                    due.filter(|due| index == 0 && due.state != MoveState::InProgress)
+                {
+                    outcome.state.get_or_insert((ms, due.state));
+                }
+            }
+        }
+    }
+    outcome
+}
+
+fn assert_bad_is_caught(outcome: &Outcome, seed: u64) {
+    let allowed = outcome.all as f64 * EXPOSURE_SHARE + EXPOSURE_ALLOWANCE;
+    let exposed = outcome.to_target.len() as f64;
+    assert!(exposed <= allowed, "seed {seed}: {exposed} of {allowed}");
+    if let Some(fiftieth) = outcome.bad.get(49) {
+        let last = outcome.to_target.last().unwrap();
+        assert!(*last <= fiftieth + ROLLBACK.as_millis() as u64, "seed {seed}: {last}");
+    }
+    let state = outcome.state.map(|(_, state)| state);
+    assert_eq!(state, Some(MoveState::Reverted), "seed {seed}");
+}
+
+#[test]
+fn advance_good_version_is_completed_before_its_time() {
+    for seed in 0..20 {
+        let outcome = play(seed, |_, _, _| 0.02, 1.0);
+        let (ms, state) = outcome.state.expect("no end is recorded");
+        assert_eq!(state, MoveState::Completed, "seed {seed}");
+        assert!(Duration::from_millis(ms) < DURATION.mul_f64(0.95), "seed {seed}: {ms}");
+    }
+}
+
+#[test]
+fn advance_version_bad_at_once_is_reverted() {
+    for seed in 0..20 {
+        assert_bad_is_caught(&play(seed, |_, _, _| 0.5, 1.0), seed);
+    }
+}
+
+#[test]
+fn advance_version_bad_on_one_route_is_reverted() {
+    for seed in 0..20 {
+        assert_bad_is_caught(&play(seed, |_, _, route| [0.02, 0.5][route], 1.0), seed);
+    }
+}
+
+#[test]
+fn advance_version_bad_later_is_reverted() {
+    for seed in 0..20 {
+        assert_bad_is_caught(&play(seed, |ms, _, _| if ms > 7000 { 0.5 } else { 0.02 }, 1.0), seed);
+    }
+}
+
+#[test]
+fn advance_version_bad_under_load_is_reverted() {
+    for seed in 0..20 {
+        assert_bad_is_caught(
+            &play(seed, |_, load, _| if load > 0.15 { 0.5 } else { 0.02 }, 1.0),
+            seed,
+        );
+    }
+}
+
+#[test]
+fn advance_slow_version_is_reverted() {
+    for seed in 0..20 {
+        assert_bad_is_caught(&play(seed, |_, _, _| 0.02, 3.0), seed);
+    }
+}
+
+#[test]
+fn rule_reverted_version_gets_nothing_for_good() {
+    let service: ServiceName = "s".parse().unwrap();
+    let target: VersionName = "v2".parse().unwrap();
+    let mut rollouts = Rollouts::default();
+    let record = MoveRecord {
+        service: service.clone(),
+        target: target.clone(),
+        duration: DURATION,
+        state: Some(MoveState::Reverted),
+    };
+    rollouts.seen(Time(0), Revision(1), record.clone());
+    rollouts.seen(Time(1), Revision(2), MoveRecord { state: Some(MoveState::Completed), ..record });
+    for hash in 0..1000_u64 {
+        let hash = hash.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        assert_eq!(rollouts.rule(&service, hash), VersionRule::Not(&target));
+    }
+}
