--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -166,17 +166,13 @@
             last_event,
         };
         let bytes = req.for_upstream(&self.cx.dialect, &to);
-        let patience = match may_try_again {
-            true => (self.ticket.predicted.max(admitted.route.target) * HANG_FACTOR)
-                .min(left / HANG_SHARE),
-            false => left,
-        };
         admitted.may_have_run();
-        let late = match may_try_again {
-            true => {
-                admitted.route.target.mul_f64(LATE_SHARE).max(self.ticket.predicted * LATE_FACTOR)
-            }
-            false => patience,
+        let (target, predicted) = (admitted.route.target, self.ticket.predicted);
+        let (late, patience) = if may_try_again {
+            let late = target.mul_f64(LATE_SHARE).max(predicted * LATE_FACTOR);
+            (late, (predicted.max(target) * HANG_FACTOR).min(left / HANG_SHARE))
+        } else {
+            (left, left)
         };
         let answer = {
             let exchange = pin!(self.exchange(&mut connection, &bytes, req));
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -124,10 +124,9 @@
                 fed = self.feed(&mut connection, &mut decoder, &mut events, &mut piece, is_stream);
             }
             let is_end = matches!(fed, Fed::End);
-            if !piece.is_empty() || is_end {
-                if !self.send_piece(attempt, &head, &piece, is_end, out).await {
-                    return Relayed::Done(Ending::Cut);
-                }
+            let has_piece = !piece.is_empty() || is_end;
+            if has_piece && !self.send_piece(attempt, &head, &piece, is_end, out).await {
+                return Relayed::Done(Ending::Cut);
             }
             match fed {
                 Fed::End => break,
--- a/gateway/src/http/connection.rs
+++ b/gateway/src/http/connection.rs
@@ -87,10 +87,8 @@
                 Err(error) => return Err(io::Error::new(io::ErrorKind::InvalidData, error)),
             }
             if self.read().await? == 0 {
-                return match decoder.ends_with_connection() {
-                    true => Ok(None),
-                    false => Err(io::ErrorKind::UnexpectedEof.into()),
-                };
+                let is_whole = decoder.ends_with_connection();
+                return if is_whole { Ok(None) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
             }
         }
     }
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -83,8 +83,8 @@
             dialect.last_event,
         ];
         for (name, value) in self.head.headers.end_to_end() {
-            let is = |other: &&str| name.eq_ignore_ascii_case(other.as_bytes());
-            if !replaced.iter().any(|other| is(other)) && !dialect.reserved.iter().any(|r| is(r)) {
+            let is = |other: &&'static str| name.eq_ignore_ascii_case(other.as_bytes());
+            if !replaced.iter().chain(dialect.reserved).any(is) {
                 put_header(&mut out, name, value);
             }
         }
--- a/gateway/src/supply.rs
+++ b/gateway/src/supply.rs
@@ -142,9 +142,9 @@
     fn follow(&mut self, now: Time, demand: f64) {
         let exact = demand / BASE_BUSY;
         let is_held = self.last_more.is_some_and(|at| now.since(at) < HOLD_AFTER_MORE);
-        if exact > f64::from(self.level) {
-            self.level = exact.ceil() as u32;
-        } else if exact < f64::from(self.level) - LEVEL_SLACK && !is_held {
+        let is_more = exact > f64::from(self.level);
+        let is_clearly_less = exact < f64::from(self.level) - LEVEL_SLACK;
+        if is_more || (is_clearly_less && !is_held) {
             self.level = exact.ceil() as u32;
         }
         self.level = self.level.max(SMALLEST_BASE);
--- a/gateway/tests/decisions.rs
+++ b/gateway/tests/decisions.rs
@@ -59,7 +59,7 @@
     directory
 }
 
-fn live<'a>(directory: &'a Directory, now: Time) -> Vec<&'a Upstream> {
+fn live(directory: &Directory, now: Time) -> Vec<&Upstream> {
     directory.live(now, &service())
 }
 
@@ -223,7 +223,7 @@
     let mut requests = Vec::new();
     for ms in 0..30_000_u64 {
         for (index, budget) in budgets.iter_mut().enumerate() {
-            if (ms + index as u64) % 50 == 0 {
+            if (ms + index as u64).is_multiple_of(50) {
                 budget.request(at(ms), &service());
                 requests.push(ms);
                 if budget.try_repeat(at(ms), &service(), DAEMONS) {
--- a/gateway/tests/forward.rs
+++ b/gateway/tests/forward.rs
@@ -20,8 +20,7 @@
 async fn answer_status_and_body_unchanged() {
     let upstream = Upstream::start(|_| {
         write("HTTP/1.1 418 Odd\r\nX-Id: {id}\r\nX-Sign: s1\r\nContent-Length: 3\r\n\r\nabc")
-    })
-    .await;
+    });
     let answer = World::start(&[&upstream]).await.exchange(&get("/book/1", "a1")).await;
     assert!(answer.starts_with("HTTP/1.1 418 "), "{answer}");
     assert!(answer.contains("X-Sign: s1\r\n") && answer.ends_with("\r\n\r\nabc"), "{answer}");
@@ -29,7 +28,7 @@
 
 #[actix_rt::test]
 async fn request_headers_are_set_and_stripped() {
-    let upstream = Upstream::start(|_| write(ok("x"))).await;
+    let upstream = Upstream::start(|_| write(ok("x")));
     let request = "POST /book/1?q=2 HTTP/1.1\r\nHost: example\r\nX-Id: a1\r\nX-Deadline: 4000\r\n\
         Authorization: Bearer key\r\nX-Customer: eve\r\nX-Pin: 9\r\nX-Expected: other\r\n\
         X-Hop: 1\r\nConnection: close, X-Hop\r\nContent-Length: 2\r\n\r\nhi";
@@ -49,8 +48,8 @@
 
 #[actix_rt::test]
 async fn at_most_once_broken_connection_is_never_a_refusal() {
-    let upstream = Upstream::start(|_| Reaction::Close).await;
-    let other = Upstream::start(|_| write(ok("x"))).await;
+    let upstream = Upstream::start(|_| Reaction::Close);
+    let other = Upstream::start(|_| write(ok("x")));
     // The least loaded of the two is not known, so both orders are tried.
     let world = World::start(&[&upstream, &other]).await;
     let mut lost = 0;
@@ -70,8 +69,7 @@
 #[actix_rt::test]
 async fn at_most_once_upstream_refusal_is_a_refusal() {
     let upstream =
-        Upstream::start(|_| write("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
-            .await;
+        Upstream::start(|_| write("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
     let answer = World::start(&[&upstream]).await.exchange(&get("/book/1", "a1")).await;
     assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("Retry-After: "), "{answer}");
 }
@@ -85,9 +83,8 @@
             1 => write("HTTP/1.1 500 No\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n"),
             _ => write(ok("late")),
         }
-    })
-    .await;
-    let second = Upstream::start(|_| write(ok("fine"))).await;
+    });
+    let second = Upstream::start(|_| write(ok("fine")));
     let world = World::start(&[&upstream, &second]).await;
     for id in ["a1", "a2"] {
         let answer = world.exchange(&get("/look/1", id)).await;
@@ -99,8 +96,7 @@
 async fn idempotent_failure_is_delivered_when_nobody_else_is_there() {
     let upstream = Upstream::start(|_| {
         write("HTTP/1.1 500 No\r\nX-Id: {id}\r\nX-Sign: s\r\nContent-Length: 2\r\n\r\nno")
-    })
-    .await;
+    });
     let answer = World::start(&[&upstream]).await.exchange(&get("/look/1", "a1")).await;
     assert!(answer.starts_with("HTTP/1.1 500 ") && answer.contains("X-Sign: s"), "{answer}");
     assert!(answer.ends_with("\r\n\r\nno"), "{answer}");
@@ -108,7 +104,7 @@
 
 #[actix_rt::test]
 async fn connection_extra_answer_reaches_nobody() {
-    let upstream = Upstream::start(|_| write(ok("mine") + &ok("extra"))).await;
+    let upstream = Upstream::start(|_| write(ok("mine") + &ok("extra")));
     let world = World::start(&[&upstream]).await;
     for id in ["a1", "a2", "a3"] {
         let answer = world.exchange(&get("/book/1", id)).await;
@@ -124,8 +120,7 @@
             Some("a2") => write(foreign.to_owned() + &ok("mine")),
             _ => write(ok("mine")),
         }
-    })
-    .await;
+    });
     let world = World::start(&[&upstream]).await;
     for id in ["a1", "a2", "a3"] {
         let answer = world.exchange(&get("/book/1", id)).await;
@@ -142,8 +137,7 @@
             "HTTP/1.1 413 Long\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n".into(),
         ),
         _ => write(ok("x")),
-    })
-    .await;
+    });
     let mut table = support::table(support::all_routes());
     table.limits.body_bytes = 32 << 20;
     let world = World::with_table(&[&upstream], table).await;
@@ -166,8 +160,7 @@
 async fn unframed_answer_that_ends_with_its_connection_is_whole() {
     let upstream = Upstream::start(|_| {
         Reaction::WriteAndClose("HTTP/1.1 200 OK\r\nX-Id: {id}\r\n\r\nwhole".into())
-    })
-    .await;
+    });
     let answer = World::start(&[&upstream]).await.exchange(&get("/book/1", "a1")).await;
     assert!(answer.contains("Content-Length: 5\r\n") && answer.ends_with("whole"), "{answer}");
 }
@@ -178,8 +171,7 @@
         Reaction::WriteAndClose(
             "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nContent-Length: 9\r\n\r\nshort".into(),
         )
-    })
-    .await;
+    });
     let answer = World::start(&[&upstream]).await.exchange(&get("/book/1", "a1")).await;
     assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
 }
@@ -194,11 +186,11 @@
             write(events(last..=6) + LAST_CHUNK)
         }
     };
-    let (first, second) = (Upstream::start(script).await, Upstream::start(script).await);
+    let (first, second) = (Upstream::start(script), Upstream::start(script));
     let answer = World::start(&[&first, &second]).await.exchange(&get("/render/1", "a1")).await;
     let (body, is_whole) = unchunked(&answer);
-    let expected: String = (1..=6).map(|id| format!("id: {id}\ndata: e{id}\n\n")).collect();
-    assert_eq!((body, is_whole), (expected, true));
+    let expected: Vec<_> = (1..=6).map(|id| format!("id: {id}\ndata: e{id}\n\n")).collect();
+    assert_eq!((body, is_whole), (expected.concat(), true));
     assert_eq!(first.count() + second.count(), 2);
 }
 
@@ -206,7 +198,7 @@
 async fn stream_not_resumable_is_cut_after_a_whole_event() {
     let script =
         |_: &support::Seen| Reaction::WriteAndClose(events(1..=2) + "20\r\nid: 3\ndata: ha");
-    let (first, second) = (Upstream::start(script).await, Upstream::start(script).await);
+    let (first, second) = (Upstream::start(script), Upstream::start(script));
     let answer = World::start(&[&first, &second]).await.exchange(&get("/build/1", "a1")).await;
     let (body, is_whole) = unchunked(&answer);
     assert_eq!((&*body, is_whole), ("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n", false));
@@ -215,7 +207,7 @@
 
 #[actix_rt::test]
 async fn caller_that_leaves_ends_the_request_at_its_upstream() {
-    let upstream = Upstream::start(|_| Reaction::Hang).await;
+    let upstream = Upstream::start(|_| Reaction::Hang);
     let world = World::start(&[&upstream]).await;
     let mut stream = TcpStream::connect(world.callers).await.unwrap();
     stream.write_all(get("/book/1", "a1").as_bytes()).await.unwrap();
@@ -231,7 +223,7 @@
 
 #[actix_rt::test]
 async fn smuggled_requests_end_in_400_and_reach_nobody() {
-    let upstream = Upstream::start(|_| write(ok("x"))).await;
+    let upstream = Upstream::start(|_| write(ok("x")));
     let world = World::start(&[&upstream]).await;
     let head =
         "POST /book/1 HTTP/1.1\r\nHost: example\r\nX-Id: a1\r\nAuthorization: Bearer key\r\n";
@@ -253,7 +245,7 @@
 
 #[actix_rt::test]
 async fn request_without_table_is_refused_not_denied() {
-    let upstream = Upstream::start(|_| write(ok("x"))).await;
+    let upstream = Upstream::start(|_| write(ok("x")));
     let world = World::start(&[&upstream]).await;
     world.cx.state.borrow_mut().table = None;
     let answer = world.exchange(&get("/book/1", "a1")).await;
@@ -262,7 +254,7 @@
 
 #[actix_rt::test]
 async fn request_unknown_route_or_key_is_denied() {
-    let upstream = Upstream::start(|_| write(ok("x"))).await;
+    let upstream = Upstream::start(|_| write(ok("x")));
     let world = World::start(&[&upstream]).await;
     assert!(world.exchange(&get("/other/1", "a1")).await.starts_with("HTTP/1.1 404 "));
     let wrong = get("/book/1", "a1").replace("Bearer key", "Bearer wrong");
@@ -272,7 +264,7 @@
 
 #[actix_rt::test]
 async fn drain_late_request_is_refused_and_idle_connection_closed() {
-    let upstream = Upstream::start(|_| write(ok("x"))).await;
+    let upstream = Upstream::start(|_| write(ok("x")));
     let world = World::start(&[&upstream]).await;
     let mut idle = TcpStream::connect(world.callers).await.unwrap();
     actix_rt::time::sleep(Duration::from_millis(50)).await;
--- a/gateway/tests/http_properties.rs
+++ b/gateway/tests/http_properties.rs
@@ -1,5 +1,8 @@
 //! Framing holds however bytes are cut, and no bytes make it panic.
 
+// quickcheck passes what it draws by value.
+#![allow(clippy::needless_pass_by_value)]
+
 use bytes::BytesMut;
 use dogwoodturn_gateway::http::{
     body::{BodyDecoder, LAST_CHUNK, Step, put_chunk},
--- a/gateway/tests/lease.rs
+++ b/gateway/tests/lease.rs
@@ -61,15 +61,15 @@
     let mut acted: Vec<(u64, Box<str>)> = Vec::new();
     for step in 0..600_u64 {
         now = now + STEP;
-        for index in 0..DAEMONS {
+        for (index, daemon) in daemons.iter_mut().enumerate() {
             if chance(TROUBLE_PERMILLE) {
-                daemons[index].paused_until = step + 30;
+                daemon.paused_until = step + 30;
             }
             if chance(TROUBLE_PERMILLE) {
-                daemons[index].cut_until = step + 25;
+                daemon.cut_until = step + 25;
             }
             if chance(TROUBLE_PERMILLE) {
-                daemons[index] = start(index, step, now);
+                *daemon = start(index, step, now);
             }
         }
         let acting = daemons.iter().any(|d| d.paused_until <= step && d.lease.fence(now).is_some());
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! A gateway on loopback before an in-memory store and upstreams that follow a script.
 #![allow(dead_code)]
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, fmt::Write as _, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use dogwoodturn::{ids::Revision, ini::Source};
@@ -153,7 +153,7 @@
 }
 
 impl Upstream {
-    pub async fn start(script: impl Fn(&Seen) -> Reaction + 'static) -> Self {
+    pub fn start(script: impl Fn(&Seen) -> Reaction + 'static) -> Self {
         // A small window, so that a long request is not taken whole by the system.
         let socket = TcpSocket::new_v4().unwrap();
         socket.set_recv_buffer_size(16 * 1024).unwrap();
@@ -314,7 +314,7 @@
         .to_owned();
     for id in ids {
         let event = format!("id: {id}\ndata: e{id}\n\n");
-        text += &format!("{:x}\r\n{event}\r\n", event.len());
+        write!(text, "{:x}\r\n{event}\r\n", event.len()).unwrap();
     }
     text
 }
