cli: explain traces a request through the logs of gateways

Refusals tell the table, host, path and when to come back; the command shows a request's own lines and what its daemon noticed in the ten seconds before.

--- a/cli/src/command/mod.rs
+++ b/cli/src/command/mod.rs
@@ -4,6 +4,7 @@
 pub mod check;
 pub mod demo;
 pub mod diff;
+pub mod explain;
 pub mod moves;
 pub mod publish;
 pub mod status;
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -10,7 +10,7 @@
 
 use gumdrop::Options;
 
-use crate::command::{audit, check, demo, diff, moves, publish, status, supply};
+use crate::command::{audit, check, demo, diff, explain, moves, publish, status, supply};
 
 #[derive(Debug, Options)]
 struct Args {
@@ -36,6 +36,8 @@
     Moves(moves::Args),
     #[options(help = "show the plan of hosts, its reason and its cost")]
     Supply(supply::Args),
+    #[options(help = "trace a request through the logs of gateways")]
+    Explain(explain::Args),
     #[options(help = "run stand-ins, daemons and callers in this process")]
     Demo(demo::Args),
 }
@@ -50,6 +52,7 @@
         Some(Command::Audit(args)) => audit::run(&args),
         Some(Command::Moves(args)) => moves::run(&args),
         Some(Command::Supply(args)) => supply::run(&args),
+        Some(Command::Explain(args)) => explain::run(&args),
         Some(Command::Demo(args)) => demo::run(&args),
         None => {
             eprintln!("{}\n\nCommands:\n{}", Args::usage(), Command::usage());
--- /dev/null
+++ b/gateway/src/explain.rs
@@ -0,0 +1,127 @@
+//! Traces a request from its id to the cause of its end, over the log lines of all daemons.
+//!
+//! Besides the request's own lines, what the same daemon noticed shortly before matters: that the
+//! store was lost, that the upstream was leaving, or which table was in force.
+
+use indexmap::IndexMap;
+
+/// How long before a request's last line other events of its daemon are shown, in microseconds.
+const BEFORE: i64 = 10_000_000;
+/// Events that change what a daemon believes, whichever request is asked for.
+const CONTEXT: [&str; 14] = [
+    "start",
+    "stop",
+    "stopped",
+    "reload",
+    "table",
+    "upstream",
+    "upstream-leaving",
+    "upstream-gone",
+    "store-lost",
+    "store-regained",
+    "lease-taken",
+    "move",
+    "move-step",
+    "order",
+];
+
+/// One line of a log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Line {
+    /// The file that it stands in, which names the daemon.
+    pub file: Box<str>,
+    /// The time, in microseconds since 1970.
+    pub at: i64,
+    /// The fields in order, without those of the logger.
+    pub fields: IndexMap<Box<str>, Box<str>>,
+}
+
+impl Line {
+    /// Reads a line of key=value pairs; text before the first pair is passed over.
+    pub fn read(file: &str, text: &str) -> Option<Self> {
+        let mut fields = read_fields(text);
+        let at = fields.shift_remove("timestamp")?;
+        let at: jiff::Timestamp = at.parse().ok()?;
+        for key in ["level", "module", "position", "message"] {
+            fields.shift_remove(key);
+        }
+        Some(Self { file: file.into(), at: at.as_microsecond(), fields })
+    }
+
+    fn field(&self, key: &str) -> &str {
+        self.fields.get(key).map_or("", |value| value)
+    }
+}
+
+fn read_fields(text: &str) -> IndexMap<Box<str>, Box<str>> {
+    let mut fields = IndexMap::new();
+    let mut rest = text;
+    while let Some((before, after)) = rest.split_once('=') {
+        let key = before.rsplit(' ').next().unwrap_or_default();
+        let (value, next) = match after.strip_prefix('"') {
+            Some(quoted) => quoted.split_once('"').unwrap_or((quoted, "")),
+            None => after.split_once(' ').unwrap_or((after, "")),
+        };
+        fields.insert(key.into(), value.into());
+        rest = next;
+    }
+    fields
+}
+
+/// Returns the lines that explain a request, in order of time.
+pub fn trace(lines: &[Line], request: &str) -> Vec<Line> {
+    let own: Vec<_> = lines.iter().filter(|line| line.field("request") == request).collect();
+    let Some(last) = own.iter().map(|line| line.at).max() else { return Vec::new() };
+    let files: Vec<_> = own.iter().map(|line| &line.file).collect();
+    let upstreams: Vec<_> = own.iter().map(|line| line.field("upstream")).collect();
+    let is_context = |line: &&Line| {
+        let event = line.field("event");
+        let upstream = line.field("upstream");
+        files.contains(&&line.file)
+            && (last - BEFORE..=last).contains(&line.at)
+            && CONTEXT.contains(&event)
+            && (upstream.is_empty() || upstreams.contains(&upstream))
+    };
+    let is_own = |line: &&Line| line.field("request") == request;
+    let mut traced: Vec<_> =
+        lines.iter().filter(|line| is_own(line) || is_context(line)).cloned().collect();
+    traced.sort_by_key(|line| line.at);
+    traced
+}
+
+/// Returns a sentence that says what a request's end means, from its last line.
+pub fn verdict(traced: &[Line], request: &str) -> Option<String> {
+    let mut own = traced.iter().rev().filter(|line| line.field("request") == request);
+    let last = own.find(|line| matches!(line.field("event"), "request" | "refused"))?;
+    let outcome = match last.field("event") {
+        "refused" => last.field("reason"),
+        _ => last.field("outcome"),
+    };
+    Some(format!("{outcome}: {}", meaning(outcome)))
+}
+
+/// Returns what an outcome says about the request and its cause.
+pub fn meaning(outcome: &str) -> &'static str {
+    match outcome {
+        "answered" => "an upstream answered, and the answer was delivered whole",
+        "upstream-failure" => "an upstream ran it and answered with a failure, which was delivered",
+        "refused-wait" => "not run: the wait ahead of it was too long at every upstream",
+        "refused-quota" => "not run: its customer had used up the quota of all daemons together",
+        "refused-nobody" => "not run: no upstream of the service took new work",
+        "refused-unreachable" => "not run: no connection to an upstream could be opened",
+        "refused-by-upstream" => "not run: the upstream said so, and no other could be asked",
+        "refused-late" => "not run: its time was up before an upstream was chosen",
+        "refused-starting" => "not run: the daemon had no configuration or list of upstreams yet",
+        "refused-stopping" => "not run: the daemon was stopping and had no time left for it",
+        "refused-no-service" => "not run: its route names no service with a weight",
+        "refused-crashes-upstreams" => "not run: the same request crashed upstreams before",
+        "denied-no-route" => "not run: no route of the table in force takes its host and path",
+        "denied-key" => "not run: no customer of the table in force holds its key",
+        "lost-by-upstream" => "may have run: the upstream broke the connection before an answer",
+        "lost-no-other-upstream" => "may have run: one upstream failed and no other took it",
+        "lost-resume-failed" => "ran in part: no other upstream went on with the stream",
+        "timed-out" => "may have run: no answer came within its time",
+        "cut" => "ran in part: the upstream broke off the answer, which was cut where it stopped",
+        _ => "see the lines above",
+    }
+}
--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -140,7 +140,20 @@
         Ok(admitted) => admitted,
         Err(own) => {
             cx.metrics.ended("", own.reason);
-            log::info!(event = "refused", request:% = req.id, reason = own.reason, status = own.status(); "");
+            let table = cx.state.borrow().table.as_ref().map_or(0, |table| table.version);
+            let host = req.head.headers.text("host").unwrap_or("-");
+            log::info!(
+                event = "refused",
+                request:% = req.id,
+                reason = own.reason,
+                status = own.status(),
+                retry_ms = own.retry_after().as_millis() as u64,
+                table,
+                host,
+                path:% = String::from_utf8_lossy(req.head.path()),
+                tokens = req.prompt.input;
+                ""
+            );
             return out.own(cx, &req.id, &own).await;
         }
     };
@@ -361,22 +374,22 @@
     async fn give_up(&mut self, out: &mut Out<'_>, own: &OwnAnswer) -> Ending {
         let route = self.admitted.route.name.as_str();
         if self.first_head.is_some() {
-            self.log("cut", 0);
+            self.log("cut", 0, Duration::ZERO);
             self.cx.metrics.ended(route, "cut");
             return Ending::Cut;
         }
         if let Some((head, body)) = self.failure.take() {
-            self.log("upstream-failure", head.status);
+            self.log("upstream-failure", head.status, Duration::ZERO);
             self.cx.metrics.ended(route, "upstream-failure");
             return out.whole(&head, &body, self.left().max(Duration::from_secs(1))).await;
         }
-        self.log(own.reason, own.status());
+        self.log(own.reason, own.status(), own.retry_after());
         self.cx.metrics.ended(route, own.reason);
         out.own(self.cx, &self.req.id, own).await
     }
 
     /// Writes the one line that explains how a request ended.
-    fn log(&self, outcome: &'static str, status: u16) {
+    fn log(&self, outcome: &'static str, status: u16, retry_after: Duration) {
         let ms = self.cx.now().since(self.req.arrived).as_millis() as u64;
         let upstream = self.tried.last().map_or("-", UpstreamId::as_str);
         log::info!(
@@ -387,6 +400,7 @@
             table = self.admitted.table.version,
             outcome,
             status,
+            retry_ms = retry_after.as_millis() as u64,
             ms,
             first_ms = self.first_answer.map_or(-1, |after| after.as_millis() as i64),
             predicted_ms = self.predicted.as_millis() as u64,
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -99,7 +99,7 @@
             self.cx.state.borrow_mut().suspects.answered(self.admitted.digest);
         }
         self.note_first_answer();
-        self.log(outcome, head.status);
+        self.log(outcome, head.status, Duration::ZERO);
         self.cx.metrics.ended(self.admitted.route.name.as_str(), outcome);
         Relayed::Done(out.whole(&head, &body, self.left().max(LAST_WRITE)).await)
     }
@@ -157,7 +157,7 @@
         attempt.judge(Verdict::Answered);
         attempt.connection = Some(connection);
         attempt.keep_connection(&head);
-        self.log("answered", head.status);
+        self.log("answered", head.status, Duration::ZERO);
         self.cx.metrics.ended(self.admitted.route.name.as_str(), "answered");
         self.cx.state.borrow_mut().suspects.answered(self.admitted.digest);
         Relayed::Done(Ending::Answered)
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod dialect;
 pub mod directory;
+pub mod explain;
 pub mod forward;
 pub mod gateway;
 pub mod http;
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -202,6 +202,11 @@
         self.status
     }
 
+    /// Returns when the caller may come back; zero if it was not told.
+    pub fn retry_after(&self) -> Duration {
+        self.retry_after.unwrap_or_default()
+    }
+
     /// Says whether the connection must not carry another request.
     pub fn closes(&self) -> bool {
         self.closes
