--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -140,7 +140,10 @@
         Ok(admitted) => admitted,
         Err(own) => {
             cx.metrics.ended("", own.reason);
-            let table = cx.state.borrow().table.as_ref().map_or(0, |table| table.version);
+            let table = cx.state.borrow().table.clone();
+            let customer = table.as_ref().zip(req.key(&cx.dialect));
+            let customer = customer.and_then(|(table, key)| table.keys.get(key));
+            let table = table.as_ref().map_or(0, |table| table.version);
             let host = req.head.headers.text("host").unwrap_or("-");
             log::info!(
                 event = "refused",
@@ -148,6 +151,7 @@
                 reason = own.reason,
                 status = own.status(),
                 retry_ms = own.retry_after().as_millis() as u64,
+                customer = customer.map_or("-", |name| name.as_str()),
                 table,
                 host,
                 path:% = String::from_utf8_lossy(req.head.path()),
