--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -52,6 +52,11 @@
 const TROUBLE_COST_MS: f64 = 1500.0;
 /// Milliseconds that an upstream of another data centre counts as slower.
 const REMOTE_COST_MS: f64 = 3.0;
+/// Milliseconds that reading a shared token again counts, while the answer is in time all the same:
+/// it takes engines' time from other requests.
+const REREAD_COST_MS: f64 = 0.04;
+/// The part of the target below which that counts.
+const REREAD_SHARE: f64 = 0.6;
 /// How long an upstream that refused connections is left alone if there are others.
 const DOWN_TIME: Duration = Duration::from_millis(700);
 /// How long after its last use a prompt part is taken to be still in an engine's memory.
@@ -366,7 +371,12 @@
         let remote = if upstream.record.data_centre == *need.near { 0.0 } else { REMOTE_COST_MS };
         let cold = upstream.record.warm_up.as_secs_f64() * 10.0;
         let crowding = f64::from(work.requests) / slots * REMOTE_COST_MS * 4.0;
-        let score = predicted + remote + cold + crowding + state.trouble_ms();
+        let shared = need.prompt.parts.iter().rev().skip(1).map(|part| part.tokens).sum::<u64>();
+        let own_part = need.prompt.input.saturating_sub(shared);
+        let reread = unread.saturating_sub(own_part) as f64 * REREAD_COST_MS;
+        let in_time = need.target.as_secs_f64() * 1000.0 * REREAD_SHARE;
+        let with_reread = (predicted + reread).min(in_time).max(predicted);
+        let score = with_reread + remote + cold + crowding + state.trouble_ms();
         Estimate { upstream: id, score, predicted, wait, unread, unread_ahead: work.unread }
     }
 
