--- a/gateway/src/sync.rs
+++ b/gateway/src/sync.rs
@@ -18,6 +18,13 @@
 /// How long one watch waits; each costs a call, and probes of the connection show sooner when it
 /// has gone silent.
 const WATCH_FOR: Duration = Duration::from_secs(25);
+/// The pause after a watch has told something, for each daemon that watches: changes come in
+/// series, and each wakes all daemons, which share the store's rates.
+const PAUSE_PER_DAEMON: Duration = Duration::from_millis(6);
+/// The longest such pause; what is in force must be so within seconds.
+const LONGEST_WATCH_PAUSE: Duration = Duration::from_millis(500);
+/// The pause for the list of members, which is needed for limits only.
+const MEMBERS_PAUSE: Duration = Duration::from_millis(1000);
 /// The pause after a failed call, at first and at most.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
@@ -70,6 +77,8 @@
                 }
                 at = Some(next);
                 pause = FIRST_PAUSE;
+                let daemons = cx.state.borrow().mesh.size();
+                sleep(watch_pause(kind, daemons)).await;
             }
             Err(CallError::HistoryGone) => at = None,
             Err(error) => {
@@ -87,6 +96,16 @@
     }
 }
 
+/// Returns how long changes of a kind gather before they are asked for.
+fn watch_pause(kind: Kind, daemons: u32) -> Duration {
+    match kind {
+        Kind::Members => MEMBERS_PAUSE,
+        Kind::Declarations | Kind::Upstreams | Kind::Moves | Kind::Leases => {
+            (PAUSE_PER_DAEMON * daemons).min(LONGEST_WATCH_PAUSE)
+        }
+    }
+}
+
 async fn list(cx: &Gateway, kind: Kind) -> Result<Revision, CallError> {
     let listing = counted(cx, "list", (cx.store.list)(kind).await)?;
     if kind == Kind::Upstreams {
