mesh: a peer counts as heard until its next turn is overdue

Usage windows were closed before every peer was heard. Change: the time follows from the number of daemons; the first in line read the lease.

--- a/gateway/src/lease.rs
+++ b/gateway/src/lease.rs
@@ -15,7 +15,7 @@
 
 /// How long nobody must have said that it acts before another daemon takes over.
 const EXPIRY: Duration = Duration::from_millis(3400);
-/// How long nobody must have said that it acts before the object is read.
+/// How long nobody must have said that it acts before the object is read, at least.
 const SILENCE: Duration = Duration::from_millis(1000);
 /// How long the object must not have changed since it was read; longer than a holder acts.
 const UNCHANGED: Duration = Duration::from_millis(2300);
@@ -46,6 +46,8 @@
 pub struct Lease {
     me: Box<str>,
     rank: u32,
+    /// How long after its last message a holder may be unheard and well.
+    heard_for: Duration,
     known: Option<(Revision, LeaseRecord)>,
     /// When the object was seen to change, or was read for the first time.
     changed: Time,
@@ -68,6 +70,7 @@
         Self {
             me,
             rank: 0,
+            heard_for: SILENCE,
             known: None,
             changed: now,
             last_word: now,
@@ -81,9 +84,11 @@
         }
     }
 
-    /// Sets this daemon's place in the line of successors.
-    pub fn set_rank(&mut self, rank: u32) {
+    /// Sets this daemon's place in the line of successors, and how long a holder that is well may be
+    /// unheard, which grows with the number of daemons.
+    pub fn set_line(&mut self, rank: u32, heard_for: Duration) {
         self.rank = rank;
+        self.heard_for = heard_for.max(SILENCE);
     }
 
     /// Takes that a peer says that it acts.
@@ -94,7 +99,7 @@
     /// Says whether the object has to be read, and takes that it is.
     pub fn must_read(&mut self, now: Time) -> bool {
         let is_own = self.known.as_ref().is_some_and(|(_, known)| known.holder == self.me);
-        let is_silent = now.since(self.last_word) >= SILENCE;
+        let is_silent = now.since(self.last_word) >= self.heard_for + STAGGER * self.rank;
         let is_first = self.known.is_none() && !self.is_missing;
         let is_due = self.last_read.is_none_or(|at| now.since(at) >= READ_EVERY);
         let reads = is_due && (is_first || (is_silent && !is_own));
@@ -145,7 +150,8 @@
             }
             Some((revision, known)) => {
                 let stagger = STAGGER * self.rank;
-                let is_silent = now.since(self.last_word) >= EXPIRY + stagger;
+                let expiry = EXPIRY.max(self.heard_for + UNCHANGED);
+                let is_silent = now.since(self.last_word) >= expiry + stagger;
                 if !is_silent || now.since(self.changed) < UNCHANGED + stagger {
                     return None;
                 }
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -8,17 +8,12 @@
 use crate::{
     gateway::Gateway,
     http::{connection::Connection, head::RequestHead},
-    mesh::Datagram,
+    mesh::{Datagram, MAX_TOLD, TELL_EVERY},
     serve::Short,
 };
 
 /// How often each daemon tells its peers its work; prompts take about as long to be read.
 const TELL_WORK_EVERY: Duration = Duration::from_millis(50);
-/// After how many of these it tells its whole state; quotas overshoot by what is admitted
-/// meanwhile.
-const TELL_STATE_EVERY: u64 = 5;
-/// The most peers that are told at a time; with more, they are told in turn.
-const MAX_TOLD: usize = 12;
 /// The longest datagram.
 const MAX_DATAGRAM: usize = 60 * 1024;
 /// How long fetching a table from a peer may take.
@@ -45,6 +40,7 @@
 /// Tells the peers what this daemon knows, again and again.
 pub async fn tell(cx: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut ticks = interval(TELL_WORK_EVERY);
+    let works_per_state = (TELL_EVERY.as_millis() / TELL_WORK_EVERY.as_millis()) as u64;
     let (mut turn, mut count, mut told) = (0, 0_u64, Vec::new());
     loop {
         ticks.tick().await;
@@ -53,7 +49,7 @@
         if peers.is_empty() {
             continue;
         }
-        let datagram = if count.is_multiple_of(TELL_STATE_EVERY) {
+        let datagram = if count.is_multiple_of(works_per_state) {
             Datagram::State(Box::new(cx.message()))
         } else {
             let message = cx.work_message();
--- a/gateway/src/mesh.rs
+++ b/gateway/src/mesh.rs
@@ -20,8 +20,14 @@
     store::MemberRecord,
 };
 
-/// How long a peer counts as heard after its last message, a few message intervals.
-const HEARD_FOR: Duration = Duration::from_millis(1200);
+/// How long a peer counts as heard after its next message was due: messages are lost now and then,
+/// and a daemon may be late.
+const LATENESS: Duration = Duration::from_millis(1000);
+/// How often a daemon tells its state, to [`MAX_TOLD`] peers in turn; quotas overshoot by what is
+/// admitted meanwhile.
+pub const TELL_EVERY: Duration = Duration::from_millis(250);
+/// The most peers that are told at a time.
+pub const MAX_TOLD: usize = 12;
 /// How long a silent peer counts for quotas before it is taken to be gone.
 const REMEMBERED_FOR: Duration = Duration::from_secs(30);
 
@@ -165,6 +171,16 @@
         }
     }
 
+    /// Returns how long after its last message a peer counts as heard.
+    pub fn heard_for(&self) -> Duration {
+        let turns = self.peers.len().div_ceil(MAX_TOLD).max(1) as u32;
+        TELL_EVERY * turns + LATENESS
+    }
+
+    fn is_heard(&self, peer: &Peer, now: Time) -> bool {
+        peer.heard.is_some_and(|at| now.since(at) < self.heard_for())
+    }
+
     /// Returns where all known peers listen.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.peers.values().map(|peer| peer.address).collect()
@@ -175,7 +191,7 @@
     /// The clocks of some hosts may jump by seconds; usage windows are cut by the clock, and the
     /// median holds while fewer than half of the clocks are wrong.
     pub fn agreed_time(&self, now: Time, wall: WallTime) -> WallTime {
-        let heard = self.peers.values().filter(|peer| is_heard(peer, now));
+        let heard = self.peers.values().filter(|peer| self.is_heard(peer, now));
         let mut ahead: Vec<i64> = heard.map(|peer| peer.clock_ahead).chain([0]).collect();
         ahead.sort_unstable();
         WallTime(wall.0.saturating_add_signed(ahead[ahead.len() / 2]))
@@ -189,7 +205,7 @@
     /// Returns this daemon's place among those that are heard, by name.
     pub fn rank(&self, now: Time) -> u32 {
         let before =
-            |(daemon, peer): &(&DaemonId, &Peer)| **daemon < self.me && is_heard(peer, now);
+            |(daemon, peer): &(&DaemonId, &Peer)| **daemon < self.me && self.is_heard(peer, now);
         self.peers.iter().filter(before).count() as u32
     }
 
@@ -203,7 +219,7 @@
                     sum.add(history, now.since(heard));
                 }
             }
-            if is_heard(peer, now) {
+            if self.is_heard(peer, now) {
                 sum.heard += 1;
             } else if now.since(peer.heard.unwrap_or(peer.joined)) < REMEMBERED_FOR {
                 sum.silent += 1;
@@ -215,7 +231,8 @@
     /// Adds up what the peers that are heard say of each upstream.
     pub fn views(&self, now: Time) -> IndexMap<UpstreamId, PeerView> {
         let mut views = IndexMap::<UpstreamId, PeerView>::new();
-        let recent = |peer: &&Peer| now.since(peer.heard_work) < HEARD_FOR;
+        let heard_for = self.heard_for();
+        let recent = |peer: &&Peer| now.since(peer.heard_work) < heard_for;
         let last = self.peers.values().filter(recent).filter_map(|peer| peer.last.as_ref());
         for message in last {
             for (id, requests, unread, memory, trouble) in &message.work {
@@ -234,7 +251,7 @@
     /// Returns a peer with a newer table than `version`, the newest first.
     pub fn newer_table(&self, now: Time, version: u64) -> Option<SocketAddr> {
         let newer = |peer: &&Peer| {
-            is_heard(peer, now) && peer.last.as_ref().is_some_and(|last| last.table > version)
+            self.is_heard(peer, now) && peer.last.as_ref().is_some_and(|last| last.table > version)
         };
         let newest = self.peers.values().filter(newer);
         let newest = newest.max_by_key(|peer| peer.last.as_ref().map(|last| last.table));
@@ -259,11 +276,7 @@
 
     /// Returns the last messages of the peers that are heard.
     pub fn current(&self, now: Time) -> impl Iterator<Item = &Message> {
-        let heard = move |peer: &&Peer| is_heard(peer, now);
+        let heard = move |peer: &&Peer| self.is_heard(peer, now);
         self.peers.values().filter(heard).filter_map(|peer| peer.last.as_ref())
     }
 }
-
-fn is_heard(peer: &Peer, now: Time) -> bool {
-    peer.heard.is_some_and(|at| now.since(at) < HEARD_FOR)
-}
--- a/gateway/src/sync.rs
+++ b/gateway/src/sync.rs
@@ -30,8 +30,8 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// How often decisions that depend on time are looked at.
 const TICK: Duration = Duration::from_millis(200);
-/// How long after its end a usage window is closed; the peers' last counts have arrived by then.
-const CLOSE_AFTER: Duration = Duration::from_millis(2500);
+/// How long after its end a usage window is closed, besides the time in which every peer is heard.
+const CLOSE_AFTER: Duration = Duration::from_millis(1500);
 /// How long after its end a window may still be reported.
 const REPORT_WITHIN: Duration = Duration::from_secs(10);
 /// How long a peer's newer table is left to the store's watch before it is fetched.
@@ -243,7 +243,8 @@
         let gone = {
             let mut state = cx.state.borrow_mut();
             let rank = state.mesh.rank(now);
-            state.lease.set_rank(rank);
+            let heard_for = state.mesh.heard_for();
+            state.lease.set_line(rank, heard_for);
             inherit_quotas(&mut state);
             state.directory.forget_gone(now)
         };
@@ -346,7 +347,7 @@
     for number in [current.saturating_sub(2), current.saturating_sub(1)] {
         let ended = state.usage.ended(number, wall).unwrap_or_default();
         let is_closed = state.lease.closed().iter().any(|window| window.number >= number);
-        if ended >= CLOSE_AFTER && ended < REPORT_WITHIN && !is_closed {
+        if ended >= CLOSE_AFTER + state.mesh.heard_for() && ended < REPORT_WITHIN && !is_closed {
             let window = state.usage.sum(number);
             state.lease.close(window);
         }
--- a/gateway/tests/decisions.rs
+++ b/gateway/tests/decisions.rs
@@ -387,6 +387,20 @@
     assert!(agreed.abs_diff(wall.0) <= 1, "{agreed}");
 }
 
+#[test]
+fn admitted_many_daemons_are_heard_between_their_turns() {
+    let mut mesh = Mesh::new("me".parse().unwrap());
+    for index in 0..89_u64 {
+        let daemon = format!("d{index}");
+        mesh.heard(at(0), WallTime(0), "127.0.0.1:1".parse().unwrap(), message(&daemon, 1, 0));
+    }
+    // With 12 peers told every 250 ms, each of 89 is told every two seconds.
+    let peers = mesh.admitted(at(2000), &"ada".parse().unwrap());
+    assert_eq!((peers.heard, peers.silent), (89, 0));
+    let peers = mesh.admitted(at(4000), &"ada".parse().unwrap());
+    assert_eq!((peers.heard, peers.silent), (0, 89));
+}
+
 #[test]
 fn heard_late_or_repeated_message_changes_nothing() {
     let mut mesh = Mesh::new("me".parse().unwrap());
--- a/gateway/tests/lease.rs
+++ b/gateway/tests/lease.rs
@@ -47,7 +47,7 @@
 
 fn start(index: usize, run: u64, now: Time) -> Daemon {
     let mut lease = Lease::new(format!("d{index}.{run}").into(), now);
-    lease.set_rank(index as u32);
+    lease.set_line(index as u32, Duration::from_millis(1250));
     Daemon { lease, paused_until: 0, cut_until: 0 }
 }
 
