gateway: the holder's work stands apart from following the store; connections keep to their share

Change: acting.rs has what the lease's holder does; the requests that an upstream tells with an answer count for 150 ms; kept connections stay within half of a daemon's share of what an upstream takes; the word for ordering hosts is the product's own, by deploy/wire.toml.

--- /dev/null
+++ b/gateway/src/acting.rs
@@ -0,0 +1,224 @@
+//! What the holder of the lease does for all: usage reports, moves' states, orders for hosts.
+
+use std::{rc::Rc, time::Duration};
+
+use crate::{
+    gateway::{Gateway, wall_clock},
+    store::{CallError, Kind, Order, Record, UpstreamRecord, UsageWindow, Write},
+    supply::Place,
+    sync::{counted, take},
+};
+
+/// How long after its end a usage window is closed, besides the time in which every peer is heard.
+const CLOSE_AFTER: Duration = Duration::from_millis(1500);
+/// How long after its end a window may still be reported.
+const REPORT_WITHIN: Duration = Duration::from_secs(10);
+
+/// Does what is due, as far as this daemon holds the lease.
+pub fn act(cx: &Rc<Gateway>) {
+    if !cx.is_draining() {
+        read_lease(cx);
+        renew_lease(cx);
+    }
+    close_usage(cx);
+    advance_moves(cx);
+    order_hosts(cx);
+}
+
+/// Reads the lease while nobody says that it acts.
+fn read_lease(cx: &Rc<Gateway>) {
+    if !cx.state.borrow_mut().lease.must_read(cx.now()) {
+        return;
+    }
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        let Ok(listing) = counted(&cx, "read-lease", (cx.store.list)(Kind::Leases).await) else {
+            return;
+        };
+        if listing.entries.is_empty() {
+            cx.state.borrow_mut().lease.missing();
+        }
+        for entry in listing.entries {
+            take(&cx, entry);
+        }
+    });
+}
+
+/// Takes or renews the lease, with the counts of windows that are open.
+fn renew_lease(cx: &Rc<Gateway>) {
+    let now = cx.now();
+    let Some(mut write) = cx.state.borrow_mut().lease.due(now) else { return };
+    {
+        let state = cx.state.borrow();
+        let first_open = state.lease.first_open();
+        write.record.counted = state.usage.runs(&cx.run(), first_open);
+    }
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        let had_fence = cx.state.borrow().lease.fence(cx.now()).is_some();
+        let call = (cx.store.write)(Write::Lease(write.replaces, write.record.clone()));
+        match counted(&cx, "lease", call.await) {
+            Ok(revision) => {
+                let (fence, closed) = (write.record.fence, write.record.closed.clone());
+                cx.state.borrow_mut().lease.written(cx.now(), revision, write);
+                if !had_fence {
+                    log::info!(event = "lease-taken", fence; "");
+                }
+                for window in closed {
+                    report(&cx, window);
+                }
+            }
+            Err(error) => {
+                let mut state = cx.state.borrow_mut();
+                state.lease.failed();
+                if let CallError::Conflict(Some(entry)) = error
+                    && let Ok(Record::Lease(record)) = entry.record
+                {
+                    state.lease.seen(cx.now(), entry.revision, record);
+                }
+            }
+        }
+    });
+}
+
+/// Closes the window that has just ended, so that any later holder reports the same counts.
+fn close_usage(cx: &Rc<Gateway>) {
+    let now = cx.now();
+    if !cx.settings.reports_usage {
+        return;
+    }
+    let mut state = cx.state.borrow_mut();
+    let wall = state.mesh.agreed_time(now, wall_clock());
+    if state.lease.fence(now).is_none() {
+        return;
+    }
+    let current = state.usage.number(wall);
+    for number in [current.saturating_sub(2), current.saturating_sub(1)] {
+        let ended = state.usage.ended(number, wall).unwrap_or_default();
+        let is_closed = state.lease.closed().iter().any(|window| window.number >= number);
+        if ended >= CLOSE_AFTER + state.mesh.heard_for() && ended < REPORT_WITHIN && !is_closed {
+            let window = state.usage.sum(number);
+            state.lease.close(window);
+        }
+    }
+}
+
+/// Reports a closed window under the fence; an exact repeat does no harm.
+fn report(cx: &Rc<Gateway>, window: UsageWindow) {
+    let state = cx.state.borrow();
+    let wall = state.mesh.agreed_time(cx.now(), wall_clock());
+    let ended = state.usage.ended(window.number, wall).unwrap_or_default();
+    let Some(fence) = state.lease.fence(cx.now()) else { return };
+    if ended > REPORT_WITHIN || !cx.reported.borrow_mut().insert(window.number) {
+        return;
+    }
+    drop(state);
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        let number = window.number;
+        let total: u64 = window.counts.values().sum();
+        match counted(&cx, "usage", (cx.store.order)(fence, Order::Usage(window)).await) {
+            Ok(()) => log::info!(event = "usage-reported", window = number, total; ""),
+            Err(_) => {
+                cx.reported.borrow_mut().shift_remove(&number);
+            }
+        }
+    });
+}
+
+/// Advances the moves; the holder records how far they are.
+fn advance_moves(cx: &Rc<Gateway>) {
+    let now = cx.now();
+    let services = cx.state.borrow().rollouts.services();
+    for service in services {
+        let target = cx.state.borrow().rollouts.target(&service).cloned();
+        let Some(target) = target else { continue };
+        let is_idle = cx.is_idle_besides(&service, &target);
+        let due = {
+            let mut state = cx.state.borrow_mut();
+            let is_up = state.directory.has_version(&service, &target);
+            let mut rollouts = std::mem::take(&mut state.rollouts);
+            let before = (rollouts.share(&service), rollouts.holds().len());
+            let due = rollouts.advance(now, &service, state.mesh.tallies(&service), is_idle, is_up);
+            let after = (rollouts.share(&service), rollouts.holds().len());
+            if before != after {
+                log::info!(event = "move-step", service:%, target:%, share = after.0.unwrap_or(0.0), holds = after.1; "");
+            }
+            state.rollouts = rollouts;
+            due.filter(|_| state.lease.fence(now).is_some())
+        };
+        let Some(due) = due else { continue };
+        if !cx.recording.borrow_mut().insert(service.clone()) {
+            continue;
+        }
+        let cx = cx.clone();
+        actix_rt::spawn(async move {
+            let write = Write::MoveState(due.revision, due.record.clone(), due.state);
+            let result = counted(&cx, "move-state", (cx.store.write)(write).await);
+            let mut state = cx.state.borrow_mut();
+            match result {
+                Ok(revision) => {
+                    log::info!(event = "move-recorded", service:%, state:? = due.state; "");
+                    let mut record = due.record;
+                    record.state = Some(due.state);
+                    state.rollouts.seen(cx.now(), revision, record);
+                }
+                Err(CallError::Conflict(Some(entry))) => {
+                    if let Ok(Record::Move(record)) = entry.record {
+                        state.rollouts.seen(cx.now(), entry.revision, record);
+                    }
+                }
+                Err(_) => {}
+            }
+            drop(state);
+            cx.recording.borrow_mut().shift_remove(&service);
+        });
+    }
+}
+
+/// Orders hosts for the services that may have them.
+fn order_hosts(cx: &Rc<Gateway>) {
+    let now = cx.now();
+    if !cx.settings.orders_hosts {
+        return;
+    }
+    let mut orders = Vec::new();
+    let fence = {
+        let mut state = cx.state.borrow_mut();
+        let Some(fence) = state.lease.fence(now) else {
+            state.supply.forget();
+            return;
+        };
+        let Some(table) = state.table_in_force().cloned() else { return };
+        let mut supply = std::mem::take(&mut state.supply);
+        for service in table.services.values() {
+            let Some(bounds) = &service.hosts else { continue };
+            let own = state.placement.demands(now);
+            let own = own.iter().find(|(name, _)| *name == service.name);
+            let own = own.map_or(0.0, |(_, demand)| f64::from(*demand) / 1000.0);
+            let demand = own + state.mesh.demand(now, &service.name);
+            let of_service =
+                |record: &&UpstreamRecord| record.service == service.name && !record.draining;
+            let present: Vec<_> = state.directory.listed().filter(of_service).collect();
+            for order in supply.due(now, &service.name, bounds, demand, &present) {
+                log::info!(event = "order", service:% = order.service, data_centre:% = order.place.data_centre, reclaimable = order.place.reclaimable, count = order.count, demand, present = present.len(), fence = fence.number; "");
+                orders.push(order);
+            }
+        }
+        state.supply = supply;
+        fence
+    };
+    if orders.is_empty() {
+        return;
+    }
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        for order in orders {
+            let Place { data_centre, reclaimable } = order.place.clone();
+            let (service, count) = (order.service.clone(), order.count);
+            let hosts = Order::Hosts { service, data_centre, count, reclaimable };
+            let result = counted(&cx, "order", (cx.store.order)(fence.clone(), hosts).await);
+            cx.state.borrow_mut().supply.answered(cx.now(), &order, result.is_ok());
+        }
+    });
+}
--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -68,6 +68,7 @@
     route: RouteName,
     target: Duration,
     digest: Digest,
+    max_connections: u32,
     pub(super) ticket: Ticket,
     pub(super) connection: Option<Connection>,
     /// Whether the upstream has taken the whole request.
@@ -84,12 +85,14 @@
         upstream: UpstreamRecord,
         ticket: Ticket,
     ) -> Self {
+        let service = admitted.table.services.get(&admitted.service);
         Self {
             cx: cx.clone(),
             service: admitted.service.clone(),
             route: admitted.route.name.clone(),
             target: admitted.route.target,
             digest: admitted.digest,
+            max_connections: service.map_or(u32::MAX, |service| service.max_connections),
             upstream,
             ticket,
             connection: None,
@@ -129,7 +132,8 @@
         }
         let granted = head.headers.text("keep-alive").and_then(idle_time);
         let now = self.cx.now();
-        self.cx.pool.borrow_mut().put(now, &self.upstream.id, connection, granted);
+        let share = self.max_connections / self.cx.state.borrow().mesh.size();
+        self.cx.pool.borrow_mut().put(now, &self.upstream.id, connection, granted, share);
     }
 
     /// Sends the request and reads the head of its answer.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,9 +2,10 @@
 //!
 //! Each entry host runs one process of this library behind a platform's adapter. Decisions are
 //! plain structs without I/O: [`directory`], [`placement`], [`quota`], [`retry`], [`suspect`],
-//! [`rollout`], [`lease`], [`usage`] and [`mesh`]. The adapters [`serve`], [`forward`], [`sync`] and
-//! [`links`] move bytes and call them. `docs/design/platform.md` explains the parts.
+//! [`rollout`], [`lease`], [`usage`] and [`mesh`]. The adapters [`serve`], [`forward`], [`sync`],
+//! [`links`] and `acting` move bytes and call them. `docs/design/platform.md` explains the parts.
 
+mod acting;
 pub mod dialect;
 pub mod directory;
 pub mod explain;
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -57,6 +57,8 @@
 const REREAD_COST_MS: f64 = 0.04;
 /// The part of the target below which that counts.
 const REREAD_SHARE: f64 = 0.6;
+/// How long the load that an upstream told with an answer counts.
+const TOLD_FOR: Duration = Duration::from_millis(150);
 /// How long an upstream that refused connections is left alone if there are others.
 const DOWN_TIME: Duration = Duration::from_millis(700);
 /// How long after its last use a prompt part is taken to be still in an engine's memory.
@@ -133,7 +135,8 @@
         self.judged = now;
     }
 
-    fn all_work(&self) -> Work {
+    /// Returns the work of all daemons.
+    fn known_work(&self) -> Work {
         Work {
             requests: self.work.requests + self.peers.work.requests,
             unread: self.work.unread + self.peers.work.unread,
@@ -141,6 +144,13 @@
         }
     }
 
+    /// Returns the requests at the upstream, those included that only it knows of.
+    fn requests(&self, now: Time) -> u32 {
+        let told = self.load.filter(|(at, _)| now.since(*at) < TOLD_FOR);
+        let told = told.map_or(0, |(_, load)| load.running + load.waiting);
+        self.known_work().requests.max(told)
+    }
+
     fn trouble_ms(&self) -> f64 {
         let trouble = self.failures.max(self.peers.trouble);
         if trouble > TOLERATED_TROUBLE { trouble * TROUBLE_COST_MS } else { 0.0 }
@@ -354,10 +364,11 @@
         let id = &upstream.record.id;
         let state = self.upstreams.entry(id.clone()).or_default();
         state.forget(now);
-        let work = state.all_work();
+        let work = state.known_work();
+        let requests = f64::from(state.requests(now));
         let unread = unread_tokens(&state.parts, now, need.prompt, is_home);
         let slots = f64::from(upstream.record.slots.max(1));
-        let turns = (f64::from(work.requests) + 1.0 - slots).max(0.0) / slots;
+        let turns = (requests + 1.0 - slots).max(0.0) / slots;
         let mut wait = turns * service.run_ms;
         if let Some(engine) = need.engine {
             wait = wait.max(work.unread as f64 / service.read_rate);
@@ -370,7 +381,7 @@
         let predicted = wait + own * state.slowness;
         let remote = if upstream.record.data_centre == *need.near { 0.0 } else { REMOTE_COST_MS };
         let cold = upstream.record.warm_up.as_secs_f64() * 10.0;
-        let crowding = f64::from(work.requests) / slots * REMOTE_COST_MS * 4.0;
+        let crowding = requests / slots * REMOTE_COST_MS * 4.0;
         let shared = need.prompt.parts.iter().rev().skip(1).map(|part| part.tokens).sum::<u64>();
         let own_part = need.prompt.input.saturating_sub(shared);
         let reread = unread.saturating_sub(own_part) as f64 * REREAD_COST_MS;
@@ -459,7 +470,7 @@
 
     /// Returns the work of all daemons at an upstream.
     pub fn work(&self, upstream: &UpstreamId) -> Work {
-        self.upstreams.get(upstream).map(UpstreamState::all_work).unwrap_or_default()
+        self.upstreams.get(upstream).map(UpstreamState::known_work).unwrap_or_default()
     }
 
     /// Returns the engines that each service's requests keep busy here, in thousandths.
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -14,6 +14,9 @@
 const KEEP_SHARE: f64 = 0.5;
 /// The most connections that are kept for one upstream.
 const MAX_KEPT: usize = 16;
+/// The part of a daemon's share of the connections that an upstream takes which may be kept; the
+/// rest is for requests that need new ones.
+const KEPT_SHARE: u32 = 2;
 
 #[derive(Debug)]
 struct Kept {
@@ -40,16 +43,20 @@
     }
 
     /// Keeps a connection on which exactly one answer was read.
+    ///
+    /// `share` is this daemon's part of the connections that the upstream takes from all.
     pub fn put(
         &mut self,
         now: Time,
         upstream: &UpstreamId,
         mut connection: Connection,
         granted: Option<Duration>,
+        share: u32,
     ) {
         let keep = granted.map_or(DEFAULT_KEEP, |granted| granted.mul_f64(KEEP_SHARE));
         let kept = self.kept.entry(upstream.clone()).or_default();
-        if kept.len() < MAX_KEPT && !keep.is_zero() {
+        let most = MAX_KEPT.min((share / KEPT_SHARE).max(1) as usize);
+        if kept.len() < most && !keep.is_zero() {
             connection.reused = true;
             kept.push(Kept { connection, until: now + keep });
         }
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -103,7 +103,7 @@
     let duties: Box<str> = fields.optional::<String>("duties").unwrap_or_default().into();
     fields.finish();
     let has_duty = |duty: &str| duties.split(',').any(|part| part.trim() == duty);
-    let (reports_usage, orders_hosts) = (has_duty("usage"), has_duty("autoscale"));
+    let (reports_usage, orders_hosts) = (has_duty("usage"), has_duty("hosts"));
 
     let bounds = read_bounds(bounds, faults);
     Some(Settings {
