forward: long answers of unknown length are passed on, bodies held are bounded

Cause: an answer in chunks beyond 256 KiB on a plain route was given up as broken, and many long bodies at once could exceed a gateway's memory. Change: an answer is passed on as it comes once it is too long to keep back; at most 64 MiB of bodies are held, more is refused before it is read.

--- a/gateway/src/explain.rs
+++ b/gateway/src/explain.rs
@@ -113,6 +113,7 @@
         "refused-late" => "not run: its time was up before an upstream was chosen",
         "refused-starting" => "not run: the daemon had no configuration or list of upstreams yet",
         "refused-stopping" => "not run: the daemon was stopping and had no time left for it",
+        "refused-no-memory" => "not run: the gateway held too many bytes of bodies",
         "refused-no-service" => "not run: its route names no service with a weight",
         "refused-crashes-upstreams" => "not run: the same request crashed upstreams before",
         "denied-no-route" => "not run: no route of the table in force takes its host and path",
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -1,6 +1,6 @@
 //! Passes an upstream's answer on to the caller.
 
-use std::time::Duration;
+use std::{io, time::Duration};
 
 use bytes::BytesMut;
 use tokio::time::timeout;
@@ -57,7 +57,8 @@
             return Relayed::Done(self.give_up(out, &OwnAnswer::lost("lost-resume-failed")).await);
         }
         if (is_stream && is_success) || is_long {
-            return self.relay_pieces(attempt, head, out, is_stream).await;
+            let pieces = Pieces::new(&head, is_stream);
+            return self.relay_pieces(attempt, head, out, pieces).await;
         }
         self.relay_whole(attempt, head, out).await
     }
@@ -72,9 +73,12 @@
         let Some(connection) = attempt.connection.as_mut() else {
             return Relayed::Done(self.give_up(out, &OwnAnswer::lost("lost-by-upstream")).await);
         };
-        let body = timeout(self.left(), connection.read_whole(&head, MAX_WHOLE)).await;
-        let body = match body {
-            Ok(Ok(body)) => body.freeze(),
+        let mut pieces = Pieces::new(&head, false);
+        let read = timeout(self.left(), pieces.read_whole(connection)).await;
+        let body = match read {
+            Ok(Ok(true)) => std::mem::take(&mut pieces.waiting).freeze(),
+            // Too long to be kept back: it is passed on as it comes from here on.
+            Ok(Ok(false)) => return self.relay_pieces(attempt, head, out, pieces).await,
             Ok(Err(error)) => {
                 log::warn!(event = "broken-body", request:% = self.req.id, upstream:% = attempt.upstream.id, error:%; "");
                 attempt.judge(Verdict::Broken);
@@ -109,20 +113,19 @@
         attempt: &mut Attempt,
         head: ResponseHead,
         out: &mut Out<'_>,
-        is_stream: bool,
+        mut pieces: Pieces,
     ) -> Relayed {
+        let is_stream = pieces.is_stream;
         let Some(mut connection) = attempt.connection.take() else {
             return Relayed::Done(self.give_up(out, &OwnAnswer::lost("lost-by-upstream")).await);
         };
-        let mut decoder = BodyDecoder::new(head.framing);
-        let mut events = EventBuffer::default();
         let pause = self.admitted.route.target_gap.unwrap_or(DEFAULT_PAUSE) * SILENT_PAUSES;
         let mut fed = Fed::More;
         loop {
-            let mut piece = BytesMut::new();
             if matches!(fed, Fed::More) {
-                fed = self.feed(&mut connection, &mut decoder, &mut events, &mut piece, is_stream);
+                fed = pieces.feed(&mut connection.buf, &mut self.last_event);
             }
+            let piece = std::mem::take(&mut pieces.waiting);
             let is_end = matches!(fed, Fed::End);
             let has_piece = !piece.is_empty() || is_end;
             if has_piece && !self.send_piece(attempt, &head, &piece, is_end, out).await {
@@ -143,7 +146,7 @@
             let patience =
                 if may_resume && self.first_head.is_some() { left.min(pause) } else { left };
             fed = match timeout(patience, connection.read()).await {
-                Ok(Ok(0)) if decoder.ends_with_connection() => Fed::End,
+                Ok(Ok(0)) if pieces.decoder.ends_with_connection() => Fed::End,
                 Ok(Ok(0)) => Fed::Broken("closed"),
                 Ok(Ok(_)) => Fed::More,
                 Ok(Err(_)) => Fed::Broken("reset"),
@@ -163,40 +166,6 @@
         Relayed::Done(Ending::Answered)
     }
 
-    /// Moves what was read into the next piece: whole events that the caller does not have.
-    fn feed(
-        &mut self,
-        connection: &mut Connection,
-        decoder: &mut BodyDecoder,
-        events: &mut EventBuffer,
-        piece: &mut BytesMut,
-        is_stream: bool,
-    ) -> Fed {
-        loop {
-            match decoder.step(&mut connection.buf) {
-                Ok(Step::Data(data)) if is_stream => {
-                    if events.push(&data).is_err() {
-                        return Fed::Broken("event-too-long");
-                    }
-                    while let Some(event) = events.next_event() {
-                        let is_known = event.id.is_some() && event.id <= self.last_event;
-                        if !is_known {
-                            piece.extend_from_slice(&event.bytes);
-                            self.last_event = event.id.or(self.last_event);
-                        }
-                    }
-                }
-                Ok(Step::Data(data)) => piece.extend_from_slice(&data),
-                Ok(Step::NeedsMore) => return Fed::More,
-                Ok(Step::End) => {
-                    piece.extend_from_slice(&events.rest());
-                    return Fed::End;
-                }
-                Err(_) => return Fed::Broken("malformed"),
-            }
-        }
-    }
-
     async fn send_piece(
         &mut self,
         attempt: &mut Attempt,
@@ -228,3 +197,57 @@
         self.cx.metrics.answered(self.admitted.route.name.as_str(), after);
     }
 }
+
+/// The body of an answer on its way from the bytes that were read to the caller.
+struct Pieces {
+    decoder: BodyDecoder,
+    events: EventBuffer,
+    is_stream: bool,
+    /// What may be sent to the caller.
+    waiting: BytesMut,
+}
+
+impl Pieces {
+    fn new(head: &ResponseHead, is_stream: bool) -> Self {
+        let decoder = BodyDecoder::new(head.framing);
+        Self { decoder, events: EventBuffer::default(), is_stream, waiting: BytesMut::new() }
+    }
+
+    /// Reads a body whole, up to [`MAX_WHOLE`]; false if it is longer.
+    async fn read_whole(&mut self, connection: &mut Connection) -> io::Result<bool> {
+        while let Some(data) = connection.read_body(&mut self.decoder).await? {
+            self.waiting.extend_from_slice(&data);
+            if self.waiting.len() > MAX_WHOLE {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    /// Moves what was read to what may be sent: of a stream, whole events after `last_event`.
+    fn feed(&mut self, buf: &mut BytesMut, last_event: &mut Option<u64>) -> Fed {
+        loop {
+            match self.decoder.step(buf) {
+                Ok(Step::Data(data)) if self.is_stream => {
+                    if self.events.push(&data).is_err() {
+                        return Fed::Broken("event-too-long");
+                    }
+                    while let Some(event) = self.events.next_event() {
+                        let is_known = event.id.is_some() && event.id <= *last_event;
+                        if !is_known {
+                            self.waiting.extend_from_slice(&event.bytes);
+                            *last_event = event.id.or(*last_event);
+                        }
+                    }
+                }
+                Ok(Step::Data(data)) => self.waiting.extend_from_slice(&data),
+                Ok(Step::NeedsMore) => return Fed::More,
+                Ok(Step::End) => {
+                    self.waiting.extend_from_slice(&self.events.rest());
+                    return Fed::End;
+                }
+                Err(_) => return Fed::Broken("malformed"),
+            }
+        }
+    }
+}
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -38,6 +38,9 @@
 /// two misses, and connections on their way still arrive.
 const WELCOME_WHILE_STOPPING: Duration = Duration::from_millis(2800);
 
+/// The bytes of callers' bodies that are held at a time; a gateway's memory is a few hundred megabytes,
+/// and a body is copied once when it is forwarded.
+const MAX_BODY_BYTES_HELD: u64 = 64 << 20;
 /// How often the peers' work is added up; they tell it about as often.
 const PEERS_EVERY: Duration = Duration::from_millis(40);
 
@@ -156,6 +159,8 @@
     /// While shutting down: until when any request is taken, and when the process ends.
     ends: Cell<Option<(Time, Time)>>,
     in_flight: Cell<u32>,
+    /// Bytes of callers' bodies that are held or will be.
+    bodies: Cell<u64>,
     messages: Cell<u64>,
 }
 
@@ -195,6 +200,7 @@
             recording: RefCell::default(),
             ends: Cell::new(None),
             in_flight: Cell::new(0),
+            bodies: Cell::new(0),
             messages: Cell::new(0),
         })
     }
@@ -243,6 +249,16 @@
         InFlight(self.clone())
     }
 
+    /// Sets memory aside for a body until the guard is dropped; none if too much is held already.
+    pub fn hold_body(self: &Rc<Self>, bytes: u64) -> Option<HeldBody> {
+        let held = self.bodies.get().saturating_add(bytes);
+        if held > MAX_BODY_BYTES_HELD {
+            return None;
+        }
+        self.bodies.set(held);
+        Some(HeldBody(self.clone(), bytes))
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.get()
@@ -315,6 +331,15 @@
     told.collect()
 }
 
+/// Keeps memory set aside for a body while it lives.
+pub struct HeldBody(Rc<Gateway>, u64);
+
+impl Drop for HeldBody {
+    fn drop(&mut self) {
+        self.0.bodies.set(self.0.bodies.get() - self.1);
+    }
+}
+
 /// Counts a request in flight while it lives.
 pub struct InFlight(Rc<Gateway>);
 
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -139,6 +139,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct NotRun(());
 
+/// When a caller may come back whose body found no memory.
+const RETRY_WITHOUT_MEMORY: Duration = Duration::from_millis(500);
+
 /// What is known of a request's attempts so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Progress {
@@ -197,6 +200,12 @@
         Self { status, reason, retry_after: None, closes: true }
     }
 
+    /// Refuses a request whose body was not read, since there is no memory for it.
+    pub fn no_memory() -> Self {
+        let retry_after = Some(RETRY_WITHOUT_MEMORY);
+        Self { status: 503, reason: "refused-no-memory", retry_after, closes: true }
+    }
+
     /// Returns the status code.
     pub fn status(&self) -> u16 {
         self.status
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     forward::{self, Ending, Out},
-    gateway::Gateway,
+    gateway::{Gateway, HeldBody},
     http::{
         body::{BodyDecoder, Step},
         connection::tune,
@@ -27,6 +27,8 @@
 const MAX_READ_AHEAD: usize = 64 * 1024;
 /// The most connections of callers at once; the rest of the descriptors serves upstreams.
 const MAX_CALLERS: i64 = 3000;
+/// What is set aside for a body of unknown length, in bytes.
+const CHUNKED_BODY: u64 = 64 * 1024;
 /// How long accepting rests after an error such as a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// How long a body may take to arrive; callers give up sooner.
@@ -88,8 +90,8 @@
         let limits = cx.state.borrow().table.as_ref().map(|table| table.limits).unwrap_or_default();
         let read = read_request(cx, &mut stream, &mut buf, &limits).await;
         let _in_flight = cx.enter();
-        let req = match read {
-            Ok(req) => req,
+        let (req, _held) = match read {
+            Ok(read) => read,
             Err(ReadError::Gone) => return Ok(()),
             Err(ReadError::Refused(own)) => {
                 log::info!(event = "refused", reason = own.reason, status = own.status(); "");
@@ -135,7 +137,7 @@
     stream: &mut TcpStream,
     buf: &mut BytesMut,
     limits: &CallerLimits,
-) -> Result<Request, ReadError> {
+) -> Result<(Request, HeldBody), ReadError> {
     if buf.is_empty() {
         // An empty buffer gives its memory back while the caller is idle.
         *buf = BytesMut::new();
@@ -151,6 +153,13 @@
     if matches!(head.framing, Framing::Length(length) if length > limits.body_bytes as u64) {
         return Err(ReadError::Refused(OwnAnswer::malformed(413, "denied-long-body")));
     }
+    let expected = match head.framing {
+        Framing::Length(length) => length,
+        Framing::Chunked | Framing::UntilClose => CHUNKED_BODY,
+    };
+    let Some(held) = cx.hold_body(expected) else {
+        return Err(ReadError::Refused(OwnAnswer::no_memory()));
+    };
     if head.headers.lists("expect", b"100-continue") {
         stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
@@ -158,7 +167,7 @@
     let body = body
         .await
         .map_err(|_| ReadError::Refused(OwnAnswer::malformed(408, "refused-slow-body")))??;
-    Ok(Request::new(&cx.dialect, head, body, arrived))
+    Ok((Request::new(&cx.dialect, head, body, arrived), held))
 }
 
 /// Waits for the first bytes of a request without holding memory for them.
--- a/gateway/tests/forward.rs
+++ b/gateway/tests/forward.rs
@@ -165,6 +165,31 @@
     assert!(answer.contains("Content-Length: 5\r\n") && answer.ends_with("whole"), "{answer}");
 }
 
+#[actix_rt::test]
+async fn long_answer_of_unknown_length_is_passed_on_as_it_comes() {
+    let chunk = "c".repeat(50_000);
+    let body = format!("c350\r\n{chunk}\r\n").repeat(20) + LAST_CHUNK;
+    let head = "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let answer = head.to_owned() + &body;
+    let upstream = Upstream::start(move |_| write(answer.clone()));
+    let answer = World::start(&[&upstream]).await.exchange(&get("/book/1", "a1")).await;
+    let (body, is_whole) = unchunked(&answer);
+    assert_eq!((body.len(), is_whole), (20 * 50_000, true));
+}
+
+#[actix_rt::test]
+async fn bodies_beyond_what_memory_holds_are_refused_at_once() {
+    let upstream = Upstream::start(|_| write(ok("x")));
+    let mut table = support::table(support::all_routes());
+    table.limits.body_bytes = 256 << 20;
+    let world = World::with_table(&[&upstream], table).await;
+    let request = "POST /book/1 HTTP/1.1\r\nHost: example\r\nX-Id: a1\r\n\
+        Authorization: Bearer key\r\nContent-Length: 200000000\r\n\r\n";
+    let answer = world.exchange(request).await;
+    assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("Retry-After"), "{answer}");
+    assert!(world.exchange(&get("/book/1", "a2")).await.starts_with("HTTP/1.1 200 "));
+}
+
 #[actix_rt::test]
 async fn short_answer_never_looks_whole() {
     let upstream = Upstream::start(|_| {
