--- a/gateway/src/supply.rs
+++ b/gateway/src/supply.rs
@@ -150,6 +150,7 @@
         self.level = self.level.max(SMALLEST_BASE);
     }
 
+    /// Returns the orders that lead from what was ordered, and is there, to what is wanted.
     fn orders(
         &mut self,
         now: Time,
@@ -183,8 +184,8 @@
             self.ordered.insert(place.clone(), Ordered { count, at: now, refused: false });
             orders.push(HostOrder { service: service.clone(), place: place.clone(), count });
         }
-        // Room under the bound of a data centre has to be made before it is filled.
-        orders.sort_by_key(|order| !order.place.reclaimable);
+        // More hosts are ordered before others are given up, so that no order leaves a gap.
+        orders.sort_by_key(|order| order.count <= count_at(present, &order.place));
         orders
     }
 }
