--- a/cli/src/command/audit.rs
+++ b/cli/src/command/audit.rs
@@ -3,7 +3,7 @@
 use dogwoodturn::{
     audit::{self, Record, segment_time, trail, wire},
     declaration::wire::{HEAD_KEY, HeadWire, decode},
-    platform::{CallError, ObjectKey, Operation, Reply, http::HttpPlatform},
+    store::{CallError, ObjectKey, Operation, Reply, http::HttpPlatform},
     units::WallTime,
 };
 use eyre::{Result, WrapErr as _, bail};
--- a/cli/src/command/diff.rs
+++ b/cli/src/command/diff.rs
@@ -5,7 +5,7 @@
 use dogwoodturn::{
     declaration::{DeclarationSet, against::against, check, delta},
     ids::Generation,
-    platform::http::HttpPlatform,
+    store::http::HttpPlatform,
     units::WallTime,
 };
 use eyre::{Result, WrapErr as _};
--- a/cli/src/command/publish.rs
+++ b/cli/src/command/publish.rs
@@ -10,7 +10,7 @@
         wire::HeadWire,
     },
     ids::{ChangeId, Generation},
-    platform::{CallError, http::HttpPlatform},
+    store::{CallError, http::HttpPlatform},
     units::WallTime,
 };
 use eyre::{Result, WrapErr as _, bail};
--- a/cli/src/in_force.rs
+++ b/cli/src/in_force.rs
@@ -5,7 +5,7 @@
         DeclarationSet, delta,
         wire::{self, HEAD_KEY, HeadWire, SetDigest},
     },
-    platform::{ObjectKey, Operation, Reply, http::HttpPlatform},
+    store::{ObjectKey, Operation, Reply, http::HttpPlatform},
 };
 use eyre::{Result, bail};
 
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -23,8 +23,8 @@
         traffic::Event,
     },
     peer::{Member, peers::Config},
-    platform::{client, http::HttpPlatform},
     request::{message::Message, name::thread_of},
+    store::{client, http::HttpPlatform},
     supply,
     units::{Time, WallTime},
 };
--- a/lib/examples/claims_cost.rs
+++ b/lib/examples/claims_cost.rs
@@ -21,7 +21,7 @@
     },
     ids::{CallId, DaemonId, Incarnation, RequestId, ServiceName},
     peer::Member,
-    platform::{CallError, Condition, ObjectKey, Operation, Reply, memory::MemoryStore},
+    store::{CallError, Condition, ObjectKey, Operation, Reply, memory::MemoryStore},
     units::{Time, WallTime},
 };
 use rand::{RngExt as _, SeedableRng as _};
--- a/lib/examples/supply_measure.rs
+++ b/lib/examples/supply_measure.rs
@@ -11,7 +11,7 @@
     declaration::check,
     ids::{ClassName, Generation, HostId, Incarnation, ZoneName},
     ini::Source,
-    platform::{
+    store::{
         Operation, Reply,
         cloud::{CloudCall, CloudHost, HostKind, Offer, StartHost},
         memory::MemoryStore,
@@ -404,7 +404,7 @@
     fn cloud(
         &mut self,
         call: &CloudCall,
-    ) -> Result<dogwoodturn::platform::cloud::CloudReply, dogwoodturn::platform::CallError> {
+    ) -> Result<dogwoodturn::store::cloud::CloudReply, dogwoodturn::store::CallError> {
         if let CloudCall::Start(start) = call {
             self.tokens.insert(start.client_token.clone());
         }
@@ -449,7 +449,7 @@
 
     /// Starts all hosts in the reclaimable pool that is cheapest for its work now.
     fn lowest_price(&mut self, demand: f64) {
-        let Ok(dogwoodturn::platform::cloud::CloudReply::Offers(offers)) =
+        let Ok(dogwoodturn::store::cloud::CloudReply::Offers(offers)) =
             self.cloud(&CloudCall::Offers)
         else {
             return;
--- a/lib/src/audit/trail.rs
+++ b/lib/src/audit/trail.rs
@@ -9,7 +9,7 @@
 use crate::{
     audit::{Actor, Event as Change, PREFIX, Record, segment_key, wire},
     ids::{CallId, DaemonId, Generation, Incarnation, Revision},
-    platform::{CallError, Condition, ObjectKey, Operation, Priority, Reply},
+    store::{CallError, Condition, ObjectKey, Operation, Priority, Reply},
     units::{Time, WallTime},
 };
 
--- a/lib/src/audit/wire.rs
+++ b/lib/src/audit/wire.rs
@@ -6,7 +6,7 @@
     audit::{Actor, Event, MAX_TEXT_BYTES, Record},
     declaration::wire::{self, HeadWire, WireError},
     ids::{DaemonId, Generation},
-    platform::{Condition, ObjectKey, Operation},
+    store::{Condition, ObjectKey, Operation},
     units::WallTime,
 };
 
--- a/lib/src/claim/claims.rs
+++ b/lib/src/claim/claims.rs
@@ -23,7 +23,7 @@
     },
     ids::{CallId, DaemonId, Incarnation, RequestId, ServiceName},
     peer::Member,
-    platform::{CallError, Operation, Priority, Reply, budget::Budget},
+    store::{CallError, Operation, Priority, Reply, budget::Budget},
     units::{Time, WallTime},
 };
 
--- a/lib/src/claim/collect.rs
+++ b/lib/src/claim/collect.rs
@@ -13,7 +13,7 @@
     },
     declaration::wire,
     ids::Revision,
-    platform::{CallError, Condition, Object, ObjectKey, Operation, Reply},
+    store::{CallError, Condition, Object, ObjectKey, Operation, Reply},
 };
 
 #[derive(Clone, Debug, Default)]
--- a/lib/src/claim/page.rs
+++ b/lib/src/claim/page.rs
@@ -15,7 +15,7 @@
         item::{Item, ItemAnswer, Wish},
     },
     ids::{RequestId, Revision, ServiceName},
-    platform::ObjectKey,
+    store::ObjectKey,
     units::WallTime,
 };
 
--- a/lib/src/claim/shard.rs
+++ b/lib/src/claim/shard.rs
@@ -17,7 +17,7 @@
         page::{Page, ShardKey},
     },
     ids::{DaemonId, Revision},
-    platform::{CallError, Operation, Reply, budget::Budget},
+    store::{CallError, Operation, Reply, budget::Budget},
     units::{Time, WallTime},
 };
 
--- a/lib/src/claim/shard/read.rs
+++ b/lib/src/claim/shard/read.rs
@@ -9,7 +9,7 @@
     },
     declaration::wire,
     ids::Revision,
-    platform::{Object, ObjectKey, Operation},
+    store::{Object, ObjectKey, Operation},
 };
 
 impl Shard {
--- a/lib/src/claim/shard/write.rs
+++ b/lib/src/claim/shard/write.rs
@@ -12,7 +12,7 @@
     },
     declaration::wire,
     ids::Revision,
-    platform::{Condition, MAX_VALUE_BYTES, Operation, budget::Budget},
+    store::{Condition, MAX_VALUE_BYTES, Operation, budget::Budget},
 };
 
 /// The most items that one write takes in.
--- a/lib/src/declaration/in_force/mod.rs
+++ b/lib/src/declaration/in_force/mod.rs
@@ -21,7 +21,7 @@
     },
     ids::{CallId, DaemonId, Generation, Revision},
     peer::{Member, Recipient},
-    platform::{CallError, ObjectKey, Operation, Priority, Reply},
+    store::{CallError, ObjectKey, Operation, Priority, Reply},
     units::Time,
 };
 
--- a/lib/src/declaration/publish.rs
+++ b/lib/src/declaration/publish.rs
@@ -15,7 +15,7 @@
         wire::{self, BaseWire, EarlierWire, HEAD_KEY, HeadWire, SetDigest, WireError},
     },
     ids::{ChangeId, Generation, Revision},
-    platform::{CallError, Condition, ObjectKey, Operation, Reply},
+    store::{CallError, Condition, ObjectKey, Operation, Reply},
     units::WallTime,
 };
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Every decision lives here as a plain struct that takes events and time and returns typed
 //! effects, so that tests can drive many daemons in one process. Sockets, clocks and threads are
-//! in [`edge`], in [`platform::http`] and in the daemon crate. See `docs/architecture.md`.
+//! in [`edge`], in [`store::http`] and in the daemon crate. See `docs/architecture.md`.
 
 pub mod audit;
 pub mod claim;
@@ -15,8 +15,8 @@
 pub mod node;
 pub mod peer;
 pub mod placement;
-pub mod platform;
 pub mod request;
+pub mod store;
 pub mod supply;
 pub mod units;
 pub mod upstream;
--- a/lib/src/moves/ending.rs
+++ b/lib/src/moves/ending.rs
@@ -12,7 +12,7 @@
     declaration::wire::{self, WireError},
     ids::{CallId, DaemonId},
     moves::{MoveId, report::Stage, schedule::Plan, verdict::Badness},
-    platform::{CallError, Condition, ObjectKey, Operation, Reply},
+    store::{CallError, Condition, ObjectKey, Operation, Reply},
     units::{Time, WallTime},
 };
 
--- a/lib/src/moves/run.rs
+++ b/lib/src/moves/run.rs
@@ -19,7 +19,7 @@
     },
     node::report::AttemptReport,
     peer::Recipient,
-    platform::{CallError, Operation, Reply},
+    store::{CallError, Operation, Reply},
     units::{Clock, Time},
 };
 
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -25,8 +25,8 @@
         Member, Recipient,
         peers::{self, LinkEffect, LinkEvent, Peers},
     },
-    platform::{CallError, Operation, Priority, Reply, client::Client},
     request,
+    store::{CallError, Operation, Priority, Reply, client::Client},
     supply::{
         self, Supply,
         lease::Holder,
--- a/lib/src/node/moves.rs
+++ b/lib/src/node/moves.rs
@@ -12,7 +12,7 @@
         control::{Control, Output, Owner},
         message::PeerMessage,
     },
-    platform::Priority,
+    store::Priority,
     units::{Clock, Time},
 };
 
--- a/lib/src/node/platform.rs
+++ b/lib/src/node/platform.rs
@@ -5,7 +5,7 @@
 use crate::{
     ids::{CallId, DaemonId},
     node::control::{Control, Output, Owner},
-    platform::{
+    store::{
         CallError, Reply,
         client::{self, Client, Effect},
     },
--- a/lib/src/platform/client.rs
+++ b/lib/src/store/client.rs
@@ -10,7 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    platform::{CallError, Operation, Priority, Reply, budget::Budget},
+    store::{CallError, Operation, Priority, Reply, budget::Budget},
     units::Time,
 };
 
--- a/lib/src/platform/http.rs
+++ b/lib/src/store/http.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     ids::Revision,
-    platform::{
+    store::{
         CallError, Condition, MAX_VALUE_BYTES, Object, ObjectKey, Operation, Reply,
         cloud::{CloudCall, CloudReply},
         wire::{
--- a/lib/src/platform/memory.rs
+++ b/lib/src/store/memory.rs
@@ -8,9 +8,7 @@
 
 use crate::{
     ids::Revision,
-    platform::{
-        CallError, Change, Condition, MAX_VALUE_BYTES, Object, ObjectKey, Operation, Reply,
-    },
+    store::{CallError, Change, Condition, MAX_VALUE_BYTES, Object, ObjectKey, Operation, Reply},
 };
 
 /// The objects and the order of their writes.
--- a/lib/src/platform/wire.rs
+++ b/lib/src/store/wire.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     ids::Revision,
-    platform::{
+    store::{
         Change, ObjectKey,
         cloud::{CloudHost, Offer, ReclaimNotice},
     },
--- a/lib/src/supply/act.rs
+++ b/lib/src/supply/act.rs
@@ -7,7 +7,7 @@
     ids::{CallId, HostId, ServiceName, ZoneName},
     moves::share::Share,
     peer::Recipient,
-    platform::{CallError, Reply},
+    store::{CallError, Reply},
     supply::{
         CallFor, Effect, Supply, UnitKey, cloud, lease,
         loads::MoveView,
--- a/lib/src/supply/cloud.rs
+++ b/lib/src/supply/cloud.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     ids::{CallId, FencingNumber, Generation, HostId, ServiceName, VersionName, ZoneName},
-    platform::{
+    store::{
         CallError, Operation, Priority, Reply,
         cloud::{CloudCall, CloudHost, CloudReply, HostKind, StartHost},
     },
--- a/lib/src/supply/cloud_calls.rs
+++ b/lib/src/supply/cloud_calls.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     ids::{CallId, HostId},
-    platform::{
+    store::{
         CallError, Operation, Priority, Reply,
         cloud::{CloudCall, CloudHost, CloudReply},
     },
--- a/lib/src/supply/lease.rs
+++ b/lib/src/supply/lease.rs
@@ -12,7 +12,7 @@
 use crate::{
     declaration::wire::{self, WireError},
     ids::{CallId, DaemonId, FencingNumber, Incarnation, Revision},
-    platform::{CallError, Condition, ObjectKey, Operation, Priority, Reply},
+    store::{CallError, Condition, ObjectKey, Operation, Priority, Reply},
     units::Time,
 };
 
--- a/lib/src/supply/market.rs
+++ b/lib/src/supply/market.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     ids::{ClassName, ZoneName},
-    platform::cloud::{HostKind, Offer},
+    store::cloud::{HostKind, Offer},
     supply::plan::Pool,
     units::{PricePerHour, Time},
 };
--- a/lib/src/supply/mod.rs
+++ b/lib/src/supply/mod.rs
@@ -37,7 +37,7 @@
     moves::share::VersionChoice,
     node::report::AttemptReport,
     peer::{Member, Recipient},
-    platform::{CallError, Operation, Priority, Reply},
+    store::{CallError, Operation, Priority, Reply},
     supply::{
         demand::Sums,
         lease::{Holder, LeaseTimes},
--- a/lib/src/supply/plan.rs
+++ b/lib/src/supply/plan.rs
@@ -12,7 +12,7 @@
 use crate::{
     declaration::SupplyBounds,
     ids::{ClassName, ZoneName},
-    platform::cloud::HostKind,
+    store::cloud::HostKind,
     supply::rate::WorkRate,
     units::PricePerHour,
 };
--- a/lib/src/supply/status.rs
+++ b/lib/src/supply/status.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     ids::{ClassName, DaemonId, FencingNumber, ServiceName, ZoneName},
-    platform::cloud::HostKind,
+    store::cloud::HostKind,
     supply::{
         Supply,
         demand::INTERVAL,
--- a/lib/src/supply/unit.rs
+++ b/lib/src/supply/unit.rs
@@ -7,7 +7,7 @@
 use crate::{
     declaration::{Service, ServiceKind},
     ids::{FencingNumber, Generation, HostId, ServiceName, UpstreamId, VersionName, ZoneName},
-    platform::ObjectKey,
+    store::ObjectKey,
     supply::{
         cloud::{self, ZoneHosts},
         lease::{Holder, Lease, LeaseTimes},
@@ -273,6 +273,6 @@
     Pool {
         zone: host.zone.clone(),
         class: host.class.clone(),
-        reclaimable: host.kind == crate::platform::cloud::HostKind::Reclaimable,
+        reclaimable: host.kind == crate::store::cloud::HostKind::Reclaimable,
     }
 }
--- a/lib/src/upstream/hosts.rs
+++ b/lib/src/upstream/hosts.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     ids::{CallId, Revision},
-    platform::{CallError, Operation, Priority, Reply},
+    store::{CallError, Operation, Priority, Reply},
     units::Time,
     upstream::HostRecord,
 };
--- a/lib/src/upstream/mod.rs
+++ b/lib/src/upstream/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     ids::{ClassName, DataCentre, HostId, ServiceName, UpstreamId, VersionName, ZoneName},
-    platform::cloud::HostKind,
+    store::cloud::HostKind,
     units::WallTime,
 };
 
--- a/lib/tests/against.rs
+++ b/lib/tests/against.rs
@@ -13,7 +13,7 @@
     },
     ids::Generation,
     ini::Source,
-    platform::{Operation, memory::MemoryStore},
+    store::{Operation, memory::MemoryStore},
     units::WallTime,
 };
 use quickcheck::{Gen, QuickCheck};
@@ -196,7 +196,7 @@
         let bytes = wire::encode(&head.expect("published")).len();
         assert!(bytes < 100_000, "the head has {bytes} bytes");
     }
-    let Ok(dogwoodturn::platform::Reply::Listed(objects)) =
+    let Ok(dogwoodturn::store::Reply::Listed(objects)) =
         store.apply(&Operation::List("config/".into()))
     else {
         panic!("a list");
--- a/lib/tests/audit.rs
+++ b/lib/tests/audit.rs
@@ -9,7 +9,7 @@
         wire,
     },
     ids::{CallId, Generation, Incarnation},
-    platform::{CallError, Operation, Reply, memory::MemoryStore},
+    store::{CallError, Operation, Reply, memory::MemoryStore},
     units::{Time, WallTime},
 };
 
--- a/lib/tests/client.rs
+++ b/lib/tests/client.rs
@@ -4,7 +4,7 @@
 
 use dogwoodturn::{
     ids::Revision,
-    platform::{
+    store::{
         CallError, Condition, ObjectKey, Operation, Priority, Reply,
         client::{Client, Config, Effect},
     },
--- a/lib/tests/control_moves.rs
+++ b/lib/tests/control_moves.rs
@@ -17,7 +17,7 @@
         snapshot::Snapshot,
     },
     peer::Member,
-    platform::{Operation, memory::MemoryStore},
+    store::{Operation, memory::MemoryStore},
     units::{Time, Tokens, WallTime},
 };
 use prometheus_client::{encoding::text::encode, registry::Registry};
--- a/lib/tests/fake_world/mod.rs
+++ b/lib/tests/fake_world/mod.rs
@@ -21,7 +21,6 @@
         traffic::{Arrival, Dispatch, Effect, Event, Resumption, Traffic, TrafficConfig},
     },
     peer::{Member, Recipient},
-    platform::cloud::HostKind,
     request::{
         AttemptId, CallerId,
         completion::{CompletionWire, PieceWire},
@@ -32,6 +31,7 @@
         refusal::{Refusal, RefusalKind},
         sse::SseReader,
     },
+    store::cloud::HostKind,
     units::{Time, WallTime},
     upstream::{HostRecord, HostState},
 };
--- a/lib/tests/fleet/build.rs
+++ b/lib/tests/fleet/build.rs
@@ -11,7 +11,7 @@
     ids::{Generation, Incarnation},
     ini::Source,
     peer::{Member, peers::Config},
-    platform::memory::MemoryStore,
+    store::memory::MemoryStore,
     units::WallTime,
 };
 
--- a/lib/tests/fleet/main.rs
+++ b/lib/tests/fleet/main.rs
@@ -9,8 +9,8 @@
     ids::Generation,
     node::control::Input,
     peer::{Member, Recipient, peers::Peers},
-    platform::memory::MemoryStore,
     request::message::Message,
+    store::memory::MemoryStore,
 };
 
 use build::{address, agrees, config, formed, in_force, publish, set};
--- a/lib/tests/fleet/queue.rs
+++ b/lib/tests/fleet/queue.rs
@@ -19,7 +19,7 @@
         message::PacketWire,
         peers::{Config, LinkEffect, LinkEvent},
     },
-    platform::{CallError, Operation, Reply, memory::MemoryStore},
+    store::{CallError, Operation, Reply, memory::MemoryStore},
     units::Time,
 };
 use rand::{RngExt as _, SeedableRng as _};
--- a/lib/tests/model_lease.rs
+++ b/lib/tests/model_lease.rs
@@ -12,7 +12,7 @@
 
 use dogwoodturn::{
     ids::{CallId, FencingNumber, Incarnation, Revision},
-    platform::{CallError, Condition, Object, ObjectKey, Operation, Reply},
+    store::{CallError, Condition, Object, ObjectKey, Operation, Reply},
     supply::{
         lease::{Effect, Event, Holder, Lease, LeaseTimes, Record},
         orders::{self, Order, OrderCall, OrderEnd, Orders},
--- a/lib/tests/model_moves.rs
+++ b/lib/tests/model_moves.rs
@@ -15,7 +15,7 @@
         schedule::Plan,
         verdict::{Badness, Measure},
     },
-    platform::{CallError, Condition, Object, Operation, Reply},
+    store::{CallError, Condition, Object, Operation, Reply},
     units::{Time, WallTime},
 };
 use pathfinding::prelude::bfs_reach;
--- a/lib/tests/model_publish.rs
+++ b/lib/tests/model_publish.rs
@@ -15,7 +15,7 @@
     },
     ids::{CallId, ChangeId, Generation},
     ini::Source,
-    platform::{CallError, Condition, Operation, Reply, memory::MemoryStore},
+    store::{CallError, Condition, Operation, Reply, memory::MemoryStore},
     units::{Time, WallTime},
 };
 
@@ -160,10 +160,8 @@
     }
 
     fn head(&self) -> Option<HeadWire> {
-        let read = self
-            .store
-            .clone()
-            .apply(&Operation::Get(dogwoodturn::platform::ObjectKey::new(HEAD_KEY)));
+        let read =
+            self.store.clone().apply(&Operation::Get(dogwoodturn::store::ObjectKey::new(HEAD_KEY)));
         let Ok(Reply::Object(Some(object))) = read else { return None };
         wire::decode(&object.value).ok()
     }
--- a/lib/tests/moves_sim/mod.rs
+++ b/lib/tests/moves_sim/mod.rs
@@ -17,7 +17,7 @@
     },
     node::report::AttemptReport,
     peer::Recipient,
-    platform::{CallError, Operation, Reply, memory::MemoryStore},
+    store::{CallError, Operation, Reply, memory::MemoryStore},
     units::{Clock, Time, WallTime},
 };
 use indexmap::IndexMap;
--- a/lib/tests/placement.rs
+++ b/lib/tests/placement.rs
@@ -6,7 +6,7 @@
     declaration::RequestClass,
     ids::{ServiceName, UpstreamId, VersionName},
     placement::{AttemptResult, Placement, Wanted, load::LoadReport},
-    platform::cloud::HostKind,
+    store::cloud::HostKind,
     units::{Time, WallTime},
     upstream::{HostRecord, HostState},
 };
--- a/lib/tests/publish.rs
+++ b/lib/tests/publish.rs
@@ -8,7 +8,7 @@
     },
     ids::Generation,
     ini::Source,
-    platform::{CallError, Operation, memory::MemoryStore},
+    store::{CallError, Operation, memory::MemoryStore},
     units::WallTime,
 };
 
--- a/lib/tests/supply_cloud.rs
+++ b/lib/tests/supply_cloud.rs
@@ -4,7 +4,7 @@
 
 use dogwoodturn::{
     ids::{CallId, FencingNumber, Generation, HostId},
-    platform::{
+    store::{
         CallError, Operation, Reply,
         cloud::{CloudCall, CloudHost, CloudReply, HostKind, StartHost},
     },
--- a/lib/tests/supply_control.rs
+++ b/lib/tests/supply_control.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use dogwoodturn::{platform::cloud::HostKind, upstream::HostState};
+use dogwoodturn::{store::cloud::HostKind, upstream::HostState};
 use dogwoodturn_standins::cloud::{CloudFaults, Refused};
 use supply_world::{World, offer, offers};
 
--- a/lib/tests/supply_plan.rs
+++ b/lib/tests/supply_plan.rs
@@ -9,7 +9,7 @@
     ids::{FencingNumber, Incarnation},
     moves::share::Share,
     node::message::{PeerMessage, PeerMessageWire},
-    platform::{CallError, ObjectKey, Operation, memory::MemoryStore},
+    store::{CallError, ObjectKey, Operation, memory::MemoryStore},
     supply::{
         lease::{self, Holder, Lease, LeaseTimes},
         loads::{LoadTimes, MoveView, hosts_on_new, latest_begins},
--- a/lib/tests/supply_world/mod.rs
+++ b/lib/tests/supply_world/mod.rs
@@ -17,7 +17,7 @@
         snapshot::Snapshot,
     },
     peer::{Member, Recipient},
-    platform::{
+    store::{
         CallError, Operation, Reply,
         cloud::{CloudHost, HostKind, Offer},
         memory::MemoryStore,
--- a/lib/tests/support/claims.rs
+++ b/lib/tests/support/claims.rs
@@ -13,7 +13,7 @@
     },
     ids::{CallId, DaemonId, Incarnation, RequestId, ServiceName},
     peer::Member,
-    platform::{CallError, Condition, Operation, Reply, memory::MemoryStore},
+    store::{CallError, Condition, Operation, Reply, memory::MemoryStore},
     units::{Time, WallTime},
 };
 
--- a/load/src/bench_engines.rs
+++ b/load/src/bench_engines.rs
@@ -10,7 +10,7 @@
     ids::{ServiceName, UpstreamId, VersionName},
     limit::{Admission, Asked, Limits},
     placement::{AttemptResult, Placement, Wanted, load::LoadReport},
-    platform::cloud::HostKind,
+    store::cloud::HostKind,
     units::Time,
     upstream::{HostRecord, HostState},
 };
--- a/load/src/local.rs
+++ b/load/src/local.rs
@@ -13,7 +13,7 @@
         wire::HeadWire,
     },
     ids::{ChangeId, DataCentre},
-    platform::{cloud::HostKind, http::HttpPlatform},
+    store::{cloud::HostKind, http::HttpPlatform},
     units::WallTime,
     upstream::{HostRecord, HostState},
 };
--- a/load/tests/supply.rs
+++ b/load/tests/supply.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use dogwoodturn::{
-    platform::cloud::{HostKind, Offer},
+    store::cloud::{HostKind, Offer},
     supply::status::ServiceStatus,
     units::PricePerHour,
 };
--- a/standins/src/cloud.rs
+++ b/standins/src/cloud.rs
@@ -9,7 +9,7 @@
 
 use dogwoodturn::{
     ids::{ClassName, HostId, Revision, ZoneName},
-    platform::{
+    store::{
         CallError,
         cloud::{CloudCall, CloudHost, CloudReply, HostKind, Offer, ReclaimNotice, StartHost},
     },
--- a/standins/src/cloud/http.rs
+++ b/standins/src/cloud/http.rs
@@ -8,7 +8,7 @@
 use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
 use dogwoodturn::{
     ids::{ClassName, Revision, ZoneName},
-    platform::{
+    store::{
         CallError,
         cloud::{CloudCall, CloudReply, StartHost},
         http::CLIENT_TOKEN_HEADER,
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -10,7 +10,7 @@
 use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
 use dogwoodturn::{
     ids::Revision,
-    platform::{
+    store::{
         CallError, Condition, ObjectKey, Operation, Reply,
         http::REVISION_HEADER,
         memory::MemoryStore,
