directory: what a peer says of leaving upstreams ends with that start

Cause: found on reading. A daemon passed on that an upstream leaves, whoever said so, by id alone. After a start under the same id two daemons could keep each other believing it for ever, and the upstream would get no work. Change: the start is named, and only the store's word is passed on. Result: a test of it.

--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -36,6 +36,8 @@
     /// What it said of itself.
     pub record: UpstreamRecord,
     presence: Presence,
+    /// Whether a peer says that this start of it is leaving.
+    is_said_to_leave: bool,
 }
 
 /// All upstreams that are known.
@@ -51,7 +53,7 @@
     pub fn set(&mut self, record: UpstreamRecord) -> bool {
         let known = self.upstreams.get(&record.id);
         let is_new = known.is_none_or(|known| known.record.started != record.started);
-        let upstream = Upstream { presence: Presence::Listed, record };
+        let upstream = Upstream { presence: Presence::Listed, record, is_said_to_leave: false };
         self.upstreams.insert(upstream.record.id.clone(), upstream);
         is_new
     }
@@ -66,17 +68,19 @@
         }
     }
 
-    /// Takes that an upstream is leaving, as a peer has heard.
-    pub fn leaving(&mut self, id: &UpstreamId) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.record.draining = true;
+    /// Takes that one start of an upstream is leaving, as a peer has read in the store.
+    pub fn leaving(&mut self, id: &UpstreamId, started: u64) {
+        let found = self.upstreams.get_mut(id);
+        if let Some(upstream) = found.filter(|upstream| upstream.record.started == started) {
+            upstream.is_said_to_leave = true;
         }
     }
 
-    /// Returns the upstreams that are leaving, for the peers.
-    pub fn all_leaving(&self) -> Vec<UpstreamId> {
+    /// Returns the starts of upstreams that are leaving by the store's word, for the peers; what
+    /// peers said is not passed on, so that it ends with them.
+    pub fn all_leaving(&self) -> Vec<(UpstreamId, u64)> {
         let leaving = |record: &&UpstreamRecord| record.draining;
-        self.listed().filter(leaving).map(|record| record.id.clone()).collect()
+        self.listed().filter(leaving).map(|record| (record.id.clone(), record.started)).collect()
     }
 
     /// Takes that only these entries are listed; all others have vanished.
@@ -117,7 +121,7 @@
     }
 
     fn is_live(&self, now: Time, upstream: &Upstream) -> bool {
-        if upstream.record.draining {
+        if upstream.record.draining || upstream.is_said_to_leave {
             return false;
         }
         match upstream.presence {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -117,8 +117,8 @@
         for (service, version) in &message.holds {
             self.rollouts.hold(service, version);
         }
-        for upstream in &message.leaving {
-            self.directory.leaving(upstream);
+        for (upstream, started) in &message.leaving {
+            self.directory.leaving(upstream, *started);
         }
         if message.acts {
             self.lease.heard(now);
--- a/gateway/src/mesh.rs
+++ b/gateway/src/mesh.rs
@@ -85,8 +85,8 @@
     pub tallies: Vec<(ServiceName, VersionName, RouteName, Tally)>,
     /// Versions that were found bad.
     pub holds: Vec<(ServiceName, VersionName)>,
-    /// Upstreams that are leaving.
-    pub leaving: Vec<UpstreamId>,
+    /// Upstreams that are leaving, with the start that is, since one may start again under its id.
+    pub leaving: Vec<(UpstreamId, u64)>,
 }
 
 #[derive(Clone, Debug)]
--- a/gateway/tests/decisions.rs
+++ b/gateway/tests/decisions.rs
@@ -95,10 +95,31 @@
 #[test]
 fn live_upstream_that_leaves_takes_nothing() {
     let mut directory = directory(&["a", "b"]);
-    directory.leaving(&"a".parse().unwrap());
+    directory.leaving(&"a".parse().unwrap(), 1);
     assert_eq!(ids(&live(&directory, at(0))), ["b"]);
 }
 
+#[test]
+fn live_new_start_under_the_same_id_outlasts_what_was_said_of_the_last() {
+    let (mut here, mut there) = (directory(&["a"]), directory(&["a"]));
+    there.set(UpstreamRecord { draining: true, ..record("a", "here", false) });
+    let said = there.all_leaving();
+    let anew = UpstreamRecord { started: 2, ..record("a", "here", false) };
+    here.set(anew.clone());
+    for (id, started) in &said {
+        here.leaving(id, *started);
+    }
+    assert_eq!(live(&here, at(0)).len(), 1, "an older start's leaving does not count");
+    // What a peer said is not passed on, or two daemons would keep each other believing it.
+    for (id, started) in &said {
+        there.leaving(id, *started);
+    }
+    there.set(anew);
+    here.leaving(&"a".parse().unwrap(), 2);
+    assert!(here.all_leaving().is_empty() && there.all_leaving().is_empty());
+    assert_eq!(live(&there, at(0)).len(), 1);
+}
+
 struct Asker {
     placement: Placement,
     directory: Directory,
