settings: every bound comes from the settings, and a reload applies them

A deployment with tighter bounds would have broken a rule: a vanished upstream was used for 1.8 s whatever its drain time, a holder acted for 2.2 s whatever the lease.

The settings now give them (drain-milliseconds, lease-milliseconds, canary-share, usage-delay-seconds); the settings file is reread on SIGHUP and every 5 s, and bounds and addresses of the store and the cloud change in a running daemon. What cannot change (name, listeners) is kept and named in the log.

Tests: gateway/tests/bounds.rs.

--- a/gateway/src/acting.rs
+++ b/gateway/src/acting.rs
@@ -11,8 +11,9 @@
 
 /// How long after its end a usage window is closed, besides the time in which every peer is heard.
 const CLOSE_AFTER: Duration = Duration::from_millis(1500);
-/// How long after its end a window may still be reported.
-const REPORT_WITHIN: Duration = Duration::from_secs(10);
+/// The part of the time for reports that may pass before a window is closed; the rest is for the
+/// report itself, which may have to be repeated.
+const CLOSE_SHARE: f64 = 0.6;
 
 /// Does what is due, as far as this daemon holds the lease.
 pub fn act(cx: &Rc<Gateway>) {
@@ -84,9 +85,11 @@
 /// Closes the window that has just ended, so that any later holder reports the same counts.
 fn close_usage(cx: &Rc<Gateway>) {
     let now = cx.now();
-    if !cx.settings.reports_usage {
+    let settings = cx.settings();
+    if !settings.reports_usage {
         return;
     }
+    let delay = settings.bounds.usage_delay;
     let mut state = cx.state.borrow_mut();
     let wall = state.mesh.agreed_time(now, wall_clock());
     if state.lease.fence(now).is_none() {
@@ -96,7 +99,8 @@
     for number in [current.saturating_sub(2), current.saturating_sub(1)] {
         let ended = state.usage.ended(number, wall).unwrap_or_default();
         let is_closed = state.lease.closed().iter().any(|window| window.number >= number);
-        if ended >= CLOSE_AFTER + state.mesh.heard_for() && ended < REPORT_WITHIN && !is_closed {
+        let closes = (CLOSE_AFTER + state.mesh.heard_for()).min(delay.mul_f64(CLOSE_SHARE));
+        if ended >= closes && ended < delay && !is_closed {
             let window = state.usage.sum(number);
             state.lease.close(window);
         }
@@ -109,7 +113,7 @@
     let wall = state.mesh.agreed_time(cx.now(), wall_clock());
     let ended = state.usage.ended(window.number, wall).unwrap_or_default();
     let Some(fence) = state.lease.fence(cx.now()) else { return };
-    if ended > REPORT_WITHIN || !cx.reported.borrow_mut().insert(window.number) {
+    if ended > cx.settings().bounds.usage_delay || !cx.reported.borrow_mut().insert(window.number) {
         return;
     }
     drop(state);
@@ -179,7 +183,7 @@
 /// Orders hosts for the services that may have them.
 fn order_hosts(cx: &Rc<Gateway>) {
     let now = cx.now();
-    if !cx.settings.orders_hosts {
+    if !cx.settings().orders_hosts {
         return;
     }
     let mut orders = Vec::new();
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -3,7 +3,7 @@
 //! Load pattern: entries vanish together when the store was away, and singly when an upstream has
 //! left without a word. A vanished entry is used no more at once, unless the store has just been
 //! away: then the upstream may only have missed its heartbeat and is back within
-//! [`RETURN_GRACE`]. While a service has no live upstream at all, one that vanished a moment ago
+//! [`RETURN_WITHIN`]. While a service has no live upstream at all, one that vanished a moment ago
 //! is still better than a refusal.
 
 use std::time::Duration;
@@ -16,12 +16,15 @@
 
 use crate::store::UpstreamRecord;
 
-/// How long after the store's return entries that lapsed meanwhile may be missing. Upstreams
-/// write again within two seconds of it; the margin keeps new work inside the drain time.
-const RETURN_GRACE: Duration = Duration::from_millis(1800);
-/// How long a vanished upstream serves as a last resort; stays below the drain time of upstreams
-/// that leave unannounced.
-const LAST_RESORT: Duration = Duration::from_millis(1200);
+/// How long after the store's return entries that lapsed meanwhile may be missing, at most:
+/// upstreams write again within two seconds of it.
+const RETURN_WITHIN: Duration = Duration::from_millis(2000);
+/// The part of the drain time for which a vanished upstream is taken for one whose entry lapsed;
+/// the rest covers requests on their way.
+const RETURN_SHARE: f64 = 0.9;
+/// The part of the drain time for which a vanished upstream serves as a last resort; it may have
+/// left unannounced a while ago.
+const LAST_RESORT_SHARE: f64 = 0.6;
 
 /// What the store last said of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,14 +44,34 @@
 }
 
 /// All upstreams that are known.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Directory {
+    /// How long an upstream serves after its leaving was told.
+    drain: Duration,
     upstreams: IndexMap<UpstreamId, Upstream>,
     store_away: bool,
     store_back: Option<Time>,
 }
 
 impl Directory {
+    /// Makes an empty directory; `drain` is how long upstreams serve after their leaving was told.
+    pub fn new(drain: Duration) -> Self {
+        Self { drain, upstreams: IndexMap::new(), store_away: false, store_back: None }
+    }
+
+    /// Changes how long upstreams serve after their leaving was told.
+    pub fn set_drain(&mut self, drain: Duration) {
+        self.drain = drain;
+    }
+
+    fn return_grace(&self) -> Duration {
+        self.drain.mul_f64(RETURN_SHARE).min(RETURN_WITHIN)
+    }
+
+    fn last_resort(&self) -> Duration {
+        self.drain.mul_f64(LAST_RESORT_SHARE)
+    }
+
     /// Takes an entry that was listed or changed; says whether it is a new start.
     pub fn set(&mut self, record: UpstreamRecord) -> bool {
         let known = self.upstreams.get(&record.id);
@@ -108,9 +131,7 @@
     pub fn forget_gone(&mut self, now: Time) -> Vec<UpstreamId> {
         let keep = |upstream: &Upstream| match upstream.presence {
             Presence::Listed => true,
-            Presence::Vanished(at) => {
-                self.store_away || now.since(at) < RETURN_GRACE.max(LAST_RESORT) * 2
-            }
+            Presence::Vanished(at) => self.store_away || now.since(at) < self.drain * 2,
         };
         let gone: Vec<_> =
             self.upstreams.values().filter(|u| !keep(u)).map(|u| u.record.id.clone()).collect();
@@ -127,10 +148,9 @@
         match upstream.presence {
             Presence::Listed => true,
             Presence::Vanished(at) => {
-                let lapsed =
-                    |back: Time| now.since(back) < RETURN_GRACE && at.since(back) < RETURN_GRACE;
-                let grace = now.since(at) < RETURN_GRACE;
-                grace && (self.store_away || self.store_back.is_some_and(lapsed))
+                let grace = self.return_grace();
+                let lapsed = |back: Time| now.since(back) < grace && at.since(back) < grace;
+                now.since(at) < grace && (self.store_away || self.store_back.is_some_and(lapsed))
             }
         }
     }
@@ -143,7 +163,7 @@
             return live;
         }
         let last_resort = |upstream: &&Upstream| {
-            let recent = |at: Time| now.since(at) < LAST_RESORT;
+            let recent = |at: Time| now.since(at) < self.last_resort();
             !upstream.record.draining
                 && matches!(upstream.presence, Presence::Vanished(at) if recent(at))
         };
--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -303,11 +303,12 @@
         let admitted = &self.admitted;
         let service = admitted.table.services.get(&admitted.service);
         let rollouts = std::mem::take(&mut state.rollouts);
+        let settings = self.cx.settings();
         let need = Need {
             service: &admitted.service,
             engine: service.and_then(|service| service.engine),
             prompt: &self.req.prompt,
-            near: &self.cx.settings.data_centre,
+            near: &settings.data_centre,
             target: admitted.route.target,
             left,
             tried: &self.tried,
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -26,7 +26,7 @@
     quota::Quotas,
     retry::RetryBudgets,
     rollout::Rollouts,
-    settings::Settings,
+    settings::{Bounds, Settings},
     store::Store,
     supply::Supply,
     suspect::{Digest, Suspects},
@@ -37,6 +37,8 @@
 /// How long after the signal to stop any request is taken; the balancer asks once a second, takes
 /// two misses, and connections on their way still arrive.
 const WELCOME_WHILE_STOPPING: Duration = Duration::from_millis(2800);
+/// The part of the time to the end for which that holds at most; the requests need the rest.
+const WELCOME_SHARE: f64 = 0.5;
 
 /// The bytes of callers' bodies that are held at a time; a gateway's memory is a few hundred megabytes,
 /// and a body is copied once when it is forwarded.
@@ -78,6 +80,16 @@
 }
 
 impl State {
+    /// Puts changed bounds in force; what was counted under the old ones stays.
+    fn set_bounds(&mut self, bounds: &Bounds) {
+        self.directory.set_drain(bounds.drain);
+        self.quotas.set_tolerance(bounds.quotas);
+        self.retries.set_bounds(bounds.retries);
+        self.rollouts.set_exposure(bounds.canary_share);
+        self.usage.set_window(bounds.usage_window);
+        self.lease.set_time(bounds.lease);
+    }
+
     /// Puts a newer table in force; an older one is left alone.
     pub fn take_table(&mut self, table: Table) -> bool {
         let is_newer = self.table.as_ref().is_none_or(|known| known.version < table.version);
@@ -136,8 +148,6 @@
 
 /// One gateway; everything of it runs on one thread.
 pub struct Gateway {
-    /// The settings.
-    pub settings: Settings,
     /// The names and formats of headers.
     pub dialect: Dialect,
     /// The object store and the cloud.
@@ -158,6 +168,7 @@
     pub recording: RefCell<IndexSet<ServiceName>>,
     /// While shutting down: until when any request is taken, and when the process ends.
     ends: Cell<Option<(Time, Time)>>,
+    settings: RefCell<Rc<Settings>>,
     in_flight: Cell<u32>,
     /// Bytes of callers' bodies that are held or will be.
     bodies: Cell<u64>,
@@ -173,22 +184,22 @@
         let run = format!("{}.{incarnation}", settings.name);
         let state = State {
             table: None,
-            directory: Directory::default(),
+            directory: Directory::new(bounds.drain),
             placement: Placement::default(),
             quotas: Quotas::new(bounds.quotas, now, settings.first_start),
             retries: RetryBudgets::new(bounds.retries),
             suspects: Suspects::default(),
-            rollouts: Rollouts::default(),
+            rollouts: Rollouts::new(bounds.canary_share),
             supply: Supply::default(),
             usage: Usage::new(bounds.usage_window),
             mesh: Mesh::new(settings.name.clone()),
-            lease: Lease::new(run.into(), now),
+            lease: Lease::new(run.into(), bounds.lease, now),
             peers_seen: now,
             has_upstreams: false,
             has_members: false,
         };
         Rc::new(Self {
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
             dialect,
             store,
             state: RefCell::new(state),
@@ -205,9 +216,33 @@
         })
     }
 
+    /// Returns the settings in force.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Puts changed settings in force, but for what a running daemon cannot change.
+    pub fn reload(&self, mut changed: Settings) {
+        let known = self.settings();
+        let fixed = changed.keep_fixed(&known);
+        if !fixed.is_empty() {
+            log::warn!(event = "reload-needs-restart", keys = fixed.join(","); "");
+        }
+        if changed == *known {
+            log::info!(event = "reload", changed = false; "");
+            return;
+        }
+        if (changed.store, changed.cloud) != (known.store, known.cloud) {
+            (self.store.redirect)(changed.store, changed.cloud);
+        }
+        self.state.borrow_mut().set_bounds(&changed.bounds);
+        log::info!(event = "reload", changed = true, store:% = changed.store, cloud:% = changed.cloud, bounds:? = changed.bounds; "");
+        *self.settings.borrow_mut() = Rc::new(changed);
+    }
+
     /// Returns what tells this run apart from those of all daemons.
     pub fn run(&self) -> Run {
-        (self.settings.name.clone(), self.incarnation)
+        (self.settings().name.clone(), self.incarnation)
     }
 
     /// Returns the time on a clock that counts suspension, which leases depend on.
@@ -228,7 +263,9 @@
 
     /// Begins to shut down; the process ends at `ends` at the latest.
     pub fn drain(&self, ends: Time) {
-        self.ends.set(Some((self.now() + WELCOME_WHILE_STOPPING, ends)));
+        let now = self.now();
+        let welcome = WELCOME_WHILE_STOPPING.min(ends.since(now).mul_f64(WELCOME_SHARE));
+        self.ends.set(Some((now + welcome, ends)));
     }
 
     /// Closes the connections of callers that have no request under way.
@@ -280,7 +317,7 @@
         self.messages.set(self.messages.get() + 1);
         let crashes = state.suspects.recent(now).into_iter();
         Message {
-            daemon: self.settings.name.clone(),
+            daemon: self.settings().name.clone(),
             incarnation: self.incarnation,
             number: self.messages.get(),
             wall: wall_clock(),
@@ -301,7 +338,7 @@
     pub fn work_message(&self) -> WorkMessage {
         self.messages.set(self.messages.get() + 1);
         WorkMessage {
-            daemon: self.settings.name.clone(),
+            daemon: self.settings().name.clone(),
             incarnation: self.incarnation,
             number: self.messages.get(),
             work: told_work(&self.state.borrow().placement),
--- a/gateway/src/lease.rs
+++ b/gateway/src/lease.rs
@@ -2,9 +2,9 @@
 //!
 //! While a peer says that it acts, the object is not read: with many daemons, watching each renewal
 //! would cost more calls than all other work. Once nobody has said so for [`SILENCE`], a daemon reads
-//! the object, and takes over if it is unchanged [`UNCHANGED`] later and [`EXPIRY`] after the last word,
-//! on a clock that counts suspension. The holder stops acting [`ACT_FOR`] after it sent its last renewal that
-//! succeeded, well before anyone may take over. The fence rises with each change of holder by a
+//! the object, and takes over if it is unchanged for longer than a holder acts and the lease's
+//! time has passed since the last word, on a clock that counts suspension. The holder stops acting
+//! at [`ACT_SHARE`] of the lease's time after it sent its last renewal that succeeded, well before anyone may take over. The fence rises with each change of holder by a
 //! conditional write, and the cloud refuses calls with a lower fence.
 
 use std::time::Duration;
@@ -13,16 +13,17 @@
 
 use crate::store::{Fence, LeaseRecord, UsageWindow};
 
-/// How long nobody must have said that it acts before another daemon takes over.
-const EXPIRY: Duration = Duration::from_millis(3400);
+/// How much longer than the lease's time nobody must have said that it acts before another daemon
+/// takes over: a message may have been on its way.
+const EXPIRY_MARGIN: Duration = Duration::from_millis(400);
 /// How long nobody must have said that it acts before the object is read, at least.
 const SILENCE: Duration = Duration::from_millis(1000);
-/// How long the object must not have changed since it was read; longer than a holder acts.
-const UNCHANGED: Duration = Duration::from_millis(2300);
+/// How much longer than a holder acts the object must not have changed since it was read.
+const UNCHANGED_MARGIN: Duration = Duration::from_millis(100);
 /// How often the object is read while nobody acts.
 const READ_EVERY: Duration = Duration::from_millis(1000);
-/// How long a holder acts after its last renewal was sent.
-const ACT_FOR: Duration = Duration::from_millis(2200);
+/// The part of the lease's time for which a holder acts after its last renewal was sent.
+const ACT_SHARE: f64 = 0.73;
 /// How often the holder renews; what was counted since is lost with all daemons.
 const RENEW_EVERY: Duration = Duration::from_millis(400);
 /// How much later the next daemon in line tries, so that they do not collide.
@@ -45,6 +46,8 @@
 #[derive(Clone, Debug)]
 pub struct Lease {
     me: Box<str>,
+    /// The time within which two daemons must not act by turns.
+    time: Duration,
     rank: u32,
     /// How long after its last message a holder may be unheard and well.
     heard_for: Duration,
@@ -65,10 +68,11 @@
 
 impl Lease {
     /// Makes the view of a daemon that has read nothing yet. `me` names this run of the daemon,
-    /// since a later run must not act under an earlier one's fence.
-    pub fn new(me: Box<str>, now: Time) -> Self {
+    /// since a later run must not act under an earlier one's fence; `time` is the lease's.
+    pub fn new(me: Box<str>, time: Duration, now: Time) -> Self {
         Self {
             me,
+            time,
             rank: 0,
             heard_for: SILENCE,
             known: None,
@@ -84,6 +88,16 @@
         }
     }
 
+    /// Changes the lease's time.
+    pub fn set_time(&mut self, time: Duration) {
+        self.time = time;
+    }
+
+    /// Returns how long a holder acts after it sent its last renewal.
+    fn act_for(&self) -> Duration {
+        self.time.mul_f64(ACT_SHARE)
+    }
+
     /// Sets this daemon's place in the line of successors, and how long a holder that is well may be
     /// unheard, which grows with the number of daemons.
     pub fn set_line(&mut self, rank: u32, heard_for: Duration) {
@@ -150,9 +164,10 @@
             }
             Some((revision, known)) => {
                 let stagger = STAGGER * self.rank;
-                let expiry = EXPIRY.max(self.heard_for + UNCHANGED);
+                let unchanged = self.act_for() + UNCHANGED_MARGIN;
+                let expiry = (self.time + EXPIRY_MARGIN).max(self.heard_for + unchanged);
                 let is_silent = now.since(self.last_word) >= expiry + stagger;
-                if !is_silent || now.since(self.changed) < UNCHANGED + stagger {
+                if !is_silent || now.since(self.changed) < unchanged + stagger {
                     return None;
                 }
                 let mut record = known.clone();
@@ -185,7 +200,7 @@
         self.known = Some((revision, write.record));
         self.changed = now;
         self.held_since.get_or_insert(now);
-        self.acts_until = write.sent + ACT_FOR;
+        self.acts_until = write.sent + self.act_for();
     }
 
     /// Takes that a write failed or that its outcome is unknown; the object has to be read again.
--- a/gateway/src/quota.rs
+++ b/gateway/src/quota.rs
@@ -83,16 +83,21 @@
 impl Quotas {
     /// Makes the quotas of a daemon; `first_start` says that nothing can have been admitted yet.
     pub fn new(tolerance: Tolerance, now: Time, first_start: bool) -> Self {
-        let intervals = (tolerance.window.as_micros() / INTERVAL.as_micros()).max(1) as u64;
         Self {
             tolerance,
-            intervals,
+            intervals: intervals(tolerance),
             started: now,
             has_predecessor: !first_start,
             admitted: IndexMap::new(),
         }
     }
 
+    /// Changes the tolerance; what was admitted stays.
+    pub fn set_tolerance(&mut self, tolerance: Tolerance) {
+        self.tolerance = tolerance;
+        self.intervals = intervals(tolerance);
+    }
+
     /// Takes this daemon's part of a customer's burst as used by the run before this one.
     pub fn inherit(&mut self, customer: &CustomerName, quota: Quota, daemons: u32) {
         if self.has_predecessor && !self.admitted.contains_key(customer) {
@@ -175,6 +180,10 @@
     (level + rate * passed).min(burst) - units(0)
 }
 
+fn intervals(tolerance: Tolerance) -> u64 {
+    (tolerance.window.as_micros() / INTERVAL.as_micros()).max(1) as u64
+}
+
 fn interval_of(now: Time) -> u64 {
     now.0 / INTERVAL.as_micros() as u64
 }
--- a/gateway/src/retry.rs
+++ b/gateway/src/retry.rs
@@ -45,6 +45,11 @@
         Self { bounds, services: IndexMap::new() }
     }
 
+    /// Changes the bounds; what was counted stays.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// Counts a request of a caller.
     pub fn request(&mut self, now: Time, service: &ServiceName) {
         let window = self.bounds.window;
--- a/gateway/src/rollout.rs
+++ b/gateway/src/rollout.rs
@@ -17,8 +17,9 @@
 
 use crate::store::{MoveRecord, MoveState};
 
-/// The share of requests until the version is trusted; below the exposure that is allowed.
-const CANARY_SHARE: f64 = 0.07;
+/// The part of the allowed exposure that a version gets until it is trusted: requests are drawn
+/// by chance, and those of one route may all fall to it.
+const EXPOSURE_USED: f64 = 0.7;
 /// The later shares, each of which has to be earned.
 const STEPS: [f64; 3] = [0.2, 0.5, 1.0];
 /// The part of the move's time after which the steps begin.
@@ -120,6 +121,8 @@
 /// The moves under way and the versions that were found bad.
 #[derive(Clone, Debug, Default)]
 pub struct Rollouts {
+    /// The part of a service's requests that a version may get before it is trusted.
+    exposure: f64,
     moves: IndexMap<ServiceName, Move>,
     holds: Vec<(ServiceName, VersionName)>,
 }
@@ -136,6 +139,17 @@
 }
 
 impl Rollouts {
+    /// Knows of no move; `exposure` is the part of a service's requests that a version may get
+    /// before it is trusted.
+    pub fn new(exposure: f64) -> Self {
+        Self { exposure, ..Self::default() }
+    }
+
+    /// Changes the exposure of moves that begin from now on.
+    pub fn set_exposure(&mut self, exposure: f64) {
+        self.exposure = exposure;
+    }
+
     /// Takes an order as the store has it.
     pub fn seen(&mut self, now: Time, revision: Revision, record: MoveRecord) {
         if record.state == Some(MoveState::Reverted) {
@@ -154,7 +168,7 @@
                 let fresh = Move {
                     revision,
                     began: now,
-                    share: CANARY_SHARE,
+                    share: self.exposure * EXPOSURE_USED,
                     stepped: now,
                     own: IndexMap::new(),
                     record,
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -7,7 +7,7 @@
 use tokio::{
     net::UdpSocket,
     signal::unix::{SignalKind, signal},
-    time::sleep,
+    time::{MissedTickBehavior, interval, sleep},
 };
 
 use crate::{
@@ -20,6 +20,8 @@
     sync,
 };
 
+/// How often the settings are looked at, since they may change without a signal.
+const REREAD_EVERY: Duration = Duration::from_secs(5);
 /// How long a daemon takes connections after it has become unready: the balancer asks once a
 /// second and takes two misses, and connections on their way still arrive.
 const UNREADY_BEFORE_STOP: Duration = Duration::from_millis(3300);
@@ -47,12 +49,13 @@
     Signals(io::Error),
 }
 
-/// Runs a gateway until it is asked to stop; `reread` reads the settings again.
+/// Runs a gateway until it is asked to stop; `reread` reads the settings again and returns them if
+/// they have changed and have no faults.
 pub async fn run(
     settings: Settings,
     dialect: Dialect,
     store: Store,
-    reread: impl Fn() -> Option<Settings>,
+    mut reread: impl FnMut() -> Option<Settings>,
 ) -> Result<(), RunError> {
     let refused = |address| move |source| RunError::Listen { address, source };
     let callers = listen(settings.callers).await.map_err(refused(settings.callers))?;
@@ -62,9 +65,8 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
-    let grace = settings.bounds.grace;
+    log::info!(event = "start", daemon:% = settings.name, callers:% = settings.callers; "");
     let cx = Gateway::new(settings, dialect, store);
-    log::info!(event = "start", daemon:% = cx.settings.name, incarnation:% = cx.incarnation, callers:% = cx.settings.callers; "");
 
     sync::start(&cx);
     let socket = Rc::new(socket);
@@ -84,20 +86,21 @@
     actix_rt::spawn(accept_short(internal, move |head| links::answer(&called, head)));
     actix_rt::spawn(accept(cx.clone(), callers));
 
+    let mut looks = interval(REREAD_EVERY);
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => match reread() {
-                Some(settings) => {
-                    let changed = settings != cx.settings;
-                    log::info!(event = "reload", changed; "");
-                }
-                None => log::warn!(event = "reload-failed"; ""),
-            },
+            _ = hangup.recv() => log::info!(event = "hangup"; ""),
+            _ = looks.tick() => {}
+        }
+        if let Some(settings) = reread() {
+            cx.reload(settings);
         }
     }
     let began = cx.now();
+    let grace = cx.settings().bounds.grace;
     let (earliest, latest) =
         (began + UNREADY_BEFORE_STOP, began + grace.saturating_sub(GRACE_MARGIN));
     cx.drain(latest);
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -50,6 +50,14 @@
     pub quotas: quota::Tolerance,
     /// The window of usage reports.
     pub usage_window: Duration,
+    /// How long after its end a usage window may still be reported.
+    pub usage_delay: Duration,
+    /// How long an upstream serves after its leaving was told.
+    pub drain: Duration,
+    /// The time within which two daemons must not act by turns.
+    pub lease: Duration,
+    /// The part of a service's requests that a version may get before it is trusted.
+    pub canary_share: f64,
 }
 
 impl Settings {
@@ -83,6 +91,31 @@
     }
 }
 
+impl Settings {
+    /// Keeps what a running daemon cannot change as it was, and returns the keys that differed.
+    pub fn keep_fixed(&mut self, running: &Self) -> Vec<&'static str> {
+        let mut kept = Vec::new();
+        let mut keep = |key, differs| {
+            if differs {
+                kept.push(key);
+            }
+        };
+        keep("name", self.name != running.name);
+        keep("data-centre", self.data_centre != running.data_centre);
+        keep("callers", self.callers != running.callers);
+        keep("readiness", self.readiness != running.readiness);
+        keep("peers", self.peers != running.peers);
+        self.name.clone_from(&running.name);
+        self.data_centre.clone_from(&running.data_centre);
+        self.callers = running.callers;
+        self.readiness = running.readiness;
+        self.peers = running.peers;
+        // Only a start can be the first one.
+        self.first_start = running.first_start;
+        kept
+    }
+}
+
 fn read_sections(sections: &[Section; 4], faults: &mut Vec<Fault>) -> Option<Settings> {
     let [daemon, store, cloud, bounds] = sections;
     let mut fields = Fields::new(daemon, faults);
@@ -127,18 +160,26 @@
     let allowance = not_negative(&mut fields, "retry-allowance");
     let overshoot = not_negative(&mut fields, "quota-overshoot");
     let quota_allowance = not_negative(&mut fields, "quota-allowance");
-    let mut seconds = |key: &str| {
-        let seconds = not_negative(&mut fields, key)?;
+    let mut time = |key: &str| {
+        let unit = if key.ends_with("-milliseconds") { 1e-3 } else { 1.0 };
+        let seconds = not_negative(&mut fields, key)? * unit;
         let time = Duration::try_from_secs_f64(seconds).ok().filter(|time| !time.is_zero());
         if time.is_none() {
             fields.fault(format!("{key} must be a time above zero"));
         }
         time
     };
-    let grace = seconds("grace-seconds");
-    let retry_window = seconds("retry-window-seconds");
-    let quota_window = seconds("quota-window-seconds");
-    let usage_window = seconds("usage-window-seconds");
+    let grace = time("grace-seconds");
+    let retry_window = time("retry-window-seconds");
+    let quota_window = time("quota-window-seconds");
+    let usage_window = time("usage-window-seconds");
+    let usage_delay = time("usage-delay-seconds");
+    let drain = time("drain-milliseconds");
+    let lease = time("lease-milliseconds");
+    let canary_share = not_negative(&mut fields, "canary-share");
+    if canary_share.is_some_and(|share| share > 1.0) {
+        fields.fault("canary-share must not be above 1");
+    }
     fields.finish();
     let retries = retry::Bounds { ratio: ratio?, allowance: allowance?, window: retry_window? };
     let quotas = quota::Tolerance {
@@ -146,7 +187,16 @@
         overshoot: overshoot?,
         allowance: quota_allowance?,
     };
-    Some(Bounds { grace: grace?, retries, quotas, usage_window: usage_window? })
+    Some(Bounds {
+        grace: grace?,
+        retries,
+        quotas,
+        usage_window: usage_window?,
+        usage_delay: usage_delay?,
+        drain: drain?,
+        lease: lease?,
+        canary_share: canary_share?,
+    })
 }
 
 fn not_negative(fields: &mut Fields<'_>, key: &str) -> Option<f64> {
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -253,6 +253,8 @@
     pub write: Box<dyn Fn(Write) -> Reply<Revision>>,
     /// Sends an order to the cloud.
     pub order: Box<dyn Fn(Fence, Order) -> Reply<()>>,
+    /// Sends further calls to other addresses of the store and the cloud.
+    pub redirect: Box<dyn Fn(SocketAddr, SocketAddr)>,
     /// Reads a table from its document, as relayed by a peer.
     pub read_table: fn(Bytes) -> Result<Table, Unreadable>,
 }
--- a/gateway/src/sync.rs
+++ b/gateway/src/sync.rs
@@ -192,7 +192,8 @@
 
 /// Makes this daemon known to the others.
 async fn register(cx: Rc<Gateway>) {
-    let member = MemberRecord { daemon: cx.settings.name.clone(), address: cx.settings.peers };
+    let settings = cx.settings();
+    let member = MemberRecord { daemon: settings.name.clone(), address: settings.peers };
     let mut pause = FIRST_PAUSE;
     while counted(&cx, "register", (cx.store.write)(Write::Member(member.clone())).await).is_err() {
         sleep(pause).await;
--- a/gateway/src/usage.rs
+++ b/gateway/src/usage.rs
@@ -33,6 +33,13 @@
         Self { window, own: IndexMap::new(), peers: IndexMap::new() }
     }
 
+    /// Changes the length of windows; counts by the old length are dropped, since they fit none.
+    pub fn set_window(&mut self, window: Duration) {
+        if self.window != window {
+            *self = Self::new(window);
+        }
+    }
+
     /// Returns the number of the window that holds a time.
     pub fn number(&self, at: WallTime) -> u64 {
         at.0 / (self.window.as_millis() as u64).max(1)
--- /dev/null
+++ b/gateway/tests/bounds.rs
@@ -0,0 +1,169 @@
+//! Whatever bounds the operators set, decisions keep to them, at the start and after a reload.
+
+mod support;
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+use dogwoodturn::{
+    ids::{Revision, ServiceName, UpstreamId, VersionName},
+    ini::Source,
+    units::Time,
+};
+use dogwoodturn_gateway::{
+    gateway::Gateway,
+    lease::Lease,
+    settings::Settings,
+    store::{MoveRecord, UpstreamRecord},
+};
+use support::{dialect, no_store, record, settings, settings_text};
+
+/// Drain times, lease times and exposures that are drawn from, in milliseconds and parts.
+const DRAINS_MS: [u64; 5] = [300, 900, 2000, 3000, 10_000];
+const LEASES_MS: [u64; 5] = [1500, 2000, 3000, 5000, 15_000];
+const EXPOSURES: [f64; 4] = [0.01, 0.05, 0.1, 0.4];
+
+fn with(key: &str, value: &str) -> Settings {
+    let line = |line: &str| match line.split_once(" = ") {
+        Some((found, _)) if found == key => format!("{key} = {value}\n"),
+        _ => format!("{line}\n"),
+    };
+    let text: String = settings_text().lines().map(line).collect();
+    assert!(text.contains(&format!("{key} = {value}\n")), "no such key: {key}");
+    Settings::read(&Source { file: "test.ini".into(), text: text.into() }).unwrap()
+}
+
+fn at(ms: u64) -> Time {
+    Time(ms * 1000)
+}
+
+/// The last moment, in milliseconds, at which an upstream that vanished at the start may be used.
+fn last_use(cx: &Gateway, others: bool, store_was_away: bool) -> u64 {
+    let mut state = cx.state.borrow_mut();
+    let gone: UpstreamRecord = record(0, "127.0.0.1:1".parse().unwrap());
+    let service: ServiceName = gone.service.clone();
+    if store_was_away {
+        state.directory.store_lost();
+        state.directory.store_regained(at(1000));
+    }
+    state.directory.set(gone.clone());
+    if others {
+        state.directory.set(record(1, "127.0.0.1:2".parse().unwrap()));
+    }
+    state.directory.vanished(at(1000), gone.id.as_str());
+    let is_live = |ms: u64| {
+        let live = state.directory.live(at(1000 + ms), &service);
+        live.iter().any(|upstream| upstream.record.id == gone.id)
+    };
+    (0..30_000).rev().find(|ms| is_live(*ms)).unwrap_or(0)
+}
+
+#[test]
+fn live_vanished_upstream_is_not_used_past_the_drain_time() {
+    for drain in DRAINS_MS {
+        for (others, was_away) in [(true, true), (true, false), (false, true), (false, false)] {
+            let settings = with("drain-milliseconds", &drain.to_string());
+            let cx = Gateway::new(settings, dialect(), no_store());
+            let last = last_use(&cx, others, was_away);
+            assert!(last < drain, "drain {drain} ms, others {others}: used after {last} ms");
+        }
+    }
+}
+
+/// When another daemon takes over from a holder that is silent from the start on, and when the
+/// holder stops acting.
+fn handover(time: Duration) -> (Duration, Duration) {
+    let begin = at(10_000);
+    let mut holder = Lease::new("a".into(), time, begin);
+    assert!(holder.must_read(begin));
+    holder.missing();
+    let write = holder.due(begin).unwrap();
+    let record = write.record.clone();
+    holder.written(begin, Revision(1), write);
+    let mut other = Lease::new("b".into(), time, begin);
+    other.heard(begin);
+    let mut now = begin;
+    let mut stopped = None;
+    loop {
+        now = now + Duration::from_millis(10);
+        if holder.fence(now).is_none() {
+            stopped.get_or_insert(now);
+        }
+        if other.must_read(now) {
+            other.seen(now, Revision(1), record.clone());
+        }
+        if other.due(now).is_some() {
+            let stopped = stopped.expect("the holder stops before another one takes over");
+            return (stopped.since(begin), now.since(begin));
+        }
+    }
+}
+
+#[test]
+fn due_lease_passes_on_only_after_its_time() {
+    for time in LEASES_MS.map(Duration::from_millis) {
+        let (stopped, taken) = handover(time);
+        assert!(stopped < time, "acts for {stopped:?} of {time:?}");
+        assert!(taken > time, "taken over after {taken:?} of {time:?}");
+    }
+}
+
+#[test]
+fn share_of_an_untrusted_version_stays_below_the_exposure() {
+    for exposure in EXPOSURES {
+        let settings = with("canary-share", &exposure.to_string());
+        let cx = Gateway::new(settings, dialect(), no_store());
+        let mut state = cx.state.borrow_mut();
+        let service: ServiceName = "plain".parse().unwrap();
+        let target: VersionName = "v2".parse().unwrap();
+        let order = MoveRecord {
+            service: service.clone(),
+            target,
+            duration: Duration::from_secs(20),
+            state: None,
+        };
+        state.rollouts.seen(at(0), Revision(1), order);
+        let share = state.rollouts.share(&service).unwrap();
+        assert!(share > 0.0 && share < exposure, "{share} of {exposure}");
+    }
+}
+
+#[test]
+fn reload_changed_bounds_hold_at_once() {
+    let cx = Gateway::new(settings(), dialect(), no_store());
+    cx.reload(with("drain-milliseconds", "500"));
+    assert!(last_use(&cx, false, false) < 500);
+    assert_eq!(cx.settings().bounds.drain, Duration::from_millis(500));
+}
+
+#[test]
+fn reload_new_address_of_the_store_is_called() {
+    let called = Rc::new(Cell::new(None::<SocketAddr>));
+    let told = called.clone();
+    let mut store = no_store();
+    store.redirect = Box::new(move |address, _| told.set(Some(address)));
+    let cx = Gateway::new(settings(), dialect(), store);
+    let address: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    cx.reload(with("address", &address.to_string()));
+    assert_eq!(called.get(), Some(address));
+    called.set(None);
+    cx.reload(with("address", &address.to_string()));
+    assert_eq!(called.get(), None, "the same settings change nothing");
+}
+
+#[test]
+fn reload_what_a_running_daemon_cannot_change_is_kept() {
+    let cx = Gateway::new(settings(), dialect(), no_store());
+    cx.reload(with("name", "two"));
+    assert_eq!(cx.settings().name.as_str(), "one");
+}
+
+#[test]
+fn forget_gone_keeps_nothing_that_left_long_ago() {
+    let cx = Gateway::new(with("drain-milliseconds", "300"), dialect(), no_store());
+    let mut state = cx.state.borrow_mut();
+    let gone = record(0, "127.0.0.1:1".parse().unwrap());
+    state.directory.set(gone.clone());
+    state.directory.vanished(at(0), gone.id.as_str());
+    let forgotten: Vec<UpstreamId> = state.directory.forget_gone(at(601));
+    assert_eq!(forgotten, [gone.id]);
+}
--- a/gateway/tests/decisions.rs
+++ b/gateway/tests/decisions.rs
@@ -52,7 +52,7 @@
 }
 
 fn directory(ids: &[&str]) -> Directory {
-    let mut directory = Directory::default();
+    let mut directory = Directory::new(Duration::from_secs(2));
     for id in ids {
         directory.set(record(id, "here", false));
     }
--- a/gateway/tests/lease.rs
+++ b/gateway/tests/lease.rs
@@ -13,6 +13,8 @@
 const DAEMONS: usize = 4;
 /// How often a daemon is paused, cut off or restarted in a step; each about every 100 s.
 const TROUBLE_PERMILLE: u32 = 2;
+/// The time within which two daemons must not act by turns.
+const LEASE: Duration = Duration::from_millis(3000);
 const STEP: Duration = Duration::from_millis(200);
 
 /// The store's object.
@@ -46,7 +48,7 @@
 }
 
 fn start(index: usize, run: u64, now: Time) -> Daemon {
-    let mut lease = Lease::new(format!("d{index}.{run}").into(), now);
+    let mut lease = Lease::new(format!("d{index}.{run}").into(), LEASE, now);
     lease.set_line(index as u32, Duration::from_millis(1250));
     Daemon { lease, paused_until: 0, cut_until: 0 }
 }
@@ -130,7 +132,7 @@
 #[test]
 fn fence_ends_before_anyone_may_take_over() {
     let start_at = Time(1_000_000);
-    let mut holder = Lease::new("a".into(), start_at);
+    let mut holder = Lease::new("a".into(), LEASE, start_at);
     assert!(holder.must_read(start_at));
     holder.missing();
     let write = holder.due(start_at).unwrap();
@@ -138,7 +140,7 @@
     holder.written(start_at, Revision(1), write);
     assert!(holder.fence(start_at).is_some());
 
-    let mut other = Lease::new("b".into(), start_at);
+    let mut other = Lease::new("b".into(), LEASE, start_at);
     other.heard(start_at);
     let mut now = start_at;
     let taken = loop {
@@ -157,7 +159,7 @@
 #[test]
 fn close_window_survives_a_change_of_holder() {
     let now = Time(1_000_000);
-    let mut holder = Lease::new("a".into(), now);
+    let mut holder = Lease::new("a".into(), LEASE, now);
     holder.missing();
     let write = holder.due(now).unwrap();
     holder.written(now, Revision(1), write);
@@ -166,7 +168,7 @@
     let record = write.record.clone();
     holder.written(now, Revision(2), write);
 
-    let mut other = Lease::new("b".into(), now);
+    let mut other = Lease::new("b".into(), LEASE, now);
     other.seen(now, Revision(2), record);
     assert_eq!(other.closed().iter().map(|window| window.number).collect::<Vec<_>>(), [7]);
 }
--- a/gateway/tests/rollout.rs
+++ b/gateway/tests/rollout.rs
@@ -43,7 +43,7 @@
         state: None,
     };
     let at = |ms: u64| Time(ms * 1000);
-    let mut daemons: Vec<_> = (0..DAEMONS).map(|_| Rollouts::default()).collect();
+    let mut daemons: Vec<_> = (0..DAEMONS).map(|_| Rollouts::new(EXPOSURE_SHARE)).collect();
     for daemon in &mut daemons {
         daemon.seen(at(0), Revision(1), order.clone());
     }
@@ -155,7 +155,7 @@
 fn rule_reverted_version_gets_nothing_for_good() {
     let service: ServiceName = "s".parse().unwrap();
     let target: VersionName = "v2".parse().unwrap();
-    let mut rollouts = Rollouts::default();
+    let mut rollouts = Rollouts::new(EXPOSURE_SHARE);
     let record = MoveRecord {
         service: service.clone(),
         target: target.clone(),
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -50,14 +50,19 @@
     }
 }
 
-pub fn settings() -> Settings {
-    let text = "[daemon]\nname = one\ndata-centre = here\ncallers = 127.0.0.1:0\n\
+pub fn settings_text() -> &'static str {
+    "[daemon]\nname = one\ndata-centre = here\ncallers = 127.0.0.1:0\n\
         readiness = 127.0.0.1:0\npeers = 127.0.0.1:0\nfirst-start = true\n\
         [store]\naddress = 127.0.0.1:1\n[cloud]\naddress = 127.0.0.1:1\n\
         [bounds]\ngrace-seconds = 8\nretry-ratio = 0.2\nretry-allowance = 50\n\
         retry-window-seconds = 10\nquota-window-seconds = 8\nusage-window-seconds = 5\n\
-        quota-overshoot = 0.1\nquota-allowance = 1000\n";
-    Settings::read(&Source { file: "test.ini".into(), text: text.into() }).unwrap()
+        usage-delay-seconds = 10\ndrain-milliseconds = 2000\nlease-milliseconds = 3000\n\
+        canary-share = 0.1\n\
+        quota-overshoot = 0.1\nquota-allowance = 1000\n"
+}
+
+pub fn settings() -> Settings {
+    Settings::read(&Source { file: "test.ini".into(), text: settings_text().into() }).unwrap()
 }
 
 fn unavailable<T: 'static>() -> dogwoodturn_gateway::store::Reply<T> {
@@ -70,6 +75,7 @@
         watch: Box::new(|_, _: Revision, _| unavailable()),
         write: Box::new(|_| unavailable()),
         order: Box::new(|_, _| unavailable()),
+        redirect: Box::new(|_, _| {}),
         read_table: |_| Err(Unreadable("no tables in this test".into())),
     }
 }
