hubs: a few daemons watch the store and add up quotas for all

A daemon tells twelve others at a time, so the others' admissions were known up to two seconds late, and a hot customer's burst was over before.

Now a few daemons with wide links, chosen by no one, watch upstreams, moves and members and tell all others what changed and what all daemons together admitted. Whoever hears too few hubs in touch with the store steps in; systems of up to twelve daemons have none and work as before. A daemon that starts while the store turns it away fetches the objects from a hub or any peer.

--- a/gateway/src/acting.rs
+++ b/gateway/src/acting.rs
@@ -4,9 +4,10 @@
 
 use crate::{
     gateway::{Gateway, wall_clock},
+    objects::take,
     store::{CallError, Kind, Order, Record, UpstreamRecord, UsageWindow, Write},
     supply::Place,
-    sync::{counted, take},
+    sync::counted,
 };
 
 /// How long after its end a usage window is closed, besides the time in which every peer is heard.
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -127,6 +127,18 @@
         }
     }
 
+    /// Takes that the store answers others, and since when, if it was away.
+    pub fn store_reached(&mut self, back: Option<Time>) {
+        self.store_away = false;
+        self.store_back = self.store_back.max(back);
+    }
+
+    /// Returns how long ago the store came back, as long as that matters.
+    pub fn store_back(&self, now: Time) -> Option<Duration> {
+        let back = self.store_back.filter(|_| !self.store_away);
+        back.map(|back| now.since(back)).filter(|since| *since < self.drain)
+    }
+
     /// Forgets upstreams that vanished so long ago that nothing can return to them.
     pub fn forget_gone(&mut self, now: Time) -> Vec<UpstreamId> {
         let keep = |upstream: &Upstream| match upstream.presence {
--- a/gateway/src/forward/admission.rs
+++ b/gateway/src/forward/admission.rs
@@ -104,7 +104,7 @@
             true => quota.default_tokens,
             false => 1,
         };
-        let peers = state.mesh.admitted(now, &customer.name);
+        let peers = state.admitted_elsewhere(now, &customer.name);
         let admitted = state.quotas.admit(now, &customer.name, quota, units, &peers);
         charge = Some(admitted.map_err(|room_in| {
             OwnAnswer::over_quota(unsent(), room_in.min(waits / super::RETRY_SHARE))
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -18,12 +19,14 @@
 use crate::{
     dialect::Dialect,
     directory::Directory,
+    hubs::{self, HubMessage, Hubs, Told},
     lease::Lease,
     mesh::{Mesh, Message, ToldWork, WorkMessage},
     metrics::Metrics,
     placement::{Choice, Need, Placement},
     pool::Pool,
-    quota::Quotas,
+    quota::{self, Quotas},
+    relay::Views,
     retry::RetryBudgets,
     rollout::Rollouts,
     settings::{Bounds, Settings},
@@ -69,6 +72,10 @@
     pub usage: Usage,
     /// The other daemons.
     pub mesh: Mesh,
+    /// The daemons that watch the store for others.
+    pub hubs: Hubs,
+    /// The objects that daemons pass on.
+    pub views: Views,
     /// The lease of the daemon that acts for all.
     pub lease: Lease,
     /// When the peers' work was last taken into account.
@@ -83,6 +90,7 @@
     /// Puts changed bounds in force; what was counted under the old ones stays.
     fn set_bounds(&mut self, bounds: &Bounds) {
         self.directory.set_drain(bounds.drain);
+        self.hubs.set_drain(bounds.drain);
         self.quotas.set_tolerance(bounds.quotas);
         self.retries.set_bounds(bounds.retries);
         self.rollouts.set_exposure(bounds.canary_share);
@@ -121,7 +129,7 @@
     }
 
     /// Takes a peer's message.
-    pub fn take_message(&mut self, now: Time, from: std::net::SocketAddr, message: Message) {
+    pub fn take_message(&mut self, now: Time, from: SocketAddr, message: Message) {
         for (digest, count) in &message.crashes {
             let peer = message.daemon.as_str();
             self.suspects.peer_counted(now, peer, Digest(*digest), *count);
@@ -140,6 +148,56 @@
         self.mesh.heard(now, wall_clock(), from, message);
     }
 
+    /// Takes a hub's message; false if something has to be fetched from it.
+    pub fn take_hub_message(&mut self, now: Time, from: SocketAddr, message: &HubMessage) {
+        if self.hubs.heard(now, from, message) && self.hubs.has_others(now) {
+            let back = self.hubs.store_back(now).map(|since| now.ago(since));
+            self.directory.store_reached(back);
+        }
+    }
+
+    /// Decides whether this daemon watches the store for others.
+    pub fn decide_hub(&mut self, now: Time) -> bool {
+        let (daemons, acts) = (self.mesh.size(), self.lease.fence(now).is_some());
+        let was_hub = self.hubs.is_hub();
+        // How many daemons there are is known only once they were listed.
+        let is_hub = self.has_members && self.hubs.decide(now, daemons, acts);
+        if is_hub != was_hub {
+            log::info!(event = "hub", is_hub, daemons, acts; "");
+        }
+        is_hub
+    }
+
+    /// Returns what all other daemons admitted a customer, as far as it is known here.
+    pub fn admitted_elsewhere(&self, now: Time, customer: &CustomerName) -> quota::Peers {
+        let mut peers = self.mesh.admitted(now, customer);
+        if let Some((total, age)) = self.hubs.admitted(now, customer) {
+            peers.take_total(total, age, &self.quotas.history(now, customer));
+        }
+        peers
+    }
+
+    /// Returns what a hub tells the others.
+    fn told_by_hub(&mut self, now: Time) -> Told {
+        let customers: Vec<_> = self.table.as_ref().map_or_else(Vec::new, |table| {
+            table.customers.values().filter(|c| c.quota.is_some()).map(|c| c.name.clone()).collect()
+        });
+        let admitted = customers.into_iter().filter_map(|name| {
+            let mut sum = self.mesh.admitted(now, &name);
+            sum.add(&self.quotas.history(now, &name), Duration::ZERO);
+            let is_used = sum.history.iter().any(|units| *units > 0);
+            is_used.then_some((name, sum.history))
+        });
+        Told {
+            daemons: self.mesh.size(),
+            acts: self.lease.fence(now).is_some(),
+            hears: self.mesh.heard_count(now),
+            store_back: self.directory.store_back(now),
+            admitted: admitted.collect(),
+            excerpts: self.views.recent(now),
+        }
+    }
+
     /// Forgets an upstream that is gone or starts anew.
     pub fn forget_upstream(&mut self, upstream: &UpstreamId) {
         self.placement.forget(upstream);
@@ -169,6 +227,10 @@
     /// While shutting down: until when any request is taken, and when the process ends.
     ends: Cell<Option<(Time, Time)>>,
     settings: RefCell<Rc<Settings>>,
+    /// Whether the store told something that hubs have not passed on.
+    pub has_news: Cell<bool>,
+    /// Whether something was missed of what a hub told.
+    pub is_behind: Cell<bool>,
     in_flight: Cell<u32>,
     /// Bytes of callers' bodies that are held or will be.
     bodies: Cell<u64>,
@@ -193,6 +255,8 @@
             supply: Supply::default(),
             usage: Usage::new(bounds.usage_window),
             mesh: Mesh::new(settings.name.clone()),
+            hubs: Hubs::new(settings.name.clone(), settings.link, bounds.drain),
+            views: Views::default(),
             lease: Lease::new(run.into(), bounds.lease, now),
             peers_seen: now,
             has_upstreams: false,
@@ -210,6 +274,8 @@
             reported: RefCell::default(),
             recording: RefCell::default(),
             ends: Cell::new(None),
+            has_news: Cell::new(false),
+            is_behind: Cell::new(false),
             in_flight: Cell::new(0),
             bodies: Cell::new(0),
             messages: Cell::new(0),
@@ -345,6 +411,17 @@
         }
     }
 
+    /// Returns what this daemon tells all others if it is a hub in touch with the store.
+    pub fn hub_message(&self) -> Option<HubMessage> {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        if !state.hubs.is_hub() || state.mesh.size() <= hubs::MAX_WITHOUT {
+            return None;
+        }
+        let told = state.told_by_hub(now);
+        state.hubs.message(now, self.incarnation, told)
+    }
+
     /// Says whether any daemon has work at upstreams of a service other than a version's.
     pub fn is_idle_besides(
         &self,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,20 +6,24 @@
 //! [`links`] and `acting` move bytes and call them. `docs/design/platform.md` explains the parts.
 
 mod acting;
+mod catch_up;
 pub mod dialect;
 pub mod directory;
 pub mod explain;
 pub mod forward;
 pub mod gateway;
 pub mod http;
+pub mod hubs;
 pub mod lease;
 pub mod links;
 pub mod logs;
 pub mod mesh;
 pub mod metrics;
+mod objects;
 pub mod placement;
 pub mod pool;
 pub mod quota;
+pub mod relay;
 pub mod request;
 pub mod retry;
 pub mod rollout;
@@ -32,4 +36,5 @@
 pub mod suspect;
 pub mod sync;
 pub mod table;
+mod upkeep;
 pub mod usage;
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -1,14 +1,19 @@
 //! Datagrams between daemons, and the internal calls that carry what is too long for one.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use dogwoodturn::units::Time;
+use indexmap::IndexMap;
 use tokio::{net::UdpSocket, time::interval};
 
 use crate::{
     gateway::Gateway,
     http::{connection::Connection, head::RequestHead},
+    hubs::HubMessage,
     mesh::{Datagram, MAX_TOLD, TELL_EVERY},
+    objects,
+    relay::Excerpt,
     serve::Short,
 };
 
@@ -16,12 +21,14 @@
 const TELL_WORK_EVERY: Duration = Duration::from_millis(50);
 /// The longest datagram.
 const MAX_DATAGRAM: usize = 60 * 1024;
-/// How long fetching a table from a peer may take.
+/// How long fetching something from a peer may take.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
-/// The longest table document.
-const MAX_TABLE: usize = 4 << 20;
+/// The longest document that is fetched.
+const MAX_FETCHED: usize = 8 << 20;
 /// The path of the table in force.
 const TABLE_PATH: &[u8] = b"/table";
+/// The path of the store's objects as this daemon knows them.
+const OBJECTS_PATH: &[u8] = b"/objects";
 /// The path of the metrics.
 const METRICS_PATH: &[u8] = b"/metrics";
 
@@ -33,6 +40,16 @@
             Some(table) => Short { status: 200, body: table.document.clone() },
             None => Short { status: 404, body: Bytes::new() },
         },
+        OBJECTS_PATH => {
+            let mut bytes = Vec::new();
+            match ciborium::into_writer(&cx.state.borrow().views.whole(), &mut bytes) {
+                Ok(()) => Short { status: 200, body: bytes.into() },
+                Err(error) => {
+                    log::error!(event = "objects-not-encoded", error:%; "");
+                    Short { status: 500, body: Bytes::new() }
+                }
+            }
+        }
         _ => Short { status: 404, body: Bytes::new() },
     }
 }
@@ -42,14 +59,25 @@
     let mut ticks = interval(TELL_WORK_EVERY);
     let works_per_state = (TELL_EVERY.as_millis() / TELL_WORK_EVERY.as_millis()) as u64;
     let (mut turn, mut count, mut told) = (0, 0_u64, Vec::new());
+    let mut to_hubs = Turns::default();
+    let mut told_as_hub = Time::default();
     loop {
         ticks.tick().await;
         count += 1;
+        let now = cx.now();
         let peers = cx.state.borrow().mesh.addresses();
         if peers.is_empty() {
             continue;
         }
+        tell_as_hub(&cx, &socket, &peers, &mut told_as_hub).await;
+        let in_turn = |step| peers[(turn + step) % peers.len()];
+        let mut receivers: Vec<_> = (0..peers.len().min(MAX_TOLD)).map(in_turn).collect();
         let datagram = if count.is_multiple_of(works_per_state) {
+            for hub in to_hubs.due(now, &cx.state.borrow().hubs.listeners(now)) {
+                if !receivers.contains(&hub) {
+                    receivers.push(hub);
+                }
+            }
             Datagram::State(Box::new(cx.message()))
         } else {
             let message = cx.work_message();
@@ -59,18 +87,60 @@
             told.clone_from(&message.work);
             Datagram::Work(message)
         };
-        let mut bytes = Vec::with_capacity(2048);
-        if let Err(error) = ciborium::into_writer(&datagram, &mut bytes) {
-            log::error!(event = "message-not-encoded", error:%; "");
-            continue;
-        }
-        for step in 0..peers.len().min(MAX_TOLD) {
-            let peer = peers[(turn + step) % peers.len()];
-            if let Err(error) = socket.send_to(&bytes, peer).await {
-                log::debug!(event = "message-not-sent", peer:%, error:%; "");
+        send(&socket, &datagram, &receivers).await;
+        turn = (turn + MAX_TOLD) % peers.len();
+    }
+}
+
+/// When the hubs were told something last.
+#[derive(Debug, Default)]
+struct Turns(IndexMap<SocketAddr, Time>);
+
+impl Turns {
+    /// Returns the hubs that can take a message again, and takes that they get one.
+    fn due(&mut self, now: Time, hubs: &[(SocketAddr, Duration)]) -> Vec<SocketAddr> {
+        self.0.retain(|address, _| hubs.iter().any(|(hub, _)| hub == address));
+        // The ticks come a little late at times; a message must not wait for one more for that.
+        let is_due = |last: Time, every: Duration| now.since(last) + TELL_WORK_EVERY > every;
+        let mut due = Vec::new();
+        for (address, every) in hubs {
+            let last = self.0.entry(*address).or_default();
+            if is_due(*last, *every) {
+                *last = now;
+                due.push(*address);
             }
         }
-        turn = (turn + MAX_TOLD) % peers.len();
+        due
+    }
+}
+
+/// Tells all peers what a hub knows, when that is due or there is news.
+async fn tell_as_hub(cx: &Gateway, socket: &UdpSocket, peers: &[SocketAddr], last: &mut Time) {
+    let now = cx.now();
+    let every = {
+        let state = cx.state.borrow();
+        state.hubs.tells_every(state.mesh.size())
+    };
+    if now.since(*last) + TELL_WORK_EVERY <= every && !cx.has_news.get() {
+        return;
+    }
+    if let Some(message) = cx.hub_message() {
+        cx.has_news.set(false);
+        *last = now;
+        send(socket, &Datagram::Hub(Box::new(message)), peers).await;
+    }
+}
+
+async fn send(socket: &UdpSocket, datagram: &Datagram, receivers: &[SocketAddr]) {
+    let mut bytes = Vec::with_capacity(2048);
+    if let Err(error) = ciborium::into_writer(datagram, &mut bytes) {
+        log::error!(event = "message-not-encoded", error:%; "");
+        return;
+    }
+    for peer in receivers {
+        if let Err(error) = socket.send_to(&bytes, peer).await {
+            log::debug!(event = "message-not-sent", peer:%, error:%; "");
+        }
     }
 }
 
@@ -90,6 +160,7 @@
             Ok(Datagram::State(message)) => {
                 cx.state.borrow_mut().take_message(cx.now(), from, *message);
             }
+            Ok(Datagram::Hub(message)) => take_hub_message(&cx, from, *message),
             Ok(Datagram::Work(message)) => {
                 cx.state.borrow_mut().mesh.heard_work(cx.now(), message);
             }
@@ -101,16 +172,37 @@
     }
 }
 
+fn take_hub_message(cx: &Gateway, from: SocketAddr, mut message: HubMessage) {
+    cx.state.borrow_mut().take_hub_message(cx.now(), from, &message);
+    for excerpt in std::mem::take(&mut message.excerpts) {
+        if !objects::take_excerpt(cx, excerpt) {
+            cx.is_behind.set(true);
+        }
+    }
+}
+
 /// Fetches the table in force at a peer.
-pub async fn fetch_table(peer: SocketAddr) -> std::io::Result<Bytes> {
+pub async fn fetch_table(peer: SocketAddr) -> io::Result<Bytes> {
+    fetch(peer, TABLE_PATH).await
+}
+
+/// Fetches the store's objects as a peer knows them.
+pub async fn fetch_objects(peer: SocketAddr) -> io::Result<Vec<Excerpt>> {
+    let bytes = fetch(peer, OBJECTS_PATH).await?;
+    ciborium::from_reader(&bytes[..]).map_err(io::Error::other)
+}
+
+async fn fetch(peer: SocketAddr, path: &[u8]) -> io::Result<Bytes> {
     let fetch = async {
         let mut connection = Connection::open(peer, FETCH_TIMEOUT).await?;
-        connection.write(b"GET /table HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n\r\n").await?;
+        let request =
+            [b"GET ", path, b" HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n\r\n"].concat();
+        connection.write(&request).await?;
         let head = connection.read_head(false).await?;
         if head.status != 200 {
-            return Err(std::io::Error::other(format!("the peer answered {}", head.status)));
+            return Err(io::Error::other(format!("the peer answered {}", head.status)));
         }
-        connection.read_whole(&head, MAX_TABLE).await
+        connection.read_whole(&head, MAX_FETCHED).await
     };
     Ok(tokio::time::timeout(FETCH_TIMEOUT, fetch).await??.freeze())
 }
--- a/gateway/src/mesh.rs
+++ b/gateway/src/mesh.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    hubs::HubMessage,
     placement::{PeerView, Work},
     quota,
     rollout::Tally,
@@ -39,6 +40,8 @@
 pub enum Datagram {
     /// A daemon's whole state.
     State(Box<Message>),
+    /// What a hub tells all others.
+    Hub(Box<HubMessage>),
     /// A daemon's work alone, which changes faster than the rest.
     Work(WorkMessage),
 }
@@ -104,18 +107,21 @@
 #[derive(Clone, Debug)]
 pub struct Mesh {
     me: DaemonId,
+    /// Where the store lists this daemon.
+    own_address: Option<SocketAddr>,
     peers: IndexMap<DaemonId, Peer>,
 }
 
 impl Mesh {
     /// Makes the view of a daemon that knows nobody.
     pub fn new(me: DaemonId) -> Self {
-        Self { me, peers: IndexMap::new() }
+        Self { me, own_address: None, peers: IndexMap::new() }
     }
 
     /// Takes a daemon that the store lists.
     pub fn listed(&mut self, now: Time, member: MemberRecord) {
         if member.daemon == self.me {
+            self.own_address = Some(member.address);
             return;
         }
         let peer = Peer {
@@ -129,6 +135,17 @@
         self.peers.entry(member.daemon).or_insert(peer).address = member.address;
     }
 
+    /// Returns where the store lists this daemon.
+    pub fn own_address(&self) -> Option<SocketAddr> {
+        self.own_address
+    }
+
+    /// Takes that the store lists only these daemons; one that was heard lately may be so new that
+    /// the list does not have it.
+    pub fn retain_listed(&mut self, is_listed: impl Fn(&str) -> bool) {
+        self.peers.retain(|daemon, peer| is_listed(daemon.as_str()) || peer.heard.is_some());
+    }
+
     /// Takes that the store no longer lists a daemon.
     pub fn unlisted(&mut self, name: &str) {
         self.peers.retain(|daemon, _| daemon.as_str() != name);
@@ -197,6 +214,11 @@
         WallTime(wall.0.saturating_add_signed(ahead[ahead.len() / 2]))
     }
 
+    /// Returns the number of peers that are heard.
+    pub fn heard_count(&self, now: Time) -> u32 {
+        self.peers.values().filter(|peer| self.is_heard(peer, now)).count() as u32
+    }
+
     /// Returns the number of daemons that are known, this one included.
     pub fn size(&self) -> u32 {
         self.peers.len() as u32 + 1
--- /dev/null
+++ b/gateway/src/objects.rs
@@ -0,0 +1,126 @@
+//! Takes the objects of the store, from it or from a hub, into what decisions are made from.
+
+use dogwoodturn::ids::UpstreamId;
+
+use crate::{
+    gateway::Gateway,
+    relay::Taken,
+    store::{Change, Changes, Entry, Kind, Listing, Record},
+};
+
+/// Takes all objects of a kind.
+pub(crate) fn take_listing(cx: &Gateway, kind: Kind, listing: Listing) {
+    if !cx.state.borrow_mut().views.listed(kind, &listing) {
+        return;
+    }
+    let now = cx.now();
+    {
+        let mut state = cx.state.borrow_mut();
+        let has = |name: &str| listing.entries.iter().any(|entry| &*entry.name == name);
+        match kind {
+            Kind::Upstreams => {
+                let listed: Vec<UpstreamId> =
+                    listing.entries.iter().filter_map(|entry| entry.name.parse().ok()).collect();
+                state.directory.retain_listed(now, &listed);
+                state.has_upstreams = true;
+            }
+            Kind::Members => {
+                state.mesh.retain_listed(has);
+                state.has_members = true;
+            }
+            Kind::Moves => state.rollouts.retain_listed(has),
+            Kind::Declarations | Kind::Leases => {}
+        }
+    }
+    for entry in listing.entries {
+        take(cx, entry);
+    }
+}
+
+/// Takes what changed of a kind.
+pub(crate) fn take_changes(cx: &Gateway, kind: Kind, changes: Changes) {
+    if !cx.state.borrow_mut().views.changed(cx.now(), kind, &changes) {
+        return;
+    }
+    if !changes.changes.is_empty() {
+        cx.has_news.set(true);
+    }
+    for change in changes.changes {
+        match change {
+            Change::Set(entry) => take(cx, entry),
+            Change::Removed(name) => removed(cx, kind, &name),
+        }
+    }
+}
+
+/// Takes what another daemon passes on; false if more has to be fetched.
+pub(crate) fn take_excerpt(cx: &Gateway, excerpt: crate::relay::Excerpt) -> bool {
+    let kind = excerpt.kind;
+    let taken = cx.state.borrow().views.compare(excerpt);
+    match taken {
+        Taken::Known => true,
+        Taken::Behind => false,
+        Taken::Listing(listing) => {
+            take_listing(cx, kind, listing);
+            true
+        }
+        Taken::Changes(changes) => {
+            take_changes(cx, kind, changes);
+            true
+        }
+    }
+}
+
+/// Takes an object as the store has it.
+pub(crate) fn take(cx: &Gateway, entry: Entry) {
+    let now = cx.now();
+    let mut state = cx.state.borrow_mut();
+    match entry.record {
+        Ok(Record::Table(table)) => {
+            let version = table.version;
+            if state.take_table(*table) {
+                log::info!(event = "table", version, source = "store"; "");
+            }
+        }
+        Ok(Record::Upstream(record)) => {
+            let (id, draining) = (record.id.clone(), record.draining);
+            let was_draining = state.directory.get(&id).is_some_and(|known| known.record.draining);
+            if state.directory.set(record) {
+                log::info!(event = "upstream", upstream:% = id, draining; "");
+                state.forget_upstream(&id);
+                cx.pool.borrow_mut().forget(&id);
+            } else if draining && !was_draining {
+                log::info!(event = "upstream-leaving", upstream:% = id; "");
+            }
+        }
+        Ok(Record::Move(record)) => {
+            log::info!(event = "move", service:% = record.service, target:% = record.target, state:? = record.state; "");
+            state.rollouts.seen(now, entry.revision, record);
+        }
+        Ok(Record::Member(record)) => state.mesh.listed(now, record),
+        Ok(Record::Lease(record)) => {
+            state.usage.kept(&cx.run(), &record.counted);
+            state.lease.seen(now, entry.revision, record);
+        }
+        Err(error) => {
+            cx.metrics.unreadable.inc();
+            log::warn!(event = "unreadable-object", name = &*entry.name, error:%; "");
+        }
+    }
+}
+
+fn removed(cx: &Gateway, kind: Kind, name: &str) {
+    let now = cx.now();
+    let mut state = cx.state.borrow_mut();
+    match kind {
+        Kind::Upstreams => {
+            log::info!(event = "upstream-gone", upstream = name; "");
+            state.directory.vanished(now, name);
+        }
+        Kind::Moves => state.rollouts.removed(name),
+        Kind::Members => state.mesh.unlisted(name),
+        Kind::Declarations | Kind::Leases => {
+            log::warn!(event = "object-removed", kind:? = kind, name; "");
+        }
+    }
+}
--- a/gateway/src/quota.rs
+++ b/gateway/src/quota.rs
@@ -63,6 +63,23 @@
     }
 }
 
+impl Peers {
+    /// Takes what all daemons admitted together, `age` ago, if that is more than what is known of
+    /// the single ones; `own` is what was admitted here. What was admitted here in the newest
+    /// interval is not taken off, since it may not be in the total yet.
+    pub fn take_total(&mut self, total: &[u64], age: Duration, own: &[u64]) {
+        let mut others = Self::default();
+        others.add(total, age);
+        for (units, own) in others.history.iter_mut().zip(own).skip(1) {
+            *units = units.saturating_sub(*own);
+        }
+        let sum = |history: &[u64]| history.iter().sum::<u64>();
+        if sum(&others.history) > sum(&self.history) {
+            self.history = others.history;
+        }
+    }
+}
+
 /// The units that one request used, to be given back if it did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Charge {
--- /dev/null
+++ b/gateway/src/relay.rs
@@ -0,0 +1,226 @@
+//! Objects of the store as daemons pass them on, so that only a few of them have to watch it.
+//!
+//! Load pattern: with a hundred daemons, each change of an upstream would wake a hundred watches,
+//! and each of these is a call that the store counts. A daemon that watches tells all others the
+//! latest changes, several times over, so that a lost datagram does no harm; one that missed more
+//! fetches the whole view. Revisions order everything: a view never goes back.
+
+use std::{collections::VecDeque, time::Duration};
+
+use dogwoodturn::{ids::Revision, units::Time};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::store::{
+    Change, Changes, Entry, Kind, Listing, MemberRecord, MoveRecord, Record, UpstreamRecord,
+};
+
+/// How long a change is told; a few datagrams in a row may be lost.
+const TOLD_FOR: Duration = Duration::from_millis(1500);
+/// The most changes that one excerpt carries, so that it fits a datagram.
+const MAX_TOLD_ITEMS: usize = 60;
+
+/// The content of an object that is passed on. Every daemon follows declarations itself, since they
+/// are long and change seldom, and the lease is read only by those who may take it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Relayed {
+    /// See [`Kind::Upstreams`].
+    Upstream(UpstreamRecord),
+    /// See [`Kind::Moves`].
+    Move(MoveRecord),
+    /// See [`Kind::Members`].
+    Member(MemberRecord),
+}
+
+impl Relayed {
+    fn of(record: &Record) -> Option<Self> {
+        match record {
+            Record::Upstream(record) => Some(Self::Upstream(record.clone())),
+            Record::Move(record) => Some(Self::Move(record.clone())),
+            Record::Member(record) => Some(Self::Member(record.clone())),
+            Record::Table(_) | Record::Lease(_) => None,
+        }
+    }
+}
+
+impl From<Relayed> for Record {
+    fn from(relayed: Relayed) -> Self {
+        match relayed {
+            Relayed::Upstream(record) => Self::Upstream(record),
+            Relayed::Move(record) => Self::Move(record),
+            Relayed::Member(record) => Self::Member(record),
+        }
+    }
+}
+
+/// One object, or that there is none of that name.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Item {
+    /// Its name within its kind.
+    pub name: Box<str>,
+    /// The revision of its last change, and what it holds; `None` if it is gone.
+    pub object: Option<(Revision, Relayed)>,
+}
+
+/// What changed of one kind between two revisions.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Excerpt {
+    /// The kind.
+    pub kind: Kind,
+    /// The revision after which all changes are in `items`; `None` if these are all objects.
+    pub since: Option<Revision>,
+    /// The revision up to which the kind is known.
+    pub at: Revision,
+    /// The objects that changed, each as it is at `at`.
+    pub items: Vec<Item>,
+}
+
+/// What an excerpt means to one who has a view of its own.
+#[derive(Debug)]
+pub enum Taken {
+    /// Everything is known.
+    Known,
+    /// Changes before the excerpt were missed; the whole view has to be fetched.
+    Behind,
+    /// All objects.
+    Listing(Listing),
+    /// What changed.
+    Changes(Changes),
+}
+
+/// The objects of one kind as one daemon knows them.
+#[derive(Clone, Debug, Default)]
+struct View {
+    at: Option<Revision>,
+    objects: IndexMap<Box<str>, (Revision, Relayed)>,
+    /// The names that changed lately, with the revision up to which they were told.
+    recent: VecDeque<(Time, Revision, Box<str>)>,
+    /// The revision after which all changes are in `recent`.
+    since: Revision,
+}
+
+impl View {
+    fn set(&mut self, entry: &Entry) {
+        // An object that cannot be read says nothing; what was known of it before holds.
+        let Ok(record) = &entry.record else { return };
+        if let Some(relayed) = Relayed::of(record) {
+            self.objects.insert(entry.name.clone(), (entry.revision, relayed));
+        }
+    }
+
+    fn prune(&mut self, now: Time) {
+        while let Some((told, at, _)) = self.recent.front()
+            && (now.since(*told) > TOLD_FOR || self.recent.len() > MAX_TOLD_ITEMS)
+        {
+            self.since = self.since.max(*at);
+            self.recent.pop_front();
+        }
+    }
+
+    fn item(&self, name: &str) -> Item {
+        Item { name: name.into(), object: self.objects.get(name).cloned() }
+    }
+}
+
+/// The views of all kinds that are passed on.
+#[derive(Clone, Debug, Default)]
+pub struct Views(IndexMap<Kind, View>);
+
+impl Views {
+    /// Returns the revision up to which a kind is known.
+    pub fn at(&self, kind: Kind) -> Option<Revision> {
+        self.0.get(&kind).and_then(|view| view.at)
+    }
+
+    /// Takes all objects of a kind; false if more was known already.
+    pub fn listed(&mut self, kind: Kind, listing: &Listing) -> bool {
+        let view = self.0.entry(kind).or_default();
+        if view.at.is_some_and(|at| at > listing.at) {
+            return false;
+        }
+        view.objects.retain(|name, _| listing.entries.iter().any(|entry| entry.name == *name));
+        for entry in &listing.entries {
+            view.set(entry);
+        }
+        view.at = Some(listing.at);
+        view.since = listing.at;
+        view.recent.clear();
+        true
+    }
+
+    /// Takes what changed of a kind; false if it was known already.
+    pub fn changed(&mut self, now: Time, kind: Kind, changes: &Changes) -> bool {
+        let view = self.0.entry(kind).or_default();
+        if view.at.is_none_or(|at| at >= changes.at) {
+            return false;
+        }
+        for change in &changes.changes {
+            let name = match change {
+                Change::Set(entry) => {
+                    view.set(entry);
+                    &entry.name
+                }
+                Change::Removed(name) => {
+                    view.objects.shift_remove(name);
+                    name
+                }
+            };
+            view.recent.retain(|(_, _, told)| told != name);
+            view.recent.push_back((now, changes.at, name.clone()));
+        }
+        view.at = Some(changes.at);
+        true
+    }
+
+    /// Returns what changed lately, for all daemons.
+    pub fn recent(&mut self, now: Time) -> Vec<Excerpt> {
+        let excerpt = |(kind, view): (&Kind, &mut View)| {
+            if matches!(kind, Kind::Declarations | Kind::Leases) {
+                return None;
+            }
+            view.prune(now);
+            let items = view.recent.iter().map(|(_, _, name)| view.item(name)).collect();
+            Some(Excerpt { kind: *kind, since: Some(view.since), at: view.at?, items })
+        };
+        self.0.iter_mut().filter_map(excerpt).collect()
+    }
+
+    /// Returns all objects of all kinds.
+    pub fn whole(&self) -> Vec<Excerpt> {
+        let excerpt = |(kind, view): (&Kind, &View)| {
+            if matches!(kind, Kind::Declarations | Kind::Leases) {
+                return None;
+            }
+            let items = view.objects.keys().map(|name| view.item(name)).collect();
+            Some(Excerpt { kind: *kind, since: None, at: view.at?, items })
+        };
+        self.0.iter().filter_map(excerpt).collect()
+    }
+
+    /// Says what an excerpt of another daemon adds to what is known here.
+    pub fn compare(&self, excerpt: Excerpt) -> Taken {
+        let Excerpt { kind, since, at, items } = excerpt;
+        let known = self.at(kind);
+        if known.is_some_and(|known| known >= at) {
+            return Taken::Known;
+        }
+        let entry = |name: Box<str>, (revision, relayed): (Revision, Relayed)| Entry {
+            name,
+            revision,
+            record: Ok(relayed.into()),
+        };
+        let Some(since) = since else {
+            let objects = items.into_iter().filter_map(|item| Some((item.name, item.object?)));
+            let entries = objects.map(|(name, object)| entry(name, object)).collect();
+            return Taken::Listing(Listing { entries, at });
+        };
+        if known.is_none_or(|known| known < since) {
+            return Taken::Behind;
+        }
+        let change = |item: Item| match item.object {
+            Some(object) => Change::Set(entry(item.name, object)),
+            None => Change::Removed(item.name),
+        };
+        Taken::Changes(Changes { changes: items.into_iter().map(change).collect(), at })
+    }
+}
--- a/gateway/src/rollout.rs
+++ b/gateway/src/rollout.rs
@@ -178,6 +178,11 @@
         }
     }
 
+    /// Takes that only these orders are listed.
+    pub fn retain_listed(&mut self, is_listed: impl Fn(&str) -> bool) {
+        self.moves.retain(|name, _| is_listed(name.as_str()));
+    }
+
     /// Takes that an order is gone.
     pub fn removed(&mut self, service: &str) {
         self.moves.retain(|name, _| name.as_str() != service);
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -10,7 +10,7 @@
 use crate::{quota, retry};
 
 /// The sections of the file.
-const SECTIONS: [&str; 4] = ["daemon", "store", "cloud", "bounds"];
+const SECTIONS: [&str; 5] = ["daemon", "store", "cloud", "limits", "bounds"];
 
 /// All settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +35,8 @@
     pub reports_usage: bool,
     /// Whether this system orders hosts.
     pub orders_hosts: bool,
+    /// The host's link in megabits a second.
+    pub link: f64,
     /// What the operators promise or demand.
     pub bounds: Bounds,
 }
@@ -116,8 +118,8 @@
     }
 }
 
-fn read_sections(sections: &[Section; 4], faults: &mut Vec<Fault>) -> Option<Settings> {
-    let [daemon, store, cloud, bounds] = sections;
+fn read_sections(sections: &[Section; 5], faults: &mut Vec<Fault>) -> Option<Settings> {
+    let [daemon, store, cloud, limits, bounds] = sections;
     let mut fields = Fields::new(daemon, faults);
     let name = fields.required("name");
     let data_centre = fields.required("data-centre");
@@ -138,6 +140,10 @@
     let has_duty = |duty: &str| duties.split(',').any(|part| part.trim() == duty);
     let (reports_usage, orders_hosts) = (has_duty("usage"), has_duty("hosts"));
 
+    let mut fields = Fields::new(limits, faults);
+    let link = not_negative(&mut fields, "link-megabits");
+    fields.finish();
+
     let bounds = read_bounds(bounds, faults);
     Some(Settings {
         name: name?,
@@ -150,6 +156,7 @@
         cloud: cloud?,
         reports_usage,
         orders_hosts,
+        link: link?,
         bounds: bounds?,
     })
 }
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -11,12 +11,13 @@
 };
 use futures_util::future::LocalBoxFuture;
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::table::Table;
 
 /// A group of objects that is listed and watched as one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Kind {
     /// The configuration that operators write.
     Declarations,
@@ -31,7 +32,7 @@
 }
 
 /// One upstream as it registered itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct UpstreamRecord {
     /// The upstream's id; a new start mostly has a new one.
     pub id: UpstreamId,
@@ -56,7 +57,7 @@
 }
 
 /// A move of a service's traffic to a version.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MoveRecord {
     /// The service.
     pub service: ServiceName,
@@ -69,7 +70,7 @@
 }
 
 /// How far a move is, as recorded for the operator.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MoveState {
     /// Traffic is being moved.
     InProgress,
@@ -80,7 +81,7 @@
 }
 
 /// A daemon of this system.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MemberRecord {
     /// The daemon.
     pub daemon: DaemonId,
--- /dev/null
+++ b/gateway/src/upkeep.rs
@@ -0,0 +1,51 @@
+//! Looks now and then at all that depends on time.
+
+use std::{rc::Rc, time::Duration};
+
+use tokio::time::interval;
+
+use crate::{
+    acting,
+    gateway::{Gateway, State},
+};
+
+/// How often decisions that depend on time are looked at.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Looks at what depends on time.
+pub async fn keep_up(cx: Rc<Gateway>) {
+    let mut ticks = interval(TICK);
+    loop {
+        ticks.tick().await;
+        let now = cx.now();
+        let gone = {
+            let mut state = cx.state.borrow_mut();
+            let rank = state.mesh.rank(now);
+            let heard_for = state.mesh.heard_for();
+            state.lease.set_line(rank, heard_for);
+            state.decide_hub(now);
+            inherit_quotas(&mut state);
+            state.directory.forget_gone(now)
+        };
+        {
+            let mut pool = cx.pool.borrow_mut();
+            pool.sweep(now);
+            for upstream in &gone {
+                pool.forget(upstream);
+                cx.state.borrow_mut().forget_upstream(upstream);
+            }
+        }
+        acting::act(&cx);
+    }
+}
+
+/// Takes the parts of the customers' bursts as used that an earlier run of this daemon had.
+fn inherit_quotas(state: &mut State) {
+    let Some(table) = state.table_in_force().cloned() else { return };
+    let daemons = state.mesh.size();
+    for customer in table.customers.values() {
+        if let Some(quota) = customer.quota {
+            state.quotas.inherit(&customer.name, quota, daemons);
+        }
+    }
+}
--- a/lib/src/units.rs
+++ b/lib/src/units.rs
@@ -19,6 +19,12 @@
     pub fn since(self, earlier: Time) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// Returns the time that was this long ago, or the beginning if the clock has not run so long.
+    #[must_use]
+    pub fn ago(self, passed: Duration) -> Time {
+        Time(self.0.saturating_sub(passed.as_micros() as u64))
+    }
 }
 
 impl Add<Duration> for Time {
