forward: an answer to HEAD keeps its length, and one without content has none

Cause: the length was written from the body that was read, which is empty for HEAD, and HEAD on a route of streams got a last chunk after its head: bytes that are no answer. A 204 was given a length.

The headers of one connection now stand once, in dogwoodturn::hop, for the daemon and the gateway.

--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -49,13 +49,26 @@
     stream: WriteHalf<'a>,
     /// Whether the connection may carry another request.
     pub keep_alive: bool,
+    /// Whether the caller asked for the head alone.
+    is_head_only: bool,
     has_head: bool,
 }
 
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Extent {
+    /// By its length.
+    Length(usize),
+    /// By a last chunk.
+    Chunks,
+    /// There is no body; a length, if there is one, is that of the body that was not sent.
+    None,
+}
+
 impl<'a> Out<'a> {
     /// Begins an answer on a caller's connection.
-    pub fn new(stream: WriteHalf<'a>, keep_alive: bool) -> Self {
-        Self { stream, keep_alive, has_head: false }
+    pub fn new(stream: WriteHalf<'a>, keep_alive: bool, is_head_only: bool) -> Self {
+        Self { stream, keep_alive, is_head_only, has_head: false }
     }
 
     async fn write(&mut self, bytes: &[u8], left: Duration) -> bool {
@@ -72,15 +85,22 @@
         if is_written { Ending::Answered } else { Ending::Cut }
     }
 
-    fn head(&mut self, head: &ResponseHead, length: Option<usize>) -> BytesMut {
+    fn head(&mut self, head: &ResponseHead, extent: Extent) -> BytesMut {
         let mut out = BytesMut::with_capacity(512);
         out.put_slice(format!("HTTP/1.1 {} {}\r\n", head.status, phrase(head.status)).as_bytes());
         for (name, value) in head.headers.end_to_end() {
             put_header(&mut out, name, value);
         }
-        match length {
-            Some(length) => put_header(&mut out, b"Content-Length", length.to_string().as_bytes()),
-            None => put_header(&mut out, b"Transfer-Encoding", b"chunked"),
+        match extent {
+            Extent::Length(length) => {
+                put_header(&mut out, b"Content-Length", length.to_string().as_bytes());
+            }
+            Extent::Chunks => put_header(&mut out, b"Transfer-Encoding", b"chunked"),
+            Extent::None => {
+                if let Some(length) = head.headers.get("content-length") {
+                    put_header(&mut out, b"Content-Length", length);
+                }
+            }
         }
         if !self.keep_alive {
             put_header(&mut out, b"Connection", b"close");
@@ -92,7 +112,9 @@
 
     /// Writes a whole answer of an upstream.
     async fn whole(&mut self, head: &ResponseHead, body: &[u8], left: Duration) -> Ending {
-        let mut out = self.head(head, Some(body.len()));
+        let is_bodyless = self.is_head_only || matches!(head.status, 204 | 304);
+        let extent = if is_bodyless { Extent::None } else { Extent::Length(body.len()) };
+        let mut out = self.head(head, extent);
         out.put_slice(body);
         if self.write(&out, left).await { Ending::Answered } else { Ending::Cut }
     }
@@ -105,7 +127,7 @@
         is_last: bool,
         left: Duration,
     ) -> bool {
-        let mut out = if self.has_head { BytesMut::new() } else { self.head(head, None) };
+        let mut out = if self.has_head { BytesMut::new() } else { self.head(head, Extent::Chunks) };
         put_chunk(&mut out, data);
         if is_last {
             out.put_slice(LAST_CHUNK);
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -56,7 +56,8 @@
             attempt.judge(Verdict::Failed);
             return Relayed::Done(self.give_up(out, &OwnAnswer::lost("lost-resume-failed")).await);
         }
-        if (is_stream && is_success) || is_long {
+        let has_body = !self.req.is_head();
+        if has_body && ((is_stream && is_success) || is_long) {
             let pieces = Pieces::new(&head, is_stream);
             return self.relay_pieces(attempt, head, out, pieces).await;
         }
--- a/gateway/src/http/head.rs
+++ b/gateway/src/http/head.rs
@@ -3,23 +3,14 @@
 use std::ops::Range;
 
 use bytes::{Bytes, BytesMut};
+use dogwoodturn::hop::HOP_BY_HOP;
 use thiserror::Error;
 
 /// The most header lines of one head.
 const MAX_HEADERS: usize = 96;
 
-/// Headers that concern one connection only and are never forwarded.
-const HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-];
+/// Headers that the gateway answers or writes anew itself.
+const REFRAMED: [&str; 2] = ["content-length", "expect"];
 
 /// Says why bytes are no acceptable head.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
@@ -71,7 +62,7 @@
     }
 
     fn is_hop(&self, name: &[u8]) -> bool {
-        HOP_HEADERS.iter().any(|hop| name.eq_ignore_ascii_case(hop.as_bytes()))
+        HOP_BY_HOP.iter().chain(&REFRAMED).any(|hop| name.eq_ignore_ascii_case(hop.as_bytes()))
             || self.lists("connection", name)
     }
 
--- a/gateway/tests/forward.rs
+++ b/gateway/tests/forward.rs
@@ -26,6 +26,27 @@
     assert!(answer.contains("X-Sign: s1\r\n") && answer.ends_with("\r\n\r\nabc"), "{answer}");
 }
 
+#[actix_rt::test]
+async fn answer_to_head_keeps_its_length_and_has_no_body() {
+    let upstream =
+        Upstream::start(|_| write("HTTP/1.1 200 OK\r\nX-Id: {id}\r\nContent-Length: 1234\r\n\r\n"));
+    let world = World::start(&[&upstream]).await;
+    for path in ["/look/1", "/render/1", "/build/1"] {
+        let request = get(path, "a1").replacen("GET", "HEAD", 1);
+        let answer = world.exchange(&request).await;
+        assert!(answer.contains("Content-Length: 1234\r\n"), "{path}: {answer}");
+        assert!(answer.ends_with("\r\n\r\n") && !answer.contains("chunked"), "{path}: {answer}");
+    }
+}
+
+#[actix_rt::test]
+async fn answer_without_content_has_no_length() {
+    let upstream = Upstream::start(|_| write("HTTP/1.1 204 No Content\r\nX-Id: {id}\r\n\r\n"));
+    let answer = World::start(&[&upstream]).await.exchange(&get("/look/1", "a1")).await;
+    assert!(answer.starts_with("HTTP/1.1 204 "), "{answer}");
+    assert!(!answer.contains("Content-Length"), "{answer}");
+}
+
 #[actix_rt::test]
 async fn request_headers_are_set_and_stripped() {
     let upstream = Upstream::start(|_| write(ok("x")));
--- a/lib/src/edge/caller.rs
+++ b/lib/src/edge/caller.rs
@@ -17,6 +17,7 @@
         adapter::{Adapter, Flow, Part},
         problem::Problem,
     },
+    hop::HOP_BY_HOP,
     ids::RequestId,
     node::traffic::{Arrival, Event, Resumption},
     request::{
@@ -38,15 +39,8 @@
 /// The path below which the answers of earlier requests are.
 const REQUESTS: &str = "/requests/";
 
-/// Headers that belong to one connection or hop and are not passed on (RFC 9110, section 7.6.1).
-const HOP_HEADERS: [&str; 14] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
+/// Headers besides [`HOP_BY_HOP`] that are not passed on, since the daemon answers them or sets them anew.
+const REPLACED: [&str; 7] = [
     "content-length",
     "host",
     "authorization",
@@ -286,7 +280,7 @@
 
 /// Returns the headers that are passed on.
 pub fn passed_on(headers: &HeaderMap) -> Vec<Header> {
-    let is_passed = |name: &str| !HOP_HEADERS.contains(&name);
+    let is_passed = |name: &str| !HOP_BY_HOP.contains(&name) && !REPLACED.contains(&name);
     headers
         .iter()
         .filter(|(name, _)| is_passed(name.as_str()))
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod claim;
 pub mod declaration;
 pub mod edge;
+pub mod hop;
 pub mod ids;
 pub mod ini;
 pub mod limit;
