supply: hosts of the start are given up once what stays is enough

Cause: no number was lowered for 8 s after any number was raised.

A raise now holds its own place, or the level if that was raised; and nothing is given up before what is kept is there and bears the demand without reclaimable hosts' help. Ruled out: an estimate of the demand that is too high (13 to 18 engines, as the engines' sheet says).

--- a/gateway/src/supply.rs
+++ b/gateway/src/supply.rs
@@ -5,7 +5,7 @@
 //! while. Bursts are as short as a start. So hosts that cannot be reclaimed carry the usual demand,
 //! in the cheapest data centres, and as many reclaimable ones, at a fraction of the price, take the
 //! bursts and make up for crashes. Hosts that were there at the start are given up only once the
-//! demand is known. See `docs/design/platform.md`.
+//! demand is known and what stays is enough for it. See `docs/design/platform.md`.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -31,7 +31,7 @@
 const AVERAGE_OVER: Duration = Duration::from_secs(10);
 /// How long there must have been demand before hosts are given up that were there at the start.
 const SETTLE: Duration = Duration::from_secs(5);
-/// How long after an order for more the next one for fewer may follow.
+/// How long after a number was raised it is not lowered, here or in one place.
 const HOLD_AFTER_MORE: Duration = Duration::from_secs(8);
 /// When an order whose effect does not show is sent again, after the start time of a host.
 const REPEAT_AFTER: Duration = Duration::from_secs(4);
@@ -63,6 +63,8 @@
     count: u32,
     at: Time,
     refused: bool,
+    /// When the number was last raised.
+    raised: Option<Time>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -72,7 +74,8 @@
     level: u32,
     samples: VecDeque<(Time, f64)>,
     ordered: IndexMap<Place, Ordered>,
-    last_more: Option<Time>,
+    /// When the level was last raised.
+    raised: Option<Time>,
 }
 
 /// The orders of one holder of the lease.
@@ -106,7 +109,7 @@
         }
         supply.follow(now, demand);
         let wanted = plan(bounds, supply.level, demand, present);
-        supply.orders(now, service, bounds, &wanted, present)
+        supply.orders(now, service, bounds, demand, &wanted, present)
     }
 
     /// Takes whether the cloud accepted an order.
@@ -141,8 +144,11 @@
     /// Raises the level with the demand, and lowers it only once that is clearly less.
     fn follow(&mut self, now: Time, demand: f64) {
         let exact = demand / BASE_BUSY;
-        let is_held = self.last_more.is_some_and(|at| now.since(at) < HOLD_AFTER_MORE);
+        let is_held = is_held(now, self.raised);
         let is_more = exact > f64::from(self.level);
+        if is_more {
+            self.raised = Some(now);
+        }
         let is_clearly_less = exact < f64::from(self.level) - LEVEL_SLACK;
         if is_more || (is_clearly_less && !is_held) {
             self.level = exact.ceil() as u32;
@@ -156,10 +162,13 @@
         now: Time,
         service: &ServiceName,
         bounds: &HostBounds,
+        demand: f64,
         wanted: &IndexMap<Place, u32>,
         present: &[&UpstreamRecord],
     ) -> Vec<HostOrder> {
         let mut orders = Vec::new();
+        let kept: u32 = wanted.iter().map(|(place, n)| count_at(present, place).min(*n)).sum();
+        let is_enough = f64::from(kept) >= demand / BASE_BUSY_ALONE;
         for (place, &count) in wanted {
             let there = count_at(present, place);
             let last = self.ordered.get(place).copied();
@@ -167,21 +176,21 @@
             let is_more = count > known;
             let is_fewer = count < known;
             let since_last = last.map_or(Duration::MAX, |last| now.since(last.at));
-            let is_held = self.last_more.is_some_and(|at| now.since(at) < HOLD_AFTER_MORE);
+            let raised = last.and_then(|last| last.raised);
+            let gives_up = is_fewer && is_enough && !is_held(now, raised);
             let has_no_effect = there != count && since_last >= bounds.start + REPEAT_AFTER;
             let may_retry = last.is_none_or(|last| !last.refused) || since_last >= RETRY_REFUSED;
             let was_refused = last.is_some_and(|last| last.refused);
             let is_due = (is_more && may_retry)
-                || (is_fewer && !is_held)
+                || gives_up
                 || (last.is_some() && has_no_effect)
                 || (was_refused && may_retry && there < count);
             if !is_due {
                 continue;
             }
-            if is_more {
-                self.last_more = Some(now);
-            }
-            self.ordered.insert(place.clone(), Ordered { count, at: now, refused: false });
+            let raised = if is_more { Some(now) } else { raised };
+            let ordered = Ordered { count, at: now, refused: false, raised };
+            self.ordered.insert(place.clone(), ordered);
             orders.push(HostOrder { service: service.clone(), place: place.clone(), count });
         }
         // More hosts are ordered before others are given up, so that no order leaves a gap.
@@ -190,6 +199,11 @@
     }
 }
 
+/// Says whether a raise is so recent that it is not undone.
+fn is_held(now: Time, raised: Option<Time>) -> bool {
+    raised.is_some_and(|at| now.since(at) < HOLD_AFTER_MORE)
+}
+
 /// Returns the number of hosts of each sort in each data centre.
 fn plan(
     bounds: &HostBounds,
--- a/gateway/tests/decisions.rs
+++ b/gateway/tests/decisions.rs
@@ -15,7 +15,7 @@
     rollout::VersionRule,
     sse::EventBuffer,
     store::UpstreamRecord,
-    supply::Supply,
+    supply::{Place, Supply},
     suspect::{Digest, Suspects},
     table::{EngineShape, HostBounds},
     usage::Usage,
@@ -362,6 +362,60 @@
     assert!(reclaimable > 0, "reclaimable hosts are ordered again");
 }
 
+/// Plays a large system in which hosts take four seconds to start, and returns for each moment the
+/// hosts that serve and those of the base that are paid for.
+fn large_supply(demand: impl Fn(u64) -> f64) -> Vec<(u64, u32, u32)> {
+    const START_MS: u64 = 4000;
+    let centres = ["cheap", "here", "dear", "far"];
+    let bounds = HostBounds {
+        min: 1,
+        max: 30,
+        start: Duration::from_millis(START_MS),
+        reclaimable_price: Some(0.15),
+        prices: centres
+            .iter()
+            .zip([0.85, 1.0, 1.2, 1.1])
+            .map(|(n, p)| (n.parse().unwrap(), p))
+            .collect(),
+    };
+    let mut supply = Supply::default();
+    // When each host of a place begins to serve.
+    let mut hosts = IndexMap::<Place, Vec<u64>>::new();
+    for data_centre in centres {
+        let place = Place { data_centre: data_centre.parse().unwrap(), reclaimable: false };
+        hosts.insert(place, vec![0; 14]);
+    }
+    let mut seen = Vec::new();
+    for ms in (0..40_000_u64).step_by(200) {
+        let mut records = Vec::new();
+        for (place, starts) in &hosts {
+            for (n, _) in starts.iter().enumerate().filter(|(_, from)| **from <= ms) {
+                let id = format!("{}{}{n}", place.data_centre, place.reclaimable);
+                records.push(record(&id, place.data_centre.as_str(), place.reclaimable));
+            }
+        }
+        let present: Vec<_> = records.iter().collect();
+        for order in supply.due(at(ms), &service(), &bounds, demand(ms), &present) {
+            let starts = hosts.entry(order.place.clone()).or_default();
+            starts.resize(order.count as usize, ms + START_MS);
+            supply.answered(at(ms), &order, true);
+        }
+        let base = hosts.iter().filter(|(place, _)| !place.reclaimable);
+        seen.push((ms, records.len() as u32, base.map(|(_, starts)| starts.len() as u32).sum()));
+    }
+    seen
+}
+
+#[test]
+fn due_surplus_of_the_start_is_given_up_once_others_serve_though_the_demand_still_rises() {
+    let seen = large_supply(|ms| 14.0 + (ms as f64 / 4000.0).min(4.0) + (ms as f64 / 1100.0).sin());
+    for (ms, serving, base) in seen {
+        let least = 18.0 / 0.75;
+        assert!(f64::from(serving) >= least, "{serving} hosts serve at {ms}");
+        assert!(ms < 11_000 || base <= 30, "{base} hosts of the base at {ms}");
+    }
+}
+
 #[test]
 fn due_demand_that_swings_does_not_move_hosts_about() {
     let seen = supply(|ms| 3.0 + (ms as f64 / 2000.0).sin(), None);
