--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -32,10 +32,17 @@
 /// The path of the metrics.
 const METRICS_PATH: &[u8] = b"/metrics";
 
+/// Answers a call for metrics.
+pub fn answer_metrics(cx: &Gateway, head: &RequestHead) -> Short {
+    match head.path() {
+        METRICS_PATH => Short { status: 200, body: cx.metrics.text().into() },
+        _ => Short { status: 404, body: Bytes::new() },
+    }
+}
+
 /// Answers an internal call.
 pub fn answer(cx: &Gateway, head: &RequestHead) -> Short {
     match head.path() {
-        METRICS_PATH => Short { status: 200, body: cx.metrics.text().into() },
         TABLE_PATH => match &cx.state.borrow().table {
             Some(table) => Short { status: 200, body: table.document.clone() },
             None => Short { status: 404, body: Bytes::new() },
@@ -50,7 +57,7 @@
                 }
             }
         }
-        _ => Short { status: 404, body: Bytes::new() },
+        _ => answer_metrics(cx, head),
     }
 }
 
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -1,6 +1,6 @@
 //! The life of a gateway's process, from its listeners to its last request.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use thiserror::Error;
@@ -40,7 +40,7 @@
     #[error("cannot listen on {address}: {source}")]
     Listen {
         /// The address.
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         /// What the system said.
         source: io::Error,
     },
@@ -49,6 +49,18 @@
     Signals(io::Error),
 }
 
+/// Serves metrics at an address of their own. Nobody's request depends on them, so that a daemon
+/// that cannot bind the address goes on without.
+async fn serve_metrics(cx: &Rc<Gateway>, address: SocketAddr) {
+    match listen(address).await {
+        Ok(listener) => {
+            let cx = cx.clone();
+            actix_rt::spawn(accept_short(listener, move |head| links::answer_metrics(&cx, head)));
+        }
+        Err(error) => log::warn!(event = "no-metrics", address:%, error:%; ""),
+    }
+}
+
 /// Runs a gateway until it is asked to stop; `reread` reads the settings again and returns them if
 /// they have changed and have no faults.
 pub async fn run(
@@ -66,6 +78,7 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
     log::info!(event = "start", daemon:% = settings.name, callers:% = settings.callers; "");
+    let peers = settings.peers;
     let cx = Gateway::new(settings, dialect, store);
 
     sync::start(&cx);
@@ -84,6 +97,9 @@
     }));
     let called = cx.clone();
     actix_rt::spawn(accept_short(internal, move |head| links::answer(&called, head)));
+    if let Some(address) = cx.settings().metrics.filter(|address| *address != peers) {
+        serve_metrics(&cx, address).await;
+    }
     actix_rt::spawn(accept(cx.clone(), callers));
 
     let mut looks = interval(REREAD_EVERY);
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -25,6 +25,8 @@
     pub readiness: SocketAddr,
     /// Where other daemons send what they know, by UDP, and read tables and metrics, by TCP.
     pub peers: SocketAddr,
+    /// Where metrics are read, if that is not where peers read them.
+    pub metrics: Option<SocketAddr>,
     /// Whether no daemon of the system ran before.
     pub first_start: bool,
     /// Where the object store listens.
@@ -107,11 +109,13 @@
         keep("callers", self.callers != running.callers);
         keep("readiness", self.readiness != running.readiness);
         keep("peers", self.peers != running.peers);
+        keep("metrics", self.metrics != running.metrics);
         self.name.clone_from(&running.name);
         self.data_centre.clone_from(&running.data_centre);
         self.callers = running.callers;
         self.readiness = running.readiness;
         self.peers = running.peers;
+        self.metrics = running.metrics;
         // Only a start can be the first one.
         self.first_start = running.first_start;
         kept
@@ -126,6 +130,7 @@
     let callers = fields.required("callers");
     let readiness = fields.required("readiness");
     let peers = fields.required("peers");
+    let metrics = fields.optional("metrics");
     let first_start = fields.optional("first-start").unwrap_or(false);
     fields.finish();
 
@@ -151,6 +156,7 @@
         callers: callers?,
         readiness: readiness?,
         peers: peers?,
+        metrics,
         first_start,
         store: store?,
         cloud: cloud?,
