--- a/gateway/src/quota.rs
+++ b/gateway/src/quota.rs
@@ -20,7 +20,7 @@
 const INTERVAL: Duration = Duration::from_millis(500);
 /// The part of the tolerance that is used on purpose, so that what is within a quota is not refused
 /// for the daemons' views differing; the rest covers what is admitted between two messages.
-const TOLERANCE_USED: f64 = 0.85;
+const TOLERANCE_USED: f64 = 0.6;
 /// The time over which what is asked for is averaged.
 const ASKED_OVER: Duration = Duration::from_secs(1);
 /// The part of what is asked for while the others' admissions are not known yet that the bucket
