directory: peers tell which upstreams have gone for good

Three daemons were cut off from 1 s to 13 s; at 12.94 s two upstreams left by vanishing from the list. A daemon that listed the upstreams again at 14.27 s took them for entries that had lapsed while the store was away, and used them for another 1.8 s, until 16.07 s; three seconds after the cut, at 16.0 s, it counts as in touch. The others had seen them go at 13.02 s.

Ruled out: the watch (it was back 1.3 to 1.5 s after the cut), lost words of peers (only entries still listed were told), the version (the grace was as long before).

Peers now tell upstreams that are gone for good, with the revision up to which they have read; their word counts if they have read more, or if the entry is missing here too. Besides, a silent connection is given up after three seconds instead of ten (keep-alive probes).

--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -3,7 +3,8 @@
 //! Load pattern: entries vanish together when the store was away, and singly when an upstream has
 //! left without a word. A vanished entry is used no more at once, unless the store has just been
 //! away: then the upstream may only have missed its heartbeat and is back within
-//! [`RETURN_WITHIN`]. While a service has no live upstream at all, one that vanished a moment ago
+//! [`RETURN_WITHIN`]. A daemon that alone was cut off from the store learns from its peers which
+//! entries have gone for good. While a service has no live upstream at all, one that vanished a moment ago
 //! is still better than a refusal.
 
 use std::time::Duration;
@@ -91,19 +92,26 @@
         }
     }
 
-    /// Takes that one start of an upstream is leaving, as a peer has read in the store.
-    pub fn leaving(&mut self, id: &UpstreamId, started: u64) {
-        let found = self.upstreams.get_mut(id);
-        if let Some(upstream) = found.filter(|upstream| upstream.record.started == started) {
+    /// Takes that one start of an upstream is leaving or gone, as a peer has read in the store.
+    /// `is_newer` says that the peer has read more than this daemon; if not, its word counts only
+    /// for an entry that is missing here too.
+    pub fn leaving(&mut self, id: &UpstreamId, started: u64, is_newer: bool) {
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        let is_missing = upstream.presence != Presence::Listed;
+        if upstream.record.started == started && (is_newer || is_missing) {
             upstream.is_said_to_leave = true;
         }
     }
 
-    /// Returns the starts of upstreams that are leaving by the store's word, for the peers; what
-    /// peers said is not passed on, so that it ends with them.
-    pub fn all_leaving(&self) -> Vec<(UpstreamId, u64)> {
-        let leaving = |record: &&UpstreamRecord| record.draining;
-        self.listed().filter(leaving).map(|record| (record.id.clone(), record.started)).collect()
+    /// Returns the starts of upstreams that are leaving or gone by the store's word, for the peers;
+    /// what peers said is not passed on, so that it ends with them.
+    pub fn all_leaving(&self, now: Time) -> Vec<(UpstreamId, u64)> {
+        let leaving = |upstream: &&Upstream| match upstream.presence {
+            Presence::Listed => upstream.record.draining,
+            Presence::Vanished(_) => !self.is_live(now, upstream),
+        };
+        let leaving = self.upstreams.values().filter(leaving);
+        leaving.map(|upstream| (upstream.record.id.clone(), upstream.record.started)).collect()
     }
 
     /// Takes that only these entries are listed; all others have vanished.
@@ -177,6 +185,7 @@
         let last_resort = |upstream: &&Upstream| {
             let recent = |at: Time| now.since(at) < self.last_resort();
             !upstream.record.draining
+                && !upstream.is_said_to_leave
                 && matches!(upstream.presence, Presence::Vanished(at) if recent(at))
         };
         of_service().filter(last_resort).collect()
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -30,7 +30,7 @@
     retry::RetryBudgets,
     rollout::Rollouts,
     settings::{Bounds, Settings},
-    store::Store,
+    store::{Kind, Store},
     supply::Supply,
     suspect::{Digest, Suspects},
     table::Table,
@@ -137,8 +137,9 @@
         for (service, version) in &message.holds {
             self.rollouts.hold(service, version);
         }
+        let is_newer = message.upstreams_at > self.views.at(Kind::Upstreams);
         for (upstream, started) in &message.leaving {
-            self.directory.leaving(upstream, *started);
+            self.directory.leaving(upstream, *started, is_newer);
         }
         if message.acts {
             self.lease.heard(now);
@@ -398,7 +399,8 @@
             crashes: crashes.map(|(digest, count)| (digest.0, count)).collect(),
             tallies: state.rollouts.own(),
             holds: state.rollouts.holds().to_vec(),
-            leaving: state.directory.all_leaving(),
+            upstreams_at: state.views.at(Kind::Upstreams),
+            leaving: state.directory.all_leaving(now),
         }
     }
 
--- a/gateway/src/http/connection.rs
+++ b/gateway/src/http/connection.rs
@@ -19,6 +19,8 @@
 const USER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// How long a connection is idle before the peer is probed.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+/// How many probes must be lost until the peer is given up; by default it would take ten seconds.
+const KEEPALIVE_PROBES: u32 = 2;
 /// The room that a read asks for; most heads and events are shorter.
 const READ_BYTES: usize = 4096;
 /// The longest head that a server or the store may send, in bytes.
@@ -112,6 +114,9 @@
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_IDLE).with_interval(KEEPALIVE_IDLE);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_IDLE)
+        .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)
 }
--- a/gateway/src/mesh.rs
+++ b/gateway/src/mesh.rs
@@ -7,7 +7,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use dogwoodturn::{
-    ids::{CustomerName, DaemonId, Incarnation, RouteName, ServiceName, UpstreamId, VersionName},
+    ids::{
+        CustomerName, DaemonId, Incarnation, Revision, RouteName, ServiceName, UpstreamId,
+        VersionName,
+    },
     units::{Time, WallTime},
 };
 use indexmap::IndexMap;
@@ -90,7 +93,9 @@
     pub tallies: Vec<(ServiceName, VersionName, RouteName, Tally)>,
     /// Versions that were found bad.
     pub holds: Vec<(ServiceName, VersionName)>,
-    /// Upstreams that are leaving, with the start that is, since one may start again under its id.
+    /// The revision up to which the daemon has read the upstreams in the store.
+    pub upstreams_at: Option<Revision>,
+    /// Upstreams that are leaving or gone, with the start that is, since one may start again under its id.
     pub leaving: Vec<(UpstreamId, u64)>,
 }
 
