--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -278,16 +278,7 @@
 impl Placement {
     /// Chooses an upstream and counts the request's work there.
     pub fn choose(&mut self, now: Time, live: &[&Upstream], need: &Need<'_>) -> Choice {
-        let fits = |upstream: &&&Upstream| {
-            need.versions.allows(&upstream.record.version)
-                && !need.tried.contains(&upstream.record.id)
-        };
-        let fitting: Vec<_> = live.iter().filter(fits).copied().collect();
-        let is_up = |upstream: &&Upstream| {
-            self.upstreams.get(&upstream.record.id).is_none_or(|state| state.down_until <= now)
-        };
-        let up: Vec<_> = fitting.iter().filter(|upstream| is_up(upstream)).copied().collect();
-        let candidates = if up.is_empty() { fitting } else { up };
+        let candidates = self.candidates(now, live, need);
         let home = home_of(need.prompt, &candidates);
         let mut best: Option<Estimate<'_>> = None;
         let mut shortest_wait = f64::MAX;
@@ -301,10 +292,7 @@
         }
         let Some(best) = best else { return Choice::Nobody };
         if need.engine.is_some() && need.tried.is_empty() {
-            let service = self.services.entry(need.service.clone()).or_default();
-            let reading = reading_cost(best.unread) / service.read_rate;
-            let writing = need.prompt.output as f64 * WRITE_MS;
-            service.arrived(now, Duration::from_secs_f64((reading + writing) / 1000.0));
+            self.count_demand(now, need, best.unread);
         }
         let allowed = need.target.as_secs_f64() * 1000.0 * WAIT_SHARE;
         let left = need.left.as_secs_f64() * 1000.0;
@@ -316,22 +304,55 @@
                 wait: Duration::from_secs_f64(shortest_wait / 1000.0),
             };
         }
-        let memory = need.prompt.input + need.prompt.output;
+        Choice::Upstream(self.take(now, &best, need.prompt))
+    }
+
+    /// Returns the upstreams that may run a request: those that refuse connections only if there
+    /// are no others.
+    fn candidates<'a>(
+        &self,
+        now: Time,
+        live: &[&'a Upstream],
+        need: &Need<'_>,
+    ) -> Vec<&'a Upstream> {
+        let fits = |upstream: &&&Upstream| {
+            need.versions.allows(&upstream.record.version)
+                && !need.tried.contains(&upstream.record.id)
+        };
+        let fitting: Vec<_> = live.iter().filter(fits).copied().collect();
+        let is_up = |upstream: &&Upstream| {
+            self.upstreams.get(&upstream.record.id).is_none_or(|state| state.down_until <= now)
+        };
+        let up: Vec<_> = fitting.iter().filter(|upstream| is_up(upstream)).copied().collect();
+        if up.is_empty() { fitting } else { up }
+    }
+
+    /// Counts the engine's time that a request needs, from which hosts are ordered.
+    fn count_demand(&mut self, now: Time, need: &Need<'_>, unread: u64) {
+        let service = self.services.entry(need.service.clone()).or_default();
+        let reading = reading_cost(unread) / service.read_rate;
+        let writing = need.prompt.output as f64 * WRITE_MS;
+        service.arrived(now, Duration::from_secs_f64((reading + writing) / 1000.0));
+    }
+
+    /// Counts a request's work at the upstream that was chosen.
+    fn take(&mut self, now: Time, chosen: &Estimate<'_>, prompt: &Prompt) -> Ticket {
+        let memory = prompt.input + prompt.output;
         let ticket = Ticket {
-            upstream: best.upstream.clone(),
-            predicted: Duration::from_secs_f64(best.predicted / 1000.0),
+            upstream: chosen.upstream.clone(),
+            predicted: Duration::from_secs_f64(chosen.predicted / 1000.0),
             chosen: now,
-            unread: reading_cost(best.unread) as u64,
+            unread: reading_cost(chosen.unread) as u64,
             memory,
-            unread_ahead: best.unread_ahead,
+            unread_ahead: chosen.unread_ahead,
             is_reading: true,
         };
         let state = self.upstreams.entry(ticket.upstream.clone()).or_default();
         state.work.requests += 1;
         state.work.unread += ticket.unread;
         state.work.memory += memory;
-        remember_parts(&mut state.parts, now, &need.prompt.parts);
-        Choice::Upstream(ticket)
+        remember_parts(&mut state.parts, now, &prompt.parts);
+        ticket
     }
 
     /// Returns the shortest time to a first answer at an upstream that was not tried.
