members: the holder takes daemons that are gone for good off the list

Cause: a member's entry was never removed. Each replaced host left one, and shares of the retry budget and of connections are set aside for every daemon that is listed. The holder now forgets who was silent for ten minutes (forget-members-seconds), unless the entry was written anew.

--- a/gateway/src/acting.rs
+++ b/gateway/src/acting.rs
@@ -2,6 +2,9 @@
 
 use std::{rc::Rc, time::Duration};
 
+use dogwoodturn::ids::DaemonId;
+use tokio::time::sleep;
+
 use crate::{
     gateway::{Gateway, wall_clock},
     objects::take,
@@ -12,6 +15,8 @@
 
 /// How long after its end a usage window is closed, besides the time in which every peer is heard.
 const CLOSE_AFTER: Duration = Duration::from_millis(1500);
+/// The pause between two daemons that are taken off the list; nothing hurries.
+const FORGET_EVERY: Duration = Duration::from_secs(2);
 /// The part of the time for reports that may pass before a window is closed; the rest is for the
 /// report itself, which may have to be repeated.
 const CLOSE_SHARE: f64 = 0.6;
@@ -25,6 +30,7 @@
     close_usage(cx);
     advance_moves(cx);
     order_hosts(cx);
+    forget_members(cx);
 }
 
 /// Reads the lease while nobody says that it acts.
@@ -181,6 +187,32 @@
     }
 }
 
+/// Takes daemons that are gone for good off the list, one at a time.
+fn forget_members(cx: &Rc<Gateway>) {
+    let now = cx.now();
+    let write = {
+        let state = cx.state.borrow();
+        if state.lease.fence(now).is_none() || cx.is_forgetting.get() {
+            return;
+        }
+        let listed = |daemon: DaemonId| {
+            let revision = state.views.revision(Kind::Members, daemon.as_str())?;
+            Some(Write::Forget(revision, daemon))
+        };
+        state.mesh.gone(now, cx.settings().forget_after).into_iter().find_map(listed)
+    };
+    let Some(write) = write else { return };
+    cx.is_forgetting.set(true);
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        log::info!(event = "member-forgotten", write:?; "");
+        // A failure is logged by the count; what is still listed comes up again.
+        let _ = counted(&cx, "forget", (cx.store.write)(write).await);
+        sleep(FORGET_EVERY).await;
+        cx.is_forgetting.set(false);
+    });
+}
+
 /// Orders hosts for the services that may have them.
 fn order_hosts(cx: &Rc<Gateway>) {
     let now = cx.now();
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -231,6 +231,8 @@
     settings: RefCell<Rc<Settings>>,
     /// Whether the store told something that hubs have not passed on.
     pub has_news: Cell<bool>,
+    /// Whether a daemon that is gone is being taken off the list.
+    pub is_forgetting: Cell<bool>,
     /// Whether something was missed of what a hub told.
     pub is_behind: Cell<bool>,
     in_flight: Cell<u32>,
@@ -277,6 +279,7 @@
             recording: RefCell::default(),
             ends: Cell::new(None),
             has_news: Cell::new(false),
+            is_forgetting: Cell::new(false),
             is_behind: Cell::new(false),
             in_flight: Cell::new(0),
             bodies: Cell::new(0),
--- a/gateway/src/mesh.rs
+++ b/gateway/src/mesh.rs
@@ -221,6 +221,13 @@
         WallTime(wall.0.saturating_add_signed(ahead[ahead.len() / 2]))
     }
 
+    /// Returns the peers that were not heard for a time.
+    pub fn gone(&self, now: Time, silent_for: Duration) -> Vec<DaemonId> {
+        let is_gone = |peer: &Peer| now.since(peer.heard.unwrap_or(peer.joined)) >= silent_for;
+        let gone = self.peers.iter().filter(|(_, peer)| is_gone(peer));
+        gone.map(|(daemon, _)| daemon.clone()).collect()
+    }
+
     /// Returns the number of peers that are heard.
     pub fn heard_count(&self, now: Time) -> u32 {
         self.peers.values().filter(|peer| self.is_heard(peer, now)).count() as u32
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -132,6 +132,12 @@
         self.0.get(&kind).and_then(|view| view.at)
     }
 
+    /// Returns the revision of an object's last change.
+    pub fn revision(&self, kind: Kind, name: &str) -> Option<Revision> {
+        let object = self.0.get(&kind)?.objects.get(name)?;
+        Some(object.0)
+    }
+
     /// Takes all objects of a kind; false if more was known already.
     pub fn listed(&mut self, kind: Kind, listing: &Listing) -> bool {
         let view = self.0.entry(kind).or_default();
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -9,6 +9,8 @@
 
 use crate::{quota, retry};
 
+/// The default of `forget-members-seconds`; a host that is only stopped is back sooner.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
 /// The sections of the file.
 const SECTIONS: [&str; 5] = ["daemon", "store", "cloud", "limits", "bounds"];
 
@@ -39,6 +41,9 @@
     pub orders_hosts: bool,
     /// The host's link in megabits a second.
     pub link: f64,
+    /// How long a daemon must be silent to be taken off the list of members. Hosts are replaced for
+    /// good, and shares of common limits are set aside for each daemon that is listed.
+    pub forget_after: Duration,
     /// What the operators promise or demand.
     pub bounds: Bounds,
 }
@@ -147,6 +152,7 @@
 
     let mut fields = Fields::new(limits, faults);
     let link = not_negative(&mut fields, "link-megabits");
+    let forget_after = fields.optional("forget-members-seconds").map(Duration::from_secs);
     fields.finish();
 
     let bounds = read_bounds(bounds, faults);
@@ -163,6 +169,7 @@
         reports_usage,
         orders_hosts,
         link: link?,
+        forget_after: forget_after.unwrap_or(FORGET_AFTER),
         bounds: bounds?,
     })
 }
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -208,6 +208,8 @@
 pub enum Write {
     /// Registers this daemon, whatever stood there.
     Member(MemberRecord),
+    /// Takes a daemon that is gone off the list, unless its entry changed since this revision.
+    Forget(Revision, DaemonId),
     /// Creates the lease, or replaces the one with this revision.
     Lease(Option<Revision>, LeaseRecord),
     /// Records how far a move is, unless the object changed since this revision.
