connection: a request that nobody waits for is not sent on

A connection that is given up was closed as usual, so the system went on sending what a stalled link had held up, and the engine ran it. Now one on which nothing has come back is reset instead, which discards what was not sent; those with a part of the answer are closed as before, since a lost reset is not repeated.

--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -238,14 +238,14 @@
         while sent < bytes.len() {
             let ready = connection.stream.ready(Interest::READABLE | Interest::WRITABLE).await?;
             if ready.is_writable() {
-                match connection.stream.try_write(&bytes[sent..]) {
+                match connection.try_write(&bytes[sent..]) {
                     Ok(written) => sent += written,
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                     Err(error) => return Err(error),
                 }
             }
             if ready.is_readable() && sent < bytes.len() {
-                match connection.stream.try_read_buf(&mut connection.buf) {
+                match connection.try_read() {
                     Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
                     Ok(_) => {
                         let head = ResponseHead::take(
--- a/gateway/src/http/connection.rs
+++ b/gateway/src/http/connection.rs
@@ -35,6 +35,20 @@
     pub buf: BytesMut,
     /// Whether a request was answered on it before.
     pub reused: bool,
+    /// Whether something was sent and nothing has come back.
+    is_waiting: bool,
+}
+
+impl Drop for Connection {
+    /// A request that nobody waits for must not reach the peer later, when a stalled link goes on:
+    /// a reset discards what was not sent yet, while a plain close would deliver it.
+    fn drop(&mut self) {
+        if self.is_waiting
+            && let Err(error) = self.stream.set_zero_linger()
+        {
+            log::warn!(event = "no-reset", error:%; "");
+        }
+    }
 }
 
 impl Connection {
@@ -42,7 +56,7 @@
     pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
         let stream = timeout(limit, TcpStream::connect(address)).await??;
         tune(&stream)?;
-        Ok(Self { stream, buf: BytesMut::new(), reused: false })
+        Ok(Self { stream, buf: BytesMut::new(), reused: false, is_waiting: false })
     }
 
     /// Says whether nothing has arrived and the peer has not closed, so that the next bytes to be
@@ -56,13 +70,29 @@
 
     /// Writes all of a request.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.is_waiting = true;
         self.stream.write_all(bytes).await
     }
 
+    /// Writes as much of a request as there is room for.
+    pub fn try_write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.is_waiting = true;
+        self.stream.try_write(bytes)
+    }
+
+    /// Reads what has arrived; zero at the end of the stream.
+    pub fn try_read(&mut self) -> io::Result<usize> {
+        let length = self.stream.try_read_buf(&mut self.buf)?;
+        self.is_waiting &= length == 0;
+        Ok(length)
+    }
+
     /// Reads more bytes; zero at the end of the stream.
     pub async fn read(&mut self) -> io::Result<usize> {
         self.buf.reserve(READ_BYTES);
-        self.stream.read_buf(&mut self.buf).await
+        let length = self.stream.read_buf(&mut self.buf).await?;
+        self.is_waiting &= length == 0;
+        Ok(length)
     }
 
     /// Reads the head of a response.
--- a/gateway/tests/forward.rs
+++ b/gateway/tests/forward.rs
@@ -327,3 +327,36 @@
     assert_eq!(rest, "");
     assert_eq!(upstream.count(), 1);
 }
+
+#[actix_rt::test]
+async fn caller_leaves_what_was_not_sent_yet_never_reaches_the_upstream() {
+    const BODY: usize = 3 << 20;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stalled = listener.local_addr().unwrap();
+    let (left, has_left) = tokio::sync::oneshot::channel::<()>();
+    let reading = actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        // Nothing is read until the caller has left.
+        has_left.await.unwrap();
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+        let mut bytes = Vec::new();
+        let end = stream.read_to_end(&mut bytes).await;
+        (bytes.len(), end.is_ok())
+    });
+    let world = World::start(&[]).await;
+    world.cx.state.borrow_mut().directory.set(support::record(0, stalled));
+    let mut caller = TcpStream::connect(world.callers).await.unwrap();
+    let head = get("/look/1", "a1").replace("Connection: close\r\n", "");
+    let head = head.replacen("GET", "POST", 1).replacen(
+        "Host:",
+        &format!("Content-Length: {BODY}\r\nHost:"),
+        1,
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    caller.write_all(&vec![b'x'; BODY]).await.unwrap();
+    actix_rt::time::sleep(Duration::from_millis(200)).await;
+    drop(caller);
+    left.send(()).unwrap();
+    let (bytes, is_whole) = reading.await.unwrap();
+    assert!(!is_whole && bytes < BODY, "{bytes} bytes, ended properly: {is_whole}");
+}
