hubs: a new list is told as changes, and what was missed is listed from the store

When the store comes back or has dropped its history, a hub lists anew; the others were told nothing of what differed and fetched all objects from the hub, eighty at the same time from one link, each again every 0.5 to 0.8 s when that timed out (log: objects-not-fetched at all daemons from 11.8 s to 26 s). The links stayed full: requests reached engines seven seconds late, a configuration was unknown for five.

Now a hub tells what a new list changes like any other change; a daemon that missed something lists that kind from the store, whose link is wide, within 0.4 s; only if that fails it fetches from another daemon, within 3 s.

Test: listed_anew_by_a_hub_is_told_as_changes...; before, the excerpt was empty and the other had to fetch.

--- a/gateway/src/catch_up.rs
+++ b/gateway/src/catch_up.rs
@@ -1,14 +1,19 @@
 //! Fetches from other daemons what this one has missed.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use dogwoodturn::units::Time;
-use tokio::time::interval;
+use tokio::time::{interval, sleep};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{gateway::Gateway, links, objects};
+use crate::{gateway::Gateway, links, objects, sync};
 
 /// How often this is looked at.
 const TICK: Duration = Duration::from_millis(100);
+/// Within what time daemons that missed the same list it from the store.
+const LIST_WITHIN: Duration = Duration::from_millis(400);
+/// Within what time they fetch it from another daemon, whose link may be thin.
+const FETCH_WITHIN: Duration = Duration::from_millis(3000);
 /// How long after its start a daemon without upstreams is taken to be turned away by the store.
 const TURNED_AWAY_AFTER: Duration = Duration::from_millis(1000);
 /// How long a peer's newer table is left to the store's watch before it is fetched.
@@ -20,41 +25,53 @@
     actix_rt::spawn(catch_up_objects(cx.clone()));
 }
 
-/// Fetches all objects from a hub after some of what it told was missed.
+/// Gets what was missed of what hubs told: from the store, whose link is wide, and only if it does not
+/// answer from another daemon, each after a pause of its own, since many miss the same.
 async fn catch_up_objects(cx: Rc<Gateway>) {
     let started = cx.now();
     let mut ticks = interval(TICK);
     loop {
         ticks.tick().await;
-        let Some(hub) = source(&cx, started) else { continue };
-        cx.is_behind.set(false);
-        match links::fetch_objects(hub).await {
-            Ok(excerpts) => {
-                log::info!(event = "objects-fetched", hub:%, kinds = excerpts.len(); "");
-                for excerpt in excerpts {
-                    objects::take_excerpt(&cx, excerpt);
-                }
-            }
-            Err(error) => {
-                log::warn!(event = "objects-not-fetched", hub:%, error:%; "");
-                cx.is_behind.set(true);
+        let behind = cx.behind.borrow_mut().pop();
+        if let Some(kind) = behind {
+            sleep(own_pause(&cx, LIST_WITHIN)).await;
+            if sync::list(&cx, kind).await.is_ok() {
+                continue;
             }
+            cx.behind.borrow_mut().insert(kind);
+        }
+        let is_new = !cx.state.borrow().has_upstreams;
+        let is_turned_away = is_new && cx.now().since(started) >= TURNED_AWAY_AFTER;
+        if behind.is_some() || is_turned_away {
+            sleep(own_pause(&cx, FETCH_WITHIN)).await;
+            fetch(&cx).await;
         }
     }
 }
 
-/// Returns whom to ask, if something is missing: a hub, or any daemon that knows a table if the
-/// store has not answered this one since its start.
-fn source(cx: &Gateway, started: Time) -> Option<SocketAddr> {
-    let now = cx.now();
-    let state = cx.state.borrow();
-    let is_new = !state.has_upstreams;
-    if !is_new && !cx.is_behind.get() {
-        return None;
+/// Returns a part of a time that differs between daemons and from time to time.
+fn own_pause(cx: &Gateway, within: Duration) -> Duration {
+    let name = cx.settings().name.as_str().to_owned();
+    within.mul_f64((xxh3_64_with_seed(name.as_bytes(), cx.now().0) % 1000) as f64 / 1000.0)
+}
+
+/// Fetches all objects from a hub, or from any daemon that knows a table.
+async fn fetch(cx: &Rc<Gateway>) {
+    let from = {
+        let (now, state) = (cx.now(), cx.state.borrow());
+        state.hubs.source(now).or_else(|| state.mesh.newer_table(now, 0))
+    };
+    let Some(from) = from else { return };
+    match links::fetch_objects(from).await {
+        Ok(excerpts) => {
+            log::info!(event = "objects-fetched", from:%, kinds = excerpts.len(); "");
+            for excerpt in excerpts {
+                cx.behind.borrow_mut().shift_remove(&excerpt.kind);
+                objects::take_excerpt(cx, excerpt);
+            }
+        }
+        Err(error) => log::warn!(event = "objects-not-fetched", from:%, error:%; ""),
     }
-    let is_turned_away = is_new && now.since(started) >= TURNED_AWAY_AFTER;
-    let any = || state.mesh.newer_table(now, 0).filter(|_| is_turned_away);
-    state.hubs.source(now).or_else(any)
 }
 
 /// Fetches a newer table from a peer while the store does not tell this daemon.
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -196,7 +196,11 @@
             hears: self.mesh.heard_count(now),
             store_back: self.directory.store_back(now),
             admitted: admitted.collect(),
-            excerpts: self.views.recent(now),
+            excerpts: if self.hubs.tells_objects(now) {
+                self.views.recent(now)
+            } else {
+                Vec::new()
+            },
         }
     }
 
@@ -233,8 +237,8 @@
     pub has_news: Cell<bool>,
     /// Whether a daemon that is gone is being taken off the list.
     pub is_forgetting: Cell<bool>,
-    /// Whether something was missed of what a hub told.
-    pub is_behind: Cell<bool>,
+    /// The kinds of which something was missed that a hub told.
+    pub behind: RefCell<IndexSet<Kind>>,
     in_flight: Cell<u32>,
     /// Bytes of callers' bodies that are held or will be.
     bodies: Cell<u64>,
@@ -280,7 +284,7 @@
             ends: Cell::new(None),
             has_news: Cell::new(false),
             is_forgetting: Cell::new(false),
-            is_behind: Cell::new(false),
+            behind: RefCell::default(),
             in_flight: Cell::new(0),
             bodies: Cell::new(0),
             messages: Cell::new(0),
--- a/gateway/src/hubs.rs
+++ b/gateway/src/hubs.rs
@@ -203,6 +203,15 @@
         self.is_hub
     }
 
+    /// Says whether this daemon is one of the first hubs, which tell what has changed; the others
+    /// only tell that they are there.
+    pub fn tells_objects(&self, now: Time) -> bool {
+        let own = rank(self.link, &self.me);
+        let before =
+            self.in_touch(now).filter(|hub| rank(hub.message.link, &hub.message.daemon) < own);
+        before.count() < LISTENING
+    }
+
     /// Says whether another daemon knows what the store holds.
     pub fn has_others(&self, now: Time) -> bool {
         self.in_touch(now).next().is_some()
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -19,6 +19,8 @@
 
 /// How often each daemon tells its peers its work; prompts take about as long to be read.
 const TELL_WORK_EVERY: Duration = Duration::from_millis(50);
+/// How soon a hub tells news after its last message; changes come in series.
+const NEWS_EVERY: Duration = Duration::from_millis(150);
 /// The longest datagram.
 const MAX_DATAGRAM: usize = 60 * 1024;
 /// How long fetching something from a peer may take.
@@ -128,7 +130,8 @@
         let state = cx.state.borrow();
         state.hubs.tells_every(state.mesh.size())
     };
-    if now.since(*last) + TELL_WORK_EVERY <= every && !cx.has_news.get() {
+    let every = if cx.has_news.get() { NEWS_EVERY } else { every };
+    if now.since(*last) + TELL_WORK_EVERY <= every {
         return;
     }
     if let Some(message) = cx.hub_message() {
@@ -182,8 +185,9 @@
 fn take_hub_message(cx: &Gateway, from: SocketAddr, mut message: HubMessage) {
     cx.state.borrow_mut().take_hub_message(cx.now(), from, &message);
     for excerpt in std::mem::take(&mut message.excerpts) {
+        let kind = excerpt.kind;
         if !objects::take_excerpt(cx, excerpt) {
-            cx.is_behind.set(true);
+            cx.behind.borrow_mut().insert(kind);
         }
     }
 }
--- a/gateway/src/objects.rs
+++ b/gateway/src/objects.rs
@@ -10,10 +10,11 @@
 
 /// Takes all objects of a kind.
 pub(crate) fn take_listing(cx: &Gateway, kind: Kind, listing: Listing) {
-    if !cx.state.borrow_mut().views.listed(kind, &listing) {
+    let now = cx.now();
+    if !cx.state.borrow_mut().views.listed(now, kind, &listing) {
         return;
     }
-    let now = cx.now();
+    cx.has_news.set(true);
     {
         let mut state = cx.state.borrow_mut();
         let has = |name: &str| listing.entries.iter().any(|entry| &*entry.name == name);
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -16,9 +16,9 @@
 };
 
 /// How long a change is told; a few datagrams in a row may be lost.
-const TOLD_FOR: Duration = Duration::from_millis(1500);
+const TOLD_FOR: Duration = Duration::from_millis(800);
 /// The most changes that one excerpt carries, so that it fits a datagram.
-const MAX_TOLD_ITEMS: usize = 60;
+const MAX_TOLD_ITEMS: usize = 120;
 
 /// The content of an object that is passed on. Every daemon follows declarations itself, since they
 /// are long and change seldom, and the lease is read only by those who may take it.
@@ -108,6 +108,11 @@
         }
     }
 
+    fn told(&mut self, now: Time, at: Revision, name: Box<str>) {
+        self.recent.retain(|(_, _, told)| *told != name);
+        self.recent.push_back((now, at, name));
+    }
+
     fn prune(&mut self, now: Time) {
         while let Some((told, at, _)) = self.recent.front()
             && (now.since(*told) > TOLD_FOR || self.recent.len() > MAX_TOLD_ITEMS)
@@ -139,18 +144,34 @@
     }
 
     /// Takes all objects of a kind; false if more was known already.
-    pub fn listed(&mut self, kind: Kind, listing: &Listing) -> bool {
+    ///
+    /// What differs from what was known is told like any change: if everybody had to fetch everything
+    /// after a hub has listed anew, thin links would be full for seconds.
+    pub fn listed(&mut self, now: Time, kind: Kind, listing: &Listing) -> bool {
         let view = self.0.entry(kind).or_default();
         if view.at.is_some_and(|at| at > listing.at) {
             return false;
         }
-        view.objects.retain(|name, _| listing.entries.iter().any(|entry| entry.name == *name));
+        let listed: IndexMap<&str, &Entry> =
+            listing.entries.iter().map(|entry| (&*entry.name, entry)).collect();
+        let gone = view.objects.keys().filter(|name| !listed.contains_key(&***name));
+        let mut changed: Vec<Box<str>> = gone.cloned().collect();
+        view.objects.retain(|name, _| listed.contains_key(&**name));
         for entry in &listing.entries {
-            view.set(entry);
+            let known = view.objects.get(&entry.name).map(|(revision, _)| *revision);
+            if known != Some(entry.revision) {
+                view.set(entry);
+                changed.push(entry.name.clone());
+            }
+        }
+        if view.at.is_none() {
+            view.since = listing.at;
+        } else {
+            for name in changed {
+                view.told(now, listing.at, name);
+            }
         }
         view.at = Some(listing.at);
-        view.since = listing.at;
-        view.recent.clear();
         true
     }
 
@@ -171,8 +192,7 @@
                     name
                 }
             };
-            view.recent.retain(|(_, _, told)| told != name);
-            view.recent.push_back((now, changes.at, name.clone()));
+            view.told(now, changes.at, name.clone());
         }
         view.at = Some(changes.at);
         true
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -33,6 +33,7 @@
 
 /// One upstream as it registered itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "UpstreamFields", into = "UpstreamFields")]
 pub struct UpstreamRecord {
     /// The upstream's id; a new start mostly has a new one.
     pub id: UpstreamId,
@@ -56,6 +57,42 @@
     pub warm_up: Duration,
 }
 
+/// An upstream as daemons pass it on: the fields in order, without their names, since hubs tell many.
+type UpstreamFields = (
+    (UpstreamId, u64, ServiceName, VersionName, SocketAddr),
+    (DataCentre, u32, bool, bool, Duration),
+);
+
+impl From<UpstreamFields> for UpstreamRecord {
+    fn from(fields: UpstreamFields) -> Self {
+        let (id, started, service, version, address) = fields.0;
+        let (data_centre, slots, draining, reclaimable, warm_up) = fields.1;
+        Self {
+            id,
+            started,
+            service,
+            version,
+            address,
+            data_centre,
+            slots,
+            draining,
+            reclaimable,
+            warm_up,
+        }
+    }
+}
+
+impl From<UpstreamRecord> for UpstreamFields {
+    fn from(record: UpstreamRecord) -> Self {
+        let UpstreamRecord { id, started, service, version, address, .. } = record;
+        let UpstreamRecord { data_centre, slots, draining, reclaimable, warm_up, .. } = record;
+        (
+            (id, started, service, version, address),
+            (data_centre, slots, draining, reclaimable, warm_up),
+        )
+    }
+}
+
 /// A move of a service's traffic to a version.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MoveRecord {
--- a/gateway/src/sync.rs
+++ b/gateway/src/sync.rs
@@ -143,7 +143,8 @@
     }
 }
 
-async fn list(cx: &Gateway, kind: Kind) -> Result<(), CallError> {
+/// Lists a kind.
+pub(crate) async fn list(cx: &Gateway, kind: Kind) -> Result<(), CallError> {
     let listing = counted(cx, "list", (cx.store.list)(kind).await)?;
     objects::take_listing(cx, kind, listing);
     Ok(())
--- a/gateway/tests/hubs.rs
+++ b/gateway/tests/hubs.rs
@@ -58,9 +58,17 @@
         Changes { changes, at: Revision(self.at()) }
     }
 
+    /// Returns the revision of an object's last change.
+    fn changed(&self, name: &str) -> u64 {
+        let value = |revision: u64| self.0[revision as usize].get(name);
+        let is_change = |revision: &u64| value(*revision) != value(revision - 1);
+        (1..=self.at()).rev().find(is_change).unwrap_or(0)
+    }
+
     fn listing(&self) -> Listing {
         let objects = self.0.last().unwrap().iter();
-        let entries = objects.map(|(name, value)| entry(name, *value, self.at())).collect();
+        let entries =
+            objects.map(|(name, value)| entry(name, *value, self.changed(name))).collect();
         Listing { entries, at: Revision(self.at()) }
     }
 }
@@ -158,7 +166,7 @@
         match daemon.views.at(Kind::Members) {
             None => {
                 *calls += 1;
-                daemon.views.listed(Kind::Members, &store.listing());
+                daemon.views.listed(now, Kind::Members, &store.listing());
             }
             Some(at) => {
                 let waited = Duration::from_millis(ms - daemon.watch_began);
@@ -183,7 +191,8 @@
             if !daemon.hubs.is_hub() || (self.ms < daemon.told + every && !daemon.has_news) {
                 continue;
             }
-            let excerpts = daemon.views.recent(now);
+            let tells = daemon.hubs.tells_objects(now);
+            let excerpts = if tells { daemon.views.recent(now) } else { Vec::new() };
             let told = Told { daemons: DAEMONS as u32, excerpts, ..Told::default() };
             if let Some(message) = daemon.hubs.message(now, Incarnation(daemon.run), told) {
                 daemon.told = self.ms;
@@ -212,7 +221,7 @@
             Taken::Known => {}
             Taken::Behind => daemon.is_behind = true,
             Taken::Listing(listing) => {
-                daemon.views.listed(Kind::Members, &listing);
+                daemon.views.listed(now, Kind::Members, &listing);
             }
             Taken::Changes(changes) => {
                 daemon.views.changed(now, Kind::Members, &changes);
@@ -275,6 +284,27 @@
     assert!(a_second < DAEMONS as f64 / 10.0, "{a_second} calls a second");
 }
 
+#[test]
+fn listed_anew_by_a_hub_is_told_as_changes_so_that_nobody_fetches_everything() {
+    let mut store = History(vec![BTreeMap::new()]);
+    for n in 0..40 {
+        store.write(&format!("m{n}"), Some(n + 1));
+    }
+    let (mut hub, mut other) = (Views::default(), Views::default());
+    hub.listed(Time(0), Kind::Members, &store.listing());
+    other.listed(Time(0), Kind::Members, &store.listing());
+    for n in 0..30 {
+        store.write(&format!("m{n}"), None);
+    }
+    store.write("m35", Some(1000));
+    hub.listed(Time(1_000_000), Kind::Members, &store.listing());
+    let told = hub.recent(Time(1_000_000)).remove(0);
+    assert_eq!(told.items.len(), 31);
+    let Taken::Changes(changes) = other.compare(told) else { panic!("more has to be fetched") };
+    other.changed(Time(1_000_000), Kind::Members, &changes);
+    assert_eq!(other.whole(), hub.whole());
+}
+
 #[test]
 fn decide_system_of_few_daemons_does_without() {
     let mut hubs = Hubs::new("d".parse().unwrap(), 10.0, DRAIN);
