hubs: the first ones go on adding up quotas while the store is away

But when the store is away for all, everybody becomes a hub, and ninety hubs must not tell ninety daemons each. So those go on that hear fewer than two hubs that go before them.

Test: before, nobody told anything; without the limit all sixty would.

--- a/gateway/src/hubs.rs
+++ b/gateway/src/hubs.rs
@@ -48,6 +48,8 @@
 pub const LAG: Duration = Duration::from_millis(500);
 /// The longest time between two messages of a daemon to a hub.
 const LONGEST_INTERVAL: Duration = Duration::from_secs(5);
+/// What stands for the age of an answer that there never was, in milliseconds.
+const NO_PROOF_MS: u64 = 1_000_000_000;
 /// The part of a hub's link that messages may take in each direction.
 const LINK_SHARE: f64 = 0.2;
 /// The length of a message for that reckoning, in bits.
@@ -259,6 +261,14 @@
         Some((history, best.message.hears, now.since(best.heard)))
     }
 
+    /// Says whether fewer hubs go before this one than everybody tells what it knows.
+    fn is_first_heard(&self, now: Time) -> bool {
+        let own = rank(self.link, &self.me);
+        let heard = self.others.values().filter(|hub| now.since(hub.heard) < SILENCE);
+        let before = heard.filter(|hub| rank(hub.message.link, &hub.message.daemon) < own);
+        before.count() < LISTENING
+    }
+
     /// Returns how often a hub of this many daemons can hear each of them.
     fn listens_every(&self, daemons: u32) -> Duration {
         let bits = f64::from(daemons) * MESSAGE_BITS;
@@ -271,14 +281,19 @@
         self.listens_every(daemons).min(SILENCE / 3)
     }
 
-    /// Returns the message of this daemon as a hub; none while the store does not answer it.
+    /// Returns the message of this daemon as a hub. While the store does not answer it, the first
+    /// hubs go on, since what they add up is needed all the same; others, which may be everybody
+    /// when the store is away, keep silent.
     pub fn message(
         &mut self,
         now: Time,
         incarnation: Incarnation,
         told: Told,
     ) -> Option<HubMessage> {
-        let proof = self.proof.filter(|_| self.is_proved(now)).map(|proof| now.since(proof))?;
+        if !self.is_proved(now) && !self.is_first_heard(now) {
+            return None;
+        }
+        let proof_ms = self.proof.map_or(NO_PROOF_MS, |proof| now.since(proof).as_millis() as u64);
         self.number += 1;
         let Told { daemons, acts, hears, store_back, excerpts, admitted } = told;
         Some(HubMessage {
@@ -288,7 +303,7 @@
             link: self.link,
             acts,
             hears,
-            proof_ms: proof.as_millis() as u64,
+            proof_ms,
             listens_every_ms: self.listens_every(daemons).as_millis() as u64,
             store_back_ms: store_back.map(|since| since.as_millis() as u64),
             excerpts,
--- a/gateway/tests/hubs.rs
+++ b/gateway/tests/hubs.rs
@@ -305,6 +305,29 @@
     assert_eq!(other.whole(), hub.whole());
 }
 
+#[test]
+fn message_goes_on_from_the_first_hubs_alone_while_the_store_is_away() {
+    let mut world = World::new(3);
+    world.run(5_000);
+    for daemon in &mut world.daemons {
+        daemon.reaches = false;
+    }
+    world.run(6_000);
+    let before: Vec<_> = world.daemons.iter().map(|daemon| daemon.told).collect();
+    world.run(1_500);
+    let told = (0..DAEMONS).filter(|index| world.daemons[*index].told > before[*index]);
+    let tellers: Vec<_> = told.collect();
+    assert!((2..=4).contains(&tellers.len()), "{tellers:?}");
+    assert!(tellers.iter().all(|index| *index < WIDE), "{tellers:?}");
+    for daemon in &mut world.daemons {
+        daemon.reaches = true;
+    }
+    world.change();
+    let at = world.store.at();
+    world.run(DRAIN.as_millis() as u64);
+    assert!((0..DAEMONS).all(|index| world.known(index) >= at));
+}
+
 #[test]
 fn decide_system_of_few_daemons_does_without() {
     let mut hubs = Hubs::new("d".parse().unwrap(), 10.0, DRAIN);
