--- a/gateway/src/catch_up.rs
+++ b/gateway/src/catch_up.rs
@@ -25,8 +25,8 @@
     actix_rt::spawn(catch_up_objects(cx.clone()));
 }
 
-/// Gets what was missed of what hubs told: from the store, whose link is wide, and only if it does not
-/// answer from another daemon, each after a pause of its own, since many miss the same.
+/// Gets what was missed of what hubs told. Many daemons miss the same, so each waits for a time of its
+/// own; the store is asked first, since its link is wide, and another daemon only if it fails.
 async fn catch_up_objects(cx: Rc<Gateway>) {
     let started = cx.now();
     let mut ticks = interval(TICK);
--- a/gateway/src/objects.rs
+++ b/gateway/src/objects.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     gateway::Gateway,
-    relay::Taken,
+    relay::{Excerpt, Taken},
     store::{Change, Changes, Entry, Kind, Listing, Record},
 };
 
@@ -55,7 +55,7 @@
 }
 
 /// Takes what another daemon passes on; false if more has to be fetched.
-pub(crate) fn take_excerpt(cx: &Gateway, excerpt: crate::relay::Excerpt) -> bool {
+pub(crate) fn take_excerpt(cx: &Gateway, excerpt: Excerpt) -> bool {
     let kind = excerpt.kind;
     let taken = cx.state.borrow().views.compare(excerpt);
     match taken {
