quota: by lot only where the delay is longer than the tolerance covers

The reserve now counts the delay beyond 250 ms, and half of the tolerance is used again. Besides, a hub tells what all ask for with what all admitted, as the simulation had it.

The simulations of few and of many daemons are one now; all cases and bounds stand as they were.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use crate::{
     dialect::Dialect,
     directory::Directory,
-    hubs::{self, HubMessage, Hubs, Told},
+    hubs::{self, HubMessage, Hubs, Told, Total},
     lease::Lease,
     mesh::{Mesh, Message, ToldWork, WorkMessage},
     metrics::Metrics,
@@ -173,9 +173,8 @@
     /// Returns what all other daemons admitted a customer, as far as it is known here.
     pub fn admitted_elsewhere(&self, now: Time, customer: &CustomerName) -> quota::Peers {
         let mut peers = self.mesh.admitted(now, customer);
-        if let Some((total, hears, age)) = self.hubs.admitted(now, customer) {
-            peers.take_total(total, hears, age, &self.quotas.history(now, customer));
-            peers.lag = hubs::LAG;
+        if let Some(total) = self.hubs.total(now, customer) {
+            peers.take_total(&total, hubs::LAG, &self.quotas.history(now, customer));
         }
         peers
     }
@@ -185,18 +184,19 @@
         let customers: Vec<_> = self.table.as_ref().map_or_else(Vec::new, |table| {
             table.customers.values().filter(|c| c.quota.is_some()).map(|c| c.name.clone()).collect()
         });
-        let admitted = customers.into_iter().filter_map(|name| {
-            let mut sum = self.mesh.admitted(now, &name);
-            sum.add(&self.quotas.history(now, &name), Duration::ZERO);
-            let is_used = sum.history.iter().any(|units| *units > 0);
-            is_used.then_some((name, sum.history))
+        let totals = customers.into_iter().filter_map(|customer| {
+            let mut sum = self.mesh.admitted(now, &customer);
+            sum.add(&self.quotas.history(now, &customer), Duration::ZERO);
+            let asked = sum.asked + self.quotas.asked_rate(now, &customer);
+            let is_used = asked > 0.0 || sum.history.iter().any(|units| *units > 0);
+            is_used.then_some(Total { customer, admitted: sum.history, asked })
         });
         Told {
             daemons: self.mesh.size(),
             acts: self.lease.fence(now).is_some(),
             hears: self.mesh.heard_count(now),
             store_back: self.directory.store_back(now),
-            admitted: admitted.collect(),
+            totals: totals.collect(),
             excerpts: if self.hubs.tells_objects(now) {
                 self.views.recent(now)
             } else {
--- a/gateway/src/hubs.rs
+++ b/gateway/src/hubs.rs
@@ -18,7 +18,10 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{quota::History, relay::Excerpt};
+use crate::{
+    quota::{self, History},
+    relay::Excerpt,
+};
 
 /// The most daemons that do without hubs: each tells so many others at a time.
 pub const MAX_WITHOUT: u32 = crate::mesh::MAX_TOLD as u32;
@@ -78,8 +81,19 @@
     pub store_back_ms: Option<u64>,
     /// What changed in the store lately.
     pub excerpts: Vec<Excerpt>,
-    /// Units that all daemons together admitted lately, by interval.
-    pub admitted: Vec<(CustomerName, History)>,
+    /// What all daemons together did of each customer's quota.
+    pub totals: Vec<Total>,
+}
+
+/// What all daemons together did of one customer's quota.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Total {
+    /// The customer.
+    pub customer: CustomerName,
+    /// Units admitted lately, by interval.
+    pub admitted: History,
+    /// Units a second that were asked for lately.
+    pub asked: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -252,13 +266,17 @@
         self.in_touch(now).filter_map(back).min()
     }
 
-    /// Returns what all daemons admitted a customer, by the hub that hears the most of them, with
-    /// their number and the age of its word.
-    pub fn admitted(&self, now: Time, customer: &CustomerName) -> Option<(&[u64], u32, Duration)> {
+    /// Returns what all daemons did of a customer's quota, by the hub that hears the most of them;
+    /// `None` if no hub is heard.
+    pub fn total(&self, now: Time, customer: &CustomerName) -> Option<quota::Total<'_>> {
         let best = self.listening(now).into_iter().max_by_key(|hub| hub.message.hears)?;
-        let told = best.message.admitted.iter().find(|(name, _)| name == customer);
-        let history = told.map_or(&[][..], |(_, history)| history);
-        Some((history, best.message.hears, now.since(best.heard)))
+        let told = best.message.totals.iter().find(|total| total.customer == *customer);
+        Some(quota::Total {
+            admitted: told.map_or(&[], |told| &told.admitted),
+            asked: told.map_or(0.0, |told| told.asked),
+            hears: best.message.hears,
+            age: now.since(best.heard),
+        })
     }
 
     /// Says whether fewer hubs go before this one than everybody tells what it knows.
@@ -295,7 +313,7 @@
         }
         let proof_ms = self.proof.map_or(NO_PROOF_MS, |proof| now.since(proof).as_millis() as u64);
         self.number += 1;
-        let Told { daemons, acts, hears, store_back, excerpts, admitted } = told;
+        let Told { daemons, acts, hears, store_back, excerpts, totals } = told;
         Some(HubMessage {
             daemon: self.me.clone(),
             incarnation,
@@ -307,7 +325,7 @@
             listens_every_ms: self.listens_every(daemons).as_millis() as u64,
             store_back_ms: store_back.map(|since| since.as_millis() as u64),
             excerpts,
-            admitted,
+            totals,
         })
     }
 }
@@ -325,8 +343,8 @@
     pub store_back: Option<Duration>,
     /// What changed in the store lately.
     pub excerpts: Vec<Excerpt>,
-    /// Units that all daemons together admitted lately, by interval.
-    pub admitted: Vec<(CustomerName, History)>,
+    /// What all daemons together did of each customer's quota.
+    pub totals: Vec<Total>,
 }
 
 /// Orders the hubs: those with wide links go first.
--- a/gateway/src/quota.rs
+++ b/gateway/src/quota.rs
@@ -9,9 +9,10 @@
 //! that starts after a crash does little harm by not knowing what went before: it takes its part
 //! of the burst as used.
 //!
-//! What others admit is known late. When the bucket is so low that all daemons together would
-//! empty it before they know of each other, a request is admitted by lot, the less likely the
-//! lower the bucket is. In large systems a hub adds up what all admit; see [`crate::hubs`].
+//! What others admit is known late, the later the more daemons there are, although in large systems
+//! a hub adds it up (see [`crate::hubs`]). Where that is later than the tolerance covers, and the
+//! bucket so low that all daemons together would empty it before they know of each other, a
+//! request is admitted by lot, the less likely the lower the bucket is.
 
 use std::time::Duration;
 
@@ -24,13 +25,12 @@
 const INTERVAL: Duration = Duration::from_millis(500);
 /// The part of the tolerance that is used on purpose, so that what is within a quota is not refused
 /// for the daemons' views differing; the rest covers what is admitted between two messages.
-const TOLERANCE_USED: f64 = 0.6;
+const TOLERANCE_USED: f64 = 0.5;
 /// The time over which what is asked for is averaged.
 const ASKED_OVER: Duration = Duration::from_secs(1);
-/// The part of what is asked for while the others' admissions are not known yet that the bucket
-/// keeps in reserve; with half of it, the most in a window stays below what is allowed in every
-/// simulated case (`gateway/tests/quota.rs`).
-const RESERVE: f64 = 0.5;
+/// The delay with which others' admissions may be known and the unused part of the tolerance still
+/// covers what all admit meanwhile; that of daemons that all hear each other.
+const COVERED_DELAY: Duration = Duration::from_millis(250);
 /// The shortest time after which a refused caller may come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(200);
 
@@ -78,24 +78,39 @@
 }
 
 impl Peers {
-    /// Takes what all daemons admitted together, `age` ago, by the word of a daemon that hears
-    /// `hears` others, if it hears more of them; `own` is what was admitted here. What was admitted
-    /// here in the newest interval is not taken off, since it may not be in the total yet.
-    pub fn take_total(&mut self, total: &[u64], hears: u32, age: Duration, own: &[u64]) {
-        if hears < self.heard {
+    /// Takes what all daemons did together, if the one who says it hears more of them; `own` is what
+    /// was admitted here. What was admitted here in the newest interval is not taken off, since it
+    /// may not be in the total yet.
+    pub fn take_total(&mut self, total: &Total<'_>, lag: Duration, own: &[u64]) {
+        self.lag = lag;
+        if total.hears < self.heard {
             return;
         }
         let all = self.heard + self.silent;
-        self.heard = hears.min(all);
+        self.heard = total.hears.min(all);
         self.silent = all - self.heard;
+        self.asked = total.asked;
         self.history.clear();
-        self.add(total, age);
+        self.add(total.admitted, total.age);
         for (units, own) in self.history.iter_mut().zip(own).skip(1) {
             *units = units.saturating_sub(*own);
         }
     }
 }
 
+/// What one daemon says that all did of one customer's quota.
+#[derive(Clone, Copy, Debug)]
+pub struct Total<'a> {
+    /// Units admitted, by interval.
+    pub admitted: &'a [u64],
+    /// Units a second that were asked for.
+    pub asked: f64,
+    /// How many other daemons it hears.
+    pub hears: u32,
+    /// How old its word is.
+    pub age: Duration,
+}
+
 /// The units that one request used, to be given back if it did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Charge {
@@ -176,7 +191,7 @@
         let oldest = interval.saturating_sub(self.intervals);
         count(&mut self.asked, customer, interval, oldest, units);
         let asked = self.asked_rate(now, customer) + peers.asked;
-        let reserve = asked * peers.lag.as_secs_f64() * RESERVE;
+        let reserve = asked * peers.lag.saturating_sub(COVERED_DELAY).as_secs_f64();
         let missing = (units as f64).min(burst) - level;
         if missing > 0.0 || level < reserve * lot {
             let missing = missing.max(reserve - level);
--- a/gateway/tests/quota.rs
+++ b/gateway/tests/quota.rs
@@ -1,16 +1,14 @@
-//! Quotas of several daemons that tell each other what they admitted, as the operators check them.
+//! Quotas of several daemons that know late what the others admitted, as the operators check them.
 
 use std::{collections::VecDeque, time::Duration};
 
 use dogwoodturn::{ids::CustomerName, units::Time};
 use dogwoodturn_gateway::{
-    quota::{History, Peers, Quotas, Tolerance},
+    quota::{History, Peers, Quotas, Tolerance, Total},
     table::Quota,
 };
 
 const WINDOW: Duration = Duration::from_secs(8);
-const TELL_EVERY_MS: u64 = 200;
-const DAEMONS: usize = 7;
 const QUOTA: Quota =
     Quota { rate: 300_000.0, burst: 300_000.0, counts_tokens: true, default_tokens: 0 };
 /// A quota whose burst alone is half of what a window allows.
@@ -18,13 +16,6 @@
 /// What the operators allow on top: a tenth, and a fixed allowance.
 const TOLERANCE: Tolerance = Tolerance { window: WINDOW, overshoot: 0.1, allowance: 140_000.0 };
 
-struct Daemon {
-    quotas: Quotas,
-    told: History,
-    asked: f64,
-    told_at: Time,
-}
-
 fn at(ms: u64) -> Time {
     Time(1_000_000_000 + ms * 1000)
 }
@@ -38,61 +29,158 @@
     "hot".parse().unwrap()
 }
 
-fn start(quota: Quota, ms: u64, first: bool) -> Daemon {
-    let mut quotas = Quotas::new(TOLERANCE, at(ms), first);
-    quotas.inherit(&customer(), quota, DAEMONS as u32);
-    Daemon { quotas, told: Vec::new(), asked: 0.0, told_at: at(ms) }
+/// A size of system, and how its daemons know of each other.
+#[derive(Clone, Copy)]
+struct Shape {
+    daemons: usize,
+    /// One request in so many goes to the first daemon, which the balancer's hash favours.
+    first_gets: usize,
+    tell_every_ms: u64,
+    /// Whether they hear a total from a hub rather than each other.
+    has_hub: bool,
+}
+
+const FEW: Shape = Shape { daemons: 7, first_gets: 3, tell_every_ms: 200, has_hub: false };
+const MANY: Shape = Shape { daemons: 90, first_gets: 9, tell_every_ms: 250, has_hub: true };
+
+impl Shape {
+    /// How late the others' admissions are known.
+    fn lag(self) -> Duration {
+        let hops = if self.has_hub { 2 } else { 1 };
+        Duration::from_millis(self.tell_every_ms * hops)
+    }
+
+    fn others(self) -> u32 {
+        self.daemons as u32 - 1
+    }
+}
+
+struct Daemon {
+    quotas: Quotas,
+    told: History,
+    asked: f64,
 }
 
-/// Plays a customer that asks for `demand` times its rate, and returns what was admitted when.
-fn play(
+/// Daemons before which one customer stands.
+struct System {
+    shape: Shape,
     quota: Quota,
-    demand: f64,
-    until_ms: u64,
-    mut event: impl FnMut(u64, &mut Vec<Daemon>),
-) -> Vec<(u64, u64)> {
-    let mut daemons: Vec<_> = (0..DAEMONS).map(|_| start(quota, 0, true)).collect();
-    let mut admitted = Vec::new();
-    let units = 3000;
-    let per_ms = quota.rate * demand / 1000.0;
-    let mut owed = 0.0;
-    let mut turn = 0;
-    for ms in 0..until_ms {
-        event(ms, &mut daemons);
-        if ms % TELL_EVERY_MS == 0 {
-            for daemon in &mut daemons {
+    daemons: Vec<Daemon>,
+    told_at: Time,
+    /// What the hub told last, and when.
+    total: (History, f64, Time),
+    /// From when on the hub hears all daemons.
+    hears_from: u64,
+    turn: usize,
+}
+
+impl System {
+    fn new(shape: Shape, quota: Quota) -> Self {
+        let mut system = Self {
+            shape,
+            quota,
+            daemons: Vec::new(),
+            told_at: at(0),
+            total: (Vec::new(), 0.0, at(0)),
+            hears_from: 0,
+            turn: 0,
+        };
+        system.start_all(0, true);
+        system
+    }
+
+    /// Starts all daemons; those of a later start know nothing of what went before.
+    fn start_all(&mut self, ms: u64, is_first: bool) {
+        let start = |_| {
+            let mut quotas = Quotas::new(TOLERANCE, at(ms), is_first);
+            quotas.inherit(&customer(), self.quota, self.shape.daemons as u32);
+            Daemon { quotas, told: Vec::new(), asked: 0.0 }
+        };
+        self.daemons = (0..self.shape.daemons).map(start).collect();
+        self.told_at = at(ms);
+        self.total = (Vec::new(), 0.0, at(ms));
+        self.hears_from = if is_first { 0 } else { ms + self.shape.tell_every_ms * 2 };
+    }
+
+    /// Lets the daemons tell what is due.
+    fn tell(&mut self, ms: u64) {
+        let every = self.shape.tell_every_ms;
+        if ms.is_multiple_of(every) {
+            for daemon in &mut self.daemons {
                 daemon.told = daemon.quotas.history(at(ms), &customer());
                 daemon.asked = daemon.quotas.asked_rate(at(ms), &customer());
-                daemon.told_at = at(ms);
             }
+            self.told_at = at(ms);
         }
-        owed += per_ms;
-        while owed >= f64::from(units) {
-            owed -= f64::from(units);
-            // The balancer's hash favours the first daemon.
-            turn += 1;
-            let chosen = if turn % 3 == 0 { 0 } else { turn % DAEMONS };
-            let mut peers = Peers {
-                heard: DAEMONS as u32 - 1,
-                lag: Duration::from_millis(TELL_EVERY_MS),
-                ..Peers::default()
-            };
-            for (index, peer) in daemons.iter().enumerate() {
-                if index != chosen {
-                    peers.add(&peer.told, at(ms).since(peer.told_at));
-                    peers.asked += peer.asked;
-                }
+        if ms % every == every / 2 {
+            let mut sum = Peers::default();
+            for daemon in &self.daemons {
+                sum.add(&daemon.told, at(ms).since(self.told_at));
+            }
+            let asked = self.daemons.iter().map(|daemon| daemon.asked).sum();
+            self.total = (sum.history, asked, at(ms));
+        }
+    }
+
+    /// Returns what a daemon knows of the others.
+    fn peers_of(&self, chosen: usize, ms: u64) -> Peers {
+        let (shape, now) = (self.shape, at(ms));
+        let mut peers = Peers { lag: shape.lag(), ..Peers::default() };
+        if shape.has_hub {
+            // A daemon hears the others late; the hub hears them at once.
+            let hears = if ms < self.hears_from { 0 } else { shape.others() };
+            let (history, asked, told_at) = &self.total;
+            let own = self.daemons[chosen].quotas.history(now, &customer());
+            peers.silent = shape.others();
+            let age = now.since(*told_at);
+            let total = Total { admitted: history, asked: *asked, hears, age };
+            peers.take_total(&total, shape.lag(), &own);
+            return peers;
+        }
+        peers.heard = shape.others();
+        for (_, peer) in self.daemons.iter().enumerate().filter(|(index, _)| *index != chosen) {
+            peers.add(&peer.told, now.since(self.told_at));
+            peers.asked += peer.asked;
+        }
+        peers
+    }
+
+    /// Asks the next daemon to admit a request.
+    fn ask(&mut self, ms: u64, units: u64) -> bool {
+        self.turn += 1;
+        let is_favoured = self.turn.is_multiple_of(self.shape.first_gets);
+        let chosen = if is_favoured { 0 } else { self.turn % self.shape.daemons };
+        let peers = self.peers_of(chosen, ms);
+        let (quota, lot) = (self.quota, lot(self.turn));
+        let quotas = &mut self.daemons[chosen].quotas;
+        quotas.admit(at(ms), &customer(), quota, units, lot, &peers).is_ok()
+    }
+
+    /// Plays a customer that asks for `demand` times its rate in requests of one size, and returns
+    /// what was admitted when; `killed_at` says when all daemons start anew.
+    fn play(
+        mut self,
+        demand: f64,
+        units: u64,
+        until_ms: u64,
+        killed_at: &[u64],
+    ) -> Vec<(u64, u64)> {
+        let (mut admitted, mut owed) = (Vec::new(), 0.0);
+        for ms in 0..until_ms {
+            if killed_at.contains(&ms) {
+                self.start_all(ms, false);
             }
-            let quotas = &mut daemons[chosen].quotas;
-            if quotas
-                .admit(at(ms), &customer(), quota, u64::from(units as u32), lot(turn), &peers)
-                .is_ok()
-            {
-                admitted.push((ms, u64::from(units as u32)));
+            self.tell(ms);
+            owed += self.quota.rate * demand / 1000.0;
+            while owed >= units as f64 {
+                owed -= units as f64;
+                if self.ask(ms, units) {
+                    admitted.push((ms, units));
+                }
             }
         }
+        admitted
     }
-    admitted
 }
 
 fn most_in_window(admitted: &[(u64, u64)]) -> f64 {
@@ -113,71 +201,8 @@
         + TOLERANCE.allowance
 }
 
-/// The daemons of a large system, and how often they tell a hub, and it tells them.
-const MANY: usize = 90;
-const HUB_EVERY_MS: u64 = 250;
-
-/// Plays a customer at many daemons that know of each other by a hub, and returns what was
-/// admitted when; `killed_at` says when all daemons start anew.
-fn play_by_hub(quota: Quota, demand: f64, until_ms: u64, killed_at: &[u64]) -> Vec<(u64, u64)> {
-    let start_many = |ms, first| {
-        let start = |_| {
-            let mut quotas = Quotas::new(TOLERANCE, at(ms), first);
-            quotas.inherit(&customer(), quota, MANY as u32);
-            Daemon { quotas, told: Vec::new(), asked: 0.0, told_at: at(ms) }
-        };
-        (0..MANY).map(start).collect::<Vec<_>>()
-    };
-    let mut daemons = start_many(0, true);
-    let mut total = (Vec::new(), at(0));
-    let mut asked_in_all = 0.0;
-    let mut hears_from = 0;
-    let mut admitted = Vec::new();
-    let (units, mut owed, mut turn) = (6000_u64, 0.0, 0);
-    for ms in 0..until_ms {
-        if killed_at.contains(&ms) {
-            daemons = start_many(ms, false);
-            total = (Vec::new(), at(ms));
-            hears_from = ms + HUB_EVERY_MS * 2;
-        }
-        if ms % HUB_EVERY_MS == 0 {
-            for daemon in &mut daemons {
-                daemon.told = daemon.quotas.history(at(ms), &customer());
-                daemon.asked = daemon.quotas.asked_rate(at(ms), &customer());
-                daemon.told_at = at(ms);
-            }
-        }
-        if ms % HUB_EVERY_MS == HUB_EVERY_MS / 2 {
-            let mut sum = Peers::default();
-            for daemon in &daemons {
-                sum.add(&daemon.told, at(ms).since(daemon.told_at));
-            }
-            total = (sum.history, at(ms));
-            let rate = |daemon: &Daemon| daemon.quotas.asked_rate(at(ms), &customer());
-            asked_in_all = daemons.iter().map(rate).sum();
-        }
-        owed += quota.rate * demand / 1000.0;
-        while owed >= units as f64 {
-            owed -= units as f64;
-            turn += 1;
-            let chosen = if turn % 9 == 0 { 0 } else { turn % MANY };
-            let quotas = &mut daemons[chosen].quotas;
-            // A daemon hears the others late; the hub hears them at once.
-            let hears = if ms < hears_from { 0 } else { MANY as u32 - 1 };
-            let mut peers = Peers {
-                silent: MANY as u32 - 1,
-                asked: asked_in_all,
-                lag: Duration::from_millis(HUB_EVERY_MS * 2),
-                ..Peers::default()
-            };
-            let own = quotas.history(at(ms), &customer());
-            peers.take_total(&total.0, hears, at(ms).since(total.1), &own);
-            if quotas.admit(at(ms), &customer(), quota, units, lot(turn), &peers).is_ok() {
-                admitted.push((ms, units));
-            }
-        }
-    }
-    admitted
+fn units_of<'a>(admitted: impl IntoIterator<Item = &'a (u64, u64)>) -> f64 {
+    admitted.into_iter().map(|(_, units)| *units as f64).sum()
 }
 
 #[test]
@@ -185,7 +210,7 @@
     for demand in [1.2, 2.0, 3.0, 5.0] {
         for killed_at in [&[][..], &[4_100], &[9_300], &[4_100, 6_000]] {
             for quota in [QUOTA, BURSTY] {
-                let admitted = play_by_hub(quota, demand, 20_000, killed_at);
+                let admitted = System::new(MANY, quota).play(demand, 6000, 20_000, killed_at);
                 let (most, allowed) = (most_in_window(&admitted), allowed(quota));
                 assert!(most <= allowed, "demand {demand}, {killed_at:?}: {most} of {allowed}");
             }
@@ -195,35 +220,44 @@
 
 #[test]
 fn admit_usual_demand_is_served_soon_after_all_of_many_daemons_were_killed() {
-    let admitted = play_by_hub(QUOTA, 0.6, 10_000, &[4_000]);
+    let admitted = System::new(MANY, QUOTA).play(0.6, 6000, 10_000, &[4_000]);
     let after = admitted.iter().filter(|(ms, _)| (5_000..8_000).contains(ms));
-    let units: u64 = after.map(|(_, units)| units).sum();
-    let asked = QUOTA.rate * 0.6 * 3.0;
-    assert!(units as f64 >= asked * 0.95, "{units} of {asked}");
+    let (units, asked) = (units_of(after), QUOTA.rate * 0.6 * 3.0);
+    assert!(units >= asked * 0.95, "{units} of {asked}");
 }
 
 #[test]
 fn admit_one_customer_far_beyond_its_quota() {
-    let admitted = play(QUOTA, 4.0, 30_000, |_, _| {});
+    let admitted = System::new(FEW, QUOTA).play(4.0, 3000, 30_000, &[]);
     assert!(most_in_window(&admitted) <= allowed(QUOTA), "{}", most_in_window(&admitted));
 }
 
 #[test]
 fn admit_all_daemons_killed_in_the_middle_of_a_window() {
-    let admitted = play(BURSTY, 3.0, 30_000, |ms, daemons| {
-        if ms == 3_100 {
-            *daemons = (0..DAEMONS).map(|_| start(BURSTY, ms, false)).collect();
-        }
-    });
+    let admitted = System::new(FEW, BURSTY).play(3.0, 3000, 30_000, &[3_100]);
     assert!(most_in_window(&admitted) <= allowed(BURSTY), "{}", most_in_window(&admitted));
 }
 
 #[test]
 fn admit_usual_demand_is_never_refused() {
-    let admitted = play(QUOTA, 0.6, 20_000, |_, _| {});
-    let asked = QUOTA.rate * 0.6 * 20.0;
-    let units: u64 = admitted.iter().map(|(_, units)| units).sum();
-    assert!(units as f64 >= asked - 6000.0, "{units} of {asked}");
+    let admitted = System::new(FEW, QUOTA).play(0.6, 3000, 20_000, &[]);
+    let (units, asked) = (units_of(&admitted), QUOTA.rate * 0.6 * 20.0);
+    assert!(units >= asked - 6000.0, "{units} of {asked}");
+}
+
+#[test]
+fn admit_delay_that_the_tolerance_covers_refuses_nobody_by_lot() {
+    let admitted_with = |lag: u64| {
+        let mut quotas = Quotas::new(TOLERANCE, at(0), true);
+        let peers = Peers { heard: 6, lag: Duration::from_millis(lag), ..Peers::default() };
+        // Leaves a hundred units of the bucket, and asks for as many a second as it held.
+        let bucket = QUOTA.burst * 1.05 + 70_000.0;
+        let most = quotas.admit(at(0), &customer(), QUOTA, bucket as u64 - 100, 0.0, &peers);
+        assert!(most.is_ok());
+        quotas.admit(at(0), &customer(), QUOTA, 50, 0.99, &peers).is_ok()
+    };
+    assert!(admitted_with(250), "daemons that all hear each other need no lot");
+    assert!(!admitted_with(500), "others may have spent the rest meanwhile");
 }
 
 #[test]
