--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -78,7 +78,7 @@
     /// Writes an answer of the gateway's own.
     pub async fn own(&mut self, cx: &Gateway, id: &str, answer: &OwnAnswer) -> Ending {
         self.keep_alive &= !answer.closes();
-        let bytes = answer.write(&cx.dialect, id, self.keep_alive);
+        let bytes = answer.write(&cx.dialect, id, self.keep_alive, self.is_head_only);
         self.has_head = true;
         // A caller that does not take a few hundred bytes within its idle time has left.
         let is_written = self.write(&bytes, Duration::from_secs(5)).await;
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -226,8 +226,14 @@
         self.closes
     }
 
-    /// Writes the answer.
-    pub fn write(&self, dialect: &Dialect, id: &str, keep_alive: bool) -> BytesMut {
+    /// Writes the answer; `is_head_only` leaves the body out, whose length is told all the same.
+    pub fn write(
+        &self,
+        dialect: &Dialect,
+        id: &str,
+        keep_alive: bool,
+        is_head_only: bool,
+    ) -> BytesMut {
         let mut out = BytesMut::with_capacity(256);
         let body = format!("{{\"title\":\"{}\"}}", self.reason);
         out.put_slice(format!("HTTP/1.1 {} {}\r\n", self.status, phrase(self.status)).as_bytes());
@@ -244,7 +250,9 @@
             put_header(&mut out, b"Connection", b"close");
         }
         out.put_slice(b"\r\n");
-        out.put_slice(body.as_bytes());
+        if !is_head_only {
+            out.put_slice(body.as_bytes());
+        }
         out
     }
 }
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -96,7 +96,7 @@
             Err(ReadError::Refused(own)) => {
                 log::info!(event = "refused", reason = own.reason, status = own.status(); "");
                 cx.metrics.ended("", own.reason);
-                stream.write_all(&own.write(&cx.dialect, "", false)).await?;
+                stream.write_all(&own.write(&cx.dialect, "", false, false)).await?;
                 return stream.shutdown().await;
             }
         };
--- a/gateway/tests/forward.rs
+++ b/gateway/tests/forward.rs
@@ -39,6 +39,18 @@
     }
 }
 
+#[actix_rt::test]
+async fn own_answer_to_head_has_no_body_either() {
+    let upstream = Upstream::start(|_| write(ok("x")));
+    let world = World::start(&[&upstream]).await;
+    let asked = get("/nowhere/1", "a1").replacen("GET", "HEAD", 1);
+    let asked = asked.replace("Connection: close\r\n", "");
+    let answer = world.exchange(&(asked + &get("/look/1", "a2"))).await;
+    let (first, rest) = answer.split_once("\r\n\r\n").unwrap();
+    assert!(first.starts_with("HTTP/1.1 404 "), "{answer}");
+    assert!(rest.starts_with("HTTP/1.1 200 "), "{answer}");
+}
+
 #[actix_rt::test]
 async fn answer_without_content_has_no_length() {
     let upstream = Upstream::start(|_| write("HTTP/1.1 204 No Content\r\nX-Id: {id}\r\n\r\n"));
