logs: places in different files do not share their lines in a second

Cause: a place in the code was known by its line number alone, so that two files with something to log on the same line shared 120 lines a second, and the count of lines left out was of neither. It is file and line now.

What waits is a part without I/O.

--- a/gateway/src/logs.rs
+++ b/gateway/src/logs.rs
@@ -6,7 +6,7 @@
 
 use std::{
     io::Write as _,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
     time::{Duration, Instant},
 };
@@ -16,62 +16,78 @@
     Diagnostic, Error, append::Append, filter::rustlog::RustLogFilterBuilder, layout::Layout,
     layout::LogfmtLayout, record::Record,
 };
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The bytes that may wait for a slow reader of standard output.
-const MAX_WAITING: usize = 256 * 1024;
+pub const MAX_WAITING: usize = 256 * 1024;
 /// The lines that one place in the code may write in a second: every request of a small daemon.
-const MAX_LINES_PER_SECOND: u32 = 120;
+pub const MAX_LINES_PER_SECOND: u32 = 120;
 /// How often the buffer is emptied.
 const WRITE_EVERY: Duration = Duration::from_millis(250);
 
+/// Lines that wait to be written, and the count of those that were left out.
 #[derive(Debug, Default)]
-struct Shared {
-    waiting: Vec<u8>,
-    lines: IndexMap<u32, u32>,
+pub struct Waiting {
+    bytes: Vec<u8>,
+    /// The lines of each place in the code in the current second, by a hash of the place.
+    lines: IndexMap<u64, u32>,
     left_out: u64,
     counted_from: Option<Instant>,
 }
 
+impl Waiting {
+    /// Adds a line of a place, named by file and line, unless there are too many.
+    pub fn add(&mut self, now: Instant, place: (&str, u32), line: &[u8]) {
+        let second = Duration::from_secs(1);
+        if self.counted_from.is_none_or(|from| now.duration_since(from) >= second) {
+            self.counted_from = Some(now);
+            self.lines.clear();
+        }
+        let place = xxh3_64_with_seed(place.0.as_bytes(), u64::from(place.1));
+        let lines = self.lines.entry(place).or_default();
+        *lines += 1;
+        if *lines > MAX_LINES_PER_SECOND || self.bytes.len() + line.len() >= MAX_WAITING {
+            self.left_out += 1;
+            return;
+        }
+        self.bytes.extend_from_slice(line);
+        self.bytes.push(b'\n');
+    }
+
+    /// Takes what waits, with the number of lines that were left out.
+    pub fn take(&mut self) -> (Vec<u8>, u64) {
+        (std::mem::take(&mut self.bytes), std::mem::take(&mut self.left_out))
+    }
+}
+
 /// Collects lines for the thread that writes them.
 #[derive(Debug)]
 struct Buffered {
     layout: LogfmtLayout,
-    shared: Arc<Mutex<Shared>>,
+    waiting: Arc<Mutex<Waiting>>,
 }
 
 impl Append for Buffered {
     fn append(&self, record: &Record, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
         let line = self.layout.format(record, diags)?;
-        let mut shared = self.shared.lock().unwrap_or_else(PoisonError::into_inner);
-        let second = Duration::from_secs(1);
-        if shared.counted_from.is_none_or(|from| from.elapsed() >= second) {
-            shared.counted_from = Some(Instant::now());
-            shared.lines.clear();
-        }
-        let place = record.line().unwrap_or_default();
-        let lines = shared.lines.entry(place).or_default();
-        *lines += 1;
-        if *lines > MAX_LINES_PER_SECOND || shared.waiting.len() + line.len() > MAX_WAITING {
-            shared.left_out += 1;
-            return Ok(());
-        }
-        shared.waiting.extend_from_slice(&line);
-        shared.waiting.push(b'\n');
+        let place = (record.file().unwrap_or_default(), record.line().unwrap_or_default());
+        lock(&self.waiting).add(Instant::now(), place, &line);
         Ok(())
     }
 
     fn flush(&self) -> Result<(), Error> {
-        write_waiting(&self.shared);
+        write_waiting(&self.waiting);
         Ok(())
     }
 }
 
+fn lock(waiting: &Mutex<Waiting>) -> MutexGuard<'_, Waiting> {
+    waiting.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Writes what waits; the buffer is free for new lines while the reader is slow.
-fn write_waiting(shared: &Mutex<Shared>) {
-    let (lines, left_out) = {
-        let mut shared = shared.lock().unwrap_or_else(PoisonError::into_inner);
-        (std::mem::take(&mut shared.waiting), std::mem::take(&mut shared.left_out))
-    };
+fn write_waiting(waiting: &Mutex<Waiting>) {
+    let (lines, left_out) = lock(waiting).take();
     let mut out = std::io::stdout();
     // Nobody could be told that standard output is gone.
     let _ = out.write_all(&lines);
@@ -83,8 +99,8 @@
 
 /// Sends the logs of this process to standard output; call [`flush`] before it ends.
 pub fn init() {
-    let shared = Arc::new(Mutex::new(Shared::default()));
-    let writer = shared.clone();
+    let waiting = Arc::new(Mutex::new(Waiting::default()));
+    let writer = waiting.clone();
     let spawned = thread::Builder::new().name("logs".into()).spawn(move || {
         loop {
             thread::sleep(WRITE_EVERY);
@@ -99,7 +115,7 @@
         .dispatch(|dispatch| {
             dispatch
                 .filter(RustLogFilterBuilder::from_default_env_or("info").build())
-                .append(Buffered { layout, shared })
+                .append(Buffered { layout, waiting })
         })
         .apply();
 }
