gateway: the whole change read once more, made simpler

- What was written twice: which hubs go before a daemon and whether a proof is fresh (hubs), which upstreams fit a request (placement), which kinds are passed on (relay).
- More complicated than needed: the rule of versions owns its name, so that nothing has to be taken out of the state and put back.
- In the wrong place: a hub's message is taken where objects are.
- Figures without a name: costs in placement, time-outs and pauses in forward.

--- a/gateway/src/acting.rs
+++ b/gateway/src/acting.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    gateway::{Gateway, wall_clock},
+    gateway::{Gateway, State, wall_clock},
     objects::take,
     store::{CallError, Kind, Order, Record, UpstreamRecord, UsageWindow, Write},
     supply::Place,
@@ -148,15 +148,14 @@
         let due = {
             let mut state = cx.state.borrow_mut();
             let is_up = state.directory.has_version(&service, &target);
-            let mut rollouts = std::mem::take(&mut state.rollouts);
+            let State { rollouts, mesh, lease, .. } = &mut *state;
             let before = (rollouts.share(&service), rollouts.holds().len());
-            let due = rollouts.advance(now, &service, state.mesh.tallies(&service), is_idle, is_up);
+            let due = rollouts.advance(now, &service, mesh.tallies(&service), is_idle, is_up);
             let after = (rollouts.share(&service), rollouts.holds().len());
             if before != after {
                 log::info!(event = "move-step", service:%, target:%, share = after.0.unwrap_or(0.0), holds = after.1; "");
             }
-            state.rollouts = rollouts;
-            due.filter(|_| state.lease.fence(now).is_some())
+            due.filter(|_| lease.fence(now).is_some())
         };
         let Some(due) = due else { continue };
         if !cx.recording.borrow_mut().insert(service.clone()) {
@@ -227,22 +226,21 @@
             return;
         };
         let Some(table) = state.table_in_force().cloned() else { return };
-        let mut supply = std::mem::take(&mut state.supply);
+        let State { supply, placement, mesh, directory, .. } = &mut *state;
         for service in table.services.values() {
             let Some(bounds) = &service.hosts else { continue };
-            let own = state.placement.demands(now);
+            let own = placement.demands(now);
             let own = own.iter().find(|(name, _)| *name == service.name);
             let own = own.map_or(0.0, |(_, demand)| f64::from(*demand) / 1000.0);
-            let demand = own + state.mesh.demand(now, &service.name);
+            let demand = own + mesh.demand(now, &service.name);
             let of_service =
                 |record: &&UpstreamRecord| record.service == service.name && !record.draining;
-            let present: Vec<_> = state.directory.listed().filter(of_service).collect();
+            let present: Vec<_> = directory.listed().filter(of_service).collect();
             for order in supply.due(now, &service.name, bounds, demand, &present) {
                 log::info!(event = "order", service:% = order.service, data_centre:% = order.place.data_centre, reclaimable = order.place.reclaimable, count = order.count, demand, present = present.len(), fence = fence.number; "");
                 orders.push(order);
             }
         }
-        state.supply = supply;
         fence
     };
     if orders.is_empty() {
--- a/gateway/src/catch_up.rs
+++ b/gateway/src/catch_up.rs
@@ -51,8 +51,8 @@
 
 /// Returns a part of a time that differs between daemons and from time to time.
 fn own_pause(cx: &Gateway, within: Duration) -> Duration {
-    let name = cx.settings().name.as_str().to_owned();
-    within.mul_f64((xxh3_64_with_seed(name.as_bytes(), cx.now().0) % 1000) as f64 / 1000.0)
+    let hash = xxh3_64_with_seed(cx.settings().name.as_str().as_bytes(), cx.now().0);
+    within.mul_f64((hash % 1000) as f64 / 1000.0)
 }
 
 /// Fetches all objects from a hub, or from any daemon that knows a table.
--- a/gateway/src/explain.rs
+++ b/gateway/src/explain.rs
@@ -8,11 +8,12 @@
 /// How long before a request's last line other events of its daemon are shown, in microseconds.
 const BEFORE: i64 = 10_000_000;
 /// Events that change what a daemon believes, whichever request is asked for.
-const CONTEXT: [&str; 14] = [
+const CONTEXT: &[&str] = &[
     "start",
     "stop",
     "stopped",
     "reload",
+    "hub",
     "table",
     "upstream",
     "upstream-leaving",
--- a/gateway/src/forward/admission.rs
+++ b/gateway/src/forward/admission.rs
@@ -19,6 +19,8 @@
 const RETRY_WHEN_STARTING: Duration = Duration::from_millis(500);
 /// When a caller may come back to another daemon.
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
+/// When a caller may come back whose request crashes upstreams; it is remembered for a minute.
+const RETRY_WHEN_CRASHING: Duration = Duration::from_secs(10);
 /// The urgency of the first rank at an upstream; lower ranks follow.
 const FIRST_URGENCY: u8 = 2;
 /// The last urgency that upstreams know.
@@ -90,8 +92,8 @@
     };
     let digest = req.digest(customer.as_ref());
     if state.suspects.is_refused(now, digest) {
-        let later = Duration::from_secs(10);
-        return Err(OwnAnswer::refused(unsent(), "refused-crashes-upstreams", later));
+        let reason = "refused-crashes-upstreams";
+        return Err(OwnAnswer::refused(unsent(), reason, RETRY_WHEN_CRASHING));
     }
     let waits = req.deadline.unwrap_or(route.timeout).min(route.timeout);
     let known = customer.as_ref().and_then(|name| table.customers.get(name));
--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -35,6 +35,12 @@
 /// The part of the time left after which callers no longer come back.
 const RETRY_SHARE: u32 = 3;
 
+/// How long an answer of the gateway's own is written; a caller that does not take a few hundred bytes
+/// within that time has left.
+const OWN_WRITE: Duration = Duration::from_secs(5);
+/// How long an upstream's failure is written that was kept while another upstream was tried.
+const FAILURE_WRITE: Duration = Duration::from_secs(1);
+
 /// Where a request's connection stands after its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -80,8 +86,7 @@
         self.keep_alive &= !answer.closes();
         let bytes = answer.write(&cx.dialect, id, self.keep_alive, self.is_head_only);
         self.has_head = true;
-        // A caller that does not take a few hundred bytes within its idle time has left.
-        let is_written = self.write(&bytes, Duration::from_secs(5)).await;
+        let is_written = self.write(&bytes, OWN_WRITE).await;
         if is_written { Ending::Answered } else { Ending::Cut }
     }
 
@@ -324,7 +329,6 @@
     ) -> T {
         let admitted = &self.admitted;
         let service = admitted.table.services.get(&admitted.service);
-        let rollouts = std::mem::take(&mut state.rollouts);
         let settings = self.cx.settings();
         let need = Need {
             service: &admitted.service,
@@ -334,11 +338,9 @@
             target: admitted.route.target,
             left,
             tried: &self.tried,
-            versions: rollouts.rule(&admitted.service, self.req.hash),
+            versions: state.rollouts.rule(&admitted.service, self.req.hash),
         };
-        let result = call(state, &need);
-        state.rollouts = rollouts;
-        result
+        call(state, &need)
     }
 
     /// Says whether another upstream should answer within the target, and takes a second send out
@@ -408,7 +410,7 @@
         if let Some((head, body)) = self.failure.take() {
             self.log("upstream-failure", head.status, Duration::ZERO);
             self.cx.metrics.ended(route, "upstream-failure");
-            return out.whole(&head, &body, self.left().max(Duration::from_secs(1))).await;
+            return out.whole(&head, &body, self.left().max(FAILURE_WRITE)).await;
         }
         self.log(own.reason, own.status(), own.retry_after());
         self.cx.metrics.ended(route, own.reason);
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -149,9 +149,8 @@
         self.mesh.heard(now, wall_clock(), from, message);
     }
 
-    /// Takes that a hub is there, and whether the store was away; what it tells of objects is taken by
-    /// [`crate::links`].
-    pub fn take_hub_message(&mut self, now: Time, from: SocketAddr, message: &HubMessage) {
+    /// Takes that a hub is there, what it adds up, and whether the store was away.
+    pub fn take_hub_message(&mut self, now: Time, from: SocketAddr, message: HubMessage) {
         if self.hubs.heard(now, from, message) && self.hubs.has_others(now) {
             let back = self.hubs.store_back(now).map(|since| now.ago(since));
             self.directory.store_reached(back);
--- a/gateway/src/hubs.rs
+++ b/gateway/src/hubs.rs
@@ -144,6 +144,11 @@
         self.drain.mul_f64(WATCH_SHARE)
     }
 
+    /// Says whether an answer of the store this long ago shows that a hub is in touch with it.
+    fn proves(&self, age: Duration) -> bool {
+        age < self.watch_for() + PROOF_MARGIN
+    }
+
     /// Takes that the store answered this daemon's watch.
     pub fn proved(&mut self, now: Time) {
         self.proof = Some(now);
@@ -151,27 +156,29 @@
 
     /// Says whether the store answered this daemon lately.
     pub fn is_proved(&self, now: Time) -> bool {
-        self.proof.is_some_and(|proof| now.since(proof) < self.watch_for() + PROOF_MARGIN)
+        self.proof.is_some_and(|proof| self.proves(now.since(proof)))
     }
 
     /// Takes a hub's message; false if it is older than one that was heard.
-    pub fn heard(&mut self, now: Time, address: SocketAddr, message: &HubMessage) -> bool {
+    pub fn heard(&mut self, now: Time, address: SocketAddr, message: HubMessage) -> bool {
         let order = |message: &HubMessage| (message.incarnation, message.number);
         let known = self.others.get(&message.daemon);
         if message.daemon == self.me
-            || known.is_some_and(|known| order(&known.message) >= order(message))
+            || known.is_some_and(|known| order(&known.message) >= order(&message))
         {
             return false;
         }
-        let kept = HubMessage { excerpts: Vec::new(), ..message.clone() };
-        self.others.insert(message.daemon.clone(), Hub { address, heard: now, message: kept });
+        self.others.insert(message.daemon.clone(), Hub { address, heard: now, message });
         true
     }
 
     fn is_in_touch(&self, now: Time, hub: &Hub) -> bool {
         let silent = now.since(hub.heard);
-        let proof_age = Duration::from_millis(hub.message.proof_ms) + silent;
-        silent < SILENCE && proof_age < self.watch_for() + PROOF_MARGIN
+        silent < SILENCE && self.proves(Duration::from_millis(hub.message.proof_ms) + silent)
+    }
+
+    fn heard_lately(&self, now: Time) -> impl Iterator<Item = &Hub> {
+        self.others.values().filter(move |hub| now.since(hub.heard) < SILENCE)
     }
 
     fn in_touch(&self, now: Time) -> impl Iterator<Item = &Hub> {
@@ -190,12 +197,7 @@
         let is_narrow = !is_wide(self.link);
         let suffices = |hub: &Hub| is_narrow || is_wide(hub.message.link);
         if self.is_hub {
-            let own = rank(self.link, &self.me);
-            let before = self.in_touch(now).filter(|hub| {
-                let message = &hub.message;
-                rank(message.link, &message.daemon) < own
-            });
-            self.is_hub = before.count() < HUBS;
+            self.is_hub = self.before(self.in_touch(now)) < HUBS;
             self.short_since = None;
         } else if self.in_touch(now).filter(|hub| suffices(hub)).count() < HUBS {
             let short_since = *self.short_since.get_or_insert(now);
@@ -222,10 +224,13 @@
     /// Says whether this daemon is one of the first hubs, which tell what has changed; the others
     /// only tell that they are there.
     pub fn tells_objects(&self, now: Time) -> bool {
+        self.before(self.in_touch(now)) < LISTENING
+    }
+
+    /// Counts the hubs that go before this daemon.
+    fn before<'a>(&self, hubs: impl Iterator<Item = &'a Hub>) -> usize {
         let own = rank(self.link, &self.me);
-        let before =
-            self.in_touch(now).filter(|hub| rank(hub.message.link, &hub.message.daemon) < own);
-        before.count() < LISTENING
+        hubs.filter(|hub| rank(hub.message.link, &hub.message.daemon) < own).count()
     }
 
     /// Says whether another daemon knows what the store holds.
@@ -242,8 +247,7 @@
     /// Returns the hubs that everybody tells what it knows: the first ones, and the holder of the
     /// lease.
     fn listening(&self, now: Time) -> Vec<&Hub> {
-        let mut heard: Vec<_> =
-            self.others.values().filter(|hub| now.since(hub.heard) < SILENCE).collect();
+        let mut heard: Vec<_> = self.heard_lately(now).collect();
         heard.sort_by_key(|hub| rank(hub.message.link, &hub.message.daemon));
         let mut place = 0..;
         heard.retain(|hub| place.next().is_some_and(|place| place < LISTENING) || hub.message.acts);
@@ -281,10 +285,7 @@
 
     /// Says whether fewer hubs go before this one than everybody tells what it knows.
     fn is_first_heard(&self, now: Time) -> bool {
-        let own = rank(self.link, &self.me);
-        let heard = self.others.values().filter(|hub| now.since(hub.heard) < SILENCE);
-        let before = heard.filter(|hub| rank(hub.message.link, &hub.message.daemon) < own);
-        before.count() < LISTENING
+        self.before(self.heard_lately(now)) < LISTENING
     }
 
     /// Returns how often a hub of this many daemons can hear each of them.
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -10,7 +10,6 @@
 use crate::{
     gateway::Gateway,
     http::{connection::Connection, head::RequestHead},
-    hubs::HubMessage,
     mesh::{Datagram, MAX_TOLD, TELL_EVERY},
     objects,
     relay::Excerpt,
@@ -170,7 +169,7 @@
             Ok(Datagram::State(message)) => {
                 cx.state.borrow_mut().take_message(cx.now(), from, *message);
             }
-            Ok(Datagram::Hub(message)) => take_hub_message(&cx, from, *message),
+            Ok(Datagram::Hub(message)) => objects::take_hub_message(&cx, from, *message),
             Ok(Datagram::Work(message)) => {
                 cx.state.borrow_mut().mesh.heard_work(cx.now(), message);
             }
@@ -182,16 +181,6 @@
     }
 }
 
-fn take_hub_message(cx: &Gateway, from: SocketAddr, mut message: HubMessage) {
-    cx.state.borrow_mut().take_hub_message(cx.now(), from, &message);
-    for excerpt in std::mem::take(&mut message.excerpts) {
-        let kind = excerpt.kind;
-        if !objects::take_excerpt(cx, excerpt) {
-            cx.behind.borrow_mut().insert(kind);
-        }
-    }
-}
-
 /// Fetches the table in force at a peer.
 pub async fn fetch_table(peer: SocketAddr) -> io::Result<Bytes> {
     fetch(peer, TABLE_PATH).await
--- a/gateway/src/objects.rs
+++ b/gateway/src/objects.rs
@@ -1,9 +1,12 @@
 //! Takes the objects of the store, from it or from a hub, into what decisions are made from.
 
+use std::net::SocketAddr;
+
 use dogwoodturn::ids::UpstreamId;
 
 use crate::{
     gateway::Gateway,
+    hubs::HubMessage,
     relay::{Excerpt, Taken},
     store::{Change, Changes, Entry, Kind, Listing, Record},
 };
@@ -54,6 +57,18 @@
     }
 }
 
+/// Takes a hub's message; kinds of which something was missed are noted as behind.
+pub(crate) fn take_hub_message(cx: &Gateway, from: SocketAddr, mut message: HubMessage) {
+    let excerpts = std::mem::take(&mut message.excerpts);
+    cx.state.borrow_mut().take_hub_message(cx.now(), from, message);
+    for excerpt in excerpts {
+        let kind = excerpt.kind;
+        if !take_excerpt(cx, excerpt) {
+            cx.behind.borrow_mut().insert(kind);
+        }
+    }
+}
+
 /// Takes what another daemon passes on; false if more has to be fetched.
 pub(crate) fn take_excerpt(cx: &Gateway, excerpt: Excerpt) -> bool {
     let kind = excerpt.kind;
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -52,6 +52,11 @@
 const TROUBLE_COST_MS: f64 = 1500.0;
 /// Milliseconds that an upstream of another data centre counts as slower.
 const REMOTE_COST_MS: f64 = 3.0;
+/// Milliseconds that an upstream counts as slower for each second that it stays slow after its start.
+const COLD_COST_MS: f64 = 10.0;
+/// Milliseconds that an upstream all of whose slots are taken counts as slower, so that equal ones
+/// share; a few trips to another data centre.
+const CROWDING_COST_MS: f64 = 12.0;
 /// Milliseconds that reading a shared token again counts, while the answer is in time all the same:
 /// it takes engines' time from other requests.
 const REREAD_COST_MS: f64 = 0.04;
@@ -69,6 +74,8 @@
 const MEMORY_SHARE: f64 = 0.9;
 /// The part of the target that the wait ahead of a request may take.
 const WAIT_SHARE: f64 = 0.6;
+/// The part of that wait down to which the queue should have fallen when a refused caller is back.
+const ROOM_SHARE: f64 = 0.5;
 /// The shortest wait that a refused caller is told.
 const SHORTEST_RETRY: Duration = Duration::from_millis(100);
 /// The time over which the demand is averaged.
@@ -210,7 +217,14 @@
     /// Upstreams that have had the request already.
     pub tried: &'a [UpstreamId],
     /// The versions that may run it, while a move is under way.
-    pub versions: VersionRule<'a>,
+    pub versions: VersionRule,
+}
+
+impl Need<'_> {
+    /// Says whether an upstream may run the request and has not had it yet.
+    fn allows(&self, upstream: &Upstream) -> bool {
+        self.versions.allows(&upstream.record.version) && !self.tried.contains(&upstream.record.id)
+    }
 }
 
 /// The outcome of [`Placement::choose`].
@@ -298,7 +312,7 @@
         let left = need.left.as_secs_f64() * 1000.0;
         if shortest_wait > allowed || best.predicted > left {
             let room_in =
-                Duration::from_secs_f64((shortest_wait - allowed / 2.0).max(0.0) / 1000.0);
+                Duration::from_secs_f64((shortest_wait - allowed * ROOM_SHARE).max(0.0) / 1000.0);
             return Choice::Refused {
                 retry_after: room_in.max(SHORTEST_RETRY),
                 wait: Duration::from_secs_f64(shortest_wait / 1000.0),
@@ -315,11 +329,7 @@
         live: &[&'a Upstream],
         need: &Need<'_>,
     ) -> Vec<&'a Upstream> {
-        let fits = |upstream: &&&Upstream| {
-            need.versions.allows(&upstream.record.version)
-                && !need.tried.contains(&upstream.record.id)
-        };
-        let fitting: Vec<_> = live.iter().filter(fits).copied().collect();
+        let fitting: Vec<_> = live.iter().filter(|u| need.allows(u)).copied().collect();
         let is_up = |upstream: &&Upstream| {
             self.upstreams.get(&upstream.record.id).is_none_or(|state| state.down_until <= now)
         };
@@ -362,10 +372,7 @@
         live: &[&Upstream],
         need: &Need<'_>,
     ) -> Option<Duration> {
-        let others = live.iter().filter(|upstream| {
-            need.versions.allows(&upstream.record.version)
-                && !need.tried.contains(&upstream.record.id)
-        });
+        let others = live.iter().filter(|upstream| need.allows(upstream));
         let estimates = others.map(|upstream| {
             let estimate = self.estimate(now, upstream, need, false);
             estimate.predicted + self.upstreams[&upstream.record.id].trouble_ms()
@@ -401,8 +408,8 @@
         let own = service.base_ms + reading_cost(unread) / service.read_rate;
         let predicted = wait + own * state.slowness;
         let remote = if upstream.record.data_centre == *need.near { 0.0 } else { REMOTE_COST_MS };
-        let cold = upstream.record.warm_up.as_secs_f64() * 10.0;
-        let crowding = requests / slots * REMOTE_COST_MS * 4.0;
+        let cold = upstream.record.warm_up.as_secs_f64() * COLD_COST_MS;
+        let crowding = requests / slots * CROWDING_COST_MS;
         let shared = need.prompt.parts.iter().rev().skip(1).map(|part| part.tokens).sum::<u64>();
         let own_part = need.prompt.input.saturating_sub(shared);
         let reread = unread.saturating_sub(own_part) as f64 * REREAD_COST_MS;
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -20,8 +20,13 @@
 /// The most changes that one excerpt carries, so that it fits a datagram.
 const MAX_TOLD_ITEMS: usize = 120;
 
-/// The content of an object that is passed on. Every daemon follows declarations itself, since they
+/// Says whether objects of a kind are passed on. Every daemon follows declarations itself, since they
 /// are long and change seldom, and the lease is read only by those who may take it.
+fn is_passed_on(kind: Kind) -> bool {
+    matches!(kind, Kind::Upstreams | Kind::Moves | Kind::Members)
+}
+
+/// The content of an object that is passed on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Relayed {
     /// See [`Kind::Upstreams`].
@@ -201,26 +206,20 @@
     /// Returns what changed lately, for all daemons.
     pub fn recent(&mut self, now: Time) -> Vec<Excerpt> {
         let excerpt = |(kind, view): (&Kind, &mut View)| {
-            if matches!(kind, Kind::Declarations | Kind::Leases) {
-                return None;
-            }
             view.prune(now);
             let items = view.recent.iter().map(|(_, _, name)| view.item(name)).collect();
             Some(Excerpt { kind: *kind, since: Some(view.since), at: view.at?, items })
         };
-        self.0.iter_mut().filter_map(excerpt).collect()
+        self.0.iter_mut().filter(|(kind, _)| is_passed_on(**kind)).filter_map(excerpt).collect()
     }
 
     /// Returns all objects of all kinds.
     pub fn whole(&self) -> Vec<Excerpt> {
         let excerpt = |(kind, view): (&Kind, &View)| {
-            if matches!(kind, Kind::Declarations | Kind::Leases) {
-                return None;
-            }
             let items = view.objects.keys().map(|name| view.item(name)).collect();
             Some(Excerpt { kind: *kind, since: None, at: view.at?, items })
         };
-        self.0.iter().filter_map(excerpt).collect()
+        self.0.iter().filter(|(kind, _)| is_passed_on(**kind)).filter_map(excerpt).collect()
     }
 
     /// Says what an excerpt of another daemon adds to what is known here.
--- a/gateway/src/rollout.rs
+++ b/gateway/src/rollout.rs
@@ -87,19 +87,19 @@
 }
 
 /// Which versions may run a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum VersionRule<'a> {
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum VersionRule {
     /// Any version.
     Any,
     /// Only this one.
-    Only(&'a VersionName),
+    Only(VersionName),
     /// Any but this one.
-    Not(&'a VersionName),
+    Not(VersionName),
 }
 
-impl VersionRule<'_> {
+impl VersionRule {
     /// Says whether a version may run the request.
-    pub fn allows(self, version: &VersionName) -> bool {
+    pub fn allows(&self, version: &VersionName) -> bool {
         match self {
             Self::Any => true,
             Self::Only(only) => version == only,
@@ -119,7 +119,7 @@
 }
 
 /// The moves under way and the versions that were found bad.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Rollouts {
     /// The part of a service's requests that a version may get before it is trusted.
     exposure: f64,
@@ -142,7 +142,7 @@
     /// Knows of no move; `exposure` is the part of a service's requests that a version may get
     /// before it is trusted.
     pub fn new(exposure: f64) -> Self {
-        Self { exposure, ..Self::default() }
+        Self { exposure, moves: IndexMap::new(), holds: Vec::new() }
     }
 
     /// Changes the exposure of moves that begin from now on.
@@ -205,17 +205,18 @@
     }
 
     /// Chooses the versions that may run a request, by its hash.
-    pub fn rule(&self, service: &ServiceName, hash: u64) -> VersionRule<'_> {
+    pub fn rule(&self, service: &ServiceName, hash: u64) -> VersionRule {
         let Some(under_way) = self.moves.get(service) else { return VersionRule::Any };
         let target = &under_way.record.target;
         if self.is_held(service, target) {
-            return VersionRule::Not(target);
+            return VersionRule::Not(target.clone());
         }
         if under_way.record.state == Some(MoveState::Completed) {
-            return VersionRule::Only(target);
+            return VersionRule::Only(target.clone());
         }
         let point = (hash >> 11) as f64 / (1_u64 << 53) as f64;
-        if point < under_way.share { VersionRule::Only(target) } else { VersionRule::Not(target) }
+        let rule = if point < under_way.share { VersionRule::Only } else { VersionRule::Not };
+        rule(target.clone())
     }
 
     /// Counts how a request ended.
--- a/gateway/tests/hubs.rs
+++ b/gateway/tests/hubs.rs
@@ -208,8 +208,10 @@
                     continue;
                 }
                 let daemon = &mut self.daemons[to];
-                daemon.hubs.heard(now, address, &message);
-                for excerpt in message.excerpts.clone() {
+                let mut message = message.clone();
+                let excerpts = std::mem::take(&mut message.excerpts);
+                daemon.hubs.heard(now, address, message);
+                for excerpt in excerpts {
                     Self::take(daemon, now, excerpt);
                 }
             }
--- /dev/null
+++ b/gateway/tests/limits.rs
@@ -0,0 +1,66 @@
+//! Limits that hold over all daemons together: second sends, and requests that crash upstreams.
+
+#[path = "support/model.rs"]
+mod model;
+
+use std::time::Duration;
+
+use dogwoodturn_gateway::{
+    retry::{Bounds, RetryBudgets},
+    suspect::{Digest, Suspects},
+};
+use model::{at, service};
+
+#[test]
+fn try_repeat_storm_keeps_to_the_budget_of_all_daemons() {
+    const DAEMONS: u32 = 7;
+    let bounds = Bounds { ratio: 0.2, allowance: 54.0, window: Duration::from_secs(10) };
+    let mut budgets: Vec<_> = (0..DAEMONS).map(|_| RetryBudgets::new(bounds)).collect();
+    let mut repeats = Vec::new();
+    let mut requests = Vec::new();
+    for ms in 0..30_000_u64 {
+        for (index, budget) in budgets.iter_mut().enumerate() {
+            if (ms + index as u64).is_multiple_of(50) {
+                budget.request(at(ms), &service());
+                requests.push(ms);
+                if budget.try_repeat(at(ms), &service(), DAEMONS) {
+                    repeats.push(ms);
+                }
+            }
+        }
+    }
+    for from in (0..20_000).step_by(250) {
+        let within = |times: &[u64]| {
+            times.iter().filter(|ms| (from..from + 10_000).contains(*ms)).count() as f64
+        };
+        let allowed = within(&requests) * bounds.ratio + bounds.allowance;
+        assert!(within(&repeats) <= allowed, "{} of {allowed} from {from}", within(&repeats));
+    }
+    assert!(repeats.len() as f64 >= requests.len() as f64 * 0.1, "the budget is of no use");
+}
+
+#[test]
+fn is_refused_request_that_crashes_upstreams_at_any_daemon() {
+    let (mut here, mut there) = (Suspects::default(), Suspects::default());
+    let digest = Digest(9);
+    here.crashed(at(0), digest);
+    here.crashed(at(100), digest);
+    there.crashed(at(200), digest);
+    assert!(!there.is_refused(at(200), digest), "one crash may be bad luck");
+    for (digest, count) in here.recent(at(300)) {
+        there.peer_counted(at(300), "here", digest, count);
+    }
+    assert!(there.is_refused(at(300), digest));
+    assert!(!there.is_refused(at(300), Digest(10)));
+    assert!(!there.is_refused(at(70_000), digest), "it is forgotten in the end");
+}
+
+#[test]
+fn is_refused_request_that_was_answered_is_no_suspect() {
+    let mut suspects = Suspects::default();
+    for ms in 0..5 {
+        suspects.crashed(at(ms), Digest(1));
+        suspects.answered(Digest(1));
+    }
+    assert!(!suspects.is_refused(at(10), Digest(1)));
+}
--- /dev/null
+++ b/gateway/tests/placement.rs
@@ -0,0 +1,134 @@
+//! Which upstream gets a request, under the load patterns that placement answers.
+
+#[path = "support/model.rs"]
+mod model;
+
+use std::time::Duration;
+
+use dogwoodturn::{ids::UpstreamId, units::Time};
+use dogwoodturn_gateway::{
+    dialect::{Prompt, PromptPart},
+    directory::Directory,
+    placement::{Choice, Need, Placement, Verdict},
+    rollout::VersionRule,
+    table::EngineShape,
+};
+use indexmap::IndexMap;
+use model::{at, directory, here, service};
+
+const ENGINE: EngineShape = EngineShape { slots: 32, memory_tokens: 400_000 };
+
+struct Asker {
+    placement: Placement,
+    directory: Directory,
+}
+
+impl Asker {
+    fn choose(&mut self, now: Time, prompt: &Prompt, left_ms: u64) -> Choice {
+        let near = here();
+        let service = service();
+        let need = Need {
+            service: &service,
+            engine: Some(ENGINE),
+            prompt,
+            near: &near,
+            target: Duration::from_millis(500),
+            left: Duration::from_millis(left_ms),
+            tried: &[],
+            versions: VersionRule::Any,
+        };
+        let live = self.directory.live(now, &service);
+        self.placement.choose(now, &live, &need)
+    }
+}
+
+fn prompt(own: u64, shared: u64, tokens: u64) -> Prompt {
+    let parts = vec![
+        PromptPart { id: shared, tokens: tokens / 2 },
+        PromptPart { id: own, tokens: tokens - tokens / 2 },
+    ];
+    Prompt { input: tokens, output: 100, parts }
+}
+
+#[test]
+fn choose_requests_that_share_a_part_meet_while_nobody_waits() {
+    let mut asker =
+        Asker { placement: Placement::default(), directory: directory(&["a", "b", "c", "d"]) };
+    let mut chosen = Vec::new();
+    for own in 0..6 {
+        let now = at(own * 1000);
+        let Choice::Upstream(mut ticket) = asker.choose(now, &prompt(own + 100, 7, 4000), 5000)
+        else {
+            panic!("refused");
+        };
+        chosen.push(ticket.upstream.clone());
+        let done = now + Duration::from_millis(90);
+        asker.placement.answered(done, &service(), &mut ticket);
+        asker.placement.ended(done, &service(), &ticket, Verdict::Answered);
+    }
+    assert!(chosen.windows(2).all(|pair| pair[0] == pair[1]), "{chosen:?}");
+}
+
+#[test]
+fn choose_burst_on_one_key_spreads_before_one_engine_melts() {
+    let mut asker =
+        Asker { placement: Placement::default(), directory: directory(&["a", "b", "c", "d"]) };
+    let mut counts = IndexMap::<UpstreamId, u32>::new();
+    for own in 0..24 {
+        if let Choice::Upstream(ticket) = asker.choose(at(0), &prompt(own + 100, 7, 4000), 5000) {
+            *counts.entry(ticket.upstream).or_default() += 1;
+        }
+    }
+    assert_eq!(counts.len(), 4, "{counts:?}");
+    let (most, least) = (counts.values().max().unwrap(), counts.values().min().unwrap());
+    assert!(most - least <= 3, "{counts:?}");
+}
+
+#[test]
+fn choose_overload_refuses_at_once_with_a_time_to_come_back() {
+    let mut asker = Asker { placement: Placement::default(), directory: directory(&["a", "b"]) };
+    let mut refused = None;
+    for own in 0..100 {
+        let choice = asker.choose(at(0), &prompt(own + 100, own, 8000), 5000);
+        if let Choice::Refused { retry_after, .. } = choice {
+            refused = Some((own, retry_after));
+            break;
+        }
+    }
+    let (admitted, retry_after) = refused.expect("an overload is not refused");
+    assert!(admitted >= 4, "{admitted} admitted with engines idle");
+    assert!(retry_after >= Duration::from_millis(100) && retry_after < Duration::from_secs(5));
+}
+
+#[test]
+fn choose_long_prompt_is_not_refused_for_its_length() {
+    let mut asker = Asker { placement: Placement::default(), directory: directory(&["a"]) };
+    let choice = asker.choose(at(0), &prompt(1, 2, 50_000), 12_000);
+    assert!(matches!(choice, Choice::Upstream(_)), "{choice:?}");
+}
+
+#[test]
+fn choose_upstream_that_fails_is_left_and_tried_again_later() {
+    let mut asker = Asker { placement: Placement::default(), directory: directory(&["a", "b"]) };
+    let mut failing = None;
+    for own in 0..12 {
+        let now = at(own * 50);
+        let Choice::Upstream(ticket) = asker.choose(now, &prompt(own + 100, 7, 400), 5000) else {
+            panic!("refused");
+        };
+        let failing = failing.get_or_insert(ticket.upstream.clone());
+        let is_failing = ticket.upstream == *failing;
+        let verdict = if is_failing { Verdict::Failed } else { Verdict::Answered };
+        asker.placement.ended(now, &service(), &ticket, verdict);
+    }
+    let failing = failing.unwrap();
+    let Choice::Upstream(ticket) = asker.choose(at(700), &prompt(1, 7, 400), 5000) else {
+        panic!("refused");
+    };
+    assert_ne!(ticket.upstream, failing);
+    asker.placement.ended(at(700), &service(), &ticket, Verdict::Answered);
+    let Choice::Upstream(ticket) = asker.choose(at(30_000), &prompt(2, 7, 400), 5000) else {
+        panic!("refused");
+    };
+    assert_eq!(ticket.upstream, failing, "it is the home of the shared part again");
+}
--- a/gateway/tests/rollout.rs
+++ b/gateway/tests/rollout.rs
@@ -53,7 +53,7 @@
             let daemon = &mut daemons[random.random_range(0..DAEMONS)];
             let route = random.random_range(0..2_usize);
             let chosen = daemon.rule(&service, random.random());
-            let to_target = chosen == VersionRule::Only(&target);
+            let to_target = chosen == VersionRule::Only(target.clone());
             let load = daemon.share(&service).unwrap_or(0.0);
             let fails =
                 random.random::<f64>() < if to_target { bad(ms, load, route) } else { 0.02 };
@@ -166,6 +166,6 @@
     rollouts.seen(Time(1), Revision(2), MoveRecord { state: Some(MoveState::Completed), ..record });
     for hash in 0..1000_u64 {
         let hash = hash.wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        assert_eq!(rollouts.rule(&service, hash), VersionRule::Not(&target));
+        assert_eq!(rollouts.rule(&service, hash), VersionRule::Not(target.clone()));
     }
 }
