relay: framing and end of each response body in logs and metrics

event=request has framing, body_end and partial_bytes now, broken-stream has framing and partial_bytes, and the counter upstream_bodies counts bodies by framing and end. No decision depends on them.

--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -19,7 +19,7 @@
     forward::{
         admission::Admitted,
         attempt::{Attempt, SendOutcome},
-        relay::Relayed,
+        relay::{BodyEnd, Relayed},
     },
     gateway::{Gateway, State},
     http::{body::LAST_CHUNK, body::put_chunk, head::ResponseHead},
@@ -171,6 +171,8 @@
     sent_head: Option<ResponseHead>,
     /// The ID of the last event that the caller has.
     last_event: Option<u64>,
+    /// How the last response body of an upstream ended.
+    body_end: Option<BodyEnd>,
     is_start_recorded: bool,
     /// The time from arrival to the first event, or to the complete response.
     first_response: Option<Duration>,
@@ -219,6 +221,7 @@
         failed_response: None,
         sent_head: None,
         last_event: req.last_event,
+        body_end: None,
         is_start_recorded: false,
         first_response: None,
         predicted: Duration::ZERO,
@@ -473,6 +476,9 @@
             predicted_ms = self.predicted.as_millis() as u64,
             upstream,
             attempts = self.tried.len(),
+            framing = self.body_end.map_or("-", |end| end.framing.name()),
+            body_end = self.body_end.map_or("-", |end| end.cause),
+            partial_bytes = self.body_end.map_or(0, |end| end.partial_bytes),
             tokens = self.req.prompt.input;
             ""
         );
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -38,10 +38,21 @@
 /// The state of a response body after the available bytes were decoded.
 enum BodyState {
     More,
-    End,
+    /// The body is complete; says whether its framing or the end of the connection ended it.
+    End(&'static str),
     Broken(&'static str),
 }
 
+/// How the body of a response ended, for logs and metrics.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BodyEnd {
+    pub(super) framing: Framing,
+    /// `framing` for the declared length or the last chunk, otherwise what broke off the body.
+    pub(super) cause: &'static str,
+    /// The number of bytes of an event that lacked its end.
+    pub(super) partial_bytes: usize,
+}
+
 impl Exchange<'_> {
     /// Relays the response of an attempt.
     pub(super) async fn relay(
@@ -83,16 +94,22 @@
         let mut buffer = BodyBuffer::new(&head, false);
         let read = timeout(self.time_left(), buffer.read_complete(connection)).await;
         let body = match read {
-            Ok(Ok(true)) => std::mem::take(&mut buffer.pending).freeze(),
+            Ok(Ok(true)) => {
+                let by_close = buffer.decoder.ends_with_connection();
+                self.record_body_end(&head, if by_close { "closed" } else { "framing" }, &buffer);
+                std::mem::take(&mut buffer.pending).freeze()
+            }
             // The body is too long to buffer, so the rest is relayed as it arrives.
             Ok(Ok(false)) => return self.relay_chunks(attempt, head, out, buffer).await,
             Ok(Err(error)) => {
+                self.record_body_end(&head, error_cause(&error), &buffer);
                 log::warn!(event = "broken-body", request:% = self.req.id, upstream:% = attempt.upstream.id, error:%; "");
                 attempt.set_outcome(AttemptOutcome::Broken);
                 attempt.check_crash();
                 return self.retry_or_fail(out).await;
             }
             Err(_) => {
+                self.record_body_end(&head, "timed-out", &buffer);
                 attempt.set_outcome(AttemptOutcome::Broken);
                 return Relayed::Delivered(
                     self.finish_unsuccessfully(out, &LocalResponse::timed_out()).await,
@@ -140,15 +157,27 @@
                 body_state = buffer.decode(&mut connection.buf, &mut self.last_event);
             }
             let chunk = std::mem::take(&mut buffer.pending);
-            let is_end = matches!(body_state, BodyState::End);
+            let is_end = matches!(body_state, BodyState::End(_));
             let has_chunk = !chunk.is_empty() || is_end;
             if has_chunk && !self.send_chunk(attempt, &head, &chunk, is_end, out).await {
                 return Relayed::Delivered(Delivery::Truncated);
             }
             match body_state {
-                BodyState::End => break,
+                BodyState::End(cause) => {
+                    self.record_body_end(&head, cause, &buffer);
+                    break;
+                }
                 BodyState::Broken(reason) => {
-                    log::warn!(event = "broken-stream", request:% = self.req.id, upstream:% = attempt.upstream.id, reason; "");
+                    self.record_body_end(&head, reason, &buffer);
+                    log::warn!(
+                        event = "broken-stream",
+                        request:% = self.req.id,
+                        upstream:% = attempt.upstream.id,
+                        reason,
+                        framing = head.framing.name(),
+                        partial_bytes = buffer.events.len();
+                        ""
+                    );
                     attempt.set_outcome(AttemptOutcome::Broken);
                     attempt.check_crash();
                     return self.retry_or_fail(out).await;
@@ -163,11 +192,12 @@
                 time_left
             };
             body_state = match timeout(read_timeout, connection.read()).await {
-                Ok(Ok(0)) if buffer.decoder.ends_with_connection() => BodyState::End,
+                Ok(Ok(0)) if buffer.decoder.ends_with_connection() => BodyState::End("closed"),
                 Ok(Ok(0)) => BodyState::Broken("closed"),
                 Ok(Ok(_)) => BodyState::More,
                 Ok(Err(_)) => BodyState::Broken("reset"),
                 Err(_) if time_left <= read_timeout => {
+                    self.record_body_end(&head, "timed-out", &buffer);
                     attempt.set_outcome(AttemptOutcome::Broken);
                     return Relayed::Delivered(
                         self.finish_unsuccessfully(out, &LocalResponse::timed_out()).await,
@@ -213,6 +243,12 @@
         )
     }
 
+    fn record_body_end(&mut self, head: &ResponseHead, cause: &'static str, buffer: &BodyBuffer) {
+        let partial_bytes = buffer.drained_bytes.max(buffer.events.len());
+        self.cx.metrics.count_upstream_body(head.framing.name(), cause);
+        self.body_end = Some(BodyEnd { framing: head.framing, cause, partial_bytes });
+    }
+
     fn record_time_to_first_response(&mut self) {
         let elapsed = self.cx.now().since(self.req.arrived);
         self.first_response = Some(elapsed);
@@ -220,6 +256,14 @@
     }
 }
 
+fn error_cause(error: &io::Error) -> &'static str {
+    match error.kind() {
+        io::ErrorKind::UnexpectedEof => "closed",
+        io::ErrorKind::InvalidData => "malformed",
+        _ => "reset",
+    }
+}
+
 /// Decodes a response body and buffers the bytes that may be sent to the caller.
 struct BodyBuffer {
     decoder: BodyDecoder,
@@ -227,12 +271,20 @@
     is_stream: bool,
     /// Decoded bytes that may be sent to the caller.
     pending: BytesMut,
+    /// Bytes of an incomplete event at the end of the body, which are in `pending`.
+    drained_bytes: usize,
 }
 
 impl BodyBuffer {
     fn new(head: &ResponseHead, is_stream: bool) -> Self {
         let decoder = BodyDecoder::new(head.framing);
-        Self { decoder, events: EventBuffer::default(), is_stream, pending: BytesMut::new() }
+        Self {
+            decoder,
+            events: EventBuffer::default(),
+            is_stream,
+            pending: BytesMut::new(),
+            drained_bytes: 0,
+        }
     }
 
     /// Reads the complete body. Returns false if it is longer than [`MAX_BUFFERED_BYTES`]; the
@@ -267,8 +319,9 @@
                 Ok(Step::Data(data)) => self.pending.extend_from_slice(&data),
                 Ok(Step::NeedsMore) => return BodyState::More,
                 Ok(Step::End) => {
+                    self.drained_bytes = self.events.len();
                     self.pending.extend_from_slice(&self.events.drain());
-                    return BodyState::End;
+                    return BodyState::End("framing");
                 }
                 Err(_) => return BodyState::Broken("malformed"),
             }
--- a/gateway/src/http/head.rs
+++ b/gateway/src/http/head.rs
@@ -104,6 +104,17 @@
     UntilClose,
 }
 
+impl Framing {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until-close",
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct RequestHead {
     /// The method as sent.
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -26,11 +26,20 @@
     pub route: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct BodyLabels {
+    /// How the upstream framed the body, such as `chunked`.
+    pub framing: &'static str,
+    /// What ended the body, such as `framing` or `reset`.
+    pub end: &'static str,
+}
+
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     requests: Family<OutcomeLabels, Counter>,
     first_response: Family<RouteLabels, Histogram>,
+    upstream_bodies: Family<BodyLabels, Counter>,
     /// Connections that were opened to upstreams.
     pub connections: Counter,
     /// Requests that were sent to a further upstream.
@@ -58,6 +67,9 @@
         registry.register("requests", "Requests by route and outcome", requests.clone());
         let help = "Seconds from a request's arrival to its first event or answer";
         registry.register("first_answer_seconds", help, first_response.clone());
+        let upstream_bodies = Family::<BodyLabels, Counter>::default();
+        let help = "Response bodies of upstreams by framing and by what ended them";
+        registry.register("upstream_bodies", help, upstream_bodies.clone());
         let mut counter = |name: &str, help: &str| {
             let counter = Counter::default();
             registry.register(name, help, counter.clone());
@@ -75,6 +87,7 @@
             registry,
             requests,
             first_response,
+            upstream_bodies,
             connections,
             upstream_retries,
             store_calls,
@@ -98,6 +111,11 @@
         self.first_response.get_or_create(&labels).observe(elapsed.as_secs_f64());
     }
 
+    /// Counts a response body of an upstream by its framing and by what ended it.
+    pub fn count_upstream_body(&self, framing: &'static str, end: &'static str) {
+        self.upstream_bodies.get_or_create(&BodyLabels { framing, end }).inc();
+    }
+
     /// Encodes all metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/gateway/src/sse.rs
+++ b/gateway/src/sse.rs
@@ -38,6 +38,15 @@
         Some(Event { id: event_id(&bytes), bytes })
     }
 
+    /// Returns the number of buffered bytes.
+    pub fn len(&self) -> usize {
+        self.buf.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.buf.is_empty()
+    }
+
     /// Removes and returns the remaining bytes of a body that ended without an empty line.
     pub fn drain(&mut self) -> Bytes {
         self.buf.split().freeze()
