--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -10,7 +10,7 @@
     header_schema::{HeaderSchema, LoadReport, Prompt, PromptPart},
     http::{
         body::{BodyDecoder, Step},
-        head::{Headers, RequestHead},
+        head::{Framing, Headers, RequestHead},
     },
     serve,
     settings::Settings,
@@ -26,6 +26,8 @@
 
 /// How long a test waits for a response before it fails.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time between the last byte of a response and the reset of its connection.
+const RESET_DELAY: Duration = Duration::from_millis(50);
 
 pub fn header_schema() -> HeaderSchema {
     HeaderSchema {
@@ -126,6 +128,8 @@
     WriteAfter(Duration, String),
     /// Writes these bytes and closes the connection.
     WriteAndClose(String),
+    /// Writes these bytes and resets the connection.
+    WriteAndReset(String),
     /// Closes the connection without a response.
     Close,
     /// Never responds.
@@ -134,6 +138,12 @@
     RespondEarly(String),
 }
 
+enum ConnectionEnd {
+    None,
+    Close,
+    Reset,
+}
+
 /// A request as an upstream received it.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -215,12 +225,15 @@
             let id = received.head.headers.text("X-Id").unwrap_or("").to_owned();
             let action = script(&received);
             self.received.borrow_mut().push(received);
-            let (text, closes_connection) = match action {
-                UpstreamAction::Write(text) | UpstreamAction::RespondEarly(text) => (text, false),
-                UpstreamAction::WriteAndClose(text) => (text, true),
+            let (text, end) = match action {
+                UpstreamAction::Write(text) | UpstreamAction::RespondEarly(text) => {
+                    (text, ConnectionEnd::None)
+                }
+                UpstreamAction::WriteAndClose(text) => (text, ConnectionEnd::Close),
+                UpstreamAction::WriteAndReset(text) => (text, ConnectionEnd::Reset),
                 UpstreamAction::WriteAfter(pause, text) => {
                     actix_rt::time::sleep(pause).await;
-                    (text, false)
+                    (text, ConnectionEnd::None)
                 }
                 UpstreamAction::Close => return,
                 UpstreamAction::Hang => {
@@ -230,8 +243,15 @@
                 }
             };
             let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
-            if closes_connection {
-                return;
+            match end {
+                ConnectionEnd::None => {}
+                ConnectionEnd::Close => return,
+                ConnectionEnd::Reset => {
+                    // A reset would discard bytes that have not left the socket yet.
+                    actix_rt::time::sleep(RESET_DELAY).await;
+                    stream.set_zero_linger().unwrap();
+                    return;
+                }
             }
         }
     }
@@ -310,6 +330,44 @@
     format!("HTTP/1.1 200 OK\r\nX-Id: {{id}}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
 
+/// Returns a response with this framing, of whose body only the first `sent` bytes are sent. The last
+/// chunk is sent with the complete body.
+pub fn framed(framing: Framing, content_type: &str, body: &str, sent: usize) -> String {
+    let head = format!("HTTP/1.1 200 OK\r\nX-Id: {{id}}\r\nContent-Type: {content_type}\r\n");
+    let part = &body[..sent];
+    match framing {
+        Framing::Length(_) => format!("{head}Content-Length: {}\r\n\r\n{part}", body.len()),
+        Framing::UntilClose => format!("{head}\r\n{part}"),
+        Framing::Chunked => {
+            let mut text = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+            // An odd chunk size, so that chunks and events have different bounds.
+            for chunk in part.as_bytes().chunks(11) {
+                let chunk = std::str::from_utf8(chunk).unwrap();
+                write!(text, "{:x}\r\n{chunk}\r\n", chunk.len()).unwrap();
+            }
+            if sent == body.len() {
+                text += "0\r\n\r\n";
+            }
+            text
+        }
+    }
+}
+
+/// Returns the body of a response with status 200 if its framing says that it is complete.
+pub fn complete_body(response: &str) -> Option<String> {
+    let (head, body) = response.split_once("\r\n\r\n")?;
+    if !head.starts_with("HTTP/1.1 200 ") {
+        return None;
+    }
+    let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: "));
+    if let Some(length) = length {
+        return (length.parse() == Ok(body.len())).then(|| body.to_owned());
+    }
+    assert!(head.contains("Transfer-Encoding: chunked"), "{response}");
+    let (body, is_complete) = decode_chunked(response);
+    is_complete.then_some(body)
+}
+
 /// Returns the head of a stream and these events, without the last chunk.
 pub fn events(ids: impl IntoIterator<Item = u64>) -> String {
     let mut text = "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nContent-Type: text/event-stream\r\n\
@@ -326,7 +384,7 @@
 pub fn decode_chunked(response: &str) -> (String, bool) {
     let (_, body) = response.split_once("\r\n\r\n").unwrap_or(("", ""));
     let mut buf = BytesMut::from(body.as_bytes());
-    let mut decoder = BodyDecoder::new(dogwoodturn_gateway::http::head::Framing::Chunked);
+    let mut decoder = BodyDecoder::new(Framing::Chunked);
     let mut decoded = String::new();
     loop {
         match decoder.step(&mut buf) {
--- /dev/null
+++ b/gateway/tests/truncation.rs
@@ -0,0 +1,56 @@
+//! Responses that break off: a caller never receives one that looks complete.
+
+mod support;
+
+use dogwoodturn_gateway::http::head::Framing;
+use support::{TestGateway, Upstream, UpstreamAction, complete_body, framed, get};
+
+const EVENT_STREAM: &str = "text/event-stream";
+const FRAMINGS: [Framing; 3] = [Framing::Length(0), Framing::Chunked, Framing::UntilClose];
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: e{id}\n\n")
+}
+
+// ORDER in inc1 of lwcma-clipdesk.
+#[actix_rt::test]
+async fn truncated_stream_framed_as_complete() {
+    let whole = event(1) + &event(2);
+    let mut failures = Vec::new();
+    for framing in FRAMINGS {
+        for path in ["/build/1", "/render/1", "/look/1", "/book/1"] {
+            for cut in [1, "id: 2".len(), "id: 2\nda".len(), event(2).len() - 1] {
+                let sent = whole[..event(1).len() + cut].to_owned();
+                let upstream = Upstream::start(move |_| {
+                    // The framing itself is complete, so that only the events show the truncation.
+                    UpstreamAction::WriteAndClose(framed(framing, EVENT_STREAM, &sent, sent.len()))
+                });
+                let gateway = TestGateway::start(&[&upstream]).await;
+                let response = gateway.exchange(&get(path, "a1")).await;
+                if complete_body(&response).is_some() {
+                    failures.push(format!("{framing:?} {path} cut after {cut} bytes"));
+                }
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+// ORDER in inc1 of lwcma-clipdesk, after a resumption.
+#[actix_rt::test]
+async fn truncated_resumed_stream_framed_as_complete() {
+    for framing in FRAMINGS {
+        let script = move |received: &support::ReceivedRequest| {
+            let last: u64 =
+                received.head.headers.text("X-Last-Event").map_or(0, |id| id.parse().unwrap());
+            let body = event(last + 1) + "id: 9\nda";
+            UpstreamAction::WriteAndClose(framed(framing, EVENT_STREAM, &body, body.len()))
+        };
+        let (first, second) = (Upstream::start(script), Upstream::start(script));
+        let gateway = TestGateway::start(&[&first, &second]).await;
+        let response = gateway.exchange(&get("/render/1", "a1")).await;
+        assert_eq!(complete_body(&response), None, "{framing:?}: {response}");
+        let (body, _) = support::decode_chunked(&response);
+        assert_eq!(body, event(1) + &event(2), "{framing:?}");
+    }
+}
