relay: a partly relayed response is not joined with a second run

A caller of an idempotent route could receive the beginning of one run followed by the response of another one, framed as a single complete response.

Cause: once the buffer of 256 KiB is exceeded, a response is relayed as it arrives. If its upstream then broke off, the request was sent again, and the second response was written into the first: its chunks, or a second head when it was short. Only streams are cut to what the caller already has.

Only a stream that can be resumed is sent again after a part of the response was sent; other responses reach the caller as broken off.

Tests' upstreams call their script once for each request now; it was called twice, so that the first call of idempotent_failure_is_retried_elsewhere never had an effect. That test passes with it.

--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -25,6 +25,7 @@
     http::{body::LAST_CHUNK, body::put_chunk, head::ResponseHead},
     placement::{AttemptOutcome, Selection, SelectionCriteria},
     request::{LocalResponse, NotRun, Progress, Request, phrase, put_header},
+    table::RetrySafety,
 };
 
 /// Number of failed connection attempts after which a request fails.
@@ -271,7 +272,7 @@
                         self.record_start_once();
                     }
                     attempt.end(AttemptOutcome::Broken);
-                    if self.admitted.route.retry_safety.may_retry() && self.consume_retry() {
+                    if self.may_retry() && self.consume_retry() {
                         continue;
                     }
                     return self
@@ -288,8 +289,7 @@
                         self.record_start_once();
                     }
                     attempt.end(AttemptOutcome::Broken);
-                    let is_retryable = self.admitted.route.retry_safety.may_retry();
-                    if is_retryable && !self.time_left().is_zero() && self.consume_retry() {
+                    if self.may_retry() && !self.time_left().is_zero() && self.consume_retry() {
                         continue;
                     }
                     return self.finish_unsuccessfully(out, &LocalResponse::timed_out()).await;
@@ -409,11 +409,18 @@
         LocalResponse::refused(proof, reason, (retry_after + spread).min(max_retry_after))
     }
 
+    /// Reports whether the request may be sent again after an upstream may have run it. Once a part
+    /// of the response was sent to the caller, only a stream that can be resumed may continue.
+    fn may_retry(&self) -> bool {
+        let retry_safety = self.admitted.route.retry_safety;
+        retry_safety == RetrySafety::ResumableStream
+            || (retry_safety.may_retry() && self.sent_head.is_none())
+    }
+
     /// Reports whether the route allows another attempt, without consuming the retry budget.
     fn can_retry(&self) -> bool {
         let route = &self.admitted.route;
-        route.retry_safety.may_retry()
-            && (self.tried.len() as u32) < route.max_attempts + self.connect_failures
+        self.may_retry() && (self.tried.len() as u32) < route.max_attempts + self.connect_failures
     }
 
     /// Consumes a retry from the budget if the route and the budget allow one, and reports whether
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -120,7 +120,7 @@
         let failed = head.status >= 500;
         attempt.set_outcome(if failed { AttemptOutcome::Failed } else { AttemptOutcome::Answered });
         attempt.keep_connection(&head);
-        if failed && self.admitted.route.retry_safety.may_retry() && self.consume_retry() {
+        if failed && self.may_retry() && self.consume_retry() {
             self.failed_response = Some((head, body));
             return Relayed::Retry;
         }
@@ -235,7 +235,7 @@
     /// Requests a retry at another upstream if the route and the budget allow it, and fails the
     /// request otherwise.
     async fn retry_or_fail(&mut self, out: &mut ResponseWriter<'_>) -> Relayed {
-        if self.admitted.route.retry_safety.may_retry() && self.consume_retry() {
+        if self.may_retry() && self.consume_retry() {
             return Relayed::Retry;
         }
         Relayed::Delivered(
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -152,7 +152,7 @@
     pub connection: usize,
 }
 
-/// An upstream that follows a script and records the requests that it received.
+/// An upstream that follows a script, called once for each request before its body is read, and records the requests that it received.
 #[derive(Clone)]
 pub struct Upstream {
     pub address: SocketAddr,
@@ -200,7 +200,8 @@
                 }
             };
             let mut received = ReceivedRequest { head, body: Bytes::new(), connection };
-            if let UpstreamAction::RespondEarly(text) = script(&received) {
+            let action = script(&received);
+            if let UpstreamAction::RespondEarly(text) = &action {
                 let text = text.replace("{id}", received.head.headers.text("X-Id").unwrap_or(""));
                 self.received.borrow_mut().push(received);
                 let _ = stream.write_all(text.as_bytes()).await;
@@ -223,7 +224,6 @@
             }
             received.body = body.freeze();
             let id = received.head.headers.text("X-Id").unwrap_or("").to_owned();
-            let action = script(&received);
             self.received.borrow_mut().push(received);
             let (text, end) = match action {
                 UpstreamAction::Write(text) | UpstreamAction::RespondEarly(text) => {
--- a/gateway/tests/truncation.rs
+++ b/gateway/tests/truncation.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::{cell::Cell, rc::Rc};
+
 use dogwoodturn_gateway::http::head::Framing;
 use support::{TestGateway, Upstream, UpstreamAction, complete_body, framed, get};
 
@@ -54,3 +56,41 @@
         assert_eq!(body, event(1) + &event(2), "{framing:?}");
     }
 }
+
+#[actix_rt::test]
+async fn partly_relayed_response_joined_with_that_of_a_second_run() {
+    // Longer than a response that is buffered until it is complete.
+    let long = "x".repeat(600_000);
+    let mut failures = Vec::new();
+    for framing in FRAMINGS {
+        for second in [long.clone(), "short".to_owned()] {
+            let calls = Rc::new(Cell::new(0));
+            let (first, expected) = (long.clone(), [long.clone(), second.clone()]);
+            let script = {
+                let calls = calls.clone();
+                move |_: &support::ReceivedRequest| {
+                    calls.set(calls.get() + 1);
+                    if calls.get() == 1 {
+                        let part = framed(framing, "text/plain", &first, first.len() - 1);
+                        return UpstreamAction::WriteAndReset(part);
+                    }
+                    let whole = framed(framing, "text/plain", &second, second.len());
+                    UpstreamAction::WriteAndClose(whole)
+                }
+            };
+            let upstreams = [Upstream::start(script.clone()), Upstream::start(script)];
+            let gateway = TestGateway::start(&[&upstreams[0], &upstreams[1]]).await;
+            let response = gateway.exchange(&get("/look/1", "a1")).await;
+            let is_joined = response.matches("HTTP/1.1").count() > 1
+                || complete_body(&response).is_some_and(|body| !expected.contains(&body));
+            if is_joined {
+                failures.push(format!(
+                    "{framing:?}: {} bytes in {} runs",
+                    response.len(),
+                    calls.get()
+                ));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
