relay: a stream that ends inside an event is broken off

Cause: the end of a stream was judged by its framing alone. When an upstream declared neither a length nor chunks and closed its connection inside an event, the close counted as the end of the body; the partial event was dropped and the last chunk written. With a length or a last chunk, a partial event was passed on as the end of the stream. Event streams on routes for plain calls were not looked into at all.

The state of the event decides now, at one place for both kinds of end: a body that ends inside an event is broken, so that the stream is resumed where the route allows it and cut otherwise. A response is an event stream by its content type, or by its route if it has none. The splitter knows all three ends of lines, since a stream whose empty lines it missed would now count as truncated.

--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -61,24 +61,33 @@
         head: ResponseHead,
         out: &mut ResponseWriter<'_>,
     ) -> Relayed {
-        let is_stream = self.admitted.route.retry_safety.is_stream();
-        let is_success = (200..300).contains(&head.status);
+        let is_event_stream = (200..300).contains(&head.status) && self.is_event_stream(&head);
         let is_too_long =
             matches!(head.framing, Framing::Length(length) if length > MAX_BUFFERED_BYTES as u64);
-        if self.sent_head.is_some() && !is_success {
+        if self.sent_head.is_some() && !is_event_stream {
             attempt.set_outcome(AttemptOutcome::Failed);
             return Relayed::Delivered(
                 self.finish_unsuccessfully(out, &LocalResponse::lost("lost-resume-failed")).await,
             );
         }
         let has_body = !self.req.is_head_request();
-        if has_body && ((is_stream && is_success) || is_too_long) {
-            let buffer = BodyBuffer::new(&head, is_stream);
+        if has_body && (is_event_stream || is_too_long) {
+            let buffer = BodyBuffer::new(&head, is_event_stream);
             return self.relay_chunks(attempt, head, out, buffer).await;
         }
         self.relay_complete(attempt, head, out).await
     }
 
+    /// Reports whether a successful response is an event stream: by its type, or by its route if it
+    /// has none.
+    fn is_event_stream(&self, head: &ResponseHead) -> bool {
+        let Some(content_type) = head.headers.text("content-type") else {
+            return self.admitted.route.retry_safety.is_stream();
+        };
+        let media_type = content_type.split(';').next().unwrap_or_default();
+        media_type.trim().eq_ignore_ascii_case("text/event-stream")
+    }
+
     async fn relay_complete(
         &mut self,
         attempt: &mut Attempt,
@@ -143,7 +152,7 @@
         out: &mut ResponseWriter<'_>,
         mut buffer: BodyBuffer,
     ) -> Relayed {
-        let is_stream = buffer.is_stream;
+        let is_event_stream = buffer.is_event_stream;
         let Some(mut connection) = attempt.connection.take() else {
             return Relayed::Delivered(
                 self.finish_unsuccessfully(out, &LocalResponse::lost("lost-by-upstream")).await,
@@ -175,7 +184,7 @@
                         upstream:% = attempt.upstream.id,
                         reason,
                         framing = head.framing.name(),
-                        partial_bytes = buffer.events.len();
+                        partial_bytes = buffer.events.partial_bytes();
                         ""
                     );
                     attempt.set_outcome(AttemptOutcome::Broken);
@@ -185,15 +194,14 @@
                 BodyState::More => {}
             }
             let time_left = self.time_left();
-            let may_resume = is_stream && self.can_retry();
+            let may_resume = is_event_stream && self.can_retry();
             let read_timeout = if may_resume && self.sent_head.is_some() {
                 time_left.min(max_silence)
             } else {
                 time_left
             };
             body_state = match timeout(read_timeout, connection.read()).await {
-                Ok(Ok(0)) if buffer.decoder.ends_with_connection() => BodyState::End("closed"),
-                Ok(Ok(0)) => BodyState::Broken("closed"),
+                Ok(Ok(0)) => buffer.handle_close(),
                 Ok(Ok(_)) => BodyState::More,
                 Ok(Err(_)) => BodyState::Broken("reset"),
                 Err(_) if time_left <= read_timeout => {
@@ -244,7 +252,7 @@
     }
 
     fn record_body_end(&mut self, head: &ResponseHead, cause: &'static str, buffer: &BodyBuffer) {
-        let partial_bytes = buffer.drained_bytes.max(buffer.events.len());
+        let partial_bytes = buffer.events.partial_bytes();
         self.cx.metrics.count_upstream_body(head.framing.name(), cause);
         self.body_end = Some(BodyEnd { framing: head.framing, cause, partial_bytes });
     }
@@ -268,23 +276,15 @@
 struct BodyBuffer {
     decoder: BodyDecoder,
     events: EventBuffer,
-    is_stream: bool,
+    is_event_stream: bool,
     /// Decoded bytes that may be sent to the caller.
     pending: BytesMut,
-    /// Bytes of an incomplete event at the end of the body, which are in `pending`.
-    drained_bytes: usize,
 }
 
 impl BodyBuffer {
-    fn new(head: &ResponseHead, is_stream: bool) -> Self {
+    fn new(head: &ResponseHead, is_event_stream: bool) -> Self {
         let decoder = BodyDecoder::new(head.framing);
-        Self {
-            decoder,
-            events: EventBuffer::default(),
-            is_stream,
-            pending: BytesMut::new(),
-            drained_bytes: 0,
-        }
+        Self { decoder, events: EventBuffer::default(), is_event_stream, pending: BytesMut::new() }
     }
 
     /// Reads the complete body. Returns false if it is longer than [`MAX_BUFFERED_BYTES`]; the
@@ -304,7 +304,7 @@
     fn decode(&mut self, buf: &mut BytesMut, last_event: &mut Option<u64>) -> BodyState {
         loop {
             match self.decoder.step(buf) {
-                Ok(Step::Data(data)) if self.is_stream => {
+                Ok(Step::Data(data)) if self.is_event_stream => {
                     if self.events.push(&data).is_err() {
                         return BodyState::Broken("event-too-long");
                     }
@@ -318,13 +318,28 @@
                 }
                 Ok(Step::Data(data)) => self.pending.extend_from_slice(&data),
                 Ok(Step::NeedsMore) => return BodyState::More,
-                Ok(Step::End) => {
-                    self.drained_bytes = self.events.len();
-                    self.pending.extend_from_slice(&self.events.drain());
-                    return BodyState::End("framing");
-                }
+                Ok(Step::End) => return self.end("framing"),
                 Err(_) => return BodyState::Broken("malformed"),
             }
         }
     }
+
+    /// Handles that the upstream has closed the connection, after all bytes were decoded.
+    fn handle_close(&self) -> BodyState {
+        if self.decoder.ends_with_connection() {
+            self.end("closed")
+        } else {
+            BodyState::Broken("closed")
+        }
+    }
+
+    /// Returns the state at the regular end of the body, whose framing does not tell whether an event
+    /// was cut.
+    fn end(&self, cause: &'static str) -> BodyState {
+        if self.events.partial_bytes() > 0 {
+            BodyState::Broken("partial-event")
+        } else {
+            BodyState::End(cause)
+        }
+    }
 }
--- a/gateway/src/sse.rs
+++ b/gateway/src/sse.rs
@@ -38,31 +38,44 @@
         Some(Event { id: event_id(&bytes), bytes })
     }
 
-    /// Returns the number of buffered bytes.
-    pub fn len(&self) -> usize {
+    /// Returns the number of bytes of an event that lacks its end. A stream that ends while this is
+    /// not zero has been truncated.
+    pub fn partial_bytes(&self) -> usize {
         self.buf.len()
     }
-
-    pub fn is_empty(&self) -> bool {
-        self.buf.is_empty()
-    }
-
-    /// Removes and returns the remaining bytes of a body that ended without an empty line.
-    pub fn drain(&mut self) -> Bytes {
-        self.buf.split().freeze()
-    }
 }
 
+/// Returns the position after the empty line that ends the first event. Lines end with LF, CR or
+/// CRLF.
 fn find_end(buf: &[u8]) -> Option<usize> {
-    let lf = buf.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
-    let crlf = buf.windows(4).position(|pair| pair == b"\r\n\r\n").map(|at| at + 4);
-    match (lf, crlf) {
-        (Some(lf), Some(crlf)) => Some(lf.min(crlf)),
-        (lf, crlf) => lf.or(crlf),
+    let mut line_start = 0;
+    let mut at = 0;
+    while at < buf.len() {
+        let next_line = match buf[at] {
+            b'\n' => at + 1,
+            b'\r' => match buf.get(at + 1) {
+                Some(b'\n') => at + 2,
+                Some(_) => at + 1,
+                // In a stream whose lines end with CR, no LF follows.
+                None if at == line_start && buf[..at].ends_with(b"\r") => at + 1,
+                None => return None,
+            },
+            _ => {
+                at += 1;
+                continue;
+            }
+        };
+        if at == line_start {
+            return Some(next_line);
+        }
+        line_start = next_line;
+        at = next_line;
     }
+    None
 }
 
 fn event_id(bytes: &[u8]) -> Option<u64> {
-    let line = bytes.split(|&byte| byte == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(line.trim_ascii()).ok()?.parse().ok()
+    let mut lines = bytes.split(|&byte| matches!(byte, b'\n' | b'\r'));
+    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(value.trim_ascii()).ok()?.parse().ok()
 }
--- a/gateway/tests/truncation.rs
+++ b/gateway/tests/truncation.rs
@@ -5,6 +5,7 @@
 use std::{cell::Cell, rc::Rc};
 
 use dogwoodturn_gateway::http::head::Framing;
+use futures_util::future::join_all;
 use support::{TestGateway, Upstream, UpstreamAction, complete_body, framed, get};
 
 const EVENT_STREAM: &str = "text/event-stream";
@@ -94,3 +95,101 @@
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
+
+/// A response that breaks off or not.
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    path: &'static str,
+    framing: Framing,
+    content_type: &'static str,
+    /// The number of bytes of the body that are sent.
+    sent: usize,
+    is_reset: bool,
+}
+
+impl Case {
+    fn body() -> String {
+        event(1) + &event(2)
+    }
+
+    /// Reports whether the bytes that were sent say that the body is complete.
+    fn is_complete(&self) -> bool {
+        let at_event_end = self.sent.is_multiple_of(event(1).len());
+        match self.framing {
+            Framing::Length(_) | Framing::Chunked => self.sent == Self::body().len(),
+            Framing::UntilClose => {
+                !self.is_reset && (self.content_type != EVENT_STREAM || at_event_end)
+            }
+        }
+    }
+
+    async fn check(self) -> Option<String> {
+        let upstream = Upstream::start(move |_| {
+            let text = framed(self.framing, self.content_type, &Self::body(), self.sent);
+            if self.is_reset {
+                UpstreamAction::WriteAndReset(text)
+            } else {
+                UpstreamAction::WriteAndClose(text)
+            }
+        });
+        let gateway = TestGateway::start(&[&upstream]).await;
+        let response = gateway.exchange(&get(self.path, "a1")).await;
+        let expected = self.is_complete().then(|| Self::body()[..self.sent].to_owned());
+        let received = complete_body(&response);
+        (received != expected).then(|| format!("{self:?}: received {received:?}"))
+    }
+}
+
+#[actix_rt::test]
+async fn response_of_any_framing_looks_complete_only_if_it_is() {
+    let mut cases = Vec::new();
+    for path in ["/build/1", "/render/1", "/look/1", "/book/1"] {
+        for framing in FRAMINGS {
+            for content_type in [EVENT_STREAM, "application/json"] {
+                for sent in 0..=Case::body().len() {
+                    for is_reset in [false, true] {
+                        cases.push(Case { path, framing, content_type, sent, is_reset });
+                    }
+                }
+            }
+        }
+    }
+    let mut failures = Vec::new();
+    for batch in cases.chunks(64) {
+        let results = join_all(batch.iter().map(|case| case.check())).await;
+        failures.extend(results.into_iter().flatten());
+    }
+    assert!(failures.is_empty(), "{} of {}: {failures:#?}", failures.len(), cases.len());
+}
+
+#[actix_rt::test]
+async fn stream_cut_anywhere_is_resumed_with_each_event_once() {
+    for framing in FRAMINGS {
+        for is_reset in [false, true] {
+            for cut in 1..event(2).len() {
+                let script = move |received: &support::ReceivedRequest| {
+                    let last = received.head.headers.text("X-Last-Event");
+                    let body = match last {
+                        None => event(1) + &event(2)[..cut],
+                        Some(last) => (last.parse::<u64>().unwrap() + 1..=3).map(event).collect(),
+                    };
+                    let text = framed(framing, EVENT_STREAM, &body, body.len());
+                    if is_reset && last.is_none() {
+                        UpstreamAction::WriteAndReset(text)
+                    } else {
+                        UpstreamAction::WriteAndClose(text)
+                    }
+                };
+                let upstreams = [Upstream::start(script), Upstream::start(script)];
+                let gateway = TestGateway::start(&[&upstreams[0], &upstreams[1]]).await;
+                let response = gateway.exchange(&get("/render/1", "a1")).await;
+                let expected: String = (1..=3).map(event).collect();
+                assert_eq!(
+                    complete_body(&response),
+                    Some(expected),
+                    "{framing:?} {is_reset} {cut}"
+                );
+            }
+        }
+    }
+}
