relay: a stream without event ids is not run again from its start

A caller of a resumable stream whose events have no ids received the events of the first run, then all events of a second run.

Cause: after a break the request was sent again with the id of the last event; without one, the second upstream started from the beginning, and no event could be recognised as a duplicate.

A stream is not resumed once events with data but without an id follow the last id, and its caller sees it broken off. Comments and retry lines do not count.

--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -19,7 +19,7 @@
     forward::{
         admission::Admitted,
         attempt::{Attempt, SendOutcome},
-        relay::{BodyEnd, Relayed},
+        relay::{BodyEnd, Relayed, StreamPosition},
     },
     gateway::{Gateway, State},
     http::{body::LAST_CHUNK, body::put_chunk, head::ResponseHead},
@@ -170,8 +170,8 @@
     failed_response: Option<(ResponseHead, Bytes)>,
     /// The head of a response in chunks, once its first chunk is passed to the caller.
     sent_head: Option<ResponseHead>,
-    /// The ID of the last event that the caller has.
-    last_event: Option<u64>,
+    /// How much of a stream the caller has.
+    position: StreamPosition,
     /// How the last response body of an upstream ended.
     body_end: Option<BodyEnd>,
     is_start_recorded: bool,
@@ -221,7 +221,7 @@
         connect_failures: 0,
         failed_response: None,
         sent_head: None,
-        last_event: req.last_event,
+        position: StreamPosition { last_event: req.last_event, has_unnumbered_events: false },
         body_end: None,
         is_start_recorded: false,
         first_response: None,
@@ -241,7 +241,7 @@
             let should_retry_elsewhere = || self.consume_retry_if_faster();
             let (req, admitted) = (self.req, &self.admitted);
             let sent = attempt
-                .send(req, admitted, self.last_event, can_retry, should_retry_elsewhere)
+                .send(req, admitted, self.position.last_event, can_retry, should_retry_elsewhere)
                 .await;
             match sent {
                 SendOutcome::Unreachable => {
@@ -413,8 +413,10 @@
     /// of the response was sent to the caller, only a stream that can be resumed may continue.
     fn may_retry(&self) -> bool {
         let retry_safety = self.admitted.route.retry_safety;
-        retry_safety == RetrySafety::ResumableStream
-            || (retry_safety.may_retry() && self.sent_head.is_none())
+        if self.sent_head.is_none() {
+            return retry_safety.may_retry();
+        }
+        retry_safety == RetrySafety::ResumableStream && !self.position.has_unnumbered_events
     }
 
     /// Reports whether the route allows another attempt, without consuming the retry budget.
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -14,7 +14,7 @@
     },
     placement::AttemptOutcome,
     request::LocalResponse,
-    sse::EventBuffer,
+    sse::{Event, EventBuffer},
 };
 
 /// Largest response body that is buffered before it is relayed, so that a truncated response can
@@ -163,7 +163,7 @@
         let mut body_state = BodyState::More;
         loop {
             if matches!(body_state, BodyState::More) {
-                body_state = buffer.decode(&mut connection.buf, &mut self.last_event);
+                body_state = buffer.decode(&mut connection.buf, &mut self.position);
             }
             let chunk = std::mem::take(&mut buffer.pending);
             let is_end = matches!(body_state, BodyState::End(_));
@@ -272,6 +272,27 @@
     }
 }
 
+/// How much of a stream the caller has.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StreamPosition {
+    /// The ID of the last event that has one.
+    pub(super) last_event: Option<u64>,
+    /// Whether events without an ID follow. A resumption after `last_event` would repeat them.
+    pub(super) has_unnumbered_events: bool,
+}
+
+impl StreamPosition {
+    /// Moves past an event. Returns false if the caller already has it.
+    fn advance(&mut self, event: &Event) -> bool {
+        match event.id {
+            Some(_) if event.id <= self.last_event => return false,
+            Some(_) => *self = Self { last_event: event.id, has_unnumbered_events: false },
+            None => self.has_unnumbered_events |= event.has_data,
+        }
+        true
+    }
+}
+
 /// Decodes a response body and buffers the bytes that may be sent to the caller.
 struct BodyBuffer {
     decoder: BodyDecoder,
@@ -299,9 +320,8 @@
         Ok(true)
     }
 
-    /// Decodes the bytes in `buf` into `pending`; of a stream, only complete events after
-    /// `last_event`.
-    fn decode(&mut self, buf: &mut BytesMut, last_event: &mut Option<u64>) -> BodyState {
+    /// Decodes the bytes in `buf` into `pending`; of a stream, only complete events after `position`.
+    fn decode(&mut self, buf: &mut BytesMut, position: &mut StreamPosition) -> BodyState {
         loop {
             match self.decoder.step(buf) {
                 Ok(Step::Data(data)) if self.is_event_stream => {
@@ -309,10 +329,8 @@
                         return BodyState::Broken("event-too-long");
                     }
                     while let Some(event) = self.events.next_event() {
-                        let is_duplicate = event.id.is_some() && event.id <= *last_event;
-                        if !is_duplicate {
+                        if position.advance(&event) {
                             self.pending.extend_from_slice(&event.bytes);
-                            *last_event = event.id.or(*last_event);
                         }
                     }
                 }
--- a/gateway/src/sse.rs
+++ b/gateway/src/sse.rs
@@ -10,6 +10,8 @@
 pub struct Event {
     /// The value of the `id` line, if it is a number.
     pub id: Option<u64>,
+    /// Whether it has a `data` line; without one, clients ignore it.
+    pub has_data: bool,
     /// All bytes of the event, including the empty line at its end.
     pub bytes: Bytes,
 }
@@ -35,7 +37,7 @@
     pub fn next_event(&mut self) -> Option<Event> {
         let end = find_end(&self.buf)?;
         let bytes = self.buf.split_to(end).freeze();
-        Some(Event { id: event_id(&bytes), bytes })
+        Some(Event { id: event_id(&bytes), has_data: has_data(&bytes), bytes })
     }
 
     /// Returns the number of bytes of an event that lacks its end. A stream that ends while this is
@@ -74,8 +76,15 @@
     None
 }
 
+fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    bytes.split(|&byte| matches!(byte, b'\n' | b'\r'))
+}
+
 fn event_id(bytes: &[u8]) -> Option<u64> {
-    let mut lines = bytes.split(|&byte| matches!(byte, b'\n' | b'\r'));
-    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    let value = lines(bytes).find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(value.trim_ascii()).ok()?.parse().ok()
 }
+
+fn has_data(bytes: &[u8]) -> bool {
+    lines(bytes).any(|line| line == b"data" || line.starts_with(b"data:"))
+}
--- a/gateway/tests/truncation.rs
+++ b/gateway/tests/truncation.rs
@@ -193,3 +193,37 @@
         }
     }
 }
+
+#[actix_rt::test]
+async fn stream_without_ids_repeated_after_a_break() {
+    let body = "data: a\n\ndata: b\n\n";
+    let script = move |_: &support::ReceivedRequest| {
+        UpstreamAction::WriteAndReset(framed(Framing::UntilClose, EVENT_STREAM, body, body.len()))
+    };
+    let upstreams = [Upstream::start(script), Upstream::start(script)];
+    let gateway = TestGateway::start(&[&upstreams[0], &upstreams[1]]).await;
+    let response = gateway.exchange(&get("/render/1", "a1")).await;
+    assert_eq!(support::decode_chunked(&response), (body.to_owned(), false));
+}
+
+#[actix_rt::test]
+async fn stream_with_comments_without_ids_is_resumed() {
+    let script =
+        |received: &support::ReceivedRequest| match received.head.headers.text("X-Last-Event") {
+            None => {
+                let body = event(1) + ": still here\n\nretry: 10\n\n";
+                let text = framed(Framing::Chunked, EVENT_STREAM, &body, body.len() - 1);
+                UpstreamAction::WriteAndClose(text)
+            }
+            Some(_) => UpstreamAction::WriteAndClose(framed(
+                Framing::Length(0),
+                EVENT_STREAM,
+                &event(2),
+                event(2).len(),
+            )),
+        };
+    let upstreams = [Upstream::start(script), Upstream::start(script)];
+    let gateway = TestGateway::start(&[&upstreams[0], &upstreams[1]]).await;
+    let body = complete_body(&gateway.exchange(&get("/render/1", "a1")).await);
+    assert_eq!(body, Some(event(1) + ": still here\n\n" + &event(2)));
+}
