serve: responses to HTTP/1.0 callers have no chunks and are reset when truncated

A caller that speaks HTTP/1.0 received streams and long responses in chunks, which that version does not have, so that the sizes of chunks were part of its body and the last chunk told it nothing.

Such responses end with the connection now. Since a close is their regular end, the connection is set to reset before the head is written and set back after the last byte: whatever ends it earlier, also the end of the process, is a reset, and the response does not look complete.

The new test failed before, for complete and for truncated responses.

--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -13,6 +13,7 @@
 
 use bytes::{BufMut as _, Bytes, BytesMut};
 use dogwoodturn::ids::UpstreamId;
+use socket2::SockRef;
 use tokio::{io::AsyncWriteExt as _, net::tcp::WriteHalf, time::timeout};
 
 use crate::{
@@ -60,6 +61,8 @@
     pub keep_alive: bool,
     /// Whether the request was a `HEAD` request, whose response has no body.
     is_head_only: bool,
+    /// Whether the caller understands chunked responses.
+    accepts_chunks: bool,
     is_head_sent: bool,
 }
 
@@ -70,13 +73,17 @@
     Length(usize),
     /// By chunked transfer coding and its last chunk.
     Chunked,
+    /// By the end of the connection, for callers that do not understand chunks.
+    UntilClose,
     /// There is no body; `Content-Length`, if present, is the length of the omitted body.
     None,
 }
 
 impl<'a> ResponseWriter<'a> {
-    pub fn new(stream: WriteHalf<'a>, keep_alive: bool, is_head_only: bool) -> Self {
-        Self { stream, keep_alive, is_head_only, is_head_sent: false }
+    pub fn new(stream: WriteHalf<'a>, req: &Request, keep_alive: bool) -> Self {
+        let accepts_chunks = req.head.accepts_chunks;
+        let is_head_only = req.is_head_request();
+        Self { stream, keep_alive, is_head_only, accepts_chunks, is_head_sent: false }
     }
 
     async fn write(&mut self, bytes: &[u8], time_left: Duration) -> bool {
@@ -108,6 +115,7 @@
                 put_header(&mut out, b"Content-Length", length.to_string().as_bytes());
             }
             BodyFraming::Chunked => put_header(&mut out, b"Transfer-Encoding", b"chunked"),
+            BodyFraming::UntilClose => self.keep_alive = false,
             BodyFraming::None => {
                 if let Some(length) = head.headers.get("content-length") {
                     put_header(&mut out, b"Content-Length", length);
@@ -136,8 +144,8 @@
         if self.write(&out, time_left).await { Delivery::Complete } else { Delivery::Truncated }
     }
 
-    /// Writes the next chunk of a chunked response, preceded by the head if that was not sent yet.
-    /// Reports whether the chunk was written within `time_left`.
+    /// Writes the next part of a response whose length is unknown, preceded by the head if that was
+    /// not sent yet. Reports whether it was written within `time_left`.
     async fn write_chunk(
         &mut self,
         head: &ResponseHead,
@@ -145,6 +153,9 @@
         is_last: bool,
         time_left: Duration,
     ) -> bool {
+        if !self.accepts_chunks {
+            return self.write_until_close(head, data, is_last, time_left).await;
+        }
         let mut out = if self.is_head_sent {
             BytesMut::new()
         } else {
@@ -156,6 +167,28 @@
         }
         self.write(&out, time_left).await
     }
+
+    /// Writes the next part of a response that ends with its connection. Until the last part is
+    /// written, any end of the connection is a reset, also that of the whole process.
+    async fn write_until_close(
+        &mut self,
+        head: &ResponseHead,
+        data: &[u8],
+        is_last: bool,
+        time_left: Duration,
+    ) -> bool {
+        let mut out = BytesMut::new();
+        if !self.is_head_sent {
+            if let Err(error) = self.stream.as_ref().set_zero_linger() {
+                log::warn!(event = "no-reset", error:%; "a truncated response could not be marked by a reset; it is not sent");
+                return false;
+            }
+            out = self.encode_head(head, BodyFraming::UntilClose);
+        }
+        out.put_slice(data);
+        self.write(&out, time_left).await
+            && (!is_last || SockRef::from(self.stream.as_ref()).set_linger(None).is_ok())
+    }
 }
 
 /// The state of one request while it is forwarded.
--- a/gateway/src/http/head.rs
+++ b/gateway/src/http/head.rs
@@ -123,6 +123,8 @@
     pub target: Bytes,
     pub headers: Headers,
     pub framing: Framing,
+    /// Whether the caller understands chunked responses, which HTTP/1.0 does not have.
+    pub accepts_chunks: bool,
     /// Whether the caller may send more requests on the connection.
     pub keep_alive: bool,
 }
@@ -158,6 +160,7 @@
             target: bytes.slice(target),
             headers,
             framing,
+            accepts_chunks: is_http_1_1,
             keep_alive,
         };
         if !head.target.starts_with(b"/") {
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -104,7 +104,7 @@
         };
         let keep_alive = req.head.keep_alive && !cx.is_draining();
         let (mut read_half, write_half) = stream.split();
-        let mut out = ResponseWriter::new(write_half, keep_alive, req.is_head_request());
+        let mut out = ResponseWriter::new(write_half, &req, keep_alive);
         let delivery = tokio::select! {
             biased;
             delivery = forward::handle_request(cx, &req, &mut out) => delivery,
@@ -115,6 +115,10 @@
             }
         };
         let keep_alive = out.keep_alive;
+        if delivery == Delivery::Truncated && !req.head.accepts_chunks {
+            // A shutdown would mark the end of the response; the connection resets when dropped.
+            return Ok(());
+        }
         if delivery == Delivery::Truncated || !keep_alive {
             return stream.shutdown().await;
         }
--- a/gateway/tests/truncation.rs
+++ b/gateway/tests/truncation.rs
@@ -7,6 +7,10 @@
 use dogwoodturn_gateway::http::head::Framing;
 use futures_util::future::join_all;
 use support::{TestGateway, Upstream, UpstreamAction, complete_body, framed, get};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
 
 const EVENT_STREAM: &str = "text/event-stream";
 const FRAMINGS: [Framing; 3] = [Framing::Length(0), Framing::Chunked, Framing::UntilClose];
@@ -227,3 +231,33 @@
     let body = complete_body(&gateway.exchange(&get("/render/1", "a1")).await);
     assert_eq!(body, Some(event(1) + ": still here\n\n" + &event(2)));
 }
+
+/// Sends a request as HTTP/1.0, whose responses have no chunks. Returns the body if the connection was
+/// closed regularly, and `None` if it was reset.
+async fn exchange_http_1_0(gateway: &TestGateway, path: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(gateway.callers).await.unwrap();
+    let request = get(path, "a1").replace("HTTP/1.1", "HTTP/1.0");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.ok()?;
+    let (head, body) = response.split_once("\r\n\r\n")?;
+    assert!(!head.contains("Transfer-Encoding"), "{head}");
+    Some(body.to_owned())
+}
+
+#[actix_rt::test]
+async fn truncated_response_to_http_1_0_ends_like_a_complete_one() {
+    let long = "x".repeat(600_000);
+    for (path, content_type, body) in
+        [("/build/1", EVENT_STREAM, event(1) + &event(2)), ("/book/1", "text/plain", long)]
+    {
+        for sent in [body.len() - 1, body.len()] {
+            let text = framed(Framing::Chunked, content_type, &body, sent);
+            let upstream = Upstream::start(move |_| UpstreamAction::WriteAndClose(text.clone()));
+            let gateway = TestGateway::start(&[&upstream]).await;
+            let received = exchange_http_1_0(&gateway, path).await;
+            let expected = (sent == body.len()).then(|| body.clone());
+            assert!(received == expected, "{path} {sent} of {}: {received:?}", body.len());
+        }
+    }
+}
