http: the gateway's HTTP/1.1 moves into the library

It moves from gateway/src/http to lib/src/http with its property tests, so that both use it. No behaviour changes; its log lines carry the new module name.

--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -9,6 +9,10 @@
 };
 
 use dogwoodturn::{
+    http::{
+        connection::{Connection, MAX_RESPONSE_HEAD_BYTES},
+        head::ResponseHead,
+    },
     ids::{RouteName, ServiceName},
     units::Time,
 };
@@ -17,10 +21,6 @@
 use crate::{
     forward::admission::Admitted,
     gateway::Gateway,
-    http::{
-        connection::{Connection, MAX_RESPONSE_HEAD_BYTES},
-        head::ResponseHead,
-    },
     placement::{AttemptOutcome, Ticket},
     poison::Digest,
     request::{ForwardingParams, Request},
--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -12,7 +12,10 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{BufMut as _, Bytes, BytesMut};
-use dogwoodturn::ids::UpstreamId;
+use dogwoodturn::{
+    http::{body::LAST_CHUNK, body::put_chunk, head::ResponseHead},
+    ids::UpstreamId,
+};
 use socket2::SockRef;
 use tokio::{io::AsyncWriteExt as _, net::tcp::WriteHalf, time::timeout};
 
@@ -23,7 +26,6 @@
         relay::{BodyEnd, Relayed, StreamPosition},
     },
     gateway::{Gateway, State},
-    http::{body::LAST_CHUNK, body::put_chunk, head::ResponseHead},
     placement::{AttemptOutcome, Selection, SelectionCriteria},
     request::{LocalResponse, NotRun, Progress, Request, phrase, put_header},
     table::RetrySafety,
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -3,15 +3,15 @@
 use std::{io, time::Duration};
 
 use bytes::BytesMut;
+use dogwoodturn::http::{
+    body::{BodyDecoder, Step},
+    connection::Connection,
+    head::{Framing, ResponseHead},
+};
 use tokio::time::timeout;
 
 use crate::{
     forward::{Delivery, Exchange, ResponseWriter, attempt::Attempt},
-    http::{
-        body::{BodyDecoder, Step},
-        connection::Connection,
-        head::{Framing, ResponseHead},
-    },
     placement::AttemptOutcome,
     request::LocalResponse,
     sse::{Event, EventBuffer},
--- a/gateway/src/header_schema.rs
+++ b/gateway/src/header_schema.rs
@@ -59,7 +59,7 @@
     /// The path of the readiness probe.
     pub readiness_path: &'static [u8],
     /// Parses the description of the prompt from the headers.
-    pub read_prompt: fn(&crate::http::head::Headers) -> Prompt,
+    pub read_prompt: fn(&dogwoodturn::http::head::Headers) -> Prompt,
     /// Parses the load that an upstream reports.
     pub read_load: fn(&str) -> Option<LoadReport>,
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod forward;
 pub mod gateway;
 pub mod header_schema;
-pub mod http;
 pub mod hubs;
 mod leader;
 pub mod lease;
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -3,13 +3,15 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use dogwoodturn::units::Time;
+use dogwoodturn::{
+    http::{connection::Connection, head::RequestHead},
+    units::Time,
+};
 use indexmap::IndexMap;
 use tokio::{net::UdpSocket, time::interval};
 
 use crate::{
     gateway::Gateway,
-    http::{connection::Connection, head::RequestHead},
     objects,
     peers::{Datagram, MAX_RECIPIENTS, MESSAGE_INTERVAL},
     replication::ReplicationUpdate,
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -2,11 +2,9 @@
 
 use std::time::Duration;
 
-use dogwoodturn::{ids::UpstreamId, units::Time};
+use dogwoodturn::{http::connection::Connection, ids::UpstreamId, units::Time};
 use indexmap::IndexMap;
 
-use crate::http::connection::Connection;
-
 /// How long an idle connection is reused when the upstream states no time-out. Upstreams close idle
 /// connections, and a request that crosses such a close cannot be distinguished from one that ran.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -3,12 +3,11 @@
 use std::time::Duration;
 
 use bytes::{BufMut as _, Bytes, BytesMut};
-use dogwoodturn::{ids::CustomerName, units::Time};
+use dogwoodturn::{http::head::RequestHead, ids::CustomerName, units::Time};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::{
     header_schema::{HeaderSchema, Prompt},
-    http::head::RequestHead,
     poison::Digest,
 };
 
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -3,6 +3,11 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use dogwoodturn::http::{
+    body::{BodyDecoder, Step},
+    connection::set_socket_options,
+    head::{Framing, HeadError, RequestHead},
+};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream, tcp::ReadHalf},
@@ -12,11 +17,6 @@
 use crate::{
     forward::{self, Delivery, ResponseWriter},
     gateway::{BodyReservation, Gateway},
-    http::{
-        body::{BodyDecoder, Step},
-        connection::set_socket_options,
-        head::{Framing, HeadError, RequestHead},
-    },
     request::{LocalResponse, Request},
     table::CallerLimits,
 };
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -4,14 +4,17 @@
 use std::{cell::RefCell, fmt::Write as _, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use dogwoodturn::{ids::Revision, ini::Source};
-use dogwoodturn_gateway::{
-    gateway::Gateway,
-    header_schema::{HeaderSchema, LoadReport, Prompt, PromptPart},
+use dogwoodturn::{
     http::{
         body::{BodyDecoder, Step},
         head::{Framing, Headers, RequestHead},
     },
+    ids::Revision,
+    ini::Source,
+};
+use dogwoodturn_gateway::{
+    gateway::Gateway,
+    header_schema::{HeaderSchema, LoadReport, Prompt, PromptPart},
     serve,
     settings::Settings,
     store::{CallError, Store, Unreadable, UpstreamRecord},
--- a/gateway/tests/truncation.rs
+++ b/gateway/tests/truncation.rs
@@ -4,7 +4,7 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use dogwoodturn_gateway::http::head::Framing;
+use dogwoodturn::http::head::Framing;
 use futures_util::future::join_all;
 use support::{TestGateway, Upstream, UpstreamAction, complete_body, framed, get};
 use tokio::{
--- a/gateway/src/http/head.rs
+++ b/lib/src/http/head.rs
@@ -2,14 +2,14 @@
 
 use std::ops::Range;
 
+use crate::hop::HOP_BY_HOP;
 use bytes::{Bytes, BytesMut};
-use dogwoodturn::hop::HOP_BY_HOP;
 use thiserror::Error;
 
 /// Maximum number of header lines in one head.
 const MAX_HEADERS: usize = 96;
 
-/// End-to-end headers that are not forwarded: the gateway responds to `Expect` itself and writes
+/// End-to-end headers that are not forwarded: a proxy responds to `Expect` itself and writes
 /// `Content-Length` anew.
 const REFRAMED: [&str; 2] = ["content-length", "expect"];
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod declaration;
 pub mod edge;
 pub mod hop;
+pub mod http;
 pub mod ids;
 pub mod ini;
 pub mod limit;
--- a/gateway/tests/http_properties.rs
+++ b/lib/tests/http_properties.rs
@@ -4,7 +4,7 @@
 #![allow(clippy::needless_pass_by_value)]
 
 use bytes::BytesMut;
-use dogwoodturn_gateway::http::{
+use dogwoodturn::http::{
     body::{BodyDecoder, LAST_CHUNK, Step, put_chunk},
     head::{Framing, RequestHead, ResponseHead},
 };
