edge: truncated responses of plain services are not complete

Callers of the daemon received responses that an upstream had broken off with a new Content-Length over the part that had arrived, and responses without length or chunks without their body. With an idempotency key the truncated body was stored with the claim and replayed.

Cause: awc ends the body of a response as if it were complete when the connection closes before the declared length or the last chunk, and it ignores the body of an HTTP/1.1 response that has neither. The same holds for the KV caches that the daemon copies between engines.

Requests to upstreams use a client on the library's own HTTP/1.1 module, which knows the framing and how the connection ended.

--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -13,7 +13,10 @@
 
 use bytes::{BufMut as _, Bytes, BytesMut};
 use dogwoodturn::{
-    http::{body::LAST_CHUNK, body::put_chunk, head::ResponseHead},
+    http::{
+        body::{LAST_CHUNK, put_chunk},
+        head::{ResponseHead, put_header},
+    },
     ids::UpstreamId,
 };
 use socket2::SockRef;
@@ -27,7 +30,7 @@
     },
     gateway::{Gateway, State},
     placement::{AttemptOutcome, Selection, SelectionCriteria},
-    request::{LocalResponse, NotRun, Progress, Request, phrase, put_header},
+    request::{LocalResponse, NotRun, Progress, Request, phrase},
     table::RetrySafety,
 };
 
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -3,7 +3,11 @@
 use std::time::Duration;
 
 use bytes::{BufMut as _, Bytes, BytesMut};
-use dogwoodturn::{http::head::RequestHead, ids::CustomerName, units::Time};
+use dogwoodturn::{
+    http::head::{RequestHead, put_header},
+    ids::CustomerName,
+    units::Time,
+};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::{
@@ -138,13 +142,6 @@
     pub last_event: Option<u64>,
 }
 
-pub fn put_header(out: &mut BytesMut, name: &[u8], value: &[u8]) {
-    out.put_slice(name);
-    out.put_slice(b": ");
-    out.put_slice(value);
-    out.put_slice(b"\r\n");
-}
-
 /// Proof that a request has not run and will not run: no upstream received it, or every upstream
 /// that did stated that it did not run it.
 #[derive(Clone, Copy, Debug)]
--- a/lib/src/edge/caller.rs
+++ b/lib/src/edge/caller.rs
@@ -284,19 +284,22 @@
     }
 }
 
-/// Returns the headers that are forwarded: all but [`HOP_BY_HOP`] and [`REPLACED_HEADERS`].
-pub fn forwarded_headers(headers: &HeaderMap) -> Vec<Header> {
-    let is_forwarded =
-        |name: &str| !HOP_BY_HOP.contains(&name) && !REPLACED_HEADERS.contains(&name);
+/// Reports whether a header with this name, in lower case, is forwarded: all but [`HOP_BY_HOP`] and
+/// [`REPLACED_HEADERS`] are.
+pub fn is_forwarded_header(name: &str) -> bool {
+    !HOP_BY_HOP.contains(&name) && !REPLACED_HEADERS.contains(&name)
+}
+
+fn forwarded_headers(headers: &HeaderMap) -> Vec<Header> {
     headers
         .iter()
-        .filter(|(name, _)| is_forwarded(name.as_str()))
+        .filter(|(name, _)| is_forwarded_header(name.as_str()))
         .map(|(name, value)| (name.as_str().into(), Bytes::copy_from_slice(value.as_bytes())))
         .collect()
 }
 
 /// Returns the value of a header, or `None` if it is missing or not valid text.
-pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
 
--- a/lib/src/edge/driver.rs
+++ b/lib/src/edge/driver.rs
@@ -12,7 +12,6 @@
 };
 
 use arc_swap::ArcSwap;
-use awc::Client;
 use bytes::Bytes;
 use indexmap::IndexMap;
 use tokio::{
@@ -21,7 +20,7 @@
 };
 
 use crate::{
-    edge::upstream,
+    edge::{client::Client, upstream},
     ids::RequestId,
     node::{
         control::Input,
@@ -39,8 +38,6 @@
 
 /// Interval at which timers are checked and reports are sent.
 const TICK: Duration = Duration::from_millis(5);
-/// Timeout for opening a connection to an upstream.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Limit on the reports of attempts queued for the next tick; further ones are dropped.
 const MAX_QUEUED_REPORTS: usize = 4096;
 /// Bytes buffered for a slow caller above which its upstream is not read any further.
@@ -101,7 +98,7 @@
     callers: RefCell<IndexMap<CallerId, CallerSlot>>,
     last_caller: Cell<u64>,
     attempts: RefCell<IndexMap<AttemptId, JoinHandle<()>>>,
-    client: Client,
+    client: Rc<Client>,
     control: Box<dyn Fn(Input)>,
     reports: RefCell<Vec<AttemptReport>>,
 }
@@ -113,13 +110,6 @@
         snapshot: Arc<ArcSwap<Snapshot>>,
         control: Box<dyn Fn(Input)>,
     ) -> Rc<Self> {
-        let connector = awc::Connector::new().limit(0).timeout(CONNECT_TIMEOUT);
-        let client = Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .no_default_headers()
-            .finish();
         Rc::new(Self {
             traffic: RefCell::new(traffic),
             queue: RefCell::default(),
@@ -130,20 +120,21 @@
             callers: RefCell::default(),
             last_caller: Cell::new(0),
             attempts: RefCell::default(),
-            client,
+            client: Rc::default(),
             control,
             reports: RefCell::default(),
         })
     }
 
-    /// Runs until the thread ends. Each tick sends the queued reports, and wakes the state machine
-    /// if a timer is due or there is a new snapshot.
+    /// Runs until the thread ends. Each tick sends the queued reports, closes expired connections, and
+    /// wakes the state machine if a timer is due or there is a new snapshot.
     pub async fn run_timers(self: Rc<Self>) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
             self.send_reports();
+            self.client.evict_idle();
             let now = self.now();
             let due = self.traffic.borrow().next_wakeup().is_some_and(|at| at <= now);
             if due || self.has_new_snapshot() {
--- a/lib/src/edge/mod.rs
+++ b/lib/src/edge/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP interfaces for callers, upstreams and operators.
 
 pub mod caller;
+pub mod client;
 pub mod driver;
 pub mod listen;
 pub mod operator;
--- a/lib/src/edge/upstream.rs
+++ b/lib/src/edge/upstream.rs
@@ -1,23 +1,21 @@
 //! Sends requests to upstreams and passes their responses to the [`TrafficDriver`].
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use awc::{
-    Client,
-    error::{ConnectError, SendRequestError},
-    http::{Method, header::HeaderMap},
-};
-use futures_util::StreamExt as _;
+use bytes::Bytes;
 use serde_json::json;
+use tokio::time::timeout;
 
 use crate::{
     edge::{
-        caller::{forwarded_headers, header_text},
+        caller::is_forwarded_header,
+        client::{Client, ClientRequest, SendError},
         driver::TrafficDriver,
     },
+    http::head::{Headers, ResponseHead},
     node::traffic::{Dispatch, Event},
     placement::load::LoadReport,
-    request::exchange::{Head, StreamEnd},
+    request::exchange::{Head, Header, StreamEnd},
 };
 
 /// Timeout for the response of an engine to a cancellation.
@@ -26,9 +24,11 @@
 const KV_TIMEOUT: Duration = Duration::from_secs(5);
 /// Limit on the size of a KV cache that is moved, in bytes.
 const MAX_KV_BYTES: usize = 64 << 20;
+/// Limit on the size of a response that is read only for its connection, in bytes.
+const MAX_IGNORED_BYTES: usize = 64 << 10;
 
 /// Runs one attempt to its end. The task is aborted if the attempt is closed before that.
-pub async fn run(driver: Rc<TrafficDriver>, client: Client, dispatch: Box<Dispatch>) {
+pub async fn run(driver: Rc<TrafficDriver>, client: Rc<Client>, dispatch: Box<Dispatch>) {
     let attempt = dispatch.attempt;
     let end = match send(&driver, &client, &dispatch).await {
         Ok(()) => StreamEnd::Eof,
@@ -38,53 +38,38 @@
     driver.dispatch_event(Event::AttemptEnded(attempt, end));
 }
 
-/// Reads the load that an upstream reports in the headers of its response.
-fn read_load(headers: &HeaderMap) -> Option<LoadReport> {
-    let number = |name| header_text(headers, name)?.parse::<u32>().ok();
-    Some(LoadReport {
-        running: number("x-load-running")?,
-        waiting: number("x-load-waiting")?,
-        age: Duration::from_millis(number("x-load-age-ms").unwrap_or(0).into()),
-    })
-}
-
 async fn send(
     driver: &Rc<TrafficDriver>,
-    client: &Client,
+    client: &Rc<Client>,
     dispatch: &Dispatch,
 ) -> Result<(), StreamEnd> {
-    let url = format!("http://{}{}", dispatch.address, dispatch.path);
-    let method = Method::from_bytes(dispatch.method.as_bytes())
-        .map_err(|error| StreamEnd::Unreachable(error.to_string().into()))?;
-    let mut req = client.request(method, url);
+    // The body of a completion, for which `paced_by` is never set, is JSON written by the daemon.
+    let is_json = dispatch.paced_by.is_none();
+    let mut req = ClientRequest::new(&dispatch.method, dispatch.address, &dispatch.path);
     for (name, value) in dispatch.headers.iter() {
-        req = req.append_header((&**name, &**value));
+        if !(is_json && &**name == "content-type") {
+            req = req.header(name, value);
+        }
     }
     req = req
-        .insert_header(("x-request-id", &*dispatch.name))
-        .insert_header(("x-deadline-ms", dispatch.time_left.as_millis().to_string()));
-    // The body of a completion, for which `paced_by` is never set, is JSON written by the daemon.
-    if dispatch.paced_by.is_none() {
-        req = req.insert_header(("content-type", "application/json"));
+        .header("x-request-id", dispatch.name.as_bytes())
+        .header("x-deadline-ms", dispatch.time_left.as_millis().to_string().as_bytes());
+    if is_json {
+        req = req.header("content-type", b"application/json");
     }
     let mut res =
-        req.send_body(dispatch.body.clone()).await.map_err(|error| classify_send_error(&error))?;
-    let headers = res.headers();
-    let is_event_stream = header_text(headers, "content-type")
-        .is_some_and(|kind| kind.starts_with("text/event-stream"));
-    let head = Head {
-        status: res.status().as_u16(),
-        headers: forwarded_headers(headers),
-        is_event_stream,
-        says_not_run: header_text(headers, "x-not-run") == Some("true"),
-        retry_after: header_text(headers, "retry-after")
-            .and_then(|seconds| seconds.parse().ok())
-            .map(Duration::from_secs),
-        load: read_load(headers),
+        client.send(dispatch.address, &req.body(&dispatch.body)).await.map_err(|error| {
+            let detail = error.to_string().into();
+            match error {
+                SendError::Unreachable(..) => StreamEnd::Unreachable(detail),
+                SendError::ConnectionLost(..) => StreamEnd::ConnectionLost(detail),
+            }
+        })?;
+    driver.dispatch_event(Event::AttemptHead(dispatch.attempt, Box::new(read_head(&res.head))));
+    let lost = |error: io::Error| {
+        StreamEnd::ConnectionLost(format!("the response was truncated: {error}").into())
     };
-    driver.dispatch_event(Event::AttemptHead(dispatch.attempt, Box::new(head)));
-    while let Some(chunk) = res.next().await {
-        let chunk = chunk.map_err(|error| StreamEnd::ConnectionLost(error.to_string().into()))?;
+    while let Some(chunk) = res.next_chunk().await.map_err(lost)? {
         driver.dispatch_event(Event::AttemptChunk(dispatch.attempt, chunk));
         if let Some(caller) = dispatch.paced_by {
             driver.wait_for_room(caller).await;
@@ -93,39 +78,71 @@
     Ok(())
 }
 
-/// Classifies a failed send by whether any byte of the request can have reached the upstream.
-///
-/// awc reports a connection that ended before a response as a failure to connect, although the
-/// request was sent by then.
-fn classify_send_error(error: &SendRequestError) -> StreamEnd {
-    let detail = error.to_string().into();
-    match error {
-        SendRequestError::Connect(ConnectError::Disconnected | ConnectError::H2(_)) => {
-            StreamEnd::ConnectionLost(detail)
-        }
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => StreamEnd::Unreachable(detail),
-        _ => StreamEnd::ConnectionLost(detail),
+fn read_head(head: &ResponseHead) -> Head {
+    let headers = &head.headers;
+    let is_event_stream =
+        headers.text("content-type").is_some_and(|kind| kind.starts_with("text/event-stream"));
+    Head {
+        status: head.status,
+        headers: forwarded_headers(headers),
+        is_event_stream,
+        says_not_run: headers.text("x-not-run") == Some("true"),
+        retry_after: headers
+            .text("retry-after")
+            .and_then(|seconds| seconds.parse().ok())
+            .map(Duration::from_secs),
+        load: read_load(headers),
     }
 }
 
+fn forwarded_headers(headers: &Headers) -> Vec<Header> {
+    let lines = headers.end_to_end().filter_map(|(name, value)| {
+        let name = std::str::from_utf8(name).ok()?.to_ascii_lowercase();
+        is_forwarded_header(&name).then(|| (name.into(), value.clone()))
+    });
+    lines.collect()
+}
+
+/// Reads the load that an upstream reports in the headers of its response.
+fn read_load(headers: &Headers) -> Option<LoadReport> {
+    let number = |name| headers.text(name)?.parse::<u32>().ok();
+    Some(LoadReport {
+        running: number("x-load-running")?,
+        waiting: number("x-load-waiting")?,
+        age: Duration::from_millis(number("x-load-age-ms").unwrap_or(0).into()),
+    })
+}
+
 /// Cancels an attempt at an engine, since no caller waits for its response.
-pub async fn cancel(client: Client, address: SocketAddr, name: Box<str>) {
-    let url = format!("http://{address}/v1/requests/{name}");
+pub async fn cancel(client: Rc<Client>, address: SocketAddr, name: Box<str>) {
+    let req = ClientRequest::new("DELETE", address, &format!("/v1/requests/{name}")).body(b"");
     // The closed connection cancels the attempt too, so a lost cancellation is harmless.
-    let _ = client.delete(url).timeout(CANCEL_TIMEOUT).send().await;
+    let _ = timeout(CANCEL_TIMEOUT, call(&client, address, &req, MAX_IGNORED_BYTES)).await;
 }
 
 /// Copies the KV cache of an attempt from one engine to another. Reports whether it arrived.
-pub async fn move_kv(client: &Client, name: &str, from: SocketAddr, to: SocketAddr) -> bool {
-    let export = client.post(format!("http://{from}/kv/export")).timeout(KV_TIMEOUT);
-    let Ok(mut res) = export.send_json(&json!({ "request": name })).await else { return false };
-    if !res.status().is_success() {
-        return false;
-    }
-    let Ok(blob) = res.body().limit(MAX_KV_BYTES).await else { return false };
-    let import = client.post(format!("http://{to}/kv/import")).timeout(KV_TIMEOUT);
-    match import.send_body(blob).await {
-        Ok(res) => res.status().is_success(),
-        Err(_) => false,
-    }
+pub async fn move_kv(client: &Rc<Client>, name: &str, from: SocketAddr, to: SocketAddr) -> bool {
+    let post = |address, path: &str, body: &[u8]| {
+        ClientRequest::new("POST", address, path)
+            .header("content-type", b"application/json")
+            .body(body)
+    };
+    let export = post(from, "/kv/export", json!({ "request": name }).to_string().as_bytes());
+    let export = timeout(KV_TIMEOUT, call(client, from, &export, MAX_KV_BYTES)).await;
+    let Ok(Ok((200..300, blob))) = export else { return false };
+    let import = post(to, "/kv/import", &blob);
+    let import = timeout(KV_TIMEOUT, call(client, to, &import, MAX_IGNORED_BYTES)).await;
+    matches!(import, Ok(Ok((200..300, _))))
+}
+
+/// Sends a request and returns the status and the complete body of its response.
+async fn call(
+    client: &Rc<Client>,
+    address: SocketAddr,
+    req: &ClientRequest,
+    max_bytes: usize,
+) -> io::Result<(u16, Bytes)> {
+    let res = client.send(address, req).await.map_err(io::Error::other)?;
+    let status = res.head.status;
+    Ok((status, res.read_body(max_bytes).await?))
 }
--- a/lib/src/http/connection.rs
+++ b/lib/src/http/connection.rs
@@ -53,10 +53,19 @@
 }
 
 impl Connection {
-    /// Connects within `connect_timeout` and sets the socket options.
+    /// Connects within `connect_timeout` and sets the options that detect a dead peer.
     pub async fn open(address: SocketAddr, connect_timeout: Duration) -> io::Result<Self> {
+        Self::open_with(address, connect_timeout, set_socket_options).await
+    }
+
+    /// Connects within `connect_timeout` and sets the options of the socket with `set_options`.
+    pub async fn open_with(
+        address: SocketAddr,
+        connect_timeout: Duration,
+        set_options: impl FnOnce(&TcpStream) -> io::Result<()>,
+    ) -> io::Result<Self> {
         let stream = timeout(connect_timeout, TcpStream::connect(address)).await??;
-        set_socket_options(&stream)?;
+        set_options(&stream)?;
         Ok(Self { stream, buf: BytesMut::new(), reused: false, is_awaiting_response: false })
     }
 
--- a/lib/src/http/head.rs
+++ b/lib/src/http/head.rs
@@ -3,7 +3,7 @@
 use std::ops::Range;
 
 use crate::hop::HOP_BY_HOP;
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut as _, Bytes, BytesMut};
 use thiserror::Error;
 
 /// Maximum number of header lines in one head.
@@ -240,3 +240,11 @@
     let slice = |(name, value)| (bytes.slice(name), bytes.slice(value));
     Headers(ranges.into_iter().map(slice).collect())
 }
+
+/// Appends a header line.
+pub fn put_header(out: &mut BytesMut, name: &[u8], value: &[u8]) {
+    out.put_slice(name);
+    out.put_slice(b": ");
+    out.put_slice(value);
+    out.put_slice(b"\r\n");
+}
