edge: nothing is added to a forwarded stream that breaks off

A caller of a plain service's event stream over 256 KiB that was broken off received the beginning of an event joined with event: error of the daemon, framed as a complete response.

Cause: the daemon ends every incomplete event stream with an event of its own. That belongs to completions, whose events it writes itself; here the bytes are those of the upstream, which may stop anywhere, and whose callers do not know the daemon's events.

A response that is sent in parts knows now who writes its body. A forwarded one that breaks off has its connection closed without the last chunk.

--- a/lib/src/edge/caller.rs
+++ b/lib/src/edge/caller.rs
@@ -19,7 +19,7 @@
     },
     hop::HOP_BY_HOP,
     ids::RequestId,
-    node::traffic::{Event, IncomingRequest, ResumeRequest},
+    node::traffic::{BodyOrigin, Event, IncomingRequest, ResumeRequest},
     request::{
         CallerId,
         exchange::{Head, Header},
@@ -211,9 +211,9 @@
             Some(Part::Full(request, head, body)) => {
                 Ok(response_builder(&request, &head).body(body).map_into_boxed_body())
             }
-            Some(Part::Head(request, head)) => {
+            Some(Part::Head(request, head, origin)) => {
                 let mut builder = response_builder(&request, &head);
-                let stream = self.into_stream(head.is_event_stream);
+                let stream = self.into_stream(origin);
                 Ok(builder.body(BodyStream::new(stream)).map_into_boxed_body())
             }
             Some(Part::Refusal(refusal)) => Err(refusal),
@@ -225,7 +225,7 @@
         }
     }
 
-    fn into_stream(self, is_sse: bool) -> impl Stream<Item = Result<Bytes, std::io::Error>> {
+    fn into_stream(self, origin: BodyOrigin) -> impl Stream<Item = Result<Bytes, std::io::Error>> {
         stream::unfold(Some(self), move |pending| async move {
             let mut pending = pending?;
             let part = poll_fn(|cx| pending.parts.poll_recv(cx)).await;
@@ -234,7 +234,9 @@
                     pending.flow.record_consumed(bytes.len());
                     Some((Ok(bytes), Some(pending)))
                 }
-                Some(Part::Refusal(refusal)) if is_sse => Some((Ok(refusal_event(*refusal)), None)),
+                Some(Part::Refusal(refusal)) if origin == BodyOrigin::Daemon => {
+                    Some((Ok(refusal_event(*refusal)), None))
+                }
                 Some(Part::End) => {
                     pending.guard.is_complete = true;
                     None
--- a/lib/src/edge/driver.rs
+++ b/lib/src/edge/driver.rs
@@ -26,7 +26,7 @@
         control::Input,
         report::AttemptReport,
         snapshot::Snapshot,
-        traffic::{Effect, Event, Traffic},
+        traffic::{BodyOrigin, Effect, Event, Traffic},
     },
     request::{
         AttemptId, CallerId,
@@ -47,7 +47,7 @@
 #[derive(Debug)]
 pub enum Part {
     /// The head of a streamed response; chunks follow.
-    Head(RequestId, Box<Head>),
+    Head(RequestId, Box<Head>, BodyOrigin),
     Chunk(Bytes),
     /// The end of a complete streamed response.
     End,
@@ -260,8 +260,8 @@
                     driver.dispatch_event(Event::KvMoved(attempt, moved));
                 });
             }
-            Effect::StartResponse(caller, request, head) => {
-                self.send_part(caller, Part::Head(request, head), false);
+            Effect::StartResponse(caller, request, head, origin) => {
+                self.send_part(caller, Part::Head(request, head, origin), false);
             }
             Effect::SendBody(caller, bytes) => self.send_part(caller, Part::Chunk(bytes), false),
             Effect::EndResponse(caller) => self.send_part(caller, Part::End, true),
--- a/lib/src/node/traffic/deliver.rs
+++ b/lib/src/node/traffic/deliver.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use super::{Effect, Entry, Reader, ReaderState, Traffic};
+use super::{BodyOrigin, Effect, Entry, Reader, ReaderState, Traffic};
 use crate::{
     ids::{DaemonId, RequestId},
     peer::Recipient,
@@ -34,7 +34,9 @@
                 if !reader_state.responded {
                     reader_state.responded = true;
                     let head = Box::new(plain.head.clone());
-                    out.push(Effect::StartResponse(caller, request.clone(), head));
+                    let start =
+                        Effect::StartResponse(caller, request.clone(), head, BodyOrigin::Upstream);
+                    out.push(start);
                 }
                 out.push(Effect::SendBody(caller, plain.body.split().freeze()));
             }
@@ -157,7 +159,9 @@
                 if !self.reader_state.responded {
                     self.reader_state.responded = true;
                     let head = Box::new(event_stream_head());
-                    self.out.push(Effect::StartResponse(caller, self.request.clone(), head));
+                    let request = self.request.clone();
+                    let start = Effect::StartResponse(caller, request, head, BodyOrigin::Daemon);
+                    self.out.push(start);
                 }
                 let mut buf = Vec::new();
                 for token in tokens {
--- a/lib/src/node/traffic/mod.rs
+++ b/lib/src/node/traffic/mod.rs
@@ -159,7 +159,7 @@
         to: SocketAddr,
     },
     /// Start the response to a caller with this head; the body follows in parts.
-    StartResponse(CallerId, RequestId, Box<Head>),
+    StartResponse(CallerId, RequestId, Box<Head>, BodyOrigin),
     /// Send a part of the response body to a caller.
     SendBody(CallerId, Bytes),
     /// End the response started by [`Effect::StartResponse`].
@@ -178,6 +178,16 @@
     Send(Recipient, Message),
 }
 
+/// Who writes the body of a response that is sent in parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyOrigin {
+    /// The daemon, which ends an incomplete event stream with an event of its own.
+    Daemon,
+    /// An upstream, whose bytes are forwarded unchanged. The daemon adds nothing to them, and closes
+    /// the connection if the body is incomplete.
+    Upstream,
+}
+
 /// What a request is waiting for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Phase {
--- a/load/tests/truncation.rs
+++ b/load/tests/truncation.rs
@@ -229,3 +229,26 @@
         assert!(text.contains("may-have-run"), "{text}");
     }
 }
+
+#[test]
+fn truncated_event_stream_ends_with_an_event_of_the_daemon() {
+    // Longer than a response that is buffered until it is complete.
+    let body = "id: 1\ndata: e1\n\n".repeat(40_000);
+    let mut failures = Vec::new();
+    let cuts: Vec<_> =
+        FRAMINGS.iter().flat_map(|framing| [(*framing, false), (*framing, true)]).collect();
+    let responses = cuts.iter().map(|&(framing, is_reset)| {
+        let text = framed(framing, EVENT_STREAM, &body, body.len() - 3);
+        Response { text, is_reset }
+    });
+    let fleet = fleet(responses.collect());
+    for (index, cut) in cuts.iter().enumerate() {
+        let response = send(fleet.daemons[0].callers(), &format!("/purchases/{index}"), "");
+        let (received, is_complete) = decode(&response).expect("a response that has begun");
+        if is_complete || !body.starts_with(&received) {
+            let end = received.get(received.len().saturating_sub(200)..);
+            failures.push(format!("{cut:?}: complete {is_complete}, ends with {end:?}"));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
