--- a/lib/tests/fake_world/mod.rs
+++ b/lib/tests/fake_world/mod.rs
@@ -596,7 +596,7 @@
             Effect::CancelAttempt(_, name) => self.cancelled.push(name),
             Effect::MoveKv { attempt, .. } => self.nodes[node].kv_moves.push(attempt),
             Effect::StartResponse(caller, request, ..) => {
-                self.set_request_id(node, caller, request)
+                self.set_request_id(node, caller, request);
             }
             Effect::SendBody(caller, bytes) => self.receive_body(node, caller, &bytes),
             Effect::EndResponse(caller) => {
