store, supply: an answer that breaks off is not taken for a refusal or a value

A write to the platform, or an order to an engine, whose answer was lost was reported as refused before any effect, although it may have taken effect. An object whose transfer broke off was read with the part that had arrived as its value.

Cause: awc reports a connection that ends before a response as a failure to connect, and ends a truncated body as if it were complete.

A response without length and chunks is not accepted from the platform, since nothing shows that it is complete.

--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::TcpListener,
+    rc::Rc,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -13,6 +14,7 @@
 use arc_swap::ArcSwap;
 use dogwoodturn::{
     edge::{
+        client::Client,
         listen::{ConnectionCounter, serve},
         operator::OperatorHandler,
     },
@@ -51,7 +53,7 @@
 /// The HTTP client that sends orders to engines, and the clock of their times.
 #[derive(Clone)]
 struct EngineClient {
-    client: awc::Client,
+    client: Rc<Client>,
     started: Instant,
 }
 
@@ -116,7 +118,7 @@
             Err(error) => return log::error!(event = "no-peer-listener", error:%; "thread ended"),
         };
         let platform = HttpPlatform::new(&self.settings.platform);
-        let engines = EngineClient { client: awc::Client::default(), started };
+        let engines = EngineClient { client: Rc::default(), started };
         let mut clients = Clients { platform, links, engines };
         let mut control = self.control(own.clone());
         self.handle(Input::Identity(own), &mut control, &mut clients);
--- a/lib/src/store/http.rs
+++ b/lib/src/store/http.rs
@@ -1,17 +1,14 @@
 //! Calls the platform over HTTP.
 
-use std::time::Duration;
+use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
 
-use awc::{
-    Client, ClientResponse,
-    error::{PayloadError, SendRequestError},
-    http::StatusCode,
-};
 use bytes::Bytes;
-use futures_util::Stream;
 use serde::de::DeserializeOwned;
+use tokio::{net::lookup_host, time::timeout};
 
 use crate::{
+    edge::client::{Client, ClientRequest, SendError},
+    http::head::{Framing, Headers},
     ids::Revision,
     store::{
         CallError, Condition, MAX_VALUE_BYTES, Object, ObjectKey, Operation, Reply,
@@ -26,23 +23,81 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// The maximum size of a response, in bytes; a list of 10,000 hosts fits.
 const MAX_RESPONSE_BYTES: usize = 16 * MAX_VALUE_BYTES;
+/// The port of a base address without one.
+const DEFAULT_PORT: u16 = 80;
 /// The response header with an object's revision.
 pub const REVISION_HEADER: &str = "x-revision";
 /// The header that makes a call to the cloud idempotent.
 pub const CLIENT_TOKEN_HEADER: &str = "x-client-token";
 
+/// A call to the platform.
+struct Call<'a> {
+    method: &'static str,
+    path: &'a str,
+    headers: &'a [(&'static str, &'a str)],
+    body: &'a [u8],
+    /// How long the platform may hold the call.
+    wait: Duration,
+}
+
+impl Default for Call<'_> {
+    fn default() -> Self {
+        Self { method: "GET", path: "/", headers: &[], body: &[], wait: Duration::ZERO }
+    }
+}
+
+/// A complete response of the platform.
+struct Response {
+    status: u16,
+    headers: Headers,
+    body: Bytes,
+}
+
+impl Response {
+    /// Returns the error for which the status stands, if it is not a success.
+    fn check_status(self) -> Result<Self, CallError> {
+        match self.status {
+            200..300 => Ok(self),
+            429 => Err(CallError::RateLimited),
+            503 => Err(CallError::Unavailable),
+            400..500 => Err(CallError::Refused(String::from_utf8_lossy(&self.body).into())),
+            _ => Err(CallError::Unknown),
+        }
+    }
+
+    fn revision(&self) -> Option<Revision> {
+        self.headers.text(REVISION_HEADER)?.parse().ok()
+    }
+
+    fn json<T: DeserializeOwned>(&self) -> Result<T, CallError> {
+        serde_json::from_slice(&self.body).map_err(|_| CallError::Unknown)
+    }
+}
+
 /// A client of the platform at one base address.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct HttpPlatform {
-    client: Client,
-    base: Box<str>,
+    client: Rc<Client>,
+    host: Box<str>,
+    port: u16,
+    /// The path before those of the calls, without a slash at its end.
+    prefix: Box<str>,
 }
 
 impl HttpPlatform {
     /// Creates a client of the platform at `base`, such as `http://127.0.0.1:7000`.
     pub fn new(base: &str) -> Self {
-        let client = Client::builder().disable_timeout().finish();
-        Self { client, base: base.trim_end_matches('/').into() }
+        let base = base.trim_end_matches('/');
+        let base = base.strip_prefix("http://").unwrap_or(base);
+        let (authority, prefix) = match base.find('/') {
+            Some(at) => base.split_at(at),
+            None => (base, ""),
+        };
+        let (host, port) = match authority.rsplit_once(':') {
+            Some((host, port)) => (host, port.parse().unwrap_or(DEFAULT_PORT)),
+            None => (authority, DEFAULT_PORT),
+        };
+        Self { client: Rc::default(), host: host.into(), port, prefix: prefix.into() }
     }
 
     /// Performs one operation.
@@ -50,12 +105,10 @@
         match operation {
             Operation::Get(key) => self.get(key).await,
             Operation::Put { key, value, condition } => {
-                let url = self.object_url(key);
-                self.write(self.client.put(url), *condition, value.clone()).await
+                self.write("PUT", key, *condition, value).await
             }
             Operation::Delete { key, condition } => {
-                let url = self.object_url(key);
-                self.write(self.client.delete(url), *condition, Bytes::new()).await
+                self.write("DELETE", key, *condition, &[]).await
             }
             Operation::List(prefix) => {
                 let list: ListWire = self.get_json(&format!("/objects?prefix={prefix}")).await?;
@@ -81,41 +134,39 @@
         }
     }
 
-    fn object_url(&self, key: &ObjectKey) -> String {
-        format!("{}/objects/{key}", self.base)
-    }
-
     async fn get(&self, key: &ObjectKey) -> Result<Reply, CallError> {
-        let sent = self.client.get(self.object_url(key)).timeout(CALL_TIMEOUT).send();
-        let mut res = sent.await.map_err(|error| send_error(&error))?;
-        if res.status() == StatusCode::NOT_FOUND {
+        let path = format!("/objects/{key}");
+        let res = self.send(Call { path: &path, ..Call::default() }).await?;
+        if res.status == 404 {
             return Ok(Reply::Object(None));
         }
-        check_status(&mut res).await?;
-        let revision = revision_of(&res).ok_or(CallError::Unknown)?;
-        let value = read_body(&mut res).await?;
-        Ok(Reply::Object(Some(Object { key: key.clone(), revision, value })))
+        let res = res.check_status()?;
+        let revision = res.revision().ok_or(CallError::Unknown)?;
+        Ok(Reply::Object(Some(Object { key: key.clone(), revision, value: res.body })))
     }
 
     async fn write(
         &self,
-        req: awc::ClientRequest,
+        method: &'static str,
+        key: &ObjectKey,
         condition: Condition,
-        value: Bytes,
+        value: &[u8],
     ) -> Result<Reply, CallError> {
-        let req = match condition {
-            Condition::Absent => req.insert_header(("if-none-match", "*")),
-            Condition::Revision(revision) => {
-                req.insert_header(("if-match", format!("\"{revision}\"")))
+        let path = format!("/objects/{key}");
+        let revision;
+        let header = match condition {
+            Condition::Absent => ("if-none-match", "*"),
+            Condition::Revision(number) => {
+                revision = format!("\"{number}\"");
+                ("if-match", &*revision)
             }
         };
-        let sent = req.timeout(CALL_TIMEOUT).send_body(value);
-        let mut res = sent.await.map_err(|error| send_error(&error))?;
-        if res.status() == StatusCode::PRECONDITION_FAILED {
-            return Err(CallError::Conflict(revision_of(&res)));
+        let call = Call { method, path: &path, headers: &[header], body: value, ..Call::default() };
+        let res = self.send(call).await?;
+        if res.status == 412 {
+            return Err(CallError::Conflict(res.revision()));
         }
-        check_status(&mut res).await?;
-        revision_of(&res).map(Reply::Written).ok_or(CallError::Unknown)
+        res.check_status()?.revision().map(Reply::Written).ok_or(CallError::Unknown)
     }
 
     async fn get_json<T: DeserializeOwned>(&self, path: &str) -> Result<T, CallError> {
@@ -127,12 +178,7 @@
         path: &str,
         wait: Duration,
     ) -> Result<T, CallError> {
-        let url = format!("{}{path}", self.base);
-        let sent = self.client.get(url).timeout(wait + CALL_TIMEOUT).send();
-        let mut res = sent.await.map_err(|error| send_error(&error))?;
-        check_status(&mut res).await?;
-        let body = read_body(&mut res).await?;
-        serde_json::from_slice(&body).map_err(|_| CallError::Unknown)
+        self.send(Call { path, wait, ..Call::default() }).await?.check_status()?.json()
     }
 
     async fn cloud(&self, call: &CloudCall) -> Result<CloudReply, CallError> {
@@ -151,57 +197,65 @@
                 Ok(CloudReply::Notices(wire.revision, wire.notices))
             }
             CloudCall::Start(start) => {
-                let req = self.client.post(format!("{}/cloud/hosts", self.base));
-                let req = req.insert_header((CLIENT_TOKEN_HEADER, &*start.client_token));
-                let sent = req.timeout(CALL_TIMEOUT).send_json(start);
-                let mut res = sent.await.map_err(|error| send_error(&error))?;
-                check_status(&mut res).await?;
-                let body = read_body(&mut res).await?;
-                let wire: StartedWire =
-                    serde_json::from_slice(&body).map_err(|_| CallError::Unknown)?;
+                let body = serde_json::to_vec(start).expect("a wire type is valid JSON");
+                let headers = [
+                    (CLIENT_TOKEN_HEADER, &*start.client_token),
+                    ("content-type", "application/json"),
+                ];
+                let call = Call {
+                    method: "POST",
+                    path: "/cloud/hosts",
+                    headers: &headers,
+                    body: &body,
+                    ..Call::default()
+                };
+                let wire: StartedWire = self.send(call).await?.check_status()?.json()?;
                 Ok(CloudReply::Started(wire.host))
             }
             CloudCall::Release(host) => {
-                let req = self.client.delete(format!("{}/cloud/hosts/{host}", self.base));
-                let sent = req.timeout(CALL_TIMEOUT).send();
-                let mut res = sent.await.map_err(|error| send_error(&error))?;
-                check_status(&mut res).await?;
+                let path = format!("/cloud/hosts/{host}");
+                let call = Call { method: "DELETE", path: &path, ..Call::default() };
+                self.send(call).await?.check_status()?;
                 Ok(CloudReply::Released)
             }
         }
     }
-}
-
-fn send_error(error: &SendRequestError) -> CallError {
-    match error {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => CallError::Unavailable,
-        _ => CallError::Unknown,
-    }
-}
 
-async fn check_status<S>(res: &mut ClientResponse<S>) -> Result<(), CallError>
-where
-    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
-{
-    match res.status() {
-        status if status.is_success() => Ok(()),
-        StatusCode::TOO_MANY_REQUESTS => Err(CallError::RateLimited),
-        StatusCode::SERVICE_UNAVAILABLE => Err(CallError::Unavailable),
-        status if status.is_client_error() => {
-            let reason = res.body().await.unwrap_or_default();
-            Err(CallError::Refused(String::from_utf8_lossy(&reason).into()))
+    /// Makes a call and returns its complete response, whatever its status.
+    async fn send(&self, call: Call<'_>) -> Result<Response, CallError> {
+        let address = self.resolve().await?;
+        let path = format!("{}{}", self.prefix, call.path);
+        let mut req = ClientRequest::new(call.method, address, &path);
+        for (name, value) in call.headers {
+            req = req.header(name, value.as_bytes());
         }
-        _ => Err(CallError::Unknown),
+        let req = req.body(call.body);
+        let exchange = async {
+            let res = self.client.send(address, &req).await.map_err(|error| match error {
+                SendError::Unreachable(..) => failed(&call, &error, CallError::Unavailable),
+                SendError::ConnectionLost(..) => failed(&call, &error, CallError::Unknown),
+            })?;
+            if res.head.framing == Framing::UntilClose {
+                return Err(failed(&call, &"the response has no length", CallError::Unknown));
+            }
+            let (status, headers) = (res.head.status, res.head.headers.clone());
+            let body = res.read_body(MAX_RESPONSE_BYTES).await;
+            let body = body.map_err(|error| failed(&call, &error, CallError::Unknown))?;
+            Ok(Response { status, headers, body })
+        };
+        let response = timeout(call.wait + CALL_TIMEOUT, exchange).await;
+        response.unwrap_or_else(|elapsed| Err(failed(&call, &elapsed, CallError::Unknown)))
     }
-}
 
-async fn read_body<S>(res: &mut ClientResponse<S>) -> Result<Bytes, CallError>
-where
-    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
-{
-    res.body().limit(MAX_RESPONSE_BYTES).await.map_err(|_| CallError::Unknown)
+    async fn resolve(&self) -> Result<SocketAddr, CallError> {
+        let mut addresses =
+            lookup_host((&*self.host, self.port)).await.map_err(|_| CallError::Unavailable)?;
+        addresses.next().ok_or(CallError::Unavailable)
+    }
 }
 
-fn revision_of<S>(res: &ClientResponse<S>) -> Option<Revision> {
-    res.headers().get(REVISION_HEADER)?.to_str().ok()?.parse().ok()
+/// Logs why a call failed and returns what is known about its effect.
+fn failed(call: &Call<'_>, cause: &dyn fmt::Display, error: CallError) -> CallError {
+    log::debug!(event = "platform-call-failed", method = call.method, path = call.path, cause:%; "");
+    error
 }
--- a/lib/src/supply/http.rs
+++ b/lib/src/supply/http.rs
@@ -1,11 +1,12 @@
 //! Sends orders to engines over HTTP.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
-use awc::{Client, error::SendRequestError, http::StatusCode};
 use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
 
 use crate::{
+    edge::client::{Client, ClientRequest, SendError},
     ids::{FencingNumber, VersionName},
     supply::orders::{Order, OrderOutcome, OrderRequest},
     units::Time,
@@ -13,6 +14,8 @@
 
 /// The timeout of a request to an engine; it bounds how long an order can be in transit.
 pub const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+/// The maximum size of an engine's response, in bytes.
+const MAX_RESPONSE_BYTES: usize = 64 << 10;
 /// The path at which engines accept orders.
 const ORDERS_PATH: &str = "/orders";
 
@@ -61,29 +64,36 @@
 
 /// Sends one order; `now` reads the monotonic clock right before the order is sent.
 pub async fn send_order(
-    client: &Client,
+    client: &Rc<Client>,
     request: &OrderRequest,
     now: impl Fn() -> Time,
 ) -> OrderOutcome {
-    let url = format!("http://{}{ORDERS_PATH}", request.address);
-    let req = client.post(url).timeout(ORDER_TIMEOUT);
+    let wire = OrderRequestWire::from(request);
+    let body = serde_json::to_vec(&wire).expect("a wire type is valid JSON");
+    let req = ClientRequest::new("POST", request.address, ORDERS_PATH)
+        .header("content-type", b"application/json")
+        .body(&body);
     if !request.may_be_sent(now()) {
         return OrderOutcome::TooLate;
     }
-    let mut res = match req.send_json(&OrderRequestWire::from(request)).await {
-        Ok(res) => res,
-        Err(SendRequestError::Connect(error)) => {
-            return OrderOutcome::Refused(error.to_string().into());
+    let exchange = async {
+        let res = match client.send(request.address, &req).await {
+            Ok(res) => res,
+            Err(error @ SendError::Unreachable(..)) => {
+                return OrderOutcome::Refused(error.to_string().into());
+            }
+            Err(SendError::ConnectionLost(..)) => return OrderOutcome::Unknown,
+        };
+        let status = res.head.status;
+        match (status, res.read_body(MAX_RESPONSE_BYTES).await) {
+            (409, Ok(body)) => match serde_json::from_slice::<StaleWire>(&body) {
+                Ok(wire) => OrderOutcome::Stale(wire.fencing),
+                Err(_) => OrderOutcome::Unknown,
+            },
+            (200..300, _) => OrderOutcome::Applied,
+            (400..500, Ok(_)) => OrderOutcome::Refused(format!("status {status}").into()),
+            _ => OrderOutcome::Unknown,
         }
-        Err(_) => return OrderOutcome::Unknown,
     };
-    match res.status() {
-        StatusCode::CONFLICT => match res.json::<StaleWire>().await {
-            Ok(wire) => OrderOutcome::Stale(wire.fencing),
-            Err(_) => OrderOutcome::Unknown,
-        },
-        status if status.is_success() => OrderOutcome::Applied,
-        status if status.is_client_error() => OrderOutcome::Refused(status.to_string().into()),
-        _ => OrderOutcome::Unknown,
-    }
+    timeout(ORDER_TIMEOUT, exchange).await.unwrap_or(OrderOutcome::Unknown)
 }
--- a/lib/tests/supply_http.rs
+++ b/lib/tests/supply_http.rs
@@ -1,8 +1,9 @@
 //! Sends orders over HTTP to the engine stand-in, which checks fencing numbers.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, rc::Rc};
 
 use dogwoodturn::{
+    edge::client::Client,
     ids::FencingNumber,
     supply::{
         http::send_order,
@@ -11,6 +12,7 @@
     units::Time,
 };
 use dogwoodturn_standins::engine::{Engine, model::EngineConfig};
+use tokio::io::AsyncReadExt as _;
 
 fn order(address: SocketAddr, id: &str, fencing: u64) -> OrderRequest {
     OrderRequest {
@@ -29,7 +31,7 @@
     let running = engine.start(([127, 0, 0, 1], 0).into()).expect("the engine starts");
     let address = running.address();
     actix_rt::System::new().block_on(async {
-        let client = awc::Client::default();
+        let client = Rc::new(Client::default());
         let early = || Time(1);
         let first = order(address, "a.1", 5);
         assert_eq!(send_order(&client, &first, early).await, OrderOutcome::Applied);
@@ -42,3 +44,19 @@
         assert_eq!(engine.orders().len(), 1, "an order is not sent at or after its not_after time");
     });
 }
+
+#[test]
+fn lost_answer_of_an_engine_counted_as_refused() {
+    actix_rt::System::new().block_on(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        actix_rt::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            // The order arrives, and the connection ends without an answer.
+            assert!(stream.read(&mut [0; 4096]).await.expect("an order") > 0);
+        });
+        let client = Rc::new(Client::default());
+        let outcome = send_order(&client, &order(address, "a.1", 5), || Time(1)).await;
+        assert_eq!(outcome, OrderOutcome::Unknown);
+    });
+}
