standins: a truncated request has no effect

A booking whose body broke off was counted as run, and the platform's stand-in stored the part of a value that had arrived, so that tests against them could not notice a request that a daemon had cut.

Cause: reading a body ended at the first error as if that were its end.

Reading fails now, and the request is answered 400 without an effect.

--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -73,19 +73,20 @@
     Ok(ServerHandle { address, stop, thread: Some(thread) })
 }
 
-/// Reads the body of a request, up to its end or the first error.
-pub async fn body(req: &mut Request) -> Bytes {
+/// Reads the body of a request. Fails if it was truncated.
+pub async fn body(req: &mut Request) -> Result<Bytes, String> {
     let mut payload = req.take_payload();
     let mut buf = BytesMut::new();
-    while let Some(Ok(chunk)) = payload.next().await {
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| format!("the body was truncated: {error}"))?;
         buf.extend_from_slice(&chunk);
     }
-    buf.freeze()
+    Ok(buf.freeze())
 }
 
 /// Reads the body of a request as JSON.
 pub async fn json_body<T: DeserializeOwned>(req: &mut Request) -> Result<T, String> {
-    serde_json::from_slice(&body(req).await).map_err(|error| error.to_string())
+    serde_json::from_slice(&body(req).await?).map_err(|error| error.to_string())
 }
 
 /// Returns a JSON response.
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -82,7 +82,10 @@
             builder.insert_header((NOT_RUN_HEADER, "true"));
             return builder.body("refused").map_into_boxed_body();
         }
-        let body = http::body(&mut req).await;
+        let body = match http::body(&mut req).await {
+            Ok(body) => body,
+            Err(error) => return text(StatusCode::BAD_REQUEST, error),
+        };
         let key = header_text(&req, "idempotency-key").unwrap_or("").to_owned();
         let run = self.count_run(req.method(), &key);
         if faults.delay_ms > 0 {
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -300,8 +300,10 @@
                     return text(StatusCode::PRECONDITION_REQUIRED, "a write needs a condition");
                 };
                 if *method == Method::PUT {
-                    let value = http::body(req).await;
-                    Operation::Put { key, value, condition }
+                    match http::body(req).await {
+                        Ok(value) => Operation::Put { key, value, condition },
+                        Err(error) => return text(StatusCode::BAD_REQUEST, error),
+                    }
                 } else {
                     Operation::Delete { key, condition }
                 }
