edge: responses to HTTP/1.0 callers are collected before they are sent

A caller of the daemon that speaks HTTP/1.0 could not tell a truncated response from a complete one: without chunks, both end with the connection, which is closed in either case.

Such a caller receives a response once it is complete, with its length, up to 4 MiB, and a problem otherwise.

--- a/lib/src/edge/caller.rs
+++ b/lib/src/edge/caller.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, future::poll_fn, rc::Rc, time::Duration};
 
 use actix_http::{
-    HttpMessage as _, Request, Response, StatusCode,
+    HttpMessage as _, Request, Response, StatusCode, Version,
     body::{BodyStream, BoxBody},
     header::{self, HeaderMap},
 };
@@ -28,7 +28,7 @@
     },
 };
 
-/// Limit on the size of a request's body, in bytes.
+/// Limit on the size of a request's body, and of a response that is collected, in bytes.
 pub const MAX_BODY_BYTES: usize = 4 << 20;
 /// Limit on the total size of the request bodies that one traffic thread is reading, in bytes.
 const MAX_READING_BYTES: usize = 64 << 20;
@@ -94,7 +94,7 @@
             Ok(body) => body,
             Err((kind, detail)) => return Err(reject(kind, undispatched, detail).into()),
         };
-        let (pending, caller) = self.register_caller();
+        let (pending, caller) = self.register_caller(&req);
         let incoming = IncomingRequest {
             caller,
             method: req.method().as_str().into(),
@@ -123,17 +123,18 @@
             return Err(reject(RefusalKind::UnknownRequest, undispatched, detail).into());
         };
         let last_event = header_text(req.headers(), "last-event-id").and_then(|id| id.parse().ok());
-        let (pending, caller) = self.register_caller();
+        let (pending, caller) = self.register_caller(req);
         let resumption = ResumeRequest { caller, request, last_event, token };
         self.driver.dispatch_event(Event::ResumeRequested(resumption));
         pending.receive_response().await
     }
 
-    fn register_caller(&self) -> (PendingResponse, CallerId) {
+    fn register_caller(&self, req: &Request) -> (PendingResponse, CallerId) {
+        let accepts_chunks = req.version() > Version::HTTP_10;
         let flow = Rc::new(FlowControl::default());
         let (caller, parts) = self.driver.add_caller(flow.clone());
         let guard = DisconnectGuard { driver: self.driver.clone(), caller, is_complete: false };
-        (PendingResponse { parts, flow, guard }, caller)
+        (PendingResponse { parts, flow, guard, accepts_chunks }, caller)
     }
 
     async fn read_body(&self, req: &mut Request) -> Result<Bytes, (RefusalKind, String)> {
@@ -203,6 +204,8 @@
     parts: mpsc::UnboundedReceiver<Part>,
     flow: Rc<FlowControl>,
     guard: DisconnectGuard,
+    /// Whether the caller understands chunked responses, which HTTP/1.0 does not have.
+    accepts_chunks: bool,
 }
 
 impl PendingResponse {
@@ -211,6 +214,10 @@
             Some(Part::Full(request, head, body)) => {
                 Ok(response_builder(&request, &head).body(body).map_into_boxed_body())
             }
+            Some(Part::Head(request, head, _)) if !self.accepts_chunks => {
+                let body = self.collect_body().await?;
+                Ok(response_builder(&request, &head).body(body).map_into_boxed_body())
+            }
             Some(Part::Head(request, head, origin)) => {
                 let mut builder = response_builder(&request, &head);
                 let stream = self.into_stream(origin);
@@ -225,6 +232,34 @@
         }
     }
 
+    /// Collects a body that is sent in parts, for a caller to whom its end could not be told.
+    async fn collect_body(mut self) -> Result<Bytes, Box<Refusal>> {
+        let failed = |detail: &str| {
+            let kind = RefusalKind::UpstreamFailed;
+            Err(Box::new(Refusal::new(kind, RunOutcome::MayHaveRun, detail)))
+        };
+        let mut body = BytesMut::new();
+        loop {
+            match self.parts.recv().await {
+                Some(Part::Chunk(bytes)) if body.len() + bytes.len() > MAX_BODY_BYTES => {
+                    return failed("the response is too long for HTTP/1.0");
+                }
+                Some(Part::Chunk(bytes)) => {
+                    self.flow.record_consumed(bytes.len());
+                    body.extend_from_slice(&bytes);
+                }
+                Some(Part::End) => {
+                    self.guard.is_complete = true;
+                    return Ok(body.freeze());
+                }
+                Some(Part::Refusal(refusal)) => return Err(refusal),
+                Some(Part::Head(..) | Part::Full(..)) | None => {
+                    return failed("the response ended before it was complete");
+                }
+            }
+        }
+    }
+
     fn into_stream(self, origin: BodyOrigin) -> impl Stream<Item = Result<Bytes, std::io::Error>> {
         stream::unfold(Some(self), move |pending| async move {
             let mut pending = pending?;
--- a/load/tests/truncation.rs
+++ b/load/tests/truncation.rs
@@ -252,3 +252,24 @@
     }
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+#[test]
+fn truncated_response_to_http_1_0_ends_like_a_complete_one() {
+    let body = "x".repeat(600_000);
+    let responses = [body.len() - 1, body.len()].map(|sent| {
+        let text = framed(Framing::Length(0), "text/plain", &body, sent);
+        Response { text, is_reset: false }
+    });
+    let fleet = fleet(responses.into());
+    for (index, expected) in [None, Some((body.clone(), true))].into_iter().enumerate() {
+        let mut stream = TcpStream::connect(fleet.daemons[0].callers()).unwrap();
+        let request = format!(
+            "POST /purchases/{index} HTTP/1.0\r\nAuthorization: Bearer ferries-token\r\n\
+             Content-Length: 2\r\n\r\n{{}}"
+        );
+        stream.write_all(request.as_bytes()).unwrap();
+        let mut response = Vec::new();
+        let is_closed = stream.read_to_end(&mut response).is_ok();
+        assert!(decode(&(response, is_closed)) == expected, "response {index}");
+    }
+}
