--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -237,7 +237,7 @@
             self.record_time_to_first_response();
             self.sent_head = Some(head.clone());
         }
-        out.write_chunk(head, chunk, is_end, self.time_left().max(MIN_WRITE_TIMEOUT)).await
+        out.write_part(head, chunk, is_end, self.time_left().max(MIN_WRITE_TIMEOUT)).await
     }
 
     /// Requests a retry at another upstream if the route and the budget allow it, and fails the
