--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -351,7 +351,7 @@
         }
     }
 
-    /// Returns the state at the regular end of the body, whose framing does not tell whether an event
+    /// Returns the state at the regular end of the body, whose framing does not show whether an event
     /// was cut.
     fn end(&self, cause: &'static str) -> BodyState {
         if self.events.partial_bytes() > 0 {
--- a/lib/src/edge/caller.rs
+++ b/lib/src/edge/caller.rs
@@ -232,7 +232,7 @@
         }
     }
 
-    /// Collects a body that is sent in parts, for a caller to whom its end could not be told.
+    /// Collects a body that is sent in parts, for a caller that could not detect a truncation.
     async fn collect_body(mut self) -> Result<Bytes, Box<Refusal>> {
         let failed = |detail: &str| {
             let kind = RefusalKind::UpstreamFailed;
