forward: crashes are logged with digest and prompt parts

Change: event=crash states request, upstream, digest, parts and the crashes counted for the digest; the counter upstream_crashes. No decision changes.

--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -2,7 +2,6 @@
 
 use std::{
     io,
-    net::SocketAddr,
     pin::{Pin, pin},
     rc::Rc,
     time::Duration,
@@ -217,7 +216,7 @@
             Ok(Err(error)) => {
                 log::warn!(event = "broken", request:% = req.id, upstream:% = self.upstream.id, reused = connection.reused, error:%; "");
                 drop(connection);
-                self.check_crash();
+                self.check_crash(req);
                 SendOutcome::Broken
             }
             Ok(Ok(head)) => {
@@ -323,13 +322,16 @@
 
     /// Counts the request as one that crashes upstreams if its upstream accepts no connection after
     /// [`CRASH_CHECK_DELAY`].
-    pub(super) fn check_crash(&self) {
-        let (cx, address, digest): (_, SocketAddr, _) =
-            (self.cx.clone(), self.upstream.address, self.digest);
+    pub(super) fn check_crash(&self, req: &Request) {
+        let (cx, digest) = (self.cx.clone(), self.digest);
+        let (request, upstream) = (req.id.clone(), self.upstream.clone());
+        let parts = req.prompt.to_string();
         actix_rt::spawn(async move {
             actix_rt::time::sleep(CRASH_CHECK_DELAY).await;
-            if Connection::open(address, CONNECT_TIMEOUT).await.is_err() {
-                cx.state.borrow_mut().poison_requests.record_crash(cx.now(), digest);
+            if Connection::open(upstream.address, CONNECT_TIMEOUT).await.is_err() {
+                cx.metrics.upstream_crashes.inc();
+                let crashes = cx.state.borrow_mut().poison_requests.record_crash(cx.now(), digest);
+                log::warn!(event = "crash", request:%, upstream:% = upstream.id, digest:%, parts, crashes; "");
             }
         });
     }
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -114,7 +114,7 @@
                 self.record_body_end(&head, error_cause(&error), &buffer);
                 log::warn!(event = "broken-body", request:% = self.req.id, upstream:% = attempt.upstream.id, error:%; "");
                 attempt.set_outcome(AttemptOutcome::Broken);
-                attempt.check_crash();
+                attempt.check_crash(self.req);
                 return self.retry_or_fail(out).await;
             }
             Err(_) => {
@@ -188,7 +188,7 @@
                         ""
                     );
                     attempt.set_outcome(AttemptOutcome::Broken);
-                    attempt.check_crash();
+                    attempt.check_crash(self.req);
                     return self.retry_or_fail(out).await;
                 }
                 BodyState::More => {}
--- a/gateway/src/header_schema.rs
+++ b/gateway/src/header_schema.rs
@@ -2,6 +2,8 @@
 //!
 //! A platform's adapter provides the schema; the gateway itself depends on no header names.
 
+use std::fmt;
+
 /// The prompt as the headers of a request describe it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Prompt {
@@ -13,6 +15,16 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl fmt::Display for Prompt {
+    /// Lists the IDs of the parts in hexadecimal, for logs.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.parts.iter().enumerate() {
+            write!(f, "{}{:x}", if index == 0 { "" } else { "," }, part.id)?;
+        }
+        Ok(())
+    }
+}
+
 /// A part of a prompt that other requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct PromptPart {
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -42,6 +42,8 @@
     upstream_bodies: Family<BodyLabels, Counter>,
     /// Connections that were opened to upstreams.
     pub connections: Counter,
+    /// Requests whose upstream crashed while they were in progress there.
+    pub upstream_crashes: Counter,
     /// Requests that were sent to a further upstream.
     pub upstream_retries: Counter,
     /// Calls to the store and the cloud.
@@ -76,6 +78,8 @@
             counter
         };
         let connections = counter("upstream_connections", "Connections opened to upstreams");
+        let help = "Requests in progress at an upstream that crashed";
+        let upstream_crashes = counter("upstream_crashes", help);
         let upstream_retries = counter("repeats", "Requests sent to a second upstream");
         let store_calls = counter("store_calls", "Calls to the store and the cloud");
         let store_failures = counter("store_failures", "Calls to the store and cloud that failed");
@@ -89,6 +93,7 @@
             first_response,
             upstream_bodies,
             connections,
+            upstream_crashes,
             upstream_retries,
             store_calls,
             store_failures,
--- a/gateway/src/poison.rs
+++ b/gateway/src/poison.rs
@@ -4,7 +4,7 @@
 //! upstream crashes. A request is identified by a digest of its target, customer and body; after
 //! [`MAX_CRASHES`] broken connections, counted over all daemons, it is refused.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use dogwoodturn::units::Time;
 use indexmap::IndexMap;
@@ -24,6 +24,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Digest(pub u64);
 
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Crashes {
     local: u32,
@@ -35,11 +41,12 @@
 pub struct PoisonRequests(IndexMap<Digest, Crashes>);
 
 impl PoisonRequests {
-    /// Counts a crash observed by this daemon.
-    pub fn record_crash(&mut self, now: Time, digest: Digest) {
+    /// Counts a crash observed by this daemon and returns how many it has observed.
+    pub fn record_crash(&mut self, now: Time, digest: Digest) -> u32 {
         let crashes = self.entry(digest);
         crashes.local += 1;
         crashes.last_local_crash = now;
+        crashes.local
     }
 
     /// Removes all crashes of a request that an upstream answered.
