--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -24,11 +24,14 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpSocket, TcpStream},
+    sync::Notify,
     time::timeout,
 };
 
 /// How long a test waits for a response before it fails.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time until an upstream that crashed accepts connections again.
+pub const CRASH_DOWNTIME: Duration = Duration::from_millis(250);
 /// Time between the last byte of a response and the reset of its connection.
 const RESET_DELAY: Duration = Duration::from_millis(50);
 
@@ -47,9 +50,13 @@
         readiness_path: b"/ready",
         read_prompt: |headers: &Headers| {
             let input = headers.text("X-Tokens").and_then(|text| text.parse().ok()).unwrap_or(0);
-            let parts = headers.text("X-Part").and_then(|text| text.parse().ok());
-            let parts = parts.map(|id| PromptPart { id, tokens: input }).into_iter().collect();
-            Prompt { input, output: 0, parts }
+            let parts = headers.text("X-Part").unwrap_or_default().split(',');
+            let parts = parts.filter_map(|text| text.parse().ok());
+            Prompt {
+                input,
+                output: 0,
+                parts: parts.map(|id| PromptPart { id, tokens: input }).collect(),
+            }
         },
         read_load: |_| None::<LoadReport>,
     }
@@ -139,6 +146,8 @@
     Hang,
     /// Responds after the request head and reads more of the request later.
     RespondEarly(String),
+    /// Closes all connections, and accepts none for [`CRASH_DOWNTIME`].
+    Crash,
 }
 
 enum ConnectionEnd {
@@ -163,6 +172,7 @@
     /// The number of connections that the gateway closed while [`UpstreamAction::Hang`] left a
     /// request without a response.
     pub abandoned: Rc<RefCell<u32>>,
+    crashed: Rc<Notify>,
 }
 
 impl Upstream {
@@ -170,17 +180,42 @@
         // A small receive buffer, so that the system does not accept a long request completely.
         let socket = TcpSocket::new_v4().unwrap();
         socket.set_recv_buffer_size(16 * 1024).unwrap();
+        socket.set_reuseaddr(true).unwrap();
         socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let listener = socket.listen(64).unwrap();
+        let mut listener = socket.listen(64).unwrap();
         let address = listener.local_addr().unwrap();
-        let (received, abandoned) = (Rc::default(), Rc::default());
-        let upstream = Self { address, received, abandoned };
+        let upstream = Self {
+            address,
+            received: Rc::default(),
+            abandoned: Rc::default(),
+            crashed: Rc::default(),
+        };
         let (script, server) = (Rc::new(script), upstream.clone());
         actix_rt::spawn(async move {
             let mut connections = 0;
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted.ok(),
+                    () = server.crashed.notified() => None,
+                };
+                let Some((stream, _)) = accepted else {
+                    drop(listener);
+                    actix_rt::time::sleep(CRASH_DOWNTIME).await;
+                    let socket = TcpSocket::new_v4().unwrap();
+                    socket.set_reuseaddr(true).unwrap();
+                    socket.bind(address).unwrap();
+                    listener = socket.listen(64).unwrap();
+                    continue;
+                };
                 connections += 1;
-                actix_rt::spawn(server.clone().serve(stream, connections, script.clone()));
+                let (serving, crashed) = (server.clone(), server.crashed.clone());
+                let serving = serving.serve(stream, connections, script.clone());
+                actix_rt::spawn(async move {
+                    tokio::select! {
+                        () = serving => {}
+                        () = crashed.notified() => {}
+                    }
+                });
             }
         });
         upstream
@@ -239,6 +274,10 @@
                     (text, ConnectionEnd::None)
                 }
                 UpstreamAction::Close => return,
+                UpstreamAction::Crash => {
+                    self.crashed.notify_waiters();
+                    return;
+                }
                 UpstreamAction::Hang => {
                     let _ = stream.read_buf(&mut buf).await;
                     *self.abandoned.borrow_mut() += 1;
