--- a/lib/tests/traffic.rs
+++ b/lib/tests/traffic.rs
@@ -632,3 +632,38 @@
     world.progress(1, 30, 0);
     assert_eq!(world.end_of(0, caller), Some(&End::Finished));
 }
+
+#[test]
+fn prompts_with_one_crashing_line_crash_engine_after_engine() {
+    const ALLOWED: usize = 5 + 3;
+    let mut world = World::new(2, 0);
+    let mut sent = 0;
+    let mut refused = 0;
+    for round in 0..12 {
+        let node = round % 2;
+        let prompt = format!("an old phrase book\nvenom\nphrase {round}");
+        let caller = world.complete(node, &prompt, 40, true);
+        while world.end_of(node, caller).is_none() {
+            let open = world.open_attempts();
+            let Some(&attempt) = open.last() else { break };
+            sent += 1;
+            world.break_connection(attempt, false);
+            world.advance(SECOND);
+            world.deliver_all();
+        }
+        let refusal = refusal(&world, node, caller);
+        refused += usize::from(proves_not_run(refusal));
+        // The first line is the same in sound prompts.
+        for node in 0..2 {
+            let prompt = format!("an old phrase book\ncustoms\nphrase {round}");
+            let caller = world.complete(node, &prompt, 40, true);
+            for attempt in world.open_attempts() {
+                world.progress(attempt, 40, 0);
+            }
+            assert_eq!(world.end_of(node, caller), Some(&End::Finished), "round {round}");
+        }
+        world.deliver_all();
+    }
+    assert!(sent <= ALLOWED, "{sent} requests with one line were sent to engines");
+    assert!(refused > 0, "no request with the line was refused as not run");
+}
