forward: prompt parts that crash upstreams are barred

Class: a count kept for each request where the cause belongs to something that requests share.

Change: the content and the shared parts of all requests in progress at a crash are suspect, complete responses clear them, and what stays suspect is barred at all gateways: refused at once as not run, not retried, probed by one gateway after 20 s. The evidence is shared between gateways, also with one that has restarted. Equal requests in progress at one crash count once, and an end that only the close of the connection shows is no proof that the upstream lives.

--- a/gateway/src/forward/admission.rs
+++ b/gateway/src/forward/admission.rs
@@ -1,15 +1,15 @@
-//! Admission of requests before any upstream is selected: route, customer, poison check and quota.
+//! Admission of requests before any upstream is selected: route, customer, crash evidence and quota.
 
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use dogwoodturn::{
     ids::{CustomerName, ServiceName},
+    request::crash_evidence::Verdict,
     units::Time,
 };
 
 use crate::{
     gateway::Gateway,
-    poison::Digest,
     quota::Charge,
     request::{LocalResponse, Progress, Request},
     table::{CallerLimits, Route, Table},
@@ -19,8 +19,6 @@
 const RETRY_AFTER_STARTING: Duration = Duration::from_millis(500);
 /// `Retry-After` while the daemon is shutting down; the retry reaches another daemon.
 const RETRY_AFTER_DRAINING: Duration = Duration::from_millis(50);
-/// `Retry-After` for a request that crashes upstreams; such a request is remembered for a minute.
-const RETRY_AFTER_CRASHES: Duration = Duration::from_secs(10);
 /// Urgency header value of the highest rank; lower ranks have greater values.
 const FIRST_URGENCY: u8 = 2;
 /// Greatest urgency value that upstreams accept.
@@ -34,7 +32,7 @@
     pub(super) service: ServiceName,
     pub(super) customer: Option<CustomerName>,
     pub(super) urgency: u8,
-    pub(super) digest: Digest,
+    pub(super) content: u64,
     /// When the caller's deadline or the route's time-out expires, whichever comes first.
     pub(super) expires_at: Time,
     charge: Option<Charge>,
@@ -103,10 +101,12 @@
             RETRY_AFTER_STARTING,
         ));
     };
-    let digest = req.digest(customer.as_ref());
-    if state.poison_requests.is_poison(now, digest) {
+    let content = req.content_hash(customer.as_ref());
+    let verdict = state.check_crash_evidence(now, content, &req.prompt);
+    if let Verdict::Barred { cause, retry_after } = verdict {
+        log::debug!(event = "barred-request", request:% = req.id, cause:%; "");
         let reason = "refused-crashes-upstreams";
-        return Err(LocalResponse::refused(not_run_proof(), reason, RETRY_AFTER_CRASHES));
+        return Err(LocalResponse::refused(not_run_proof(), reason, retry_after));
     }
     let wait_limit = req.deadline.unwrap_or(route.timeout).min(route.timeout);
     let customer_entry = customer.as_ref().and_then(|name| table.customers.get(name));
@@ -143,7 +143,7 @@
         route,
         service,
         customer,
-        digest,
+        content,
         charge,
         may_have_run: Cell::new(false),
     })
--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -13,6 +13,7 @@
         head::ResponseHead,
     },
     ids::{RouteName, ServiceName},
+    request::crash_evidence::{SOUND_AFTER, Suspect},
     units::Time,
 };
 use tokio::{io::Interest, time::timeout};
@@ -21,7 +22,6 @@
     forward::admission::Admitted,
     gateway::Gateway,
     placement::{AttemptOutcome, Ticket},
-    poison::Digest,
     request::{ForwardingParams, Request},
     store::UpstreamRecord,
 };
@@ -69,7 +69,7 @@
     pub(super) service: ServiceName,
     route: RouteName,
     target: Duration,
-    digest: Digest,
+    content: u64,
     max_connections: u32,
     pub(super) ticket: Ticket,
     pub(super) connection: Option<Connection>,
@@ -94,7 +94,7 @@
             service: admitted.service.clone(),
             route: admitted.route.name.clone(),
             target: admitted.route.latency_target,
-            digest: admitted.digest,
+            content: admitted.content,
             max_connections: service.map_or(u32::MAX, |service| service.max_connections),
             upstream,
             ticket,
@@ -216,7 +216,7 @@
             Ok(Err(error)) => {
                 log::warn!(event = "broken", request:% = req.id, upstream:% = self.upstream.id, reused = connection.reused, error:%; "");
                 drop(connection);
-                self.check_crash(req);
+                self.check_crash(req, false);
                 SendOutcome::Broken
             }
             Ok(Ok(head)) => {
@@ -320,21 +320,45 @@
         ))
     }
 
-    /// Counts the request as one that crashes upstreams if its upstream accepts no connection after
-    /// [`CRASH_CHECK_DELAY`].
-    pub(super) fn check_crash(&self, req: &Request) {
-        let (cx, digest) = (self.cx.clone(), self.digest);
+    /// Checks after [`CRASH_CHECK_DELAY`] whether the upstream still accepts connections, and counts
+    /// the request as one that crashes upstreams if not. `looks_complete` states that the response
+    /// ended with the connection, which proves nothing while the upstream may have crashed.
+    pub(super) fn check_crash(&self, req: &Request, looks_complete: bool) {
+        let (cx, content, at) = (self.cx.clone(), self.content, self.cx.now());
         let (request, upstream) = (req.id.clone(), self.upstream.clone());
-        let parts = req.prompt.to_string();
+        let prompt = req.prompt.clone();
+        let is_suspect = self.is_request_written && !self.is_proved_sound();
         actix_rt::spawn(async move {
             actix_rt::time::sleep(CRASH_CHECK_DELAY).await;
-            if Connection::open(upstream.address, CONNECT_TIMEOUT).await.is_err() {
+            let crashed = Connection::open(upstream.address, CONNECT_TIMEOUT).await.is_err();
+            let (mut state, now) = (cx.state.borrow_mut(), cx.now());
+            if crashed {
                 cx.metrics.upstream_crashes.inc();
-                let crashes = cx.state.borrow_mut().poison_requests.record_crash(cx.now(), digest);
-                log::warn!(event = "crash", request:%, upstream:% = upstream.id, digest:%, parts, crashes; "");
+                log::warn!(event = "crash", request:%, upstream:% = upstream.id, content:% = format_args!("{content:016x}"), parts:% = prompt, is_suspect; "");
+                if is_suspect {
+                    let suspect = Suspect::new(content, prompt.shared_parts());
+                    state.crash_evidence.record_crash(now, &upstream.id, at, suspect);
+                }
+            } else if looks_complete {
+                state.crash_evidence.record_served(now, content, prompt.shared_parts());
             }
         });
     }
+
+    /// Records that the upstream has not crashed although it runs the request.
+    pub(super) fn record_sound(&self, req: &Request) {
+        let mut state = self.cx.state.borrow_mut();
+        let parts = req.prompt.shared_parts();
+        state.crash_evidence.record_served(self.cx.now(), self.content, parts);
+    }
+
+    /// Reports whether the response has been produced for long enough that a crash of the upstream has
+    /// another cause.
+    pub(super) fn is_proved_sound(&self) -> bool {
+        self.first_response.is_some_and(|first_response| {
+            self.cx.now().since(self.ticket.chosen_at + first_response) >= SOUND_AFTER
+        })
+    }
 }
 
 impl Drop for Attempt {
--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -207,6 +207,9 @@
         if time_left.is_zero() {
             return Err(self.deadline_response());
         }
+        if !self.tried.is_empty() && self.is_barred() {
+            return Err(self.refusal_or_loss("refused-crashes-upstreams", RETRY_AFTER_REFUSAL));
+        }
         let mut state = self.cx.state.borrow_mut();
         let selection = self
             .with_criteria(&mut state, time_left, |state, criteria| state.choose(now, criteria));
@@ -309,11 +312,20 @@
         self.may_retry() && (self.tried.len() as u32) < route.max_attempts + self.connect_failures
     }
 
+    /// Reports whether the request has been barred since it was admitted, or is a probe, so that it must
+    /// not be sent to another upstream.
+    fn is_barred(&self) -> bool {
+        let mut state = self.cx.state.borrow_mut();
+        let parts = self.req.prompt.shared_parts();
+        let content = self.admitted.content;
+        state.crash_evidence.barred_cause(self.cx.now(), content, parts).is_some()
+    }
+
     /// Consumes a retry from the budget if the route and the budget allow one, and reports whether
     /// it did.
     fn consume_retry(&self) -> bool {
         let sent = self.tried.len() as u32 - self.connect_failures;
-        if sent >= self.admitted.route.max_attempts {
+        if sent >= self.admitted.route.max_attempts || self.is_barred() {
             return false;
         }
         let now = self.cx.now();
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -114,7 +114,7 @@
                 self.record_body_end(&head, error_cause(&error), &buffer);
                 log::warn!(event = "broken-body", request:% = self.req.id, upstream:% = attempt.upstream.id, error:%; "");
                 attempt.set_outcome(AttemptOutcome::Broken);
-                attempt.check_crash(self.req);
+                attempt.check_crash(self.req, false);
                 return self.retry_or_fail(out).await;
             }
             Err(_) => {
@@ -135,7 +135,7 @@
         }
         let outcome = if failed { "upstream-failure" } else { "answered" };
         if !failed {
-            self.cx.state.borrow_mut().poison_requests.clear_crashes(self.admitted.digest);
+            self.record_evidence(attempt, &head, buffer.decoder.ends_with_connection());
         }
         self.record_time_to_first_response();
         self.log(outcome, head.status, Duration::ZERO);
@@ -160,7 +160,7 @@
         };
         let max_silence =
             self.admitted.route.max_event_gap.unwrap_or(DEFAULT_EVENT_GAP) * MAX_SILENT_GAPS;
-        let mut body_state = BodyState::More;
+        let (mut body_state, mut is_sound) = (BodyState::More, false);
         loop {
             if matches!(body_state, BodyState::More) {
                 body_state = buffer.decode(&mut connection.buf, &mut self.position);
@@ -171,6 +171,10 @@
             if has_chunk && !self.send_chunk(attempt, &head, &chunk, is_end, out).await {
                 return Relayed::Delivered(Delivery::Truncated);
             }
+            if !is_sound && has_chunk && attempt.is_proved_sound() {
+                is_sound = true;
+                attempt.record_sound(self.req);
+            }
             match body_state {
                 BodyState::End(cause) => {
                     self.record_body_end(&head, cause, &buffer);
@@ -188,7 +192,7 @@
                         ""
                     );
                     attempt.set_outcome(AttemptOutcome::Broken);
-                    attempt.check_crash(self.req);
+                    attempt.check_crash(self.req, false);
                     return self.retry_or_fail(out).await;
                 }
                 BodyState::More => {}
@@ -219,10 +223,22 @@
         attempt.keep_connection(&head);
         self.log("answered", head.status, Duration::ZERO);
         self.cx.metrics.count_request(self.admitted.route.name.as_str(), "answered");
-        self.cx.state.borrow_mut().poison_requests.clear_crashes(self.admitted.digest);
+        self.record_evidence(attempt, &head, buffer.decoder.ends_with_connection());
         Relayed::Delivered(Delivery::Complete)
     }
 
+    /// Records a complete response as evidence that its request does not crash upstreams. A response
+    /// that ended with its connection is evidence only if its upstream has not crashed.
+    fn record_evidence(&self, attempt: &Attempt, head: &ResponseHead, ended_with_connection: bool) {
+        if ended_with_connection {
+            if self.req.prompt.shared_parts().next().is_some() {
+                attempt.check_crash(self.req, true);
+            }
+        } else if (200..300).contains(&head.status) {
+            attempt.record_sound(self.req);
+        }
+    }
+
     async fn send_chunk(
         &mut self,
         attempt: &mut Attempt,
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 
 use dogwoodturn::{
     ids::{CustomerName, Incarnation, ServiceName, UpstreamId},
+    request::crash_evidence::{Change, CrashEvidence, Verdict},
     units::{Time, WallTime},
 };
 use indexmap::IndexSet;
@@ -19,13 +20,12 @@
 use crate::{
     autoscaler::Autoscaler,
     directory::Directory,
-    header_schema::HeaderSchema,
+    header_schema::{HeaderSchema, Prompt},
     hubs::{self, HubMessage, HubStatus, Hubs, Total},
     lease::Lease,
     metrics::Metrics,
     peers::{PeerTable, ReportedWork, StateMessage, WorkMessage},
     placement::{Placement, Selection, SelectionCriteria},
-    poison::{Digest, PoisonRequests},
     pool::Pool,
     quota::{self, Quotas},
     replication::ReplicatedViews,
@@ -47,6 +47,10 @@
 /// Limit on the memory that is reserved for callers' bodies at a time. A gateway has a few hundred
 /// megabytes of memory, and a body is copied once when it is forwarded.
 const MAX_RESERVED_BODY_BYTES: u64 = 64 << 20;
+/// Crashes after which a request is refused. A caller sends a request again once, and a request that
+/// happened to be in progress when an upstream crashed for another reason rarely meets a third
+/// crash.
+const MIN_CONTENT_CRASHES: usize = 3;
 /// Interval at which the peers' reported work is summed; they report it about as often.
 const PEER_WORK_REFRESH_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -59,7 +63,8 @@
     pub quotas: Quotas,
     /// Budgets for retries, by service.
     pub retries: RetryBudgets,
-    pub poison_requests: PoisonRequests,
+    /// The requests and prompt parts that crash upstreams.
+    pub crash_evidence: CrashEvidence,
     pub rollouts: Rollouts,
     pub autoscaler: Autoscaler,
     pub usage: Usage,
@@ -126,12 +131,31 @@
         self.placement.best_elsewhere(now, &live, criteria)
     }
 
+    /// Decides whether a request may be sent to an upstream although upstreams have crashed.
+    pub fn check_crash_evidence(&mut self, now: Time, content: u64, prompt: &Prompt) -> Verdict {
+        let peer_table = &self.peer_table;
+        self.crash_evidence.check(now, content, prompt.shared_parts(), || peer_table.rank(now))
+    }
+
+    /// Removes the crash evidence that has expired, and logs what was barred or cleared.
+    pub fn update_crash_evidence(&mut self, now: Time) {
+        self.crash_evidence.expire(now);
+        for change in self.crash_evidence.take_changes() {
+            match change {
+                Change::Barred { cause, crashes, requests } => {
+                    log::warn!(event = "barred", cause:%, crashes, requests, source = "own"; "requests are refused, since upstreams crash with them");
+                }
+                Change::BarredByPeer(cause) => {
+                    log::warn!(event = "barred", cause:%, source = "peer"; "");
+                }
+                Change::Cleared(cause) => log::info!(event = "cleared", cause:%; ""),
+            }
+        }
+    }
+
     /// Applies a peer's state message.
     pub fn receive_message(&mut self, now: Time, from: SocketAddr, message: StateMessage) {
-        for (digest, count) in &message.crashes {
-            let peer = message.daemon.as_str();
-            self.poison_requests.apply_peer_count(now, peer, Digest(*digest), *count);
-        }
+        self.crash_evidence.merge(now, message.crash_evidence.clone().into());
         for (service, version) in &message.blocked_versions {
             self.rollouts.block_version(service, version);
         }
@@ -256,7 +280,7 @@
             placement: Placement::default(),
             quotas: Quotas::new(bounds.quotas, now, settings.first_start),
             retries: RetryBudgets::new(bounds.retries),
-            poison_requests: PoisonRequests::default(),
+            crash_evidence: CrashEvidence::new(MIN_CONTENT_CRASHES),
             rollouts: Rollouts::new(bounds.canary_share),
             autoscaler: Autoscaler::default(),
             usage: Usage::new(bounds.usage_window),
@@ -391,7 +415,6 @@
         let now = self.now();
         let state = self.state.borrow();
         self.last_message_number.set(self.last_message_number.get() + 1);
-        let crashes = state.poison_requests.recent(now).into_iter();
         StateMessage {
             daemon: self.settings().name.clone(),
             incarnation: self.incarnation,
@@ -404,7 +427,7 @@
             usage: state.usage.local_counts(),
             work: reported_work(&state.placement),
             demands: state.placement.demands(now),
-            crashes: crashes.map(|(digest, count)| (digest.0, count)).collect(),
+            crash_evidence: state.crash_evidence.report(now).into(),
             tallies: state.rollouts.local_tallies(),
             blocked_versions: state.rollouts.blocked_versions().to_vec(),
             upstreams_at: state.views.synced_revision(Kind::Upstreams),
--- a/gateway/src/header_schema.rs
+++ b/gateway/src/header_schema.rs
@@ -4,6 +4,8 @@
 
 use std::fmt;
 
+use dogwoodturn::request::crash_evidence::PartId;
+
 /// The prompt as the headers of a request describe it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Prompt {
@@ -15,6 +17,14 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl Prompt {
+    /// Returns the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> impl Iterator<Item = PartId> + Clone {
+        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| PartId(part.id))
+    }
+}
+
 impl fmt::Display for Prompt {
     /// Lists the IDs of the parts in hexadecimal, for logs.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,7 +1,6 @@
 //! The dogwoodturn gateway for hosts without persistent storage.
 //!
 //! Each gateway host runs one process of this library behind a platform's adapter. Decisions are
-//! plain structs without I/O: [`directory`], [`placement`], [`quota`], [`retry`], [`poison`],
 //! [`rollout`], [`lease`], [`usage`] and [`peers`]. [`serve`], [`forward`], [`sync`], [`links`] and
 //! `leader` perform I/O and call them. `docs/design/platform.md` explains the parts.
 
@@ -22,7 +21,6 @@
 mod objects;
 pub mod peers;
 pub mod placement;
-pub mod poison;
 pub mod pool;
 pub mod quota;
 pub mod replication;
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -78,6 +78,7 @@
         if peers.is_empty() {
             continue;
         }
+        broadcast_crash_evidence(&cx, &socket, &peers).await;
         broadcast_as_hub(&cx, &socket, &peers, &mut last_hub_broadcast).await;
         let peer_at = |step| peers[(next_peer + step) % peers.len()];
         let mut recipients: Vec<_> = (0..peers.len().min(MAX_RECIPIENTS)).map(peer_at).collect();
@@ -150,6 +151,19 @@
     }
 }
 
+/// Broadcasts this daemon's crash evidence if there is news. Crashes are too
+/// rare for the bytes to matter, and each one that peers do not know of costs another upstream.
+async fn broadcast_crash_evidence(cx: &Gateway, socket: &UdpSocket, peers: &[SocketAddr]) {
+    let report = {
+        let mut state = cx.state.borrow_mut();
+        if !state.crash_evidence.take_news() {
+            return;
+        }
+        state.crash_evidence.report(cx.now())
+    };
+    send(socket, &Datagram::CrashEvidence(report.into()), peers).await;
+}
+
 async fn send(socket: &UdpSocket, datagram: &Datagram, recipients: &[SocketAddr]) {
     let mut bytes = Vec::with_capacity(2048);
     if let Err(error) = ciborium::into_writer(datagram, &mut bytes) {
@@ -183,6 +197,9 @@
             Ok(Datagram::Work(message)) => {
                 cx.state.borrow_mut().peer_table.receive_work(cx.now(), message);
             }
+            Ok(Datagram::CrashEvidence(report)) => {
+                cx.state.borrow_mut().crash_evidence.merge(cx.now(), report.into());
+            }
             Err(error) => {
                 cx.metrics.malformed_messages.inc();
                 log::warn!(event = "malformed-message", from:%, error:%; "message of a peer could not be decoded and is dropped");
--- a/gateway/src/maintenance.rs
+++ b/gateway/src/maintenance.rs
@@ -25,6 +25,7 @@
             state.lease.set_succession(rank, silence_timeout);
             state.decide_hub(now);
             assume_bursts_spent(&mut state);
+            state.update_crash_evidence(now);
             state.directory.evict_expired(now)
         };
         {
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -11,6 +11,7 @@
         CustomerName, DaemonId, Incarnation, Revision, RouteName, ServiceName, UpstreamId,
         VersionName,
     },
+    request::crash_evidence,
     units::{Time, WallTime},
 };
 use indexmap::IndexMap;
@@ -47,6 +48,8 @@
     Hub(Box<HubMessage>),
     /// A daemon's work alone, which changes faster than the rest.
     Work(WorkMessage),
+    /// A daemon's new crash evidence, which cannot wait for its next state message.
+    CrashEvidence(crash_evidence::ReportWire),
 }
 
 /// A daemon's work at upstreams.
@@ -83,8 +86,9 @@
     pub work: Vec<ReportedWork>,
     /// Engines that the requests of each service keep busy, in thousandths.
     pub demands: Vec<(ServiceName, u32)>,
-    /// Digests of requests that crashed upstreams, with the number of crashes.
-    pub crashes: Vec<(u64, u32)>,
+    /// Evidence against requests and prompt parts that crash upstreams.
+    #[serde(default, skip_serializing_if = "crash_evidence::ReportWire::is_empty")]
+    pub crash_evidence: crash_evidence::ReportWire,
     /// Results of versions in a move.
     pub tallies: Vec<(ServiceName, VersionName, RouteName, Tally)>,
     #[serde(rename = "holds")]
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -10,10 +10,7 @@
 };
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
-use crate::{
-    header_schema::{HeaderSchema, Prompt},
-    poison::Digest,
-};
+use crate::header_schema::{HeaderSchema, Prompt};
 
 /// A request that was read completely.
 #[derive(Clone, Debug)]
@@ -61,12 +58,12 @@
 
     /// Returns a hash of target, customer and body, which is the same when the caller sends the
     /// request again.
-    pub fn digest(&self, customer: Option<&CustomerName>) -> Digest {
+    pub fn content_hash(&self, customer: Option<&CustomerName>) -> u64 {
         let mut hasher = Xxh3::new();
         hasher.update(&self.head.target);
         hasher.update(customer.map_or("", CustomerName::as_str).as_bytes());
         hasher.update(&self.body);
-        Digest(hasher.digest())
+        hasher.digest()
     }
 
     /// Returns a number in the range 0 to 1, excluding 1, that is derived from the request ID.
--- a/gateway/tests/limits.rs
+++ b/gateway/tests/limits.rs
@@ -1,14 +1,11 @@
-//! Limits across all daemons: retry budgets and requests that crash upstreams.
+//! Limits across all daemons: retry budgets.
 
 #[path = "support/model.rs"]
 mod model;
 
 use std::time::Duration;
 
-use dogwoodturn_gateway::{
-    poison::{Digest, PoisonRequests},
-    retry::{Bounds, RetryBudgets},
-};
+use dogwoodturn_gateway::retry::{Bounds, RetryBudgets};
 use model::{at, service};
 
 #[test]
@@ -41,29 +38,3 @@
         "the budget allows hardly any retries"
     );
 }
-
-#[test]
-fn is_poison_crashes_are_summed_over_daemons() {
-    let (mut here, mut there) = (PoisonRequests::default(), PoisonRequests::default());
-    let digest = Digest(9);
-    here.record_crash(at(0), digest);
-    here.record_crash(at(100), digest);
-    there.record_crash(at(200), digest);
-    assert!(!there.is_poison(at(200), digest), "a single crash is below the limit");
-    for (digest, count) in here.recent(at(300)) {
-        there.apply_peer_count(at(300), "here", digest, count);
-    }
-    assert!(there.is_poison(at(300), digest));
-    assert!(!there.is_poison(at(300), Digest(10)));
-    assert!(!there.is_poison(at(70_000), digest), "crashes expire");
-}
-
-#[test]
-fn is_poison_answered_request_is_cleared() {
-    let mut poison_requests = PoisonRequests::default();
-    for ms in 0..5 {
-        poison_requests.record_crash(at(ms), Digest(1));
-        poison_requests.clear_crashes(Digest(1));
-    }
-    assert!(!poison_requests.is_poison(at(10), Digest(1)));
-}
--- a/gateway/tests/peers.rs
+++ b/gateway/tests/peers.rs
@@ -3,7 +3,7 @@
 #[path = "support/model.rs"]
 mod model;
 
-use dogwoodturn::{ids::Incarnation, units::WallTime};
+use dogwoodturn::{ids::Incarnation, request::crash_evidence::ReportWire, units::WallTime};
 use dogwoodturn_gateway::peers::{PeerTable, StateMessage};
 use model::at;
 
@@ -20,7 +20,7 @@
         usage: Vec::new(),
         work: Vec::new(),
         demands: Vec::new(),
-        crashes: Vec::new(),
+        crash_evidence: ReportWire::default(),
         tallies: Vec::new(),
         blocked_versions: Vec::new(),
         upstreams_at: None,
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -6,6 +6,7 @@
 //! request ran. See `docs/design/requests.md`.
 
 pub mod completion;
+pub mod crash_evidence;
 pub mod exchange;
 pub mod message;
 pub mod outcome;
