traffic: prompts and requests that crash engines are refused on shared evidence

Equal requests in progress at one crash counted as several crashes.

Change: the threads use the evidence of lib/src/request/crash_evidence.rs, with the lines of a prompt as its parts, and flood it; a daemon that starts gets what is barred from two of the members. Equal requests at one crash count once.

--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -282,6 +282,11 @@
                     self.send_event(thread, Event::Poison(digest, refused_for));
                 }
             }
+            Output::CrashEvidence(report) => {
+                for thread in 0..self.threads() {
+                    self.send_event(thread, Event::CrashEvidence(report.clone()));
+                }
+            }
             Output::RequestMessage(from, message) => self.route_message(from, message),
             // Emitted only by a control state without peers; this one has them.
             Output::Send(..) => {}
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -9,8 +9,9 @@
 };
 
 use dogwoodturn::{
+    edge::crash_log,
     ids::{CustomerName, Incarnation, ServiceName, UpstreamId},
-    request::crash_evidence::{Change, CrashEvidence, Verdict},
+    request::crash_evidence::{CrashEvidence, Verdict},
     units::{Time, WallTime},
 };
 use indexmap::IndexSet;
@@ -140,17 +141,7 @@
     /// Removes the crash evidence that has expired, and logs what was barred or cleared.
     pub fn update_crash_evidence(&mut self, now: Time) {
         self.crash_evidence.expire(now);
-        for change in self.crash_evidence.take_changes() {
-            match change {
-                Change::Barred { cause, crashes, requests } => {
-                    log::warn!(event = "barred", cause:%, crashes, requests, source = "own"; "requests are refused, since upstreams crash with them");
-                }
-                Change::BarredByPeer(cause) => {
-                    log::warn!(event = "barred", cause:%, source = "peer"; "");
-                }
-                Change::Cleared(cause) => log::info!(event = "cleared", cause:%; ""),
-            }
-        }
+        self.crash_evidence.take_changes().iter().for_each(crash_log::log_change);
     }
 
     /// Applies a peer's state message.
--- a/lib/src/edge/driver.rs
+++ b/lib/src/edge/driver.rs
@@ -20,7 +20,7 @@
 };
 
 use crate::{
-    edge::{client::Client, upstream},
+    edge::{client::Client, crash_log, upstream},
     ids::RequestId,
     node::{
         control::Input,
@@ -272,6 +272,7 @@
             Effect::RequestClaim(claim_request) => (self.control)(Input::Claim(claim_request)),
             Effect::EndClaim(ticket, end) => (self.control)(Input::ClaimEnded(ticket, end)),
             Effect::ReportAttempt(report) => self.add_report(*report),
+            Effect::LogCrashCause(change) => crash_log::log_change(&change),
             Effect::Send(recipient, message) => {
                 (self.control)(Input::RequestMessage(recipient, message));
             }
--- a/lib/src/edge/mod.rs
+++ b/lib/src/edge/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod client;
+pub mod crash_log;
 pub mod driver;
 pub mod listen;
 pub mod operator;
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
 use crate::{
     audit::{
         self,
@@ -25,7 +27,7 @@
         Member, Recipient,
         peers::{self, LinkEffect, LinkEvent, Peers},
     },
-    request,
+    request::{self, crash_evidence::CrashEvidence, message::Message},
     store::{CallError, Operation, Priority, Reply, client::Client},
     supply::{
         self, Supply,
@@ -42,6 +44,9 @@
 /// The time after which a caller may retry a call whose claim could not be written.
 pub(super) const CLAIM_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// The number of daemons that send a new member what crashes upstreams; one may be lost meanwhile.
+const EVIDENCE_SENDERS: usize = 2;
+
 /// The component that issued a call to the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum CallOwner {
@@ -104,6 +109,8 @@
     /// Notify each traffic thread of a request that crashes upstreams and is to be refused for this
     /// long.
     Poison(request::poison::Digest, Duration),
+    /// Deliver evidence against requests that crash upstreams to each traffic thread.
+    CrashEvidence(Box<request::crash_evidence::Report>),
     /// Deliver a message about a request to the traffic thread that it concerns.
     RequestMessage(DaemonId, request::message::Message),
     /// Send a message to peers; emitted only if [`Control::with_peers`] was not called.
@@ -132,6 +139,8 @@
     pub(super) snapshot: Snapshot,
     clock: (Time, WallTime),
     pub(super) trail: Option<Trail>,
+    /// What this daemon knows about requests that crash upstreams, for daemons that start.
+    pub(super) crash_evidence: CrashEvidence,
     pub(super) claims: Option<Claims>,
     pub(super) claims_config: claims::Config,
     pub(super) client: Client<CallTag>,
@@ -211,6 +220,7 @@
             Input::Identity(own) => self.set_identity(now, own, out),
             Input::Clock(wall) => self.clock = (now, wall),
             Input::RequestMessage(recipient, message) => {
+                self.record_crash_evidence(now, &message);
                 requests::send(recipient, message, out);
             }
             Input::Peer(from, message) => self.handle_message(now, &from, message, out),
@@ -225,6 +235,47 @@
         self.schedule_calls(now, out);
     }
 
+    fn record_crash_evidence(&mut self, now: Time, message: &Message) {
+        if let Message::CrashEvidence(report) = message {
+            self.crash_evidence.merge(now, (**report).clone());
+            // The traffic threads log these.
+            self.crash_evidence.take_changes();
+        }
+    }
+
+    /// Sends what crashes upstreams to the members that have started since `before`, if this daemon is
+    /// one of the first in the order that the new member's name gives.
+    pub(super) fn send_crash_evidence(
+        &mut self,
+        now: Time,
+        before: &[Member],
+        out: &mut Vec<Output>,
+    ) {
+        self.crash_evidence.expire(now);
+        let report = self.crash_evidence.report(now);
+        let Some(own) = self.peers.as_ref().map(Peers::own).filter(|_| !report.is_empty()) else {
+            return;
+        };
+        let is_known = |member: &Member| {
+            before.iter().any(|other| {
+                other.daemon == member.daemon && other.incarnation == member.incarnation
+            })
+        };
+        for new in self.snapshot.members.iter().filter(|member| !is_known(member)) {
+            let weight = |daemon: &DaemonId| {
+                let seed = xxh3_64(new.daemon.as_str().as_bytes());
+                xxh3_64_with_seed(daemon.as_str().as_bytes(), seed)
+            };
+            let others = before.iter().filter(|member| member.daemon != new.daemon);
+            let rank = others.filter(|member| weight(&member.daemon) > weight(own)).count();
+            if new.daemon != *own && rank < EVIDENCE_SENDERS {
+                let message = Message::CrashEvidence(Box::new(report.clone()));
+                let recipient = Recipient::Daemon(new.daemon.clone());
+                out.push(Output::Send(recipient, PeerMessage::Request(message)));
+            }
+        }
+    }
+
     fn handle_attempt_report(&mut self, now: Time, report: AttemptReport, out: &mut Vec<Output>) {
         self.moves(now, controller::Event::Attempt(&report), out);
         self.supply(now, supply::Event::Attempt(Box::new(report)), out);
@@ -276,7 +327,10 @@
             PeerMessage::Claim(message) => {
                 self.claims(now, claims::Event::Peer(from.clone(), message), out);
             }
-            PeerMessage::Request(message) => requests::receive(from.clone(), message, out),
+            PeerMessage::Request(message) => {
+                self.record_crash_evidence(now, &message);
+                requests::receive(from.clone(), message, out);
+            }
             PeerMessage::Moves(message) => {
                 self.moves(now, controller::Event::Peer(from.clone(), message), out);
             }
--- a/lib/src/node/peers.rs
+++ b/lib/src/node/peers.rs
@@ -22,8 +22,9 @@
                 Effect::Link(effect) => out.push(Output::Link(effect)),
                 Effect::Deliver(from, message) => self.handle_message(now, &from, message, out),
                 Effect::Members(members) => {
-                    self.snapshot.members = members.clone();
+                    let before = std::mem::replace(&mut self.snapshot.members, members.clone());
                     self.publish(out);
+                    self.send_crash_evidence(now, &before, out);
                     self.claims(now, claims::Event::Members(members.clone()), out);
                     self.choose_audit_collector(now, &own, out);
                     self.active_config(
--- a/lib/src/node/requests.rs
+++ b/lib/src/node/requests.rs
@@ -13,6 +13,9 @@
         // The other traffic threads of this daemon must refuse the request as well.
         out.push(Output::Poison(*digest, *refused_for));
     }
+    if let Message::CrashEvidence(report) = &message {
+        out.push(Output::CrashEvidence(report.clone()));
+    }
     out.push(Output::Send(recipient, PeerMessage::Request(message)));
 }
 
@@ -20,6 +23,7 @@
 pub fn receive(from: DaemonId, message: Message, out: &mut Vec<Output>) {
     out.push(match message {
         Message::Poison { digest, refused_for } => Output::Poison(digest, refused_for),
+        Message::CrashEvidence(report) => Output::CrashEvidence(report),
         message => Output::RequestMessage(from, message),
     });
 }
--- a/lib/src/node/traffic/arrive.rs
+++ b/lib/src/node/traffic/arrive.rs
@@ -13,6 +13,7 @@
     request::{
         CallerId, ExchangeId,
         completion::{COMPLETIONS, CompletionWire},
+        crash_evidence::Verdict,
         exchange::{Exchange, Head, RequestSpec},
         outcome::{RunOutcome, Undispatched},
         refusal::{Refusal, RefusalKind},
@@ -92,6 +93,16 @@
             let refusal = refusal.with_retry_after(refused_for);
             return out.push(Effect::Refuse(caller, Box::new(refusal)));
         }
+        let rank = || Self::probe_rank(&self.snapshot, &self.cfg);
+        let (content, parts) = (spec.content_hash(), spec.shared_parts());
+        if let Verdict::Barred { cause, retry_after } =
+            self.crash_evidence.check(now, content, parts, rank)
+        {
+            let detail = format!("upstreams crash with this request ({cause})");
+            let refusal = not_run(RefusalKind::PoisonRequest, undispatched, &detail);
+            let refusal = refusal.with_retry_after(retry_after);
+            return out.push(Effect::Refuse(caller, Box::new(refusal)));
+        }
         if let Admission::Refused(overload) = self.limits.admit(now, &admission_request(&spec)) {
             let detail = "too much is waiting for this service";
             let refusal = not_run(RefusalKind::Overload, undispatched, detail);
@@ -130,6 +141,7 @@
             ticket: None,
             failed: Vec::new(),
             is_suspect: false,
+            is_sound: false,
             kv_target: None,
             was_offered: false,
             admitted,
--- a/lib/src/node/traffic/attempt.rs
+++ b/lib/src/node/traffic/attempt.rs
@@ -11,11 +11,13 @@
 use crate::{
     claim::{ClaimOutcome, StoredResponse},
     declaration::RequestClass,
+    ids::UpstreamId,
     node::report::AttemptEnd,
     peer::Recipient,
     placement::AttemptResult,
     request::{
         AttemptId, ExchangeId,
+        crash_evidence::Suspect,
         exchange::{Cause, Head, RequestSpec, Step, StreamEnd, Target},
         message::Message,
         outcome::RunOutcome,
@@ -53,6 +55,10 @@
     /// Sends a request to an upstream. Without one, retries later if the response has begun, and
     /// refuses the request otherwise.
     pub(super) fn dispatch(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
+        if self.is_barred(now, id) {
+            let detail = "this request crashed upstreams that ran it";
+            return self.refuse(now, id, RefusalKind::PoisonRequest, detail, None, out);
+        }
         let target = self.choose(now, id);
         let Some(entry) = self.entries.get(&id) else { return };
         match target {
@@ -67,6 +73,16 @@
         }
     }
 
+    /// Reports whether a request that was sent to an upstream has been barred since, or is a probe, so
+    /// that it must not be sent to another one.
+    fn is_barred(&mut self, now: Time, id: ExchangeId) -> bool {
+        let Some(entry) = self.entries.get(&id) else { return false };
+        let spec = &entry.exchange.spec;
+        let (content, parts) = (spec.content_hash(), spec.shared_parts());
+        entry.exchange.attempts() > 0
+            && self.crash_evidence.barred_cause(now, content, parts).is_some()
+    }
+
     fn wait(&mut self, id: ExchangeId, until: Time) {
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.phase = Phase::Waiting { until };
@@ -163,6 +179,15 @@
         let had_first =
             entry.exchange.attempt().is_some_and(|current| current.first_output_at.is_some());
         let step = entry.exchange.handle_chunk(now, attempt.number, bytes);
+        if let Some(current) = entry.exchange.attempt()
+            && had_first
+            && !entry.is_sound
+            && current.is_sound(now, entry.exchange.answer.next_offset())
+        {
+            entry.is_sound = true;
+            let spec = &entry.exchange.spec;
+            self.crash_evidence.record_served(now, spec.content_hash(), spec.shared_parts());
+        }
         if let Some(current) = entry.exchange.attempt()
             && !had_first
             && current.first_output_at.is_some()
@@ -217,6 +242,11 @@
                 return self.wait_for_retry(now, id);
             }
         }
+        let Some(entry) = self.entries.get(&id) else { return };
+        if (200..300).contains(&status) {
+            let spec = &entry.exchange.spec;
+            self.crash_evidence.record_served(now, spec.content_hash(), spec.shared_parts());
+        }
         let end = if status >= 500 { AttemptEnd::Failure } else { AttemptEnd::Success };
         self.close(now, id, end, false, out);
         self.finish(now, id, out);
@@ -292,6 +322,8 @@
         let was_announced = self.leaving.contains_key(&upstream);
         let service = entry.exchange.spec.service.clone();
         let crashed = *cause == Cause::ConnectionLost && !was_announced;
+        let is_sound = attempt.is_sound(now, entry.exchange.answer.next_offset());
+        let suspect = (crashed && !is_sound).then(|| entry.exchange.spec.suspect());
         entry.is_suspect |= crashed;
         if matches!(cause, Cause::Refused { .. }) {
             self.placement.record_overload(now, &upstream);
@@ -299,7 +331,8 @@
         }
         let close_connection = !matches!(cause, Cause::Unreachable | Cause::ConnectionLost);
         self.close(now, id, cause.attempt_end(), close_connection, out);
-        if crashed && self.is_poison(now, id, out) {
+        let is_new_crash = crashed && self.record_crash(now, &upstream, suspect);
+        if crashed && self.is_poison(now, id, is_new_crash, out) {
             let detail = "this request crashed two upstreams that ran it";
             let kind = RefusalKind::PoisonRequest;
             return self.refuse(now, id, kind, detail, Some(POISON_TTL), out);
@@ -307,10 +340,24 @@
         self.retry_or_give_up(now, id, cause, was_announced, detail, out);
     }
 
-    fn is_poison(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) -> bool {
+    /// Records that a request was in progress at an upstream that crashed, and returns whether no equal
+    /// one was known to be.
+    fn record_crash(&mut self, now: Time, upstream: &UpstreamId, suspect: Option<Suspect>) -> bool {
+        suspect.is_none_or(|suspect| self.crash_evidence.record_crash(now, upstream, now, suspect))
+    }
+
+    fn is_poison(
+        &mut self,
+        now: Time,
+        id: ExchangeId,
+        is_new_crash: bool,
+        out: &mut Vec<Effect>,
+    ) -> bool {
         let Some(entry) = self.entries.get(&id) else { return false };
         let digest = entry.exchange.spec.digest;
-        let poisonous = self.poison.record_crash(now, digest, entry.exchange.answer.next_offset());
+        let offset = entry.exchange.answer.next_offset();
+        // Equal requests in progress at one crash count once.
+        let poisonous = is_new_crash && self.poison.record_crash(now, digest, offset);
         if poisonous {
             let message = Message::Poison { digest, refused_for: POISON_TTL };
             out.push(Effect::Send(Recipient::Flood, message));
--- a/lib/src/node/traffic/mod.rs
+++ b/lib/src/node/traffic/mod.rs
@@ -28,6 +28,7 @@
     placement::Placement,
     request::{
         AttemptId, CallerId, ExchangeId,
+        crash_evidence::{self, CrashEvidence},
         exchange::{Exchange, Head, Header, StreamEnd, Target},
         message::{FetchId, Message},
         outcome::Undispatched,
@@ -41,6 +42,9 @@
 
 use self::fetch::FetchState;
 
+/// The number of crashes without a response in between after which a content is refused.
+const MIN_CONTENT_CRASHES: usize = 2;
+
 /// The configuration of one traffic thread.
 #[derive(Clone, Debug)]
 pub struct TrafficConfig {
@@ -111,6 +115,8 @@
     Claim(RequestId, ClaimResponse),
     /// A request crashes upstreams and is refused for this long.
     Poison(Digest, Duration),
+    /// A peer, or another thread of this daemon, reports crashes of upstreams.
+    CrashEvidence(Box<crash_evidence::Report>),
     /// A peer, or another thread of this daemon, has sent a message.
     Peer(DaemonId, Message),
     /// The time returned by [`Traffic::next_wakeup`] has been reached.
@@ -174,6 +180,8 @@
     EndClaim(ClaimTicket, ClaimOutcome),
     /// Report the end of an attempt to the control thread.
     ReportAttempt(Box<AttemptReport>),
+    /// Log that requests are refused because upstreams crash with them, or no longer are.
+    LogCrashCause(crash_evidence::Change),
     /// Send a message to peers, or to another thread of this daemon.
     Send(Recipient, Message),
 }
@@ -240,6 +248,8 @@
     failed: Vec<UpstreamId>,
     /// Whether an upstream crashed while running the request.
     is_suspect: bool,
+    /// Whether the response has been recorded as proof that the request does not crash upstreams.
+    is_sound: bool,
     /// The upstream that the KV cache is being moved to.
     kv_target: Option<Target>,
     /// Whether the request has been offered to a peer for handover.
@@ -277,6 +287,7 @@
     outstanding_by_version: IndexMap<(ServiceName, VersionName), u32>,
     timers: BinaryHeap<Reverse<(Time, Timer)>>,
     poison: PoisonRequests,
+    crash_evidence: CrashEvidence,
     retained: RetainedResponses,
     kv_moves: usize,
     handover_start: Option<Time>,
@@ -299,6 +310,7 @@
             outstanding_by_version: IndexMap::new(),
             timers: BinaryHeap::new(),
             poison: PoisonRequests::default(),
+            crash_evidence: CrashEvidence::new(MIN_CONTENT_CRASHES),
             retained: RetainedResponses::default(),
             kv_moves: 0,
             handover_start: None,
@@ -334,8 +346,27 @@
             Event::Poison(digest, refused_for) => {
                 self.poison.refuse(now, digest, refused_for);
             }
+            Event::CrashEvidence(report) => self.crash_evidence.merge(now, *report),
             Event::Woken => self.handle_wakeup(now, out),
         }
+        self.share_crash_evidence(now, out);
+    }
+
+    /// Sends new evidence to all daemons, and reports what is refused from now on.
+    fn share_crash_evidence(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.crash_evidence.take_news() {
+            let report = Box::new(self.crash_evidence.report(now));
+            out.push(Effect::Send(Recipient::Flood, Message::CrashEvidence(report)));
+        }
+        out.extend(self.crash_evidence.take_changes().into_iter().map(Effect::LogCrashCause));
+    }
+
+    /// Returns this thread's position in the order in which the traffic threads of all daemons probe
+    /// what crashes upstreams.
+    fn probe_rank(snapshot: &Snapshot, cfg: &TrafficConfig) -> u32 {
+        let own = &cfg.origin.daemon;
+        let daemons = snapshot.members.iter().filter(|member| member.daemon < *own).count() as u32;
+        daemons * u32::from(cfg.threads) + u32::from(cfg.origin.thread)
     }
 
     fn apply_snapshot(
@@ -356,6 +387,7 @@
 
     fn handle_wakeup(&mut self, now: Time, out: &mut Vec<Effect>) {
         self.retained.expire(now);
+        self.crash_evidence.expire(now);
         while let Some(Reverse((at, timer))) = self.timers.peek().copied() {
             if at > now {
                 return;
@@ -380,6 +412,7 @@
             Message::Poison { digest, refused_for } => {
                 self.poison.refuse(now, digest, refused_for);
             }
+            Message::CrashEvidence(report) => self.crash_evidence.merge(now, *report),
             Message::Fetch(fetch) => self.handle_fetch(now, from, fetch, out),
             Message::FetchResponse(part) => self.handle_fetch_response(now, part, out),
             Message::HandOver(handover) => self.accept_handover(now, from, *handover, out),
--- a/lib/src/request/crash_evidence.rs
+++ b/lib/src/request/crash_evidence.rs
@@ -17,6 +17,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{ids::UpstreamId, units::Time};
 
@@ -46,6 +47,8 @@
 const PROBE_STAGGER: Duration = Duration::from_secs(1);
 /// The time for which an observation is reported to peers.
 const REPORT_TTL: Duration = Duration::from_secs(3);
+/// The interval at which expired evidence is removed.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 /// A response that has been produced for this long clears its parts, since the crash follows the
 /// first token of a response.
 pub const SOUND_AFTER: Duration = Duration::from_millis(500);
@@ -57,6 +60,14 @@
 const MAX_BARS: usize = 256;
 const MAX_REPORTED_SUSPECTS: usize = 256;
 
+/// Returns the shared parts of a prompt that consists of text: its lines, but for the last one, which
+/// is the request's own.
+pub fn prompt_lines(prompt: &str) -> impl Iterator<Item = PartId> + Clone {
+    let shared = prompt.trim_end().rsplit_once('\n').map_or("", |(shared, _)| shared);
+    let lines = shared.lines().filter(|line| !line.trim().is_empty());
+    lines.take(MAX_PARTS).map(|line| PartId(xxh3_64(line.as_bytes())))
+}
+
 /// Identifies a part of a prompt that other requests may share.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
@@ -292,10 +303,18 @@
     cleared: Vec<(Cause, Time)>,
     /// When crashes that have settled have to be evaluated.
     evaluate_at: Option<Time>,
+    expired_at: Time,
     has_news: bool,
     changes: Vec<Change>,
 }
 
+impl Default for CrashEvidence {
+    /// Creates evidence for a daemon that records no crashes itself.
+    fn default() -> Self {
+        Self::new(usize::MAX)
+    }
+}
+
 impl CrashEvidence {
     pub fn new(min_content_crashes: usize) -> Self {
         Self {
@@ -305,6 +324,7 @@
             bars: IndexMap::new(),
             cleared: Vec::new(),
             evaluate_at: None,
+            expired_at: Time::default(),
             has_news: false,
             changes: Vec::new(),
         }
@@ -507,6 +527,10 @@
 
     /// Removes the evidence that has expired.
     pub fn expire(&mut self, now: Time) {
+        if now.since(self.expired_at) < EXPIRY_INTERVAL {
+            return;
+        }
+        self.expired_at = now;
         self.crashes.retain(|crash| now.since(crash.at) < EVIDENCE_TTL);
         self.served.retain(|_, at| now.since(*at) < EVIDENCE_TTL);
         self.cleared.retain(|(_, at)| now.since(*at) < REPORT_TTL);
--- a/lib/src/request/exchange.rs
+++ b/lib/src/request/exchange.rs
@@ -17,8 +17,9 @@
     placement::load::LoadReport,
     request::{
         completion::{CompletionWire, DONE, ResponseEventWire, UsageWire},
+        crash_evidence::{PartId, SOUND_AFTER, Suspect, prompt_lines},
         outcome::{DispatchState, RunOutcome, Undispatched, UpstreamRefusal},
-        poison::Digest,
+        poison::{Digest, PROGRESS_TOKENS},
         response_tokens::ResponseTokens,
         sse::{EventScanner, SseEvent, SseReader},
     },
@@ -70,6 +71,21 @@
     pub fn streams(&self) -> bool {
         self.completion.as_ref().is_some_and(|wire| wire.stream)
     }
+
+    /// Returns a short hash of its content, under which crashes of upstreams are counted.
+    pub fn content_hash(&self) -> u64 {
+        self.digest.first_chunk().map_or(0, |bytes| u64::from_le_bytes(*bytes))
+    }
+
+    /// Returns the parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> impl Iterator<Item = PartId> + Clone {
+        prompt_lines(self.completion.as_ref().map_or("", |wire| &wire.prompt))
+    }
+
+    /// Returns the request as a suspect in the crash of an upstream.
+    pub fn suspect(&self) -> Suspect {
+        Suspect::new(self.content_hash(), self.shared_parts())
+    }
 }
 
 /// The upstream selected for an attempt.
@@ -183,6 +199,15 @@
     usage: Option<UsageWire>,
 }
 
+impl Attempt {
+    /// Reports whether the attempt has produced enough of the response that a crash of its upstream
+    /// has another cause. `next_offset` is the number of tokens of the response.
+    pub fn is_sound(&self, now: Time, next_offset: u64) -> bool {
+        next_offset >= self.start_offset + PROGRESS_TOKENS
+            || self.first_output_at.is_some_and(|at| now.since(at) >= SOUND_AFTER)
+    }
+}
+
 /// The response of a plain service, or another response that is forwarded unchanged.
 #[derive(Clone, Debug, Default)]
 pub struct PlainResponse {
--- a/lib/src/request/message.rs
+++ b/lib/src/request/message.rs
@@ -15,6 +15,7 @@
     request::{
         CallerId,
         completion::{CompletionWire, UsageWire},
+        crash_evidence,
         poison::Digest,
     },
 };
@@ -94,6 +95,8 @@
         /// How long it is refused.
         refused_for: Duration,
     },
+    /// Evidence against requests and prompts that crash upstreams; sent to every daemon.
+    CrashEvidence(Box<crash_evidence::Report>),
     /// See [`Fetch`].
     Fetch(Fetch),
     /// See [`FetchResponse`].
@@ -115,7 +118,7 @@
             Self::Fetch(fetch) => Some(&fetch.request),
             Self::HandOver(handover) => Some(&handover.request),
             Self::HandOverReply { request, .. } => Some(request),
-            Self::Poison { .. } | Self::FetchResponse(_) => None,
+            Self::Poison { .. } | Self::CrashEvidence(_) | Self::FetchResponse(_) => None,
         }
     }
 }
@@ -153,6 +156,9 @@
     /// See [`Message::Poison`]; the time is in milliseconds.
     #[serde(rename = "x")]
     Poison(#[serde(with = "serde_bytes")] Digest, u64),
+    /// See [`Message::CrashEvidence`].
+    #[serde(rename = "e")]
+    CrashEvidence(Box<crash_evidence::ReportWire>),
     /// See [`Message::Fetch`]: thread, caller, request, customer and offset.
     #[serde(rename = "f")]
     Fetch(u16, u64, RequestId, Option<CustomerName>, u64),
@@ -211,6 +217,7 @@
             Message::Poison { digest, refused_for } => {
                 Self::Poison(digest, refused_for.as_millis() as u64)
             }
+            Message::CrashEvidence(report) => Self::CrashEvidence(Box::new((*report).into())),
             Message::Fetch(Fetch { id, request, customer, next }) => {
                 Self::Fetch(id.thread, id.caller.0, request, customer, next)
             }
@@ -232,6 +239,7 @@
             MessageWire::Poison(digest, ms) => {
                 Self::Poison { digest, refused_for: Duration::from_millis(ms) }
             }
+            MessageWire::CrashEvidence(wire) => Self::CrashEvidence(Box::new((*wire).into())),
             MessageWire::Fetch(thread, caller, request, customer, next) => {
                 Self::Fetch(Fetch { id: id(thread, caller), request, customer, next })
             }
--- a/lib/src/request/poison.rs
+++ b/lib/src/request/poison.rs
@@ -15,7 +15,7 @@
 /// How long a single crash is remembered.
 const CRASH_TTL: Duration = Duration::from_mins(2);
 /// The number of tokens of progress after which an earlier crash no longer counts.
-const PROGRESS_TOKENS: u64 = 8;
+pub const PROGRESS_TOKENS: u64 = 8;
 /// The maximum number of remembered digests.
 const MAX_DIGESTS: usize = 4096;
 
--- a/lib/tests/fleet/fleet_sim.rs
+++ b/lib/tests/fleet/fleet_sim.rs
@@ -20,6 +20,7 @@
         message::PacketWire,
         peers::{Config, LinkEffect, LinkEvent},
     },
+    request::crash_evidence::Cause,
     store::{CallError, Operation, Reply, memory::MemoryStore},
     units::Time,
 };
@@ -45,6 +46,8 @@
     pub refused: Vec<Box<str>>,
     /// The number of flooded messages received.
     pub floods: u64,
+    /// Causes of crashes that were reported to its traffic threads.
+    pub barred: Vec<Cause>,
     pub bytes_sent: u64,
     pub packets_sent: u64,
     pub platform_calls: u64,
@@ -109,6 +112,7 @@
             fresh_with: None,
             refused,
             floods: 0,
+            barred: Vec::new(),
             bytes_sent,
             packets_sent,
             platform_calls,
@@ -208,6 +212,9 @@
             }
             Output::Rejected(reason) => node.refused.push(reason),
             Output::Poison(..) => node.floods += 1,
+            Output::CrashEvidence(report) => {
+                node.barred.extend(report.bars.iter().map(|bar| bar.cause));
+            }
             Output::Link(LinkEffect::Dial(link, address)) => {
                 let found = |node: &Option<Node>| {
                     node.as_ref().is_some_and(|node| node.own.address == address)
--- a/lib/tests/fleet/main.rs
+++ b/lib/tests/fleet/main.rs
@@ -9,7 +9,10 @@
     ids::Generation,
     node::control::Input,
     peer::{Member, Recipient, peers::Peers},
-    request::message::Message,
+    request::{
+        crash_evidence::{BarReport, Cause, PartId, Report},
+        message::Message,
+    },
     store::memory::MemoryStore,
 };
 
@@ -233,6 +236,25 @@
     sim.input(Duration::ZERO, from, Input::RequestMessage(Recipient::Flood, message));
 }
 
+#[test]
+fn restarted_daemon_learns_what_crashes_upstreams() {
+    let mut sim = converged_fleet(15, 32, 4, 2);
+    let cause = Cause::Part(PartId(66));
+    let left = Duration::from_mins(5);
+    let bar = BarReport { cause, crash_age: Duration::ZERO, left, failed_probes: 2 };
+    let report = Report { bars: vec![bar], ..Report::default() };
+    let message = Message::CrashEvidence(Box::new(report));
+    sim.input(Duration::ZERO, 9, Input::RequestMessage(Recipient::Flood, message));
+    sim.run(Duration::from_mins(2), |_| false);
+    assert!(sim.live().all(|node| node.barred == [cause]), "the flood reaches each once");
+    sim.crash(3, true);
+    assert!(sim.run(SETTLE_TIMEOUT, |sim| members_agree(sim, 31)));
+    let restarted = sim.add(config(3, 4, 2, 2));
+    assert!(sim.run(SETTLE_TIMEOUT, |sim| {
+        sim.nodes[restarted].as_ref().is_some_and(|node| node.barred.contains(&cause))
+    }));
+}
+
 #[test]
 fn flood_reaches_each_once() {
     let mut sim = converged_fleet(14, 64, 13, 5);
