--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -13,6 +13,7 @@
         head::ResponseHead,
     },
     ids::{RouteName, ServiceName},
+    limit::upstream::RequestRate,
     request::crash_evidence::{SOUND_AFTER, Suspect},
     units::Time,
 };
@@ -231,6 +232,7 @@
                         load,
                     );
                 }
+                self.record_limit(&head);
                 self.connection = Some(connection);
                 if is_not_run(&head, self.cx.header_schema.not_run) {
                     log::info!(event = "not-run", request:% = req.id, upstream:% = self.upstream.id, status = head.status; "");
@@ -241,6 +243,18 @@
         }
     }
 
+    /// Records the limit that a response names, or that it names none.
+    fn record_limit(&self, head: &ResponseHead) {
+        let text = head.headers.text(self.cx.header_schema.rate_limit);
+        let rate = text.map(str::parse::<RequestRate>).transpose().unwrap_or_else(|error| {
+            log::warn!(event = "malformed-limit", upstream:% = self.upstream.id, limit = text, error:%; "the limit that an upstream named is ignored");
+            None
+        });
+        let mut state = self.cx.state.borrow_mut();
+        let (id, sent_at) = (&self.upstream.id, self.ticket.chosen_at);
+        state.upstream_limits.record(self.cx.now(), id, sent_at, rate);
+    }
+
     async fn connect(&self, expires_at: Time) -> io::Result<Connection> {
         let now = self.cx.now();
         let idle = self.cx.pool.borrow_mut().acquire(now, &self.upstream.id);
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -9,8 +9,9 @@
 };
 
 use dogwoodturn::{
-    edge::crash_log,
+    edge::change_log,
     ids::{CustomerName, Incarnation, ServiceName, UpstreamId},
+    limit::upstream::UpstreamLimits,
     request::crash_evidence::{CrashEvidence, Verdict},
     units::{Time, WallTime},
 };
@@ -64,6 +65,8 @@
     pub quotas: Quotas,
     /// Budgets for retries, by service.
     pub retries: RetryBudgets,
+    /// The limits that upstreams name.
+    pub upstream_limits: UpstreamLimits,
     /// The requests and prompt parts that crash upstreams.
     pub crash_evidence: CrashEvidence,
     pub rollouts: Rollouts,
@@ -141,7 +144,13 @@
     /// Removes the crash evidence that has expired, and logs what was barred or cleared.
     pub fn update_crash_evidence(&mut self, now: Time) {
         self.crash_evidence.expire(now);
-        self.crash_evidence.take_changes().iter().for_each(crash_log::log_change);
+        self.crash_evidence.take_changes().iter().for_each(change_log::log_crash_cause);
+    }
+
+    /// Removes the upstreams' limits that have expired, and logs those that have changed.
+    pub fn update_upstream_limits(&mut self, now: Time) {
+        self.upstream_limits.expire(now);
+        self.upstream_limits.take_changes().iter().for_each(change_log::log_upstream_limit);
     }
 
     /// Applies a peer's state message.
@@ -221,6 +230,7 @@
     /// Discards the placement's records of an upstream that is gone or has restarted.
     pub fn reset_upstream(&mut self, upstream: &UpstreamId) {
         self.placement.remove_upstream(upstream);
+        self.upstream_limits.remove(upstream);
     }
 }
 
@@ -271,6 +281,7 @@
             placement: Placement::default(),
             quotas: Quotas::new(bounds.quotas, now, settings.first_start),
             retries: RetryBudgets::new(bounds.retries),
+            upstream_limits: UpstreamLimits::default(),
             crash_evidence: CrashEvidence::new(MIN_CONTENT_CRASHES),
             rollouts: Rollouts::new(bounds.canary_share),
             autoscaler: Autoscaler::default(),
--- a/gateway/src/header_schema.rs
+++ b/gateway/src/header_schema.rs
@@ -72,6 +72,8 @@
     pub not_run: &'static str,
     /// The load of an upstream, in its responses.
     pub load: &'static str,
+    /// The requests a second that an upstream takes from all daemons together, in its responses.
+    pub rate_limit: &'static str,
     /// The ID of the last event of a stream that the caller has.
     pub last_event: &'static str,
     /// The urgency of a request at an upstream, from 0 to 9.
--- a/gateway/src/maintenance.rs
+++ b/gateway/src/maintenance.rs
@@ -26,6 +26,7 @@
             state.decide_hub(now);
             assume_bursts_spent(&mut state);
             state.update_crash_evidence(now);
+            state.update_upstream_limits(now);
             state.directory.evict_expired(now)
         };
         {
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -44,6 +44,7 @@
         expected_upstream: "X-Expected",
         not_run: "X-Not-Run",
         load: "X-Load",
+        rate_limit: "X-Limit",
         last_event: "X-Last-Event",
         urgency: "X-Urgency",
         reserved: &["X-Pin"],
--- /dev/null
+++ b/lib/src/edge/change_log.rs
@@ -0,0 +1,26 @@
+//! Logs of changes in what upstreams are sent.
+
+use crate::{limit::upstream, request::crash_evidence::Change};
+
+/// Logs that requests are refused from now on, or no longer are.
+pub fn log_crash_cause(change: &Change) {
+    match change {
+        Change::Barred { cause, crashes, requests } => {
+            log::warn!(event = "barred", cause:%, crashes, requests, source = "own"; "requests are refused, since upstreams crash with them");
+        }
+        Change::BarredByPeer(cause) => {
+            log::warn!(event = "barred", cause:%, source = "peer"; "");
+        }
+        Change::Cleared(cause) => log::info!(event = "cleared", cause:%; ""),
+    }
+}
+
+/// Logs the limit that an upstream names, or that it names none any more.
+pub fn log_upstream_limit(change: &upstream::Change) {
+    match change.rate {
+        Some(rate) => {
+            log::info!(event = "upstream-limit", upstream:% = change.upstream, rate:%; "");
+        }
+        None => log::info!(event = "upstream-limit-ended", upstream:% = change.upstream; ""),
+    }
+}
--- a/lib/src/edge/driver.rs
+++ b/lib/src/edge/driver.rs
@@ -20,7 +20,7 @@
 };
 
 use crate::{
-    edge::{client::Client, crash_log, upstream},
+    edge::{change_log, client::Client, upstream},
     ids::RequestId,
     node::{
         control::Input,
@@ -272,7 +272,8 @@
             Effect::RequestClaim(claim_request) => (self.control)(Input::Claim(claim_request)),
             Effect::EndClaim(ticket, end) => (self.control)(Input::ClaimEnded(ticket, end)),
             Effect::ReportAttempt(report) => self.add_report(*report),
-            Effect::LogCrashCause(change) => crash_log::log_change(&change),
+            Effect::LogCrashCause(change) => change_log::log_crash_cause(&change),
+            Effect::LogUpstreamLimit(change) => change_log::log_upstream_limit(&change),
             Effect::Send(recipient, message) => {
                 (self.control)(Input::RequestMessage(recipient, message));
             }
--- a/lib/src/edge/mod.rs
+++ b/lib/src/edge/mod.rs
@@ -1,8 +1,8 @@
 //! HTTP interfaces for callers, upstreams and operators.
 
 pub mod caller;
+pub mod change_log;
 pub mod client;
-pub mod crash_log;
 pub mod driver;
 pub mod listen;
 pub mod operator;
--- a/lib/src/edge/upstream.rs
+++ b/lib/src/edge/upstream.rs
@@ -92,6 +92,7 @@
             .and_then(|seconds| seconds.parse().ok())
             .map(Duration::from_secs),
         load: read_load(headers),
+        rate_limit: headers.text("x-rate-limit").and_then(|text| text.parse().ok()),
     }
 }
 
--- a/lib/src/limit/mod.rs
+++ b/lib/src/limit/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod retry;
 pub mod share;
+pub mod upstream;
 pub mod window;
 
 use std::{sync::Arc, time::Duration};
--- a/lib/src/node/traffic/attempt.rs
+++ b/lib/src/node/traffic/attempt.rs
@@ -164,6 +164,12 @@
         {
             self.placement.record_load(now, &current.target.upstream, load);
         }
+        if let Some(current) = entry.exchange.attempt()
+            && current.number == attempt.number
+        {
+            let upstream = &current.target.upstream;
+            self.upstream_limits.record(now, upstream, current.started, head.rate_limit);
+        }
         let step = entry.exchange.handle_head(now, attempt.number, head);
         self.apply_step(now, attempt.exchange, step, out);
     }
--- a/lib/src/node/traffic/mod.rs
+++ b/lib/src/node/traffic/mod.rs
@@ -22,7 +22,7 @@
     claim::{ClaimOutcome, ClaimRequest, ClaimResponse, ClaimTicket},
     declaration::{RequestClass, ServiceKind},
     ids::{DaemonId, DataCentre, RequestId, ServiceName, UpstreamId, VersionName},
-    limit::Limits,
+    limit::{self, Limits, upstream::UpstreamLimits},
     node::{report::AttemptReport, snapshot::Snapshot},
     peer::Recipient,
     placement::Placement,
@@ -182,6 +182,8 @@
     ReportAttempt(Box<AttemptReport>),
     /// Log that requests are refused because upstreams crash with them, or no longer are.
     LogCrashCause(crash_evidence::Change),
+    /// Log the limit that an upstream names.
+    LogUpstreamLimit(limit::upstream::Change),
     /// Send a message to peers, or to another thread of this daemon.
     Send(Recipient, Message),
 }
@@ -280,6 +282,8 @@
     leaving: IndexMap<UpstreamId, Time>,
     placement: Placement,
     limits: Limits,
+    /// The limits that upstreams name.
+    upstream_limits: UpstreamLimits,
     entries: IndexMap<ExchangeId, Entry>,
     by_request: IndexMap<RequestId, ExchangeId>,
     by_caller: IndexMap<CallerId, ExchangeId>,
@@ -303,6 +307,7 @@
             leaving: IndexMap::new(),
             placement: Placement::with_seed(cfg.data_centre.clone(), cfg.seed),
             limits: Limits::new(),
+            upstream_limits: UpstreamLimits::default(),
             entries: IndexMap::new(),
             by_request: IndexMap::new(),
             by_caller: IndexMap::new(),
@@ -350,6 +355,7 @@
             Event::Woken => self.handle_wakeup(now, out),
         }
         self.share_crash_evidence(now, out);
+        out.extend(self.upstream_limits.take_changes().into_iter().map(Effect::LogUpstreamLimit));
     }
 
     /// Sends new evidence to all daemons, and reports what is refused from now on.
@@ -388,6 +394,7 @@
     fn handle_wakeup(&mut self, now: Time, out: &mut Vec<Effect>) {
         self.retained.expire(now);
         self.crash_evidence.expire(now);
+        self.upstream_limits.expire(now);
         while let Some(Reverse((at, timer))) = self.timers.peek().copied() {
             if at > now {
                 return;
--- a/lib/src/request/exchange.rs
+++ b/lib/src/request/exchange.rs
@@ -13,6 +13,7 @@
         AttemptNumber, ClassName, CustomerName, MoveName, RequestId, RouteName, ServiceName,
         UpstreamId, VersionName, ZoneName,
     },
+    limit::upstream::RequestRate,
     node::report::{AttemptEnd, AttemptReport},
     placement::load::LoadReport,
     request::{
@@ -115,6 +116,8 @@
     pub retry_after: Option<Duration>,
     /// The load reported by the upstream, if any.
     pub load: Option<LoadReport>,
+    /// The requests a second that the upstream takes from all daemons together, if it names a limit.
+    pub rate_limit: Option<RequestRate>,
 }
 
 impl Head {
