--- a/gateway/tests/crashes.rs
+++ b/gateway/tests/crashes.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use support::{TestGateway, Upstream, UpstreamAction, get, ok};
+use support::{TestGateway, Upstream, UpstreamAction, exchange_messages, get, ok};
 
 /// The part of a prompt that crashes upstreams.
 const CRASHING_PART: &str = "66";
@@ -40,30 +40,14 @@
     upstreams.iter().map(|u| u.received.borrow().iter().filter(is_crashing).count()).sum()
 }
 
-/// Delivers the state messages of all gateways to all others.
-fn exchange_messages(gateways: &[&TestGateway]) {
-    for (index, from) in gateways.iter().enumerate() {
-        let mut message = from.cx.message();
-        message.daemon = format!("d{index}").parse().unwrap();
-        for (other, to) in gateways.iter().enumerate() {
-            if other != index {
-                let now = to.cx.now();
-                to.cx.state.borrow_mut().receive_message(now, from.callers, message.clone());
-            }
-        }
-    }
-}
-
 #[actix_rt::test]
 async fn requests_with_one_crashing_part_crash_upstream_after_upstream() {
     let (first, second, third) = (fragile_upstream(), fragile_upstream(), fragile_upstream());
     let upstreams = [&first, &second, &third];
-    let here = TestGateway::start(&upstreams).await;
-    let there = TestGateway::start(&upstreams).await;
-    let gateways = [&here, &there];
+    let gateways = [TestGateway::start(&upstreams).await, TestGateway::start(&upstreams).await];
     let mut refused = 0;
     for round in 0..12 {
-        let gateway = gateways[round % 2];
+        let gateway = &gateways[round % 2];
         let crashing = format!("1,{CRASHING_PART},{}", 1000 + round);
         let response = gateway.exchange(&with_parts(&crashing, &format!("c{round}"))).await;
         assert!(!response.starts_with("HTTP/1.1 200 "), "{response}");
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -15,6 +15,7 @@
 use dogwoodturn_gateway::{
     gateway::Gateway,
     header_schema::{HeaderSchema, LoadReport, Prompt, PromptPart},
+    peers::{PeerTable, StateMessage},
     serve,
     settings::Settings,
     store::{CallError, Store, Unreadable, UpstreamRecord},
@@ -345,6 +346,35 @@
     }
 }
 
+/// Returns a state message of each gateway, under names of their own.
+fn state_messages(gateways: &[TestGateway]) -> Vec<StateMessage> {
+    let message = |(index, gateway): (usize, &TestGateway)| StateMessage {
+        daemon: format!("d{index}").parse().unwrap(),
+        ..gateway.cx.message()
+    };
+    gateways.iter().enumerate().map(message).collect()
+}
+
+/// Delivers the state messages of all gateways to all others.
+pub fn exchange_messages(gateways: &[TestGateway]) {
+    let messages = state_messages(gateways);
+    for (index, to) in gateways.iter().enumerate() {
+        for (other, message) in messages.iter().enumerate().filter(|(other, _)| *other != index) {
+            let (now, from) = (to.cx.now(), gateways[other].callers);
+            to.cx.state.borrow_mut().receive_message(now, from, message.clone());
+        }
+    }
+}
+
+/// Lets each gateway know all others under the same names, and itself as one of them.
+pub fn introduce(gateways: &[TestGateway]) {
+    for (index, gateway) in gateways.iter().enumerate() {
+        let name = format!("d{index}").parse().unwrap();
+        gateway.cx.state.borrow_mut().peer_table = PeerTable::new(name);
+    }
+    exchange_messages(gateways);
+}
+
 pub fn record(index: usize, address: SocketAddr) -> UpstreamRecord {
     UpstreamRecord {
         id: format!("u{index}").parse().unwrap(),
--- a/lib/tests/fake_world/mod.rs
+++ b/lib/tests/fake_world/mod.rs
@@ -14,6 +14,7 @@
     declaration::check,
     ids::{DaemonId, Generation, Incarnation, RequestId, ServiceName},
     ini::Source,
+    limit::upstream::RequestRate,
     moves::share::TrafficSplit,
     node::{
         report::AttemptReport,
@@ -138,6 +139,8 @@
 }
 
 pub struct World {
+    /// The limits that the hosts name in their responses.
+    pub rate_limits: [Option<RequestRate>; ENGINES],
     pub now: Time,
     pub nodes: Vec<Node>,
     pub hosts: Vec<HostRecord>,
@@ -192,6 +195,7 @@
             Node { traffic, daemon, draining: false, reports, kv_moves, last_caller: 0 }
         };
         let mut world = Self {
+            rate_limits: [None; ENGINES],
             now: Time(0),
             nodes: (0..daemons).map(node).collect(),
             hosts,
@@ -387,7 +391,8 @@
             return self.send_plain_response(index, 200);
         }
         if !std::mem::replace(&mut attempt.has_head, true) {
-            let head = Head { status: 200, is_event_stream: true, ..Head::default() };
+            let rate_limit = self.rate_limits[attempt.host];
+            let head = Head { status: 200, is_event_stream: true, rate_limit, ..Head::default() };
             self.handle_event(node, Event::AttemptHead(id, Box::new(head)));
         }
         let attempt = &mut self.attempts[index];
--- a/lib/tests/traffic.rs
+++ b/lib/tests/traffic.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dogwoodturn::{
+    limit::upstream::RequestRate,
     moves::share::{Share, TrafficSplit},
     node::traffic::Event,
     request::{
@@ -667,3 +668,46 @@
     assert!(sent <= ALLOWED, "{sent} requests with one line were sent to engines");
     assert!(refused > 0, "no request with the line was refused as not run");
 }
+
+#[test]
+fn engine_gets_more_requests_than_the_limit_that_it_named() {
+    const LIMITED: usize = 1;
+    const WINDOW_MS: usize = 4000;
+    let limit = 3.0;
+    let mut world = World::new(5, 0);
+    world.rate_limits[LIMITED] = RequestRate::new(limit);
+    let mut arrivals = Vec::new();
+    for ms in (0..20_000).step_by(20) {
+        for node in 0..5 {
+            let before = world.attempts.len();
+            world.complete(node, &format!("phrase {node} {ms}"), 10, true);
+            for attempt in before..world.attempts.len() {
+                arrivals.extend((world.attempts[attempt].host == LIMITED).then_some(ms));
+                world.progress(attempt, 10, 0);
+            }
+        }
+        world.deliver_all();
+        world.advance(20 * MS);
+    }
+    arrivals.retain(|ms| *ms >= 1000);
+    assert!(!arrivals.is_empty(), "the engine gets no requests at all");
+    let in_window =
+        |from: usize| arrivals.iter().filter(|ms| (from..from + WINDOW_MS).contains(*ms)).count();
+    let most = arrivals.iter().map(|ms| in_window(*ms)).max().unwrap_or(0);
+    let allowed = limit * 4.0 * 1.5 + 5.0;
+    assert!(most as f64 <= allowed, "{most} requests in 4 s, of {allowed} allowed");
+    // The limit ends with the first response that does not name it.
+    world.rate_limits[LIMITED] = None;
+    let before = world.attempts.len();
+    for ms in (0..4000).step_by(20) {
+        for node in 0..5 {
+            let first = world.attempts.len();
+            world.complete(node, &format!("word {node} {ms}"), 10, true);
+            (first..world.attempts.len()).for_each(|attempt| world.progress(attempt, 10, 0));
+        }
+        world.deliver_all();
+        world.advance(20 * MS);
+    }
+    let at_limited = world.attempts[before..].iter().filter(|a| a.host == LIMITED).count();
+    assert!(at_limited > 100, "only {at_limited} requests after the limit has ended");
+}
