placement: limits that upstreams name hold over all gateways

Class: a header of a response that goes unread, and a limit that belongs to the upstream and not to one gateway.

Change: a few gateways, by rendezvous hashing over the known ones, share the limit in equal parts with at most one request saved up; placement leaves out upstreams to which no request may be sent now, for first sends, retries, resumed streams and hedges alike. What one gateway observes, the others get at once, and with each state message, so that one that restarts knows it.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     autoscaler::Autoscaler,
-    directory::Directory,
+    directory::{Directory, Upstream},
     header_schema::{HeaderSchema, Prompt},
     hubs::{self, HubMessage, HubStatus, Hubs, Total},
     lease::Lease,
@@ -120,8 +120,23 @@
             self.peer_work_refreshed = now;
             self.placement.set_peers(&self.peer_table.views(now));
         }
-        let live = self.directory.live(now, criteria.service);
-        self.placement.choose(now, &live, criteria)
+        let mut live = self.directory.live(now, criteria.service);
+        let shortest_wait = retain_within_limits(
+            &mut self.upstream_limits,
+            &self.peer_table,
+            now,
+            &mut live,
+            criteria,
+        );
+        let selection = self.placement.choose(now, &live, criteria);
+        match (&selection, shortest_wait) {
+            (Selection::Upstream(ticket), _) => self.upstream_limits.record_sent(&ticket.upstream),
+            (Selection::NoUpstream, Some(wait)) => {
+                return Selection::Refused { retry_after: wait, wait };
+            }
+            _ => {}
+        }
+        selection
     }
 
     /// Returns the shortest predicted time to a first response among upstreams that a request was
@@ -131,7 +146,9 @@
         now: Time,
         criteria: &SelectionCriteria<'_>,
     ) -> Option<Duration> {
-        let live = self.directory.live(now, criteria.service);
+        let mut live = self.directory.live(now, criteria.service);
+        let (limits, peers) = (&mut self.upstream_limits, &self.peer_table);
+        retain_within_limits(limits, peers, now, &mut live, criteria);
         self.placement.best_elsewhere(now, &live, criteria)
     }
 
@@ -156,6 +173,8 @@
     /// Applies a peer's state message.
     pub fn receive_message(&mut self, now: Time, from: SocketAddr, message: StateMessage) {
         self.crash_evidence.merge(now, message.crash_evidence.clone().into());
+        let limits = message.upstream_limits.iter().cloned().map(Into::into);
+        self.upstream_limits.merge(now, limits);
         for (service, version) in &message.blocked_versions {
             self.rollouts.block_version(service, version);
         }
@@ -417,6 +436,7 @@
         let now = self.now();
         let state = self.state.borrow();
         self.last_message_number.set(self.last_message_number.get() + 1);
+        let upstream_limits = state.upstream_limits.reports(now);
         StateMessage {
             daemon: self.settings().name.clone(),
             incarnation: self.incarnation,
@@ -430,6 +450,7 @@
             work: reported_work(&state.placement),
             demands: state.placement.demands(now),
             crash_evidence: state.crash_evidence.report(now).into(),
+            upstream_limits: upstream_limits.into_iter().map(Into::into).collect(),
             tallies: state.rollouts.local_tallies(),
             blocked_versions: state.rollouts.blocked_versions().to_vec(),
             upstreams_at: state.views.synced_revision(Kind::Upstreams),
@@ -475,6 +496,29 @@
     }
 }
 
+/// Removes the upstreams to which their limits allow no request now, and returns the shortest time
+/// until one of those that may run the request may be sent one.
+fn retain_within_limits(
+    limits: &mut UpstreamLimits,
+    peers: &PeerTable,
+    now: Time,
+    live: &mut Vec<&Upstream>,
+    criteria: &SelectionCriteria<'_>,
+) -> Option<Duration> {
+    if limits.is_empty() {
+        return None;
+    }
+    let mut shortest_wait: Option<Duration> = None;
+    live.retain(|upstream| {
+        let wait = limits.wait(now, &upstream.record.id, |id| peers.position(id));
+        if !wait.is_zero() && criteria.allows(upstream) {
+            shortest_wait = Some(shortest_wait.map_or(wait, |shortest| shortest.min(wait)));
+        }
+        wait.is_zero()
+    });
+    shortest_wait
+}
+
 fn reported_work(placement: &Placement) -> Vec<ReportedWork> {
     let percent = |share: f64| (share * 100.0).round().clamp(0.0, 100.0) as u8;
     let reports = placement.local_load().into_iter().map(|(upstream, work, failure_score)| {
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -79,6 +79,7 @@
             continue;
         }
         broadcast_crash_evidence(&cx, &socket, &peers).await;
+        broadcast_upstream_limits(&cx, &socket, &peers).await;
         broadcast_as_hub(&cx, &socket, &peers, &mut last_hub_broadcast).await;
         let peer_at = |step| peers[(next_peer + step) % peers.len()];
         let mut recipients: Vec<_> = (0..peers.len().min(MAX_RECIPIENTS)).map(peer_at).collect();
@@ -164,6 +165,19 @@
     send(socket, &Datagram::CrashEvidence(report.into()), peers).await;
 }
 
+/// Broadcasts the limits that upstreams name if one has changed.
+async fn broadcast_upstream_limits(cx: &Gateway, socket: &UdpSocket, peers: &[SocketAddr]) {
+    let reports = {
+        let mut state = cx.state.borrow_mut();
+        if !state.upstream_limits.take_news() {
+            return;
+        }
+        state.upstream_limits.reports(cx.now())
+    };
+    let datagram = Datagram::UpstreamLimits(reports.into_iter().map(Into::into).collect());
+    send(socket, &datagram, peers).await;
+}
+
 async fn send(socket: &UdpSocket, datagram: &Datagram, recipients: &[SocketAddr]) {
     let mut bytes = Vec::with_capacity(2048);
     if let Err(error) = ciborium::into_writer(datagram, &mut bytes) {
@@ -197,6 +211,10 @@
             Ok(Datagram::Work(message)) => {
                 cx.state.borrow_mut().peer_table.receive_work(cx.now(), message);
             }
+            Ok(Datagram::UpstreamLimits(reports)) => {
+                let reports = reports.into_iter().map(Into::into);
+                cx.state.borrow_mut().upstream_limits.merge(cx.now(), reports);
+            }
             Ok(Datagram::CrashEvidence(report)) => {
                 cx.state.borrow_mut().crash_evidence.merge(cx.now(), report.into());
             }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -11,11 +11,13 @@
         CustomerName, DaemonId, Incarnation, Revision, RouteName, ServiceName, UpstreamId,
         VersionName,
     },
+    limit::{self, upstream::Position},
     request::crash_evidence,
     units::{Time, WallTime},
 };
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     hubs::HubMessage,
@@ -50,6 +52,8 @@
     Work(WorkMessage),
     /// A daemon's new crash evidence, which cannot wait for its next state message.
     CrashEvidence(crash_evidence::ReportWire),
+    /// Limits that upstreams have named, changed or ended.
+    UpstreamLimits(Vec<limit::upstream::ReportWire>),
 }
 
 /// A daemon's work at upstreams.
@@ -89,6 +93,9 @@
     /// Evidence against requests and prompt parts that crash upstreams.
     #[serde(default, skip_serializing_if = "crash_evidence::ReportWire::is_empty")]
     pub crash_evidence: crash_evidence::ReportWire,
+    /// The limits that upstreams name.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub upstream_limits: Vec<limit::upstream::ReportWire>,
     /// Results of versions in a move.
     pub tallies: Vec<(ServiceName, VersionName, RouteName, Tally)>,
     #[serde(rename = "holds")]
@@ -254,6 +261,16 @@
         self.peers.iter().filter(precedes).count() as u32
     }
 
+    /// Returns this daemon's position among the known daemons, by rendezvous hashing with an upstream.
+    /// Silent daemons count, since they may only be out of contact.
+    pub fn position(&self, upstream: &UpstreamId) -> Position {
+        let seed = xxh3_64(upstream.as_str().as_bytes());
+        let weight = |daemon: &DaemonId| xxh3_64_with_seed(daemon.as_str().as_bytes(), seed);
+        let own = weight(&self.own_id);
+        let rank = self.peers.keys().filter(|daemon| weight(daemon) > own).count() as u32;
+        Position { rank, count: self.size() }
+    }
+
     /// Returns the peers' reports on a customer's quota.
     pub fn admitted(&self, now: Time, customer: &CustomerName) -> quota::PeerAdmissions {
         let rounds = self.peers.len().div_ceil(MAX_RECIPIENTS).max(1) as u32;
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -234,7 +234,7 @@
 
 impl SelectionCriteria<'_> {
     /// Reports whether an upstream may run the request and has not received it yet.
-    fn allows(&self, upstream: &Upstream) -> bool {
+    pub fn allows(&self, upstream: &Upstream) -> bool {
         self.versions.allows(&upstream.record.version) && !self.tried.contains(&upstream.record.id)
     }
 }
--- a/lib/src/limit/upstream.rs
+++ b/lib/src/limit/upstream.rs
@@ -106,7 +106,7 @@
 
 /// The wire format of a [`Report`]; the age is in milliseconds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ReportWire(UpstreamId, Option<f64>, u64);
+pub struct ReportWire(pub UpstreamId, pub Option<f64>, pub u64);
 
 impl From<Report> for ReportWire {
     fn from(report: Report) -> Self {
