traffic: limits that engines name hold over all daemons

Change: traffic threads share a limit as gateways do, with the threads of all members in the rendezvous order; what one observes is flooded, and again every ten seconds while responses name it. Without an upstream the request is refused at once with the time until one may be sent. The stand-in engine names a limit on demand.

--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -287,6 +287,11 @@
                     self.send_event(thread, Event::CrashEvidence(report.clone()));
                 }
             }
+            Output::UpstreamLimits(reports) => {
+                for thread in 0..self.threads() {
+                    self.send_event(thread, Event::UpstreamLimits(reports.clone()));
+                }
+            }
             Output::RequestMessage(from, message) => self.route_message(from, message),
             // Emitted only by a control state without peers; this one has them.
             Output::Send(..) => {}
--- a/lib/src/limit/upstream.rs
+++ b/lib/src/limit/upstream.rs
@@ -285,6 +285,20 @@
         Duration::from_secs_f64(wait.min(MAX_WAIT.as_secs_f64()))
     }
 
+    /// Returns the upstreams to which no request may be sent now, and the time until one may be.
+    pub fn exhausted(
+        &mut self,
+        now: Time,
+        position: impl Fn(&UpstreamId) -> Position,
+    ) -> Vec<(UpstreamId, Duration)> {
+        let upstreams: Vec<_> = self.limits.keys().cloned().collect();
+        let waits = upstreams.into_iter().map(|upstream| {
+            let wait = self.wait(now, &upstream, &position);
+            (upstream, wait)
+        });
+        waits.filter(|(_, wait)| !wait.is_zero()).collect()
+    }
+
     /// Counts a request that is sent to an upstream.
     pub fn record_sent(&mut self, upstream: &UpstreamId) {
         if let Some(limit) = self.limits.get_mut(upstream) {
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -15,6 +15,7 @@
     },
     declaration::active_config::{self, ActiveConfig},
     ids::{CallId, DaemonId, RequestId},
+    limit,
     moves::{
         controller::{self, Moves},
         evidence::DaemonRun,
@@ -111,6 +112,8 @@
     Poison(request::poison::Digest, Duration),
     /// Deliver evidence against requests that crash upstreams to each traffic thread.
     CrashEvidence(Box<request::crash_evidence::Report>),
+    /// Deliver the limits that upstreams name to each traffic thread.
+    UpstreamLimits(Vec<limit::upstream::Report>),
     /// Deliver a message about a request to the traffic thread that it concerns.
     RequestMessage(DaemonId, request::message::Message),
     /// Send a message to peers; emitted only if [`Control::with_peers`] was not called.
--- a/lib/src/node/requests.rs
+++ b/lib/src/node/requests.rs
@@ -16,6 +16,9 @@
     if let Message::CrashEvidence(report) = &message {
         out.push(Output::CrashEvidence(report.clone()));
     }
+    if let Message::UpstreamLimits(reports) = &message {
+        out.push(Output::UpstreamLimits(reports.clone()));
+    }
     out.push(Output::Send(recipient, PeerMessage::Request(message)));
 }
 
@@ -24,6 +27,7 @@
     out.push(match message {
         Message::Poison { digest, refused_for } => Output::Poison(digest, refused_for),
         Message::CrashEvidence(report) => Output::CrashEvidence(report),
+        Message::UpstreamLimits(reports) => Output::UpstreamLimits(reports),
         message => Output::RequestMessage(from, message),
     });
 }
--- a/lib/src/node/traffic/attempt.rs
+++ b/lib/src/node/traffic/attempt.rs
@@ -65,9 +65,11 @@
             Some(target) => self.dispatch_to(now, id, target, out),
             None if entry.exchange.has_begun() => self.wait(id, now + RESUME_RETRY_DELAY),
             None => {
-                let retry_after = Some(entry.retry_after.unwrap_or(UPSTREAM_RETRY_AFTER));
-                let detail =
-                    format!("service {} has no upstream for it", entry.exchange.spec.service);
+                let (service, retry_after) =
+                    (entry.exchange.spec.service.clone(), entry.retry_after);
+                let wait = retry_after.or_else(|| self.shortest_limit_wait(now, &service));
+                let retry_after = Some(wait.unwrap_or(UPSTREAM_RETRY_AFTER));
+                let detail = format!("service {service} has no upstream for it");
                 self.refuse(now, id, RefusalKind::NoUpstream, &detail, retry_after, out);
             }
         }
@@ -99,6 +101,7 @@
     ) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         self.placement.record_start(&target.upstream);
+        self.upstream_limits.record_sent(&target.upstream);
         entry.phase = Phase::Running;
         let spec = entry.exchange.spec.clone();
         *self
--- a/lib/src/node/traffic/choose.rs
+++ b/lib/src/node/traffic/choose.rs
@@ -1,8 +1,10 @@
 //! Selection of an upstream for an attempt.
 
+use std::time::Duration;
+
 use super::{Entry, Traffic};
 use crate::{
-    ids::{MoveName, UpstreamId, VersionName},
+    ids::{MoveName, ServiceName, UpstreamId, VersionName},
     placement::SelectionCriteria,
     request::{
         ExchangeId,
@@ -59,6 +61,39 @@
         excluded_upstreams
     }
 
+    /// Lists the upstreams to which their limits allow no request now.
+    fn exhausted_upstreams(&mut self, now: Time) -> Vec<UpstreamId> {
+        let exhausted = self.exhausted_limits(now);
+        exhausted.into_iter().map(|(upstream, _)| upstream).collect()
+    }
+
+    fn exhausted_limits(&mut self, now: Time) -> Vec<(UpstreamId, Duration)> {
+        if self.upstream_limits.is_empty() {
+            return Vec::new();
+        }
+        let position = |upstream: &UpstreamId| Self::position(&self.snapshot, &self.cfg, upstream);
+        self.upstream_limits.exhausted(now, position)
+    }
+
+    /// Returns the shortest time until a limit allows a request to an upstream of a service, if one
+    /// allows none now.
+    pub(super) fn shortest_limit_wait(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+    ) -> Option<Duration> {
+        let exhausted = self.exhausted_limits(now);
+        let hosts = &self.snapshot.hosts;
+        let is_of_service = |upstream: &UpstreamId| {
+            hosts.iter().any(|host| host.upstream == *upstream && host.service == *service)
+        };
+        exhausted
+            .into_iter()
+            .filter(|(upstream, _)| is_of_service(upstream))
+            .map(|(_, wait)| wait)
+            .min()
+    }
+
     fn choose_with_version(
         &mut self,
         now: Time,
@@ -68,6 +103,8 @@
         move_name: Option<&MoveName>,
     ) -> Option<Target> {
         let snapshot = self.snapshot.clone();
+        let limited = self.exhausted_upstreams(now);
+        let with_limited = [excluded, &limited].concat();
         let mut choose = |excluded: &[UpstreamId]| {
             let service = &spec.service;
             let criteria = SelectionCriteria {
@@ -80,7 +117,7 @@
             self.placement.choose(now, &snapshot.hosts, &criteria)
         };
         // If all others are unavailable, use an upstream at which the request failed before.
-        let host = choose(excluded).or_else(|| choose(&[]))?;
+        let host = choose(&with_limited).or_else(|| choose(&limited))?;
         Some(target_for(host, move_name))
     }
 }
--- a/lib/src/node/traffic/mod.rs
+++ b/lib/src/node/traffic/mod.rs
@@ -17,12 +17,16 @@
 use indexmap::IndexMap;
 use rand::{Rng as _, SeedableRng as _};
 use rand_pcg::Pcg32;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     claim::{ClaimOutcome, ClaimRequest, ClaimResponse, ClaimTicket},
     declaration::{RequestClass, ServiceKind},
     ids::{DaemonId, DataCentre, RequestId, ServiceName, UpstreamId, VersionName},
-    limit::{self, Limits, upstream::UpstreamLimits},
+    limit::{
+        self, Limits,
+        upstream::{Position, UpstreamLimits},
+    },
     node::{report::AttemptReport, snapshot::Snapshot},
     peer::Recipient,
     placement::Placement,
@@ -119,6 +123,8 @@
     CrashEvidence(Box<crash_evidence::Report>),
     /// A peer, or another thread of this daemon, has sent a message.
     Peer(DaemonId, Message),
+    /// A peer, or another thread of this daemon, reports limits that upstreams name.
+    UpstreamLimits(Vec<limit::upstream::Report>),
     /// The time returned by [`Traffic::next_wakeup`] has been reached.
     Woken,
 }
@@ -352,9 +358,14 @@
                 self.poison.refuse(now, digest, refused_for);
             }
             Event::CrashEvidence(report) => self.crash_evidence.merge(now, *report),
+            Event::UpstreamLimits(reports) => self.upstream_limits.merge(now, reports),
             Event::Woken => self.handle_wakeup(now, out),
         }
         self.share_crash_evidence(now, out);
+        if self.upstream_limits.take_news() {
+            let reports = self.upstream_limits.reports(now);
+            out.push(Effect::Send(Recipient::Flood, Message::UpstreamLimits(reports)));
+        }
         out.extend(self.upstream_limits.take_changes().into_iter().map(Effect::LogUpstreamLimit));
     }
 
@@ -367,6 +378,22 @@
         out.extend(self.crash_evidence.take_changes().into_iter().map(Effect::LogCrashCause));
     }
 
+    /// Returns this thread's position among the traffic threads of all daemons, by rendezvous hashing with
+    /// an upstream.
+    fn position(snapshot: &Snapshot, cfg: &TrafficConfig, upstream: &UpstreamId) -> Position {
+        let seed = xxh3_64(upstream.as_str().as_bytes());
+        let weight = |daemon: &DaemonId, thread: u16| {
+            xxh3_64_with_seed(daemon.as_str().as_bytes(), seed.wrapping_add(thread.into()))
+        };
+        let own = weight(&cfg.origin.daemon, cfg.origin.thread);
+        let daemons = snapshot.members.iter().map(|member| &member.daemon);
+        let precedes =
+            |daemon| (0..cfg.threads).filter(|thread| weight(daemon, *thread) > own).count();
+        let rank = daemons.map(precedes).sum::<usize>() as u32;
+        let count = snapshot.members.len().max(1) as u32 * u32::from(cfg.threads.max(1));
+        Position { rank, count }
+    }
+
     /// Returns this thread's position in the order in which the traffic threads of all daemons probe
     /// what crashes upstreams.
     fn probe_rank(snapshot: &Snapshot, cfg: &TrafficConfig) -> u32 {
@@ -420,6 +447,7 @@
                 self.poison.refuse(now, digest, refused_for);
             }
             Message::CrashEvidence(report) => self.crash_evidence.merge(now, *report),
+            Message::UpstreamLimits(reports) => self.upstream_limits.merge(now, reports),
             Message::Fetch(fetch) => self.handle_fetch(now, from, fetch, out),
             Message::FetchResponse(part) => self.handle_fetch_response(now, part, out),
             Message::HandOver(handover) => self.accept_handover(now, from, *handover, out),
--- a/lib/src/request/message.rs
+++ b/lib/src/request/message.rs
@@ -12,6 +12,7 @@
 use crate::{
     declaration::{RequestClass, wire::WireError},
     ids::{CustomerName, RequestId, RouteName, ServiceName},
+    limit::upstream,
     request::{
         CallerId,
         completion::{CompletionWire, UsageWire},
@@ -97,6 +98,8 @@
     },
     /// Evidence against requests and prompts that crash upstreams; sent to every daemon.
     CrashEvidence(Box<crash_evidence::Report>),
+    /// The limits that upstreams name; sent to every daemon.
+    UpstreamLimits(Vec<upstream::Report>),
     /// See [`Fetch`].
     Fetch(Fetch),
     /// See [`FetchResponse`].
@@ -118,7 +121,10 @@
             Self::Fetch(fetch) => Some(&fetch.request),
             Self::HandOver(handover) => Some(&handover.request),
             Self::HandOverReply { request, .. } => Some(request),
-            Self::Poison { .. } | Self::CrashEvidence(_) | Self::FetchResponse(_) => None,
+            Self::Poison { .. }
+            | Self::CrashEvidence(_)
+            | Self::UpstreamLimits(_)
+            | Self::FetchResponse(_) => None,
         }
     }
 }
@@ -159,6 +165,9 @@
     /// See [`Message::CrashEvidence`].
     #[serde(rename = "e")]
     CrashEvidence(Box<crash_evidence::ReportWire>),
+    /// See [`Message::UpstreamLimits`].
+    #[serde(rename = "l")]
+    UpstreamLimits(Vec<upstream::ReportWire>),
     /// See [`Message::Fetch`]: thread, caller, request, customer and offset.
     #[serde(rename = "f")]
     Fetch(u16, u64, RequestId, Option<CustomerName>, u64),
@@ -218,6 +227,9 @@
                 Self::Poison(digest, refused_for.as_millis() as u64)
             }
             Message::CrashEvidence(report) => Self::CrashEvidence(Box::new((*report).into())),
+            Message::UpstreamLimits(reports) => {
+                Self::UpstreamLimits(reports.into_iter().map(Into::into).collect())
+            }
             Message::Fetch(Fetch { id, request, customer, next }) => {
                 Self::Fetch(id.thread, id.caller.0, request, customer, next)
             }
@@ -240,6 +252,9 @@
                 Self::Poison { digest, refused_for: Duration::from_millis(ms) }
             }
             MessageWire::CrashEvidence(wire) => Self::CrashEvidence(Box::new((*wire).into())),
+            MessageWire::UpstreamLimits(reports) => {
+                Self::UpstreamLimits(reports.into_iter().map(Into::into).collect())
+            }
             MessageWire::Fetch(thread, caller, request, customer, next) => {
                 Self::Fetch(Fetch { id: id(thread, caller), request, customer, next })
             }
--- a/lib/tests/exchange.rs
+++ b/lib/tests/exchange.rs
@@ -5,8 +5,10 @@
 use bytes::Bytes;
 use dogwoodturn::{
     ids::{CustomerName, DaemonId, Incarnation, RequestId},
+    limit::upstream,
     request::{
         CallerId,
+        crash_evidence::{BarReport, Cause, CrashReport, PartId, Report, Suspect},
         message::{Fetch, FetchEnd, FetchId, FetchResponse, Message, MessageWire},
         outcome::{DispatchState, RunOutcome, Undispatched, UpstreamRefusal},
         poison::{POISON_TTL, PoisonRequests},
@@ -242,8 +244,19 @@
     let fetched =
         FetchResponse { id, request: request.clone(), stream: true, offset: 4, tokens, end };
     let refused_for = Duration::from_secs(3);
+    let (upstream, age) = ("u1".parse().expect("a name"), Duration::from_millis(7));
+    let limit = upstream::Report { upstream, rate: upstream::RequestRate::new(2.5), age };
+    let cause = Cause::Part(PartId(66));
+    let suspects = vec![Suspect::new(9, [PartId(66)])];
+    let evidence = Report {
+        crashes: vec![CrashReport { upstream: limit.upstream.clone(), age, suspects }],
+        served: vec![(Cause::Content(9), age)],
+        bars: vec![BarReport { cause, crash_age: age, left: age, failed_probes: 1 }],
+    };
     let messages = [
         Message::Poison { digest: [9; 32], refused_for },
+        Message::CrashEvidence(Box::new(evidence)),
+        Message::UpstreamLimits(vec![limit]),
         Message::Fetch(fetch),
         Message::FetchResponse(fetched),
         Message::HandOverReply { request, accepted: true },
--- a/standins/src/engine/faults.rs
+++ b/standins/src/engine/faults.rs
@@ -9,6 +9,8 @@
     pub bad: Option<Bad>,
     /// Text that crashes the engine when a prompt contains it.
     pub poison: Option<String>,
+    /// The limit that responses name, in requests a second from all daemons together.
+    pub rate_limit: Option<f64>,
     /// Whether orders are applied even if their fencing number is stale.
     pub ignore_fencing: bool,
     /// Whether new requests are refused because the host is leaving.
--- a/standins/src/engine/server.rs
+++ b/standins/src/engine/server.rs
@@ -143,6 +143,7 @@
         };
         self.shared.submitted.notify_one();
         let load = self.delayed_load();
+        let rate_limit = self.lock().faults.rate_limit;
         let response = ActiveResponse { engine: self.clone(), id, rx };
         if wire.stream {
             let body = BodyStream::new(event_stream(response, hash));
@@ -151,6 +152,9 @@
             builder.insert_header(("x-load-running", load.running));
             builder.insert_header(("x-load-waiting", load.waiting));
             builder.insert_header(("x-load-age-ms", load.age_ms));
+            if let Some(limit) = rate_limit {
+                builder.insert_header(("x-rate-limit", limit.to_string()));
+            }
             return builder.body(body).map_into_boxed_body();
         }
         let mut builder = Response::build(StatusCode::OK);
