crash_evidence: contents at crashes that a barred part explains are cleared

Cause: in a soak, sound requests that were in progress at three crashes in a row were barred themselves, although the part that caused the crashes was barred a moment later. Change: crashes that a barred part of another request explains do not count against a content, here and in reports of peers. Result: check_content_at_crashes_of_a_barred_part_is_not_barred fails without it.

--- a/lib/src/request/crash_evidence.rs
+++ b/lib/src/request/crash_evidence.rs
@@ -466,7 +466,8 @@
 
     fn merge_bar(&mut self, now: Time, report: BarReport) {
         let (cause, last_crash) = (report.cause, now.ago(report.crash_age));
-        if self.served.get(&cause).is_some_and(|served| *served > last_crash) {
+        let is_explained = matches!(cause, Cause::Content(content) if self.is_explained(content));
+        if is_explained || self.served.get(&cause).is_some_and(|served| *served > last_crash) {
             return;
         }
         let until = now + report.left.min(MAX_BAR);
@@ -570,18 +571,48 @@
         if self.bars.contains_key(&cause) {
             return;
         }
-        let served = self.served.get(&cause).copied();
-        let crashes = self.crashes.iter().filter(|crash| {
-            served.is_none_or(|served| served < crash.at)
-                && crash.suspects().any(|suspect| suspect.content == content)
-        });
-        let times: Vec<Time> = crashes.map(|crash| crash.at).collect();
+        let times: Vec<Time> = self.content_crashes(content).collect();
         if times.len() >= self.min_content_crashes {
             let last_crash = times.iter().copied().max().unwrap_or(now);
             self.bar(now, cause, last_crash, times.len(), 1);
         }
     }
 
+    /// Returns when upstreams crashed with a content in progress, without those crashes that a barred
+    /// part of another request explains.
+    fn content_crashes(&self, content: u64) -> impl Iterator<Item = Time> {
+        let served = self.served.get(&Cause::Content(content)).copied();
+        let is_barred = |part: &PartId| self.bars.contains_key(&Cause::Part(*part));
+        let counted = self.crashes.iter().filter(move |crash| {
+            let mut own = crash.suspects().filter(|suspect| suspect.content == content).peekable();
+            own.peek().is_some()
+                && served.is_none_or(|served| served < crash.at)
+                && (own.any(|suspect| suspect.parts.iter().any(is_barred))
+                    || !crash.suspects().any(|suspect| suspect.parts.iter().any(is_barred)))
+        });
+        counted.map(|crash| crash.at)
+    }
+
+    /// Reports whether a barred part of other requests explains the crashes with a content.
+    fn is_explained(&self, content: u64) -> bool {
+        let is_known = |crash: &Crash| crash.suspects().any(|suspect| suspect.content == content);
+        self.crashes.iter().any(is_known)
+            && self.content_crashes(content).count() < self.min_content_crashes
+    }
+
+    /// Clears the contents that were barred because of crashes that a barred part explains.
+    fn clear_explained_contents(&mut self) {
+        let contents = self.bars.keys().filter_map(|cause| match cause {
+            Cause::Content(content) => Some(*content),
+            Cause::Part(_) => None,
+        });
+        let explained: Vec<u64> = contents.filter(|content| self.is_explained(*content)).collect();
+        for content in explained {
+            self.bars.shift_remove(&Cause::Content(content));
+            self.changes.push(Change::Cleared(Cause::Content(content)));
+        }
+    }
+
     /// Bars the parts that explain the crashes, if crashes have settled since the last call.
     fn evaluate(&mut self, now: Time) {
         if self.evaluate_at.is_none_or(|at| now < at) {
@@ -592,6 +623,7 @@
         while let Some((part, tally)) = self.best_explanation(now) {
             let (crashes, requests) = (tally.count, tally.requests.len());
             self.bar(now, Cause::Part(part), tally.last_crash, crashes, requests);
+            self.clear_explained_contents();
         }
     }
 
--- a/lib/tests/crash_evidence.rs
+++ b/lib/tests/crash_evidence.rs
@@ -153,6 +153,26 @@
     assert!(!is_barred(&mut evidence, 4000, slow) && !is_barred(&mut evidence, 4000, FIRST));
 }
 
+#[test]
+fn check_content_at_crashes_of_a_barred_part_is_not_barred() {
+    let mut evidence = CrashEvidence::new(3);
+    for number in 0..3 {
+        let content = number as u64;
+        let suspects = [suspect(content, &[FIRST, BAD]), suspect(77, &[FIRST, PartId(5)])];
+        crash(&mut evidence, content * 500, number, &suspects);
+        evidence.record_served(at(content * 500 + 100), OTHER, [FIRST].into_iter());
+    }
+    let sound = |evidence: &mut CrashEvidence, ms| {
+        evidence.check(at(ms), 77, [FIRST, PartId(5)].into_iter(), || 0)
+    };
+    assert!(matches!(sound(&mut evidence, 1100), Verdict::Barred { .. }));
+    let early = evidence.report(at(1100));
+    assert!(is_barred(&mut evidence, 1500, BAD));
+    assert_eq!(sound(&mut evidence, 1500), Verdict::Allowed);
+    evidence.merge(at(1600), early);
+    assert_eq!(sound(&mut evidence, 1600), Verdict::Allowed);
+}
+
 #[test]
 fn check_probe_is_sent_once_and_its_failure_prolongs_the_bar() {
     let mut evidence = barred();
