http: a response head without end is given up

Cause: each interim response was removed from the buffer before its length counted, so that interim responses without end held a request until its deadline. While a request was still being written, bytes that are no response were kept without a bound. Class: bytes without end from an upstream in trouble.

Gateways and daemons use the same code.

--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -273,7 +273,7 @@
         bytes: &[u8],
         req: &Request,
     ) -> io::Result<ResponseHead> {
-        let mut sent = 0;
+        let (mut sent, mut received) = (0, 0);
         while sent < bytes.len() {
             let ready = connection.stream.ready(Interest::READABLE | Interest::WRITABLE).await?;
             if ready.is_writable() {
@@ -286,13 +286,10 @@
             if ready.is_readable() && sent < bytes.len() {
                 match connection.try_read() {
                     Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                    Ok(_) => {
-                        let head = ResponseHead::try_parse(
-                            &mut connection.buf,
-                            MAX_RESPONSE_HEAD_BYTES,
-                            req.is_head_request(),
-                        );
-                        if let Ok(Some(head)) = head {
+                    Ok(length) => {
+                        received += length;
+                        let head = connection.try_parse_head(req.is_head_request(), received)?;
+                        if let Some(head) = head {
                             return self.skip_foreign_responses(connection, head, req).await;
                         }
                     }
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -1,7 +1,13 @@
 //! A gateway on loopback without a store, and upstreams that follow a script.
 #![allow(dead_code)]
 
-use std::{cell::RefCell, fmt::Write as _, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    fmt::Write as _,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use dogwoodturn::{
@@ -148,6 +154,11 @@
     Hang,
     /// Responds after the request head and reads more of the request later.
     RespondEarly(String),
+    /// Writes the first bytes, and then the others again and again until the gateway closes the
+    /// connection.
+    WriteForever(String, String),
+    /// The same, without reading the body of the request.
+    WriteForeverEarly(String, String),
     /// Closes all connections, and accepts none for [`CRASH_DOWNTIME`].
     Crash,
 }
@@ -174,6 +185,10 @@
     /// The number of connections that the gateway closed while [`UpstreamAction::Hang`] left a
     /// request without a response.
     pub abandoned: Rc<RefCell<u32>>,
+    /// The number of bytes that [`UpstreamAction::WriteForever`] has written.
+    pub endless_bytes: Rc<Cell<usize>>,
+    /// The number of connections on which it was stopped by the gateway.
+    pub endless_stopped: Rc<Cell<usize>>,
     crashed: Rc<Notify>,
 }
 
@@ -190,6 +205,8 @@
             address,
             received: Rc::default(),
             abandoned: Rc::default(),
+            endless_bytes: Rc::default(),
+            endless_stopped: Rc::default(),
             crashed: Rc::default(),
         };
         let (script, server) = (Rc::new(script), upstream.clone());
@@ -249,6 +266,10 @@
                 let _ = stream.read_buf(&mut buf).await;
                 return;
             }
+            if let UpstreamAction::WriteForeverEarly(first, repeated) = &action {
+                self.received.borrow_mut().push(received);
+                return self.write_forever(stream, first, repeated).await;
+            }
             let mut decoder = BodyDecoder::new(received.head.framing);
             let mut body = BytesMut::new();
             loop {
@@ -276,6 +297,12 @@
                     (text, ConnectionEnd::None)
                 }
                 UpstreamAction::Close => return,
+                UpstreamAction::WriteForever(first, repeated)
+                | UpstreamAction::WriteForeverEarly(first, repeated) => {
+                    return self
+                        .write_forever(stream, &first.replace("{id}", &id), &repeated)
+                        .await;
+                }
                 UpstreamAction::Crash => {
                     self.crashed.notify_waiters();
                     return;
@@ -300,6 +327,16 @@
         }
     }
 
+    async fn write_forever(&self, mut stream: TcpStream, first: &str, repeated: &str) {
+        let _ = stream.write_all(first.as_bytes()).await;
+        let block = repeated.repeat(4096 / repeated.len());
+        while stream.write_all(block.as_bytes()).await.is_ok() {
+            self.endless_bytes.set(self.endless_bytes.get() + block.len());
+            actix_rt::task::yield_now().await;
+        }
+        self.endless_stopped.set(self.endless_stopped.get() + 1);
+    }
+
     pub fn count(&self) -> usize {
         self.received.borrow().len()
     }
--- a/lib/src/http/connection.rs
+++ b/lib/src/http/connection.rs
@@ -13,7 +13,7 @@
 
 use crate::http::{
     body::{BodyDecoder, Step},
-    head::ResponseHead,
+    head::{HeadError, ResponseHead},
 };
 
 /// Limit for the acknowledgement of sent bytes; other data centres are a few milliseconds away.
@@ -105,19 +105,37 @@
         Ok(length)
     }
 
+    /// Reads the head of a response. Fails if it, together with the interim responses before it, is
+    /// longer than [`MAX_RESPONSE_HEAD_BYTES`].
     pub async fn read_head(&mut self, to_head_request: bool) -> io::Result<ResponseHead> {
+        let mut received = self.buf.len();
         loop {
-            match ResponseHead::try_parse(&mut self.buf, MAX_RESPONSE_HEAD_BYTES, to_head_request) {
-                Ok(Some(head)) => return Ok(head),
-                Ok(None) => {}
-                Err(error) => return Err(io::Error::new(io::ErrorKind::InvalidData, error)),
+            if let Some(head) = self.try_parse_head(to_head_request, received)? {
+                return Ok(head);
             }
-            if self.read().await? == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
+            match self.read().await? {
+                0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+                length => received += length,
             }
         }
     }
 
+    /// Removes the head of a response from the buffer, if it is complete. `received` is the number of
+    /// bytes that were received since the request, which interim responses may use up.
+    pub fn try_parse_head(
+        &mut self,
+        to_head_request: bool,
+        received: usize,
+    ) -> io::Result<Option<ResponseHead>> {
+        let parsed =
+            ResponseHead::try_parse(&mut self.buf, MAX_RESPONSE_HEAD_BYTES, to_head_request);
+        let parsed = match parsed {
+            Ok(None) if received > MAX_RESPONSE_HEAD_BYTES => Err(HeadError::TooLong),
+            parsed => parsed,
+        };
+        parsed.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
+    }
+
     /// Reads the next part of a body. Returns `None` at its regular end.
     pub async fn read_body(&mut self, decoder: &mut BodyDecoder) -> io::Result<Option<Bytes>> {
         loop {
