http: trailers without end are malformed

Cause: each trailer line was bounded, but not their number. Change: all trailer lines of a body together may have 8 KB.

--- a/gateway/tests/endless.rs
+++ b/gateway/tests/endless.rs
@@ -14,6 +14,10 @@
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nX-Id: {id}\r\n";
 
+fn chunked(media_type: &str, body: &str) -> String {
+    format!("{HEAD}Content-Type: {media_type}\r\nTransfer-Encoding: chunked\r\n\r\n{body}")
+}
+
 /// Sends a request to a gateway whose two upstreams send these bytes, and checks that it ends soon,
 /// without a complete response and with closed connections.
 async fn assert_ends_soon(case: &str, request: &str, action: UpstreamAction) {
@@ -71,6 +75,29 @@
     }
 }
 
+#[actix_rt::test]
+async fn response_framing_without_end_holds_the_request_until_its_deadline() {
+    for path in ["/look/1", "/book/1", "/render/1", "/build/1"] {
+        let is_stream = path.starts_with("/render") || path.starts_with("/build");
+        let media_type = if is_stream { "text/event-stream" } else { "text/plain" };
+        let body = if is_stream { "a\r\nid: 1\ndata\r\n" } else { "5\r\nhello\r\n" };
+        let cases = [
+            ("chunk size", chunked(media_type, body), "1"),
+            ("chunk extension", chunked(media_type, &format!("{body}5;")), "x"),
+            ("trailers", chunked(media_type, &format!("{body}0\r\n")), "X-T: v\r\n"),
+        ];
+        for (case, first, repeated) in cases {
+            let action = UpstreamAction::WriteForever(first, repeated.into());
+            assert_ends_soon(&format!("{case}, {path}"), &get(path, "a1"), action).await;
+        }
+    }
+    for path in ["/render/1", "/build/1"] {
+        let first = format!("{HEAD}Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ");
+        let action = UpstreamAction::WriteForever(first, "a".into());
+        assert_ends_soon(&format!("event, {path}"), &get(path, "a1"), action).await;
+    }
+}
+
 /// Nothing shows that a body without end is no answer, so it is relayed at the pace of its caller,
 /// until its deadline, and ends as a truncated response.
 #[actix_rt::test]
--- a/lib/src/http/body.rs
+++ b/lib/src/http/body.rs
@@ -5,8 +5,10 @@
 
 use crate::http::head::Framing;
 
-/// Maximum length of a chunk-size line or of a trailer line.
+/// Maximum length of a chunk-size line.
 const MAX_LINE_BYTES: usize = 4096;
+/// Maximum length of all trailer lines together.
+const MAX_TRAILER_BYTES: usize = 8192;
 
 /// The bytes of a body violate the chunked framing.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
@@ -29,7 +31,8 @@
     ChunkSize,
     ChunkData(u64),
     ChunkEnd,
-    Trailer,
+    /// The trailer, of which at most this many bytes may follow.
+    Trailer(usize),
     UntilClose,
     Done,
 }
@@ -73,7 +76,11 @@
                 State::ChunkSize => match httparse::parse_chunk_size(buf) {
                     Ok(httparse::Status::Complete((length, size))) => {
                         buf.advance(length);
-                        self.0 = if size == 0 { State::Trailer } else { State::ChunkData(size) };
+                        self.0 = if size == 0 {
+                            State::Trailer(MAX_TRAILER_BYTES)
+                        } else {
+                            State::ChunkData(size)
+                        };
                     }
                     Ok(httparse::Status::Partial) if buf.len() < MAX_LINE_BYTES => {
                         return Ok(Step::NeedsMore);
@@ -96,15 +103,16 @@
                     buf.advance(2);
                     self.0 = State::ChunkSize;
                 }
-                State::Trailer => {
+                State::Trailer(left) => {
                     let Some(end) = buf.windows(2).position(|pair| pair == b"\r\n") else {
-                        let too_long = buf.len() > MAX_LINE_BYTES;
+                        let too_long = buf.len() > left;
                         return if too_long { Err(MalformedChunk) } else { Ok(Step::NeedsMore) };
                     };
-                    buf.advance(end + 2);
-                    if end == 0 {
-                        self.0 = State::Done;
+                    if end + 2 > left {
+                        return Err(MalformedChunk);
                     }
+                    buf.advance(end + 2);
+                    self.0 = if end == 0 { State::Done } else { State::Trailer(left - end - 2) };
                 }
             }
         }
