exchange: tokens beyond those requested end the attempt

Cause: an engine in trouble that streams tokens without end filled the daemon's memory until the deadline of the request. Change: a token at or beyond the maximum that was requested fails the attempt. Result: engine_that_sends_tokens_without_end_fills_the_memory fails without it.

--- a/lib/src/request/exchange.rs
+++ b/lib/src/request/exchange.rs
@@ -432,6 +432,10 @@
             Some(Ok(offset)) => offset,
             _ => return Err("a token has no offset".into()),
         };
+        let max_tokens = self.spec.completion.as_ref().map_or(u64::MAX, |wire| wire.max_tokens);
+        if offset >= max_tokens {
+            return Err(format!("token {offset} exceeds the {max_tokens} requested").into());
+        }
         let before = self.answer.next_offset();
         self.answer.insert_token(offset, &text).map_err(|error| error.to_string())?;
         if self.answer.next_offset() > before {
--- a/lib/tests/traffic.rs
+++ b/lib/tests/traffic.rs
@@ -15,6 +15,7 @@
     },
     upstream::HostState,
 };
+use dogwoodturn_standins::engine::token;
 use fake_world::{End, World};
 
 const MS: Duration = Duration::from_millis(1);
@@ -711,3 +712,23 @@
     let at_limited = world.attempts[before..].iter().filter(|a| a.host == LIMITED).count();
     assert!(at_limited > 100, "only {at_limited} requests after the limit has ended");
 }
+
+#[test]
+fn engine_that_sends_tokens_without_end_fills_the_memory() {
+    const MAX_TOKENS: u64 = 5;
+    let mut world = World::new(1, 0);
+    let caller = world.complete(0, "a phrase", MAX_TOKENS, false);
+    let id = world.attempts[0].id;
+    let head = Head { status: 200, is_event_stream: true, ..Head::default() };
+    world.handle_event(0, Event::AttemptHead(id, Box::new(head)));
+    for offset in 0..=MAX_TOKENS {
+        assert!(!world.attempts[0].closed, "closed at token {offset}");
+        let data = serde_json::json!({ "text": token("a phrase", offset) });
+        let event = format!("id: {offset}\ndata: {data}\n\n");
+        world.handle_event(0, Event::AttemptChunk(id, event.into()));
+    }
+    assert!(world.attempts[0].closed, "the engine sends more tokens than were requested");
+    world.advance(SECOND);
+    world.progress(1, MAX_TOKENS, 0);
+    assert_eq!(world.end_of(0, caller), Some(&End::Finished));
+}
