crash_evidence: responses are sampled while there are no crashes

Cause: recording each response for its content and parts cost about a microsecond and a half of a decision of six (decision_cost, 12 upstreams). Change: without crashes, a response in 20 ms is recorded, which is enough to know parts that were served before. The example decision_cost measures a decision and the length of a message.

--- a/lib/src/request/crash_evidence.rs
+++ b/lib/src/request/crash_evidence.rs
@@ -47,6 +47,8 @@
 const PROBE_STAGGER: Duration = Duration::from_secs(1);
 /// The time for which an observation is reported to peers.
 const REPORT_TTL: Duration = Duration::from_secs(3);
+/// The interval between responses that are recorded while there is no evidence of crashes.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 /// The interval at which expired evidence is removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 /// A response that has been produced for this long clears its parts, since the crash follows the
@@ -304,6 +306,8 @@
     /// When crashes that have settled have to be evaluated.
     evaluate_at: Option<Time>,
     expired_at: Time,
+    /// When a response was last recorded while there was no crash.
+    sampled_at: Time,
     has_news: bool,
     changes: Vec<Change>,
 }
@@ -325,6 +329,7 @@
             cleared: Vec::new(),
             evaluate_at: None,
             expired_at: Time::default(),
+            sampled_at: Time::default(),
             has_news: false,
             changes: Vec::new(),
         }
@@ -408,13 +413,18 @@
     /// Records that an upstream has responded to a request with this content and these parts, and did
     /// not crash.
     pub fn record_served(&mut self, now: Time, content: u64, parts: impl Iterator<Item = PartId>) {
-        // Parts are remembered before any crash, since one that was served before is less suspect.
+        // Parts are remembered before any crash, since one that was served before is less suspect. A
+        // sample is enough for that.
+        if self.crashes.is_empty() && self.bars.is_empty() {
+            if now.since(self.sampled_at) < SAMPLE_INTERVAL {
+                return;
+            }
+            self.sampled_at = now;
+        }
         for part in parts {
             self.record_served_at(now, now, Cause::Part(part));
         }
-        if !self.crashes.is_empty() || !self.bars.is_empty() {
-            self.record_served_at(now, now, Cause::Content(content));
-        }
+        self.record_served_at(now, now, Cause::Content(content));
         if self.served.len() > MAX_SERVED {
             self.served.retain(|_, at| now.since(*at) < EVIDENCE_TTL);
             let excess = self.served.len().saturating_sub(MAX_SERVED);
