--- a/gateway/src/explain.rs
+++ b/gateway/src/explain.rs
@@ -106,7 +106,7 @@
     match outcome {
         "answered" => "an upstream answered, and the answer was delivered whole",
         "upstream-failure" => "an upstream ran it and answered with a failure, which was delivered",
-        "refused-wait" => "not run: the wait ahead of it was too long at every upstream",
+        "refused-wait" => "not run: the wait was too long at every upstream, or their limits allowed none",
         "refused-quota" => "not run: its customer had used up the quota of all daemons together",
         "refused-nobody" => "not run: no upstream of the service took new work",
         "refused-unreachable" => "not run: no connection to an upstream could be opened",
@@ -116,7 +116,7 @@
         "refused-stopping" => "not run: the daemon was stopping and had no time left for it",
         "refused-no-memory" => "not run: the gateway held too many bytes of bodies",
         "refused-no-service" => "not run: its route names no service with a weight",
-        "refused-crashes-upstreams" => "not run: the same request crashed upstreams before",
+        "refused-crashes-upstreams" => "not run: upstreams crashed with it, or with a part of its prompt",
         "denied-no-route" => "not run: no route of the table in force takes its host and path",
         "denied-key" => "not run: no customer of the table in force holds its key",
         "lost-by-upstream" => "may have run: the upstream broke the connection before an answer",
