explain: bars and limits are shown with a refused request

Cause: the lines that say why a request with a prompt part is refused were left out of its trace. Change: event=barred, cleared, upstream-limit and upstream-limit-ended are context. Result: the tests of explain pass.

--- a/gateway/src/explain.rs
+++ b/gateway/src/explain.rs
@@ -18,6 +18,10 @@
     "upstream",
     "upstream-leaving",
     "upstream-gone",
+    "upstream-limit",
+    "upstream-limit-ended",
+    "barred",
+    "cleared",
     "store-lost",
     "store-regained",
     "lease-taken",
@@ -106,7 +110,9 @@
     match outcome {
         "answered" => "an upstream answered, and the answer was delivered whole",
         "upstream-failure" => "an upstream ran it and answered with a failure, which was delivered",
-        "refused-wait" => "not run: the wait was too long at every upstream, or their limits allowed none",
+        "refused-wait" => {
+            "not run: the wait was too long at every upstream, or their limits allowed none"
+        }
         "refused-quota" => "not run: its customer had used up the quota of all daemons together",
         "refused-nobody" => "not run: no upstream of the service took new work",
         "refused-unreachable" => "not run: no connection to an upstream could be opened",
@@ -116,7 +122,9 @@
         "refused-stopping" => "not run: the daemon was stopping and had no time left for it",
         "refused-no-memory" => "not run: the gateway held too many bytes of bodies",
         "refused-no-service" => "not run: its route names no service with a weight",
-        "refused-crashes-upstreams" => "not run: upstreams crashed with it, or with a part of its prompt",
+        "refused-crashes-upstreams" => {
+            "not run: upstreams crashed with it, or with a part of its prompt"
+        }
         "denied-no-route" => "not run: no route of the table in force takes its host and path",
         "denied-key" => "not run: no customer of the table in force holds its key",
         "lost-by-upstream" => "may have run: the upstream broke the connection before an answer",
