--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -152,8 +152,8 @@
     }
 }
 
-/// Broadcasts this daemon's crash evidence if there is news. Crashes are too
-/// rare for the bytes to matter, and each one that peers do not know of costs another upstream.
+/// Broadcasts this daemon's crash evidence if there is news. Crashes are too rare for the bytes to
+/// matter, and each one that peers do not know of costs another upstream.
 async fn broadcast_crash_evidence(cx: &Gateway, socket: &UdpSocket, peers: &[SocketAddr]) {
     let report = {
         let mut state = cx.state.borrow_mut();
--- a/lib/src/request/crash_evidence.rs
+++ b/lib/src/request/crash_evidence.rs
@@ -1,12 +1,13 @@
 //! Finds the requests, and the parts of prompts, that crash the upstreams that run them.
 //!
 //! Load patterns: one caller repeats a request, to any daemon, and each time an upstream crashes; it
-//! is recognised by its content. Or requests of which no two are alike share one part of their prompts, and each
-//! upstream that begins to respond to one crashes. Many sound requests are in progress at the same
-//! upstreams, and share their customer and all other parts with them. A crash therefore makes all
-//! parts of all requests in progress suspect, and a complete response clears its parts. A part that
-//! stays suspect through several crashes is barred: requests with it are refused. A crash that a
-//! barred part explains is no evidence against the other parts.
+//! is recognised by its content. Or requests of which no two are alike share one part of their
+//! prompts, and each upstream that begins to respond to one crashes, while many sound requests are in
+//! progress there, which share their customer and all other parts with them.
+//!
+//! A crash therefore makes all parts of all requests in progress suspect, and a complete response
+//! clears its parts. A part that stays suspect through several crashes is barred: requests with it
+//! are refused. A crash that a barred part explains is no evidence against the other parts.
 //!
 //! The cause belongs to the request or the part and not to the daemon, so all daemons share the
 //! evidence. See `docs/design/crash-evidence.md`.
@@ -135,6 +136,7 @@
 struct Crash {
     upstream: UpstreamId,
     at: Time,
+    /// The requests of this daemon, which it reports to its peers.
     own_suspects: Vec<Suspect>,
     peer_suspects: Vec<Suspect>,
 }
@@ -192,7 +194,7 @@
     Cleared(Cause),
 }
 
-/// A daemon's evidence, for its peers.
+/// What a daemon reports to its peers. All times are ages, since daemons share no clock.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Report {
     pub crashes: Vec<CrashReport>,
