crash_evidence: what peers report as served is bounded

Cause: responses that peers report were kept for a minute without a bound on their number, and at the control thread until the next crash. Change: the bound of 4,096 holds for them too, and cleared causes are bounded by the number of bars. Result: evidence_is_bounded fails without it.

--- a/lib/src/request/crash_evidence.rs
+++ b/lib/src/request/crash_evidence.rs
@@ -427,6 +427,11 @@
             self.record_served_at(now, now, Cause::Part(part));
         }
         self.record_served_at(now, now, Cause::Content(content));
+        self.limit_served(now);
+    }
+
+    /// Removes the oldest records of responses beyond [`MAX_SERVED`].
+    fn limit_served(&mut self, now: Time) {
         if self.served.len() > MAX_SERVED {
             self.served.retain(|_, at| now.since(*at) < EVIDENCE_TTL);
             let excess = self.served.len().saturating_sub(MAX_SERVED);
@@ -439,6 +444,9 @@
         *last_served = at.max(*last_served);
         if self.bars.get(&cause).is_some_and(|bar| bar.last_crash < at) {
             self.bars.shift_remove(&cause);
+            if self.cleared.len() >= MAX_BARS {
+                self.cleared.remove(0);
+            }
             self.cleared.push((cause, now));
             self.changes.push(Change::Cleared(cause));
             // The crashes that the cause seemed to explain need another explanation.
@@ -452,6 +460,7 @@
         for (cause, age) in report.served {
             self.record_served_at(now, now.ago(age), cause);
         }
+        self.limit_served(now);
         for crash in report.crashes {
             if crash.age >= EVIDENCE_TTL {
                 continue;
@@ -528,6 +537,11 @@
         Report { crashes: crashes.collect(), served: served.collect(), bars: bars.collect() }
     }
 
+    /// Returns the number of contents and parts whose last response is remembered.
+    pub fn served_count(&self) -> usize {
+        self.served.len()
+    }
+
     /// Reports whether there is new evidence that peers need at once, and resets it.
     pub fn take_news(&mut self) -> bool {
         std::mem::take(&mut self.has_news)
--- a/lib/tests/crash_evidence.rs
+++ b/lib/tests/crash_evidence.rs
@@ -5,7 +5,8 @@
 use dogwoodturn::{
     ids::UpstreamId,
     request::crash_evidence::{
-        Cause, Change, CrashEvidence, CrashReport, PartId, Report, ReportWire, Suspect, Verdict,
+        BarReport, Cause, Change, CrashEvidence, CrashReport, PartId, Report, ReportWire, Suspect,
+        Verdict,
     },
     units::Time,
 };
@@ -266,6 +267,19 @@
         evidence.merge(at(number), Report { crashes: vec![report], ..Report::default() });
         crash(&mut evidence, number, number as usize, &[Suspect::new(number, parts)]);
     }
+    for round in 0..100_u64 {
+        let causes = (0..200).map(|part| Cause::Part(PartId(1_000_000 + round * 200 + part)));
+        let served = causes.clone().map(|cause| (cause, Duration::ZERO)).collect();
+        let bars = causes.map(|cause| BarReport {
+            cause,
+            crash_age: Duration::from_millis(5),
+            left: Duration::from_secs(9),
+            failed_probes: 0,
+        });
+        evidence.merge(at(2000), Report { bars: bars.collect(), ..Report::default() });
+        evidence.merge(at(2000), Report { served, ..Report::default() });
+    }
+    assert!(evidence.served_count() <= 4096, "{} served", evidence.served_count());
     let report = evidence.report(at(2000));
     assert!(report.crashes.len() <= 64 && report.bars.len() <= 256);
     assert!(report.crashes.iter().all(|crash| crash.suspects.len() <= 64));
