forward: keep a late or silent upstream until its replacement has the request

Cause: a replacement that was connected took the request at once. Change: the first attempt is kept for 150 ms after the replacement got the request. A refusal, a failure or a broken connection within that time leaves the request where it is, and a response of the first upstream still counts. After it, the replacement has the request alone, so that no two upstreams work on it. An attempt that waits for its response is a value of its own, Pending.

--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -1,22 +1,19 @@
 //! One attempt to run a request at one upstream, up to the head of its response.
 
-use std::{
-    io,
-    pin::{Pin, pin},
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::Cell, io, rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use dogwoodturn::{
     http::{
         connection::{Connection, MAX_RESPONSE_HEAD_BYTES},
         head::ResponseHead,
     },
-    ids::{RouteName, ServiceName},
+    ids::{RouteName, ServiceName, UpstreamId},
     limit::{brittle::Tolerance, upstream::RequestRate},
     request::crash_evidence::{SOUND_AFTER, Suspect},
     units::Time,
 };
+use futures_util::future::{self, LocalBoxFuture};
 use tokio::{
     io::Interest,
     time::{Instant, timeout, timeout_at},
@@ -56,22 +53,25 @@
 /// Delay after a broken connection before its upstream is checked for a crash.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(60);
 
-/// The result of sending a request to an upstream.
-pub enum SendOutcome {
-    /// No connection could be opened, and nothing was sent.
-    Unreachable,
+/// How an upstream responded to a request.
+pub enum Response {
     /// The upstream stated that it did not run the request.
     NotRun,
     /// The connection broke before a response to the request.
     Broken,
-    /// No response arrived before the deadline.
-    TimedOut,
-    /// No response has arrived yet, and this other attempt takes the request.
-    Replaced(Box<Attempt>, Delay),
     /// The head of the response arrived.
     Head(ResponseHead),
 }
 
+/// How the wait for a response ended.
+pub enum Waited<'a> {
+    Response(Box<Attempt>, Response),
+    /// No response has arrived yet, and this other upstream has the request.
+    Replaced(Pending<'a>, Delay),
+    /// No response arrived before the deadline.
+    TimedOut,
+}
+
 /// Why a request may be moved to another upstream while the current one has not failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Delay {
@@ -95,9 +95,9 @@
     /// Whether the whole request has been written and no response to another request was read after
     /// that.
     pub(super) is_request_written: bool,
-    is_failed: bool,
     first_response: Option<Duration>,
-    outcome: AttemptOutcome,
+    /// Shared with the [`Pending`] that owns the attempt.
+    outcome: Rc<Cell<AttemptOutcome>>,
 }
 
 impl Attempt {
@@ -119,9 +119,8 @@
             ticket,
             connection: None,
             is_request_written: false,
-            is_failed: false,
             first_response: None,
-            outcome: AttemptOutcome::Unknown,
+            outcome: Rc::new(Cell::new(AttemptOutcome::Unknown)),
         }
     }
 
@@ -136,14 +135,12 @@
     }
 
     /// Ends the attempt with an outcome and closes its connection.
-    pub(super) fn end(mut self, outcome: AttemptOutcome) {
-        self.outcome = outcome;
-        self.is_failed = outcome != AttemptOutcome::Answered;
+    pub(super) fn end(self, outcome: AttemptOutcome) {
+        self.set_outcome(outcome);
     }
 
-    pub(super) fn set_outcome(&mut self, outcome: AttemptOutcome) {
-        self.outcome = outcome;
-        self.is_failed = outcome != AttemptOutcome::Answered;
+    pub(super) fn set_outcome(&self, outcome: AttemptOutcome) {
+        self.outcome.set(outcome);
     }
 
     /// Records that the first event, or the complete response, has arrived.
@@ -177,97 +174,70 @@
         );
     }
 
-    /// Sends the request and reads the head of its response.
-    ///
-    /// With `can_retry`, `replace` is called when the response is late and again and again while the
-    /// upstream is silent; the connected attempt it returns takes the request. Until then, the response
-    /// of this upstream is still accepted, up to the deadline.
-    pub(super) async fn send(
-        &mut self,
-        req: &Request,
+    /// Starts to send the request over the open connection; the bytes are written once the result is
+    /// awaited.
+    pub(super) fn start<'a>(
+        self,
+        req: &'a Request,
         admitted: &Admitted,
         last_event: Option<u64>,
-        can_retry: bool,
-        replace: impl AsyncFn(Delay) -> Option<Attempt>,
-    ) -> SendOutcome {
-        if !self.open(req, admitted.expires_at).await {
-            return SendOutcome::Unreachable;
-        }
-        let Some(mut connection) = self.connection.take() else { return SendOutcome::Unreachable };
+    ) -> Pending<'a> {
         let time_left = admitted.expires_at.since(self.cx.now());
+        let service = admitted.table.services.get(&self.service);
+        let urgency = service.and_then(|service| service.engine).map(|_| admitted.urgency);
         let to = ForwardingParams {
             time_left: time_left.saturating_sub(RESPONSE_TRANSIT),
             upstream: self.upstream.id.as_str(),
             customer: admitted.customer.as_ref(),
-            urgency: admitted
-                .table
-                .services
-                .get(&self.service)
-                .and_then(|service| service.engine)
-                .map(|_| admitted.urgency),
+            urgency,
             last_event,
         };
-        let bytes = req.encode_for_upstream(&self.cx.header_schema, &to);
+        let bytes = req.encode_for_upstream(&self.cx.header_schema, &to).freeze();
         admitted.mark_may_have_run();
         let (target, predicted) = (admitted.route.latency_target, self.ticket.predicted);
         let silent_after = (predicted.max(target) * SILENT_FACTOR)
             .min((predicted.max(target) * MAX_SILENCE_FACTOR).max(MAX_SILENCE))
             .min(time_left / SILENT_DIVISOR);
         let late_after = target.mul_f64(LATE_TARGET_SHARE).max(predicted * LATE_FACTOR);
-        let patience = Patience { late_after, silent_after, time_left };
-        let response = {
-            let exchange = pin!(self.exchange(&mut connection, &bytes, req));
-            if can_retry {
-                wait_for_response(exchange, patience, replace).await
-            } else {
-                timeout(time_left, exchange).await.map_err(|_| WaitError::TimedOut)
-            }
+        Pending {
+            cx: self.cx.clone(),
+            upstream: self.upstream.id.clone(),
+            predicted,
+            chosen_at: self.ticket.chosen_at,
+            outcome: self.outcome.clone(),
+            started: Instant::now(),
+            patience: Patience { late_after, silent_after, time_left },
+            response: Box::pin(self.receive_response(req, bytes)),
+        }
+    }
+
+    /// Sends the encoded request and reads the head of its response.
+    async fn receive_response(mut self, req: &Request, bytes: Bytes) -> (Box<Self>, Response) {
+        let Some(mut connection) = self.connection.take() else {
+            return (Box::new(self), Response::Broken);
         };
-        match response {
-            Err(WaitError::Replaced(replacement, delay)) => {
-                let waited_ms = self.cx.now().since(self.ticket.chosen_at).as_millis() as u64;
-                match delay {
-                    Delay::Late => {
-                        log::info!(event = "late", request:% = req.id, upstream:% = self.upstream.id, late_ms = waited_ms; "");
-                    }
-                    Delay::Silent => {
-                        log::warn!(event = "silent", request:% = req.id, upstream:% = self.upstream.id, patience_ms = waited_ms; "");
-                    }
-                }
-                SendOutcome::Replaced(Box::new(replacement), delay)
-            }
-            Err(WaitError::TimedOut) => {
-                log::warn!(event = "timed-out", request:% = req.id, upstream:% = self.upstream.id, patience_ms = time_left.as_millis() as u64; "");
-                SendOutcome::TimedOut
-            }
-            Ok(Err(error)) => {
+        let head = match self.exchange(&mut connection, &bytes, req).await {
+            Ok(head) => head,
+            Err(error) => {
                 log::warn!(event = "broken", request:% = req.id, upstream:% = self.upstream.id, reused = connection.reused, error:%; "");
                 drop(connection);
                 self.check_crash(req, false);
-                SendOutcome::Broken
-            }
-            Ok(Ok(head)) => {
-                if let Some(load) = head
-                    .headers
-                    .text(self.cx.header_schema.load)
-                    .and_then(self.cx.header_schema.read_load)
-                {
-                    self.cx.state.borrow_mut().placement.record_load(
-                        self.cx.now(),
-                        &self.upstream.id,
-                        load,
-                    );
-                }
-                self.record_limit(&head);
-                self.record_brittle(&head);
-                self.connection = Some(connection);
-                if is_not_run(&head, self.cx.header_schema.not_run) {
-                    log::info!(event = "not-run", request:% = req.id, upstream:% = self.upstream.id, status = head.status; "");
-                    return SendOutcome::NotRun;
-                }
-                SendOutcome::Head(head)
+                return (Box::new(self), Response::Broken);
             }
+        };
+        let load = head.headers.text(self.cx.header_schema.load);
+        if let Some(load) = load.and_then(self.cx.header_schema.read_load) {
+            let now = self.cx.now();
+            self.cx.state.borrow_mut().placement.record_load(now, &self.upstream.id, load);
+        }
+        self.record_limit(&head);
+        self.record_brittle(&head);
+        self.connection = Some(connection);
+        if is_not_run(&head, self.cx.header_schema.not_run) {
+            log::info!(event = "not-run", request:% = req.id, upstream:% = self.upstream.id, status = head.status; "");
+            return (Box::new(self), Response::NotRun);
         }
+        (Box::new(self), Response::Head(head))
     }
 
     /// Records the limit that a response names, or that it names none.
@@ -443,14 +413,15 @@
     fn drop(&mut self) {
         let now = self.cx.now();
         let waited = now.since(self.ticket.chosen_at);
-        let is_abandoned_late = self.outcome == AttemptOutcome::Unknown && waited > self.target;
+        let outcome = self.outcome.get();
+        let is_abandoned_late = outcome == AttemptOutcome::Unknown && waited > self.target;
         let first_response = self.first_response.or(is_abandoned_late.then_some(waited));
-        let has_result = self.outcome != AttemptOutcome::Unknown || first_response.is_some();
+        let has_result = outcome != AttemptOutcome::Unknown || first_response.is_some();
         let mut state = self.cx.state.borrow_mut();
-        state.placement.record_outcome(now, &self.service, &self.ticket, self.outcome);
+        state.placement.record_outcome(now, &self.service, &self.ticket, outcome);
         if has_result {
             let (version, route) = (&self.upstream.version, &self.route);
-            let failed = self.is_failed;
+            let failed = !matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Unknown);
             let latency = first_response.filter(|_| !failed);
             state.rollouts.record_outcome(&self.service, version, route, failed, latency);
         }
@@ -466,48 +437,102 @@
     time_left: Duration,
 }
 
-/// Why no response was received.
-enum WaitError<R> {
-    /// Another attempt takes the request.
-    Replaced(R, Delay),
-    /// The deadline has passed.
-    TimedOut,
+/// A request at an upstream that has not responded yet. Dropping it closes the connection, which ends
+/// the request there.
+pub struct Pending<'a> {
+    cx: Rc<Gateway>,
+    pub(super) upstream: UpstreamId,
+    pub(super) predicted: Duration,
+    chosen_at: Time,
+    outcome: Rc<Cell<AttemptOutcome>>,
+    started: Instant,
+    patience: Patience,
+    response: LocalBoxFuture<'a, (Box<Attempt>, Response)>,
 }
 
-/// Waits for a response until the deadline, or until `replace` returns another attempt.
-async fn wait_for_response<T, R>(
-    mut response: Pin<&mut impl Future<Output = T>>,
-    patience: Patience,
-    replace: impl AsyncFn(Delay) -> Option<R>,
-) -> Result<T, WaitError<R>> {
-    let Patience { late_after, silent_after, time_left } = patience;
-    let (mut next, mut delay) = if late_after < silent_after {
-        (late_after, Delay::Late)
-    } else {
-        (silent_after, Delay::Silent)
-    };
-    let started = Instant::now();
-    let deadline = started + time_left;
-    loop {
-        if let Ok(response) = timeout_at(started + next.min(time_left), response.as_mut()).await {
-            return Ok(response);
-        }
-        if Instant::now() >= deadline {
-            return Err(WaitError::TimedOut);
+impl<'a> Pending<'a> {
+    /// Ends the attempt with an outcome and closes its connection.
+    pub(super) fn end(self, outcome: AttemptOutcome) {
+        self.outcome.set(outcome);
+    }
+
+    /// Waits for a response for at most `limit`, and returns the attempt if it has failed by then: the
+    /// upstream did not run the request, broke its connection, or sent a head that `accepts` rejects.
+    pub(super) async fn wait_for_failure(
+        &mut self,
+        limit: Duration,
+        accepts: impl Fn(&ResponseHead) -> bool,
+    ) -> Option<(Box<Attempt>, AttemptOutcome)> {
+        match timeout(limit, &mut self.response).await {
+            Err(_) => None,
+            Ok((attempt, Response::Head(head))) if accepts(&head) => {
+                self.response = Box::pin(future::ready((attempt, Response::Head(head))));
+                None
+            }
+            Ok((attempt, Response::Broken)) => Some((attempt, AttemptOutcome::Broken)),
+            Ok((attempt, Response::NotRun | Response::Head(_))) => {
+                Some((attempt, AttemptOutcome::Failed))
+            }
         }
-        let replacement = tokio::select! {
-            biased;
-            response = response.as_mut() => return Ok(response),
-            replacement = replace(delay) => replacement,
+    }
+
+    /// Waits for a response until the deadline.
+    ///
+    /// With `can_retry`, `replace` is called when the response is late and again and again while the
+    /// upstream is silent, until it returns another upstream that has the request. Until then, the
+    /// response of this upstream is still accepted.
+    pub(super) async fn wait(
+        &mut self,
+        req: &Request,
+        can_retry: bool,
+        replace: impl AsyncFn(Delay) -> Option<Pending<'a>>,
+    ) -> Waited<'a> {
+        let Patience { late_after, silent_after, time_left } = self.patience;
+        let deadline = self.started + time_left;
+        let (mut next, mut delay) = if late_after < silent_after {
+            (late_after, Delay::Late)
+        } else {
+            (silent_after, Delay::Silent)
         };
-        if let Some(replacement) = replacement {
-            return Err(WaitError::Replaced(replacement, delay));
+        if !can_retry {
+            next = time_left;
+        }
+        loop {
+            let until = self.started + next.min(time_left);
+            if let Ok((attempt, response)) = timeout_at(until, &mut self.response).await {
+                return Waited::Response(attempt, response);
+            }
+            if Instant::now() >= deadline {
+                log::warn!(event = "timed-out", request:% = req.id, upstream:% = self.upstream, patience_ms = time_left.as_millis() as u64; "");
+                return Waited::TimedOut;
+            }
+            let replacement = tokio::select! {
+                biased;
+                (attempt, response) = &mut self.response => return Waited::Response(attempt, response),
+                replacement = replace(delay) => replacement,
+            };
+            if let Some(replacement) = replacement {
+                self.log_replaced(req, delay);
+                return Waited::Replaced(replacement, delay);
+            }
+            next = match delay {
+                Delay::Late => silent_after,
+                Delay::Silent => self.started.elapsed() + REPLACEMENT_INTERVAL,
+            };
+            delay = Delay::Silent;
+        }
+    }
+
+    fn log_replaced(&self, req: &Request, delay: Delay) {
+        let waited_ms = self.cx.now().since(self.chosen_at).as_millis() as u64;
+        match delay {
+            Delay::Late => {
+                log::info!(event = "late", request:% = req.id, upstream:% = self.upstream, late_ms = waited_ms; "");
+            }
+            Delay::Silent => {
+                log::warn!(event = "silent", request:% = req.id, upstream:% = self.upstream, patience_ms = waited_ms; "");
+            }
         }
-        next = match delay {
-            Delay::Late => silent_after,
-            Delay::Silent => started.elapsed() + REPLACEMENT_INTERVAL,
-        };
-        delay = Delay::Silent;
     }
 }
 
--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -10,7 +10,11 @@
 mod relay;
 mod response_writer;
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use dogwoodturn::{http::head::ResponseHead, ids::UpstreamId};
@@ -18,7 +22,7 @@
 use crate::{
     forward::{
         admission::Admitted,
-        attempt::{Attempt, Delay, SendOutcome},
+        attempt::{Attempt, Delay, Pending, Response, Waited},
         relay::{BodyEnd, Relayed, StreamPosition},
     },
     gateway::{Gateway, State},
@@ -39,6 +43,9 @@
 /// `Retry-After` is at most the remaining time divided by this; callers do not retry later.
 const RETRY_AFTER_DIVISOR: u32 = 3;
 
+/// How long a request stays at a late or silent upstream after another one has received it, unless that
+/// one responds earlier: most upstreams that refuse requests do so at once.
+const HANDOVER_TIME: Duration = Duration::from_millis(150);
 /// Minimum time limit for writing an upstream's failure response that was kept during a retry.
 const FAILURE_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -48,7 +55,7 @@
     req: &'a Request,
     admitted: Admitted,
     progress: Progress,
-    tried: Vec<UpstreamId>,
+    tried: RefCell<Vec<UpstreamId>>,
     connect_failures: u32,
     /// A failure response of an upstream, kept while another upstream is tried.
     failed_response: Option<(ResponseHead, Bytes)>,
@@ -103,7 +110,7 @@
         req,
         admitted,
         progress: Progress::default(),
-        tried: Vec::new(),
+        tried: RefCell::default(),
         connect_failures: 0,
         failed_response: None,
         sent_head: None,
@@ -117,34 +124,47 @@
     exchange.run(out).await
 }
 
-impl Exchange<'_> {
+impl<'a> Exchange<'a> {
     async fn run(&mut self, out: &mut ResponseWriter<'_>) -> Delivery {
-        let mut replacement: Option<Box<Attempt>> = None;
+        let mut replacement: Option<Pending<'a>> = None;
         loop {
-            let chosen = replacement.take().map_or_else(|| self.choose(), |attempt| Ok(*attempt));
-            let mut attempt = match chosen {
-                Ok(attempt) => attempt,
+            let started = match replacement.take() {
+                Some(pending) => Ok(Some(pending)),
+                None => self.start_next().await,
+            };
+            let mut pending = match started {
+                Ok(Some(pending)) => pending,
+                Ok(None) => continue,
                 Err(response) => return self.finish_unsuccessfully(out, &response).await,
             };
-            self.tried.push(attempt.upstream.id.clone());
-            self.predicted = attempt.ticket.predicted;
-            let can_retry = self.can_retry();
+            self.predicted = pending.predicted;
             let replace = async |delay| self.choose_replacement(delay).await;
-            let (req, admitted) = (self.req, &self.admitted);
-            let sent =
-                attempt.send(req, admitted, self.position.last_event, can_retry, replace).await;
-            match sent {
-                SendOutcome::Unreachable => {
-                    self.connect_failures += 1;
-                    let outcome = attempt.unreachable_outcome();
-                    attempt.end(outcome);
-                    if self.connect_failures < MAX_CONNECT_FAILURES {
-                        continue;
+            let waited = pending.wait(self.req, self.can_retry(), replace).await;
+            let (mut attempt, response) = match waited {
+                Waited::Response(attempt, response) => (attempt, response),
+                Waited::Replaced(next, delay) => {
+                    self.progress = Progress::MayHaveRun;
+                    if delay == Delay::Silent && !self.admitted.route.retry_safety.is_stream() {
+                        self.record_start_once();
                     }
-                    let response = self.refusal_or_loss("refused-unreachable", RETRY_AFTER_REFUSAL);
-                    return self.finish_unsuccessfully(out, &response).await;
+                    pending.end(match delay {
+                        Delay::Late => AttemptOutcome::Late,
+                        Delay::Silent => AttemptOutcome::Broken,
+                    });
+                    replacement = Some(next);
+                    continue;
                 }
-                SendOutcome::NotRun => {
+                Waited::TimedOut => {
+                    self.progress = Progress::MayHaveRun;
+                    if !self.admitted.route.retry_safety.is_stream() {
+                        self.record_start_once();
+                    }
+                    pending.end(AttemptOutcome::Broken);
+                    return self.finish_unsuccessfully(out, &LocalResponse::timed_out()).await;
+                }
+            };
+            match response {
+                Response::NotRun => {
                     if self.progress == Progress::NotRun {
                         self.admitted.mark_not_run();
                     }
@@ -155,7 +175,7 @@
                     let response = self.refusal_or_loss("refused-by-upstream", RETRY_AFTER_REFUSAL);
                     return self.finish_unsuccessfully(out, &response).await;
                 }
-                SendOutcome::Broken => {
+                Response::Broken => {
                     self.progress = Progress::MayHaveRun;
                     if attempt.is_request_written {
                         // Most upstreams that break a connection have already begun to run its
@@ -170,26 +190,7 @@
                         .finish_unsuccessfully(out, &LocalResponse::lost("lost-by-upstream"))
                         .await;
                 }
-                SendOutcome::Replaced(next, delay) => {
-                    self.progress = Progress::MayHaveRun;
-                    if delay == Delay::Silent && !self.admitted.route.retry_safety.is_stream() {
-                        self.record_start_once();
-                    }
-                    attempt.end(match delay {
-                        Delay::Late => AttemptOutcome::Late,
-                        Delay::Silent => AttemptOutcome::Broken,
-                    });
-                    replacement = Some(next);
-                }
-                SendOutcome::TimedOut => {
-                    self.progress = Progress::MayHaveRun;
-                    if !self.admitted.route.retry_safety.is_stream() {
-                        self.record_start_once();
-                    }
-                    attempt.end(AttemptOutcome::Broken);
-                    return self.finish_unsuccessfully(out, &LocalResponse::timed_out()).await;
-                }
-                SendOutcome::Head(head) => {
+                Response::Head(head) => {
                     self.progress = Progress::MayHaveRun;
                     match self.relay(&mut attempt, head, out).await {
                         Relayed::Delivered(delivery) => return delivery,
@@ -201,6 +202,24 @@
         }
     }
 
+    /// Chooses and connects to the next upstream. Returns `None` if it could not be reached and another
+    /// one may be tried, and the local response that ends the request if none may be.
+    async fn start_next(&mut self) -> Result<Option<Pending<'a>>, LocalResponse> {
+        let mut attempt = self.choose()?;
+        self.tried.borrow_mut().push(attempt.upstream.id.clone());
+        if attempt.open(self.req, self.admitted.expires_at).await {
+            let last_event = self.position.last_event;
+            return Ok(Some(attempt.start(self.req, &self.admitted, last_event)));
+        }
+        self.connect_failures += 1;
+        let outcome = attempt.unreachable_outcome();
+        attempt.end(outcome);
+        if self.connect_failures < MAX_CONNECT_FAILURES {
+            return Ok(None);
+        }
+        Err(self.refusal_or_loss("refused-unreachable", RETRY_AFTER_REFUSAL))
+    }
+
     /// Counts the request for the usage report, once regardless of the number of attempts.
     fn record_start_once(&mut self) {
         if !std::mem::replace(&mut self.is_start_recorded, true) {
@@ -219,7 +238,7 @@
         if time_left.is_zero() {
             return Err(self.deadline_response());
         }
-        if !self.tried.is_empty() && self.is_barred() {
+        if !self.tried.borrow().is_empty() && self.is_barred() {
             return Err(self.refusal_or_loss("refused-crashes-upstreams", RETRY_AFTER_REFUSAL));
         }
         let mut state = self.cx.state.borrow_mut();
@@ -264,35 +283,46 @@
             local_data_centre: &settings.data_centre,
             latency_target: admitted.route.latency_target,
             remaining: time_left,
-            tried: &self.tried,
+            tried: &self.tried.borrow(),
             versions: state.rollouts.rule(&admitted.service, self.req.hash),
         };
         call(state, &criteria)
     }
 
-    /// Chooses and connects to the upstream that takes over from one that is late or silent, and
+    /// Chooses the upstream that takes over from one that is late or silent, sends it the request and
     /// consumes a retry. Returns `None` while no other upstream takes the request: the current one is
     /// still its best hope then, and must not be left.
-    async fn choose_replacement(&self, delay: Delay) -> Option<Attempt> {
+    async fn choose_replacement(&self, delay: Delay) -> Option<Pending<'a>> {
         if !self.allows_retry() || (delay == Delay::Late && !self.is_faster_elsewhere()) {
             return None;
         }
-        match self.choose() {
-            Ok(mut attempt) => {
-                if !attempt.open(self.req, self.admitted.expires_at).await {
-                    let outcome = attempt.unreachable_outcome();
-                    attempt.end(outcome);
-                    self.log_no_retry("unreachable");
-                    return None;
-                }
-                // Other requests may have used up the budget while this one connected.
-                self.consume_retry().then_some(attempt)
-            }
+        let mut attempt = match self.choose() {
+            Ok(attempt) => attempt,
             Err(response) => {
                 self.log_no_retry(response.reason);
-                None
+                return None;
             }
+        };
+        if !attempt.open(self.req, self.admitted.expires_at).await {
+            let outcome = attempt.unreachable_outcome();
+            attempt.end(outcome);
+            self.log_no_retry("unreachable");
+            return None;
+        }
+        // Other requests may have used up the budget while this one connected.
+        if !self.consume_retry() {
+            return None;
+        }
+        self.tried.borrow_mut().push(attempt.upstream.id.clone());
+        let mut pending = attempt.start(self.req, &self.admitted, self.position.last_event);
+        let is_begun = self.sent_head.is_some();
+        let accepts = |head: &ResponseHead| head.status < if is_begun { 300 } else { 500 };
+        if let Some((attempt, outcome)) = pending.wait_for_failure(HANDOVER_TIME, accepts).await {
+            attempt.end(outcome);
+            self.log_no_retry("replacement-failed");
+            return None;
         }
+        Some(pending)
     }
 
     /// Reports whether another upstream is predicted to respond within the latency target.
@@ -342,7 +372,8 @@
     /// Reports whether the route allows another attempt, without consuming the retry budget.
     fn can_retry(&self) -> bool {
         let route = &self.admitted.route;
-        self.may_retry() && (self.tried.len() as u32) < route.max_attempts + self.connect_failures
+        self.may_retry()
+            && (self.tried.borrow().len() as u32) < route.max_attempts + self.connect_failures
     }
 
     /// Reports whether the request has been barred since it was admitted, or is a probe, so that it must
@@ -366,7 +397,7 @@
 
     /// Reports whether the route and the budget allow a retry, and logs why if they do not.
     fn allows_retry(&self) -> bool {
-        let sent = self.tried.len() as u32 - self.connect_failures;
+        let sent = self.tried.borrow().len() as u32 - self.connect_failures;
         if sent >= self.admitted.route.max_attempts {
             self.log_no_retry("attempts-used");
             return false;
@@ -394,7 +425,7 @@
     /// Logs why a request is not sent to another upstream, unless that was logged before.
     fn log_no_retry(&self, reason: &'static str) {
         if self.no_retry_reason.replace(Some(reason)) != Some(reason) {
-            log::info!(event = "no-retry", request:% = self.req.id, reason, attempts = self.tried.len(); "");
+            log::info!(event = "no-retry", request:% = self.req.id, reason, attempts = self.tried.borrow().len(); "");
         }
     }
 
@@ -426,7 +457,8 @@
     /// Logs the single line that explains how the request ended.
     fn log(&self, outcome: &'static str, status: u16, retry_after: Duration) {
         let ms = self.cx.now().since(self.req.arrived).as_millis() as u64;
-        let upstream = self.tried.last().map_or("-", UpstreamId::as_str);
+        let tried = self.tried.borrow();
+        let upstream = tried.last().map_or("-", UpstreamId::as_str);
         log::info!(
             event = "request",
             request:% = self.req.id,
@@ -440,7 +472,7 @@
             first_ms = self.first_response.map_or(-1, |elapsed| elapsed.as_millis() as i64),
             predicted_ms = self.predicted.as_millis() as u64,
             upstream,
-            attempts = self.tried.len(),
+            attempts = tried.len(),
             framing = self.body_end.map_or("-", |end| end.framing.name()),
             body_end = self.body_end.map_or("-", |end| end.cause),
             partial_bytes = self.body_end.map_or(0, |end| end.partial_bytes),
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -16,7 +16,7 @@
 use crate::{
     forward::{
         Delivery, Exchange, ResponseWriter,
-        attempt::{Attempt, Delay, MAX_SILENCE, MAX_SILENCE_FACTOR, REPLACEMENT_INTERVAL},
+        attempt::{Attempt, Delay, MAX_SILENCE, MAX_SILENCE_FACTOR, Pending, REPLACEMENT_INTERVAL},
     },
     placement::AttemptOutcome,
     request::LocalResponse,
@@ -34,13 +34,13 @@
 const MIN_WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The result of relaying a response.
-pub enum Relayed {
+pub enum Relayed<'a> {
     /// The request has ended.
     Delivered(Delivery),
     /// The response failed, and the request is to be retried at another upstream.
     Retry,
-    /// The upstream is silent, and this attempt resumes the stream.
-    Replaced(Box<Attempt>),
+    /// The upstream is silent, and this other one resumes the stream.
+    Replaced(Pending<'a>),
 }
 
 /// The state of a response body after the available bytes were decoded.
@@ -61,14 +61,14 @@
     pub(super) partial_bytes: usize,
 }
 
-impl Exchange<'_> {
+impl<'a> Exchange<'a> {
     /// Relays the response of an attempt.
     pub(super) async fn relay(
         &mut self,
         attempt: &mut Attempt,
         head: ResponseHead,
         out: &mut ResponseWriter<'_>,
-    ) -> Relayed {
+    ) -> Relayed<'a> {
         let is_event_stream = (200..300).contains(&head.status) && self.is_event_stream(&head);
         let is_too_long =
             matches!(head.framing, Framing::Length(length) if length > MAX_BUFFERED_BYTES as u64);
@@ -100,7 +100,7 @@
         attempt: &mut Attempt,
         head: ResponseHead,
         out: &mut ResponseWriter<'_>,
-    ) -> Relayed {
+    ) -> Relayed<'a> {
         self.record_start_once();
         let Some(connection) = attempt.connection.as_mut() else {
             return Relayed::Delivered(
@@ -158,7 +158,7 @@
         head: ResponseHead,
         out: &mut ResponseWriter<'_>,
         mut buffer: BodyBuffer,
-    ) -> Relayed {
+    ) -> Relayed<'a> {
         let is_event_stream = buffer.is_event_stream;
         let Some(mut connection) = attempt.connection.take() else {
             return Relayed::Delivered(
@@ -228,7 +228,7 @@
                     };
                     if let Some(replacement) = replacement {
                         self.record_broken(attempt, &head, "silent", last_bytes, &buffer);
-                        return Relayed::Replaced(Box::new(replacement));
+                        return Relayed::Replaced(replacement);
                     }
                     patience = REPLACEMENT_INTERVAL;
                     BodyState::More
@@ -299,7 +299,7 @@
 
     /// Requests a retry at another upstream if the route and the budget allow it, and fails the
     /// request otherwise.
-    async fn retry_or_fail(&mut self, out: &mut ResponseWriter<'_>) -> Relayed {
+    async fn retry_or_fail(&mut self, out: &mut ResponseWriter<'_>) -> Relayed<'a> {
         if self.may_retry() && self.consume_retry() {
             return Relayed::Retry;
         }
--- a/gateway/tests/silence.rs
+++ b/gateway/tests/silence.rs
@@ -232,6 +232,48 @@
     assert_eq!(complete_body(&response).as_deref(), Some(WHOLE), "{response}");
 }
 
+#[actix_rt::test]
+async fn late_request_is_lost_with_replacement_that_refuses() {
+    let late = UpstreamAction::WriteAfter(Duration::from_millis(900), ok("late"));
+    let first = Upstream::start(move |_| late.clone());
+    let full = "HTTP/1.1 503 Full\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    let second = Upstream::start(move |_| UpstreamAction::Write(full.into()));
+    let gateway = TestGateway::start(&[&first]).await;
+    let response = exchange_with_second(&gateway, "/look/1", &first, second.address).await;
+    assert_eq!(complete_body(&response).as_deref(), Some("late"), "{response}");
+    assert_eq!(second.count(), 1);
+}
+
+#[actix_rt::test]
+async fn silent_stream_is_cut_with_replacement_that_fails() {
+    for failure in [
+        UpstreamAction::Write(
+            "HTTP/1.1 500 Failed\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n".into(),
+        ),
+        UpstreamAction::Close,
+    ] {
+        let first = Upstream::start(|_| stream_with_pause(Duration::from_millis(1600)));
+        let second = Upstream::start(move |_| failure.clone());
+        let gateway = TestGateway::start(&[&first]).await;
+        let response = exchange_with_second(&gateway, "/render/1", &first, second.address).await;
+        assert_eq!(complete_body(&response).as_deref(), Some(WHOLE), "{response}");
+        assert_eq!(second.count(), 1);
+    }
+}
+
+// A replacement that keeps the request for longer than refusals take has it alone.
+#[actix_rt::test]
+async fn silent_stream_goes_on_at_slow_replacement() {
+    let first = Upstream::start(|_| stream_with_pause(Duration::from_millis(3000)));
+    let second = Upstream::start(|_| {
+        UpstreamAction::WriteAfter(Duration::from_millis(500), events([2]) + "0\r\n\r\n")
+    });
+    let gateway = TestGateway::start(&[&first]).await;
+    let response = exchange_with_second(&gateway, "/render/1", &first, second.address).await;
+    assert_eq!(complete_body(&response).as_deref(), Some(WHOLE), "{response}");
+    assert_eq!((first.count(), second.count()), (1, 1));
+}
+
 #[actix_rt::test]
 async fn stream_without_first_event_is_not_moved() {
     let head = || vec![(Duration::ZERO, events([])), (Duration::from_secs(9), String::new())];
