relay: a stream is silent until its next event, not its next byte

Cause: any byte of an upstream ended the silence, so that a stalled stream that sent a comment or a single byte now and then was waited for until the deadline, and each byte ended the search for a replacement. A comment before the first event made the gap between events the limit for the first one as well. Change: progress is an event with data, or 256 bytes of a long one. Bytes without progress are read while a replacement is looked for.

--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -28,6 +28,9 @@
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 /// A stream that can be resumed elsewhere counts as silent after this multiple of the route's event gap.
 const MAX_SILENT_GAPS: u32 = 3;
+/// An upstream makes progress with each event that has data, and with each this many bytes, since long
+/// events take a while. Comments and single bytes keep a connection open, but no caller is served by them.
+const PROGRESS_BYTES: u64 = 256;
 /// Event gap of a route that does not set one.
 const DEFAULT_EVENT_GAP: Duration = Duration::from_millis(500);
 /// Minimum time limit for writing a part of a response, even when the request's time is up.
@@ -168,12 +171,17 @@
         let max_silence =
             self.admitted.route.max_event_gap.unwrap_or(DEFAULT_EVENT_GAP) * MAX_SILENT_GAPS;
         let (mut body_state, mut is_sound) = (BodyState::More, false);
-        let mut last_bytes = self.cx.now();
-        let mut patience = max_silence;
+        let mut last_progress = self.cx.now();
+        let mut next_replacement = None;
         let first_event = (attempt.ticket.predicted * MAX_SILENCE_FACTOR).max(MAX_SILENCE);
         loop {
             if matches!(body_state, BodyState::More) {
+                let before = buffer.progress;
                 body_state = buffer.decode(&mut connection.buf, &mut self.position);
+                if buffer.progress > before {
+                    last_progress = self.cx.now();
+                    next_replacement = None;
+                }
             }
             let chunk = std::mem::take(&mut buffer.pending);
             let is_end = matches!(body_state, BodyState::End(_));
@@ -191,7 +199,7 @@
                     break;
                 }
                 BodyState::Broken(reason) => {
-                    self.record_broken(attempt, &head, reason, last_bytes, &buffer);
+                    self.record_broken(attempt, &head, reason, last_progress, &buffer);
                     return self.retry_or_fail(out).await;
                 }
                 BodyState::More => {}
@@ -200,19 +208,14 @@
             let may_resume = is_event_stream && self.can_retry();
             let read_timeout = if may_resume {
                 // Work before the first event may take longer than the gap between two.
-                let least = if self.sent_head.is_some() { Duration::ZERO } else { first_event };
-                time_left.min(patience.max(least.saturating_sub(self.cx.now().since(last_bytes))))
+                let least = if buffer.has_events { Duration::ZERO } else { first_event };
+                let silent_at = last_progress + least.max(max_silence);
+                time_left.min(next_replacement.unwrap_or(silent_at).since(self.cx.now()))
             } else {
                 time_left
             };
             body_state = match timeout(read_timeout, connection.read()).await {
-                Ok(Ok(0)) => buffer.handle_close(),
-                Ok(Ok(_)) => {
-                    last_bytes = self.cx.now();
-                    patience = max_silence;
-                    BodyState::More
-                }
-                Ok(Err(error)) => BodyState::Broken(error_cause(&error)),
+                Ok(read) => buffer.handle_read(&read),
                 Err(_) if time_left <= read_timeout => {
                     self.record_body_end(&head, "timed-out", &buffer);
                     attempt.set_outcome(AttemptOutcome::Broken);
@@ -223,15 +226,20 @@
                 Err(_) => {
                     let replacement = tokio::select! {
                         biased;
-                        _ = connection.stream.readable() => None,
-                        replacement = self.choose_replacement(Delay::Silent) => replacement,
+                        read = buffer.read_until_progress(&mut connection, self.position) => Err(read),
+                        replacement = self.choose_replacement(Delay::Silent) => Ok(replacement),
                     };
-                    if let Some(replacement) = replacement {
-                        self.record_broken(attempt, &head, "silent", last_bytes, &buffer);
-                        return Relayed::Replaced(replacement);
+                    match replacement {
+                        Ok(Some(replacement)) => {
+                            self.record_broken(attempt, &head, "silent", last_progress, &buffer);
+                            return Relayed::Replaced(replacement);
+                        }
+                        Ok(None) => {
+                            next_replacement = Some(self.cx.now() + REPLACEMENT_INTERVAL);
+                            BodyState::More
+                        }
+                        Err(read) => buffer.handle_read(&read),
                     }
-                    patience = REPLACEMENT_INTERVAL;
-                    BodyState::More
                 }
             };
         }
@@ -353,18 +361,31 @@
 }
 
 /// Decodes a response body and buffers the bytes that may be sent to the caller.
+#[derive(Clone)]
 struct BodyBuffer {
     decoder: BodyDecoder,
     events: EventBuffer,
     is_event_stream: bool,
+    /// Whether an event with data has arrived.
+    has_events: bool,
+    /// The number of events and of [`PROGRESS_BYTES`] that have arrived.
+    progress: u64,
+    bytes: u64,
     /// Decoded bytes that may be sent to the caller.
     pending: BytesMut,
 }
 
 impl BodyBuffer {
     fn new(head: &ResponseHead, is_event_stream: bool) -> Self {
-        let decoder = BodyDecoder::new(head.framing);
-        Self { decoder, events: EventBuffer::default(), is_event_stream, pending: BytesMut::new() }
+        Self {
+            decoder: BodyDecoder::new(head.framing),
+            events: EventBuffer::default(),
+            is_event_stream,
+            has_events: false,
+            progress: 0,
+            bytes: 0,
+            pending: BytesMut::new(),
+        }
     }
 
     /// Reads the complete body. Returns false if it is longer than [`MAX_BUFFERED_BYTES`]; the
@@ -387,7 +408,12 @@
                     if self.events.push(&data).is_err() {
                         return BodyState::Broken("event-too-long");
                     }
+                    let before = self.bytes / PROGRESS_BYTES;
+                    self.bytes += data.len() as u64;
+                    self.progress += self.bytes / PROGRESS_BYTES - before;
                     while let Some(event) = self.events.next_event() {
+                        self.has_events |= event.has_data;
+                        self.progress += u64::from(event.has_data);
                         if position.advance(&event) {
                             self.pending.extend_from_slice(&event.bytes);
                         }
@@ -401,6 +427,32 @@
         }
     }
 
+    /// Handles the result of a read, after all earlier bytes were decoded.
+    fn handle_read(&self, read: &io::Result<usize>) -> BodyState {
+        match read {
+            Ok(0) => self.handle_close(),
+            Ok(_) => BodyState::More,
+            Err(error) => BodyState::Broken(error_cause(error)),
+        }
+    }
+
+    /// Reads without decoding until the bytes show progress, or until the connection ends.
+    async fn read_until_progress(
+        &self,
+        connection: &mut Connection,
+        position: StreamPosition,
+    ) -> io::Result<usize> {
+        loop {
+            let length = connection.read().await?;
+            let (mut ahead, mut buf, mut position) =
+                (self.clone(), connection.buf.clone(), position);
+            let state = ahead.decode(&mut buf, &mut position);
+            if length == 0 || ahead.progress > self.progress || !matches!(state, BodyState::More) {
+                return Ok(length);
+            }
+        }
+    }
+
     /// Handles that the upstream has closed the connection, after all bytes were decoded.
     fn handle_close(&self) -> BodyState {
         if self.decoder.ends_with_connection() {
--- a/gateway/tests/silence.rs
+++ b/gateway/tests/silence.rs
@@ -274,6 +274,46 @@
     assert_eq!((first.count(), second.count()), (1, 1));
 }
 
+/// Writes the first event, and then `part` every 200 ms until beyond the deadline.
+fn stream_that_stalls(part: &str) -> UpstreamAction {
+    let parts = (0..40).map(|_| (Duration::from_millis(200), part.to_owned()));
+    UpstreamAction::WriteParts([(Duration::ZERO, events([1]))].into_iter().chain(parts).collect())
+}
+
+// A stream whose upstream sent a byte now and then was waited for until the deadline.
+#[actix_rt::test]
+async fn stalled_stream_with_a_byte_now_and_then_is_never_resumed() {
+    for part in ["1\r\n:\r\n", "3\r\n:\n\n\r\n"] {
+        let first = Upstream::start(move |_| stream_that_stalls(part));
+        let second = Upstream::start(|_| UpstreamAction::Write(events([2]) + "0\r\n\r\n"));
+        let gateway = TestGateway::start(&[&first]).await;
+        let response = exchange_with_second(&gateway, "/render/1", &first, second.address).await;
+        assert!(
+            complete_body(&response).is_some_and(|body| body.ends_with("data: e2\n\n")),
+            "{response}"
+        );
+    }
+}
+
+// The events are further apart than the gap of the route, and no other upstream takes the stream.
+#[actix_rt::test]
+async fn slow_sound_stream_is_not_cut() {
+    let event = |id: u64| events([id]).split_once("\r\n\r\n").unwrap().1.to_owned();
+    let parts = move || {
+        let rest = (2..=4).map(|id| (Duration::from_millis(800), event(id)));
+        let start = [(Duration::ZERO, events([1]))].into_iter();
+        start.chain(rest).chain([(Duration::ZERO, "0\r\n\r\n".to_owned())]).collect()
+    };
+    let first = Upstream::start(move |_| UpstreamAction::WriteParts(parts()));
+    let gateway = TestGateway::start(&[&first]).await;
+    let response = gateway.exchange(&get("/render/1", "a1")).await;
+    assert!(
+        complete_body(&response).is_some_and(|body| body.ends_with("data: e4\n\n")),
+        "{response}"
+    );
+    assert_eq!(first.count(), 1);
+}
+
 #[actix_rt::test]
 async fn stream_without_first_event_is_not_moved() {
     let head = || vec![(Duration::ZERO, events([])), (Duration::from_secs(9), String::new())];
