limit: give each daemon a home among brittle upstreams

Change: the daemons are dealt out over a service's upstreams, so that each has one home, at which it may send one request while the upstreams are calm.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -12,7 +12,7 @@
     edge::change_log,
     ids::{CustomerName, Incarnation, ServiceName, UpstreamId},
     limit::{
-        brittle::{BrittleUpstreams, Target, Turn},
+        brittle::{BrittleUpstreams, Target, Turn, home_rank},
         upstream::UpstreamLimits,
     },
     request::crash_evidence::{CrashEvidence, Verdict},
@@ -135,16 +135,11 @@
             }
         }
         let mut live = self.directory.live(now, criteria.service);
-        let limit_wait = retain_within_limits(
-            &mut self.upstream_limits,
-            &self.peer_table,
-            now,
-            &mut live,
-            criteria,
-        );
         let (peers, placement) = (&self.peer_table, &self.placement);
         let brittle_wait =
             retain_with_room(&mut self.brittle, peers, placement, now, &mut live, criteria);
+        let limits = &mut self.upstream_limits;
+        let limit_wait = retain_within_limits(limits, peers, now, &mut live, criteria);
         let shortest_wait = limit_wait.into_iter().chain(brittle_wait).min();
         let selection = self.placement.choose(now, &live, criteria);
         match (&selection, shortest_wait) {
@@ -168,10 +163,9 @@
         criteria: &SelectionCriteria<'_>,
     ) -> Option<Duration> {
         let mut live = self.directory.live(now, criteria.service);
-        let (limits, peers) = (&mut self.upstream_limits, &self.peer_table);
-        retain_within_limits(limits, peers, now, &mut live, criteria);
         let (peers, placement) = (&self.peer_table, &self.placement);
         retain_with_room(&mut self.brittle, peers, placement, now, &mut live, criteria);
+        retain_within_limits(&mut self.upstream_limits, peers, now, &mut live, criteria);
         self.placement.best_elsewhere(now, &live, criteria)
     }
 
@@ -619,7 +613,7 @@
     }
     let mut shortest_wait: Option<Duration> = None;
     live.retain(|upstream| {
-        let wait = limits.wait(now, &upstream.record.id, |id| peers.position(id));
+        let wait = limits.wait(now, &upstream.record.id, |id| peers.position(id.as_str()));
         if !wait.is_zero() && criteria.allows(upstream) {
             shortest_wait = Some(shortest_wait.map_or(wait, |shortest| shortest.min(wait)));
         }
@@ -644,11 +638,17 @@
     let service = criteria.service;
     let service_tolerance = brittle.service_tolerance(now, service)?;
     let turn = Turn::at(peers.agreed_time(now, wall_clock()).0, peers.work_report_age());
+    let mut ids: Vec<&UpstreamId> = live.iter().map(|upstream| &upstream.record.id).collect();
+    ids.sort_unstable();
+    let by_service = peers.position(service.as_str());
     let mut shortest_wait: Option<Duration> = None;
     live.retain(|upstream| {
-        let target = Target { upstream: &upstream.record.id, service, service_tolerance };
+        let id = &upstream.record.id;
+        let index = ids.binary_search(&id).ok();
+        let home_rank = index.and_then(|index| home_rank(by_service, index, ids.len()));
+        let target = Target { upstream: id, service, service_tolerance, home_rank };
         let occupancy = placement.occupancy(now, upstream);
-        let wait = brittle.wait(now, target, occupancy, turn, |id| peers.position(id));
+        let wait = brittle.wait(now, target, occupancy, turn, |id| peers.position(id.as_str()));
         if !wait.is_zero() && criteria.allows(upstream) {
             shortest_wait = Some(shortest_wait.map_or(wait, |shortest| shortest.min(wait)));
         }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -307,10 +307,10 @@
         self.peers.iter().filter(precedes).count() as u32
     }
 
-    /// Returns this daemon's position among the known daemons, by rendezvous hashing with an upstream.
-    /// Silent daemons count, since they may only be out of contact.
-    pub fn position(&self, upstream: &UpstreamId) -> Position {
-        let seed = xxh3_64(upstream.as_str().as_bytes());
+    /// Returns this daemon's position among the known daemons, by rendezvous hashing with the name of an
+    /// upstream or a service. Silent daemons count, since they may only be out of contact.
+    pub fn position(&self, name: &str) -> Position {
+        let seed = xxh3_64(name.as_bytes());
         let weight = |daemon: &DaemonId| xxh3_64_with_seed(daemon.as_str().as_bytes(), seed);
         let own = weight(&self.own_id);
         let rank = self.peers.keys().filter(|daemon| weight(daemon) > own).count() as u32;
--- a/lib/src/limit/brittle.rs
+++ b/lib/src/limit/brittle.rs
@@ -5,7 +5,9 @@
 //! of a brittle upstream may be short. What all daemons are known to have there leaves some places
 //! free, which the daemons divide, so that together they fill them even if all send at once: the parts
 //! that are left over go to the next in a rendezvous order, turn by turn. While much
-//! is free, a daemon does not wait for its part, as it is unlikely that all send at once. Each rejection
+//! is free, a daemon does not wait for its part, as it is unlikely that all send at once. When less is
+//! free, it does so only at its home, the one upstream at which it counts among the few that may: with
+//! more daemons than places, each still has an upstream that it may use. Each rejection
 //! that a daemon knows of makes it more careful, and holds it back before all of them together are too
 //! many.
 //!
@@ -45,6 +47,8 @@
 const MARGIN_DEVIATIONS: f64 = 2.33;
 /// The daemons for each slot of an upstream that may do so, the first in the rendezvous order.
 const OPTIMISTS_PER_SLOT: u32 = 3;
+/// The daemons for each slot of an upstream that may do so because it is their home.
+const HOME_OPTIMISTS_PER_SLOT: u32 = 2;
 /// The requests that may meet at one upstream, since daemons with the same view choose the same one, in
 /// multiples of the mean.
 const CROWD_FACTOR: f64 = 2.0;
@@ -109,6 +113,18 @@
     pub service: &'a ServiceName,
     /// What the upstreams of the service survive at least; see [`BrittleUpstreams::service_tolerance`].
     pub service_tolerance: Tolerance,
+    /// This daemon's rank among those whose home the upstream is, if it is one of them; see
+    /// [`home_rank`].
+    pub home_rank: Option<u32>,
+}
+
+/// Returns a daemon's rank among those whose home is the upstream with an index among the `upstreams`
+/// of its service, if it is one of them. `position` is its position among all daemons of the service, so
+/// that the homes of all are spread evenly.
+pub fn home_rank(position: Position, index: usize, upstreams: usize) -> Option<u32> {
+    let upstreams = u32::try_from(upstreams).ok().filter(|upstreams| *upstreams > 0)?;
+    let is_home = (position.rank % upstreams) as usize == index;
+    is_home.then_some(position.rank / upstreams)
 }
 
 /// Where all daemons are in the sequence of turns, by the time of day on which they agree.
@@ -289,17 +305,29 @@
         Self { for_many: Some(now), for_some: Some(now) }
     }
 
-    /// Returns the number of daemons for each slot that may send without a part of their own.
-    fn optimists_per_slot(self, now: Time) -> u32 {
-        let is_calm = |at: Option<Time>| at.is_none_or(|at| now.since(at) >= CALM_TIME);
-        match (is_calm(self.for_many), is_calm(self.for_some)) {
-            (true, true) => OPTIMISTS_PER_SLOT,
-            (false, true) => OPTIMISTS_PER_SLOT - 1,
-            _ => 0,
+    fn is_calm_for_many(self, now: Time) -> bool {
+        is_calm(now, self.for_many) && self.is_calm_for_some(now)
+    }
+
+    fn is_calm_for_some(self, now: Time) -> bool {
+        is_calm(now, self.for_some)
+    }
+
+    /// Reports whether a daemon may send without a part of its own to an upstream with this number of
+    /// slots, at its rank among all daemons and among those whose home the upstream is.
+    fn allows(self, now: Time, slots: u32, rank: u32, home_rank: Option<u32>) -> bool {
+        let is_at_home = || home_rank.is_some_and(|rank| rank < HOME_OPTIMISTS_PER_SLOT * slots);
+        if self.is_calm_for_many(now) {
+            return rank < OPTIMISTS_PER_SLOT * slots || is_at_home();
         }
+        self.is_calm_for_some(now) && is_at_home()
     }
 }
 
+fn is_calm(now: Time, busy_at: Option<Time>) -> bool {
+    busy_at.is_none_or(|at| now.since(at) >= CALM_TIME)
+}
+
 /// The upstreams that are brittle.
 #[derive(Clone, Debug, Default)]
 pub struct BrittleUpstreams {
@@ -479,7 +507,7 @@
         turn: Turn,
         position: impl Fn(&UpstreamId) -> Position,
     ) -> Duration {
-        let Target { upstream, service, service_tolerance } = target;
+        let Target { upstream, service, service_tolerance, home_rank } = target;
         let known = self.upstreams.get(upstream).filter(|known| !known.is_expired(now));
         let tolerance = match known {
             Some(known) => known.tolerance,
@@ -525,14 +553,14 @@
         if mean * caution > f64::from(slots) * LOW_LOAD {
             busy.for_some = Some(now);
         }
-        let optimists = busy.optimists_per_slot(now) * slots;
+        let is_optimist = busy.allows(now, slots, position.rank, home_rank);
         if requests + reserve < slots {
             let free = slots.saturating_sub(reserve + held + held_by_peers);
             let has_rest = position.rank < free % position.count && !turn.is_beginning();
             if own < held + free / position.count + u32::from(has_rest) {
                 return Duration::ZERO;
             }
-            if own <= held && position.rank < optimists {
+            if own <= held && is_optimist {
                 return Duration::ZERO;
             }
         }
@@ -564,6 +592,6 @@
         let expired = self.upstreams.extract_if(.., |_, known| known.is_expired(now));
         let ended = expired.filter(|(_, known)| known.tolerance.is_some());
         self.changes.extend(ended.map(|(upstream, _)| Change { upstream, tolerance: None }));
-        self.busy_at.retain(|_, busy| busy.optimists_per_slot(now) < OPTIMISTS_PER_SLOT);
+        self.busy_at.retain(|_, busy| !busy.is_calm_for_many(now));
     }
 }
--- a/lib/tests/brittle.rs
+++ b/lib/tests/brittle.rs
@@ -14,6 +14,7 @@
     limit::{
         brittle::{
             BrittleUpstreams, Change, Occupancy, Report, ReportWire, TURN, Target, Tolerance, Turn,
+            home_rank,
         },
         upstream::Position,
     },
@@ -270,7 +271,13 @@
                 let occupancy =
                     Occupancy { slots: case.slots, own, peers, held_by_peers, reported: None };
                 let service = &self.service;
-                let target = Target { upstream: &self.names[upstream], service, service_tolerance };
+                let by_service = position(case.daemons, request.daemon, usize::MAX);
+                let target = Target {
+                    upstream: &self.names[upstream],
+                    service,
+                    service_tolerance,
+                    home_rank: home_rank(by_service, upstream, case.upstreams),
+                };
                 let wait = daemon.brittle.wait(Time(now), target, occupancy, turn, |_| {
                     position(case.daemons, request.daemon, upstream)
                 });
@@ -526,7 +533,8 @@
     let Some(service_tolerance) = brittle.service_tolerance(at(ms), &service) else {
         return Duration::ZERO;
     };
-    let target = Target { upstream: &upstream, service: &service, service_tolerance };
+    let target =
+        Target { upstream: &upstream, service: &service, service_tolerance, home_rank: None };
     let in_turn = Turn::at(turn * TURN.as_millis() as u64 + 1000, Duration::from_millis(200));
     brittle.wait(at(ms), target, occupancy, in_turn, |_| position)
 }
@@ -564,6 +572,52 @@
     assert_eq!(allowed(2), [4, 5]);
 }
 
+// With more daemons than places, daemons outside the first ranks of all upstreams were always refused.
+#[test]
+fn wait_daemon_without_a_place_may_use_its_home() {
+    let mut brittle = brittle();
+    // Two requests at the four slots are too many for sends by most daemons, and few enough for some.
+    let mut send = |ms: u64, rank: u32, home_rank: Option<u32>| {
+        let (upstream, service) = (upstream(), service());
+        let tolerance = Tolerance(2);
+        let target = Target {
+            upstream: &upstream,
+            service: &service,
+            service_tolerance: tolerance,
+            home_rank,
+        };
+        let turn = Turn::at(1000, Duration::from_millis(200));
+        let position = Position { rank, count: 16 };
+        brittle.wait(at(ms), target, occupancy(0, 1), turn, |_| position).is_zero()
+    };
+    for ms in 0..30 {
+        send(ms * 100, 15, None);
+    }
+    assert!(!send(3000, 15, None), "not every daemon may send while some places are in use");
+    assert!(send(3010, 15, Some(7)));
+    assert!(!send(3020, 15, Some(8)), "more daemons have this home than its slots allow");
+}
+
+#[test]
+fn home_rank_spreads_daemons_evenly() {
+    for (daemons, upstreams) in [(1, 3), (16, 2), (59, 4), (295, 5)] {
+        let mut homes = vec![Vec::new(); upstreams];
+        for rank in 0..daemons {
+            let position = Position { rank, count: daemons };
+            let ranks = (0..upstreams)
+                .filter_map(|index| Some((index, home_rank(position, index, upstreams)?)));
+            let ranks: Vec<_> = ranks.collect();
+            assert_eq!(ranks.len(), 1, "daemon {rank} of {daemons} has one home");
+            homes[ranks[0].0].push(ranks[0].1);
+        }
+        for ranks in homes {
+            assert!(ranks.iter().copied().eq(0..ranks.len() as u32), "{ranks:?}");
+            assert!(ranks.len().abs_diff(daemons as usize / upstreams) <= 1, "{ranks:?}");
+        }
+    }
+    assert_eq!(home_rank(ALONE, 0, 0), None);
+}
+
 #[test]
 fn wait_rejections_hold_all_daemons_back() {
     let mut here = brittle();
@@ -603,7 +657,12 @@
     assert!(!wait(&mut brittle, 220, occupancy(4, 0), ALONE).is_zero());
     let other: UpstreamId = "u2".parse().unwrap();
     let service = service();
-    let target = Target { upstream: &other, service: &service, service_tolerance: Tolerance(2) };
+    let target = Target {
+        upstream: &other,
+        service: &service,
+        service_tolerance: Tolerance(2),
+        home_rank: None,
+    };
     let turn = Turn::at(1000, Duration::from_millis(200));
     let wait = brittle.wait(at(230), target, occupancy(4, 0), turn, |_| ALONE);
     assert!(!wait.is_zero(), "the others of its service are");
