lease: keep calls to the cloud in order where it checks no fences

Cause: a call was sent under a fence that was looked at once: before it connected, and for a list of orders before the first of them. On its way it could fall behind the calls of the next holder, and a holder that returned could act by turns with the one between. A cloud that checks fences refuses such calls; others carry them out. Change: Lease::permit names the time after which no call may be sent. A new holder waits until earlier calls have arrived, one that returns for a lease duration more. Setting fencing-enforced; without it nothing relies on the cloud.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -108,7 +108,7 @@
         self.retries.set_bounds(bounds.retries);
         self.rollouts.set_exposure(bounds.canary_share);
         self.usage.set_window(bounds.usage_window);
-        self.lease.set_duration(bounds.lease);
+        self.lease.set_bounds(bounds.lease, bounds.checks_fences);
     }
 
     /// Applies a table if it is newer than the current one, and reports whether it was.
@@ -342,6 +342,8 @@
         let incarnation = Incarnation(wall_clock().0);
         let bounds = &settings.bounds;
         let run = format!("{}.{incarnation}", settings.name);
+        let mut lease = Lease::new(run.into(), bounds.lease, now);
+        lease.set_bounds(bounds.lease, bounds.checks_fences);
         let state = State {
             table: None,
             directory: Directory::new(bounds.drain),
@@ -358,7 +360,7 @@
             peer_table: PeerTable::new(settings.name.clone()),
             hubs: Hubs::new(settings.name.clone(), settings.link, bounds.drain),
             views: ReplicatedViews::default(),
-            lease: Lease::new(run.into(), bounds.lease, now),
+            lease,
             peer_work_refreshed: now,
             has_upstreams: false,
             has_members: false,
--- a/gateway/src/leader.rs
+++ b/gateway/src/leader.rs
@@ -9,7 +9,7 @@
     autoscaler::HostPool,
     gateway::{Gateway, State, wall_clock},
     objects::apply_entry,
-    store::{CallError, CloudRequest, Kind, Record, UpstreamRecord, UsageWindow, Write},
+    store::{CallError, CloudRequest, Kind, Permit, Record, UpstreamRecord, UsageWindow, Write},
     sync::record_call,
 };
 
@@ -122,7 +122,7 @@
     let state = cx.state.borrow();
     let wall = state.peer_table.agreed_time(cx.now(), wall_clock());
     let since_end = state.usage.time_since_end(window.number, wall).unwrap_or_default();
-    let Some(fence) = state.lease.fence(cx.now()) else { return };
+    let Some(permit) = state.lease.permit(cx.now()) else { return };
     if since_end > cx.settings().bounds.usage_delay
         || !cx.reported.borrow_mut().insert(window.number)
     {
@@ -136,7 +136,7 @@
         match record_call(
             &cx,
             "usage",
-            (cx.store.send_cloud_request)(fence, CloudRequest::Usage(window)).await,
+            (cx.store.send_cloud_request)(permit, CloudRequest::Usage(window)).await,
         ) {
             Ok(()) => log::info!(event = "usage-reported", window = number, total; ""),
             Err(_) => {
@@ -230,7 +230,7 @@
     let mut orders = Vec::new();
     let fence = {
         let mut state = cx.state.borrow_mut();
-        let Some(fence) = state.lease.fence(now) else {
+        let Some(Permit { fence, .. }) = state.lease.permit(now) else {
             state.autoscaler.reset();
             return;
         };
@@ -261,11 +261,14 @@
             let HostPool { data_centre, reclaimable } = order.pool.clone();
             let (service, count) = (order.service.clone(), order.count);
             let hosts = CloudRequest::Hosts { service, data_centre, count, reclaimable };
-            let result = record_call(
-                &cx,
-                "order",
-                (cx.store.send_cloud_request)(fence.clone(), hosts).await,
-            );
+            // Earlier orders may have taken until the end of the term in which this one was planned.
+            let permit = cx.state.borrow().lease.permit(cx.now());
+            let Some(permit) = permit.filter(|permit| permit.fence == fence) else {
+                log::info!(event = "order-dropped", service:% = order.service, data_centre:% = order.pool.data_centre, fence = fence.number; "the lease ended before the order could be sent");
+                return;
+            };
+            let call = (cx.store.send_cloud_request)(permit, hosts).await;
+            let result = record_call(&cx, "order", call);
             cx.state.borrow_mut().autoscaler.record_reply(cx.now(), &order, result.is_ok());
         }
     });
--- a/gateway/src/lease.rs
+++ b/gateway/src/lease.rs
@@ -6,14 +6,21 @@
 //! longer than a holder acts, and if the lease duration has passed since the last report, on a
 //! clock that includes suspension. The holder stops acting at [`VALIDITY_SHARE`] of the lease
 //! duration after it sent its last successful renewal, well before another daemon may take over.
-//! The fence rises with each change of holder by a conditional write, and the cloud refuses calls
-//! with a lower fence.
+//! The fence rises with each change of holder by a conditional write. A cloud may refuse calls with a
+//! lower fence. Where it does not, two more rules keep calls in the order of their fences, since a
+//! call may arrive later than it was sent, at most by [`MAX_CALL_DELAY`]: a new holder sends none
+//! before the calls of the one before it have arrived, and a holder that returns sends none before
+//! the lease duration has passed since it could last send one. See `docs/promises.md`.
 
 use std::time::Duration;
 
 use dogwoodturn::{ids::Revision, units::Time};
 
-use crate::store::{Fence, LeaseRecord, UsageWindow};
+use crate::store::{Fence, LeaseRecord, Permit, UsageWindow};
+
+/// The time after the end of a permit by which all calls sent under it have arrived or never will. The
+/// client of the cloud keeps it.
+pub const MAX_CALL_DELAY: Duration = Duration::from_millis(500);
 
 /// Time without a heartbeat, in addition to the lease duration, after which another daemon may take
 /// over; covers messages in transit.
@@ -64,6 +71,10 @@
     is_missing: bool,
     held_since: Option<Time>,
     valid_until: Time,
+    /// Whether the cloud refuses calls with a lower fence than it has seen.
+    checks_fences: bool,
+    /// When this daemon may last have sent a call under an earlier fence.
+    sent_until: Option<Time>,
     is_write_pending: bool,
     pending_windows: Vec<UsageWindow>,
     last_write_at: Time,
@@ -85,15 +96,18 @@
             is_missing: false,
             held_since: None,
             valid_until: Time::default(),
+            checks_fences: false,
+            sent_until: None,
             is_write_pending: false,
             pending_windows: Vec::new(),
             last_write_at: Time::default(),
         }
     }
 
-    /// Changes the lease duration.
-    pub fn set_duration(&mut self, duration: Duration) {
+    /// Changes the lease duration, and whether the cloud checks fences.
+    pub fn set_bounds(&mut self, duration: Duration, checks_fences: bool) {
         self.duration = duration;
+        self.checks_fences = checks_fences;
     }
 
     /// Returns the time for which a holder acts after it sent its last renewal.
@@ -137,8 +151,8 @@
         if self.stored.as_ref().is_some_and(|(stored, _)| *stored >= revision) {
             return;
         }
-        if record.holder != self.own_id {
-            self.held_since = None;
+        if record.holder != self.own_id && self.held_since.take().is_some() {
+            self.sent_until = Some(self.valid_until.min(now));
             self.valid_until = Time::default();
         }
         self.changed_at = now;
@@ -221,6 +235,19 @@
         is_valid.then(|| Fence { holder: self.own_id.clone(), number: record.fence })
     }
 
+    /// Returns the permission to send calls to the cloud, if this daemon may send one now.
+    pub fn permit(&self, now: Time) -> Option<Permit> {
+        let fence = self.fence(now)?;
+        if !self.checks_fences {
+            let after_predecessor = self.held_since? + MAX_CALL_DELAY;
+            let after_return = self.sent_until.map(|at| at + MAX_CALL_DELAY + self.duration);
+            if now < after_return.map_or(after_predecessor, |at| at.max(after_predecessor)) {
+                return None;
+            }
+        }
+        Some(Permit { fence, not_after: self.valid_until })
+    }
+
     /// Returns the recently closed windows, which this holder or an earlier one closed.
     pub fn closed_windows(&self) -> &[UsageWindow] {
         self.stored.as_ref().map_or(&[], |(_, record)| &record.closed_windows)
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -76,7 +76,7 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
-    log::info!(event = "start", daemon:% = settings.name, callers:% = settings.callers; "");
+    log::info!(event = "start", daemon:% = settings.name, callers:% = settings.callers, checks_fences = settings.bounds.checks_fences; "");
     let peers = settings.peers;
     let cx = Gateway::new(settings, header_schema, store);
 
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -60,6 +60,9 @@
     pub drain: Duration,
     /// Duration of the lease: time within which leadership must not alternate between two daemons.
     pub lease: Duration,
+    /// Whether the cloud refuses calls with a lower fence than it has seen. Where it does not, the daemons
+    /// alone keep their calls in order.
+    pub checks_fences: bool,
     /// Share of a service's requests, from 0 to 1, that a new version may get before evidence shows
     /// that it is not faulty.
     pub canary_share: f64,
@@ -193,6 +196,7 @@
     let usage_delay = time("usage-delay-seconds");
     let drain = time("drain-milliseconds");
     let lease = time("lease-milliseconds");
+    let checks_fences = fields.optional("fencing-enforced").unwrap_or(false);
     let canary_share = not_negative(&mut fields, "canary-share");
     if canary_share.is_some_and(|share| share > 1.0) {
         fields.add_error("canary-share must not be above 1");
@@ -212,6 +216,7 @@
         usage_delay: usage_delay?,
         drain: drain?,
         lease: lease?,
+        checks_fences,
         canary_share: canary_share?,
     })
 }
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -6,8 +6,12 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use dogwoodturn::ids::{
-    CustomerName, DaemonId, DataCentre, Incarnation, Revision, ServiceName, UpstreamId, VersionName,
+use dogwoodturn::{
+    ids::{
+        CustomerName, DaemonId, DataCentre, Incarnation, Revision, ServiceName, UpstreamId,
+        VersionName,
+    },
+    units::Time,
 };
 use futures_util::future::LocalBoxFuture;
 use indexmap::IndexMap;
@@ -253,7 +257,7 @@
     },
 }
 
-/// The holder of the lease and its fencing number, which the cloud checks.
+/// The holder of the lease and its fencing number, which the cloud may check.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fence {
     pub holder: Box<str>,
@@ -261,6 +265,16 @@
     pub number: u64,
 }
 
+/// The permission to send fenced requests to the cloud.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Permit {
+    pub fence: Fence,
+    /// The time after which no request may be sent, on the clock of [`Gateway::now`].
+    ///
+    /// [`Gateway::now`]: crate::gateway::Gateway::now
+    pub not_after: Time,
+}
+
 /// The future result of a call.
 pub type Reply<T> = LocalBoxFuture<'static, Result<T, CallError>>;
 
@@ -272,8 +286,11 @@
     pub watch: Box<dyn Fn(Kind, Revision, Duration) -> Reply<Changes>>,
     /// Writes one object and returns its revision.
     pub write: Box<dyn Fn(Write) -> Reply<Revision>>,
-    /// Sends a fenced request to the cloud.
-    pub send_cloud_request: Box<dyn Fn(Fence, CloudRequest) -> Reply<()>>,
+    /// Sends a fenced request to the cloud, unless the permit has ended by the time that it is written. A
+    /// request must not arrive later than [`MAX_CALL_DELAY`] after the end of its permit.
+    ///
+    /// [`MAX_CALL_DELAY`]: crate::lease::MAX_CALL_DELAY
+    pub send_cloud_request: Box<dyn Fn(Permit, CloudRequest) -> Reply<()>>,
     /// Directs subsequent calls to other addresses of the store and the cloud, in this order.
     pub redirect: Box<dyn Fn(SocketAddr, SocketAddr)>,
     /// Parses a table from its document as a peer sent it.
--- a/gateway/tests/bounds.rs
+++ b/gateway/tests/bounds.rs
@@ -158,6 +158,45 @@
     assert_eq!(called.get(), None, "unchanged settings do not redirect the store");
 }
 
+fn read_with_fencing(value: &str) -> Result<bool, String> {
+    let text = format!("{}\nfencing-enforced = {value}\n", settings_text());
+    let read = Settings::read(&Source { file: "test.ini".into(), text: text.into() });
+    read.map(|settings| settings.bounds.checks_fences).map_err(|errors| errors[0].to_string())
+}
+
+#[test]
+fn read_fencing_that_is_no_truth_value_is_refused() {
+    for value in ["maybe", "1", "yes", "True", ""] {
+        let error = read_with_fencing(value).unwrap_err();
+        assert!(error.contains("fencing-enforced") && error.contains("test.ini"), "{error}");
+    }
+    assert_eq!(read_with_fencing("true"), Ok(true));
+    assert_eq!(read_with_fencing("false"), Ok(false));
+}
+
+// Without the key, nothing may rely on a cloud that refuses calls of a former holder.
+#[test]
+fn read_fencing_that_is_absent_is_taken_as_not_enforced() {
+    assert!(!settings().bounds.checks_fences);
+}
+
+#[test]
+fn reload_changes_whether_fences_are_checked() {
+    let mut checked = settings();
+    checked.bounds.checks_fences = true;
+    let cx = Gateway::new(settings(), header_schema(), no_store());
+    let now = cx.now();
+    let mut state = cx.state.borrow_mut();
+    state.lease.apply_absence();
+    let write = state.lease.next_write(now).unwrap();
+    state.lease.confirm_write(now, Revision(1), write);
+    assert!(state.lease.fence(now).is_some());
+    assert!(state.lease.permit(now).is_none(), "calls of an earlier holder may still arrive");
+    drop(state);
+    cx.reload(checked);
+    assert!(cx.state.borrow().lease.permit(now).is_some());
+}
+
 #[test]
 fn reload_settings_that_need_a_restart_are_kept() {
     let cx = Gateway::new(settings(), header_schema(), no_store());
