hubs: daemons of large systems leave the configuration to the hubs

Calls to the platform are the dearest price of the large site. Change: hubs announce the version and the length of their table. The others fetch a newer one of up to 64 KiB from a hub of their own, and watch the configuration themselves while fewer than two hubs announce one, for longer tables, and after a second without it. Result: five tests in platform/tests/tables.rs.

--- a/gateway/src/catch_up.rs
+++ b/gateway/src/catch_up.rs
@@ -2,7 +2,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use dogwoodturn::units::Time;
 use tokio::time::{interval, sleep};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -19,6 +18,8 @@
 const STORE_REFUSAL_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Time for which a peer's newer table is left to the store's watch before it is fetched.
 const PEER_TABLE_DELAY: Duration = Duration::from_millis(300);
+/// The longest delay before a hub's newer table is fetched, so that not all daemons do so at once.
+const MAX_TABLE_FETCH_DELAY: Duration = Duration::from_millis(300);
 
 /// Starts the tasks that fetch missed tables and objects.
 pub fn start(cx: &Rc<Gateway>) {
@@ -77,23 +78,31 @@
     }
 }
 
-/// Fetches a newer table from a peer while this daemon does not get it from the store.
+/// Fetches a newer table from a hub or another peer while this daemon does not get it from the store.
 async fn catch_up_tables(cx: Rc<Gateway>) {
-    let mut behind_since: Option<Time> = None;
     let mut ticks = interval(TICK);
     loop {
         ticks.tick().await;
         let now = cx.now();
-        let peer = {
+        let (peer, follows_hubs) = {
             let state = cx.state.borrow();
             let version = state.table.as_ref().map_or(0, |table| table.version);
-            state.peer_table.newer_table(now, version)
+            let hub = state.hubs.newer_table(now, version);
+            let peer = hub.or_else(|| state.peer_table.newer_table(now, version));
+            (peer, state.hubs.follows_tables(now))
         };
         let Some(peer) = peer else {
-            behind_since = None;
+            cx.table_behind_since.set(None);
             continue;
         };
-        if now.since(*behind_since.get_or_insert(now)) < PEER_TABLE_DELAY {
+        let behind_since = cx.table_behind_since.get().unwrap_or(now);
+        cx.table_behind_since.set(Some(behind_since));
+        let delay = if follows_hubs {
+            jittered_delay(&cx, MAX_TABLE_FETCH_DELAY)
+        } else {
+            PEER_TABLE_DELAY
+        };
+        if now.since(behind_since) < delay {
             continue;
         }
         match links::fetch_table(peer).await {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -281,6 +281,8 @@
             live_peers: self.peer_table.live_count(now),
             since_store_recovery: self.directory.since_store_recovery(now),
             totals: totals.collect(),
+            table: self.table.as_ref().map_or(0, |table| table.version),
+            table_bytes: self.table.as_ref().map_or(0, |table| table.document.len() as u64),
             updates: if self.hubs.broadcasts_objects(now) {
                 self.views.recent(now)
             } else {
@@ -326,6 +328,8 @@
     pub is_removing_member: Cell<bool>,
     /// Kinds of which an update from a hub was missed.
     pub missed_kinds: RefCell<IndexSet<Kind>>,
+    /// Since when another daemon has had a newer table.
+    pub table_behind_since: Cell<Option<Time>>,
     in_flight: Cell<u32>,
     /// Memory that is reserved for callers' bodies, in bytes.
     reserved_body_bytes: Cell<u64>,
@@ -381,6 +385,7 @@
             has_unsent_changes: Cell::new(false),
             is_removing_member: Cell::new(false),
             missed_kinds: RefCell::default(),
+            table_behind_since: Cell::new(None),
             in_flight: Cell::new(0),
             reserved_body_bytes: Cell::new(0),
             last_message_number: Cell::new(0),
--- a/gateway/src/hubs.rs
+++ b/gateway/src/hubs.rs
@@ -4,7 +4,8 @@
 //! would cost a call per host. If each daemon had to receive messages from every other, a
 //! customer's burst would be over before they all knew of it. So a few daemons, called hubs, watch
 //! the store, receive the state of all daemons at short intervals and broadcast what they have
-//! learnt. No daemon is appointed: a daemon becomes a hub when it receives messages from too few
+//! learnt. A table is too long for a broadcast, so hubs announce its version, and the others fetch it
+//! from them. No daemon is appointed: a daemon becomes a hub when it receives messages from too few
 //! hubs with store contact, sooner if its link is wide, and resigns when enough such hubs outrank
 //! it. A daemon that receives none works without hubs. Systems of a few hosts have no hubs, since
 //! there all daemons exchange messages in time.
@@ -17,7 +18,7 @@
 };
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     quota::{self, History},
@@ -32,6 +33,11 @@
 /// Hubs besides the leader to which every daemon reports its state; the second takes over if the
 /// first is lost.
 const PRIMARY_HUBS: usize = 2;
+/// The longest table that is fetched from hubs, whose links hundreds of fetches of a longer one would fill
+/// for seconds. The store has a wider link.
+const MAX_TABLE_BYTES: u64 = 64 * 1024;
+/// Hubs that must announce their tables for a daemon to leave the declarations to them.
+const TABLE_HUBS: usize = 2;
 /// Share of the drain time for which a hub waits in one watch. A response, even an empty one,
 /// proves store contact; the rest of the drain time is for other daemons to take over.
 const WATCH_DRAIN_SHARE: f64 = 0.4;
@@ -87,6 +93,12 @@
     /// Time since the store became reachable again, in milliseconds, if it was unavailable.
     #[serde(rename = "store_back_ms")]
     pub since_store_recovery_ms: Option<u64>,
+    /// The version of the hub's table; zero if it has none, or is of a release without this field.
+    #[serde(default)]
+    pub table: u64,
+    /// The length of its document.
+    #[serde(default)]
+    pub table_bytes: u64,
     /// Recent changes of the store.
     #[serde(rename = "excerpts")]
     pub updates: Vec<ReplicationUpdate>,
@@ -250,6 +262,26 @@
         self.connected_hubs(now).next().is_some()
     }
 
+    /// Reports whether this daemon may leave the declarations to the hubs.
+    pub fn follows_tables(&self, now: Time) -> bool {
+        let is_short = |hub: &Hub| hub.message.table_bytes <= MAX_TABLE_BYTES;
+        let announcing = || self.connected_hubs(now).filter(|hub| hub.message.table > 0);
+        !self.is_hub && announcing().count() >= TABLE_HUBS && announcing().all(is_short)
+    }
+
+    /// Returns a hub with a table above `version` that is short enough to be fetched. Each daemon chooses its own, so that they are spread
+    /// over the hubs.
+    pub fn newer_table(&self, now: Time, version: u64) -> Option<SocketAddr> {
+        let is_newer =
+            |hub: &&Hub| hub.message.table > version && hub.message.table_bytes <= MAX_TABLE_BYTES;
+        let newer = self.live_hubs(now).filter(is_newer);
+        let weight = |hub: &Hub| {
+            let seed = xxh3_64(self.own_id.as_str().as_bytes());
+            xxh3_64_with_seed(hub.message.daemon.as_str().as_bytes(), seed)
+        };
+        newer.max_by_key(|hub| (hub.message.table, weight(hub))).map(|hub| hub.address)
+    }
+
     /// Returns a hub from which all objects can be fetched.
     pub fn sync_source(&self, now: Time) -> Option<SocketAddr> {
         let newest = self.connected_hubs(now).max_by_key(|hub| hub.received_at);
@@ -331,8 +363,16 @@
             .last_store_contact
             .map_or(NO_CONTACT_AGE_MS, |contact| now.since(contact).as_millis() as u64);
         self.number += 1;
-        let HubStatus { daemons, is_leader, live_peers, since_store_recovery, updates, totals } =
-            status;
+        let HubStatus {
+            daemons,
+            is_leader,
+            live_peers,
+            since_store_recovery,
+            table,
+            table_bytes,
+            updates,
+            totals,
+        } = status;
         Some(HubMessage {
             daemon: self.own_id.clone(),
             incarnation,
@@ -343,6 +383,8 @@
             store_contact_age_ms,
             receive_interval_ms: self.receive_interval(daemons).as_millis() as u64,
             since_store_recovery_ms: since_store_recovery.map(|since| since.as_millis() as u64),
+            table,
+            table_bytes,
             updates,
             totals,
         })
@@ -360,6 +402,10 @@
     pub live_peers: u32,
     /// Time since the store became reachable again, if it was unavailable.
     pub since_store_recovery: Option<Duration>,
+    /// The version of its table; zero if it has none.
+    pub table: u64,
+    /// The length of its document.
+    pub table_bytes: u64,
     /// Recent changes of the store.
     pub updates: Vec<ReplicationUpdate>,
     /// The admissions of all daemons, by customer.
--- a/gateway/src/sync.rs
+++ b/gateway/src/sync.rs
@@ -25,6 +25,9 @@
 const MAX_WATCH_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between watches of the members, which are needed only for limits.
 const MEMBERS_WATCH_PAUSE: Duration = Duration::from_millis(1000);
+/// Time for which a newer table of another daemon may not have been fetched before this daemon watches the
+/// declarations itself.
+const MAX_TABLE_DELAY: Duration = Duration::from_millis(1000);
 /// Pause after the first failed call.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call in a system without hubs.
@@ -122,10 +125,16 @@
     let now = cx.now();
     let mut state = cx.state.borrow_mut();
     match kind {
-        Kind::Declarations | Kind::Leases => true,
+        Kind::Leases => true,
         // Every daemon lists every kind once: after a start callers are waiting, and all hubs may
         // have started at the same time.
         _ if state.views.synced_revision(kind).is_none() => true,
+        Kind::Declarations => {
+            let is_late = |since| now.since(since) >= MAX_TABLE_DELAY;
+            state.decide_hub(now)
+                || !state.hubs.follows_tables(now)
+                || cx.table_behind_since.get().is_some_and(is_late)
+        }
         Kind::Upstreams => state.decide_hub(now),
         // One kind suffices for a hub to detect that it cannot reach the store.
         Kind::Members | Kind::Moves => {
