startup: watches and reads of the lease wait until the others are known

Cause: just after a start each daemon takes itself for the only one, as nobody has registered yet. Messages of hubs did not count as signs of the leader. Change: gateway/src/startup.rs decides what waits: watches other than that of the members for two seconds, at most 0.75 of the drain time; that of the configuration while hubs are elected; first reads of the lease, spread over 1.5 s.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -38,6 +38,7 @@
     retry::RetryBudgets,
     rollout::Rollouts,
     settings::{Bounds, Settings},
+    startup::Startup,
     store::{Kind, Store, UpstreamRecord},
     table::Table,
     usage::{Run, Usage},
@@ -236,6 +237,9 @@
     /// Applies a hub's message: that the hub is alive, its totals, and whether the store was
     /// unreachable.
     pub fn receive_hub_message(&mut self, now: Time, from: SocketAddr, message: HubMessage) {
+        if message.is_leader {
+            self.lease.receive_heartbeat(now);
+        }
         if self.hubs.receive(now, from, message) && self.hubs.has_others(now) {
             let recovered_at = self.hubs.since_store_recovery(now).map(|since| now.ago(since));
             self.directory.record_store_reachable(recovered_at);
@@ -328,6 +332,7 @@
     pub is_removing_member: Cell<bool>,
     /// Kinds of which an update from a hub was missed.
     pub missed_kinds: RefCell<IndexSet<Kind>>,
+    pub startup: Startup,
     /// Since when another daemon has had a newer table.
     pub table_behind_since: Cell<Option<Time>>,
     in_flight: Cell<u32>,
@@ -346,6 +351,7 @@
         let incarnation = Incarnation(wall_clock().0);
         let bounds = &settings.bounds;
         let run = format!("{}.{incarnation}", settings.name);
+        let startup = Startup::new(now, &settings.name, bounds.drain);
         let mut lease = Lease::new(run.into(), bounds.lease, now);
         lease.set_bounds(bounds.lease, bounds.checks_fences);
         let state = State {
@@ -385,6 +391,7 @@
             has_unsent_changes: Cell::new(false),
             is_removing_member: Cell::new(false),
             missed_kinds: RefCell::default(),
+            startup,
             table_behind_since: Cell::new(None),
             in_flight: Cell::new(0),
             reserved_body_bytes: Cell::new(0),
--- a/gateway/src/lease.rs
+++ b/gateway/src/lease.rs
@@ -64,8 +64,12 @@
     stored: Option<(Revision, LeaseRecord)>,
     /// When the object was seen to change, or was read for the first time.
     changed_at: Time,
-    /// When a peer last reported that it is the leader.
+    /// When a peer last reported that it is the leader, or the start.
     last_heartbeat: Time,
+    /// Whether a peer has reported that it is the leader.
+    has_heartbeat: bool,
+    /// When the object may be read for the first time, unless there is a heartbeat before.
+    first_read_at: Time,
     last_read_at: Option<Time>,
     /// Whether the object does not exist, as far as is known.
     is_missing: bool,
@@ -92,6 +96,8 @@
             stored: None,
             changed_at: now,
             last_heartbeat: now,
+            has_heartbeat: false,
+            first_read_at: now,
             last_read_at: None,
             is_missing: false,
             held_since: None,
@@ -125,6 +131,14 @@
     /// Records that a peer reports to be the leader.
     pub fn receive_heartbeat(&mut self, now: Time) {
         self.last_heartbeat = now;
+        self.has_heartbeat = true;
+        // The leader has created the object.
+        self.is_missing = false;
+    }
+
+    /// Sets when the object may be read for the first time.
+    pub fn set_first_read(&mut self, at: Time) {
+        self.first_read_at = at;
     }
 
     /// Reports whether the object has to be read, and if so, records the read.
@@ -132,7 +146,8 @@
         let is_own = self.stored.as_ref().is_some_and(|(_, stored)| stored.holder == self.own_id);
         let is_silent =
             now.since(self.last_heartbeat) >= self.silence_timeout + RANK_STAGGER * self.rank;
-        let is_first = self.stored.is_none() && !self.is_missing;
+        let is_unknown = self.stored.is_none() && !self.is_missing && !self.has_heartbeat;
+        let is_first = is_unknown && now >= self.first_read_at;
         let is_due = self.last_read_at.is_none_or(|at| now.since(at) >= READ_INTERVAL);
         let should_read = is_due && (is_first || (is_silent && !is_own));
         if should_read {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod serve;
 pub mod settings;
 pub mod sse;
+pub mod startup;
 pub mod store;
 pub mod sync;
 pub mod table;
--- a/gateway/src/maintenance.rs
+++ b/gateway/src/maintenance.rs
@@ -23,6 +23,8 @@
             let rank = state.peer_table.rank(now);
             let silence_timeout = state.peer_table.silence_timeout();
             state.lease.set_succession(rank, silence_timeout);
+            let first_read = cx.startup.first_lease_read(state.peer_table.size());
+            state.lease.set_first_read(first_read);
             state.decide_hub(now);
             assume_bursts_spent(&mut state);
             state.update_crash_evidence(now);
--- a/gateway/src/sync.rs
+++ b/gateway/src/sync.rs
@@ -129,10 +129,17 @@
         // Every daemon lists every kind once: after a start callers are waiting, and all hubs may
         // have started at the same time.
         _ if state.views.synced_revision(kind).is_none() => true,
+        Kind::Declarations | Kind::Upstreams | Kind::Moves
+            if cx.startup.is_discovering(now, state.peer_table.size()) =>
+        {
+            false
+        }
         Kind::Declarations => {
+            let is_left_to_hubs = state.hubs.follows_tables(now)
+                || cx.startup.is_electing_hubs(now, state.peer_table.size());
             let is_late = |since| now.since(since) >= MAX_TABLE_DELAY;
             state.decide_hub(now)
-                || !state.hubs.follows_tables(now)
+                || !is_left_to_hubs
                 || cx.table_behind_since.get().is_some_and(is_late)
         }
         Kind::Upstreams => state.decide_hub(now),
