warm-up, evacuation, homes: serve cold upstreams, evacuated data centres and regions

Cause: a cold upstream got more requests a second than it tolerates, since the time it stays cold only raised its score; nothing read evacuations, nor the regions that routes and customers allow.

Change: limit::warm_up shares what a cold upstream tolerates over all daemons by rank, with the token bucket of the limits that upstreams name. Hubs watch evacuations and send all of them with each message, in a field that earlier releases ignore. Upstreams of an evacuated data centre get nothing, and count as cold when it returns. Homes of route and customer both bind, and such requests pass through no other gateway if there are several regions. Without the settings and the configuration for it, nothing changes.

--- a/gateway/examples/decision_cost.rs
+++ b/gateway/examples/decision_cost.rs
@@ -13,7 +13,7 @@
 use dogwoodturn_gateway::{
     gateway::Gateway,
     header_schema::{Prompt, PromptPart},
-    placement::{AttemptOutcome, Selection, SelectionCriteria},
+    placement::{AttemptOutcome, Homes, Selection, SelectionCriteria},
     rollout::VersionRule,
     table::EngineCapacity,
 };
@@ -59,6 +59,7 @@
                     remaining: Duration::from_millis(2500),
                     tried: &[],
                     versions: VersionRule::Any,
+                    homes: Homes::default(),
                 };
                 if let Selection::Upstream(mut ticket) = state.choose(now, &criteria) {
                     state.placement.record_first_response(now, &service, &mut ticket);
--- a/gateway/src/autoscaler.rs
+++ b/gateway/src/autoscaler.rs
@@ -14,7 +14,7 @@
     ids::{DataCentre, ServiceName},
     units::Time,
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{store::UpstreamRecord, table::HostBounds};
 
@@ -87,7 +87,7 @@
     /// Returns the orders that are due for a service.
     ///
     /// `demand` is the number of engines that its requests would keep busy; `present` are its
-    /// upstreams that accept work.
+    /// upstreams that accept work, and `evacuated` the data centres that get none.
     pub fn plan_orders(
         &mut self,
         now: Time,
@@ -95,6 +95,7 @@
         bounds: &HostBounds,
         demand: f64,
         present: &[&UpstreamRecord],
+        evacuated: &IndexSet<DataCentre>,
     ) -> Vec<HostOrder> {
         if bounds.prices.is_empty() || bounds.max == 0 {
             return Vec::new();
@@ -110,8 +111,16 @@
             return Vec::new();
         }
         autoscaler.update_base_level(now, demand);
-        let wanted = plan(bounds, autoscaler.base_level, demand, present);
-        autoscaler.due_orders(now, service, bounds, demand, &wanted, present)
+        // Evacuated data centres keep their hosts for the return, and the others carry the demand.
+        let usable: Vec<_> =
+            present.iter().copied().filter(|u| !evacuated.contains(&u.data_centre)).collect();
+        let mut usable_bounds = bounds.clone();
+        usable_bounds.prices.retain(|data_centre, _| !evacuated.contains(data_centre));
+        if usable_bounds.prices.is_empty() {
+            return Vec::new();
+        }
+        let wanted = plan(&usable_bounds, autoscaler.base_level, demand, &usable);
+        autoscaler.due_orders(now, service, bounds, demand, &wanted, &usable)
     }
 
     /// Records whether the cloud accepted an order.
--- a/gateway/src/connect.rs
+++ b/gateway/src/connect.rs
@@ -8,10 +8,12 @@
     units::Time,
     upstream::reachability::FIRST_PROBES,
 };
+use indexmap::IndexSet;
 use tokio::time::interval;
 
 use crate::{
     gateway::Gateway,
+    placement::Homes,
     store::UpstreamRecord,
     tunnel::{self, OpenError},
 };
@@ -21,15 +23,23 @@
 /// Interval at which due probes are started.
 const PROBE_TICK: Duration = Duration::from_millis(100);
 
+/// Reports whether a request may pass through other gateways, whose regions are not known. If it has homes
+/// and the system has several regions, one of them could be outside its homes.
+pub fn may_tunnel(homes: Homes<'_>) -> bool {
+    let regions = homes.regions.iter().flat_map(|regions| regions.values());
+    !homes.bind() || regions.collect::<IndexSet<_>>().len() <= 1
+}
+
 /// Connects to an upstream, through another gateway if this one has lost its links to the upstreams of
 /// the service.
 pub async fn open(
     cx: &Rc<Gateway>,
     upstream: &UpstreamRecord,
     expires_at: Time,
+    may_tunnel: bool,
 ) -> io::Result<Connection> {
     let connect_timeout = || expires_at.since(cx.now()).min(CONNECT_TIMEOUT);
-    if cx.has_detour(&upstream.service) {
+    if may_tunnel && cx.has_detour(&upstream.service) {
         return match tunnel::open(cx, upstream, expires_at).await {
             // Gateways that saw the same upstreams stop may all take themselves for isolated.
             Err(OpenError::NoHelper) => open_directly(cx, upstream, connect_timeout()).await,
@@ -37,7 +47,7 @@
         };
     }
     let opened = open_directly(cx, upstream, connect_timeout()).await;
-    if opened.is_ok() || !cx.has_detour(&upstream.service) {
+    if opened.is_ok() || !may_tunnel || !cx.has_detour(&upstream.service) {
         return opened;
     }
     tunnel::open(cx, upstream, expires_at).await.map_err(io::Error::other)
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use dogwoodturn::{
-    ids::{ServiceName, UpstreamId, VersionName},
+    ids::{DataCentre, ServiceName, UpstreamId, VersionName},
     units::Time,
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::store::UpstreamRecord;
 
@@ -48,6 +48,8 @@
     /// Time for which an upstream serves after it announced that it is leaving.
     drain: Duration,
     upstreams: IndexMap<UpstreamId, Upstream>,
+    /// The data centres that an operator has evacuated.
+    evacuated: IndexSet<DataCentre>,
     is_store_unavailable: bool,
     /// When the store last became reachable again.
     store_recovered_at: Option<Time>,
@@ -59,6 +61,7 @@
         Self {
             drain,
             upstreams: IndexMap::new(),
+            evacuated: IndexSet::new(),
             is_store_unavailable: false,
             store_recovered_at: None,
         }
@@ -184,9 +187,36 @@
         }
     }
 
-    /// Returns the upstreams of a service that accept new work.
+    /// Records that an operator has evacuated a data centre, and returns whether that is new.
+    pub fn evacuate(&mut self, data_centre: DataCentre) -> bool {
+        self.evacuated.insert(data_centre)
+    }
+
+    /// Records that a data centre is no longer evacuated, and returns whether it was.
+    pub fn end_evacuation(&mut self, data_centre: &DataCentre) -> bool {
+        self.evacuated.shift_remove(data_centre)
+    }
+
+    pub fn evacuated(&self) -> &IndexSet<DataCentre> {
+        &self.evacuated
+    }
+
+    /// Returns the listed upstreams in a data centre.
+    pub fn listed_in<'a>(
+        &'a self,
+        data_centre: &'a DataCentre,
+    ) -> impl Iterator<Item = &'a UpstreamRecord> {
+        self.listed().filter(|record| record.data_centre == *data_centre)
+    }
+
+    /// Returns the upstreams of a service that accept new work. No upstream of an evacuated data centre
+    /// does, even if there is no other.
     pub fn live(&self, now: Time, service: &ServiceName) -> Vec<&Upstream> {
-        let of_service = || self.upstreams.values().filter(|u| u.record.service == *service);
+        let of_service = || {
+            self.upstreams.values().filter(|u| {
+                u.record.service == *service && !self.evacuated.contains(&u.record.data_centre)
+            })
+        };
         let live: Vec<_> = of_service().filter(|u| self.is_live(now, u)).collect();
         if !live.is_empty() {
             return live;
--- a/gateway/src/forward/admission.rs
+++ b/gateway/src/forward/admission.rs
@@ -3,13 +3,16 @@
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use dogwoodturn::{
-    ids::{CustomerName, ServiceName},
+    ids::{CustomerName, DataCentre, Region, ServiceName},
     request::crash_evidence::Verdict,
     units::Time,
 };
 
+use indexmap::IndexMap;
+
 use crate::{
     gateway::Gateway,
+    placement::Homes,
     quota::Charge,
     request::{LocalResponse, Progress, Request},
     table::{CallerLimits, Route, Table},
@@ -39,6 +42,13 @@
 }
 
 impl Admitted {
+    /// Returns the regions that may receive the request.
+    pub(super) fn homes<'a>(&'a self, regions: &'a IndexMap<DataCentre, Region>) -> Homes<'a> {
+        let customer = self.customer.as_ref().and_then(|name| self.table.customers.get(name));
+        let of_customer = customer.map_or(&[][..], |customer| &customer.homes);
+        Homes { allowed: [&self.route.homes, of_customer], regions: Some(regions) }
+    }
+
     /// Records that an upstream may have run the request, so that the quota charge stands.
     pub(super) fn mark_may_have_run(&self) {
         self.progress.set(Progress::MayHaveRun);
--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -90,6 +90,8 @@
     target: Duration,
     content: u64,
     max_connections: u32,
+    /// Whether its bytes may pass through other gateways.
+    may_tunnel: bool,
     pub(super) ticket: Ticket,
     pub(super) connection: Option<Connection>,
     /// Whether the whole request has been written and no response to another request was read after
@@ -115,6 +117,7 @@
             target: admitted.route.latency_target,
             content: admitted.content,
             max_connections: service.map_or(u32::MAX, |service| service.max_connections),
+            may_tunnel: connect::may_tunnel(admitted.homes(&cx.settings().regions)),
             upstream,
             ticket,
             connection: None,
@@ -265,7 +268,9 @@
             Err(error) => {
                 let mut state = self.cx.state.borrow_mut();
                 if !state.reachability.is_isolated(&self.service) {
-                    state.placement.mark_unreachable(self.cx.now(), &self.upstream.id);
+                    let now = self.cx.now();
+                    state.placement.mark_unreachable(now, &self.upstream.id);
+                    state.assume_cold(now, &self.upstream.id, &self.service);
                 }
                 log::warn!(event = "unreachable", request:% = req.id, upstream:% = self.upstream.id, error:%; "");
                 false
@@ -294,7 +299,7 @@
         if let Some(connection) = idle {
             return Ok(connection);
         }
-        connect::open(&self.cx, &self.upstream, expires_at).await
+        connect::open(&self.cx, &self.upstream, expires_at, self.may_tunnel).await
     }
 
     /// Writes the request, reading a response that arrives early, and returns the head of the
@@ -382,6 +387,7 @@
                 log::warn!(event = "fall", request:%, upstream:% = upstream.id; "");
             } else if crashed {
                 cx.metrics.upstream_crashes.inc();
+                state.assume_cold(now, &upstream.id, &upstream.service);
                 log::warn!(event = "crash", request:%, upstream:% = upstream.id, content:% = format_args!("{content:016x}"), parts:% = prompt, is_suspect; "");
                 if is_suspect {
                     let suspect = Suspect::new(content, prompt.shared_parts());
--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -261,7 +261,9 @@
             }
             Selection::NoUpstream => {
                 drop(state);
-                Err(self.refusal_or_loss("refused-nobody", RETRY_AFTER_NO_UPSTREAM))
+                let has_homes = self.admitted.homes(&self.cx.settings().regions).bind();
+                let reason = if has_homes { "refused-no-home" } else { "refused-nobody" };
+                Err(self.refusal_or_loss(reason, RETRY_AFTER_NO_UPSTREAM))
             }
         }
     }
@@ -285,6 +287,7 @@
             remaining: time_left,
             tried: &self.tried.borrow(),
             versions: state.rollouts.rule(&admitted.service, self.req.hash),
+            homes: admitted.homes(&settings.regions),
         };
         call(state, &criteria)
     }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -10,10 +10,11 @@
 
 use dogwoodturn::{
     edge::change_log,
-    ids::{CustomerName, Incarnation, ServiceName, UpstreamId},
+    ids::{CustomerName, DataCentre, Incarnation, ServiceName, UpstreamId},
     limit::{
         brittle::{BrittleUpstreams, Target, Turn, home_rank},
         upstream::UpstreamLimits,
+        warm_up::{WarmUpBound, WarmUps},
     },
     request::crash_evidence::{CrashEvidence, Verdict},
     units::{Time, WallTime},
@@ -37,7 +38,7 @@
     replication::ReplicatedViews,
     retry::RetryBudgets,
     rollout::Rollouts,
-    settings::{Bounds, Settings},
+    settings::{Bounds, Settings, WarmUpTolerance},
     startup::Startup,
     store::{Kind, Store, UpstreamRecord},
     table::Table,
@@ -75,6 +76,9 @@
     pub retries: RetryBudgets,
     /// The limits that upstreams name.
     pub upstream_limits: UpstreamLimits,
+    /// The upstreams that are cold.
+    pub warm_ups: WarmUps,
+    warm_up_tolerance: WarmUpTolerance,
     /// The upstreams that fall over when they have to reject too many requests.
     pub brittle: BrittleUpstreams,
     /// The requests and prompt parts that crash upstreams.
@@ -110,17 +114,96 @@
         self.rollouts.set_exposure(bounds.canary_share);
         self.usage.set_window(bounds.usage_window);
         self.lease.set_bounds(bounds.lease, bounds.checks_fences);
+        self.warm_up_tolerance = bounds.warm_up;
     }
 
     /// Applies a table if it is newer than the current one, and reports whether it was.
     pub fn apply_table(&mut self, table: Table) -> bool {
         let is_newer = self.table.as_ref().is_none_or(|current| current.version < table.version);
         if is_newer {
-            self.table = Some(Arc::new(table));
+            let is_first = self.table.replace(Arc::new(table)).is_none();
+            if is_first {
+                // Upstreams may have been listed before the table that names what they tolerate.
+                let ids: Vec<_> = self.directory.listed().map(|record| record.id.clone()).collect();
+                for id in &ids {
+                    self.apply_warm_up(clock(), id);
+                }
+            }
         }
         is_newer
     }
 
+    /// Limits what an upstream gets while its record says that it is cold.
+    pub fn apply_warm_up(&mut self, now: Time, upstream: &UpstreamId) {
+        let Some(known) = self.directory.get(upstream) else { return };
+        let (service, left) = (known.record.service.clone(), known.record.warm_up);
+        if !left.is_zero() {
+            self.limit_while_cold(now, upstream, &service, Some(left));
+        }
+    }
+
+    /// Limits what an upstream gets that may have restarted or become cold without a record that says so.
+    pub fn assume_cold(&mut self, now: Time, upstream: &UpstreamId, service: &ServiceName) {
+        self.limit_while_cold(now, upstream, service, None);
+    }
+
+    /// `left` is the time for which it stays cold; by default that after a start.
+    fn limit_while_cold(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        service: &ServiceName,
+        left: Option<Duration>,
+    ) {
+        let service = self.table.as_ref().and_then(|table| table.services.get(service));
+        let Some(warm_up) = service.and_then(|service| service.warm_up) else { return };
+        let WarmUpTolerance { overshoot, allowance } = self.warm_up_tolerance;
+        if let Some(bound) = WarmUpBound::new(warm_up.rate, overshoot, allowance) {
+            let left = left.unwrap_or(warm_up.duration);
+            self.warm_ups.extend(now, upstream, bound, left);
+        }
+    }
+
+    /// Stops sending to the upstreams of a data centre.
+    pub fn begin_evacuation(&mut self, data_centre: &DataCentre) {
+        let upstreams = self.directory.listed_in(data_centre).count();
+        if self.directory.evacuate(data_centre.clone()) {
+            if upstreams == 0 {
+                log::warn!(event = "evacuation-unknown", data_centre:%; "no upstream is in the evacuated data centre");
+            }
+            log::info!(event = "evacuation-started", data_centre:%, upstreams; "");
+        }
+    }
+
+    /// Sends to the upstreams of a data centre again. They may have become cold in the meantime.
+    pub fn end_evacuation(&mut self, now: Time, name: &str) {
+        let Some(data_centre) =
+            self.directory.evacuated().iter().find(|evacuated| evacuated.as_str() == name).cloned()
+        else {
+            return;
+        };
+        self.directory.end_evacuation(&data_centre);
+        let upstreams: Vec<_> = self.directory.listed_in(&data_centre).cloned().collect();
+        for record in &upstreams {
+            self.assume_cold(now, &record.id, &record.service);
+        }
+        log::info!(event = "evacuation-ended", data_centre:%, upstreams = upstreams.len(); "");
+    }
+
+    /// Ends the evacuations that the store no longer lists.
+    pub fn retain_evacuations(&mut self, now: Time, is_listed: impl Fn(&str) -> bool) {
+        let ended: Vec<_> = self
+            .directory
+            .evacuated()
+            .iter()
+            .filter(|name| !is_listed(name.as_str()))
+            .cloned()
+            .collect();
+        for data_centre in ended {
+            self.end_evacuation(now, data_centre.as_str());
+        }
+    }
+
     /// Returns the current table once everything that admission needs has been loaded: the table,
     /// the members and the upstreams.
     pub fn active_table(&self) -> Option<&Arc<Table>> {
@@ -139,12 +222,15 @@
         let (peers, placement) = (&self.peer_table, &self.placement);
         let brittle_wait =
             retain_with_room(&mut self.brittle, peers, placement, now, &mut live, criteria);
-        let limits = &mut self.upstream_limits;
+        let limits = (&mut self.upstream_limits, &mut self.warm_ups);
         let limit_wait = retain_within_limits(limits, peers, now, &mut live, criteria);
         let shortest_wait = limit_wait.into_iter().chain(brittle_wait).min();
         let selection = self.placement.choose(now, &live, criteria);
         match (&selection, shortest_wait) {
-            (Selection::Upstream(ticket), _) => self.upstream_limits.record_sent(&ticket.upstream),
+            (Selection::Upstream(ticket), _) => {
+                self.upstream_limits.record_sent(&ticket.upstream);
+                self.warm_ups.record_sent(&ticket.upstream);
+            }
             (Selection::NoUpstream, Some(wait)) => {
                 return Selection::Refused { retry_after: wait, wait };
             }
@@ -166,7 +252,8 @@
         let mut live = self.directory.live(now, criteria.service);
         let (peers, placement) = (&self.peer_table, &self.placement);
         retain_with_room(&mut self.brittle, peers, placement, now, &mut live, criteria);
-        retain_within_limits(&mut self.upstream_limits, peers, now, &mut live, criteria);
+        let limits = (&mut self.upstream_limits, &mut self.warm_ups);
+        retain_within_limits(limits, peers, now, &mut live, criteria);
         self.placement.best_elsewhere(now, &live, criteria)
     }
 
@@ -188,6 +275,12 @@
         self.upstream_limits.take_changes().iter().for_each(change_log::log_upstream_limit);
     }
 
+    /// Removes the upstreams that are warm, and logs those that have become cold or warm.
+    pub fn update_warm_ups(&mut self, now: Time) {
+        self.warm_ups.expire(now);
+        self.warm_ups.take_changes().iter().for_each(change_log::log_warm_up);
+    }
+
     /// Records whether a connection over this daemon's own link to an upstream was established.
     pub fn record_connection(
         &mut self,
@@ -287,6 +380,7 @@
             totals: totals.collect(),
             table: self.table.as_ref().map_or(0, |table| table.version),
             table_bytes: self.table.as_ref().map_or(0, |table| table.document.len() as u64),
+            evacuations: self.views.listing(Kind::Evacuations),
             updates: if self.hubs.broadcasts_objects(now) {
                 self.views.recent(now)
             } else {
@@ -361,6 +455,8 @@
             quotas: Quotas::new(bounds.quotas, now, settings.first_start),
             retries: RetryBudgets::new(bounds.retries),
             upstream_limits: UpstreamLimits::default(),
+            warm_ups: WarmUps::default(),
+            warm_up_tolerance: bounds.warm_up,
             brittle: BrittleUpstreams::default(),
             crash_evidence: CrashEvidence::new(MIN_CONTENT_CRASHES),
             reachability: Reachability::default(),
@@ -616,18 +712,19 @@
 /// Removes the upstreams to which their limits allow no request now, and returns the shortest time
 /// until one of those that may run the request may be sent one.
 fn retain_within_limits(
-    limits: &mut UpstreamLimits,
+    (limits, warm_ups): (&mut UpstreamLimits, &mut WarmUps),
     peers: &PeerTable,
     now: Time,
     live: &mut Vec<&Upstream>,
     criteria: &SelectionCriteria<'_>,
 ) -> Option<Duration> {
-    if limits.is_empty() {
+    if limits.is_empty() && warm_ups.is_empty() {
         return None;
     }
     let mut shortest_wait: Option<Duration> = None;
     live.retain(|upstream| {
-        let wait = limits.wait(now, &upstream.record.id, |id| peers.position(id.as_str()));
+        let (id, position) = (&upstream.record.id, |id: &UpstreamId| peers.position(id.as_str()));
+        let wait = limits.wait(now, id, position).max(warm_ups.wait(now, id, position));
         if !wait.is_zero() && criteria.allows(upstream) {
             shortest_wait = Some(shortest_wait.map_or(wait, |shortest| shortest.min(wait)));
         }
--- a/gateway/src/hubs.rs
+++ b/gateway/src/hubs.rs
@@ -102,6 +102,9 @@
     /// Recent changes of the store.
     #[serde(rename = "excerpts")]
     pub updates: Vec<ReplicationUpdate>,
+    /// All evacuations. They are not among `updates`, which releases without this field read.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<ReplicationUpdate>,
     /// The admissions of all daemons, by customer.
     pub totals: Vec<Total>,
 }
@@ -371,6 +374,7 @@
             table,
             table_bytes,
             updates,
+            evacuations,
             totals,
         } = status;
         Some(HubMessage {
@@ -386,6 +390,7 @@
             table,
             table_bytes,
             updates,
+            evacuations,
             totals,
         })
     }
@@ -408,6 +413,8 @@
     pub table_bytes: u64,
     /// Recent changes of the store.
     pub updates: Vec<ReplicationUpdate>,
+    /// All evacuations, if they are watched.
+    pub evacuations: Option<ReplicationUpdate>,
     /// The admissions of all daemons, by customer.
     pub totals: Vec<Total>,
 }
--- a/gateway/src/leader.rs
+++ b/gateway/src/leader.rs
@@ -244,8 +244,11 @@
             let demand = own + peer_table.demand(now, &service.name);
             let of_service =
                 |record: &&UpstreamRecord| record.service == service.name && !record.draining;
+            let evacuated = directory.evacuated();
             let present: Vec<_> = directory.listed().filter(of_service).collect();
-            for order in autoscaler.plan_orders(now, &service.name, bounds, demand, &present) {
+            for order in
+                autoscaler.plan_orders(now, &service.name, bounds, demand, &present, evacuated)
+            {
                 log::info!(event = "order", service:% = order.service, data_centre:% = order.pool.data_centre, reclaimable = order.pool.reclaimable, count = order.count, demand, present = present.len(), fence = fence.number; "");
                 orders.push(order);
             }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -19,7 +19,7 @@
 pub mod logs;
 mod maintenance;
 pub mod metrics;
-mod objects;
+pub mod objects;
 pub mod peers;
 pub mod placement;
 pub mod pool;
--- a/gateway/src/objects.rs
+++ b/gateway/src/objects.rs
@@ -13,7 +13,7 @@
 };
 
 /// Applies a listing of all objects of a kind.
-pub(crate) fn process_listing(cx: &Gateway, kind: Kind, listing: Listing) {
+pub fn process_listing(cx: &Gateway, kind: Kind, listing: Listing) {
     let now = cx.now();
     if !cx.state.borrow_mut().views.apply_listing(now, kind, &listing) {
         return;
@@ -34,6 +34,7 @@
                 state.has_members = true;
             }
             Kind::Moves => state.rollouts.retain_listed(is_listed),
+            Kind::Evacuations => state.retain_evacuations(now, is_listed),
             Kind::Declarations | Kind::Leases => {}
         }
     }
@@ -59,8 +60,9 @@
 }
 
 /// Applies a hub's message. Kinds of which an update was missed are recorded in `missed_kinds`.
-pub(crate) fn receive_hub_message(cx: &Gateway, from: SocketAddr, mut message: HubMessage) {
-    let updates = std::mem::take(&mut message.updates);
+pub fn receive_hub_message(cx: &Gateway, from: SocketAddr, mut message: HubMessage) {
+    let mut updates = std::mem::take(&mut message.updates);
+    updates.extend(message.evacuations.take());
     cx.state.borrow_mut().receive_hub_message(cx.now(), from, message);
     for update in updates {
         let kind = update.kind;
@@ -90,7 +92,7 @@
 }
 
 /// Applies one object of the store.
-pub(crate) fn apply_entry(cx: &Gateway, entry: Entry) {
+pub fn apply_entry(cx: &Gateway, entry: Entry) {
     let now = cx.now();
     let mut state = cx.state.borrow_mut();
     match entry.record {
@@ -111,6 +113,7 @@
             } else if draining && !was_draining {
                 log::info!(event = "upstream-leaving", upstream:% = id; "");
             }
+            state.apply_warm_up(now, &id);
         }
         Ok(Record::Move(record)) => {
             log::info!(event = "move", service:% = record.service, target:% = record.target, state:? = record.state; "");
@@ -121,6 +124,7 @@
             state.usage.restore(&cx.run(), &record.open_counts);
             state.lease.apply_record(now, entry.revision, record);
         }
+        Ok(Record::Evacuation(data_centre)) => state.begin_evacuation(&data_centre),
         Err(error) => {
             cx.metrics.unreadable.inc();
             log::warn!(event = "unreadable-object", name = &*entry.name, error:%; "object of the store could not be read and is skipped");
@@ -138,6 +142,7 @@
         }
         Kind::Moves => state.rollouts.remove_move(name),
         Kind::Members => state.peer_table.remove_unlisted(name),
+        Kind::Evacuations => state.end_evacuation(now, name),
         Kind::Declarations | Kind::Leases => {
             log::warn!(event = "object-removed", kind:? = kind, name; "removal of the object is ignored");
         }
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use dogwoodturn::{
-    ids::{DataCentre, ServiceName, UpstreamId},
+    ids::{DataCentre, Region, ServiceName, UpstreamId},
     limit::brittle::Occupancy,
     units::Time,
 };
@@ -222,6 +222,34 @@
     }
 }
 
+/// The regions that may receive a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Homes<'a> {
+    /// The regions that its route and its customer allow, each of which binds unless it is empty.
+    pub allowed: [&'a [Region]; 2],
+    /// The region of each data centre, as far as it is known.
+    pub regions: Option<&'a IndexMap<DataCentre, Region>>,
+}
+
+impl Homes<'_> {
+    /// Reports whether any region is excluded.
+    pub fn bind(&self) -> bool {
+        self.allowed.iter().any(|allowed| !allowed.is_empty())
+    }
+
+    /// Reports whether the request may be sent to a data centre. A data centre whose region is unknown
+    /// is none of its homes.
+    pub fn allow(&self, data_centre: &DataCentre) -> bool {
+        if !self.bind() {
+            return true;
+        }
+        let Some(region) = self.regions.and_then(|regions| regions.get(data_centre)) else {
+            return false;
+        };
+        self.allowed.iter().all(|allowed| allowed.is_empty() || allowed.contains(region))
+    }
+}
+
 /// Requirements of a request on its upstream.
 #[derive(Clone, Debug)]
 pub struct SelectionCriteria<'a> {
@@ -240,12 +268,15 @@
     pub tried: &'a [UpstreamId],
     /// The versions that may run the request while a rollout is in progress.
     pub versions: VersionRule,
+    pub homes: Homes<'a>,
 }
 
 impl SelectionCriteria<'_> {
     /// Reports whether an upstream may run the request and has not received it yet.
     pub fn allows(&self, upstream: &Upstream) -> bool {
-        self.versions.allows(&upstream.record.version) && !self.tried.contains(&upstream.record.id)
+        self.versions.allows(&upstream.record.version)
+            && !self.tried.contains(&upstream.record.id)
+            && self.homes.allow(&upstream.record.data_centre)
     }
 }
 
--- a/gateway/src/replication.rs
+++ b/gateway/src/replication.rs
@@ -9,7 +9,10 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use dogwoodturn::{ids::Revision, units::Time};
+use dogwoodturn::{
+    ids::{DataCentre, Revision},
+    units::Time,
+};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
@@ -22,7 +25,8 @@
 /// Changes per update, limited so that an update fits a datagram.
 const MAX_RECENT_ITEMS: usize = 120;
 
-/// Reports whether objects of a kind are replicated. Every daemon watches declarations itself,
+/// Reports whether changes of a kind are broadcast. Hubs broadcast all evacuations in each message, since
+/// there are few. Every daemon watches declarations itself,
 /// since they are long and rarely change, and the lease is read only by daemons that may acquire
 /// it.
 fn is_replicated(kind: Kind) -> bool {
@@ -38,6 +42,8 @@
     Move(MoveRecord),
     /// See [`Kind::Members`].
     Member(MemberRecord),
+    /// See [`Kind::Evacuations`].
+    Evacuation(DataCentre),
 }
 
 impl ReplicatedObject {
@@ -46,6 +52,7 @@
             Record::Upstream(record) => Some(Self::Upstream(record.clone())),
             Record::Move(record) => Some(Self::Move(record.clone())),
             Record::Member(record) => Some(Self::Member(record.clone())),
+            Record::Evacuation(data_centre) => Some(Self::Evacuation(data_centre.clone())),
             Record::Table(_) | Record::Lease(_) => None,
         }
     }
@@ -57,6 +64,7 @@
             ReplicatedObject::Upstream(record) => Self::Upstream(record),
             ReplicatedObject::Move(record) => Self::Move(record),
             ReplicatedObject::Member(record) => Self::Member(record),
+            ReplicatedObject::Evacuation(data_centre) => Self::Evacuation(data_centre),
         }
     }
 }
@@ -219,11 +227,15 @@
 
     /// Returns all objects of the replicated kinds.
     pub fn snapshot(&self) -> Vec<ReplicationUpdate> {
-        let update = |(kind, view): (&Kind, &View)| {
-            let items = view.objects.keys().map(|name| view.item(name)).collect();
-            Some(ReplicationUpdate { kind: *kind, since: None, at: view.at?, items })
-        };
-        self.0.iter().filter(|(kind, _)| is_replicated(**kind)).filter_map(update).collect()
+        let replicated = self.0.keys().filter(|kind| is_replicated(**kind));
+        replicated.filter_map(|kind| self.listing(*kind)).collect()
+    }
+
+    /// Returns all objects of one kind, if they have been listed.
+    pub fn listing(&self, kind: Kind) -> Option<ReplicationUpdate> {
+        let view = self.0.get(&kind)?;
+        let items = view.objects.keys().map(|name| view.item(name)).collect();
+        Some(ReplicationUpdate { kind, since: None, at: view.at?, items })
     }
 
     /// Returns what another daemon's update adds to the views.
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -3,16 +3,18 @@
 use std::{net::SocketAddr, time::Duration};
 
 use dogwoodturn::{
-    ids::{DaemonId, DataCentre},
+    ids::{DaemonId, DataCentre, Region},
     ini::{self, ConfigError, Location, Section, Source, section_reader::SectionReader},
 };
 
+use indexmap::IndexMap;
+
 use crate::{quota, retry};
 
 /// Default of `forget-members-seconds`. A host that is only stopped and not replaced comes back
 /// within this time.
 const DEFAULT_FORGET_AFTER: Duration = Duration::from_secs(600);
-const SECTIONS: [&str; 5] = ["daemon", "store", "cloud", "limits", "bounds"];
+const SECTIONS: [&str; 6] = ["daemon", "store", "cloud", "limits", "bounds", "regions"];
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -41,6 +43,8 @@
     /// stays reserved for it.
     pub forget_after: Duration,
     pub bounds: Bounds,
+    /// The region of each data centre.
+    pub regions: IndexMap<DataCentre, Region>,
 }
 
 /// Times and limits that the operators of a deployment guarantee or require.
@@ -66,6 +70,20 @@
     /// Share of a service's requests, from 0 to 1, that a new version may get before evidence shows
     /// that it is not faulty.
     pub canary_share: f64,
+    /// Time within which upstreams of an evacuated data centre get no more requests; `None` if operators
+    /// evacuate none.
+    pub evacuation: Option<Duration>,
+    /// By how much the rate of cold upstreams may be exceeded.
+    pub warm_up: WarmUpTolerance,
+}
+
+/// By how much the rate that a cold upstream tolerates may be exceeded in a second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUpTolerance {
+    /// Multiple of the rate.
+    pub overshoot: f64,
+    /// Requests in addition to this.
+    pub allowance: f64,
 }
 
 impl Settings {
@@ -127,8 +145,8 @@
     }
 }
 
-fn read_sections(sections: &[Section; 5], errors: &mut Vec<ConfigError>) -> Option<Settings> {
-    let [daemon, store, cloud, limits, bounds] = sections;
+fn read_sections(sections: &[Section; 6], errors: &mut Vec<ConfigError>) -> Option<Settings> {
+    let [daemon, store, cloud, limits, bounds, regions] = sections;
     let mut fields = SectionReader::new(daemon, errors);
     let name = fields.required("name");
     let data_centre = fields.required("data-centre");
@@ -156,6 +174,7 @@
     fields.finish();
 
     let bounds = read_bounds(bounds, errors);
+    let regions = read_regions(regions, errors);
     Some(Settings {
         name: name?,
         data_centre: data_centre?,
@@ -171,9 +190,23 @@
         link: link?,
         forget_after: forget_after.unwrap_or(DEFAULT_FORGET_AFTER),
         bounds: bounds?,
+        regions,
     })
 }
 
+fn read_regions(section: &Section, errors: &mut Vec<ConfigError>) -> IndexMap<DataCentre, Region> {
+    let mut regions = IndexMap::new();
+    let mut fields = SectionReader::new(section, errors);
+    for property in &section.properties {
+        let region = fields.required(&property.key);
+        if let (Some(data_centre), Some(region)) = (fields.name(&property.key), region) {
+            regions.insert(data_centre, region);
+        }
+    }
+    fields.finish();
+    regions
+}
+
 fn read_bounds(section: &Section, errors: &mut Vec<ConfigError>) -> Option<Bounds> {
     let mut fields = SectionReader::new(section, errors);
     let ratio = not_negative(&mut fields, "retry-ratio");
@@ -201,6 +234,25 @@
     if canary_share.is_some_and(|share| share > 1.0) {
         fields.add_error("canary-share must not be above 1");
     }
+    let evacuation = fields.optional::<f64>("evacuation-milliseconds").and_then(|ms| {
+        let time = Duration::try_from_secs_f64(ms / 1000.0).ok().filter(|time| !time.is_zero());
+        if time.is_none() {
+            fields.add_error("evacuation-milliseconds must be a time above zero");
+        }
+        time
+    });
+    let mut tolerance = |key: &str, default: f64| {
+        let value = fields.optional(key).unwrap_or(default);
+        if !value.is_finite() || value < 0.0 {
+            fields.add_error(format!("{key} must not be negative"));
+        }
+        value
+    };
+    // Without these keys, cold upstreams get no more than they tolerate.
+    let warm_up = WarmUpTolerance {
+        overshoot: tolerance("warm-up-overshoot", 1.0),
+        allowance: tolerance("warm-up-allowance", 0.0),
+    };
     fields.finish();
     let retries = retry::Bounds { ratio: ratio?, allowance: allowance?, window: retry_window? };
     let quotas = quota::Tolerance {
@@ -218,6 +270,8 @@
         lease: lease?,
         checks_fences,
         canary_share: canary_share?,
+        evacuation,
+        warm_up,
     })
 }
 
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -33,6 +33,8 @@
     Members,
     /// The lease of the leader.
     Leases,
+    /// The data centres that operators have evacuated.
+    Evacuations,
 }
 
 /// One upstream as it registered.
@@ -53,7 +55,7 @@
     pub draining: bool,
     /// Whether the cloud may reclaim its host.
     pub reclaimable: bool,
-    /// How long it is slow after its start.
+    /// How long it stays cold after its start, as of its last report.
     pub warm_up: Duration,
 }
 
@@ -166,6 +168,8 @@
     Member(MemberRecord),
     /// See [`Kind::Leases`].
     Lease(LeaseRecord),
+    /// See [`Kind::Evacuations`].
+    Evacuation(DataCentre),
 }
 
 /// Why an object could not be read. It is skipped, and the other objects are applied.
--- a/gateway/src/sync.rs
+++ b/gateway/src/sync.rs
@@ -42,7 +42,8 @@
 
 /// Starts the tasks that synchronize the gateway.
 pub fn start(cx: &Rc<Gateway>) {
-    for kind in [Kind::Declarations, Kind::Upstreams, Kind::Moves, Kind::Members] {
+    for kind in [Kind::Declarations, Kind::Upstreams, Kind::Moves, Kind::Members, Kind::Evacuations]
+    {
         actix_rt::spawn(sync_kind(cx.clone(), kind));
     }
     actix_rt::spawn(register(cx.clone()));
@@ -126,6 +127,14 @@
     let mut state = cx.state.borrow_mut();
     match kind {
         Kind::Leases => true,
+        // Deployments without evacuations are not to pay for the calls. Hubs broadcast all evacuations, so
+        // the others need not list them.
+        Kind::Evacuations => {
+            cx.settings().bounds.evacuation.is_some()
+                && state.decide_hub(now)
+                && (state.peer_table.size() <= hubs::MAX_DAEMONS_WITHOUT_HUBS
+                    || state.hubs.has_store_contact(now))
+        }
         // Every daemon lists every kind once: after a start callers are waiting, and all hubs may
         // have started at the same time.
         _ if state.views.synced_revision(kind).is_none() => true,
@@ -157,7 +166,7 @@
     match kind {
         Kind::Members => MEMBERS_WATCH_PAUSE,
         Kind::Declarations => (WATCH_PAUSE_PER_DAEMON * daemons).min(MAX_WATCH_PAUSE),
-        Kind::Upstreams | Kind::Moves | Kind::Leases => {
+        Kind::Upstreams | Kind::Moves | Kind::Leases | Kind::Evacuations => {
             (WATCH_PAUSE_PER_DAEMON * daemons).min(MAX_HUB_WATCH_PAUSE)
         }
     }
--- a/gateway/src/table.rs
+++ b/gateway/src/table.rs
@@ -6,7 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use dogwoodturn::ids::{CustomerName, DataCentre, RouteName, ServiceName};
+use dogwoodturn::ids::{CustomerName, DataCentre, Region, RouteName, ServiceName};
 use indexmap::IndexMap;
 
 /// Whether a request of a route may be sent again.
@@ -54,6 +54,8 @@
     pub max_attempts: u32,
     /// Whether a request needs no API key.
     pub anonymous: bool,
+    /// The regions that may receive its requests; all may if the list is empty.
+    pub homes: Vec<Region>,
     /// The target services with their weights.
     pub services: Vec<(ServiceName, u32)>,
 }
@@ -97,11 +99,22 @@
     pub prices: IndexMap<DataCentre, f64>,
 }
 
+/// What upstreams of a service tolerate after their start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUp {
+    /// How long an upstream is cold after its start.
+    pub duration: Duration,
+    /// Requests a second, from all daemons together, that it tolerates until then.
+    pub rate: f64,
+}
+
 #[derive(Clone, Debug)]
 pub struct Service {
     pub name: ServiceName,
     /// Connections that an upstream accepts from all daemons together.
     pub max_connections: u32,
+    /// Present if upstreams that have just started crash under too many requests.
+    pub warm_up: Option<WarmUp>,
     /// Present for a model service only.
     pub engine: Option<EngineCapacity>,
     /// Present if hosts may be ordered.
@@ -113,6 +126,8 @@
     pub name: CustomerName,
     /// Takes precedence over the route's priority.
     pub priority: Option<u8>,
+    /// The regions that may receive its requests; all may if the list is empty.
+    pub homes: Vec<Region>,
     pub quota: Option<Quota>,
 }
 
--- a/gateway/tests/placement.rs
+++ b/gateway/tests/placement.rs
@@ -9,7 +9,7 @@
 use dogwoodturn_gateway::{
     directory::Directory,
     header_schema::{Prompt, PromptPart},
-    placement::{AttemptOutcome, Placement, Selection, SelectionCriteria},
+    placement::{AttemptOutcome, Homes, Placement, Selection, SelectionCriteria},
     rollout::VersionRule,
     table::EngineCapacity,
 };
@@ -36,6 +36,7 @@
             remaining: Duration::from_millis(left_ms),
             tried: &[],
             versions: VersionRule::Any,
+            homes: Homes::default(),
         };
         let live = self.directory.live(now, &service);
         self.placement.choose(now, &live, &criteria)
@@ -153,6 +154,7 @@
         remaining: Duration::from_secs(5),
         tried: &[],
         versions: VersionRule::Any,
+        homes: Homes::default(),
     };
     let best = placement.best_elsewhere(at(0), &directory.live(at(0), &service), &criteria);
     assert!(best > Some(criteria.remaining), "{best:?}");
--- a/gateway/tests/supply.rs
+++ b/gateway/tests/supply.rs
@@ -5,11 +5,12 @@
 
 use std::time::Duration;
 
+use dogwoodturn::ids::DataCentre;
 use dogwoodturn_gateway::{
-    autoscaler::{Autoscaler, HostPool},
+    autoscaler::{Autoscaler, HostOrder, HostPool},
     table::HostBounds,
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use model::{at, record, service};
 
 fn bounds() -> HostBounds {
@@ -47,7 +48,14 @@
             })
             .collect();
         let present: Vec<_> = records.iter().collect();
-        for order in autoscaler.plan_orders(at(ms), &service(), &bounds(), demand(ms), &present) {
+        for order in autoscaler.plan_orders(
+            at(ms),
+            &service(),
+            &bounds(),
+            demand(ms),
+            &present,
+            &IndexSet::new(),
+        ) {
             let accepted = !(order.pool.reclaimable && is_exhausted);
             if accepted {
                 let pool_key = (order.pool.data_centre.to_string(), order.pool.reclaimable);
@@ -121,7 +129,14 @@
             }
         }
         let present: Vec<_> = records.iter().collect();
-        for order in autoscaler.plan_orders(at(ms), &service(), &bounds, demand(ms), &present) {
+        for order in autoscaler.plan_orders(
+            at(ms),
+            &service(),
+            &bounds,
+            demand(ms),
+            &present,
+            &IndexSet::new(),
+        ) {
             let starts = hosts.entry(order.pool.clone()).or_default();
             starts.resize(order.count as usize, ms + START_MS);
             autoscaler.record_reply(at(ms), &order, true);
@@ -152,3 +167,39 @@
     let changes = counts.windows(2).filter(|pair| pair[0] != pair[1]).count();
     assert!(changes <= 3, "{changes} changes in 40 s");
 }
+
+#[test]
+fn plan_orders_evacuated_data_centre_keeps_its_hosts_and_others_carry_the_demand() {
+    let mut autoscaler = Autoscaler::default();
+    let evacuated = IndexSet::from(["cheap".parse().unwrap()]);
+    let records: Vec<_> = ["cheap", "here", "dear"]
+        .iter()
+        .flat_map(|at| (0..4).map(move |n| record(&format!("{at}{n}"), at, false)))
+        .collect();
+    let present: Vec<_> = records.iter().collect();
+    let mut orders = Vec::new();
+    for ms in (0..8000).step_by(200) {
+        orders.extend(autoscaler.plan_orders(
+            at(ms),
+            &service(),
+            &bounds(),
+            7.0,
+            &present,
+            &evacuated,
+        ));
+    }
+    assert!(orders.iter().all(|order| order.pool.data_centre.as_str() != "cheap"), "{orders:?}");
+    let elsewhere: u32 = ["here", "dear"]
+        .iter()
+        .map(|at| {
+            let of_pool = |order: &&_| pool_name(order) == *at;
+            orders.iter().rfind(of_pool).map_or(4, |order| order.count)
+        })
+        .sum();
+    assert!(elsewhere >= 7, "{elsewhere} hosts for a demand of 7: {orders:?}");
+}
+
+/// Returns the data centre of an order for hosts that cannot be reclaimed, and nothing for others.
+fn pool_name(order: &HostOrder) -> &str {
+    if order.pool.reclaimable { "" } else { order.pool.data_centre.as_str() }
+}
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -110,6 +110,7 @@
         priority: 0,
         max_attempts,
         anonymous: false,
+        homes: Vec::new(),
         services: vec![("plain".parse().unwrap(), 1)],
     }
 }
@@ -118,10 +119,12 @@
     let service = Service {
         name: "plain".parse().unwrap(),
         max_connections: 100,
+        warm_up: None,
         engine: None::<EngineCapacity>,
         hosts: None,
     };
-    let customer = Customer { name: "ada".parse().unwrap(), priority: None, quota: None };
+    let customer =
+        Customer { name: "ada".parse().unwrap(), priority: None, homes: Vec::new(), quota: None };
     Table {
         version: 1,
         document: Bytes::new(),
--- a/lib/src/edge/change_log.rs
+++ b/lib/src/edge/change_log.rs
@@ -1,7 +1,7 @@
 //! Logs of changes in what upstreams are sent.
 
 use crate::{
-    limit::{brittle, upstream},
+    limit::{brittle, upstream, warm_up},
     request::crash_evidence::Change,
     upstream::reachability,
 };
@@ -29,6 +29,17 @@
     }
 }
 
+/// Logs that an upstream is cold and how many requests a second it may get, or that it is warm.
+pub fn log_warm_up(change: &warm_up::Change) {
+    let upstream = &change.upstream;
+    match change.cold {
+        Some((bound, left)) => {
+            log::info!(event = "upstream-cold", upstream:%, max_per_s = bound.requests(), left_ms = left.as_millis() as u64; "");
+        }
+        None => log::info!(event = "upstream-warm", upstream:%; ""),
+    }
+}
+
 /// Logs that the daemon has lost or regained its links to the upstreams of a service.
 pub fn log_reachability(change: &reachability::Change) {
     let service = &change.service;
--- a/lib/src/limit/mod.rs
+++ b/lib/src/limit/mod.rs
@@ -6,9 +6,11 @@
 //! full. See `docs/design/limits.md`.
 
 pub mod brittle;
+mod bucket;
 pub mod retry;
 pub mod share;
 pub mod upstream;
+pub mod warm_up;
 pub mod window;
 
 use std::{sync::Arc, time::Duration};
--- a/lib/src/limit/upstream.rs
+++ b/lib/src/limit/upstream.rs
@@ -15,7 +15,11 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{ids::UpstreamId, units::Time};
+use crate::{
+    ids::UpstreamId,
+    limit::bucket::{Bucket, CachedPosition},
+    units::Time,
+};
 
 /// The share of a limit that is used; the rest is for requests that are delayed on their way.
 const USED_SHARE: f64 = 0.9;
@@ -31,9 +35,6 @@
 const ENDED_TTL: Duration = Duration::from_secs(3);
 /// The interval at which a limit that is still named is reported to peers.
 const REPORT_INTERVAL: Duration = Duration::from_secs(10);
-/// The time for which a daemon's position among the senders is kept.
-const POSITION_TTL: Duration = Duration::from_secs(1);
-const MAX_WAIT: Duration = Duration::from_secs(10);
 const MAX_UPSTREAMS: usize = 1024;
 
 /// A number of requests a second, finite and not negative.
@@ -129,10 +130,8 @@
     named_at: Time,
     /// When a response last showed the limit or its end.
     observed_at: Time,
-    /// Requests that may be sent now.
-    tokens: f64,
-    refilled_at: Time,
-    position: Option<(Time, Position)>,
+    bucket: Bucket,
+    position: CachedPosition,
     reported_at: Time,
 }
 
@@ -196,13 +195,12 @@
             rate: None,
             named_at: at,
             observed_at: at,
-            tokens: 0.0,
-            refilled_at: now,
-            position: None,
+            bucket: Bucket::empty(now),
+            position: CachedPosition::default(),
             reported_at: now,
         });
         if limit.rate.is_none() && rate.is_some() {
-            (limit.named_at, limit.tokens, limit.refilled_at) = (at, 0.0, now);
+            (limit.named_at, limit.bucket) = (at, Bucket::empty(now));
         }
         let is_changed = limit.rate != rate;
         limit.rate = rate;
@@ -265,24 +263,8 @@
         if limit.is_expired(now) {
             return Duration::ZERO;
         }
-        let position = match limit.position {
-            Some((at, position)) if now.since(at) < POSITION_TTL => position,
-            _ => {
-                let position = position(upstream);
-                limit.position = Some((now, position));
-                position
-            }
-        };
-        let share = limit.share(position);
-        let added = now.since(limit.refilled_at).as_secs_f64() * share;
-        limit.tokens = (limit.tokens + added).min(1.0);
-        limit.refilled_at = now;
-        let missing = 1.0 - limit.tokens;
-        if missing <= 0.0 {
-            return Duration::ZERO;
-        }
-        let wait = if share > 0.0 { missing / share } else { f64::MAX };
-        Duration::from_secs_f64(wait.min(MAX_WAIT.as_secs_f64()))
+        let position = limit.position.get(now, upstream, position);
+        limit.bucket.wait(now, limit.share(position))
     }
 
     /// Returns the upstreams to which no request may be sent now, and the time until one may be.
@@ -302,7 +284,7 @@
     /// Counts a request that is sent to an upstream.
     pub fn record_sent(&mut self, upstream: &UpstreamId) {
         if let Some(limit) = self.limits.get_mut(upstream) {
-            limit.tokens -= 1.0;
+            limit.bucket.take();
         }
     }
 
