--- a/gateway/tests/supply.rs
+++ b/gateway/tests/supply.rs
@@ -5,7 +5,6 @@
 
 use std::time::Duration;
 
-use dogwoodturn::ids::DataCentre;
 use dogwoodturn_gateway::{
     autoscaler::{Autoscaler, HostOrder, HostPool},
     table::HostBounds,
