--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -50,6 +50,8 @@
 /// Subtracted from the deadline that is sent to an upstream, so that the upstream's own time-out
 /// response arrives in time.
 const RESPONSE_TRANSIT: Duration = Duration::from_millis(10);
+/// The longest time for which a response can say that its upstream stays cold.
+const MAX_WARM_UP: Duration = Duration::from_secs(60);
 /// Delay after a broken connection before its upstream is checked for a crash.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(60);
 
@@ -234,6 +236,7 @@
             self.cx.state.borrow_mut().placement.record_load(now, &self.upstream.id, load);
         }
         self.record_limit(&head);
+        self.record_warm_up(&head);
         self.record_brittle(&head);
         self.connection = Some(connection);
         if is_not_run(&head, self.cx.header_schema.not_run) {
@@ -255,6 +258,24 @@
         state.upstream_limits.record(self.cx.now(), id, sent_at, rate);
     }
 
+    /// Records how long the upstream stays cold, if a response says so.
+    fn record_warm_up(&self, head: &ResponseHead) {
+        let Some(text) = head.headers.text(self.cx.header_schema.warm_up_ms) else { return };
+        let left = text.trim().parse::<f64>().ok();
+        let left = left.and_then(|ms| Duration::try_from_secs_f64(ms / 1000.0).ok());
+        let Some(left) = left else {
+            log::warn!(event = "malformed-warm-up", upstream:% = self.upstream.id, left = text; "the time for which an upstream stays cold is ignored");
+            return;
+        };
+        let mut state = self.cx.state.borrow_mut();
+        state.limit_while_cold(
+            self.cx.now(),
+            &self.upstream.id,
+            &self.service,
+            Some(left.min(MAX_WARM_UP)),
+        );
+    }
+
     /// Connects to the upstream, and reports whether that succeeded. Nothing is sent.
     pub(super) async fn open(&mut self, req: &Request, expires_at: Time) -> bool {
         if self.connection.is_some() {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -147,8 +147,9 @@
         self.limit_while_cold(now, upstream, service, None);
     }
 
-    /// `left` is the time for which it stays cold; by default that after a start.
-    fn limit_while_cold(
+    /// Limits what an upstream gets while it is cold. `left` is the time for which it stays so; by default
+    /// that after a start.
+    pub fn limit_while_cold(
         &mut self,
         now: Time,
         upstream: &UpstreamId,
--- a/gateway/src/header_schema.rs
+++ b/gateway/src/header_schema.rs
@@ -90,6 +90,8 @@
     pub rate_limit: &'static str,
     /// The rejections a second that an upstream survives, in its responses while it is brittle.
     pub brittle: &'static str,
+    /// Milliseconds for which an upstream stays cold, in its responses.
+    pub warm_up_ms: &'static str,
     /// The ID of the last event of a stream that the caller has.
     pub last_event: &'static str,
     /// The urgency of a request at an upstream, from 0 to 9.
--- a/gateway/tests/evacuation.rs
+++ b/gateway/tests/evacuation.rs
@@ -138,6 +138,30 @@
     assert_eq!(choose(&gateway.cx, 10, Homes::default()).0.len(), 4);
 }
 
+#[actix_rt::test]
+async fn handle_request_response_that_says_its_upstream_is_cold_limits_what_follows() {
+    let answers = ["X-Warm-Up: 3000", "X-Warm-Up: soon"].map(|header| {
+        Upstream::start(move |_| {
+            let body = format!(
+                "HTTP/1.1 200 OK\r\nX-Id: {{id}}\r\n{header}\r\nContent-Length: 2\r\n\r\nok"
+            );
+            UpstreamAction::Write(body)
+        })
+    });
+    for (upstream, expected) in answers.iter().zip([1, 5]) {
+        let mut table = table(all_routes());
+        for service in table.services.values_mut() {
+            service.warm_up = Some(WarmUp { duration: COLD, rate: 0.5 });
+        }
+        let gateway = TestGateway::with_table(&[upstream], table).await;
+        gateway.exchange(&support::get("/book/x", "1")).await;
+        for id in ["2", "3", "4", "5"] {
+            gateway.exchange(&support::get("/book/x", id)).await;
+        }
+        assert_eq!(upstream.count(), expected, "a malformed header is ignored");
+    }
+}
+
 #[actix_rt::test]
 async fn apply_entry_evacuation_of_an_unknown_data_centre_changes_nothing() {
     let gateway = start().await;
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -57,6 +57,7 @@
         rate_limit: "X-Limit",
         brittle: "X-Brittle",
         last_event: "X-Last-Event",
+        warm_up_ms: "X-Warm-Up",
         urgency: "X-Urgency",
         reserved: &["X-Pin"],
         readiness_path: b"/ready",
