quota: urgent requests first where ranks contradict time-outs

Cause: while a customer's quota is nearly empty, requests are admitted at random whatever their rank, so that the requests of little urgency of a rush use up what the urgent ones of the same customer need. Change: for services whose most urgent route has the longest time-out, the random number of a request is mapped by its rank; an eighth of the others is admitted as urgent ones are.

--- a/gateway/src/forward/admission.rs
+++ b/gateway/src/forward/admission.rs
@@ -13,7 +13,7 @@
 use crate::{
     gateway::Gateway,
     placement::Homes,
-    quota::Charge,
+    quota::{self, Charge},
     request::{LocalResponse, Progress, Request},
     table::{CallerLimits, Route, Table},
 };
@@ -126,8 +126,12 @@
             false => 1,
         };
         let peers = state.admitted_elsewhere(now, &customer.name);
-        let admitted =
-            state.quotas.admit(now, &customer.name, quota, units, req.uniform_sample(), &peers);
+        let mut sample = req.uniform_sample();
+        if table.ranks_contradict_timeouts(&service) {
+            let is_urgent = table.most_urgent_rank(&service) == Some(route.priority);
+            sample = quota::ranked_sample(sample, is_urgent);
+        }
+        let admitted = state.quotas.admit(now, &customer.name, quota, units, sample, &peers);
         charge = Some(admitted.map_err(|available_in| {
             LocalResponse::over_quota(
                 not_run_proof(),
--- a/gateway/src/table.rs
+++ b/gateway/src/table.rs
@@ -197,6 +197,27 @@
         routes.iter().find(|route| path.starts_with(route.path_prefix.as_bytes()))
     }
 
+    /// Reports whether the most urgent route of a service has a longer time-out than each less urgent one.
+    /// Time-outs and latency targets then favour the wrong requests, and ranks have to decide when
+    /// capacity is scarce.
+    pub fn ranks_contradict_timeouts(&self, service: &ServiceName) -> bool {
+        let routes = || {
+            let all = self.routes.values().flatten();
+            all.filter(|route| route.services.iter().any(|(name, _)| name == service))
+        };
+        let Some(first) = routes().map(|route| route.priority).min() else { return false };
+        let shortest = routes().filter(|r| r.priority == first).map(|r| r.timeout).min();
+        let longest = routes().filter(|r| r.priority > first).map(|r| r.timeout).max();
+        shortest.zip(longest).is_some_and(|(urgent, others)| urgent > others)
+    }
+
+    /// Returns the rank of the most urgent route of a service; zero is the highest.
+    pub fn most_urgent_rank(&self, service: &ServiceName) -> Option<u8> {
+        let all = self.routes.values().flatten();
+        let of_service = all.filter(|r| r.services.iter().any(|(name, _)| name == service));
+        of_service.map(|route| route.priority).min()
+    }
+
     /// Groups routes by host, with the longest prefix first.
     pub fn group_by_host(
         routes: impl IntoIterator<Item = Route>,
