table: compute once which ranks contradict time-outs; plain calls of such customers count as urgent

Cause: the check went over all routes for each request, and a table may have thousands; calls of plain services, which cost little of a quota, were refused for requests of another service.

--- a/gateway/src/forward/admission.rs
+++ b/gateway/src/forward/admission.rs
@@ -127,8 +127,8 @@
         };
         let peers = state.admitted_elsewhere(now, &customer.name);
         let mut sample = req.uniform_sample();
-        if table.ranks_contradict_timeouts(&service) {
-            let is_urgent = table.most_urgent_rank(&service) == Some(route.priority);
+        if table.has_contradicting_ranks() {
+            let is_urgent = table.is_most_urgent(&service, route.priority);
             sample = quota::ranked_sample(sample, is_urgent);
         }
         let admitted = state.quotas.admit(now, &customer.name, quota, units, sample, &peers);
--- a/gateway/src/table.rs
+++ b/gateway/src/table.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use dogwoodturn::ids::{CustomerName, DataCentre, Region, RouteName, ServiceName};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 /// Whether a request of a route may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -184,6 +184,45 @@
     /// The customer of each API key.
     pub keys: IndexMap<Box<str>, CustomerName>,
     pub limits: CallerLimits,
+    pub ranks: Ranks,
+}
+
+/// How the ranks of routes relate, computed once since a table may have thousands of routes.
+#[derive(Clone, Debug, Default)]
+pub struct Ranks {
+    /// The rank of the most urgent route of each service.
+    most_urgent: IndexMap<ServiceName, u8>,
+    /// See [`Table::ranks_contradict_timeouts`].
+    contradicting: IndexSet<ServiceName>,
+}
+
+impl Ranks {
+    pub fn new<'a>(routes: impl IntoIterator<Item = &'a Arc<Route>>) -> Self {
+        let mut by_service = IndexMap::<ServiceName, Vec<(u8, Duration)>>::new();
+        for route in routes {
+            for (service, _) in &route.services {
+                let entry = by_service.entry(service.clone()).or_default();
+                entry.push((route.priority, route.timeout));
+            }
+        }
+        let mut ranks = Self::default();
+        for (service, routes) in by_service {
+            let Some(first) = routes.iter().map(|(rank, _)| *rank).min() else { continue };
+            let timeouts = |is_first: bool| {
+                let matching = routes.iter().filter(move |(rank, _)| (*rank == first) == is_first);
+                matching.map(|(_, timeout)| *timeout)
+            };
+            let is_contradicting = timeouts(true)
+                .min()
+                .zip(timeouts(false).max())
+                .is_some_and(|(urgent, others)| urgent > others);
+            if is_contradicting {
+                ranks.contradicting.insert(service.clone());
+            }
+            ranks.most_urgent.insert(service, first);
+        }
+        ranks
+    }
 }
 
 impl Table {
@@ -201,21 +240,17 @@
     /// Time-outs and latency targets then favour the wrong requests, and ranks have to decide when
     /// capacity is scarce.
     pub fn ranks_contradict_timeouts(&self, service: &ServiceName) -> bool {
-        let routes = || {
-            let all = self.routes.values().flatten();
-            all.filter(|route| route.services.iter().any(|(name, _)| name == service))
-        };
-        let Some(first) = routes().map(|route| route.priority).min() else { return false };
-        let shortest = routes().filter(|r| r.priority == first).map(|r| r.timeout).min();
-        let longest = routes().filter(|r| r.priority > first).map(|r| r.timeout).max();
-        shortest.zip(longest).is_some_and(|(urgent, others)| urgent > others)
+        self.ranks.contradicting.contains(service)
+    }
+
+    /// Reports whether [`Table::ranks_contradict_timeouts`] holds for any service.
+    pub fn has_contradicting_ranks(&self) -> bool {
+        !self.ranks.contradicting.is_empty()
     }
 
-    /// Returns the rank of the most urgent route of a service; zero is the highest.
-    pub fn most_urgent_rank(&self, service: &ServiceName) -> Option<u8> {
-        let all = self.routes.values().flatten();
-        let of_service = all.filter(|r| r.services.iter().any(|(name, _)| name == service));
-        of_service.map(|route| route.priority).min()
+    /// Reports whether no route of the service is more urgent than rank `priority`.
+    pub fn is_most_urgent(&self, service: &ServiceName, priority: u8) -> bool {
+        self.ranks.most_urgent.get(service).is_none_or(|first| priority <= *first)
     }
 
     /// Groups routes by host, with the longest prefix first.
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -28,7 +28,7 @@
     serve,
     settings::Settings,
     store::{CallError, Store, Unreadable, UpstreamRecord},
-    table::{CallerLimits, Customer, EngineCapacity, RetrySafety, Route, Service, Table},
+    table::{CallerLimits, Customer, EngineCapacity, Ranks, RetrySafety, Route, Service, Table},
 };
 use indexmap::IndexMap;
 use tokio::{
@@ -126,10 +126,12 @@
     };
     let customer =
         Customer { name: "ada".parse().unwrap(), priority: None, homes: Vec::new(), quota: None };
+    let routes = Table::group_by_host(routes);
     Table {
         version: 1,
         document: Bytes::new(),
-        routes: Table::group_by_host(routes),
+        ranks: Ranks::new(routes.values().flatten()),
+        routes,
         services: IndexMap::from([(service.name.clone(), service)]),
         customers: IndexMap::from([(customer.name.clone(), customer)]),
         keys: IndexMap::from([("key".into(), "ada".parse().unwrap())]),
