check: warnings, comparison with what is in force, exit codes

Cause: `dogwoodturn check` reported errors only. A set that is valid and does not do what its author meant was noticed after its publication.

Change: `declaration::findings` returns warnings about a valid set as a pure function (entries that can never match, limits that contradict each other), `ValidatedSet` adds file and line, and `delta::compare` returns differing objects with both values of each key; `delta::describe` is derived from it. `check` prints both, as text or JSON, and exits with 0, 1 (errors), 2 (warnings only) or 3 (files or store could not be read). `--against URL` also reads the host list, reports versions without live upstreams and what would prevent the publication.

The exit code for a file that cannot be read changes from 1 to 3, as the specification asks; `check_missing_file_prints_the_cause` now expects 3, and in addition that nothing is printed to the standard output.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -22,7 +22,7 @@
 
 #[derive(Debug, Options)]
 enum Command {
-    #[options(help = "check declarations and name every fault")]
+    #[options(help = "check declarations and name every error and warning")]
     Check(check::Args),
     #[options(help = "show what publishing would change")]
     Diff(diff::Args),
@@ -45,7 +45,7 @@
 fn main() -> ExitCode {
     let args = Args::parse_args_default_or_exit();
     let result = match args.command {
-        Some(Command::Check(args)) => check::run(&args),
+        Some(Command::Check(args)) => Ok(check::run(&args)),
         Some(Command::Diff(args)) => diff::run(&args),
         Some(Command::Publish(args)) => publish::run(args),
         Some(Command::Status(args)) => status::run(&args),
--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -36,8 +36,8 @@
 
 #[test]
 fn check_missing_file_prints_the_cause() {
-    let (code, _, err) = code_and_output(&run(&["check", "nowhere.ini"]));
-    assert_eq!(code, Some(1));
+    let (code, out, err) = code_and_output(&run(&["check", "nowhere.ini"]));
+    assert_eq!((code, out.as_str()), (Some(3), ""));
     assert!(err.starts_with("error: cannot read nowhere.ini\n  cause: "), "{err}");
 }
 
--- a/lib/src/declaration/check.rs
+++ b/lib/src/declaration/check.rs
@@ -7,7 +7,9 @@
 use crate::{
     declaration::{
         Customer, DeclarationSet, LatencyTarget, Move, RequestClass, Route, Service, SupplyBounds,
-        Version, update_validation::UpdateViolation,
+        Version,
+        findings::{self, Finding, ServedVersions},
+        update_validation::UpdateViolation,
     },
     ids::{CustomerName, MoveName, RouteName, ServiceName, VersionName},
     ini::{self, ConfigError, Location, Section, Source, section_reader::SectionReader},
@@ -17,18 +19,53 @@
 #[derive(Clone, Debug, Default)]
 pub struct ValidatedSet {
     pub set: DeclarationSet,
-    locations: IndexMap<Box<str>, Location>,
+    locations: IndexMap<Box<str>, SectionLocation>,
+}
+
+/// The lines of a section.
+#[derive(Clone, Debug)]
+struct SectionLocation {
+    title: Location,
+    keys: IndexMap<Box<str>, Location>,
+}
+
+impl From<&Section> for SectionLocation {
+    fn from(section: &Section) -> Self {
+        let keys = section.properties.iter();
+        let keys = keys.map(|property| (property.key.clone(), property.location.clone()));
+        Self { title: section.location.clone(), keys: keys.collect() }
+    }
 }
 
 impl ValidatedSet {
+    /// Returns the line of a key, or that of the section's title if the key has its default.
+    ///
+    /// An object that is not in the set has no line.
+    pub fn location(&self, title: &str, key: Option<&str>) -> Option<&Location> {
+        let section = self.locations.get(title)?;
+        Some(key.and_then(|key| section.keys.get(key)).unwrap_or(&section.title))
+    }
+
+    /// Returns the findings about the set with their lines, in the order of the files.
+    pub fn findings(&self, served: Option<&ServedVersions>) -> Vec<(Location, Finding)> {
+        let located = |finding: Finding| {
+            let location = self.location(&finding.title, finding.key).cloned();
+            (location.unwrap_or_else(|| no_location(&finding.title)), finding)
+        };
+        let mut findings: Vec<_> =
+            findings::find(&self.set, served).into_iter().map(located).collect();
+        findings.sort_by(|(a, _), (b, _)| a.cmp(b));
+        findings
+    }
+
     /// Converts the violations found before publication into errors with file and line.
     ///
     /// An object that is no longer in the set has no line; its title is reported instead, with
     /// line 0.
     pub fn errors(&self, violations: &[UpdateViolation]) -> Vec<ConfigError> {
         let config_error = |violation: &UpdateViolation| {
-            let no_location = Location { file: format!("[{}]", violation.title).into(), line: 0 };
-            let location = self.locations.get(&violation.title).unwrap_or(&no_location);
+            let no_location = no_location(&violation.title);
+            let location = self.location(&violation.title, None).unwrap_or(&no_location);
             let reason = format!("[{}] {}", violation.title, violation.reason);
             ConfigError::new(location, reason).with_hint(violation.hint.clone())
         };
@@ -36,6 +73,11 @@
     }
 }
 
+/// Returns what is reported as the location of an object that is not in the files.
+fn no_location(title: &str) -> Location {
+    Location { file: format!("[{title}]").into(), line: 0 }
+}
+
 /// Parses and validates all files as one set.
 pub fn check(sources: &[Source]) -> Result<ValidatedSet, Vec<ConfigError>> {
     let mut reader = Reader::default();
@@ -58,18 +100,18 @@
 #[derive(Default)]
 struct Reader {
     set: DeclarationSet,
-    locations: IndexMap<Box<str>, Location>,
+    locations: IndexMap<Box<str>, SectionLocation>,
     errors: Vec<ConfigError>,
 }
 
 impl Reader {
     fn read_section(&mut self, section: &Section) {
-        if let Some(first) = self.locations.get(&section.title) {
+        if let Some(SectionLocation { title: first, .. }) = self.locations.get(&section.title) {
             let reason = format!("[{}] is declared already at {first}", section.title);
             self.errors.push(ConfigError::new(&section.location, reason));
             return;
         }
-        self.locations.insert(section.title.clone(), section.location.clone());
+        self.locations.insert(section.title.clone(), section.into());
         let (kind, name) = section.title.split_once(' ').unwrap_or((&section.title, ""));
         let mut fields = SectionReader::new(section, &mut self.errors);
         match kind {
@@ -93,7 +135,8 @@
 
     fn add_error(&mut self, title: &str, reason: String, hint: &str) {
         let unknown_location = Location { file: "".into(), line: 0 };
-        let location = self.locations.get(title).unwrap_or(&unknown_location);
+        let section = self.locations.get(title);
+        let location = section.map_or(&unknown_location, |section| &section.title);
         self.errors.push(ConfigError::new(location, reason).with_hint(hint));
     }
 
--- a/lib/src/declaration/delta.rs
+++ b/lib/src/declaration/delta.rs
@@ -9,6 +9,7 @@
 use crate::{
     declaration::{
         DeclarationSet,
+        properties::Properties,
         wire::{self, SetDigest, SetWire, WireError},
     },
     ids::{ChangeId, CustomerName, Generation, MoveName, RouteName, ServiceName, VersionName},
@@ -78,37 +79,107 @@
     pub at: WallTime,
 }
 
+/// How an object differs between two sets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ChangeKind {
+    Added,
+    Changed,
+    Removed,
+}
+
+impl ChangeKind {
+    /// Returns the character that stands for the kind in the output of commands.
+    pub fn sign(self) -> char {
+        match self {
+            Self::Added => '+',
+            Self::Changed => '~',
+            Self::Removed => '-',
+        }
+    }
+}
+
+/// A property with different values in two sets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PropertyChange {
+    pub key: Box<str>,
+    /// The value in the first set; `None` if it is not set there.
+    pub old: Option<Box<str>>,
+    /// The value in the second set; `None` if it is not set there.
+    pub new: Option<Box<str>>,
+}
+
+/// An object that differs between two sets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ObjectChange {
+    pub kind: ChangeKind,
+    /// The section title of the object, such as `route phrases`.
+    pub title: Box<str>,
+    /// The properties that differ; all that are set if the object was added or removed.
+    pub properties: Vec<PropertyChange>,
+}
+
+/// Returns the objects that differ with the properties that differ, by kind and name.
+pub fn compare(from: &DeclarationSet, to: &DeclarationSet) -> Vec<ObjectChange> {
+    let mut changes = Vec::new();
+    differences("service", &from.services, &to.services, ToString::to_string, &mut changes);
+    let name = |(service, version): &(ServiceName, VersionName)| format!("{service}/{version}");
+    differences("version", &from.versions, &to.versions, name, &mut changes);
+    differences("route", &from.routes, &to.routes, ToString::to_string, &mut changes);
+    differences("move", &from.moves, &to.moves, ToString::to_string, &mut changes);
+    differences("customer", &from.customers, &to.customers, ToString::to_string, &mut changes);
+    changes
+}
+
 /// Returns the objects that differ, as `+ service x`, `~ route y` or `- move z`.
 pub fn describe(from: &DeclarationSet, to: &DeclarationSet) -> Vec<Box<str>> {
-    let mut lines = Vec::new();
-    differences("service", &from.services, &to.services, ToString::to_string, &mut lines);
-    let name = |(service, version): &(ServiceName, VersionName)| format!("{service}/{version}");
-    differences("version", &from.versions, &to.versions, name, &mut lines);
-    differences("route", &from.routes, &to.routes, ToString::to_string, &mut lines);
-    differences("move", &from.moves, &to.moves, ToString::to_string, &mut lines);
-    differences("customer", &from.customers, &to.customers, ToString::to_string, &mut lines);
-    lines
+    let changes = compare(from, to).into_iter();
+    changes.map(|change| format!("{} {}", change.kind.sign(), change.title).into()).collect()
 }
 
-fn differences<K: Hash + Eq, V: PartialEq>(
+fn differences<K: Hash + Eq, V: PartialEq + Properties>(
     kind: &str,
     from: &IndexMap<K, V>,
     to: &IndexMap<K, V>,
     name: impl Fn(&K) -> String,
-    lines: &mut Vec<Box<str>>,
+    changes: &mut Vec<ObjectChange>,
 ) {
-    let mut found = Vec::new();
+    let mut found: Vec<(String, ObjectChange)> = Vec::new();
+    let mut add = |key: &K, change_kind, old: Option<&V>, new: Option<&V>| {
+        let name = name(key);
+        let title = format!("{kind} {name}").into();
+        let properties = property_changes(old, new);
+        found.push((name, ObjectChange { kind: change_kind, title, properties }));
+    };
     for (key, value) in to {
         match from.get(key) {
-            None => found.push((name(key), '+')),
-            Some(old) if old != value => found.push((name(key), '~')),
+            None => add(key, ChangeKind::Added, None, Some(value)),
+            Some(old) if old != value => add(key, ChangeKind::Changed, Some(old), Some(value)),
             Some(_) => {}
         }
     }
-    let removed = from.keys().filter(|key| !to.contains_key(*key));
-    found.extend(removed.map(|key| (name(key), '-')));
-    found.sort();
-    lines.extend(found.iter().map(|(name, sign)| format!("{sign} {kind} {name}").into()));
+    for (key, value) in from {
+        if !to.contains_key(key) {
+            add(key, ChangeKind::Removed, Some(value), None);
+        }
+    }
+    found.sort_by(|(a, _), (b, _)| a.cmp(b));
+    changes.extend(found.into_iter().map(|(_, change)| change));
+}
+
+fn property_changes<V: Properties>(old: Option<&V>, new: Option<&V>) -> Vec<PropertyChange> {
+    let properties = |object: Option<&V>| -> IndexMap<Box<str>, Option<Box<str>>> {
+        object.map(Properties::properties).unwrap_or_default().into_iter().collect()
+    };
+    let (mut old, new) = (properties(old), properties(new));
+    let mut changes = Vec::new();
+    for (key, new) in new {
+        let old = old.shift_remove(&key).flatten();
+        changes.push(PropertyChange { key, old, new });
+    }
+    let only_old = old.into_iter().map(|(key, old)| PropertyChange { key, old, new: None });
+    changes.extend(only_old);
+    changes.retain(|change| change.old != change.new);
+    changes
 }
 
 /// Returns the objects of `to` that are not the same in `from`.
--- a/lib/src/declaration/mod.rs
+++ b/lib/src/declaration/mod.rs
@@ -1,13 +1,15 @@
 //! The objects that operators declare: services, versions, routes, moves and customers.
 //!
 //! A [`DeclarationSet`] is immutable. [`check`] parses it from files and reports every error of
-//! the whole set, [`publish`] writes it to the platform, and [`active_config`] updates each daemon
+//! the whole set, [`findings`] are warnings about a valid set, [`publish`] writes it to the platform, and [`active_config`] updates each daemon
 //! to the latest generation. See `docs/design/declarations.md`.
 
 pub mod active_config;
 pub mod check;
 pub mod delta;
+pub mod findings;
 pub mod message;
+pub mod properties;
 pub mod publish;
 pub mod update_validation;
 pub mod wire;
--- a/lib/src/edge/caller.rs
+++ b/lib/src/edge/caller.rs
@@ -37,7 +37,7 @@
 /// Time after which a caller may retry a request that the daemon had no capacity for.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Path prefix under which the responses to earlier requests can be resumed.
-const REQUESTS_PATH: &str = "/requests/";
+pub const REQUESTS_PATH: &str = "/requests/";
 
 /// Headers besides [`HOP_BY_HOP`] that are not forwarded, since the daemon handles them itself or
 /// sets them again.
