check: comment of a test names the case that it covers

Cause: the comment of check_against_reports_what_prevents_publication named another case than the test covers.

Change: the comment only.

Result: cli/tests/check.rs passes.

--- a/cli/tests/check.rs
+++ b/cli/tests/check.rs
@@ -217,8 +217,8 @@
     assert_eq!(against["changes"][2]["change"], json!("added"));
 }
 
-/// Guards against a check that passes a set which `publish` then refuses: the version of a service
-/// while a move of it is running.
+/// Guards against a check that passes a set which `publish` then refuses: here, a move that is
+/// changed while it is running.
 #[test]
 fn check_against_reports_what_prevents_publication() {
     let base = format!(
