quota: admit at random whatever the rank, as before

Cause: with urgent requests first, fewer of a rushing customer's urgent requests were refused, but more requests of all were late.

--- a/gateway/src/forward/admission.rs
+++ b/gateway/src/forward/admission.rs
@@ -13,7 +13,7 @@
 use crate::{
     gateway::Gateway,
     placement::Homes,
-    quota::{self, Charge},
+    quota::Charge,
     request::{LocalResponse, Progress, Request},
     table::{CallerLimits, Route, Table},
 };
@@ -126,12 +126,8 @@
             false => 1,
         };
         let peers = state.admitted_elsewhere(now, &customer.name);
-        let mut sample = req.uniform_sample();
-        if table.has_contradicting_ranks() {
-            let is_urgent = table.is_most_urgent(&service, route.priority);
-            sample = quota::ranked_sample(sample, is_urgent);
-        }
-        let admitted = state.quotas.admit(now, &customer.name, quota, units, sample, &peers);
+        let admitted =
+            state.quotas.admit(now, &customer.name, quota, units, req.uniform_sample(), &peers);
         charge = Some(admitted.map_err(|available_in| {
             LocalResponse::over_quota(
                 not_run_proof(),
--- a/gateway/src/quota.rs
+++ b/gateway/src/quota.rs
@@ -45,25 +45,6 @@
     pub allowance: f64,
 }
 
-/// Share of less urgent requests that are admitted as urgent ones are, so that these do not use up the
-/// whole quota.
-const EQUAL_SHARE: f64 = 0.125;
-/// Share of the reserve of a nearly empty quota that urgent requests may use alone.
-const URGENT_RESERVE_SHARE: f64 = 0.25;
-
-/// Maps a random number in the range 0.0..1.0, with which a request is admitted to a nearly empty quota, so
-/// that urgent requests are admitted before others.
-pub fn ranked_sample(random: f64, is_urgent: bool) -> f64 {
-    if is_urgent {
-        random * URGENT_RESERVE_SHARE
-    } else if random < EQUAL_SHARE {
-        random / EQUAL_SHARE * URGENT_RESERVE_SHARE
-    } else {
-        let rest = (random - EQUAL_SHARE) / (1.0 - EQUAL_SHARE);
-        URGENT_RESERVE_SHARE + rest * (1.0 - URGENT_RESERVE_SHARE)
-    }
-}
-
 /// Units admitted in each interval, the current interval first.
 pub type History = Vec<u64>;
 
--- a/gateway/src/table.rs
+++ b/gateway/src/table.rs
@@ -243,11 +243,6 @@
         self.ranks.contradicting.contains(service)
     }
 
-    /// Reports whether [`Table::ranks_contradict_timeouts`] holds for any service.
-    pub fn has_contradicting_ranks(&self) -> bool {
-        !self.ranks.contradicting.is_empty()
-    }
-
     /// Reports whether no route of the service is more urgent than rank `priority`.
     pub fn is_most_urgent(&self, service: &ServiceName, priority: u8) -> bool {
         self.ranks.most_urgent.get(service).is_none_or(|first| priority <= *first)
--- a/gateway/tests/quota.rs
+++ b/gateway/tests/quota.rs
@@ -5,7 +5,7 @@
 
 use dogwoodturn::{ids::CustomerName, units::Time};
 use dogwoodturn_gateway::{
-    quota::{AdmissionTotal, History, PeerAdmissions, Quotas, Tolerance, ranked_sample},
+    quota::{AdmissionTotal, History, PeerAdmissions, Quotas, Tolerance},
     table::Quota,
 };
 
@@ -298,18 +298,3 @@
         quotas.admit(at(2), &customer(), QUOTA, burst, 0.0, &PeerAdmissions::default()).is_ok()
     );
 }
-
-#[test]
-fn ranked_sample_urgent_requests_are_admitted_before_others() {
-    // At a level of 0.3 of the reserve, all urgent requests and some of the others are admitted.
-    let admitted = |is_urgent| {
-        (0..1000).filter(|n| ranked_sample(f64::from(*n) / 1000.0, is_urgent) < 0.3).count()
-    };
-    assert_eq!(admitted(true), 1000);
-    assert!((125..300).contains(&admitted(false)), "{}", admitted(false));
-    // Urgent requests that use up the reserve alone leave some of the others.
-    let at_low_level = |is_urgent| {
-        (0..1000).filter(|n| ranked_sample(f64::from(*n) / 1000.0, is_urgent) < 0.1).count()
-    };
-    assert!(at_low_level(false) * 10 >= at_low_level(true), "{}", at_low_level(false));
-}
--- a/gateway/tests/ranks.rs
+++ b/gateway/tests/ranks.rs
@@ -40,5 +40,4 @@
     let [model, plain] = ["model", "plain"].map(|name| name.parse().unwrap());
     assert!(table.is_most_urgent(&model, 0) && !table.is_most_urgent(&model, 2));
     assert!(table.is_most_urgent(&plain, 2));
-    assert!(table.has_contradicting_ranks());
 }
