placement: break ties of upstreams that report a pace by daemon

Cause: daemons with the same reports all chose the same upstream, so that one of six upstreams got all requests until the next report.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -454,10 +454,12 @@
         let startup = Startup::new(now, &settings.name, bounds.drain);
         let mut lease = Lease::new(run.into(), bounds.lease, now);
         lease.set_bounds(bounds.lease, bounds.checks_fences);
+        let mut placement = Placement::default();
+        placement.set_daemon(&settings.name);
         let state = State {
             table: None,
             directory: Directory::new(bounds.drain),
-            placement: Placement::default(),
+            placement,
             quotas: Quotas::new(bounds.quotas, now, settings.first_start),
             retries: RetryBudgets::new(bounds.retries),
             upstream_limits: UpstreamLimits::default(),
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -13,17 +13,18 @@
 use std::time::Duration;
 
 use dogwoodturn::{
-    ids::{DataCentre, Region, ServiceName, UpstreamId},
+    ids::{DaemonId, DataCentre, Region, ServiceName, UpstreamId},
     limit::brittle::Occupancy,
     units::Time,
     upstream::speed::{self, Pace, Speed},
 };
 use indexmap::IndexMap;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     directory::Upstream,
     header_schema::{LoadReport, Prompt, PromptPart, ReportedPace},
+    peers::WORK_INTERVAL,
     rollout::VersionRule,
     table::EngineCapacity,
 };
@@ -90,6 +91,11 @@
 const DECODE_MS_PER_TOKEN: f64 = 0.06;
 /// Upper bound of an upstream's slowness factor.
 const MAX_SLOWNESS: f64 = 12.0;
+/// Predicted times whose difference is at most this are equal: a few decode steps of an engine, and far
+/// below the shortest latency target.
+const TIE_MS: f64 = 10.0;
+/// Time for which a daemon keeps its order of equal upstreams; daemons report their work as often.
+const TIE_INTERVAL: Duration = WORK_INTERVAL;
 /// Longest time that is predicted; no caller waits for so long.
 const MAX_PREDICTED: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -343,6 +349,8 @@
     upstreams: IndexMap<UpstreamId, UpstreamState>,
     services: IndexMap<ServiceName, ServiceState>,
     pace_changes: Vec<speed::Change>,
+    /// A hash of this daemon's name, so that daemons differ in their order of equal upstreams.
+    tie_seed: u64,
 }
 
 struct Estimate<'a> {
@@ -360,6 +368,11 @@
 }
 
 impl Placement {
+    /// Sets the daemon that selects, on whose name its order of equal upstreams depends.
+    pub fn set_daemon(&mut self, daemon: &DaemonId) {
+        self.tie_seed = xxh3_64(daemon.as_str().as_bytes());
+    }
+
     /// Selects an upstream and adds the request to its work.
     pub fn choose(
         &mut self,
@@ -371,9 +384,13 @@
         let affine = affinity_upstream(criteria.prompt, &candidates);
         let mut best: Option<Estimate<'_>> = None;
         let mut shortest_wait = f64::MAX;
+        let tie_seed = self.tie_seed.wrapping_add(now.0 / TIE_INTERVAL.as_micros() as u64);
         for upstream in &candidates {
             let is_affine = affine == Some(&upstream.record.id);
-            let estimate = self.estimate(now, upstream, criteria, is_affine);
+            let mut estimate = self.estimate(now, upstream, criteria, is_affine);
+            if estimate.pace.is_some() {
+                estimate.score_ms += tie_break_ms(estimate.upstream, tie_seed);
+            }
             shortest_wait = shortest_wait.min(estimate.wait_ms);
             if best.as_ref().is_none_or(|best| estimate.score_ms < best.score_ms) {
                 best = Some(estimate);
@@ -702,6 +719,14 @@
     candidates.iter().max_by_key(weight).map(|upstream| &upstream.record.id)
 }
 
+/// Returns what is added to the score of an upstream so that daemons with the same reports do not all
+/// choose the same one of those whose scores differ by less than [`TIE_MS`]. Its mean is zero, since
+/// nothing is added for upstreams that report no pace.
+fn tie_break_ms(upstream: &UpstreamId, seed: u64) -> f64 {
+    let hash = xxh3_64_with_seed(upstream.as_str().as_bytes(), seed);
+    (hash as f64 / u64::MAX as f64 - 0.5) * TIE_MS
+}
+
 /// Returns the number of prompt tokens that an engine has to prefill. A part is expected in its
 /// memory only if all parts before it are.
 fn count_uncached_tokens(
