peers: exchange recent samples of upstreams' paces

Cause: one daemon of 76 sees an upstream only once in several seconds, and its pace changes every 600 ms. Change: messages of work and of state carry own samples of the last 500 ms that differ from what peers know, at most 64, with their age.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -18,7 +18,10 @@
     },
     request::crash_evidence::{CrashEvidence, Verdict},
     units::{Time, WallTime},
-    upstream::reachability::{self, Reachability},
+    upstream::{
+        reachability::{self, Reachability},
+        speed,
+    },
 };
 use indexmap::IndexSet;
 use nix::time::{ClockId, clock_gettime};
@@ -312,7 +315,8 @@
     }
 
     /// Applies a peer's state message.
-    pub fn receive_message(&mut self, now: Time, from: SocketAddr, message: StateMessage) {
+    pub fn receive_message(&mut self, now: Time, from: SocketAddr, mut message: StateMessage) {
+        let paces = std::mem::take(&mut message.paces);
         self.crash_evidence.merge(now, message.crash_evidence.clone().into());
         let limits = message.upstream_limits.iter().cloned().map(Into::into);
         self.upstream_limits.merge(now, limits);
@@ -330,7 +334,34 @@
         }
         let run = (message.daemon.clone(), message.incarnation);
         self.usage.apply_peer_counts(run, &message.usage);
-        self.peer_table.receive(now, wall_clock(), from, message);
+        if self.peer_table.receive(now, wall_clock(), from, message) {
+            self.receive_paces(now, from, paces);
+        }
+    }
+
+    /// Applies a peer's work message.
+    pub fn receive_work(&mut self, now: Time, from: SocketAddr, mut message: WorkMessage) {
+        let paces = std::mem::take(&mut message.paces);
+        if self.peer_table.receive_work(now, message) {
+            self.receive_paces(now, from, paces);
+        }
+    }
+
+    /// Applies a peer's samples of the paces of known upstreams.
+    fn receive_paces(&mut self, now: Time, from: SocketAddr, reports: Vec<speed::ReportWire>) {
+        for wire in reports.into_iter().take(speed::MAX_REPORTS) {
+            if self.directory.get(&wire.0).is_none() {
+                continue;
+            }
+            let upstream = wire.0.clone();
+            match speed::Report::try_from(wire) {
+                Ok(report) => self.placement.merge_pace(now, &report),
+                Err(error) if self.placement.record_malformed_pace(now, &upstream) => {
+                    log::warn!(event = "malformed-pace", upstream:%, from:%, error:%; "the pace that a peer reported is ignored");
+                }
+                Err(_) => {}
+            }
+        }
     }
 
     /// Applies a hub's message: that the hub is alive, its totals, and whether the store was
@@ -663,6 +694,7 @@
             crash_evidence: state.crash_evidence.report(now).into(),
             upstream_limits: upstream_limits.into_iter().map(Into::into).collect(),
             brittle: state.brittle.reports(now).into_iter().map(Into::into).collect(),
+            paces: state.placement.pace_reports(now),
             tallies: state.rollouts.local_tallies(),
             blocked_versions: state.rollouts.blocked_versions().to_vec(),
             upstreams_at: state.views.synced_revision(Kind::Upstreams),
@@ -674,13 +706,16 @@
 
     /// Returns this daemon's work message for its peers.
     pub fn work_message(&self) -> WorkMessage {
-        self.record_reported_work(self.now());
+        let now = self.now();
+        self.record_reported_work(now);
+        let state = self.state.borrow();
         self.last_message_number.set(self.last_message_number.get() + 1);
         WorkMessage {
             daemon: self.settings().name.clone(),
             incarnation: self.incarnation,
             number: self.last_message_number.get(),
-            work: reported_work(&self.state.borrow().placement),
+            work: reported_work(&state.placement),
+            paces: state.placement.pace_reports(now),
         }
     }
 
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -14,6 +14,7 @@
     limit::{self, brittle, upstream::Position},
     request::crash_evidence,
     units::{Time, WallTime},
+    upstream::speed,
 };
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -74,6 +75,9 @@
     /// Rises with each message of a run, of either type.
     pub number: u64,
     pub work: Vec<ReportedWork>,
+    /// Recent own samples of upstreams' paces.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub paces: Vec<speed::ReportWire>,
 }
 
 /// A daemon's shared state.
@@ -109,6 +113,9 @@
     /// The upstreams that are brittle.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub brittle: Vec<brittle::ReportWire>,
+    /// Recent own samples of upstreams' paces.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub paces: Vec<speed::ReportWire>,
     /// Results of versions in a move.
     pub tallies: Vec<(ServiceName, VersionName, RouteName, Tally)>,
     #[serde(rename = "holds")]
@@ -231,16 +238,19 @@
         true
     }
 
-    /// Applies a peer's work, which counts only after its state was received.
-    pub fn receive_work(&mut self, now: Time, message: WorkMessage) {
-        let Some(peer) = self.peers.get_mut(&message.daemon) else { return };
-        let Some(last) = &mut peer.last_message else { return };
-        if last.incarnation == message.incarnation && last.number < message.number {
-            last.number = message.number;
-            let earlier = std::mem::replace(&mut last.work, message.work);
-            peer.work_received_at = now;
-            peer.keep_earlier(now, earlier);
+    /// Applies a peer's work, which counts only after its state was received, and returns whether it is
+    /// newer than the last report.
+    pub fn receive_work(&mut self, now: Time, message: WorkMessage) -> bool {
+        let Some(peer) = self.peers.get_mut(&message.daemon) else { return false };
+        let Some(last) = &mut peer.last_message else { return false };
+        if last.incarnation != message.incarnation || last.number >= message.number {
+            return false;
         }
+        last.number = message.number;
+        let earlier = std::mem::replace(&mut last.work, message.work);
+        peer.work_received_at = now;
+        peer.keep_earlier(now, earlier);
+        true
     }
 
     /// Returns the time after its last message for which a peer counts as live.
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -627,6 +627,27 @@
         }
     }
 
+    /// Applies a peer's sample of an upstream's pace.
+    pub fn merge_pace(&mut self, now: Time, report: &speed::Report) {
+        let state = self.upstreams.entry(report.upstream.clone()).or_default();
+        let change = state.speed.merge(now, report.pace, report.age);
+        self.log_pace(&report.upstream, change);
+    }
+
+    /// Records that a peer reported a malformed pace, and returns whether to log it.
+    pub fn record_malformed_pace(&mut self, now: Time, upstream: &UpstreamId) -> bool {
+        self.upstreams.entry(upstream.clone()).or_default().speed.record_malformed(now)
+    }
+
+    /// Returns this daemon's recent samples of upstreams' paces, for its peers.
+    pub fn pace_reports(&self, now: Time) -> Vec<speed::ReportWire> {
+        let reports = self.upstreams.iter().filter_map(|(upstream, state)| {
+            let (pace, age) = state.speed.report(now)?;
+            Some(speed::Report { upstream: upstream.clone(), pace, age })
+        });
+        speed::limit_reports(reports.collect()).into_iter().map(Into::into).collect()
+    }
+
     fn log_pace(&mut self, upstream: &UpstreamId, change: Option<(Option<Pace>, Pace)>) {
         let change = change.map(|(before, usual)| speed::Change {
             upstream: upstream.clone(),
