placement: count only urgent work in the waits of urgent requests

Cause: engines admit urgent requests first, but predictions counted all work, so that urgent requests were refused for work that they do not wait for. Change: for services whose most urgent routes have the longest timeouts, the wait of the most urgent rank counts that rank's work only. Messages report it apart; a peer that does not counts in full.

--- a/gateway/examples/decision_cost.rs
+++ b/gateway/examples/decision_cost.rs
@@ -13,7 +13,7 @@
 use dogwoodturn_gateway::{
     gateway::Gateway,
     header_schema::{Prompt, PromptPart},
-    placement::{AttemptOutcome, Homes, Selection, SelectionCriteria},
+    placement::{AttemptOutcome, Homes, RankClass, Selection, SelectionCriteria},
     rollout::VersionRule,
     table::EngineCapacity,
 };
@@ -60,6 +60,7 @@
                     tried: &[],
                     versions: VersionRule::Any,
                     homes: Homes::default(),
+                    rank: RankClass::default(),
                 };
                 if let Selection::Upstream(mut ticket) = state.choose(now, &criteria) {
                     state.placement.record_first_response(now, &service, &mut ticket);
--- a/gateway/src/forward/admission.rs
+++ b/gateway/src/forward/admission.rs
@@ -33,6 +33,8 @@
     pub(super) service: ServiceName,
     pub(super) customer: Option<CustomerName>,
     pub(super) urgency: u8,
+    /// The customer's or the route's priority; zero is the highest.
+    pub(super) rank: u8,
     pub(super) content: u64,
     /// When the caller's deadline or the route's time-out expires, whichever comes first.
     pub(super) expires_at: Time,
@@ -145,6 +147,7 @@
         cx: cx.clone(),
         expires_at: req.arrived + wait_limit,
         urgency: urgency.min(LAST_URGENCY),
+        rank,
         table,
         route,
         service,
--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -278,6 +278,7 @@
         let admitted = &self.admitted;
         let service = admitted.table.services.get(&admitted.service);
         let settings = self.cx.settings();
+        let rank = state.placement.rank_class(&admitted.table, &admitted.service, admitted.rank);
         let criteria = SelectionCriteria {
             service: &admitted.service,
             engine: service.and_then(|service| service.engine),
@@ -288,6 +289,7 @@
             tried: &self.tried.borrow(),
             versions: state.rollouts.rule(&admitted.service, self.req.hash),
             homes: admitted.homes(&settings.regions),
+            rank,
         };
         call(state, &criteria)
     }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -34,7 +34,7 @@
     hubs::{self, HubMessage, HubStatus, Hubs, Total},
     lease::Lease,
     metrics::Metrics,
-    peers::{PeerTable, ReportedWork, StateMessage, WorkMessage},
+    peers::{PeerTable, ReportedUrgentWork, ReportedWork, StateMessage, WorkMessage},
     placement::{Placement, Selection, SelectionCriteria},
     pool::Pool,
     quota::{self, Quotas},
@@ -695,6 +695,7 @@
             upstream_limits: upstream_limits.into_iter().map(Into::into).collect(),
             brittle: state.brittle.reports(now).into_iter().map(Into::into).collect(),
             paces: state.placement.pace_reports(now),
+            urgent_work: reported_urgent_work(&state.placement, now),
             tallies: state.rollouts.local_tallies(),
             blocked_versions: state.rollouts.blocked_versions().to_vec(),
             upstreams_at: state.views.synced_revision(Kind::Upstreams),
@@ -716,6 +717,7 @@
             number: self.last_message_number.get(),
             work: reported_work(&state.placement),
             paces: state.placement.pace_reports(now),
+            urgent_work: reported_urgent_work(&state.placement, now),
         }
     }
 
@@ -819,6 +821,13 @@
     reports.collect()
 }
 
+fn reported_urgent_work(placement: &Placement, now: Time) -> Option<Vec<ReportedUrgentWork>> {
+    let reports = placement.local_urgent_work(now)?.into_iter().map(|(upstream, work)| {
+        (upstream, work.requests, work.pending_prefill_tokens, work.memory)
+    });
+    Some(reports.collect())
+}
+
 /// Reserves memory for a body while it exists.
 pub struct BodyReservation(Rc<Gateway>, u64);
 
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -65,6 +65,7 @@
     let mut ticks = interval(WORK_INTERVAL);
     let ticks_per_state = (MESSAGE_INTERVAL.as_millis() / WORK_INTERVAL.as_millis()) as u64;
     let (mut next_peer, mut tick_count, mut last_work) = (0, 0_u64, Vec::new());
+    let mut last_urgent_work = None;
     let mut hub_schedule = HubSchedule::default();
     let mut last_hub_broadcast = Time::default();
     loop {
@@ -92,11 +93,14 @@
         } else {
             let message = cx.work_message();
             // Before brittle upstreams, peers count on reports of a known age.
-            let is_unchanged = message.work == last_work && message.paces.is_empty();
+            let is_unchanged = message.work == last_work
+                && message.urgent_work == last_urgent_work
+                && message.paces.is_empty();
             if is_unchanged && cx.state.borrow().brittle.is_empty() {
                 continue;
             }
             last_work.clone_from(&message.work);
+            last_urgent_work.clone_from(&message.urgent_work);
             Datagram::Work(message)
         };
         send(&socket, &datagram, &recipients).await;
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -51,6 +51,9 @@
 /// failure score in percent.
 pub type ReportedWork = (UpstreamId, u32, u64, u64, u8);
 
+/// An upstream, and the requests, prompt tokens to prefill and memory of the most urgent rank there.
+pub type ReportedUrgentWork = (UpstreamId, u32, u64, u64);
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Datagram {
     /// All of a daemon's shared state.
@@ -78,6 +81,10 @@
     /// Recent own samples of upstreams' paces.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub paces: Vec<speed::ReportWire>,
+    /// The part of its work that is of the most urgent rank; absent if the daemon does not tell ranks
+    /// apart.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub urgent_work: Option<Vec<ReportedUrgentWork>>,
 }
 
 /// A daemon's shared state.
@@ -116,6 +123,10 @@
     /// Recent own samples of upstreams' paces.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub paces: Vec<speed::ReportWire>,
+    /// The part of its work that is of the most urgent rank; absent if the daemon does not tell ranks
+    /// apart.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub urgent_work: Option<Vec<ReportedUrgentWork>>,
     /// Results of versions in a move.
     pub tallies: Vec<(ServiceName, VersionName, RouteName, Tally)>,
     #[serde(rename = "holds")]
@@ -248,6 +259,7 @@
         }
         last.number = message.number;
         let earlier = std::mem::replace(&mut last.work, message.work);
+        last.urgent_work = message.urgent_work;
         peer.work_received_at = now;
         peer.keep_earlier(now, earlier);
         true
@@ -373,8 +385,27 @@
                     memory: view.work.memory + memory,
                 };
                 view.failure_score = view.failure_score.max(f64::from(*failure_score) / 100.0);
+                if message.urgent_work.is_none() {
+                    // The peer may be of an earlier release, so that any of its work may be urgent.
+                    view.urgent_work.saturating_add(Work {
+                        requests: *requests,
+                        pending_prefill_tokens: *prefill_tokens,
+                        memory: *memory,
+                    });
+                }
+            }
+            for (id, requests, prefill_tokens, memory) in message.urgent_work.iter().flatten() {
+                let view = views.entry(id.clone()).or_default();
+                view.urgent_work.saturating_add(Work {
+                    requests: *requests,
+                    pending_prefill_tokens: *prefill_tokens,
+                    memory: *memory,
+                });
             }
         }
+        for view in views.values_mut() {
+            view.urgent_work = view.urgent_work.limited_to(view.work);
+        }
         views
     }
 
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -26,7 +26,7 @@
     header_schema::{LoadReport, Prompt, PromptPart, ReportedPace},
     peers::WORK_INTERVAL,
     rollout::VersionRule,
-    table::EngineCapacity,
+    table::{EngineCapacity, Table},
 };
 
 /// Prefill rate of an engine until responses have been observed.
@@ -96,6 +96,9 @@
 const TIE_MS: f64 = 10.0;
 /// Time for which a daemon keeps its order of equal upstreams; daemons report their work as often.
 const TIE_INTERVAL: Duration = WORK_INTERVAL;
+/// Time after the last request of a service whose waits are counted by rank for which the work of its
+/// most urgent rank is reported to peers: as long as most requests take.
+const RANKED_TTL: Duration = Duration::from_secs(60);
 /// Longest time that is predicted; no caller waits for so long.
 const MAX_PREDICTED: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -109,11 +112,53 @@
     pub memory: u64,
 }
 
+impl Work {
+    /// Adds work that peers reported, of which any number may be absurd.
+    pub fn saturating_add(&mut self, other: Self) {
+        self.requests = self.requests.saturating_add(other.requests);
+        self.pending_prefill_tokens =
+            self.pending_prefill_tokens.saturating_add(other.pending_prefill_tokens);
+        self.memory = self.memory.saturating_add(other.memory);
+    }
+
+    /// Returns the work with each number limited to that of the whole.
+    #[must_use]
+    pub fn limited_to(self, whole: Self) -> Self {
+        Self {
+            requests: self.requests.min(whole.requests),
+            pending_prefill_tokens: self.pending_prefill_tokens.min(whole.pending_prefill_tokens),
+            memory: self.memory.min(whole.memory),
+        }
+    }
+}
+
+/// Which work at an upstream a request waits for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RankClass {
+    /// All work: the service's requests are not told apart by rank.
+    #[default]
+    Unranked,
+    /// Only the work of the most urgent rank, which engines admit first.
+    MostUrgent,
+    /// All work, including that of more urgent ranks.
+    LessUrgent,
+}
+
+/// The ranks of the services whose waits are counted by rank, for one version of the table.
+#[derive(Clone, Debug, Default)]
+struct Ranks {
+    table_version: u64,
+    /// The most urgent rank, or `None` if waits are not counted by rank.
+    most_urgent: IndexMap<ServiceName, Option<u8>>,
+}
+
 /// What the peers reported about an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PeerView {
     /// Sum over the peers.
     pub work: Work,
+    /// The part of the most urgent rank, where waits are counted by rank.
+    pub urgent_work: Work,
     /// The highest failure score of any peer, from 0 to 1.
     pub failure_score: f64,
 }
@@ -121,6 +166,8 @@
 #[derive(Clone, Debug)]
 struct UpstreamState {
     work: Work,
+    /// The part of the most urgent rank, where waits are counted by rank.
+    urgent_work: Work,
     failure_score: f64,
     slowness: f64,
     decayed_at: Time,
@@ -137,6 +184,7 @@
     fn default() -> Self {
         Self {
             work: Work::default(),
+            urgent_work: Work::default(),
             failure_score: 0.0,
             slowness: 1.0,
             decayed_at: Time::default(),
@@ -171,6 +219,24 @@
         }
     }
 
+    /// Returns the work that a request waits for.
+    fn work_ahead(&self, rank: RankClass) -> Work {
+        match rank {
+            RankClass::Unranked | RankClass::LessUrgent => self.total_work(),
+            RankClass::MostUrgent => {
+                let mut work = self.urgent_work;
+                work.saturating_add(self.peers.urgent_work);
+                work
+            }
+        }
+    }
+
+    /// Returns the work of this daemon's requests of a rank and of all its requests.
+    fn own_work(&mut self, rank: RankClass) -> impl Iterator<Item = &mut Work> {
+        let urgent = (rank == RankClass::MostUrgent).then_some(&mut self.urgent_work);
+        [&mut self.work].into_iter().chain(urgent)
+    }
+
     /// Returns the number of requests at the upstream, including those that only the upstream
     /// itself reported.
     fn requests(&self, now: Time) -> u32 {
@@ -285,6 +351,7 @@
     /// The versions that may run the request while a rollout is in progress.
     pub versions: VersionRule,
     pub homes: Homes<'a>,
+    pub rank: RankClass,
 }
 
 impl SelectionCriteria<'_> {
@@ -328,6 +395,7 @@
     is_prefilling: bool,
     /// The factor of the pace that the upstream reported, if it reports one.
     pace: Option<f64>,
+    rank: RankClass,
 }
 
 /// How an attempt ended, as evidence about the upstream.
@@ -349,6 +417,9 @@
     upstreams: IndexMap<UpstreamId, UpstreamState>,
     services: IndexMap<ServiceName, ServiceState>,
     pace_changes: Vec<speed::Change>,
+    ranks: Ranks,
+    /// When a request was last selected for whose service waits are counted by rank.
+    ranked_at: Option<Time>,
     /// A hash of this daemon's name, so that daemons differ in their order of equal upstreams.
     tie_seed: u64,
 }
@@ -410,7 +481,7 @@
                 wait: predicted_duration(shortest_wait),
             };
         }
-        Selection::Upstream(self.reserve(now, &best, criteria.prompt))
+        Selection::Upstream(self.reserve(now, &best, criteria))
     }
 
     /// Returns the upstreams that may run a request. Those that refused connections recently are
@@ -439,7 +510,16 @@
     }
 
     /// Adds a request to the work of the selected upstream.
-    fn reserve(&mut self, now: Time, chosen: &Estimate<'_>, prompt: &Prompt) -> Ticket {
+    fn reserve(
+        &mut self,
+        now: Time,
+        chosen: &Estimate<'_>,
+        criteria: &SelectionCriteria<'_>,
+    ) -> Ticket {
+        let (prompt, rank) = (criteria.prompt, criteria.rank);
+        if rank != RankClass::Unranked {
+            self.ranked_at = Some(now);
+        }
         let memory = prompt.input + prompt.output;
         let ticket = Ticket {
             upstream: chosen.upstream.clone(),
@@ -450,11 +530,14 @@
             prefill_tokens_ahead: chosen.prefill_tokens_ahead,
             is_prefilling: true,
             pace: chosen.pace,
+            rank,
         };
         let state = self.upstreams.entry(ticket.upstream.clone()).or_default();
-        state.work.requests += 1;
-        state.work.pending_prefill_tokens += ticket.prefill_tokens;
-        state.work.memory += memory;
+        for work in state.own_work(rank) {
+            work.requests += 1;
+            work.pending_prefill_tokens += ticket.prefill_tokens;
+            work.memory += memory;
+        }
         record_parts(&mut state.parts, now, &prompt.parts);
         ticket
     }
@@ -490,15 +573,20 @@
         let pace = state.speed.factor(now);
         let slowness = state.slowness(pace);
         let work = state.total_work();
+        let ahead = state.work_ahead(criteria.rank);
         let requests = f64::from(state.requests(now));
+        let requests_ahead = match criteria.rank {
+            RankClass::Unranked | RankClass::LessUrgent => requests,
+            RankClass::MostUrgent => f64::from(ahead.requests),
+        };
         let uncached_tokens = count_uncached_tokens(&state.parts, now, criteria.prompt, is_affine);
         let slots = f64::from(upstream.record.slots.max(1));
-        let queue_rounds = (requests + 1.0 - slots).max(0.0) / slots;
+        let queue_rounds = (requests_ahead + 1.0 - slots).max(0.0) / slots;
         let mut wait_ms = queue_rounds * service.run_ms;
         if let Some(engine) = criteria.engine {
             wait_ms =
-                wait_ms.max(work.pending_prefill_tokens as f64 / service.prefill_tokens_per_ms);
-            let memory = (work.memory + criteria.prompt.input + criteria.prompt.output) as f64;
+                wait_ms.max(ahead.pending_prefill_tokens as f64 / service.prefill_tokens_per_ms);
+            let memory = (ahead.memory + criteria.prompt.input + criteria.prompt.output) as f64;
             let excess = memory / (engine.memory_tokens as f64 * USABLE_MEMORY_SHARE) - 1.0;
             wait_ms += excess.max(0.0) * service.run_ms;
         }
@@ -562,8 +650,10 @@
             averages.prefill_tokens_per_ms += weight * (rate - averages.prefill_tokens_per_ms);
         }
         if let Some(state) = self.upstreams.get_mut(&ticket.upstream) {
-            state.work.pending_prefill_tokens =
-                state.work.pending_prefill_tokens.saturating_sub(ticket.prefill_tokens);
+            for work in state.own_work(ticket.rank) {
+                work.pending_prefill_tokens =
+                    work.pending_prefill_tokens.saturating_sub(ticket.prefill_tokens);
+            }
             state.decay(now);
             // The pace explains a slow response, which is no evidence of a fault then.
             if ticket.pace.is_none() {
@@ -590,11 +680,13 @@
             averages.run_ms += SERVICE_SAMPLE_WEIGHT * (run - averages.run_ms);
         }
         let Some(state) = self.upstreams.get_mut(&ticket.upstream) else { return };
-        state.work.requests = state.work.requests.saturating_sub(1);
-        state.work.memory = state.work.memory.saturating_sub(ticket.memory);
-        if ticket.is_prefilling {
-            state.work.pending_prefill_tokens =
-                state.work.pending_prefill_tokens.saturating_sub(ticket.prefill_tokens);
+        for work in state.own_work(ticket.rank) {
+            work.requests = work.requests.saturating_sub(1);
+            work.memory = work.memory.saturating_sub(ticket.memory);
+            if ticket.is_prefilling {
+                work.pending_prefill_tokens =
+                    work.pending_prefill_tokens.saturating_sub(ticket.prefill_tokens);
+            }
         }
         state.decay(now);
         let sample = match outcome {
@@ -707,6 +799,35 @@
         own.map(|(id, state)| (id.clone(), state.work, state.failure_score)).collect()
     }
 
+    /// Returns this daemon's work of the most urgent rank at each upstream, to be sent to the peers, or
+    /// `None` if it had no requests of a service whose waits are counted by rank.
+    pub fn local_urgent_work(&self, now: Time) -> Option<Vec<(UpstreamId, Work)>> {
+        self.ranked_at.filter(|at| now.since(*at) < RANKED_TTL)?;
+        let urgent = self.upstreams.iter().filter(|(_, state)| state.urgent_work.requests > 0);
+        Some(urgent.map(|(id, state)| (id.clone(), state.urgent_work)).collect())
+    }
+
+    /// Returns which work a request of a rank waits for.
+    pub fn rank_class(&mut self, table: &Table, service: &ServiceName, rank: u8) -> RankClass {
+        if self.ranks.table_version != table.version {
+            self.ranks = Ranks { table_version: table.version, ..Ranks::default() };
+        }
+        let most_urgent = match self.ranks.most_urgent.get(service) {
+            Some(known) => *known,
+            None => {
+                let is_ranked = table.ranks_contradict_timeouts(service);
+                let most_urgent = table.most_urgent_rank(service).filter(|_| is_ranked);
+                self.ranks.most_urgent.insert(service.clone(), most_urgent);
+                most_urgent
+            }
+        };
+        match most_urgent {
+            None => RankClass::Unranked,
+            Some(most_urgent) if rank <= most_urgent => RankClass::MostUrgent,
+            Some(_) => RankClass::LessUrgent,
+        }
+    }
+
     /// Returns the work of this daemon and its peers at an upstream.
     pub fn work(&self, upstream: &UpstreamId) -> Work {
         self.upstreams.get(upstream).map(UpstreamState::total_work).unwrap_or_default()
--- a/gateway/src/table.rs
+++ b/gateway/src/table.rs
@@ -197,6 +197,29 @@
         routes.iter().find(|route| path.starts_with(route.path_prefix.as_bytes()))
     }
 
+    /// Reports whether the most urgent routes of a service have longer timeouts than all of its less
+    /// urgent ones. Timeouts alone do not put the urgent requests first then.
+    pub fn ranks_contradict_timeouts(&self, service: &ServiceName) -> bool {
+        let routes = || {
+            let routes = self.routes.values().flatten();
+            routes.filter(|route| route.services.iter().any(|(name, _)| name == service))
+        };
+        let Some(most_urgent) = self.most_urgent_rank(service) else { return false };
+        let timeouts = |is_most_urgent: bool| {
+            let routes = routes().filter(move |r| (r.priority == most_urgent) == is_most_urgent);
+            routes.map(|route| route.timeout)
+        };
+        let shortest_urgent = timeouts(true).min();
+        timeouts(false).max().is_some_and(|longest| shortest_urgent > Some(longest))
+    }
+
+    /// Returns the rank of the most urgent routes of a service.
+    pub fn most_urgent_rank(&self, service: &ServiceName) -> Option<u8> {
+        let routes = self.routes.values().flatten();
+        let routes = routes.filter(|route| route.services.iter().any(|(name, _)| name == service));
+        routes.map(|route| route.priority).min()
+    }
+
     /// Groups routes by host, with the longest prefix first.
     pub fn group_by_host(
         routes: impl IntoIterator<Item = Route>,
--- a/gateway/tests/evacuation.rs
+++ b/gateway/tests/evacuation.rs
@@ -13,7 +13,7 @@
     header_schema::Prompt,
     hubs::HubMessage,
     objects,
-    placement::{Homes, Selection, SelectionCriteria},
+    placement::{Homes, RankClass, Selection, SelectionCriteria},
     replication::{Item, ReplicatedObject, ReplicationUpdate},
     rollout::VersionRule,
     settings::Settings,
@@ -83,6 +83,7 @@
             tried: &[],
             versions: VersionRule::Any,
             homes,
+            rank: RankClass::default(),
         };
         let mut state = cx.state.borrow_mut();
         match state.choose(now, &criteria) {
--- a/gateway/tests/peers.rs
+++ b/gateway/tests/peers.rs
@@ -24,6 +24,7 @@
         upstream_limits: Vec::new(),
         brittle: Vec::new(),
         paces: Vec::new(),
+        urgent_work: None,
         tallies: Vec::new(),
         blocked_versions: Vec::new(),
         upstreams_at: None,
--- a/gateway/tests/placement.rs
+++ b/gateway/tests/placement.rs
@@ -9,7 +9,9 @@
 use dogwoodturn_gateway::{
     directory::Directory,
     header_schema::{LoadReport, Prompt, PromptPart, ReportedPace},
-    placement::{AttemptOutcome, Homes, PeerView, Placement, Selection, SelectionCriteria, Ticket},
+    placement::{
+        AttemptOutcome, Homes, PeerView, Placement, RankClass, Selection, SelectionCriteria, Ticket,
+    },
     rollout::VersionRule,
     table::EngineCapacity,
 };
@@ -37,6 +39,7 @@
             tried: &[],
             versions: VersionRule::Any,
             homes: Homes::default(),
+            rank: RankClass::default(),
         };
         let live = self.directory.live(now, &service);
         self.placement.choose(now, &live, &criteria)
@@ -155,6 +158,7 @@
         tried: &[],
         versions: VersionRule::Any,
         homes: Homes::default(),
+        rank: RankClass::default(),
     };
     let best = placement.best_elsewhere(at(0), &directory.live(at(0), &service), &criteria);
     assert!(best > Some(criteria.remaining), "{best:?}");
