placement: prefer faster upstreams for long outputs; tests of paces between daemons

Cause: long streams were late because of pauses at slow upstreams, not because of a late first event. Change: at upstreams that report a pace, the score adds a tenth of the expected time of the output, learnt for each service as a time for each token that the response may have.

--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -91,6 +91,9 @@
 const DECODE_MS_PER_TOKEN: f64 = 0.06;
 /// Upper bound of an upstream's slowness factor.
 const MAX_SLOWNESS: f64 = 12.0;
+/// Weight of the expected time of the output in the score, against the time to the first response: a
+/// target bounds the latter, and pauses are short as long as an engine keeps up.
+const OUTPUT_WEIGHT: f64 = 0.1;
 /// Predicted times whose difference is at most this are equal: a few decode steps of an engine, and far
 /// below the shortest latency target.
 const TIE_MS: f64 = 10.0;
@@ -274,6 +277,9 @@
     base_ms: f64,
     /// Total time of a request.
     run_ms: f64,
+    /// Time from the first response to the end, for each token that the response may have; zero until
+    /// responses have been observed.
+    output_ms_per_token: f64,
     /// Engines that recent requests keep busy, as of `demand_at`.
     demand: f64,
     demand_at: Time,
@@ -298,6 +304,7 @@
             prefill_tokens_per_ms: INITIAL_PREFILL_TOKENS_PER_MS,
             base_ms: INITIAL_BASE_MS,
             run_ms: INITIAL_RUN_MS,
+            output_ms_per_token: 0.0,
             demand: 0.0,
             demand_at: Time::default(),
         }
@@ -396,6 +403,9 @@
     /// The factor of the pace that the upstream reported, if it reports one.
     pace: Option<f64>,
     rank: RankClass,
+    /// The maximum number of tokens in the response.
+    output_tokens: u64,
+    first_response_at: Option<Time>,
 }
 
 /// How an attempt ended, as evidence about the upstream.
@@ -531,6 +541,8 @@
             is_prefilling: true,
             pace: chosen.pace,
             rank,
+            output_tokens: prompt.output,
+            first_response_at: None,
         };
         let state = self.upstreams.entry(ticket.upstream.clone()).or_default();
         for work in state.own_work(rank) {
@@ -608,11 +620,17 @@
             uncached_tokens.saturating_sub(own_tokens) as f64 * RECOMPUTE_PENALTY_MS_PER_TOKEN;
         let in_time_ms = criteria.latency_target.as_secs_f64() * 1000.0 * RECOMPUTE_TARGET_SHARE;
         let with_recompute_ms = (predicted_ms + recompute_ms).min(in_time_ms).max(predicted_ms);
-        let score_ms = with_recompute_ms
+        let mut score_ms = with_recompute_ms
             + remote_ms
             + warm_up_ms
             + utilization_ms
             + state.failure_penalty_ms();
+        if let Some(pace) = pace {
+            let output_ms = criteria.prompt.output as f64 * service.output_ms_per_token;
+            // A caller may state any maximum, but waits no longer than until its deadline.
+            let output_ms = output_ms.min(criteria.remaining.as_secs_f64() * 1000.0);
+            score_ms += output_ms * pace * OUTPUT_WEIGHT;
+        }
         Estimate {
             upstream: id,
             score_ms,
@@ -629,6 +647,7 @@
         if !std::mem::take(&mut ticket.is_prefilling) {
             return;
         }
+        ticket.first_response_at = Some(now);
         let averages = self.services.entry(service.clone()).or_default();
         let observed = now.since(ticket.chosen_at).as_secs_f64() * 1000.0;
         let predicted = ticket.predicted.as_secs_f64() * 1000.0;
@@ -678,6 +697,12 @@
             let pace = ticket.pace.map_or(1.0, |pace| usual.map_or(pace, Pace::factor));
             let run = now.since(ticket.chosen_at).as_secs_f64() * 1000.0 / pace;
             averages.run_ms += SERVICE_SAMPLE_WEIGHT * (run - averages.run_ms);
+            if let Some(begun) = ticket.first_response_at.filter(|_| ticket.output_tokens > 0) {
+                let output_ms = now.since(begun).as_secs_f64() * 1000.0 / pace;
+                let per_token = output_ms / ticket.output_tokens as f64;
+                averages.output_ms_per_token +=
+                    SERVICE_SAMPLE_WEIGHT * (per_token - averages.output_ms_per_token);
+            }
         }
         let Some(state) = self.upstreams.get_mut(&ticket.upstream) else { return };
         for work in state.own_work(ticket.rank) {
--- a/gateway/tests/placement.rs
+++ b/gateway/tests/placement.rs
@@ -5,15 +5,17 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use dogwoodturn::{ids::UpstreamId, units::Time, upstream::speed::Pace};
 use dogwoodturn_gateway::{
     directory::Directory,
     header_schema::{LoadReport, Prompt, PromptPart, ReportedPace},
     placement::{
-        AttemptOutcome, Homes, PeerView, Placement, RankClass, Selection, SelectionCriteria, Ticket,
+        AttemptOutcome, Homes, PeerView, Placement, RankClass, Selection, SelectionCriteria,
+        Ticket, Work,
     },
     rollout::VersionRule,
-    table::EngineCapacity,
+    table::{CallerLimits, EngineCapacity, RetrySafety, Route, Table},
 };
 use indexmap::IndexMap;
 use model::{at, directory, here, service};
@@ -27,6 +29,16 @@
 
 impl Selector {
     fn choose(&mut self, now: Time, prompt: &Prompt, left_ms: u64) -> Selection {
+        self.choose_ranked(now, prompt, left_ms, RankClass::Unranked)
+    }
+
+    fn choose_ranked(
+        &mut self,
+        now: Time,
+        prompt: &Prompt,
+        left_ms: u64,
+        rank: RankClass,
+    ) -> Selection {
         let data_centre = here();
         let service = service();
         let criteria = SelectionCriteria {
@@ -39,7 +51,7 @@
             tried: &[],
             versions: VersionRule::Any,
             homes: Homes::default(),
-            rank: RankClass::default(),
+            rank,
         };
         let live = self.directory.live(now, &service);
         self.placement.choose(now, &live, &criteria)
@@ -331,3 +343,167 @@
     let (first, last) = (predictions[0], *predictions.last().unwrap());
     assert!(last < first.mul_f64(1.05) && last > first.mul_f64(0.95), "{predictions:?}");
 }
+
+/// Guards against daemons that all choose the same one of several equal upstreams until their next
+/// reports, and against ties that are broken where no upstream reports a pace.
+#[test]
+fn choose_daemons_with_the_same_stale_reports_spread_over_equal_upstreams() {
+    const DAEMONS: usize = 76;
+    let ids: Vec<_> = (0..20).map(|index| format!("u{index}")).collect();
+    let ids: Vec<_> = ids.iter().map(String::as_str).collect();
+    let spread = |load: Option<LoadReport>| {
+        let mut counts = IndexMap::<UpstreamId, usize>::new();
+        for daemon in 0..DAEMONS {
+            let mut selector = selector(daemon, &ids);
+            for id in &ids {
+                if let Some(load) = load {
+                    selector.placement.record_load(at(0), &id.parse().unwrap(), load);
+                }
+            }
+            let prompt = Prompt { input: 2400, output: 0, parts: Vec::new() };
+            let Selection::Upstream(ticket) = selector.choose(at(10), &prompt, 5000) else {
+                panic!("refused");
+            };
+            *counts.entry(ticket.upstream).or_default() += 1;
+        }
+        counts
+    };
+    let counts = spread(Some(load(170.0)));
+    assert!(counts.len() >= 15, "{counts:?}");
+    assert!(*counts.values().max().unwrap() <= 12, "{counts:?}");
+    assert_eq!(spread(None).len(), 1, "without paces the first upstream is chosen as before");
+}
+
+/// Guards against streams that go to a slow upstream because its first event is as early as elsewhere.
+#[test]
+fn choose_long_output_goes_to_the_faster_upstream() {
+    let mut selector = selector(0, &["fast", "slow"]);
+    let (fast, slow) = ("fast".parse().unwrap(), "slow".parse().unwrap());
+    let stream = |output| Prompt { input: 400, output, parts: Vec::new() };
+    let choose = |selector: &mut Selector, ms: u64, output| {
+        selector.placement.record_load(at(ms), &fast, load(70.0));
+        selector.placement.record_load(at(ms), &slow, load(170.0));
+        let selection = selector.choose(at(ms), &stream(output), 12_000);
+        let Selection::Upstream(ticket) = selection else { panic!("{selection:?}") };
+        ticket
+    };
+    // Streams that take 10 ms for each token at the usual pace.
+    for number in 0..60 {
+        let mut ticket = choose(&mut selector, number * 10_000, 384);
+        let begun = at(number * 10_000 + 40);
+        selector.placement.record_first_response(begun, &service(), &mut ticket);
+        let ended =
+            begun + Duration::from_millis(if ticket.upstream == fast { 2688 } else { 6528 });
+        selector.placement.record_outcome(ended, &service(), &ticket, AttemptOutcome::Answered);
+    }
+    // 150 ms of work are pending at the fast upstream, so that short outputs begin earlier at the slow
+    // one.
+    let work = Work { requests: 4, pending_prefill_tokens: 15_000, memory: 15_000 };
+    let view = PeerView { work, ..PeerView::default() };
+    selector.placement.set_peers(&IndexMap::from([(fast.clone(), view)]));
+    assert_eq!(choose(&mut selector, 700_000, 24).upstream, slow);
+    assert_eq!(choose(&mut selector, 700_010, 384).upstream, fast);
+    assert_eq!(choose(&mut selector, 700_020, 100_000).upstream, fast);
+}
+
+/// Guards against urgent requests that are refused for work that engines admit after them, and against
+/// less urgent ones that do not count the urgent work.
+#[test]
+fn choose_urgent_request_waits_for_urgent_work_only() {
+    let work = Work { requests: 60, pending_prefill_tokens: 120_000, memory: 120_000 };
+    let choose = |peers: Work, urgent_of_peers: Work, rank| {
+        let mut selector = selector(0, &["a"]);
+        let view = PeerView { work: peers, urgent_work: urgent_of_peers, ..PeerView::default() };
+        selector.placement.set_peers(&IndexMap::from([("a".parse().unwrap(), view)]));
+        selector.choose_ranked(at(0), &prompt(1, 7, 4000), 12_000, rank)
+    };
+    let is_refused = |selection| matches!(selection, Selection::Refused { .. });
+    assert!(is_refused(choose(work, Work::default(), RankClass::Unranked)));
+    assert!(is_refused(choose(work, Work::default(), RankClass::LessUrgent)));
+    assert!(!is_refused(choose(work, Work::default(), RankClass::MostUrgent)));
+    assert!(is_refused(choose(work, work, RankClass::MostUrgent)));
+    assert!(is_refused(choose(work, work, RankClass::LessUrgent)));
+}
+
+/// Guards against work of a rank that stays counted after its request has ended, or that is reported
+/// where waits are not counted by rank.
+#[test]
+fn local_urgent_work_follows_the_requests_of_the_rank() {
+    let mut selector = selector(0, &["a"]);
+    assert!(matches!(selector.choose(at(0), &prompt(1, 7, 4000), 5000), Selection::Upstream(_)));
+    assert_eq!(selector.placement.local_urgent_work(at(0)), None);
+    let less = selector.choose_ranked(at(0), &prompt(2, 8, 4000), 5000, RankClass::LessUrgent);
+    assert!(matches!(less, Selection::Upstream(_)));
+    assert_eq!(selector.placement.local_urgent_work(at(0)), Some(Vec::new()));
+    let urgent = selector.choose_ranked(at(0), &prompt(3, 9, 4000), 5000, RankClass::MostUrgent);
+    let Selection::Upstream(mut ticket) = urgent else { panic!("{urgent:?}") };
+    let reported = selector.placement.local_urgent_work(at(0)).unwrap();
+    let (_, work) = &reported[0];
+    assert_eq!((reported.len(), work.requests, work.memory), (1, 1, 4100));
+    assert!(work.pending_prefill_tokens > 0);
+    selector.placement.record_first_response(at(60), &service(), &mut ticket);
+    let reported = selector.placement.local_urgent_work(at(60)).unwrap();
+    assert_eq!(reported[0].1.pending_prefill_tokens, 0);
+    let placement = &mut selector.placement;
+    placement.record_outcome(at(90), &service(), &ticket, AttemptOutcome::Answered);
+    assert_eq!(placement.local_urgent_work(at(90)), Some(Vec::new()));
+    assert_eq!(placement.work(&"a".parse().unwrap()).requests, 2);
+    assert_eq!(placement.local_urgent_work(at(60_000)), None);
+}
+
+fn route(name: &str, priority: u8, timeout_ms: u64) -> Route {
+    Route {
+        name: name.parse().unwrap(),
+        host: "h".into(),
+        path_prefix: "/".into(),
+        retry_safety: RetrySafety::Idempotent,
+        timeout: Duration::from_millis(timeout_ms),
+        latency_target: Duration::from_millis(500),
+        max_event_gap: None,
+        priority,
+        max_attempts: 2,
+        anonymous: true,
+        homes: Vec::new(),
+        services: vec![(service(), 1)],
+    }
+}
+
+fn table(version: u64, routes: Vec<Route>) -> Table {
+    Table {
+        version,
+        document: Bytes::new(),
+        routes: Table::group_by_host(routes),
+        services: IndexMap::new(),
+        customers: IndexMap::new(),
+        keys: IndexMap::new(),
+        limits: CallerLimits::default(),
+    }
+}
+
+/// Guards against waits by rank where timeouts put the urgent requests first, and against the ranks of
+/// an earlier table.
+#[test]
+fn rank_class_ranks_count_only_if_urgent_routes_wait_longer() {
+    let mut placement = Placement::default();
+    let mut class = |table: &Table, rank| placement.rank_class(table, &service(), rank);
+    let ranked = table(1, vec![route("a", 0, 12_000), route("b", 2, 3000)]);
+    assert_eq!(class(&ranked, 0), RankClass::MostUrgent);
+    assert_eq!(class(&ranked, 2), RankClass::LessUrgent);
+    let others = [
+        vec![route("a", 0, 3000), route("b", 1, 15_000)],
+        vec![route("a", 0, 12_000), route("b", 2, 12_000)],
+        vec![route("a", 0, 12_000), route("b", 0, 3000), route("c", 2, 4000)],
+        vec![route("a", 0, 12_000)],
+        vec![route("a", 0, 12_000), route("b", 0, 3000)],
+        Vec::new(),
+    ];
+    for (version, routes) in (2..).zip(others) {
+        let other = table(version, routes);
+        assert!(!other.ranks_contradict_timeouts(&service()), "{version}");
+        assert_eq!(class(&other, 0), RankClass::Unranked, "{version}");
+    }
+    assert_eq!(
+        class(&table(20, vec![route("a", 1, 900), route("b", 2, 800)]), 1),
+        RankClass::MostUrgent
+    );
+}
