--- a/gateway/tests/placement.rs
+++ b/gateway/tests/placement.rs
@@ -193,13 +193,15 @@
 
 /// Offers requests at an interval to daemons in turn, which send them to upstreams that take longer by a
 /// factor at each time and report it with each response. Upstreams prefill one prompt after the other.
-/// The daemons know of each other's work as of up to 100 ms ago.
+/// The daemons know of each other's work as of up to 100 ms ago, and of each other's paces if these are
+/// pooled.
 fn serve(
     daemons: usize,
     upstreams: &[&str],
     interval_us: u64,
     until_ms: u64,
     factor: impl Fn(&str, u64) -> f64,
+    is_pooled: bool,
 ) -> Vec<Served> {
     const PREFILL_MS: f64 = 24.0;
     const BASE_MS: f64 = 30.0;
@@ -223,6 +225,9 @@
         if ms >= next_views[daemon] {
             next_views[daemon] = ms + WORK_REPORT_MS;
             receive_work(&mut selectors, daemon);
+            if is_pooled {
+                receive_paces(at(ms), &mut selectors, daemon);
+            }
         }
         let prompt = Prompt { input: 2400, output: 0, parts: Vec::new() };
         if let Selection::Upstream(ticket) = selectors[daemon].choose(at(ms), &prompt, 5000) {
@@ -256,6 +261,15 @@
     selectors[daemon].placement.set_peers(&views);
 }
 
+/// Lets a daemon know the paces that all others report.
+fn receive_paces(now: Time, selectors: &mut [Selector], daemon: usize) {
+    let others = selectors.iter().enumerate().filter(|(other, _)| *other != daemon);
+    let reports: Vec<_> = others.flat_map(|(_, other)| other.placement.pace_reports(now)).collect();
+    for report in reports {
+        selectors[daemon].placement.merge_pace(now, &report.try_into().unwrap());
+    }
+}
+
 /// Counts the requests that were sent to an upstream within a period.
 fn count(served: &[Served], id: &str, from: u64, until: u64) -> usize {
     let is_counted =
@@ -271,7 +285,7 @@
     let ids = ["fast1", "fast2", "fast3", "fast4", "slow1", "slow2"];
     let factor = |id: &str, _| if id.starts_with("slow") { 1.7 } else { 0.7 };
     let offered = |interval_us| {
-        let served = serve(12, &ids, interval_us, 12_000, factor);
+        let served = serve(12, &ids, interval_us, 12_000, factor, true);
         let sum =
             |ids: &[&str]| ids.iter().map(|id| count(&served, id, 3000, 12_000)).sum::<usize>();
         let late = served.iter().filter(|served| served.elapsed > LATE_MS).count();
@@ -292,7 +306,7 @@
 fn choose_upstream_slowed_for_600_ms_is_spared_for_that_long() {
     let is_slow = |ms| (3600..4200).contains(&ms);
     let factor = |id: &str, ms| if id == "a" && is_slow(ms) { 2.5 } else { 1.0 };
-    let served = serve(2, &["a", "b", "c"], 16_000, 6000, factor);
+    let served = serve(2, &["a", "b", "c"], 16_000, 6000, factor, false);
     let usual = count(&served, "a", 2400, 3600) / 2;
     let (slow, after) = (count(&served, "a", 3600, 4200), count(&served, "a", 4800, 5400));
     assert!(usual >= 8, "{usual}");
@@ -300,6 +314,20 @@
     assert!(after * 4 >= usual * 3, "after it the upstream gets {after} of {usual}");
 }
 
+/// Guards against a slow interval that only those daemons know of that happen to have sent a request
+/// there in it.
+#[test]
+fn choose_upstream_slowed_for_600_ms_is_spared_by_daemons_that_did_not_see_it() {
+    let is_slow = |ms| (6000..6600).contains(&ms);
+    let factor = |id: &str, ms| if id == "a" && is_slow(ms) { 2.5 } else { 1.0 };
+    let sent = |is_pooled| {
+        let served = serve(76, &["a", "b", "c"], 16_000, 8000, factor, is_pooled);
+        count(&served, "a", 6000, 6600)
+    };
+    let (pooled, alone) = (sent(true), sent(false));
+    assert!(pooled * 2 <= alone, "{pooled} requests with pooled samples, {alone} without");
+}
+
 /// Guards against predictions that change where no upstream reports a pace, and against a malformed
 /// pace that has an effect.
 #[test]
