--- a/gateway/examples/decision_cost.rs
+++ b/gateway/examples/decision_cost.rs
@@ -1,6 +1,6 @@
 //! Measures the time of a gateway's decision for one request: the check of crash evidence, the choice
 //! of an upstream, and the records of the response. Prints nanoseconds, and the length of a state
-//! message to peers.
+//! message to peers. The second line for each number is with upstreams that report a pace.
 //!
 //!     cargo run --release --package dogwoodturn-gateway --example decision_cost
 
@@ -9,10 +9,10 @@
 
 use std::time::{Duration, Instant};
 
-use dogwoodturn::{request::crash_evidence::Verdict, units::Time};
+use dogwoodturn::{request::crash_evidence::Verdict, units::Time, upstream::speed::Pace};
 use dogwoodturn_gateway::{
     gateway::Gateway,
-    header_schema::{Prompt, PromptPart},
+    header_schema::{LoadReport, Prompt, PromptPart, ReportedPace},
     placement::{AttemptOutcome, Homes, RankClass, Selection, SelectionCriteria},
     rollout::VersionRule,
     table::EngineCapacity,
@@ -31,7 +31,8 @@
 }
 
 fn main() {
-    for upstreams in [12, 57, 90] {
+    let cases = [12, 57, 90].into_iter().flat_map(|count| [(count, false), (count, true)]);
+    for (upstreams, has_paces) in cases {
         let cx = Gateway::new(support::settings(), support::header_schema(), support::no_store());
         for index in 0..upstreams {
             let record = support::record(index, "127.0.0.1:1".parse().unwrap());
@@ -63,6 +64,13 @@
                     rank: RankClass::default(),
                 };
                 if let Selection::Upstream(mut ticket) = state.choose(now, &criteria) {
+                    if has_paces {
+                        let percent = if number % 3 == 0 { 170.0 } else { 70.0 };
+                        let pace = Pace::from_percent(percent).map(ReportedPace::Valid);
+                        let pace = pace.unwrap_or_default();
+                        let load = LoadReport { pace, ..LoadReport::default() };
+                        state.placement.record_load(now, &ticket.upstream, load);
+                    }
                     state.placement.record_first_response(now, &service, &mut ticket);
                     state.crash_evidence.record_served(now, number, prompt.shared_parts());
                     state.placement.record_outcome(
@@ -78,6 +86,10 @@
         let mut bytes = Vec::new();
         ciborium::into_writer(&cx.message(), &mut bytes).unwrap();
         let nanos = best.as_nanos() as u64 / DECISIONS;
-        println!("{upstreams} upstreams: {nanos} ns a decision, {} bytes a message", bytes.len());
+        let paces = if has_paces { " with paces" } else { "" };
+        println!(
+            "{upstreams} upstreams{paces}: {nanos} ns a decision, {} bytes a message",
+            bytes.len()
+        );
     }
 }
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -177,7 +177,8 @@
     down_until: Time,
     parts: IndexMap<u64, Time>,
     load: Option<(Time, LoadReport)>,
-    speed: Speed,
+    /// Absent until the upstream has reported a pace; boxed since most upstreams report none.
+    speed: Option<Box<Speed>>,
     peers: PeerView,
     /// The requests that the peers keep there.
     held_by_peers: u32,
@@ -194,7 +195,7 @@
             down_until: Time::default(),
             parts: IndexMap::new(),
             load: None,
-            speed: Speed::default(),
+            speed: None,
             peers: PeerView::default(),
             held_by_peers: 0,
         }
@@ -582,7 +583,7 @@
         let id = &upstream.record.id;
         let state = self.upstreams.entry(id.clone()).or_default();
         state.decay(now);
-        let pace = state.speed.factor(now);
+        let pace = state.speed.as_deref().and_then(|speed| speed.factor(now));
         let slowness = state.slowness(pace);
         let work = state.total_work();
         let ahead = state.work_ahead(criteria.rank);
@@ -693,7 +694,10 @@
         if outcome == AttemptOutcome::Answered {
             let averages = self.services.entry(service.clone()).or_default();
             // A stream lasts longer than a short slow interval, so that its usual pace counts.
-            let usual = self.upstreams.get(&ticket.upstream).and_then(|state| state.speed.usual());
+            let usual = self
+                .upstreams
+                .get(&ticket.upstream)
+                .and_then(|state| state.speed.as_deref()?.usual());
             let pace = ticket.pace.map_or(1.0, |pace| usual.map_or(pace, Pace::factor));
             let run = now.since(ticket.chosen_at).as_secs_f64() * 1000.0 / pace;
             averages.run_ms += SERVICE_SAMPLE_WEIGHT * (run - averages.run_ms);
@@ -735,9 +739,9 @@
         state.load = Some((now, load));
         match load.pace {
             ReportedPace::Absent => false,
-            ReportedPace::Malformed => state.speed.record_malformed(now),
+            ReportedPace::Malformed => state.speed.get_or_insert_default().record_malformed(now),
             ReportedPace::Valid(pace) => {
-                let change = state.speed.record(now, pace);
+                let change = state.speed.get_or_insert_default().record(now, pace);
                 self.log_pace(upstream, change);
                 false
             }
@@ -747,19 +751,20 @@
     /// Applies a peer's sample of an upstream's pace.
     pub fn merge_pace(&mut self, now: Time, report: &speed::Report) {
         let state = self.upstreams.entry(report.upstream.clone()).or_default();
-        let change = state.speed.merge(now, report.pace, report.age);
+        let change = state.speed.get_or_insert_default().merge(now, report.pace, report.age);
         self.log_pace(&report.upstream, change);
     }
 
     /// Records that a peer reported a malformed pace, and returns whether to log it.
     pub fn record_malformed_pace(&mut self, now: Time, upstream: &UpstreamId) -> bool {
-        self.upstreams.entry(upstream.clone()).or_default().speed.record_malformed(now)
+        let state = self.upstreams.entry(upstream.clone()).or_default();
+        state.speed.get_or_insert_default().record_malformed(now)
     }
 
     /// Returns this daemon's recent samples of upstreams' paces, for its peers.
     pub fn pace_reports(&self, now: Time) -> Vec<speed::ReportWire> {
         let reports = self.upstreams.iter().filter_map(|(upstream, state)| {
-            let (pace, age) = state.speed.report(now)?;
+            let (pace, age) = state.speed.as_deref()?.report(now)?;
             Some(speed::Report { upstream: upstream.clone(), pace, age })
         });
         speed::limit_reports(reports.collect()).into_iter().map(Into::into).collect()
