--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -842,15 +842,13 @@
         if self.ranks.table_version != table.version {
             self.ranks = Ranks { table_version: table.version, ..Ranks::default() };
         }
-        let most_urgent = match self.ranks.most_urgent.get(service) {
-            Some(known) => *known,
-            None => {
-                let is_ranked = table.ranks_contradict_timeouts(service);
-                let most_urgent = table.most_urgent_rank(service).filter(|_| is_ranked);
-                self.ranks.most_urgent.insert(service.clone(), most_urgent);
-                most_urgent
-            }
-        };
+        let known = self.ranks.most_urgent.get(service).copied();
+        let most_urgent = known.unwrap_or_else(|| {
+            let is_ranked = table.ranks_contradict_timeouts(service);
+            let most_urgent = table.most_urgent_rank(service).filter(|_| is_ranked);
+            self.ranks.most_urgent.insert(service.clone(), most_urgent);
+            most_urgent
+        });
         match most_urgent {
             None => RankClass::Unranked,
             Some(most_urgent) if rank <= most_urgent => RankClass::MostUrgent,
