--- a/gateway/tests/paces.rs
+++ b/gateway/tests/paces.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use dogwoodturn::{ids::UpstreamId, upstream::speed};
 use dogwoodturn_gateway::{
@@ -13,6 +13,7 @@
     rollout::VersionRule,
 };
 use speed::Pace;
+use support::{TestGateway, Upstream, UpstreamAction, get, ok};
 
 /// Returns a gateway that knows an upstream, and the state message of a peer.
 fn gateway_and_peer() -> (Rc<Gateway>, StateMessage) {
@@ -169,3 +170,25 @@
     assert!(paces <= 64 * 24, "{paces} bytes");
     assert!(length(&message) < 8 * 1024);
 }
+
+/// Guards against a pace in a response that is not read, and against a malformed one that fails the
+/// request.
+#[actix_rt::test]
+async fn exchange_pace_of_a_response_is_recorded() {
+    let paces = ["300", "fast", "0"];
+    let index = Cell::new(0);
+    let upstream = Upstream::start(move |_| {
+        let load = format!("X-Load: {}\r\nX-Id", paces[index.get()]);
+        index.set(index.get() + 1);
+        UpstreamAction::Write(ok("fine").replacen("X-Id", &load, 1))
+    });
+    let gateway = TestGateway::start(&[&upstream]).await;
+    for id in 0..paces.len() {
+        let response = gateway.exchange(&get("/look/1", &format!("r{id}"))).await;
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    }
+    let reported: Vec<_> = gateway.cx.message().paces.iter().map(|report| report.1).collect();
+    assert_eq!(reported, [300]);
+    let metrics = gateway.cx.metrics.text();
+    assert!(metrics.contains("dogwoodturn_gateway_upstream_pace_count 1\n"), "{metrics}");
+}
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -23,7 +23,7 @@
 use dogwoodturn_gateway::{
     connect,
     gateway::Gateway,
-    header_schema::{HeaderSchema, LoadReport, Prompt, PromptPart},
+    header_schema::{HeaderSchema, LoadReport, Prompt, PromptPart, ReportedPace},
     peers::{PeerTable, StateMessage},
     serve,
     settings::Settings,
@@ -72,7 +72,10 @@
                 parts: parts.map(|id| PromptPart { id, tokens: input }).collect(),
             }
         },
-        read_load: |_| None::<LoadReport>,
+        read_load: |text| {
+            let pace = text.parse().map_or(ReportedPace::Malformed, ReportedPace::Valid);
+            Some(LoadReport { pace, ..LoadReport::default() })
+        },
     }
 }
 
