--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -13,18 +13,20 @@
 use std::time::Duration;
 
 use dogwoodturn::{
-    ids::{DataCentre, Region, ServiceName, UpstreamId},
+    ids::{DaemonId, DataCentre, Region, ServiceName, UpstreamId},
     limit::brittle::Occupancy,
     units::Time,
+    upstream::speed::{self, Pace, Speed},
 };
 use indexmap::IndexMap;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     directory::Upstream,
-    header_schema::{LoadReport, Prompt, PromptPart},
+    header_schema::{LoadReport, Prompt, PromptPart, ReportedPace},
+    peers::WORK_INTERVAL,
     rollout::VersionRule,
-    table::EngineCapacity,
+    table::{EngineCapacity, Table},
 };
 
 /// Prefill rate of an engine until responses have been observed.
@@ -89,6 +91,17 @@
 const DECODE_MS_PER_TOKEN: f64 = 0.06;
 /// Upper bound of an upstream's slowness factor.
 const MAX_SLOWNESS: f64 = 12.0;
+/// Weight of the expected time of the output in the score, against the time to the first response: a
+/// target bounds the latter, and pauses are short as long as an engine keeps up.
+const OUTPUT_WEIGHT: f64 = 0.1;
+/// Predicted times whose difference is at most this are equal: a few decode steps of an engine, and far
+/// below the shortest latency target.
+const TIE_MS: f64 = 10.0;
+/// Time for which a daemon keeps its order of equal upstreams; daemons report their work as often.
+const TIE_INTERVAL: Duration = WORK_INTERVAL;
+/// Time after the last request of a service whose waits are counted by rank for which the work of its
+/// most urgent rank is reported to peers: as long as most requests take.
+const RANKED_TTL: Duration = Duration::from_secs(60);
 /// Longest time that is predicted; no caller waits for so long.
 const MAX_PREDICTED: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -102,11 +115,58 @@
     pub memory: u64,
 }
 
+impl Work {
+    /// Adds work that peers reported, of which any number may be absurd.
+    pub fn saturating_add(&mut self, other: Self) {
+        self.requests = self.requests.saturating_add(other.requests);
+        self.pending_prefill_tokens =
+            self.pending_prefill_tokens.saturating_add(other.pending_prefill_tokens);
+        self.memory = self.memory.saturating_add(other.memory);
+    }
+
+    /// Returns the work with each number limited to that of the whole.
+    #[must_use]
+    pub fn limited_to(self, whole: Self) -> Self {
+        Self {
+            requests: self.requests.min(whole.requests),
+            pending_prefill_tokens: self.pending_prefill_tokens.min(whole.pending_prefill_tokens),
+            memory: self.memory.min(whole.memory),
+        }
+    }
+}
+
+/// Which work at an upstream a request waits for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RankClass {
+    /// All work: the service's requests are not told apart by rank.
+    #[default]
+    Unranked,
+    /// Only the work of the most urgent rank, which engines admit first.
+    MostUrgent,
+    /// All work, including that of more urgent ranks.
+    LessUrgent,
+}
+
+impl RankClass {
+    /// Returns which work a request of a rank waits for.
+    pub fn of(table: &Table, service: &ServiceName, rank: u8) -> Self {
+        if !table.ranks_contradict_timeouts(service) {
+            Self::Unranked
+        } else if table.is_most_urgent(service, rank) {
+            Self::MostUrgent
+        } else {
+            Self::LessUrgent
+        }
+    }
+}
+
 /// What the peers reported about an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PeerView {
     /// Sum over the peers.
     pub work: Work,
+    /// The part of the most urgent rank, where waits are counted by rank.
+    pub urgent_work: Work,
     /// The highest failure score of any peer, from 0 to 1.
     pub failure_score: f64,
 }
@@ -114,12 +174,16 @@
 #[derive(Clone, Debug)]
 struct UpstreamState {
     work: Work,
+    /// The part of the most urgent rank, where waits are counted by rank.
+    urgent_work: Work,
     failure_score: f64,
     slowness: f64,
     decayed_at: Time,
     down_until: Time,
     parts: IndexMap<u64, Time>,
     load: Option<(Time, LoadReport)>,
+    /// Absent until the upstream has reported a pace; boxed since most upstreams report none.
+    speed: Option<Box<Speed>>,
     peers: PeerView,
     /// The requests that the peers keep there.
     held_by_peers: u32,
@@ -129,12 +193,14 @@
     fn default() -> Self {
         Self {
             work: Work::default(),
+            urgent_work: Work::default(),
             failure_score: 0.0,
             slowness: 1.0,
             decayed_at: Time::default(),
             down_until: Time::default(),
             parts: IndexMap::new(),
             load: None,
+            speed: None,
             peers: PeerView::default(),
             held_by_peers: 0,
         }
@@ -162,6 +228,24 @@
         }
     }
 
+    /// Returns the work that a request waits for.
+    fn work_ahead(&self, rank: RankClass) -> Work {
+        match rank {
+            RankClass::Unranked | RankClass::LessUrgent => self.total_work(),
+            RankClass::MostUrgent => {
+                let mut work = self.urgent_work;
+                work.saturating_add(self.peers.urgent_work);
+                work
+            }
+        }
+    }
+
+    /// Returns the work of this daemon's requests of a rank and of all its requests.
+    fn own_work(&mut self, rank: RankClass) -> impl Iterator<Item = &mut Work> {
+        let urgent = (rank == RankClass::MostUrgent).then_some(&mut self.urgent_work);
+        [&mut self.work].into_iter().chain(urgent)
+    }
+
     /// Returns the number of requests at the upstream, including those that only the upstream
     /// itself reported.
     fn requests(&self, now: Time) -> u32 {
@@ -174,6 +258,12 @@
         reported.map(|(_, load)| load.running + load.waiting)
     }
 
+    /// Returns the factor by which work takes longer here than on average: the pace that the upstream
+    /// reports, or else the slowness of its responses.
+    fn slowness(&self, pace: Option<f64>) -> f64 {
+        pace.unwrap_or(self.slowness)
+    }
+
     fn failure_penalty_ms(&self) -> f64 {
         let failure_score = self.failure_score.max(self.peers.failure_score);
         if failure_score > TOLERATED_FAILURE_SCORE {
@@ -184,7 +274,8 @@
     }
 }
 
-/// Averages over all upstreams of a service.
+/// Averages over all upstreams of a service. Times at upstreams that report a pace count as if the pace
+/// were 100%.
 #[derive(Clone, Copy, Debug)]
 struct ServiceState {
     prefill_tokens_per_ms: f64,
@@ -192,6 +283,9 @@
     base_ms: f64,
     /// Total time of a request.
     run_ms: f64,
+    /// Time from the first response to the end, for each token that the response may have; zero until
+    /// responses have been observed.
+    output_ms_per_token: f64,
     /// Engines that recent requests keep busy, as of `demand_at`.
     demand: f64,
     demand_at: Time,
@@ -216,6 +310,7 @@
             prefill_tokens_per_ms: INITIAL_PREFILL_TOKENS_PER_MS,
             base_ms: INITIAL_BASE_MS,
             run_ms: INITIAL_RUN_MS,
+            output_ms_per_token: 0.0,
             demand: 0.0,
             demand_at: Time::default(),
         }
@@ -269,6 +364,7 @@
     /// The versions that may run the request while a rollout is in progress.
     pub versions: VersionRule,
     pub homes: Homes<'a>,
+    pub rank: RankClass,
 }
 
 impl SelectionCriteria<'_> {
@@ -310,6 +406,12 @@
     /// The prefill cost of the work that was pending at the upstream when it was selected.
     prefill_tokens_ahead: u64,
     is_prefilling: bool,
+    /// The factor of the pace that the upstream reported, if it reports one.
+    pace: Option<f64>,
+    rank: RankClass,
+    /// The maximum number of tokens in the response.
+    output_tokens: u64,
+    first_response_at: Option<Time>,
 }
 
 /// How an attempt ended, as evidence about the upstream.
@@ -330,6 +432,11 @@
 pub struct Placement {
     upstreams: IndexMap<UpstreamId, UpstreamState>,
     services: IndexMap<ServiceName, ServiceState>,
+    pace_changes: Vec<speed::Change>,
+    /// When a request was last selected for whose service waits are counted by rank.
+    ranked_at: Option<Time>,
+    /// A hash of this daemon's name, so that daemons differ in their order of equal upstreams.
+    tie_seed: u64,
 }
 
 struct Estimate<'a> {
@@ -343,9 +450,15 @@
     /// Prompt tokens that are probably not in the engine's memory.
     uncached_tokens: u64,
     prefill_tokens_ahead: u64,
+    pace: Option<f64>,
 }
 
 impl Placement {
+    /// Sets the daemon that selects, on whose name its order of equal upstreams depends.
+    pub fn set_daemon(&mut self, daemon: &DaemonId) {
+        self.tie_seed = xxh3_64(daemon.as_str().as_bytes());
+    }
+
     /// Selects an upstream and adds the request to its work.
     pub fn choose(
         &mut self,
@@ -357,9 +470,13 @@
         let affine = affinity_upstream(criteria.prompt, &candidates);
         let mut best: Option<Estimate<'_>> = None;
         let mut shortest_wait = f64::MAX;
+        let tie_seed = self.tie_seed.wrapping_add(now.0 / TIE_INTERVAL.as_micros() as u64);
         for upstream in &candidates {
             let is_affine = affine == Some(&upstream.record.id);
-            let estimate = self.estimate(now, upstream, criteria, is_affine);
+            let mut estimate = self.estimate(now, upstream, criteria, is_affine);
+            if estimate.pace.is_some() {
+                estimate.score_ms += tie_break_ms(estimate.upstream, tie_seed);
+            }
             shortest_wait = shortest_wait.min(estimate.wait_ms);
             if best.as_ref().is_none_or(|best| estimate.score_ms < best.score_ms) {
                 best = Some(estimate);
@@ -379,7 +496,7 @@
                 wait: predicted_duration(shortest_wait),
             };
         }
-        Selection::Upstream(self.reserve(now, &best, criteria.prompt))
+        Selection::Upstream(self.reserve(now, &best, criteria))
     }
 
     /// Returns the upstreams that may run a request. Those that refused connections recently are
@@ -408,7 +525,16 @@
     }
 
     /// Adds a request to the work of the selected upstream.
-    fn reserve(&mut self, now: Time, chosen: &Estimate<'_>, prompt: &Prompt) -> Ticket {
+    fn reserve(
+        &mut self,
+        now: Time,
+        chosen: &Estimate<'_>,
+        criteria: &SelectionCriteria<'_>,
+    ) -> Ticket {
+        let (prompt, rank) = (criteria.prompt, criteria.rank);
+        if rank != RankClass::Unranked {
+            self.ranked_at = Some(now);
+        }
         let memory = prompt.input + prompt.output;
         let ticket = Ticket {
             upstream: chosen.upstream.clone(),
@@ -418,11 +544,17 @@
             memory,
             prefill_tokens_ahead: chosen.prefill_tokens_ahead,
             is_prefilling: true,
+            pace: chosen.pace,
+            rank,
+            output_tokens: prompt.output,
+            first_response_at: None,
         };
         let state = self.upstreams.entry(ticket.upstream.clone()).or_default();
-        state.work.requests += 1;
-        state.work.pending_prefill_tokens += ticket.prefill_tokens;
-        state.work.memory += memory;
+        for work in state.own_work(rank) {
+            work.requests += 1;
+            work.pending_prefill_tokens += ticket.prefill_tokens;
+            work.memory += memory;
+        }
         record_parts(&mut state.parts, now, &prompt.parts);
         ticket
     }
@@ -455,23 +587,30 @@
         let id = &upstream.record.id;
         let state = self.upstreams.entry(id.clone()).or_default();
         state.decay(now);
+        let pace = state.speed.as_deref().and_then(|speed| speed.factor(now));
+        let slowness = state.slowness(pace);
         let work = state.total_work();
+        let ahead = state.work_ahead(criteria.rank);
         let requests = f64::from(state.requests(now));
+        let requests_ahead = match criteria.rank {
+            RankClass::Unranked | RankClass::LessUrgent => requests,
+            RankClass::MostUrgent => f64::from(ahead.requests),
+        };
         let uncached_tokens = count_uncached_tokens(&state.parts, now, criteria.prompt, is_affine);
         let slots = f64::from(upstream.record.slots.max(1));
-        let queue_rounds = (requests + 1.0 - slots).max(0.0) / slots;
+        let queue_rounds = (requests_ahead + 1.0 - slots).max(0.0) / slots;
         let mut wait_ms = queue_rounds * service.run_ms;
         if let Some(engine) = criteria.engine {
             wait_ms =
-                wait_ms.max(work.pending_prefill_tokens as f64 / service.prefill_tokens_per_ms);
-            let memory = (work.memory + criteria.prompt.input + criteria.prompt.output) as f64;
+                wait_ms.max(ahead.pending_prefill_tokens as f64 / service.prefill_tokens_per_ms);
+            let memory = (ahead.memory + criteria.prompt.input + criteria.prompt.output) as f64;
             let excess = memory / (engine.memory_tokens as f64 * USABLE_MEMORY_SHARE) - 1.0;
             wait_ms += excess.max(0.0) * service.run_ms;
         }
-        let wait_ms = wait_ms * state.slowness;
+        let wait_ms = wait_ms * slowness;
         let own_ms =
             service.base_ms + prefill_cost_tokens(uncached_tokens) / service.prefill_tokens_per_ms;
-        let predicted_ms = wait_ms + own_ms * state.slowness;
+        let predicted_ms = wait_ms + own_ms * slowness;
         let remote_ms = if upstream.record.data_centre == *criteria.local_data_centre {
             0.0
         } else {
@@ -486,11 +625,17 @@
             uncached_tokens.saturating_sub(own_tokens) as f64 * RECOMPUTE_PENALTY_MS_PER_TOKEN;
         let in_time_ms = criteria.latency_target.as_secs_f64() * 1000.0 * RECOMPUTE_TARGET_SHARE;
         let with_recompute_ms = (predicted_ms + recompute_ms).min(in_time_ms).max(predicted_ms);
-        let score_ms = with_recompute_ms
+        let mut score_ms = with_recompute_ms
             + remote_ms
             + warm_up_ms
             + utilization_ms
             + state.failure_penalty_ms();
+        if let Some(pace) = pace {
+            let output_ms = criteria.prompt.output as f64 * service.output_ms_per_token;
+            // A caller may state any maximum, but waits no longer than until its deadline.
+            let output_ms = output_ms.min(criteria.remaining.as_secs_f64() * 1000.0);
+            score_ms += output_ms * pace * OUTPUT_WEIGHT;
+        }
         Estimate {
             upstream: id,
             score_ms,
@@ -498,6 +643,7 @@
             wait_ms,
             uncached_tokens,
             prefill_tokens_ahead: work.pending_prefill_tokens,
+            pace,
         }
     }
 
@@ -506,16 +652,18 @@
         if !std::mem::take(&mut ticket.is_prefilling) {
             return;
         }
+        ticket.first_response_at = Some(now);
         let averages = self.services.entry(service.clone()).or_default();
         let observed = now.since(ticket.chosen_at).as_secs_f64() * 1000.0;
         let predicted = ticket.predicted.as_secs_f64() * 1000.0;
+        let usual_ms = observed / ticket.pace.unwrap_or(1.0);
         let tokens = (ticket.prefill_tokens + ticket.prefill_tokens_ahead) as f64;
         let prefill_ms = tokens / averages.prefill_tokens_per_ms;
         if prefill_ms < averages.base_ms / 4.0 {
-            let base = (observed - prefill_ms).clamp(1.0, averages.base_ms * 4.0);
+            let base = (usual_ms - prefill_ms).clamp(1.0, averages.base_ms * 4.0);
             averages.base_ms += SERVICE_SAMPLE_WEIGHT * (base - averages.base_ms);
-        } else if ticket.prefill_tokens_ahead == 0 && observed > averages.base_ms {
-            let rate = tokens / (observed - averages.base_ms).max(1.0);
+        } else if ticket.prefill_tokens_ahead == 0 && usual_ms > averages.base_ms {
+            let rate = tokens / (usual_ms - averages.base_ms).max(1.0);
             let rate = rate
                 .clamp(averages.prefill_tokens_per_ms / 2.0, averages.prefill_tokens_per_ms * 2.0);
             let weight = if rate > averages.prefill_tokens_per_ms {
@@ -526,11 +674,16 @@
             averages.prefill_tokens_per_ms += weight * (rate - averages.prefill_tokens_per_ms);
         }
         if let Some(state) = self.upstreams.get_mut(&ticket.upstream) {
-            state.work.pending_prefill_tokens =
-                state.work.pending_prefill_tokens.saturating_sub(ticket.prefill_tokens);
-            let ratio = (observed / predicted.max(1.0)).clamp(1.0, MAX_SLOWNESS);
+            for work in state.own_work(ticket.rank) {
+                work.pending_prefill_tokens =
+                    work.pending_prefill_tokens.saturating_sub(ticket.prefill_tokens);
+            }
             state.decay(now);
-            state.slowness += UPSTREAM_SAMPLE_WEIGHT * (ratio - state.slowness);
+            // The pace explains a slow response, which is no evidence of a fault then.
+            if ticket.pace.is_none() {
+                let ratio = (observed / predicted.max(1.0)).clamp(1.0, MAX_SLOWNESS);
+                state.slowness += UPSTREAM_SAMPLE_WEIGHT * (ratio - state.slowness);
+            }
         }
     }
 
@@ -544,15 +697,29 @@
     ) {
         if outcome == AttemptOutcome::Answered {
             let averages = self.services.entry(service.clone()).or_default();
-            let run = now.since(ticket.chosen_at).as_secs_f64() * 1000.0;
+            // A stream lasts longer than a short slow interval, so that its usual pace counts.
+            let usual = self
+                .upstreams
+                .get(&ticket.upstream)
+                .and_then(|state| state.speed.as_deref()?.usual());
+            let pace = ticket.pace.map_or(1.0, |pace| usual.map_or(pace, Pace::factor));
+            let run = now.since(ticket.chosen_at).as_secs_f64() * 1000.0 / pace;
             averages.run_ms += SERVICE_SAMPLE_WEIGHT * (run - averages.run_ms);
+            if let Some(begun) = ticket.first_response_at.filter(|_| ticket.output_tokens > 0) {
+                let output_ms = now.since(begun).as_secs_f64() * 1000.0 / pace;
+                let per_token = output_ms / ticket.output_tokens as f64;
+                averages.output_ms_per_token +=
+                    SERVICE_SAMPLE_WEIGHT * (per_token - averages.output_ms_per_token);
+            }
         }
         let Some(state) = self.upstreams.get_mut(&ticket.upstream) else { return };
-        state.work.requests = state.work.requests.saturating_sub(1);
-        state.work.memory = state.work.memory.saturating_sub(ticket.memory);
-        if ticket.is_prefilling {
-            state.work.pending_prefill_tokens =
-                state.work.pending_prefill_tokens.saturating_sub(ticket.prefill_tokens);
+        for work in state.own_work(ticket.rank) {
+            work.requests = work.requests.saturating_sub(1);
+            work.memory = work.memory.saturating_sub(ticket.memory);
+            if ticket.is_prefilling {
+                work.pending_prefill_tokens =
+                    work.pending_prefill_tokens.saturating_sub(ticket.prefill_tokens);
+            }
         }
         state.decay(now);
         let sample = match outcome {
@@ -569,9 +736,56 @@
         self.upstreams.entry(upstream.clone()).or_default().down_until = now + UNREACHABLE_COOLDOWN;
     }
 
-    /// Records the load that an upstream reported with a response.
-    pub fn record_load(&mut self, now: Time, upstream: &UpstreamId, load: LoadReport) {
-        self.upstreams.entry(upstream.clone()).or_default().load = Some((now, load));
+    /// Records the load that an upstream reported with a response. Returns whether to log that its pace
+    /// is malformed.
+    pub fn record_load(&mut self, now: Time, upstream: &UpstreamId, load: LoadReport) -> bool {
+        let state = self.upstreams.entry(upstream.clone()).or_default();
+        state.load = Some((now, load));
+        match load.pace {
+            ReportedPace::Absent => false,
+            ReportedPace::Malformed => state.speed.get_or_insert_default().record_malformed(now),
+            ReportedPace::Valid(pace) => {
+                let change = state.speed.get_or_insert_default().record(now, pace);
+                self.log_pace(upstream, change);
+                false
+            }
+        }
+    }
+
+    /// Applies a peer's sample of an upstream's pace.
+    pub fn merge_pace(&mut self, now: Time, report: &speed::Report) {
+        let state = self.upstreams.entry(report.upstream.clone()).or_default();
+        let change = state.speed.get_or_insert_default().merge(now, report.pace, report.age);
+        self.log_pace(&report.upstream, change);
+    }
+
+    /// Records that a peer reported a malformed pace, and returns whether to log it.
+    pub fn record_malformed_pace(&mut self, now: Time, upstream: &UpstreamId) -> bool {
+        let state = self.upstreams.entry(upstream.clone()).or_default();
+        state.speed.get_or_insert_default().record_malformed(now)
+    }
+
+    /// Returns this daemon's recent samples of upstreams' paces, for its peers.
+    pub fn pace_reports(&self, now: Time) -> Vec<speed::ReportWire> {
+        let reports = self.upstreams.iter().filter_map(|(upstream, state)| {
+            let (pace, age) = state.speed.as_deref()?.report(now)?;
+            Some(speed::Report { upstream: upstream.clone(), pace, age })
+        });
+        speed::limit_reports(reports.collect()).into_iter().map(Into::into).collect()
+    }
+
+    fn log_pace(&mut self, upstream: &UpstreamId, change: Option<(Option<Pace>, Pace)>) {
+        let change = change.map(|(before, usual)| speed::Change {
+            upstream: upstream.clone(),
+            usual,
+            before,
+        });
+        self.pace_changes.extend(change);
+    }
+
+    /// Removes and returns the changes of usual paces since the last call.
+    pub fn take_pace_changes(&mut self) -> Vec<speed::Change> {
+        std::mem::take(&mut self.pace_changes)
     }
 
     /// Replaces the peers' reports on all upstreams.
@@ -619,6 +833,14 @@
         own.map(|(id, state)| (id.clone(), state.work, state.failure_score)).collect()
     }
 
+    /// Returns this daemon's work of the most urgent rank at each upstream, to be sent to the peers, or
+    /// `None` if it had no requests of a service whose waits are counted by rank.
+    pub fn local_urgent_work(&self, now: Time) -> Option<Vec<(UpstreamId, Work)>> {
+        self.ranked_at.filter(|at| now.since(*at) < RANKED_TTL)?;
+        let urgent = self.upstreams.iter().filter(|(_, state)| state.urgent_work.requests > 0);
+        Some(urgent.map(|(id, state)| (id.clone(), state.urgent_work)).collect())
+    }
+
     /// Returns the work of this daemon and its peers at an upstream.
     pub fn work(&self, upstream: &UpstreamId) -> Work {
         self.upstreams.get(upstream).map(UpstreamState::total_work).unwrap_or_default()
@@ -652,6 +874,14 @@
     candidates.iter().max_by_key(weight).map(|upstream| &upstream.record.id)
 }
 
+/// Returns what is added to the score of an upstream so that daemons with the same reports do not all
+/// choose the same one of those whose scores differ by less than [`TIE_MS`]. Its mean is zero, since
+/// nothing is added for upstreams that report no pace.
+fn tie_break_ms(upstream: &UpstreamId, seed: u64) -> f64 {
+    let hash = xxh3_64_with_seed(upstream.as_str().as_bytes(), seed);
+    (hash as f64 / u64::MAX as f64 - 0.5) * TIE_MS
+}
+
 /// Returns the number of prompt tokens that an engine has to prefill. A part is expected in its
 /// memory only if all parts before it are.
 fn count_uncached_tokens(
