contention: a fall of the capacity factor takes from less urgent requests alone

Cause: callers that come back when told to are admitted, so that the load may not fall. Urgent responses stayed late, the factor fell to its bound, and urgent requests gave way: in the replay of two ranks where 70 in 100 refused callers came back, 26 in 100 briefings were admitted, and where all did, 25. Change: the factor falls only if less urgent requests above their floor keep a tenth of the capacity busy.

--- a/lib/src/limit/contention.rs
+++ b/lib/src/limit/contention.rs
@@ -326,14 +326,32 @@
         if excess > capacity * self.level.factor * MAX_EXCESS {
             self.exceeded_at = Some(now);
         }
-        self.update_factor(now, sum.outcomes);
+        let may_fall =
+            self.reducible(&sum.demands) >= capacity * self.level.factor * (1.0 - FACTOR_FALL);
+        self.update_factor(now, sum.outcomes, may_fall);
         if self.level.shares.len() > MAX_PAIRS {
             self.level.shares.sort_by(|_, a, _, b| a.total_cmp(b));
             self.level.shares.truncate(MAX_PAIRS);
         }
     }
 
-    fn update_factor(&mut self, now: Time, outcomes: Outcomes) {
+    /// Returns the upstreams kept busy by admitted requests that are less urgent than the most urgent ones and are
+    /// above their floor. Callers that come back are admitted, so that the floor may not relieve the
+    /// upstreams; a factor that fell further would only refuse urgent requests. With a single rank, all of its
+    /// requests count.
+    fn reducible(&self, demands: &IndexMap<Pair, f64>) -> f64 {
+        let first = demands.keys().map(|pair| pair.rank).min();
+        let has_others = demands.keys().any(|pair| Some(pair.rank) != first);
+        let reducible = |(pair, demand): (&Pair, &f64)| {
+            let counts = !has_others || Some(pair.rank) != first;
+            let share = self.level.shares.get(pair).copied().unwrap_or(1.0);
+            if counts { demand * (share - MIN_SHARE).max(0.0) } else { 0.0 }
+        };
+        demands.iter().map(reducible).sum()
+    }
+
+    /// `may_fall` states that a fall would be at the expense of less urgent requests alone.
+    fn update_factor(&mut self, now: Time, outcomes: Outcomes, may_fall: bool) {
         let is_due =
             self.factor_changed_at.is_none_or(|changed| now.since(changed) >= FACTOR_INTERVAL);
         let total = outcomes.total();
@@ -346,7 +364,7 @@
         let is_in_effect =
             self.exceeded_at.is_none_or(|exceeded| now.since(exceeded) >= DEMAND_WINDOW);
         let change = if late > total * MAX_LATE_PERCENT {
-            if !is_in_effect {
+            if !is_in_effect || !may_fall {
                 return;
             }
             FACTOR_FALL
