--- a/gateway/src/forward/admission.rs
+++ b/gateway/src/forward/admission.rs
@@ -11,6 +11,7 @@
 use indexmap::IndexMap;
 
 use crate::{
+    contention::Arrival,
     gateway::Gateway,
     placement::Homes,
     quota::Charge,
@@ -137,10 +138,26 @@
             )
         })?);
     }
-    state.retries.record_request(now, &service);
     // The customer's rank takes precedence; the route's priority decides within a rank.
     let rank =
         customer_entry.and_then(|customer_entry| customer_entry.priority).unwrap_or(route.priority);
+    let arrival = Arrival {
+        table: &table,
+        route: &route,
+        service: &service,
+        customer: customer.as_ref(),
+        rank,
+        content,
+        prompt: &req.prompt,
+    };
+    if let Some(giving_way) = state.check_contention(now, &arrival) {
+        if let (Some(customer), Some(charge)) = (&customer, charge) {
+            state.quotas.refund(customer, charge);
+        }
+        cx.metrics.count_contention_refusal(service.as_str(), rank);
+        return Err(LocalResponse::gives_way(not_run_proof(), giving_way));
+    }
+    state.retries.record_request(now, &service);
     let urgency =
         FIRST_URGENCY.saturating_add(rank.saturating_mul(2)).saturating_add(route.priority.min(1));
     Ok(Admitted {
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters, gauges and latency histograms of a gateway, in the text format of Prometheus.
 
-use std::time::Duration;
+use std::{sync::atomic::AtomicU64, time::Duration};
 
 use dogwoodturn::upstream::speed::Pace;
 use prometheus_client::{
@@ -35,6 +35,12 @@
     pub end: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RankLabels {
+    pub service: String,
+    pub rank: u8,
+}
+
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
@@ -42,6 +48,8 @@
     first_response: Family<RouteLabels, Histogram>,
     upstream_bodies: Family<BodyLabels, Counter>,
     upstream_pace: Histogram,
+    contention_share: Family<RankLabels, Gauge<f64, AtomicU64>>,
+    contention_refusals: Family<RankLabels, Counter>,
     /// Connections that were opened to upstreams.
     pub connections: Counter,
     pub failed_connections: Counter,
@@ -83,6 +91,12 @@
         let upstream_pace = Histogram::new(exponential_buckets(25.0, 2.0_f64.sqrt(), 15));
         let help = "Paces that upstreams reported with responses, in percent of the usual time";
         registry.register("upstream_pace", help, upstream_pace.clone());
+        let contention_share = Family::<RankLabels, Gauge<f64, AtomicU64>>::default();
+        let help = "Lowest admitted share of the customers of a rank, while one gave way";
+        registry.register("contention_share", help, contention_share.clone());
+        let contention_refusals = Family::<RankLabels, Counter>::default();
+        let help = "Requests that gave way to others";
+        registry.register("contention_refusals", help, contention_refusals.clone());
         let mut counter = |name: &str, help: &str| {
             let counter = Counter::default();
             registry.register(name, help, counter.clone());
@@ -110,6 +124,8 @@
             first_response,
             upstream_bodies,
             upstream_pace,
+            contention_share,
+            contention_refusals,
             connections,
             failed_connections,
             tunnels,
@@ -147,6 +163,18 @@
         self.upstream_bodies.get_or_create(&BodyLabels { framing, end }).inc();
     }
 
+    /// Sets the lowest admitted share of the customers of a rank.
+    pub fn set_contention_share(&self, service: &str, rank: u8, share: f64) {
+        let labels = RankLabels { service: service.into(), rank };
+        self.contention_share.get_or_create(&labels).set(share);
+    }
+
+    /// Counts a request that gave way to others.
+    pub fn count_contention_refusal(&self, service: &str, rank: u8) {
+        let labels = RankLabels { service: service.into(), rank };
+        self.contention_refusals.get_or_create(&labels).inc();
+    }
+
     /// Encodes all metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
