--- a/gateway/tests/placement.rs
+++ b/gateway/tests/placement.rs
@@ -310,7 +310,7 @@
     let usual = count(&served, "a", 2400, 3600) / 2;
     let (slow, after) = (count(&served, "a", 3600, 4200), count(&served, "a", 4800, 5400));
     assert!(usual >= 8, "{usual}");
-    assert!(slow * 2 <= usual, "the slow upstream gets {slow} of usually {usual}");
+    assert!(slow * 4 <= usual, "the slow upstream gets {slow} of usually {usual}");
     assert!(after * 4 >= usual * 3, "after it the upstream gets {after} of {usual}");
 }
 
