ramp: a window for upstreams that have started or recovered

An upstream that has just started looks idle to every daemon, so that all send to it at once. limit::ramp bounds the requests outstanding there over all daemons by a window that follows from how the upstream responds, split by rendezvous rank. Not wired in yet.

--- a/lib/src/limit/mod.rs
+++ b/lib/src/limit/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod brittle;
 mod bucket;
+pub mod ramp;
 pub mod retry;
 pub mod share;
 pub mod upstream;
