gateway: ramp-up of upstreams that have started or recovered

Operators reported that such an upstream is overloaded or left idle: the placement saw it as idle at every daemon at once, or a fixed penalty kept requests away. With ramp-start in [bounds], a ramp begins when an upstream is new during traffic, restarts, cannot be reached, crashes, or returns after it was unlisted or evacuated. Its window filters the choice, grows by responses of 2xx in time, and is pooled by the optional field ramps of work and state messages. Without the key nothing is recorded, sent or refused.

--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -9,7 +9,11 @@
         head::ResponseHead,
     },
     ids::{RouteName, ServiceName, UpstreamId},
-    limit::{brittle::Tolerance, upstream::RequestRate},
+    limit::{
+        brittle::Tolerance,
+        ramp::{Cause, Outcome},
+        upstream::RequestRate,
+    },
     request::crash_evidence::{SOUND_AFTER, Suspect},
     units::Time,
 };
@@ -22,7 +26,7 @@
 use crate::{
     connect,
     forward::admission::Admitted,
-    gateway::Gateway,
+    gateway::{Gateway, State},
     placement::{AttemptOutcome, Ticket},
     request::{ForwardingParams, Request},
     store::UpstreamRecord,
@@ -100,6 +104,10 @@
     /// that.
     pub(super) is_request_written: bool,
     first_response: Option<Duration>,
+    /// Whether the response has a status of 2xx.
+    is_success: bool,
+    /// Whether the response counts as completed in the upstream's ramp.
+    is_ramp_recorded: Cell<bool>,
     /// Shared with the [`Pending`] that owns the attempt.
     outcome: Rc<Cell<AttemptOutcome>>,
 }
@@ -125,6 +133,8 @@
             connection: None,
             is_request_written: false,
             first_response: None,
+            is_success: false,
+            is_ramp_recorded: Cell::new(false),
             outcome: Rc::new(Cell::new(AttemptOutcome::Unknown)),
         }
     }
@@ -238,6 +248,7 @@
         self.record_limit(&head);
         self.record_warm_up(&head);
         self.record_brittle(&head);
+        self.is_success = (200..300).contains(&head.status);
         self.connection = Some(connection);
         if is_not_run(&head, self.cx.header_schema.not_run) {
             log::info!(event = "not-run", request:% = req.id, upstream:% = self.upstream.id, status = head.status; "");
@@ -292,6 +303,7 @@
                     let now = self.cx.now();
                     state.placement.mark_unreachable(now, &self.upstream.id);
                     state.assume_cold(now, &self.upstream.id, &self.service);
+                    state.begin_ramp(now, &self.upstream.id, Cause::Unreachable);
                 }
                 log::warn!(event = "unreachable", request:% = req.id, upstream:% = self.upstream.id, error:%; "");
                 false
@@ -404,6 +416,9 @@
             let (mut state, now) = (cx.state.borrow_mut(), cx.now());
             // A brittle upstream falls over by the requests that it rejects, not by those that it runs.
             let is_brittle = state.brittle.service_tolerance(now, &upstream.service).is_some();
+            if crashed {
+                state.begin_ramp(now, &upstream.id, Cause::Crashed);
+            }
             if crashed && is_brittle {
                 log::warn!(event = "fall", request:%, upstream:% = upstream.id; "");
             } else if crashed {
@@ -425,6 +440,39 @@
         let mut state = self.cx.state.borrow_mut();
         let parts = req.prompt.shared_parts();
         state.crash_evidence.record_served(self.cx.now(), self.content, parts);
+        if self.is_success && !self.is_ramp_recorded.replace(true) {
+            // The end of a long stream would be too late to tell that its upstream keeps up.
+            let now = self.cx.now();
+            let waited = now.since(self.ticket.chosen_at);
+            self.record_ramp(
+                &mut state,
+                now,
+                Outcome::Completed(self.first_response.unwrap_or(waited)),
+            );
+        }
+    }
+
+    /// Records what the response tells about an upstream that ramps up.
+    fn record_ramp(&self, state: &mut State, now: Time, outcome: Outcome) {
+        let (id, sent_at) = (&self.upstream.id, self.ticket.chosen_at);
+        state.ramps.ramps.record(now, id, sent_at, self.target, outcome);
+    }
+
+    /// Returns what the end of the attempt tells about an upstream that ramps up. Responses with a status
+    /// of 3xx or 4xx and requests that their callers left tell nothing.
+    fn ramp_outcome(&self, waited: Duration) -> Option<Outcome> {
+        match self.outcome.get() {
+            AttemptOutcome::Answered if !self.is_success || self.is_ramp_recorded.get() => None,
+            AttemptOutcome::Answered => {
+                Some(Outcome::Completed(self.first_response.unwrap_or(waited)))
+            }
+            AttemptOutcome::Late => Some(Outcome::Late),
+            AttemptOutcome::Failed | AttemptOutcome::Broken => Some(Outcome::Failed),
+            AttemptOutcome::Unknown => {
+                let is_late = self.first_response.is_none() && waited > self.target;
+                is_late.then_some(Outcome::Late)
+            }
+        }
     }
 
     /// Reports whether the response has been produced for long enough that a crash of the upstream has
@@ -446,6 +494,9 @@
         let has_result = outcome != AttemptOutcome::Unknown || first_response.is_some();
         let mut state = self.cx.state.borrow_mut();
         state.placement.record_outcome(now, &self.service, &self.ticket, outcome);
+        if let Some(outcome) = self.ramp_outcome(waited) {
+            self.record_ramp(&mut state, now, outcome);
+        }
         if has_result {
             let (version, route) = (&self.upstream.version, &self.route);
             let failed = !matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Unknown);
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
     ids::{CustomerName, DataCentre, Incarnation, ServiceName, UpstreamId},
     limit::{
         brittle::{BrittleUpstreams, Target, Turn, home_rank},
+        ramp::Cause,
         upstream::UpstreamLimits,
         warm_up::{WarmUpBound, WarmUps},
     },
@@ -35,6 +36,7 @@
     placement::{Placement, Selection, SelectionCriteria},
     pool::Pool,
     quota::{self, Quotas},
+    ramp::UpstreamRamps,
     replication::ReplicatedViews,
     retry::RetryBudgets,
     rollout::Rollouts,
@@ -79,6 +81,8 @@
     /// The upstreams that are cold.
     pub warm_ups: WarmUps,
     warm_up_tolerance: WarmUpTolerance,
+    /// The upstreams that have started or recovered.
+    pub ramps: UpstreamRamps,
     /// The upstreams that fall over when they have to reject too many requests.
     pub brittle: BrittleUpstreams,
     /// The requests and prompt parts that crash upstreams.
@@ -115,6 +119,7 @@
         self.usage.set_window(bounds.usage_window);
         self.lease.set_bounds(bounds.lease, bounds.checks_fences);
         self.warm_up_tolerance = bounds.warm_up;
+        self.ramps.ramps.set_start(bounds.ramp_start);
     }
 
     /// Applies a table if it is newer than the current one, and reports whether it was.
@@ -187,6 +192,7 @@
         let upstreams: Vec<_> = self.directory.listed_in(&data_centre).cloned().collect();
         for record in &upstreams {
             self.assume_cold(now, &record.id, &record.service);
+            self.begin_ramp(now, &record.id, Cause::Returned);
         }
         log::info!(event = "evacuation-ended", data_centre:%, upstreams = upstreams.len(); "");
     }
@@ -225,6 +231,7 @@
             retain_with_room(&mut self.brittle, peers, placement, now, &mut live, criteria);
         let limits = (&mut self.upstream_limits, &mut self.warm_ups);
         let limit_wait = retain_within_limits(limits, peers, now, &mut live, criteria);
+        self.ramps.retain_for_choice(peers, placement, now, &mut live, criteria);
         let shortest_wait = limit_wait.into_iter().chain(brittle_wait).min();
         let selection = self.placement.choose(now, &live, criteria);
         match (&selection, shortest_wait) {
@@ -255,6 +262,7 @@
         retain_with_room(&mut self.brittle, peers, placement, now, &mut live, criteria);
         let limits = (&mut self.upstream_limits, &mut self.warm_ups);
         retain_within_limits(limits, peers, now, &mut live, criteria);
+        self.ramps.retain_with_window(peers, placement, now, &mut live);
         self.placement.best_elsewhere(now, &live, criteria)
     }
 
@@ -313,6 +321,7 @@
         self.upstream_limits.merge(now, limits);
         let brittle = message.brittle.iter().cloned().map(Into::into);
         self.brittle.merge(now, &message.daemon, brittle);
+        self.merge_ramps(now, &message.daemon, &message.ramps);
         for (service, version) in &message.blocked_versions {
             self.rollouts.block_version(service, version);
         }
@@ -394,6 +403,7 @@
     pub fn reset_upstream(&mut self, upstream: &UpstreamId) {
         self.placement.remove_upstream(upstream);
         self.upstream_limits.remove(upstream);
+        self.ramps.ramps.remove(upstream);
         self.brittle.reset(clock(), upstream);
     }
 }
@@ -458,6 +468,7 @@
             upstream_limits: UpstreamLimits::default(),
             warm_ups: WarmUps::default(),
             warm_up_tolerance: bounds.warm_up,
+            ramps: UpstreamRamps::new(bounds.ramp_start),
             brittle: BrittleUpstreams::default(),
             crash_evidence: CrashEvidence::new(MIN_CONTENT_CRASHES),
             reachability: Reachability::default(),
@@ -656,6 +667,7 @@
             crash_evidence: state.crash_evidence.report(now).into(),
             upstream_limits: upstream_limits.into_iter().map(Into::into).collect(),
             brittle: state.brittle.reports(now).into_iter().map(Into::into).collect(),
+            ramps: state.ramps.reports(now),
             tallies: state.rollouts.local_tallies(),
             blocked_versions: state.rollouts.blocked_versions().to_vec(),
             upstreams_at: state.views.synced_revision(Kind::Upstreams),
@@ -667,13 +679,15 @@
 
     /// Returns this daemon's work message for its peers.
     pub fn work_message(&self) -> WorkMessage {
-        self.record_reported_work(self.now());
+        let now = self.now();
+        self.record_reported_work(now);
         self.last_message_number.set(self.last_message_number.get() + 1);
         WorkMessage {
             daemon: self.settings().name.clone(),
             incarnation: self.incarnation,
             number: self.last_message_number.get(),
             work: reported_work(&self.state.borrow().placement),
+            ramps: self.state.borrow().ramps.reports(now),
         }
     }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod placement;
 pub mod pool;
 pub mod quota;
+pub mod ramp;
 pub mod replication;
 pub mod request;
 pub mod retry;
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -92,7 +92,8 @@
         } else {
             let message = cx.work_message();
             // Before brittle upstreams, peers count on reports of a known age.
-            if message.work == last_work && cx.state.borrow().brittle.is_empty() {
+            let is_unchanged = message.work == last_work && message.ramps.is_empty();
+            if is_unchanged && cx.state.borrow().brittle.is_empty() {
                 continue;
             }
             last_work.clone_from(&message.work);
@@ -225,7 +226,7 @@
             }
             Ok(Datagram::Hub(message)) => objects::receive_hub_message(&cx, from, *message),
             Ok(Datagram::Work(message)) => {
-                cx.state.borrow_mut().peer_table.receive_work(cx.now(), message);
+                cx.state.borrow_mut().receive_work(cx.now(), message);
             }
             Ok(Datagram::UpstreamLimits(reports)) => {
                 let reports = reports.into_iter().map(Into::into);
--- a/gateway/src/maintenance.rs
+++ b/gateway/src/maintenance.rs
@@ -30,6 +30,7 @@
             state.update_crash_evidence(now);
             state.update_upstream_limits(now);
             state.update_warm_ups(now);
+            cx.metrics.ramping_upstreams.set(state.update_ramps(now).into());
             state.update_brittle(now);
             state.directory.evict_expired(now)
         };
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -61,6 +61,8 @@
     pub malformed_messages: Counter,
     /// Open connections of callers.
     pub callers: Gauge,
+    /// Upstreams that ramp up.
+    pub ramping_upstreams: Gauge,
 }
 
 impl Default for Metrics {
@@ -98,6 +100,9 @@
         registry.register("open_tunnels", help, open_tunnels.clone());
         let callers = Gauge::default();
         registry.register("caller_connections", "Open connections of callers", callers.clone());
+        let ramping_upstreams = Gauge::default();
+        let help = "Upstreams that have started or recovered and ramp up";
+        registry.register("ramping_upstreams", help, ramping_upstreams.clone());
         Self {
             registry,
             requests,
@@ -114,6 +119,7 @@
             unreadable,
             malformed_messages,
             callers,
+            ramping_upstreams,
         }
     }
 }
--- a/gateway/src/objects.rs
+++ b/gateway/src/objects.rs
@@ -104,6 +104,7 @@
         }
         Ok(Record::Upstream(record)) => {
             let (id, draining) = (record.id.clone(), record.draining);
+            let ramp_cause = state.ramp_cause(now, &record);
             let was_draining =
                 state.directory.get(&id).is_some_and(|current| current.record.draining);
             if state.directory.set(record) {
@@ -114,6 +115,9 @@
                 log::info!(event = "upstream-leaving", upstream:% = id; "");
             }
             state.apply_warm_up(now, &id);
+            if let Some(cause) = ramp_cause {
+                state.begin_ramp(now, &id, cause);
+            }
         }
         Ok(Record::Move(record)) => {
             log::info!(event = "move", service:% = record.service, target:% = record.target, state:? = record.state; "");
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -11,7 +11,7 @@
         CustomerName, DaemonId, Incarnation, Revision, RouteName, ServiceName, UpstreamId,
         VersionName,
     },
-    limit::{self, brittle, upstream::Position},
+    limit::{self, brittle, ramp, upstream::Position},
     request::crash_evidence,
     units::{Time, WallTime},
 };
@@ -74,6 +74,9 @@
     /// Rises with each message of a run, of either type.
     pub number: u64,
     pub work: Vec<ReportedWork>,
+    /// The upstreams that ramp up.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ramps: Vec<ramp::ReportWire>,
 }
 
 /// A daemon's shared state.
@@ -109,6 +112,9 @@
     /// The upstreams that are brittle.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub brittle: Vec<brittle::ReportWire>,
+    /// The upstreams that ramp up.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ramps: Vec<ramp::ReportWire>,
     /// Results of versions in a move.
     pub tallies: Vec<(ServiceName, VersionName, RouteName, Tally)>,
     #[serde(rename = "holds")]
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use dogwoodturn::{
     ids::{DaemonId, DataCentre, Region},
     ini::{self, ConfigError, Location, Section, Source, section_reader::SectionReader},
+    limit::ramp::RampStart,
 };
 
 use indexmap::IndexMap;
@@ -75,6 +76,9 @@
     pub evacuation: Option<Duration>,
     /// By how much the rate of cold upstreams may be exceeded.
     pub warm_up: WarmUpTolerance,
+    /// The requests over all daemons with which the ramp of an upstream begins; `None` if upstreams do not
+    /// ramp up.
+    pub ramp_start: Option<RampStart>,
 }
 
 /// By how much the rate that a cold upstream tolerates may be exceeded in a second.
@@ -253,6 +257,7 @@
         overshoot: tolerance("warm-up-overshoot", 1.0),
         allowance: tolerance("warm-up-allowance", 0.0),
     };
+    let ramp_start = fields.optional("ramp-start");
     fields.finish();
     let retries = retry::Bounds { ratio: ratio?, allowance: allowance?, window: retry_window? };
     let quotas = quota::Tolerance {
@@ -272,6 +277,7 @@
         canary_share: canary_share?,
         evacuation,
         warm_up,
+        ramp_start,
     })
 }
 
--- a/gateway/tests/peers.rs
+++ b/gateway/tests/peers.rs
@@ -23,6 +23,7 @@
         crash_evidence: ReportWire::default(),
         upstream_limits: Vec::new(),
         brittle: Vec::new(),
+        ramps: Vec::new(),
         tallies: Vec::new(),
         blocked_versions: Vec::new(),
         upstreams_at: None,
--- a/lib/src/edge/change_log.rs
+++ b/lib/src/edge/change_log.rs
@@ -1,7 +1,7 @@
 //! Logs of changes in what upstreams are sent.
 
 use crate::{
-    limit::{brittle, upstream, warm_up},
+    limit::{brittle, ramp, upstream, warm_up},
     request::crash_evidence::Change,
     upstream::reachability,
 };
@@ -40,6 +40,22 @@
     }
 }
 
+/// Logs that an upstream that has started or recovered gets few requests, fewer, or as many as others.
+pub fn log_ramp(change: &ramp::Change) {
+    let ramp::Change { upstream, window, event } = change;
+    match event {
+        ramp::Event::Started(cause) => {
+            log::info!(event = "upstream-ramp-started", upstream:%, window, cause:%; "");
+        }
+        ramp::Event::BackedOff(cause) => {
+            log::info!(event = "upstream-ramp-backed-off", upstream:%, window, cause:%; "");
+        }
+        ramp::Event::Ended(cause) => {
+            log::info!(event = "upstream-ramp-ended", upstream:%, window, cause:%; "");
+        }
+    }
+}
+
 /// Logs that the daemon has lost or regained its links to the upstreams of a service.
 pub fn log_reachability(change: &reachability::Change) {
     let service = &change.service;
--- a/lib/src/limit/ramp.rs
+++ b/lib/src/limit/ramp.rs
@@ -12,7 +12,7 @@
 
 use std::{fmt, num::ParseIntError, str::FromStr, time::Duration};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -373,7 +373,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ramps {
     start: Option<RampStart>,
-    ramps: IndexMap<UpstreamId, Ramp>,
+    upstreams: IndexMap<UpstreamId, Ramp>,
     /// When ramps that have ended began and ended.
     ended: IndexMap<UpstreamId, (Time, Time)>,
     /// When ramps of upstreams began that only peers know yet, and when that was last reported. A daemon
@@ -399,11 +399,21 @@
     }
 
     pub fn is_empty(&self) -> bool {
-        self.ramps.is_empty()
+        self.upstreams.is_empty()
     }
 
     pub fn len(&self) -> usize {
-        self.ramps.len()
+        self.upstreams.len()
+    }
+
+    /// Returns the services whose upstreams ramp up, each once.
+    pub fn services(&self) -> IndexSet<&ServiceName> {
+        self.upstreams.values().map(|ramp| &ramp.service).collect()
+    }
+
+    /// Returns the window at the start of a ramp.
+    pub fn start(&self) -> Option<RampStart> {
+        self.start
     }
 
     /// Reports whether ramps are in use.
@@ -412,12 +422,12 @@
     }
 
     pub fn is_ramping(&self, upstream: &UpstreamId) -> bool {
-        self.ramps.contains_key(upstream)
+        self.upstreams.contains_key(upstream)
     }
 
     /// Returns the window of an upstream that ramps up.
     pub fn window(&self, upstream: &UpstreamId) -> Option<u32> {
-        self.ramps.get(upstream).map(|ramp| ramp.window)
+        self.upstreams.get(upstream).map(|ramp| ramp.window)
     }
 
     /// Counts a request that an upstream is to be chosen for.
@@ -443,7 +453,7 @@
     /// failures only postpone the start.
     pub fn begin(&mut self, now: Time, upstream: &UpstreamId, service: &ServiceName, cause: Cause) {
         let Some(start) = self.start else { return };
-        let Some(ramp) = self.ramps.get_mut(upstream) else {
+        let Some(ramp) = self.upstreams.get_mut(upstream) else {
             let reported = self.unlisted.shift_remove(upstream);
             let started = reported.filter(|(_, at)| now.since(*at) < ENDED_TTL);
             let started = started.map_or(now, |(started, _)| started);
@@ -472,7 +482,7 @@
         cause: Cause,
     ) {
         let ramp = Ramp::new(now, started, service.clone(), window);
-        self.ramps.insert(upstream.clone(), ramp);
+        self.upstreams.insert(upstream.clone(), ramp);
         self.ended.shift_remove(upstream);
         let event = Event::Started(cause);
         self.changes.push(Change { upstream: upstream.clone(), window, event });
@@ -491,7 +501,7 @@
         view: View,
         position: impl Fn(&UpstreamId) -> Position,
     ) -> bool {
-        let Some(ramp) = self.ramps.get_mut(upstream) else { return true };
+        let Some(ramp) = self.upstreams.get_mut(upstream) else { return true };
         let outstanding = view.outstanding();
         if outstanding >= ramp.window {
             return false;
@@ -509,12 +519,23 @@
         f64::from(position.rank) * unseen_each < free * UNSEEN_SHARE
     }
 
-    /// Returns by how much an upstream that ramps up would be filled by one more request, in windows, for
-    /// the choice among those that ramps leave out. The upstream with the largest window is the least
-    /// filled if all have as many requests.
-    pub fn fill(&self, upstream: &UpstreamId, view: View) -> f64 {
-        let window = self.ramps.get(upstream).map_or(MAX_WINDOW, |ramp| ramp.window);
-        (f64::from(view.outstanding()) + 1.0) / f64::from(window)
+    /// Returns by how much an upstream that ramps up would be filled by one more request, in windows, and
+    /// this daemon's rank there, for the choice among those that ramps leave out. The upstream with the
+    /// largest window is the least filled if all have as many requests; by the ranks, daemons with the
+    /// same view choose different ones.
+    pub fn fill(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        view: View,
+        position: impl Fn(&UpstreamId) -> Position,
+    ) -> (f64, u32) {
+        let requests = f64::from(view.outstanding()) + 1.0;
+        let Some(ramp) = self.upstreams.get_mut(upstream) else {
+            return (requests / f64::from(MAX_WINDOW), 0);
+        };
+        let rank = ramp.position.get(now, upstream, position).rank;
+        (requests / f64::from(ramp.window), rank)
     }
 
     /// Records how the response to a request ended that was sent at `sent_at` and has its full value
@@ -536,7 +557,8 @@
             answers[ANSWERS_WITHOUT_RAMP - 1] = now;
         }
         // A request from before the ramp ran under other conditions.
-        let Some(ramp) = self.ramps.get_mut(upstream).filter(|ramp| ramp.started <= sent_at) else {
+        let Some(ramp) = self.upstreams.get_mut(upstream).filter(|ramp| ramp.started <= sent_at)
+        else {
             return;
         };
         ramp.active_at = now;
@@ -585,7 +607,8 @@
         let Some(start) = self.start else { return };
         for report in reports {
             let started = now.ago(report.age);
-            let known = self.ramps.get(&report.upstream).map(|ramp| (ramp.started, ramp.window));
+            let known =
+                self.upstreams.get(&report.upstream).map(|ramp| (ramp.started, ramp.window));
             if known.is_none_or(|(known, _)| known + SAME_RAMP < started) {
                 let Some(service) = service(&report.upstream) else {
                     if self.unlisted.len() < MAX_UNLISTED {
@@ -613,7 +636,7 @@
         started: Time,
         report_age: Duration,
     ) {
-        let Some(ramp) = self.ramps.get_mut(&report.upstream) else { return };
+        let Some(ramp) = self.upstreams.get_mut(&report.upstream) else { return };
         if started + SAME_RAMP < ramp.started {
             return;
         }
@@ -654,7 +677,8 @@
     /// [`MAX_REPORTS`]. What peers reported is not passed on, except that there is a ramp.
     pub fn reports(&self, now: Time) -> Vec<Report> {
         let is_reported = |ramp: &Ramp| now.since(ramp.started) < MAX_AGE;
-        let mut ramps: Vec<_> = self.ramps.iter().filter(|(_, ramp)| is_reported(ramp)).collect();
+        let mut ramps: Vec<_> =
+            self.upstreams.iter().filter(|(_, ramp)| is_reported(ramp)).collect();
         if ramps.len() > MAX_REPORTS {
             ramps.sort_by_key(|(_, ramp)| std::cmp::Reverse(ramp.active_at));
             ramps.truncate(MAX_REPORTS);
@@ -688,12 +712,12 @@
             }
         };
         let ended: Vec<_> = self
-            .ramps
+            .upstreams
             .iter()
             .filter_map(|(id, ramp)| end(id, ramp).map(|end| (id.clone(), end)))
             .collect();
         for (upstream, end) in ended {
-            let Some(ramp) = self.ramps.shift_remove(&upstream) else { continue };
+            let Some(ramp) = self.upstreams.shift_remove(&upstream) else { continue };
             self.ended.insert(upstream.clone(), (ramp.started, now));
             self.changes.push(Change { upstream, window: ramp.window, event: Event::Ended(end) });
         }
@@ -703,7 +727,7 @@
     pub fn remove(&mut self, upstream: &UpstreamId) {
         self.answers.shift_remove(upstream);
         self.ended.shift_remove(upstream);
-        if let Some(ramp) = self.ramps.shift_remove(upstream) {
+        if let Some(ramp) = self.upstreams.shift_remove(upstream) {
             let (window, event) = (ramp.window, Event::Ended(End::Gone));
             self.changes.push(Change { upstream: upstream.clone(), window, event });
         }
--- a/lib/tests/ramp.rs
+++ b/lib/tests/ramp.rs
@@ -87,7 +87,7 @@
     mean_work: Option<f64>,
     learn: (u32, u64),
     seed: u64,
-) -> (i64, Option<u64>) {
+) -> (usize, Option<u64>) {
     let mut rng = Pcg32::seed_from_u64(seed);
     let mut all = vec![ramps(); daemons as usize];
     let arrives = (per_second / f64::from(daemons) / 100.0).min(1.0);
@@ -127,7 +127,7 @@
                     let rounds = (sent.len() + 1).div_ceil(12) as u64;
                     sent.push((ms, ms + 200 * rounds, rank));
                     let widest = all.iter().filter_map(window).max().unwrap_or(0);
-                    excess = excess.max(sent.len() as i64 - i64::from(widest));
+                    excess = excess.max(sent.len().saturating_sub(widest as usize));
                 }
             }
             // Each daemon reports in every second step, to the next 12.
@@ -143,7 +143,9 @@
             }
         }
         let goal = Goal { slots: 12, mean_work };
-        all.iter_mut().for_each(|ramps| ramps.update(at(ms), |_| Some(goal)));
+        for ramps in &mut all {
+            ramps.update(at(ms), |_| Some(goal));
+        }
         let is_end = |change: Change| matches!(change.event, Event::Ended(_));
         if all.iter_mut().flat_map(Ramps::take_changes).any(is_end) {
             return (excess, Some(ms));
@@ -290,7 +292,8 @@
     ramps.record(at(100), &other, at(1), TARGET, Outcome::Failed);
     assert_eq!((window(&ramps), ramps.window(&other)), (Some(5), Some(2)));
     // Of two with the same requests, the one with the larger window is used if there is no other.
-    assert!(ramps.fill(&upstream(), view(0, 5)) < ramps.fill(&other, view(0, 5)));
+    let mut fill = |id: &UpstreamId| ramps.fill(at(100), id, view(0, 5), |_| ALONE);
+    assert!(fill(&upstream()) < fill(&other));
 }
 
 #[test]
