--- a/gateway/tests/ramp.rs
+++ b/gateway/tests/ramp.rs
@@ -304,3 +304,22 @@
         assert_eq!(state.update_ramps(now), ramps);
     }
 }
+
+#[actix_rt::test]
+async fn message_ramps_of_a_whole_fleet_fit_a_datagram() {
+    // Guards against messages that are too long to be sent after the return of all upstreams.
+    let gateway = start().await;
+    let bytes = [0, 1, 64, 10_000].map(|ramps| {
+        for index in 0..ramps {
+            let mut state = gateway.cx.state.borrow_mut();
+            let upstream: UpstreamId = format!("i-{index:010}").parse().unwrap();
+            let service = "plain".parse().unwrap();
+            state.ramps.ramps.begin(gateway.cx.now(), &upstream, &service, Cause::Returned);
+        }
+        let mut bytes = Vec::new();
+        let message = WorkMessage { work: Vec::new(), ..gateway.cx.work_message() };
+        ciborium::into_writer(&message, &mut bytes).unwrap();
+        bytes.len()
+    });
+    assert!(bytes[3] <= bytes[2] + 64 && bytes[3] < 4096, "{bytes:?} with 0 to 10,000 ramps");
+}
