--- a/lib/tests/ramp.rs
+++ b/lib/tests/ramp.rs
@@ -323,16 +323,36 @@
     for (rank, own, may_send) in [(0, 0, true), (0, 1, false), (3, 0, true), (4, 0, false)] {
         let position = Position { rank, count: 76 };
         let mut ramps = ramps.clone();
-        assert_eq!(ramps.may_send(at(10), &upstream(), cut_off(own), |_| position), may_send);
+        assert_eq!(ramps.may_send(at(9000), &upstream(), cut_off(own), |_| position), may_send);
     }
     // With a window above the number of daemons, each has an equal part.
     for (rank, own, may_send) in [(0, 1, true), (0, 2, false), (2, 0, true), (2, 1, false)] {
         let position = Position { rank, count: 3 };
         let mut ramps = ramps.clone();
-        assert_eq!(ramps.may_send(at(10), &upstream(), cut_off(own), |_| position), may_send);
+        assert_eq!(ramps.may_send(at(9000), &upstream(), cut_off(own), |_| position), may_send);
     }
 }
 
+#[test]
+fn may_send_free_places_are_used_by_others_at_a_low_rate_only() {
+    // Guards against an upstream that waits for the few daemons with a part, which have no requests.
+    let mut ramps = begun();
+    ramps.record_request(at(0), &service());
+    let may_send = |ramps: &Ramps, rank, peers| {
+        let position = Position { rank, count: 76 };
+        ramps.clone().may_send(at(9000), &upstream(), view(0, peers), |_| position)
+    };
+    for (rank, peers, expected) in
+        [(4, 0, true), (75, 0, false), (4, 3, true), (30, 3, false), (4, 4, false)]
+    {
+        assert_eq!(may_send(&ramps, rank, peers), expected, "rank {rank}, {peers} outstanding");
+    }
+    for ms in (0..9000).step_by(50) {
+        ramps.record_request(at(ms), &service());
+    }
+    assert!(!may_send(&ramps, 4, 0), "too many would send at once");
+}
+
 #[test]
 fn merge_late_lost_and_repeated_reports_count_once() {
     let mut ramps = begun();
