--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
     ids::{CustomerName, DataCentre, Incarnation, ServiceName, UpstreamId},
     limit::{
         brittle::{BrittleUpstreams, Target, Turn, home_rank},
+        ramp::Cause,
         upstream::UpstreamLimits,
         warm_up::{WarmUpBound, WarmUps},
     },
@@ -39,6 +40,7 @@
     placement::{Placement, Selection, SelectionCriteria},
     pool::Pool,
     quota::{self, Quotas},
+    ramp::UpstreamRamps,
     replication::ReplicatedViews,
     retry::RetryBudgets,
     rollout::Rollouts,
@@ -83,6 +85,8 @@
     /// The upstreams that are cold.
     pub warm_ups: WarmUps,
     warm_up_tolerance: WarmUpTolerance,
+    /// The upstreams that have started or recovered.
+    pub ramps: UpstreamRamps,
     /// The upstreams that fall over when they have to reject too many requests.
     pub brittle: BrittleUpstreams,
     /// What is admitted of each rank and customer.
@@ -121,6 +125,7 @@
         self.usage.set_window(bounds.usage_window);
         self.lease.set_bounds(bounds.lease, bounds.checks_fences);
         self.warm_up_tolerance = bounds.warm_up;
+        self.ramps.ramps.set_start(bounds.ramp_start);
     }
 
     /// Applies a table if it is newer than the current one, and reports whether it was.
@@ -193,6 +198,7 @@
         let upstreams: Vec<_> = self.directory.listed_in(&data_centre).cloned().collect();
         for record in &upstreams {
             self.assume_cold(now, &record.id, &record.service);
+            self.begin_ramp(now, &record.id, Cause::Returned);
         }
         log::info!(event = "evacuation-ended", data_centre:%, upstreams = upstreams.len(); "");
     }
@@ -231,6 +237,7 @@
             retain_with_room(&mut self.brittle, peers, placement, now, &mut live, criteria);
         let limits = (&mut self.upstream_limits, &mut self.warm_ups);
         let limit_wait = retain_within_limits(limits, peers, now, &mut live, criteria);
+        self.ramps.retain_for_choice(peers, placement, now, &mut live, criteria);
         let shortest_wait = limit_wait.into_iter().chain(brittle_wait).min();
         let selection = self.placement.choose(now, &live, criteria);
         match (&selection, shortest_wait) {
@@ -261,6 +268,7 @@
         retain_with_room(&mut self.brittle, peers, placement, now, &mut live, criteria);
         let limits = (&mut self.upstream_limits, &mut self.warm_ups);
         retain_within_limits(limits, peers, now, &mut live, criteria);
+        self.ramps.retain_with_window(peers, placement, now, &mut live);
         self.placement.best_elsewhere(now, &live, criteria)
     }
 
@@ -326,6 +334,7 @@
         self.upstream_limits.merge(now, limits);
         let brittle = message.brittle.iter().cloned().map(Into::into);
         self.brittle.merge(now, &message.daemon, brittle);
+        self.merge_ramps(now, &message.daemon, &message.ramps);
         for (service, version) in &message.blocked_versions {
             self.rollouts.block_version(service, version);
         }
@@ -346,6 +355,7 @@
     /// Applies a peer's work message.
     pub fn receive_work(&mut self, now: Time, from: SocketAddr, mut message: WorkMessage) {
         let paces = std::mem::take(&mut message.paces);
+        self.merge_ramps(now, &message.daemon, &message.ramps);
         if self.peer_table.receive_work(now, message) {
             self.receive_paces(now, from, paces);
         }
@@ -436,6 +446,7 @@
     pub fn reset_upstream(&mut self, upstream: &UpstreamId) {
         self.placement.remove_upstream(upstream);
         self.upstream_limits.remove(upstream);
+        self.ramps.ramps.remove(upstream);
         self.brittle.reset(clock(), upstream);
     }
 }
@@ -502,6 +513,7 @@
             upstream_limits: UpstreamLimits::default(),
             warm_ups: WarmUps::default(),
             warm_up_tolerance: bounds.warm_up,
+            ramps: UpstreamRamps::new(bounds.ramp_start),
             brittle: BrittleUpstreams::default(),
             contention: Contention::default(),
             crash_evidence: CrashEvidence::new(MIN_CONTENT_CRASHES),
@@ -708,6 +720,7 @@
             brittle: state.brittle.reports(now).into_iter().map(Into::into).collect(),
             paces: state.placement.pace_reports(now),
             urgent_work: reported_urgent_work(&state.placement, now),
+            ramps: state.ramps.reports(now),
             tallies: state.rollouts.local_tallies(),
             blocked_versions: state.rollouts.blocked_versions().to_vec(),
             upstreams_at: state.views.synced_revision(Kind::Upstreams),
@@ -730,6 +743,7 @@
             work: reported_work(&state.placement),
             paces: state.placement.pace_reports(now),
             urgent_work: reported_urgent_work(&state.placement, now),
+            ramps: state.ramps.reports(now),
         }
     }
 
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -95,7 +95,8 @@
             // Before brittle upstreams, peers count on reports of a known age.
             let is_unchanged = message.work == last_work
                 && message.urgent_work == last_urgent_work
-                && message.paces.is_empty();
+                && message.paces.is_empty()
+                && message.ramps.is_empty();
             if is_unchanged && cx.state.borrow().brittle.is_empty() {
                 continue;
             }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -11,7 +11,7 @@
         CustomerName, DaemonId, Incarnation, Revision, RouteName, ServiceName, UpstreamId,
         VersionName,
     },
-    limit::{self, brittle, upstream::Position},
+    limit::{self, brittle, ramp, upstream::Position},
     request::crash_evidence,
     units::{Time, WallTime},
     upstream::speed,
@@ -86,6 +86,9 @@
     /// apart.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub urgent_work: Option<Vec<ReportedUrgentWork>>,
+    /// The upstreams that ramp up.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ramps: Vec<ramp::ReportWire>,
 }
 
 /// A daemon's shared state.
@@ -131,6 +134,9 @@
     /// apart.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub urgent_work: Option<Vec<ReportedUrgentWork>>,
+    /// The upstreams that ramp up.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ramps: Vec<ramp::ReportWire>,
     /// Results of versions in a move.
     pub tallies: Vec<(ServiceName, VersionName, RouteName, Tally)>,
     #[serde(rename = "holds")]
--- a/gateway/tests/peers.rs
+++ b/gateway/tests/peers.rs
@@ -26,6 +26,7 @@
         brittle: Vec::new(),
         paces: Vec::new(),
         urgent_work: None,
+        ramps: Vec::new(),
         tallies: Vec::new(),
         blocked_versions: Vec::new(),
         upstreams_at: None,
