--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -14,7 +14,7 @@
     limit::{
         brittle::{BrittleUpstreams, Target, Turn, home_rank},
         ramp::Cause,
-        upstream::UpstreamLimits,
+        upstream::{Position, UpstreamLimits},
         warm_up::{WarmUpBound, WarmUps},
     },
     request::crash_evidence::{CrashEvidence, Verdict},
@@ -795,7 +795,13 @@
     let mut shortest_wait: Option<Duration> = None;
     live.retain(|upstream| {
         let (id, position) = (&upstream.record.id, |id: &UpstreamId| peers.position(id.as_str()));
-        let wait = limits.wait(now, id, position).max(warm_ups.wait(now, id, position));
+        // Until the store lists this daemon, it may know none of the others, and would take the whole rate
+        // of a cold upstream for itself.
+        let cautious = |id: &UpstreamId| match peers.own_address() {
+            Some(_) => position(id),
+            None => Position { rank: u32::MAX, count: 1 },
+        };
+        let wait = limits.wait(now, id, position).max(warm_ups.wait(now, id, cautious));
         if !wait.is_zero() && criteria.allows(upstream) {
             shortest_wait = Some(shortest_wait.map_or(wait, |shortest| shortest.min(wait)));
         }
--- a/gateway/tests/evacuation.rs
+++ b/gateway/tests/evacuation.rs
@@ -139,6 +139,29 @@
     assert_eq!(choose(&gateway.cx, 10, Homes::default()).0.len(), 4);
 }
 
+#[actix_rt::test]
+async fn choose_cold_upstream_gets_nothing_from_a_daemon_that_the_store_does_not_list_yet() {
+    let mut table = table(all_routes());
+    for service in table.services.values_mut() {
+        service.warm_up = Some(WarmUp { duration: COLD, rate: 16.0 });
+    }
+    let cx = Gateway::new(support::settings(), support::header_schema(), support::no_store());
+    {
+        let mut state = cx.state.borrow_mut();
+        state.apply_table(table);
+        state.has_members = true;
+        state.has_upstreams = true;
+    }
+    let record = UpstreamRecord {
+        data_centre: data_centre("a"),
+        warm_up: COLD,
+        ..support::record(0, "127.0.0.1:1".parse().unwrap())
+    };
+    objects::apply_entry(&cx, entry("0", 1, Record::Upstream(record)));
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(choose(&cx, 5, Homes::default()), (Vec::new(), 5));
+}
+
 #[actix_rt::test]
 async fn handle_request_response_that_says_its_upstream_is_cold_limits_what_follows() {
     let answers = ["X-Warm-Up: 3000", "X-Warm-Up: soon"].map(|header| {
--- a/gateway/tests/paces.rs
+++ b/gateway/tests/paces.rs
@@ -40,6 +40,7 @@
         work: Vec::new(),
         paces,
         urgent_work: None,
+        ramps: Vec::new(),
     }
 }
 
--- a/gateway/tests/ramp.rs
+++ b/gateway/tests/ramp.rs
@@ -14,7 +14,7 @@
     header_schema::Prompt,
     objects,
     peers::{StateMessage, WorkMessage},
-    placement::{Homes, Selection, SelectionCriteria},
+    placement::{Homes, RankClass, Selection, SelectionCriteria},
     rollout::VersionRule,
     settings::Settings,
     store::{Entry, Kind, Listing, Record, UpstreamRecord},
@@ -83,6 +83,7 @@
             remaining: Duration::from_secs(60),
             tried: &[],
             versions: VersionRule::Any,
+            rank: RankClass::Unranked,
             homes: Homes::default(),
         };
         if let Selection::Upstream(ticket) = cx.state.borrow_mut().choose(now, &criteria) {
@@ -269,7 +270,8 @@
     let second = &gateways[1];
     for _ in 0..2 {
         let message = WorkMessage { daemon: "d0".parse().unwrap(), ..repeated.clone() };
-        second.cx.state.borrow_mut().receive_work(second.cx.now(), message);
+        let from = "127.0.0.1:9".parse().unwrap();
+        second.cx.state.borrow_mut().receive_work(second.cx.now(), from, message);
     }
     assert_eq!((window(first, 0), window(second, 0)), (Some(4), Some(4)));
 }
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -27,7 +27,7 @@
     peers::{PeerTable, StateMessage},
     serve,
     settings::Settings,
-    store::{CallError, Store, Unreadable, UpstreamRecord},
+    store::{CallError, MemberRecord, Store, Unreadable, UpstreamRecord},
     table::{CallerLimits, Customer, EngineCapacity, Ranks, RetrySafety, Route, Service, Table},
 };
 use indexmap::IndexMap;
@@ -400,6 +400,9 @@
             state.apply_table(table);
             state.has_members = true;
             state.has_upstreams = true;
+            let member =
+                MemberRecord { daemon: cx.settings().name.clone(), address: cx.settings().peers };
+            state.peer_table.add_listed(cx.now(), member);
             for (index, address) in upstreams.iter().enumerate() {
                 state.directory.set(record(index, *address));
             }
