contention: on where upstreams report a pace, with capacity weighed by it

Cause: the condition and the weights were left open until paces were read. The new test fails without the weights.

--- a/gateway/src/contention.rs
+++ b/gateway/src/contention.rs
@@ -13,7 +13,7 @@
     },
     units::Time,
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{
     Deserialize, Deserializer, Serialize, Serializer,
     de::{self, Visitor},
@@ -25,6 +25,7 @@
     header_schema::Prompt,
     hubs::{HubMessage, Hubs, LevelSource, MAX_DAEMONS_WITHOUT_HUBS},
     peers::{PeerTable, StateMessage},
+    placement::Placement,
     table::{Route, Service, Table},
 };
 
@@ -303,6 +304,8 @@
     /// The version of the table that the ranks are of.
     table: u64,
     ranks: IndexMap<ServiceName, Ranks>,
+    /// The services whose upstreams report a pace.
+    paced: IndexSet<ServiceName>,
     services: IndexMap<ServiceName, ServiceContention>,
     /// When a line about malformed values of a peer was last logged.
     malformed_logged: IndexMap<DaemonId, Time>,
@@ -318,8 +321,9 @@
     }
 
     /// Reports whether requests to a service may give way.
-    fn is_on(&self, service: &ServiceName, has_pace: bool) -> bool {
-        self.ranks.get(service).is_some_and(|ranks| ranks.is_urgent_slower || has_pace)
+    fn is_on(&self, service: &ServiceName) -> bool {
+        let is_urgent_slower = self.ranks.get(service).is_some_and(|ranks| ranks.is_urgent_slower);
+        is_urgent_slower || self.paced.contains(service)
     }
 
     /// Records a first response, if it is of the most urgent rank of a service.
@@ -417,25 +421,31 @@
     }
 }
 
-/// Returns the capacity of an upstream as a multiple of the usual one. Speeds are not known yet.
-fn upstream_weight(_upstream: &Upstream) -> f64 {
-    1.0
+/// Returns the capacity of an upstream as a multiple of the usual one.
+fn upstream_weight(placement: &Placement, upstream: &Upstream) -> f64 {
+    placement.usual_pace(&upstream.record.id).map_or(1.0, |pace| 1.0 / pace.factor())
 }
 
 /// Reports whether the upstreams of a service report their pace, so that its capacity changes while the demand
-/// does not. No pace is read yet.
-fn reports_pace(_service: &ServiceName) -> bool {
-    false
+/// does not.
+fn reports_pace(
+    now: Time,
+    directory: &Directory,
+    placement: &Placement,
+    service: &ServiceName,
+) -> bool {
+    let live = directory.live(now, service);
+    live.iter().any(|upstream| placement.usual_pace(&upstream.record.id).is_some())
 }
 
 /// Returns the capacity of a service in the unit of its demand: engines, or slots of plain upstreams.
-fn capacity(now: Time, directory: &Directory, service: &Service) -> f64 {
+fn capacity(now: Time, directory: &Directory, placement: &Placement, service: &Service) -> f64 {
     let unit = |upstream: &Upstream| match service.engine {
         Some(_) => 1.0,
         None => f64::from(upstream.record.slots.max(1)),
     };
     let live = directory.live(now, &service.name);
-    live.into_iter().map(|upstream| upstream_weight(upstream) * unit(upstream)).sum()
+    live.into_iter().map(|upstream| upstream_weight(placement, upstream) * unit(upstream)).sum()
 }
 
 /// Returns the reports of the live peers on a service.
@@ -455,13 +465,13 @@
     pub fn update_contention(&mut self, now: Time) {
         let Some(table) = self.active_table().cloned() else { return };
         let is_leader = self.lease.fence(now).is_some();
-        let Self { contention, directory, hubs, peer_table, .. } = self;
+        let Self { contention, directory, hubs, peer_table, placement, .. } = self;
         contention.set_table(&table);
-        let is_on: Vec<_> = table
-            .services
-            .values()
-            .filter(|service| contention.is_on(&service.name, reports_pace(&service.name)))
-            .collect();
+        let names = table.services.keys();
+        let paced = names.filter(|name| reports_pace(now, directory, placement, name));
+        contention.paced = paced.cloned().collect();
+        let is_on: Vec<_> =
+            table.services.values().filter(|service| contention.is_on(&service.name)).collect();
         contention.services.retain(|name, _| is_on.iter().any(|service| service.name == *name));
         if is_on.is_empty() {
             return;
@@ -488,7 +498,7 @@
                             state.controller.adopt_factor(factor);
                         }
                     }
-                    let capacity = capacity(now, directory, service);
+                    let capacity = capacity(now, directory, placement, service);
                     state.controller.update(now, capacity, &sum);
                     state.shares.receive(now, now, state.controller.level().clone());
                     computed = Some((capacity, sum.total()));
@@ -514,7 +524,7 @@
         let Arrival { table, route, service, rank, .. } = *arrival;
         let Self { contention, placement, peer_table, .. } = self;
         contention.set_table(table);
-        if !contention.is_on(service, reports_pace(service)) {
+        if !contention.is_on(service) {
             return None;
         }
         let is_engine = table.services.get(service).is_some_and(|s| s.engine.is_some());
--- a/gateway/src/placement.rs
+++ b/gateway/src/placement.rs
@@ -804,6 +804,11 @@
         state.speed.get_or_insert_default().record_malformed(now)
     }
 
+    /// Returns the usual pace of an upstream, if it reports one.
+    pub fn usual_pace(&self, upstream: &UpstreamId) -> Option<Pace> {
+        self.upstreams.get(upstream)?.speed.as_deref()?.usual()
+    }
+
     /// Returns this daemon's recent samples of upstreams' paces, for its peers.
     pub fn pace_reports(&self, now: Time) -> Vec<speed::ReportWire> {
         let reports = self.upstreams.iter().filter_map(|(upstream, state)| {
--- a/gateway/tests/contention.rs
+++ b/gateway/tests/contention.rs
@@ -4,11 +4,11 @@
 
 use std::time::Duration;
 
-use dogwoodturn::{ids::Incarnation, units::Time};
+use dogwoodturn::{ids::Incarnation, units::Time, upstream::speed::Pace};
 use dogwoodturn_gateway::{
     contention::{Arrival, DemandWire, LevelWire, Number, ranks},
     gateway::{Gateway, State},
-    header_schema::Prompt,
+    header_schema::{LoadReport, Prompt, ReportedPace},
     hubs::{HubMessage, HubStatus, Hubs, LevelSource},
     peers::{Datagram, StateMessage},
     store::MemberRecord,
@@ -413,3 +413,23 @@
         assert!(report <= bound && levels <= bound, "{report} and {levels} of {bound}");
     }
 }
+
+/// Guards against services whose upstreams share their hosts being left out, and against their slow hosts
+/// counting as usual ones.
+#[test]
+fn update_contention_service_whose_upstreams_report_a_pace_is_on_and_weighs_them() {
+    let record = support::record(0, "127.0.0.1:1".parse().unwrap());
+    let demand_of_each = f64::from(record.slots) * 0.4;
+    let share_of_questions = |percent: Option<f64>| {
+        let cx = gateway(ordered());
+        if let Some(pace) = percent.and_then(Pace::from_percent) {
+            let load = LoadReport { pace: ReportedPace::Valid(pace), ..LoadReport::default() };
+            cx.state.borrow_mut().placement.record_load(cx.now(), &record.id, load);
+        }
+        let end = report_for_5_s(&cx, &[demand(0, demand_of_each), demand(2, demand_of_each)]);
+        admitted(&mut cx.state.borrow_mut(), end, "question")
+    };
+    assert_near(share_of_questions(None), 1.0, "no pace, and the ranks are in order");
+    assert_near(share_of_questions(Some(100.0)), 1.0, "a usual host has the capacity");
+    assert!(share_of_questions(Some(200.0)) < 1.0, "the host has half of the usual capacity");
+}
