--- a/gateway/src/contention.rs
+++ b/gateway/src/contention.rs
@@ -3,7 +3,7 @@
 //!
 //! See `docs/design/contention.md`.
 
-use std::{collections::BTreeMap, fmt, time::Duration};
+use std::{fmt, time::Duration};
 
 use dogwoodturn::{
     ids::{CustomerName, DaemonId, ServiceName},
@@ -194,35 +194,23 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ranks {
     pub most_urgent: u8,
-    /// Whether the most urgent routes have a longer time-out than every less urgent one, so that targets and
-    /// time-outs alone do not put them first.
+    /// See [`Table::ranks_contradict_timeouts`].
     pub is_urgent_slower: bool,
 }
 
-/// Returns the ranks of each service. A service whose routes all have the same rank has no less urgent
-/// requests, and none of them are slower.
+/// Returns the ranks of each service.
 pub fn ranks(table: &Table) -> IndexMap<ServiceName, Ranks> {
-    let mut timeouts: IndexMap<ServiceName, BTreeMap<u8, (Duration, Duration)>> = IndexMap::new();
-    let mut most_urgent: IndexMap<ServiceName, u8> = IndexMap::new();
+    let mut most_urgent = IndexMap::<ServiceName, u8>::new();
     for route in table.routes.values().flatten() {
-        let targets = route.services.iter().filter(|(_, weight)| *weight > 0);
-        for (service, _) in targets {
-            let of_rank = timeouts.entry(service.clone()).or_default();
-            let (shortest, longest) =
-                of_rank.entry(route.priority).or_insert((route.timeout, route.timeout));
-            *shortest = (*shortest).min(route.timeout);
-            *longest = (*longest).max(route.timeout);
-            let rank = most_urgent_rank(table, route);
+        let rank = most_urgent_rank(table, route);
+        for (service, _) in route.services.iter().filter(|(_, weight)| *weight > 0) {
             let known = most_urgent.entry(service.clone()).or_insert(rank);
             *known = rank.min(*known);
         }
     }
-    let ranks = timeouts.into_iter().filter_map(|(service, mut timeouts)| {
-        let (_, (shortest_urgent, _)) = timeouts.pop_first()?;
-        let longest_other = timeouts.values().map(|(_, longest)| *longest).max();
-        let is_urgent_slower = longest_other.is_some_and(|longest| shortest_urgent > longest);
-        let most_urgent = most_urgent.get(&service).copied()?;
-        Some((service, Ranks { most_urgent, is_urgent_slower }))
+    let ranks = most_urgent.into_iter().map(|(service, most_urgent)| {
+        let is_urgent_slower = table.ranks_contradict_timeouts(&service);
+        (service, Ranks { most_urgent, is_urgent_slower })
     });
     ranks.collect()
 }
--- a/gateway/src/table.rs
+++ b/gateway/src/table.rs
@@ -200,7 +200,7 @@
     pub fn new<'a>(routes: impl IntoIterator<Item = &'a Arc<Route>>) -> Self {
         let mut by_service = IndexMap::<ServiceName, Vec<(u8, Duration)>>::new();
         for route in routes {
-            for (service, _) in &route.services {
+            for (service, _) in route.services.iter().filter(|(_, weight)| *weight > 0) {
                 let entry = by_service.entry(service.clone()).or_default();
                 entry.push((route.priority, route.timeout));
             }
