peer-traffic: bytes of messages between daemons by kind, ages at arrival, use of retry budgets

Change: counters by direction and kind, and every five seconds the lines peer-traffic, peer-age and retry-budget; behind_ms in the line of a table that a peer sent. No decision changes.

--- a/gateway/src/catch_up.rs
+++ b/gateway/src/catch_up.rs
@@ -110,7 +110,8 @@
                 Ok(table) => {
                     let version = table.version;
                     if cx.state.borrow_mut().apply_table(table) {
-                        log::info!(event = "table", version, source = "peer", peer:%; "");
+                        let behind_ms = cx.now().since(behind_since).as_millis() as u64;
+                        log::info!(event = "table", version, source = "peer", peer:%, behind_ms; "");
                     }
                 }
                 Err(error) => log::warn!(event = "unreadable-table", peer:%, error:%; ""),
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -36,6 +36,7 @@
     hubs::{self, HubMessage, HubStatus, Hubs, Total},
     lease::Lease,
     metrics::Metrics,
+    peer_traffic::{Direction, PeerTraffic},
     peers::{PeerTable, ReportedUrgentWork, ReportedWork, StateMessage, WorkMessage},
     placement::{Placement, Selection, SelectionCriteria},
     pool::Pool,
@@ -461,6 +462,7 @@
     /// Idle connections to upstreams.
     pub pool: RefCell<Pool>,
     pub metrics: Metrics,
+    pub peer_traffic: RefCell<PeerTraffic>,
     /// Distinguishes this run of the daemon from others.
     pub incarnation: Incarnation,
     /// Notified when callers' idle connections are to be closed.
@@ -536,6 +538,7 @@
             state: RefCell::new(state),
             pool: RefCell::default(),
             metrics: Metrics::default(),
+            peer_traffic: RefCell::default(),
             incarnation,
             closing_idle: Notify::new(),
             reported: RefCell::default(),
@@ -682,6 +685,18 @@
         self.in_flight.get()
     }
 
+    /// Counts messages to or from peers, each of `length` bytes.
+    pub fn count_peer_messages(
+        &self,
+        direction: Direction,
+        kind: &'static str,
+        length: usize,
+        messages: usize,
+    ) {
+        self.metrics.count_peer_bytes(direction.name(), kind, (length * messages) as u64);
+        self.peer_traffic.borrow_mut().count(direction, kind, length, messages);
+    }
+
     /// Records that a request began to run, for the usage report.
     pub fn record_start(&self, customer: Option<&CustomerName>) {
         if let Some(customer) = customer {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod maintenance;
 pub mod metrics;
 pub mod objects;
+pub mod peer_traffic;
 pub mod peers;
 pub mod placement;
 pub mod pool;
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -11,8 +11,9 @@
 use tokio::{net::UdpSocket, time::interval};
 
 use crate::{
-    gateway::Gateway,
+    gateway::{Gateway, wall_clock},
     objects,
+    peer_traffic::Direction,
     peers::{Datagram, MAX_RECIPIENTS, MESSAGE_INTERVAL, WORK_INTERVAL},
     replication::ReplicationUpdate,
     serve::SimpleResponse,
@@ -104,7 +105,7 @@
             last_urgent_work.clone_from(&message.urgent_work);
             Datagram::Work(message)
         };
-        send(&socket, &datagram, &recipients).await;
+        send(&cx, &socket, &datagram, &recipients).await;
         next_peer = (next_peer + MAX_RECIPIENTS) % peers.len();
     }
 }
@@ -153,7 +154,7 @@
     if let Some(message) = cx.hub_message() {
         cx.has_unsent_changes.set(false);
         *last_sent = now;
-        send(socket, &Datagram::Hub(Box::new(message)), peers).await;
+        send(cx, socket, &Datagram::Hub(Box::new(message)), peers).await;
     }
 }
 
@@ -167,7 +168,7 @@
         }
         state.crash_evidence.report(cx.now())
     };
-    send(socket, &Datagram::CrashEvidence(report.into()), peers).await;
+    send(cx, socket, &Datagram::CrashEvidence(report.into()), peers).await;
 }
 
 /// Broadcasts the limits that upstreams name if one has changed.
@@ -180,7 +181,7 @@
         state.upstream_limits.reports(cx.now())
     };
     let datagram = Datagram::UpstreamLimits(reports.into_iter().map(Into::into).collect());
-    send(socket, &datagram, peers).await;
+    send(cx, socket, &datagram, peers).await;
 }
 
 /// Broadcasts what is new of brittle upstreams. A rejection that peers do not know of costs another one.
@@ -193,15 +194,16 @@
         state.brittle.reports(cx.now())
     };
     let reports = reports.into_iter().map(Into::into).collect();
-    send(socket, &Datagram::Brittle(cx.settings().name.clone(), reports), peers).await;
+    send(cx, socket, &Datagram::Brittle(cx.settings().name.clone(), reports), peers).await;
 }
 
-async fn send(socket: &UdpSocket, datagram: &Datagram, recipients: &[SocketAddr]) {
+async fn send(cx: &Gateway, socket: &UdpSocket, datagram: &Datagram, recipients: &[SocketAddr]) {
     let mut bytes = Vec::with_capacity(2048);
     if let Err(error) = ciborium::into_writer(datagram, &mut bytes) {
         log::error!(event = "message-not-encoded", error:%; "message to peers could not be encoded and is dropped");
         return;
     }
+    cx.count_peer_messages(Direction::Sent, datagram.kind(), bytes.len(), recipients.len());
     for peer in recipients {
         if let Err(error) = socket.send_to(&bytes, peer).await {
             log::debug!(event = "message-not-sent", peer:%, error:%; "");
@@ -221,8 +223,12 @@
                 continue;
             }
         };
-        match ciborium::from_reader::<Datagram, _>(&datagram[..length]) {
+        let decoded = ciborium::from_reader::<Datagram, _>(&datagram[..length]);
+        let kind = decoded.as_ref().map_or("malformed", Datagram::kind);
+        cx.count_peer_messages(Direction::Received, kind, length, 1);
+        match decoded {
             Ok(Datagram::State(message)) => {
+                cx.peer_traffic.borrow_mut().record_age(wall_clock(), message.wall);
                 if message.is_draining {
                     // Its process waits for tunnels to be closed.
                     cx.pool.borrow_mut().retain(|connection| connection.via != Some(from));
--- a/gateway/src/maintenance.rs
+++ b/gateway/src/maintenance.rs
@@ -36,6 +36,11 @@
             state.directory.evict_expired(now)
         };
         cx.update_contention(now);
+        if cx.peer_traffic.borrow_mut().log(now) {
+            let mut state = cx.state.borrow_mut();
+            let daemons = state.peer_table.size();
+            state.retries.log(now, daemons);
+        }
         {
             let mut pool = cx.pool.borrow_mut();
             pool.evict_idle(now);
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -41,6 +41,14 @@
     pub rank: u8,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PeerLabels {
+    /// `sent` or `received`.
+    pub direction: &'static str,
+    /// The kind of message, such as `state` or `hub`.
+    pub kind: &'static str,
+}
+
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
@@ -50,6 +58,7 @@
     upstream_pace: Histogram,
     contention_share: Family<RankLabels, Gauge<f64, AtomicU64>>,
     contention_refusals: Family<RankLabels, Counter>,
+    peer_bytes: Family<PeerLabels, Counter>,
     /// Connections that were opened to upstreams.
     pub connections: Counter,
     pub failed_connections: Counter,
@@ -99,6 +108,9 @@
         let contention_refusals = Family::<RankLabels, Counter>::default();
         let help = "Requests that gave way to others";
         registry.register("contention_refusals", help, contention_refusals.clone());
+        let peer_bytes = Family::<PeerLabels, Counter>::default();
+        let help = "Bytes of messages between daemons by direction and kind";
+        registry.register("peer_message_bytes", help, peer_bytes.clone());
         let mut counter = |name: &str, help: &str| {
             let counter = Counter::default();
             registry.register(name, help, counter.clone());
@@ -131,6 +143,7 @@
             upstream_pace,
             contention_share,
             contention_refusals,
+            peer_bytes,
             connections,
             failed_connections,
             tunnels,
@@ -181,6 +194,11 @@
         self.contention_refusals.get_or_create(&labels).inc();
     }
 
+    /// Counts bytes of messages to or from peers.
+    pub fn count_peer_bytes(&self, direction: &'static str, kind: &'static str, bytes: u64) {
+        self.peer_bytes.get_or_create(&PeerLabels { direction, kind }).inc_by(bytes);
+    }
+
     /// Encodes all metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/gateway/src/retry.rs
+++ b/gateway/src/retry.rs
@@ -78,6 +78,17 @@
         send_times.retries.len() as f64 + 1.0 <= budget
     }
 
+    /// Logs the requests and retries of each service in the window.
+    pub fn log(&mut self, now: Time, daemons: u32) {
+        let window = self.bounds.window;
+        for (service, send_times) in &mut self.services {
+            drop_expired(&mut send_times.requests, now, window);
+            drop_expired(&mut send_times.retries, now, window);
+            let (requests, retries) = (send_times.requests.len(), send_times.retries.len());
+            log::info!(event = "retry-budget", service:%, requests, retries, daemons; "");
+        }
+    }
+
     /// Counts a retry.
     pub fn record_retry(&mut self, now: Time, service: &ServiceName) {
         self.services.entry(service.clone()).or_default().retries.push_back(now);
