link_budget: messages between daemons take at most a fifth of a link

What callers saw: at 295 gateways, requests were answered by an older table, or waited for seconds, after the store had been silent, hubs had been cut off, or many upstreams had changed. When no hub had contact with the store, all 280 gateways on links of 20 Mbit/s became hubs within 0.75 s, and each broadcast to 294 others what had changed: 1.0 to 5.6 MB on a link of 2.5 MB/s. Change: bytes are charged to a budget before they are sent, broadcasts go out in parts, each change is sent at most three times, and the changes in a message are limited by what the link bears. Daemons with narrow links step in after those with wide ones, and a new hub waits before it broadcasts. Hubs without sums to tell send brief messages with the revisions that they know, from which others see what to list. Tables are fetched from wide links first, and from peers spread. Why it works: what is sent is bounded at the sender whatever the election does, and the messages by which hubs are known to be alive are short.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 
 use dogwoodturn::{
     edge::change_log,
-    ids::{CustomerName, DataCentre, Incarnation, ServiceName, UpstreamId},
+    ids::{CustomerName, DataCentre, Incarnation, Revision, ServiceName, UpstreamId},
     limit::{
         brittle::{BrittleUpstreams, Target, Turn, home_rank},
         ramp::Cause,
@@ -24,7 +24,7 @@
         speed,
     },
 };
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use nix::time::{ClockId, clock_gettime};
 use tokio::{sync::Notify, time::sleep};
 
@@ -35,6 +35,7 @@
     header_schema::{HeaderSchema, Prompt},
     hubs::{self, HubMessage, HubStatus, Hubs, Total},
     lease::Lease,
+    link_budget::LinkBudget,
     metrics::Metrics,
     peer_traffic::{Direction, PeerTraffic},
     peers::{PeerTable, ReportedUrgentWork, ReportedWork, StateMessage, WorkMessage},
@@ -413,8 +414,19 @@
         peers
     }
 
-    /// Returns the status that a hub broadcasts.
-    fn hub_status(&mut self, now: Time) -> HubStatus {
+    /// Returns the status that a hub broadcasts on a link that bears `bytes_per_s`.
+    fn hub_status(&mut self, now: Time, bytes_per_s: f64) -> HubStatus {
+        let is_leader = self.lease.fence(now).is_some();
+        if !self.hubs.broadcasts_sums(now, is_leader) && !self.hubs.broadcasts_objects(now) {
+            return HubStatus {
+                daemons: self.peer_table.size(),
+                is_leader,
+                since_store_recovery: self.directory.since_store_recovery(now),
+                table: self.table.as_ref().map_or(0, |table| table.version),
+                table_bytes: self.table.as_ref().map_or(0, |table| table.document.len() as u64),
+                ..HubStatus::default()
+            };
+        }
         let customers: Vec<_> = self.table.as_ref().map_or_else(Vec::new, |table| {
             table.customers.values().filter(|c| c.quota.is_some()).map(|c| c.name.clone()).collect()
         });
@@ -427,7 +439,7 @@
         });
         HubStatus {
             daemons: self.peer_table.size(),
-            is_leader: self.lease.fence(now).is_some(),
+            is_leader,
             live_peers: self.peer_table.live_count(now),
             since_store_recovery: self.directory.since_store_recovery(now),
             totals: totals.collect(),
@@ -436,7 +448,8 @@
             table_bytes: self.table.as_ref().map_or(0, |table| table.document.len() as u64),
             evacuations: self.views.listing(Kind::Evacuations),
             updates: if self.hubs.broadcasts_objects(now) {
-                self.views.recent(now)
+                let max_bytes = hubs::max_update_bytes(bytes_per_s, self.peer_table.size());
+                self.views.next_updates(now, max_bytes)
             } else {
                 Vec::new()
             },
@@ -463,6 +476,8 @@
     pub pool: RefCell<Pool>,
     pub metrics: Metrics,
     pub peer_traffic: RefCell<PeerTraffic>,
+    /// The bytes that messages to peers may take.
+    pub link_budget: RefCell<LinkBudget>,
     /// Distinguishes this run of the daemon from others.
     pub incarnation: Incarnation,
     /// Notified when callers' idle connections are to be closed.
@@ -482,6 +497,8 @@
     pub is_removing_member: Cell<bool>,
     /// Kinds of which an update from a hub was missed.
     pub missed_kinds: RefCell<IndexSet<Kind>>,
+    /// The kinds of which a hub has a later revision, each with the own revision and since when.
+    pub behind_since: RefCell<IndexMap<Kind, (Option<Revision>, Time)>>,
     pub startup: Startup,
     /// Since when another daemon has had a newer table.
     pub table_behind_since: Cell<Option<Time>>,
@@ -501,6 +518,7 @@
         let incarnation = Incarnation(wall_clock().0);
         let bounds = &settings.bounds;
         let run = format!("{}.{incarnation}", settings.name);
+        let link_budget = LinkBudget::new(settings.link);
         let startup = Startup::new(now, &settings.name, bounds.drain);
         let mut lease = Lease::new(run.into(), bounds.lease, now);
         lease.set_bounds(bounds.lease, bounds.checks_fences);
@@ -539,6 +557,7 @@
             pool: RefCell::default(),
             metrics: Metrics::default(),
             peer_traffic: RefCell::default(),
+            link_budget: RefCell::new(link_budget),
             incarnation,
             closing_idle: Notify::new(),
             reported: RefCell::default(),
@@ -548,6 +567,7 @@
             has_unsent_changes: Cell::new(false),
             is_removing_member: Cell::new(false),
             missed_kinds: RefCell::default(),
+            behind_since: RefCell::default(),
             startup,
             table_behind_since: Cell::new(None),
             in_flight: Cell::new(0),
@@ -768,15 +788,34 @@
         brittle.record_reported(now, |upstream| placement.own_requests(upstream));
     }
 
-    /// Returns the message that this daemon broadcasts if it is a hub in contact with the store.
+    /// Returns the message that this daemon broadcasts if it is a hub in contact with the store. Those of hubs
+    /// without sums and changes to pass on are brief.
     pub fn hub_message(&self) -> Option<HubMessage> {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         if !state.hubs.is_hub() || state.peer_table.size() <= hubs::MAX_DAEMONS_WITHOUT_HUBS {
             return None;
         }
-        let status = state.hub_status(now);
-        state.hubs.message(now, self.incarnation, status)
+        let rate = self.link_budget.borrow().broadcast_rate();
+        let status = state.hub_status(now, rate);
+        let message = state.hubs.message(now, self.incarnation, status)?;
+        let is_brief =
+            message.updates.is_empty() && !state.hubs.broadcasts_sums(now, message.is_leader);
+        let revisions = if is_brief { state.views.revisions() } else { Vec::new() };
+        Some(if is_brief { message.brief(revisions) } else { message })
+    }
+
+    /// Returns a hub's message with the present age of its contact with the store, or `None` if this daemon is a
+    /// hub no longer.
+    pub fn renew_hub_message(&self, message: HubMessage) -> Option<HubMessage> {
+        self.state.borrow_mut().hubs.renew(self.now(), message)
+    }
+
+    /// Returns the message by which a hub tells that it is alive, while its link does not bear the long one.
+    pub fn brief_hub_message(&self, message: &HubMessage) -> HubMessage {
+        let mut state = self.state.borrow_mut();
+        let revisions = state.views.revisions();
+        state.hubs.number_next(message.clone().brief(revisions))
     }
 
     /// Reports whether no daemon has requests in progress at upstreams of a service, apart from
--- a/gateway/src/hubs.rs
+++ b/gateway/src/hubs.rs
@@ -13,7 +13,7 @@
 use std::{cmp::Reverse, net::SocketAddr, time::Duration};
 
 use dogwoodturn::{
-    ids::{CustomerName, DaemonId, Incarnation},
+    ids::{CustomerName, DaemonId, Incarnation, Revision},
     units::Time,
 };
 use indexmap::IndexMap;
@@ -22,8 +22,10 @@
 
 use crate::{
     contention::LevelWire,
+    link_budget::MESSAGE_LINK_SHARE,
     quota::{self, History},
     replication::ReplicationUpdate,
+    store::Kind,
 };
 
 /// The largest system without hubs, in which each daemon sends every message to all others.
@@ -42,16 +44,22 @@
 /// Share of the drain time for which a hub waits in one watch. A response, even an empty one,
 /// proves store contact; the rest of the drain time is for other daemons to take over.
 const WATCH_DRAIN_SHARE: f64 = 0.4;
+/// How long a hub without store contact waits in a watch.
+const FIRST_WATCH_TIMEOUT: Duration = Duration::from_millis(100);
 /// A hub counts as having store contact until its last store response is older than the watch
 /// time-out plus this margin.
 const STORE_CONTACT_MARGIN: Duration = Duration::from_millis(500);
+/// Interval at which a hub tells that it is alive while its link does not bear its message.
+pub const ALIVE_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after its last message for which a hub counts as live; each sends several messages a
 /// second.
 const HUB_TIMEOUT: Duration = Duration::from_millis(1200);
 /// The longest delay before a daemon becomes a hub, so that not all do so at the same time.
 const MAX_STAGGER: Duration = Duration::from_millis(500);
-/// Additional delay of a daemon with a narrow link.
+/// Additional delay of a daemon with a narrow link: daemons with wide links have broadcast by then.
 const NARROW_LINK_STAGGER: Duration = Duration::from_millis(600);
+/// Additional delay before a new hub with a narrow link broadcasts for the first time.
+const NARROW_LINK_ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(200);
 /// Bandwidth in Mbit/s from which a link is wide, so that its daemon has no such delay; a hub of a
 /// hundred daemons uses about 10 Mbit/s.
 const WIDE_LINK_MBPS: f64 = 50.0;
@@ -60,12 +68,12 @@
 /// Usual age of a hub's total: both the reports that it sums and its own message wait for up to
 /// [`MIN_MESSAGE_INTERVAL`].
 pub const TOTAL_LAG: Duration = Duration::from_millis(500);
+/// The least length of changes that a message may have, for a few upstreams.
+const MIN_UPDATE_BYTES: usize = 1000;
 /// The longest interval between two messages of a daemon to a hub.
 const MAX_MESSAGE_INTERVAL: Duration = Duration::from_secs(5);
 /// The age in milliseconds that is reported if no store response has arrived yet.
 const NO_CONTACT_AGE_MS: u64 = 1_000_000_000;
-/// Share of a hub's link that messages may use in each direction.
-const MESSAGE_LINK_SHARE: f64 = 0.2;
 /// Length in bits that this calculation assumes for a message.
 const MESSAGE_BITS: f64 = 4000.0 * 8.0;
 
@@ -112,6 +120,27 @@
     /// release without this field.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub levels: Option<Vec<LevelWire>>,
+    /// The revisions up to which the hub knows the kinds that it watches, if `updates` does not tell.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub revisions: Vec<(Kind, Revision)>,
+}
+
+impl HubMessage {
+    /// Returns the message without anything that is long: that the hub is alive, and what it knows.
+    ///
+    /// It claims to receive no reports, so that nobody takes its lack of totals for totals of zero.
+    #[must_use]
+    pub fn brief(self, revisions: Vec<(Kind, Revision)>) -> Self {
+        Self {
+            live_peers: 0,
+            updates: Vec::new(),
+            evacuations: None,
+            totals: Vec::new(),
+            levels: None,
+            revisions,
+            ..self
+        }
+    }
 }
 
 /// The admissions of all daemons for one customer's quota.
@@ -156,6 +185,10 @@
     too_few_since: Option<Time>,
     /// When the store last responded to this daemon's watch.
     last_store_contact: Option<Time>,
+    /// Since when this daemon could broadcast as a hub.
+    may_broadcast_since: Option<Time>,
+    /// Whether it has broadcast since then.
+    has_announced: bool,
     /// The number of this daemon's last message as a hub.
     number: u64,
 }
@@ -170,6 +203,8 @@
             is_hub: false,
             too_few_since: None,
             last_store_contact: None,
+            may_broadcast_since: None,
+            has_announced: false,
             number: 0,
         }
     }
@@ -179,11 +214,17 @@
         self.drain = drain;
     }
 
-    /// Returns how long a hub waits in one watch.
+    /// Returns the time for which the response to a watch proves store contact.
     pub fn watch_timeout(&self) -> Duration {
         self.drain.mul_f64(WATCH_DRAIN_SHARE)
     }
 
+    /// Returns how long a hub waits in its next watch. A new hub needs a response at once, as it broadcasts
+    /// only with store contact and others step in until it does.
+    pub fn next_watch_timeout(&self, now: Time) -> Duration {
+        if self.has_store_contact(now) { self.watch_timeout() } else { FIRST_WATCH_TIMEOUT }
+    }
+
     /// Reports whether a store response of this age proves that a hub has store contact.
     fn is_recent_contact(&self, age: Duration) -> bool {
         age < self.watch_timeout() + STORE_CONTACT_MARGIN
@@ -232,8 +273,17 @@
     /// holds the lease: the leader needs all reports, and the store responds to it continually.
     pub fn update_role(&mut self, now: Time, daemons: u32, is_leader: bool) -> bool {
         self.others.retain(|_, hub| now.since(hub.received_at) < HUB_TIMEOUT * 2);
+        let was_hub = self.is_hub;
+        self.is_hub = self.decide_role(now, daemons, is_leader);
+        if !(was_hub && self.is_hub) {
+            self.may_broadcast_since = None;
+            self.has_announced = false;
+        }
+        self.is_hub
+    }
+
+    fn decide_role(&mut self, now: Time, daemons: u32, is_leader: bool) -> bool {
         if daemons <= MAX_DAEMONS_WITHOUT_HUBS || is_leader {
-            self.is_hub = true;
             return true;
         }
         // For daemons with narrow links any hub counts; daemons with wide links replace narrow
@@ -241,23 +291,42 @@
         let has_narrow_link = !is_wide(self.link_mbps);
         let is_sufficient = |hub: &Hub| has_narrow_link || is_wide(hub.message.link_mbps);
         if self.is_hub {
-            self.is_hub = self.count_outranking(self.connected_hubs(now)) < TARGET_HUBS;
             self.too_few_since = None;
+            self.count_outranking(self.connected_hubs(now)) < TARGET_HUBS
         } else if self.connected_hubs(now).filter(|hub| is_sufficient(hub)).count() < TARGET_HUBS {
             let too_few_since = *self.too_few_since.get_or_insert(now);
-            self.is_hub = now.since(too_few_since) >= self.stagger(now);
+            now.since(too_few_since) >= self.stagger()
         } else {
             self.too_few_since = None;
+            false
         }
-        self.is_hub
     }
 
     /// Returns the delay before this daemon becomes a hub.
-    fn stagger(&self, now: Time) -> Duration {
+    fn stagger(&self) -> Duration {
+        let spread = self.spread();
+        if is_wide(self.link_mbps) { spread } else { spread + NARROW_LINK_STAGGER }
+    }
+
+    /// Returns a delay of this daemon's own, up to [`MAX_STAGGER`].
+    fn spread(&self) -> Duration {
         let hash = xxh3_64(self.own_id.as_str().as_bytes()) % 1000;
-        let spread = MAX_STAGGER.mul_f64(hash as f64 / 1000.0);
-        let has_others = self.connected_hubs(now).next().is_some();
-        if is_wide(self.link_mbps) || !has_others { spread } else { spread + NARROW_LINK_STAGGER }
+        MAX_STAGGER.mul_f64(hash as f64 / 1000.0)
+    }
+
+    /// Reports whether this hub may broadcast. While the store does not respond every daemon becomes a hub, and
+    /// when it returns all of them are in contact at the same moment. So a new hub waits for those with
+    /// wide links, and resigns if there are enough of them.
+    fn may_broadcast(&mut self, now: Time) -> bool {
+        if !self.has_store_contact(now) && !self.is_primary(now) {
+            self.may_broadcast_since = None;
+            return false;
+        }
+        let since = *self.may_broadcast_since.get_or_insert(now);
+        let narrow_link_delay =
+            if is_wide(self.link_mbps) { Duration::ZERO } else { NARROW_LINK_ANNOUNCEMENT_DELAY };
+        self.has_announced |= now.since(since) >= self.spread() / 2 + narrow_link_delay;
+        self.has_announced
     }
 
     pub fn is_hub(&self) -> bool {
@@ -298,7 +367,8 @@
             let seed = xxh3_64(self.own_id.as_str().as_bytes());
             xxh3_64_with_seed(hub.message.daemon.as_str().as_bytes(), seed)
         };
-        newer.max_by_key(|hub| (hub.message.table, weight(hub))).map(|hub| hub.address)
+        let key = |hub: &&Hub| (hub.message.table, is_wide(hub.message.link_mbps), weight(hub));
+        newer.max_by_key(key).map(|hub| hub.address)
     }
 
     /// Returns a hub from which all objects can be fetched.
@@ -358,7 +428,7 @@
             .filter(|hub| hub.message.levels.is_some() && hub.message.live_peers > 0);
         let key = |live_peers: u32, daemon| (live_peers, Reverse(daemon));
         let best = with_levels.max_by_key(|hub| key(hub.message.live_peers, &hub.message.daemon));
-        let counts = self.is_hub && live_peers > 0 && (is_leader || self.is_primary(now));
+        let counts = self.is_hub && live_peers > 0 && self.broadcasts_sums(now, is_leader);
         let own = counts.then(|| key(live_peers, &self.own_id));
         match best {
             Some(hub) if own <= Some(key(hub.message.live_peers, &hub.message.daemon)) => {
@@ -369,6 +439,30 @@
         }
     }
 
+    /// Reports whether this hub broadcasts totals and levels: it is among the first in rank, or it is the
+    /// leader and its link bears them.
+    pub fn broadcasts_sums(&self, now: Time, is_leader: bool) -> bool {
+        self.is_primary(now) || (is_leader && is_wide(self.link_mbps))
+    }
+
+    /// Returns a message of this daemon with the next number.
+    pub fn number_next(&mut self, message: HubMessage) -> HubMessage {
+        self.number += 1;
+        HubMessage { number: self.number, ..message }
+    }
+
+    /// Returns a message of this daemon with the present age of its contact with the store, or `None` if it is a
+    /// hub no longer.
+    pub fn renew(&mut self, now: Time, message: HubMessage) -> Option<HubMessage> {
+        let store_contact_age_ms = self.store_contact_age_ms(now);
+        self.is_hub.then(|| self.number_next(HubMessage { store_contact_age_ms, ..message }))
+    }
+
+    fn store_contact_age_ms(&self, now: Time) -> u64 {
+        let contact = self.last_store_contact;
+        contact.map_or(NO_CONTACT_AGE_MS, |contact| now.since(contact).as_millis() as u64)
+    }
+
     /// Reports whether this hub is among the first in rank of the live hubs.
     fn is_primary(&self, now: Time) -> bool {
         self.count_outranking(self.live_hubs(now)) < PRIMARY_HUBS
@@ -384,7 +478,7 @@
 
     /// Returns the interval of a hub's messages to this many daemons.
     pub fn broadcast_interval(&self, daemons: u32) -> Duration {
-        self.receive_interval(daemons).min(HUB_TIMEOUT / 3)
+        self.receive_interval(daemons).min(ALIVE_INTERVAL)
     }
 
     /// Returns this daemon's message as a hub. While the store does not respond, the first hubs
@@ -396,12 +490,9 @@
         incarnation: Incarnation,
         status: HubStatus,
     ) -> Option<HubMessage> {
-        if !self.has_store_contact(now) && !self.is_primary(now) {
+        if !self.may_broadcast(now) {
             return None;
         }
-        let store_contact_age_ms = self
-            .last_store_contact
-            .map_or(NO_CONTACT_AGE_MS, |contact| now.since(contact).as_millis() as u64);
         self.number += 1;
         let HubStatus {
             daemons,
@@ -422,7 +513,7 @@
             link_mbps: self.link_mbps,
             is_leader,
             live_peers,
-            store_contact_age_ms,
+            store_contact_age_ms: self.store_contact_age_ms(now),
             receive_interval_ms: self.receive_interval(daemons).as_millis() as u64,
             since_store_recovery_ms: since_store_recovery.map(|since| since.as_millis() as u64),
             table,
@@ -431,6 +522,7 @@
             evacuations,
             totals,
             levels,
+            revisions: Vec::new(),
         })
     }
 }
@@ -460,6 +552,13 @@
     pub levels: Option<Vec<LevelWire>>,
 }
 
+/// Returns the length of changes in one message to this many daemons, so that a broadcast on a link that bears
+/// `bytes_per_s` takes about as long as the interval of messages.
+pub fn max_update_bytes(bytes_per_s: f64, daemons: u32) -> usize {
+    let bytes = bytes_per_s * MIN_MESSAGE_INTERVAL.as_secs_f64() / f64::from(daemons.max(1));
+    (bytes as usize).max(MIN_UPDATE_BYTES)
+}
+
 /// Returns the sort key of a hub: wide links first, then by name.
 fn rank(link_mbps: f64, name: &DaemonId) -> (Reverse<bool>, DaemonId) {
     (Reverse(is_wide(link_mbps)), name.clone())
--- /dev/null
+++ b/gateway/src/link_budget.rs
@@ -0,0 +1,115 @@
+//! The part of a host's link that messages between daemons may take.
+//!
+//! Load pattern: hundreds of small hosts, in which a store that returns, a release or a start gives many
+//! daemons something to tell all others at the same moment. Requests of callers share the links with these
+//! messages and must not wait behind them, and a message that waits behind others is of no use when it
+//! arrives. So bytes are counted before they are sent: what exceeds the budget is sent later, with newer
+//! content, and never queued. See `docs/design/platform.md`.
+
+use std::time::Duration;
+
+use dogwoodturn::units::Time;
+
+/// Share of a link that messages may use in each direction.
+pub const MESSAGE_LINK_SHARE: f64 = 0.2;
+/// Part of the budget that broadcasts of a hub may take. They are the longest messages, and the hub's own
+/// reports must not wait behind them.
+const BROADCAST_PART: f64 = 0.8;
+/// Time of the budget that may be used at once: a request waits for a fifth of it at most behind messages.
+const BURST: Duration = Duration::from_millis(100);
+
+/// How far ahead urgent messages may use the budget: they are short, and each crash that others do not know of
+/// costs an upstream.
+const URGENT_ADVANCE: Duration = Duration::from_secs(1);
+
+/// What is charged to the budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Charge {
+    /// What each daemon needs at once: evidence of a crash, or that a hub is alive. It may use the budget of the next
+    /// [`URGENT_ADVANCE`].
+    Urgent,
+    /// The broadcast of a hub.
+    Broadcast,
+    /// A report of this daemon.
+    Report,
+}
+
+/// Bytes that may be sent now, and how fast they come back.
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    bytes_per_s: f64,
+    level: f64,
+}
+
+impl Bucket {
+    fn new(bytes_per_s: f64) -> Self {
+        Self { bytes_per_s, level: bytes_per_s * BURST.as_secs_f64() }
+    }
+
+    fn capacity(&self) -> f64 {
+        self.bytes_per_s * BURST.as_secs_f64()
+    }
+
+    fn refill(&mut self, elapsed: Duration) {
+        self.level = (self.level + self.bytes_per_s * elapsed.as_secs_f64()).min(self.capacity());
+    }
+
+    /// Returns how many messages of `length` bytes may be sent, with what comes back within `advance`. The
+    /// last one may exceed that, so that a message longer than the bucket is sent at all.
+    fn affordable(&self, length: usize, advance: Duration) -> usize {
+        let level = self.level + self.bytes_per_s * advance.as_secs_f64();
+        if level <= 0.0 { 0 } else { (level / length.max(1) as f64).ceil() as usize }
+    }
+
+    fn take(&mut self, bytes: usize) {
+        self.level -= bytes as f64;
+    }
+}
+
+/// The budget of one daemon.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkBudget {
+    all: Bucket,
+    broadcasts: Bucket,
+    refilled: Option<Time>,
+}
+
+impl LinkBudget {
+    /// Creates the budget of a host whose link has this bandwidth in Mbit/s.
+    pub fn new(link_mbps: f64) -> Self {
+        // In no second may more be sent than the share, including the burst.
+        let bytes_per_s = link_mbps * 1e6 / 8.0 * MESSAGE_LINK_SHARE / (1.0 + BURST.as_secs_f64());
+        Self {
+            all: Bucket::new(bytes_per_s),
+            broadcasts: Bucket::new(bytes_per_s * BROADCAST_PART),
+            refilled: None,
+        }
+    }
+
+    /// Returns the bytes per second that broadcasts may take.
+    pub fn broadcast_rate(&self) -> f64 {
+        self.broadcasts.bytes_per_s
+    }
+
+    /// Charges up to `wanted` messages of `length` bytes, and returns how many may be sent now.
+    pub fn charge(&mut self, now: Time, charge: Charge, length: usize, wanted: usize) -> usize {
+        let elapsed = now.since(self.refilled.unwrap_or(now));
+        self.refilled = Some(now);
+        self.all.refill(elapsed);
+        self.broadcasts.refill(elapsed);
+        let count = match charge {
+            Charge::Urgent => self.all.affordable(length, URGENT_ADVANCE),
+            Charge::Report => self.all.affordable(length, Duration::ZERO),
+            Charge::Broadcast => {
+                let of_all = self.all.affordable(length, Duration::ZERO);
+                of_all.min(self.broadcasts.affordable(length, Duration::ZERO))
+            }
+        };
+        let count = count.min(wanted);
+        self.all.take(count * length);
+        if charge == Charge::Broadcast {
+            self.broadcasts.take(count * length);
+        }
+        count
+    }
+}
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -12,6 +12,8 @@
 
 use crate::{
     gateway::{Gateway, wall_clock},
+    hubs::{ALIVE_INTERVAL, HubMessage},
+    link_budget::Charge,
     objects,
     peer_traffic::Direction,
     peers::{Datagram, MAX_RECIPIENTS, MESSAGE_INTERVAL, WORK_INTERVAL},
@@ -68,7 +70,7 @@
     let (mut next_peer, mut tick_count, mut last_work) = (0, 0_u64, Vec::new());
     let mut last_urgent_work = None;
     let mut hub_schedule = HubSchedule::default();
-    let mut last_hub_broadcast = Time::default();
+    let mut hub_broadcast = HubBroadcast::default();
     loop {
         ticks.tick().await;
         tick_count += 1;
@@ -80,15 +82,15 @@
         broadcast_crash_evidence(&cx, &socket, &peers).await;
         broadcast_upstream_limits(&cx, &socket, &peers).await;
         broadcast_brittle_upstreams(&cx, &socket, &peers).await;
-        broadcast_as_hub(&cx, &socket, &peers, &mut last_hub_broadcast).await;
+        hub_broadcast.advance(&cx, &socket, &peers).await;
         let peer_at = |step| peers[(next_peer + step) % peers.len()];
         let mut recipients: Vec<_> = (0..peers.len().min(MAX_RECIPIENTS)).map(peer_at).collect();
         let datagram = if tick_count.is_multiple_of(ticks_per_state) {
             for hub in hub_schedule.select_due(now, &cx.state.borrow().hubs.primary_addresses(now))
             {
-                if !recipients.contains(&hub) {
-                    recipients.push(hub);
-                }
+                // Hubs come first, since they sum the reports for all.
+                recipients.retain(|recipient| *recipient != hub);
+                recipients.insert(0, hub);
             }
             Datagram::State(Box::new(cx.message()))
         } else {
@@ -105,7 +107,7 @@
             last_urgent_work.clone_from(&message.urgent_work);
             Datagram::Work(message)
         };
-        send(&cx, &socket, &datagram, &recipients).await;
+        send(&cx, &socket, &datagram, Charge::Report, &recipients).await;
         next_peer = (next_peer + MAX_RECIPIENTS) % peers.len();
     }
 }
@@ -134,28 +136,62 @@
     }
 }
 
-/// Broadcasts the message of a hub to all peers when its interval has passed, or earlier if there
-/// are changes to pass on.
-async fn broadcast_as_hub(
-    cx: &Gateway,
-    socket: &UdpSocket,
-    peers: &[SocketAddr],
-    last_sent: &mut Time,
-) {
-    let now = cx.now();
-    let period = {
-        let state = cx.state.borrow();
-        state.hubs.broadcast_interval(state.peer_table.size())
-    };
-    let period = if cx.has_unsent_changes.get() { UPDATE_INTERVAL } else { period };
-    if now.since(*last_sent) + WORK_INTERVAL <= period {
-        return;
+/// The broadcasts of a hub. A link that does not bear a message to all peers at once gets it in parts, each with
+/// the present age of the hub's contact with the store.
+#[derive(Debug, Default)]
+struct HubBroadcast {
+    began: Time,
+    /// When all peers were last told that the hub is alive.
+    alive_sent: Time,
+    message: Option<HubMessage>,
+    /// The peers that have not been sent the message yet.
+    remaining: usize,
+    /// The peer that the next message goes to.
+    next_peer: usize,
+}
+
+impl HubBroadcast {
+    /// Begins a broadcast when its interval has passed, or earlier if there are changes to pass on, and sends
+    /// as much of it as the link bears now.
+    async fn advance(&mut self, cx: &Gateway, socket: &UdpSocket, peers: &[SocketAddr]) {
+        let now = cx.now();
+        if self.remaining == 0 && now.since(self.began) + WORK_INTERVAL > broadcast_period(cx) {
+            self.message = cx.hub_message();
+            if self.message.is_some() {
+                cx.has_unsent_changes.set(false);
+                (self.began, self.alive_sent) = (now, now);
+                self.remaining = peers.len();
+            }
+        }
+        if self.remaining == 0 {
+            return;
+        }
+        let Some(message) = self.message.take().and_then(|last| cx.renew_hub_message(last)) else {
+            self.remaining = 0;
+            return;
+        };
+        let peer_at = |step| peers[(self.next_peer + step) % peers.len()];
+        let recipients: Vec<_> = (0..self.remaining.min(peers.len())).map(peer_at).collect();
+        let datagram = Datagram::Hub(Box::new(message.clone()));
+        let sent = send(cx, socket, &datagram, Charge::Broadcast, &recipients).await;
+        self.next_peer = (self.next_peer + sent) % peers.len();
+        self.remaining = recipients.len() - sent;
+        if self.remaining > 0 && now.since(self.alive_sent) >= ALIVE_INTERVAL {
+            self.alive_sent = now;
+            let brief = Datagram::Hub(Box::new(cx.brief_hub_message(&message)));
+            send(cx, socket, &brief, Charge::Urgent, peers).await;
+        }
+        self.message = Some(message);
     }
-    if let Some(message) = cx.hub_message() {
-        cx.has_unsent_changes.set(false);
-        *last_sent = now;
-        send(cx, socket, &Datagram::Hub(Box::new(message)), peers).await;
+}
+
+/// Returns the interval of a hub's broadcasts, which is shorter while there are changes to pass on.
+fn broadcast_period(cx: &Gateway) -> Duration {
+    if cx.has_unsent_changes.get() {
+        return UPDATE_INTERVAL;
     }
+    let state = cx.state.borrow();
+    state.hubs.broadcast_interval(state.peer_table.size())
 }
 
 /// Broadcasts this daemon's crash evidence if there is news. Crashes are too rare for the bytes to
@@ -168,7 +204,8 @@
         }
         state.crash_evidence.report(cx.now())
     };
-    send(cx, socket, &Datagram::CrashEvidence(report.into()), peers).await;
+    let datagram = Datagram::CrashEvidence(report.into());
+    send(cx, socket, &datagram, Charge::Urgent, peers).await;
 }
 
 /// Broadcasts the limits that upstreams name if one has changed.
@@ -181,7 +218,7 @@
         state.upstream_limits.reports(cx.now())
     };
     let datagram = Datagram::UpstreamLimits(reports.into_iter().map(Into::into).collect());
-    send(cx, socket, &datagram, peers).await;
+    send(cx, socket, &datagram, Charge::Urgent, peers).await;
 }
 
 /// Broadcasts what is new of brittle upstreams. A rejection that peers do not know of costs another one.
@@ -194,21 +231,36 @@
         state.brittle.reports(cx.now())
     };
     let reports = reports.into_iter().map(Into::into).collect();
-    send(cx, socket, &Datagram::Brittle(cx.settings().name.clone(), reports), peers).await;
+    let datagram = Datagram::Brittle(cx.settings().name.clone(), reports);
+    send(cx, socket, &datagram, Charge::Urgent, peers).await;
 }
 
-async fn send(cx: &Gateway, socket: &UdpSocket, datagram: &Datagram, recipients: &[SocketAddr]) {
+/// Sends a message to as many of the recipients as the link's budget allows, the first ones first, and returns
+/// their number.
+async fn send(
+    cx: &Gateway,
+    socket: &UdpSocket,
+    datagram: &Datagram,
+    charge: Charge,
+    recipients: &[SocketAddr],
+) -> usize {
     let mut bytes = Vec::with_capacity(2048);
     if let Err(error) = ciborium::into_writer(datagram, &mut bytes) {
         log::error!(event = "message-not-encoded", error:%; "message to peers could not be encoded and is dropped");
-        return;
+        return recipients.len();
+    }
+    let length = bytes.len();
+    let sent = cx.link_budget.borrow_mut().charge(cx.now(), charge, length, recipients.len());
+    cx.count_peer_messages(Direction::Sent, datagram.kind(), length, sent);
+    if sent < recipients.len() && charge != Charge::Broadcast {
+        cx.count_peer_messages(Direction::Unsent, datagram.kind(), length, recipients.len() - sent);
     }
-    cx.count_peer_messages(Direction::Sent, datagram.kind(), bytes.len(), recipients.len());
-    for peer in recipients {
+    for peer in &recipients[..sent] {
         if let Err(error) = socket.send_to(&bytes, peer).await {
             log::debug!(event = "message-not-sent", peer:%, error:%; "");
         }
     }
+    sent
 }
 
 /// Receives the peers' messages and applies them.
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -43,7 +43,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PeerLabels {
-    /// `sent` or `received`.
+    /// `sent`, `received` or `unsent`.
     pub direction: &'static str,
     /// The kind of message, such as `state` or `hub`.
     pub kind: &'static str,
--- a/gateway/src/objects.rs
+++ b/gateway/src/objects.rs
@@ -1,9 +1,9 @@
 //! Applies objects of the store, received from the store or from a hub, to the state of the
 //! gateway.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
-use dogwoodturn::ids::UpstreamId;
+use dogwoodturn::ids::{Revision, UpstreamId};
 
 use crate::{
     gateway::Gateway,
@@ -12,6 +12,10 @@
     store::{Change, Changes, Entry, Kind, Listing, Record},
 };
 
+/// Time for which a hub's changes are waited for before the kind is listed: a hub with changes to pass on
+/// broadcasts several times a second.
+const MAX_UPDATE_DELAY: Duration = Duration::from_millis(1000);
+
 /// Applies a listing of all objects of a kind.
 pub fn process_listing(cx: &Gateway, kind: Kind, listing: Listing) {
     let now = cx.now();
@@ -63,6 +67,7 @@
 pub fn receive_hub_message(cx: &Gateway, from: SocketAddr, mut message: HubMessage) {
     let mut updates = std::mem::take(&mut message.updates);
     updates.extend(message.evacuations.take());
+    let revisions = std::mem::take(&mut message.revisions);
     cx.state.borrow_mut().receive_hub_message(cx.now(), from, message);
     for update in updates {
         let kind = update.kind;
@@ -70,6 +75,28 @@
             cx.missed_kinds.borrow_mut().insert(kind);
         }
     }
+    for (kind, at) in revisions {
+        if is_stalled(cx, kind, at) {
+            cx.missed_kinds.borrow_mut().insert(kind);
+        }
+    }
+}
+
+/// Reports whether this daemon has been behind a hub's revision of a kind for [`MAX_UPDATE_DELAY`] without any
+/// progress.
+fn is_stalled(cx: &Gateway, kind: Kind, at: Revision) -> bool {
+    let now = cx.now();
+    let synced = cx.state.borrow().views.synced_revision(kind);
+    let mut behind = cx.behind_since.borrow_mut();
+    if synced >= Some(at) {
+        behind.shift_remove(&kind);
+        return false;
+    }
+    let (known, since) = behind.entry(kind).or_insert((synced, now));
+    if *known != synced {
+        (*known, *since) = (synced, now);
+    }
+    now.since(*since) >= MAX_UPDATE_DELAY
 }
 
 /// Applies an update from another daemon. Returns false if earlier changes are missing and must be
--- a/gateway/src/peer_traffic.rs
+++ b/gateway/src/peer_traffic.rs
@@ -14,11 +14,13 @@
 /// at callers.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Whether a message was sent or received.
+/// Whether a message was sent, received or left out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Direction {
     Sent,
     Received,
+    /// Left out, since the link's budget was used.
+    Unsent,
 }
 
 impl Direction {
@@ -27,6 +29,7 @@
         match self {
             Self::Sent => "sent",
             Self::Received => "received",
+            Self::Unsent => "unsent",
         }
     }
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -457,15 +457,20 @@
         held
     }
 
-    /// Returns the live peer with the newest table above `version`.
+    /// Returns a live peer with the newest table above `version`. Each daemon chooses its own, so that they are
+    /// spread over those that have it.
     pub fn newer_table(&self, now: Time, version: u64) -> Option<SocketAddr> {
-        let is_newer = |peer: &&Peer| {
+        let is_newer = |(_, peer): &(&DaemonId, &Peer)| {
             self.is_live(peer, now)
                 && peer.last_message.as_ref().is_some_and(|last| last.table > version)
         };
-        let newest = self.peers.values().filter(is_newer);
-        let newest = newest.max_by_key(|peer| peer.last_message.as_ref().map(|last| last.table));
-        newest.map(|peer| peer.address)
+        let newest = self.peers.iter().filter(is_newer);
+        let seed = xxh3_64(self.own_id.as_str().as_bytes());
+        let key = |(daemon, peer): &(&DaemonId, &Peer)| {
+            let table = peer.last_message.as_ref().map(|last| last.table);
+            (table, xxh3_64_with_seed(daemon.as_str().as_bytes(), seed))
+        };
+        newest.max_by_key(key).map(|(_, peer)| peer.address)
     }
 
     /// Returns the last reported results of versions in a move of the service.
--- a/gateway/src/replication.rs
+++ b/gateway/src/replication.rs
@@ -7,7 +7,7 @@
 //! fetches all objects. Updates are ordered by revision, and a view never returns to an earlier
 //! one.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{collections::VecDeque, io, time::Duration};
 
 use dogwoodturn::{
     ids::{DataCentre, Revision},
@@ -22,8 +22,13 @@
 
 /// Time for which a change is broadcast; a few consecutive datagrams may be lost.
 const BROADCAST_PERIOD: Duration = Duration::from_millis(800);
-/// Changes per update, limited so that an update fits a datagram.
-const MAX_RECENT_ITEMS: usize = 120;
+/// Number of times that a change is broadcast at most, so that many changes in quick succession are not each
+/// sent again and again. Several hubs broadcast each change.
+const MAX_BROADCASTS: u32 = 3;
+/// Number of times that a change is broadcast while later ones wait for their turn.
+const MAX_BROADCASTS_OF_MANY: u32 = 1;
+/// Changes that wait to be broadcast; a daemon that missed some lists the kind.
+const MAX_RECENT_ITEMS: usize = 400;
 
 /// Reports whether changes of a kind are broadcast. Hubs broadcast all evacuations in each message, since
 /// there are few. Every daemon watches declarations itself,
@@ -78,6 +83,30 @@
     pub object: Option<(Revision, ReplicatedObject)>,
 }
 
+impl Item {
+    /// Returns the length of the encoded item in bytes.
+    fn encoded_length(&self) -> usize {
+        let mut length = ByteCount(0);
+        // Counting does not fail, and what cannot be encoded is not sent.
+        let _ = ciborium::into_writer(self, &mut length);
+        length.0
+    }
+}
+
+/// Counts the bytes that are written.
+struct ByteCount(usize);
+
+impl io::Write for ByteCount {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// The changes of one kind between two revisions.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ReplicationUpdate {
@@ -102,15 +131,24 @@
     Changes(Changes),
 }
 
+/// A recently changed object.
+#[derive(Clone, Debug)]
+struct RecentChange {
+    recorded_at: Time,
+    /// The revision of the update with the change.
+    at: Revision,
+    name: Box<str>,
+    broadcasts: u32,
+}
+
 /// One daemon's view of the objects of one kind.
 #[derive(Clone, Debug, Default)]
 struct View {
     /// The revision up to which the objects are known.
     at: Option<Revision>,
     objects: IndexMap<Box<str>, (Revision, ReplicatedObject)>,
-    /// The names of recently changed objects, each with the time of recording and the revision of
-    /// the update with the change.
-    recent: VecDeque<(Time, Revision, Box<str>)>,
+    /// The recently changed objects, the earliest first.
+    recent: VecDeque<RecentChange>,
     /// The revision after which `recent` contains all changes.
     since: Revision,
 }
@@ -125,19 +163,60 @@
     }
 
     fn record_change(&mut self, now: Time, at: Revision, name: Box<str>) {
-        self.recent.retain(|(_, _, recorded)| *recorded != name);
-        self.recent.push_back((now, at, name));
+        self.recent.retain(|change| change.name != name);
+        self.recent.push_back(RecentChange { recorded_at: now, at, name, broadcasts: 0 });
     }
 
-    fn prune(&mut self, now: Time) {
-        while let Some((recorded_at, at, _)) = self.recent.front()
-            && (now.since(*recorded_at) > BROADCAST_PERIOD || self.recent.len() > MAX_RECENT_ITEMS)
-        {
-            self.since = self.since.max(*at);
-            self.recent.pop_front();
+    /// Removes the first change, after which `recent` contains all changes.
+    fn forget_first(&mut self) {
+        if let Some(change) = self.recent.pop_front() {
+            self.since = self.since.max(change.at);
         }
     }
 
+    /// Returns the next changes to be broadcast, in at most `max_bytes` unless a single revision is longer.
+    ///
+    /// Changes are sent in the order of their revisions, so that an update with only the first of them is
+    /// complete up to its revision.
+    fn next_update(
+        &mut self,
+        now: Time,
+        kind: Kind,
+        max_bytes: usize,
+    ) -> Option<ReplicationUpdate> {
+        let is_old = |change: &RecentChange| {
+            change.broadcasts >= MAX_BROADCASTS
+                || (change.broadcasts > 0 && now.since(change.recorded_at) > BROADCAST_PERIOD)
+        };
+        while self.recent.len() > MAX_RECENT_ITEMS || self.recent.front().is_some_and(is_old) {
+            self.forget_first();
+        }
+        let mut bytes = 0;
+        let mut items = Vec::new();
+        let mut count = 0;
+        while let Some(change) = self.recent.get(count) {
+            let item = self.item(&change.name);
+            bytes += item.encoded_length();
+            let is_same_revision = count > 0 && self.recent[count - 1].at == change.at;
+            if bytes > max_bytes && count > 0 && !is_same_revision {
+                break;
+            }
+            items.push(item);
+            count += 1;
+        }
+        let is_complete = count == self.recent.len();
+        let since = self.since;
+        let at = if is_complete { self.at? } else { self.recent[count - 1].at };
+        self.recent.iter_mut().take(count).for_each(|change| change.broadcasts += 1);
+        if !is_complete {
+            let is_sent = |change: &RecentChange| change.broadcasts >= MAX_BROADCASTS_OF_MANY;
+            while self.recent.front().is_some_and(is_sent) {
+                self.forget_first();
+            }
+        }
+        Some(ReplicationUpdate { kind, since: Some(since), at, items })
+    }
+
     fn item(&self, name: &str) -> Item {
         Item { name: name.into(), object: self.objects.get(name).cloned() }
     }
@@ -215,16 +294,24 @@
         true
     }
 
-    /// Returns the recent changes of the replicated kinds, to be broadcast.
-    pub fn recent(&mut self, now: Time) -> Vec<ReplicationUpdate> {
+    /// Returns the next changes of the replicated kinds to be broadcast, in about `max_bytes`.
+    pub fn next_updates(&mut self, now: Time, max_bytes: usize) -> Vec<ReplicationUpdate> {
+        let mut left = max_bytes;
         let update = |(kind, view): (&Kind, &mut View)| {
-            view.prune(now);
-            let items = view.recent.iter().map(|(_, _, name)| view.item(name)).collect();
-            Some(ReplicationUpdate { kind: *kind, since: Some(view.since), at: view.at?, items })
+            let update = view.next_update(now, *kind, left)?;
+            let bytes = update.items.iter().map(Item::encoded_length).sum();
+            left = left.saturating_sub(bytes);
+            Some(update)
         };
         self.0.iter_mut().filter(|(kind, _)| is_replicated(**kind)).filter_map(update).collect()
     }
 
+    /// Returns the revisions up to which the replicated kinds are known.
+    pub fn revisions(&self) -> Vec<(Kind, Revision)> {
+        let replicated = self.0.iter().filter(|(kind, _)| is_replicated(**kind));
+        replicated.filter_map(|(kind, view)| Some((*kind, view.at?))).collect()
+    }
+
     /// Returns all objects of the replicated kinds.
     pub fn snapshot(&self) -> Vec<ReplicationUpdate> {
         let replicated = self.0.keys().filter(|kind| is_replicated(**kind));
--- a/gateway/src/sync.rs
+++ b/gateway/src/sync.rs
@@ -184,7 +184,7 @@
         let state = cx.state.borrow();
         let has_hubs = state.peer_table.size() > hubs::MAX_DAEMONS_WITHOUT_HUBS;
         let is_hub_watch = kind == Kind::Upstreams && has_hubs;
-        if is_hub_watch { state.hubs.watch_timeout() } else { WATCH_TIMEOUT }
+        if is_hub_watch { state.hubs.next_watch_timeout(cx.now()) } else { WATCH_TIMEOUT }
     };
     let changes = (cx.store.watch)(kind, at, wait).await?;
     objects::process_changes(cx, kind, changes);
--- a/gateway/tests/contention.rs
+++ b/gateway/tests/contention.rs
@@ -292,6 +292,11 @@
     levels: Option<Vec<LevelWire>>,
 ) -> HubMessage {
     let mut hub = Hubs::new(name.parse().unwrap(), 200.0, SECOND * 2);
+    // A new hub waits before it broadcasts.
+    let earlier = now.ago(SECOND);
+    hub.record_store_contact(earlier);
+    hub.update_role(earlier, 76, true);
+    assert!(hub.message(earlier, Incarnation(1), HubStatus::default()).is_none());
     hub.record_store_contact(now);
     let status = HubStatus { daemons: 76, live_peers, levels, ..HubStatus::default() };
     // The number rises with time, as each message of a run is newer than the one before.
--- a/gateway/tests/hubs.rs
+++ b/gateway/tests/hubs.rs
@@ -194,7 +194,8 @@
                 continue;
             }
             let has_objects = daemon.hubs.broadcasts_objects(now);
-            let updates = if has_objects { daemon.views.recent(now) } else { Vec::new() };
+            let updates =
+                if has_objects { daemon.views.next_updates(now, usize::MAX) } else { Vec::new() };
             let status = HubStatus { daemons: DAEMONS as u32, updates, ..HubStatus::default() };
             if let Some(message) = daemon.hubs.message(now, Incarnation(daemon.run), status) {
                 daemon.last_message_ms = self.ms;
@@ -306,7 +307,7 @@
     }
     store.write("m35", Some(1000));
     hub.apply_listing(Time(1_000_000), Kind::Members, &store.listing());
-    let recent_update = hub.recent(Time(1_000_000)).remove(0);
+    let recent_update = hub.next_updates(Time(1_000_000), usize::MAX).remove(0);
     assert_eq!(recent_update.items.len(), 31);
     let UpdateOutcome::Changes(changes) = other.compare(recent_update) else {
         panic!("the update does not contain all changes")
