retry: a daemon that starts again takes its part of the allowance as used

Cause: the counts of a budget are lost with the process, so that a fleet that is killed uses its allowance once more in the same window. Why it works: for one window after a start that is not the first, only the share of the requests of this run counts, as quotas do with their bursts.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -529,7 +529,7 @@
             directory: Directory::new(bounds.drain),
             placement,
             quotas: Quotas::new(bounds.quotas, now, settings.first_start),
-            retries: RetryBudgets::new(bounds.retries),
+            retries: RetryBudgets::new(bounds.retries, now, settings.first_start),
             upstream_limits: UpstreamLimits::default(),
             warm_ups: WarmUps::default(),
             warm_up_tolerance: bounds.warm_up,
--- a/gateway/src/retry.rs
+++ b/gateway/src/retry.rs
@@ -4,7 +4,8 @@
 //! the callers' own retries. The budget of a service is a share of its requests plus an allowance,
 //! over a sliding window and all daemons. Each daemon limits itself to the share of its own
 //! requests and an equal part of the allowance, so that the sum holds even if no daemon receives
-//! messages from another.
+//! messages from another. A daemon that starts again does not know what its previous run used, and takes its
+//! part of the allowance as used for one window.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -37,12 +38,16 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudgets {
     bounds: Bounds,
+    /// When the previous run, if there may have been one, ended at the latest.
+    previous_run_end: Option<Time>,
     services: IndexMap<ServiceName, SendTimes>,
 }
 
 impl RetryBudgets {
-    pub fn new(bounds: Bounds) -> Self {
-        Self { bounds, services: IndexMap::new() }
+    /// `first_start` states that no earlier run can have used anything.
+    pub fn new(bounds: Bounds, now: Time, first_start: bool) -> Self {
+        let previous_run_end = (!first_start).then_some(now);
+        Self { bounds, previous_run_end, services: IndexMap::new() }
     }
 
     /// Changes the bounds and keeps the counts.
@@ -73,7 +78,9 @@
         let send_times = self.services.entry(service.clone()).or_default();
         drop_expired(&mut send_times.requests, now, bounds.window);
         drop_expired(&mut send_times.retries, now, bounds.window);
+        let is_used = self.previous_run_end.is_some_and(|end| now.since(end) <= bounds.window);
         let share = bounds.allowance * USED_ALLOWANCE_SHARE / f64::from(daemons.max(1));
+        let share = if is_used { 0.0 } else { share };
         let budget = bounds.ratio * USED_RATIO_SHARE * send_times.requests.len() as f64 + share;
         send_times.retries.len() as f64 + 1.0 <= budget
     }
