store: one odd entry of the host list no longer keeps a daemon from following the rest

What callers saw: operators of similar systems reported processes that ended, or stopped following the list of upstreams, after another writer had left one odd entry there. Cause: the daemon read its lists of hosts, offers, billed hosts and notices as one typed document, so that one entry that is nested too deeply, has a number that is too large or a port out of range made the whole call fail, again and again. Change: entries are read one by one, and those that cannot be read are left out with a log line; slots near the greatest number no longer overflow a product in the limit of brittle upstreams.

--- a/lib/src/limit/brittle.rs
+++ b/lib/src/limit/brittle.rs
@@ -316,9 +316,10 @@
     /// Reports whether a daemon may send without a part of its own to an upstream with this number of
     /// slots, at its rank among all daemons and among those whose home the upstream is.
     fn allows(self, now: Time, slots: u32, rank: u32, home_rank: Option<u32>) -> bool {
-        let is_at_home = || home_rank.is_some_and(|rank| rank < HOME_OPTIMISTS_PER_SLOT * slots);
+        let is_at_home =
+            || home_rank.is_some_and(|rank| rank < HOME_OPTIMISTS_PER_SLOT.saturating_mul(slots));
         if self.is_calm_for_many(now) {
-            return rank < OPTIMISTS_PER_SLOT * slots || is_at_home();
+            return rank < OPTIMISTS_PER_SLOT.saturating_mul(slots) || is_at_home();
         }
         self.is_calm_for_some(now) && is_at_home()
     }
--- a/lib/src/store/wire.rs
+++ b/lib/src/store/wire.rs
@@ -1,6 +1,7 @@
 //! The JSON bodies of the platform's HTTP interface.
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 
 use crate::{
     ids::Revision,
@@ -11,6 +12,24 @@
     upstream::HostRecord,
 };
 
+/// Reads a list of entries of which others write some, and leaves out those that cannot be read: one of them
+/// must not keep this daemon from following the rest.
+fn readable_entries<'de, D, T>(deserializer: D) -> Result<Vec<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: DeserializeOwned,
+{
+    let entries = Vec::<Box<RawValue>>::deserialize(deserializer)?;
+    let readable = |text: Box<RawValue>| match serde_json::from_str(text.get()) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            log::warn!(event = "unreadable-entry", kind = std::any::type_name::<T>(), error:%; "an entry of a list of the platform is left out");
+            None
+        }
+    };
+    Ok(entries.into_iter().filter_map(readable).collect())
+}
+
 /// The response to a list call.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct ListWire {
@@ -50,18 +69,21 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub struct HostsWire {
     pub revision: Revision,
+    #[serde(deserialize_with = "readable_entries")]
     pub hosts: Vec<HostRecord>,
 }
 
 /// The response to a call for offers.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct OffersWire {
+    #[serde(deserialize_with = "readable_entries")]
     pub offers: Vec<Offer>,
 }
 
 /// The response to a call for the billed hosts.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct CloudHostsWire {
+    #[serde(deserialize_with = "readable_entries")]
     pub hosts: Vec<CloudHost>,
 }
 
@@ -76,5 +98,6 @@
 pub struct NoticesWire {
     /// The revision to pass to the next call.
     pub revision: Revision,
+    #[serde(deserialize_with = "readable_entries")]
     pub notices: Vec<ReclaimNotice>,
 }
