forward: a refusal without an ID on a connection in use again is not taken for the answer

What callers saw: operators of similar systems reported requests that were said not to have run but had, or ran twice, after a server had written an earlier refusal once more on a kept connection. Cause: a response without the ID of a request counted as the request's own if it was a refusal, also on a connection on which earlier requests had been answered. Evidence: connection_repeated_refusal_is_taken_for_the_answer_to_the_next_request failed before: a request that runs at most once was sent to a second upstream while the first one ran it. Why it works: upstreams name the request that they answer. On a connection in use again, what names none is skipped like the answer to another request, and the request's own answer is read after it.

--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -394,7 +394,8 @@
             let echoed = head.headers.text(self.cx.header_schema.request_id);
             let is_own = match echoed {
                 Some(id) => *id == *req.id,
-                None => is_not_run(&head, self.cx.header_schema.not_run),
+                // An earlier refusal may have been written once more on a connection that is kept.
+                None => !connection.reused && is_not_run(&head, self.cx.header_schema.not_run),
             };
             if is_own {
                 return Ok(head);
--- a/gateway/tests/forward.rs
+++ b/gateway/tests/forward.rs
@@ -397,3 +397,43 @@
     let (bytes, is_complete) = upstream_task.await.unwrap();
     assert!(!is_complete && bytes < BODY, "{bytes} bytes, ended regularly: {is_complete}");
 }
+
+/// Guards against an earlier refusal, written once more on a kept connection, that is taken for the answer to
+/// the next request: callers were told that a request had not run which ran, and others ran twice.
+#[actix_rt::test]
+async fn connection_repeated_refusal_is_taken_for_the_answer_to_the_next_request() {
+    let refusals = [
+        // Without an ID nothing shows which request a refusal belongs to.
+        "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 No\r\nX-Id: earlier\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+    ];
+    for (refusal, path) in
+        refusals.iter().flat_map(|refusal| [(refusal, "/book/1"), (refusal, "/build/1")])
+    {
+        let scripts = [*refusal; 2].map(|refusal| {
+            Upstream::start(move |req| match req.head.headers.text("X-Id") {
+                Some("a2") => write(format!("{refusal}{}", ok("ran"))),
+                _ => write(ok("ran")),
+            })
+        });
+        let [upstream, other] = &scripts;
+        let gateway = TestGateway::start(&[upstream, other]).await;
+        // Each upstream has a kept connection.
+        for number in 0..20 {
+            gateway.exchange(&get("/look/1", &format!("w{number}"))).await;
+        }
+        let before = upstream.count() + other.count();
+        let response = gateway.exchange(&get(path, "a2")).await;
+        let received: Vec<_> =
+            upstream.received.borrow().iter().chain(&*other.received.borrow()).cloned().collect();
+        let kept = received.iter().filter(|req| req.head.headers.text("X-Id") == Some("a2"));
+        assert_eq!(kept.count(), 1, "{path} with {refusal} ran more than once");
+        assert_eq!(upstream.count() + other.count(), before + 1);
+        let promises = ["408", "421", "429", "503"].map(|status| format!("HTTP/1.1 {status} "));
+        assert!(
+            !promises.iter().any(|p| response.starts_with(p)),
+            "{path} with {refusal}: {response}"
+        );
+    }
+}
