edge: the daemon takes no response that answers another request

What callers saw: operators of similar systems reported requests that were said not to have run although they had, after a server had written an earlier refusal once more on a kept connection. Cause: the daemon believed whatever response came next on a connection, without looking at the request that it names. Evidence: repeated_refusal_on_kept_connection_is_taken_for_that_of_the_next_request failed before: the caller got 503 for a purchase that the upstream had run. Change: a response that names another request, or a refusal that names none on a connection in use again, counts as a lost connection. The stand-ins name the request that they answer.

--- a/lib/src/edge/client.rs
+++ b/lib/src/edge/client.rs
@@ -128,11 +128,12 @@
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let idle = idle.get_mut(&address)?;
-        while let Some(candidate) = idle.pop() {
+        while let Some(mut candidate) = idle.pop() {
             if candidate.expires_at > now
                 && is_usable(&candidate.connection)
                 && candidate.connection.is_idle()
             {
+                candidate.connection.reused = true;
                 return Some(candidate.connection);
             }
         }
--- a/lib/src/edge/upstream.rs
+++ b/lib/src/edge/upstream.rs
@@ -62,9 +62,18 @@
         req = req.header("content-type", b"application/json");
     }
     let connection = connect(driver, client, dispatch).await?;
+    let is_reused = connection.reused;
     let sent = client.send_on(connection, dispatch.address, &req.body(&dispatch.body)).await;
     let mut res = sent.map_err(|error| StreamEnd::ConnectionLost(error.to_string().into()))?;
-    driver.dispatch_event(Event::AttemptHead(dispatch.attempt, Box::new(read_head(&res.head))));
+    let head = read_head(&res.head);
+    let named = res.head.headers.text("x-request-id");
+    // A refusal that names no request may be an earlier one that was written once more.
+    if named.map_or(is_reused && head.says_not_run, |named| named != &*dispatch.name) {
+        log::warn!(event = "foreign-answer", request:% = dispatch.name, upstream:% = dispatch.upstream, echoed = named.unwrap_or("-"); "the response is not taken for that of the request");
+        let detail = "the upstream answered another request";
+        return Err(StreamEnd::ConnectionLost(detail.into()));
+    }
+    driver.dispatch_event(Event::AttemptHead(dispatch.attempt, Box::new(head)));
     let lost = |error: io::Error| {
         StreamEnd::ConnectionLost(format!("the response was truncated: {error}").into())
     };
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -10,10 +10,12 @@
 use actix_http::{HttpMessage as _, Request, Response, StatusCode, body::BoxBody, header};
 use bytes::{Bytes, BytesMut};
 use dogwoodturn::edge::listen::{ConnectionCounter, serve};
-use futures_util::StreamExt as _;
+use futures_util::{StreamExt as _, future::LocalBoxFuture};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::sync::watch;
 
+/// Header that names a request, and in a response the request that it answers.
+const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Header by which an upstream reports that it did not run a request.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
 
@@ -66,13 +68,36 @@
     let (stop, stopped) = watch::channel(false);
     let thread = std::thread::Builder::new().name(name.into()).spawn(move || {
         actix_rt::System::new().block_on(async move {
+            let handler = naming_requests(make_handler());
             // If serving fails, the thread ends and further connections are refused.
-            let _ = serve(listener, make_handler(), ConnectionCounter::default(), stopped).await;
+            let _ = serve(listener, handler, ConnectionCounter::default(), stopped).await;
         });
     })?;
     Ok(ServerHandle { address, stop, thread: Some(thread) })
 }
 
+/// Returns a handler whose responses name the request that they answer.
+fn naming_requests<H, F>(
+    handler: H,
+) -> impl Fn(Request) -> LocalBoxFuture<'static, Response<BoxBody>> + Clone
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    move |req| {
+        let id = req.headers().get(REQUEST_ID_HEADER).cloned();
+        let response = handler(req);
+        Box::pin(async move {
+            let mut response = response.await;
+            if let Some(id) = id {
+                let name = header::HeaderName::from_static(REQUEST_ID_HEADER);
+                response.headers_mut().insert(name, id);
+            }
+            response
+        })
+    }
+}
+
 /// Reads the body of a request. Fails if it was truncated.
 pub async fn body(req: &mut Request) -> Result<Bytes, String> {
     let mut payload = req.take_payload();
