forward: a begun stream is continued only by a response with the same status

What callers saw: operators of similar systems reported streams that ended as if they were complete, or held the error of a second server, after the first one had broken off. Cause: any success of a second upstream without a content type counted as the rest of the stream on a stream's route, so that a 204 ended it as complete. Evidence: stream_joined_with_the_error_of_a_second_upstream failed before for 204, in six of 78 cases; the errors with other statuses, with other content types and without a head held before. Why it works: a continuation has the status whose head the caller already has.

--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -75,7 +75,8 @@
         let is_event_stream = (200..300).contains(&head.status) && self.is_event_stream(&head);
         let is_too_long =
             matches!(head.framing, Framing::Length(length) if length > MAX_BUFFERED_BYTES as u64);
-        if self.sent_head.is_some() && !is_event_stream {
+        let continues = |sent: &ResponseHead| is_event_stream && sent.status == head.status;
+        if self.sent_head.as_ref().is_some_and(|sent| !continues(sent)) {
             log::warn!(event = "not-resumed", request:% = self.req.id, upstream:% = attempt.upstream.id, status = head.status; "");
             attempt.set_outcome(AttemptOutcome::Failed);
             return self.retry_or_fail(out).await;
--- a/gateway/tests/truncation.rs
+++ b/gateway/tests/truncation.rs
@@ -261,3 +261,56 @@
         }
     }
 }
+
+/// Guards against the error of a second upstream inside a stream that has begun, or a stream that it ends as if
+/// it were complete.
+#[actix_rt::test]
+async fn stream_joined_with_the_error_of_a_second_upstream() {
+    let with_length = |head: &str, body: &str| {
+        format!("HTTP/1.1 {head}\r\nX-Id: {{id}}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    };
+    let errors = [
+        with_length("500 Internal Server Error", "boom"),
+        with_length("500 Boom\r\nContent-Type: text/event-stream", &event(2)),
+        with_length("502 Bad Gateway\r\nContent-Type: text/event-stream", "boom"),
+        with_length("404 Not Found", "boom"),
+        with_length("503 Full\r\nX-Not-Run: 1", ""),
+        with_length("421 Misdirected Request", "boom"),
+        with_length("204 No Content", ""),
+        with_length("302 Found\r\nLocation: /boom", ""),
+        // An error page that is no stream, whatever its status says.
+        with_length("200 OK\r\nContent-Type: text/html", "boom"),
+        with_length("200 OK", "boom"),
+        with_length("200 OK\r\nContent-Type: application/json", r#"{"error":"boom"}"#),
+        "boom\r\n\r\n".to_owned(),
+        String::new(),
+    ];
+    let mut failures = Vec::new();
+    for (framing, error) in FRAMINGS.iter().flat_map(|f| errors.iter().map(move |e| (*f, e))) {
+        for part in [event(1), event(1) + "id: 2\nda"] {
+            let (calls, error, part) = (Cell::new(0), error.clone(), part.clone());
+            let script = Rc::new(move |_: &support::ReceivedRequest| {
+                calls.set(calls.get() + 1);
+                if calls.get() > 1 {
+                    return UpstreamAction::WriteAndClose(error.clone());
+                }
+                let whole = part.clone() + &event(2) + &event(3);
+                UpstreamAction::WriteAndReset(framed(framing, EVENT_STREAM, &whole, part.len()))
+            });
+            let start = || {
+                let script = script.clone();
+                Upstream::start(move |received| script(received))
+            };
+            let (first, second) = (start(), start());
+            let gateway = TestGateway::start(&[&first, &second]).await;
+            let response = gateway.exchange(&get("/render/1", "a1")).await;
+            let (body, is_complete) = support::decode_chunked(&response);
+            let heads = response.matches("HTTP/1.1").count();
+            let calls = first.count() + second.count();
+            if is_complete || body != event(1) || heads != 1 || calls != 2 {
+                failures.push(format!("{framing:?}, {calls} calls: {response}"));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
