request: a begun stream is not ended by the error of a second engine

What callers saw: operators of similar systems reported the text of a second server's error inside a stream that had begun. Cause: the daemon took 204, 400, 413 and 422 of an engine for the final answer, also after tokens of another engine had been sent, and wrote that answer's body into the stream. Evidence: stream_joined_with_the_error_of_a_second_engine failed before: the caller read the body of the error as part of the stream, which then ended. Why it works: after the first token only a response with status 200 continues the stream; anything else is a failed attempt.

--- a/lib/src/request/exchange.rs
+++ b/lib/src/request/exchange.rs
@@ -355,6 +355,7 @@
     /// Handles the head of an attempt's response.
     pub fn handle_head(&mut self, now: Time, number: AttemptNumber, head: Head) -> Step {
         let is_engine = self.spec.completion.is_some();
+        let has_begun = self.has_begun();
         let Some(attempt) = self.attempt.as_mut().filter(|attempt| attempt.number == number) else {
             return Step::NoChange;
         };
@@ -364,7 +365,8 @@
             let cause = Cause::Refused { retry_after: head.retry_after };
             return Step::AttemptFailed(cause, "the upstream refused the request".into());
         }
-        if is_engine && !is_final_status(head.status) {
+        // Only the rest of a stream can follow what the caller already has.
+        if is_engine && (!is_final_status(head.status) || (has_begun && head.status != 200)) {
             let detail = format!("the engine answered {}", head.status);
             return Step::AttemptFailed(Cause::Failed, detail.into());
         }
--- a/lib/tests/traffic.rs
+++ b/lib/tests/traffic.rs
@@ -623,6 +623,27 @@
     assert_eq!(names.len(), world.attempts.len());
 }
 
+/// Guards against the error of a second engine inside a stream that has begun.
+#[test]
+fn stream_joined_with_the_error_of_a_second_engine() {
+    for status in [204, 400, 404, 413, 422, 500] {
+        let mut world = World::new(1, 0);
+        let caller = world.complete(0, "a phrase", 40, true);
+        world.progress(0, 10, 0);
+        world.break_connection(0, false);
+        world.advance(SECOND);
+        let id = world.attempts[1].id;
+        let head = Head { status, ..Head::default() };
+        world.handle_event(0, Event::AttemptHead(id, Box::new(head)));
+        world.handle_event(0, Event::AttemptChunk(id, "{\"error\":\"boom\"}".into()));
+        world.handle_event(0, Event::AttemptEnded(id, StreamEnd::Eof));
+        world.advance(SECOND);
+        // The fake world fails the test if the caller received anything but the tokens.
+        world.progress(2, 40, 0);
+        assert_eq!(world.end_of(0, caller), Some(&End::Finished), "status {status}");
+    }
+}
+
 #[test]
 fn stream_status_409_is_retried_elsewhere() {
     let mut world = World::new(1, 0);
