quota: both sides of a partition count the other as silent within two seconds

Cause: the time after which a peer counts as silent is that in which every peer has reported in turn, 7.25 s at 295 gateways. Until then each side of a cut takes the other's admissions for known and admits the whole quota. Change: a hub counts a peer as silent after three missing reports, at least 1.5 s; a daemon that has lost all hubs does so after 1.5 s. Totals carry their age, as a broadcast in parts takes up to half a second. Why it works: every daemon reports to the hubs four times a second, so that silence there means a cut or a loss.

--- a/gateway/src/contention.rs
+++ b/gateway/src/contention.rs
@@ -401,7 +401,7 @@
             let is_cut_off = peers.size() > 1 && live_peers == 0;
             return if is_cut_off { Self::Unknown } else { Self::Own { has_hubs: false } };
         }
-        match hubs.level_source(now, live_peers, is_leader) {
+        match hubs.level_source(now, peers.reporting_count(now), is_leader) {
             LevelSource::Own => Self::Own { has_hubs: true },
             LevelSource::Hub(levels, received_at) => Self::Hub(levels, received_at),
             LevelSource::Unknown => Self::Unknown,
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -399,6 +399,7 @@
         let was_hub = self.hubs.is_hub();
         // The number of daemons is unknown until the members have been listed.
         let is_hub = self.has_members && self.hubs.update_role(now, daemons, is_leader);
+        self.peer_table.set_report_timeout(self.hubs.report_timeout(now, daemons));
         if is_hub != was_hub {
             log::info!(event = "hub", is_hub, daemons, acts = is_leader; "");
         }
@@ -440,7 +441,7 @@
         HubStatus {
             daemons: self.peer_table.size(),
             is_leader,
-            live_peers: self.peer_table.live_count(now),
+            live_peers: self.peer_table.reporting_count(now),
             since_store_recovery: self.directory.since_store_recovery(now),
             totals: totals.collect(),
             levels: self.contention.levels(),
@@ -805,10 +806,9 @@
         Some(if is_brief { message.brief(revisions) } else { message })
     }
 
-    /// Returns a hub's message with the present age of its contact with the store, or `None` if this daemon is a
-    /// hub no longer.
-    pub fn renew_hub_message(&self, message: HubMessage) -> Option<HubMessage> {
-        self.state.borrow_mut().hubs.renew(self.now(), message)
+    /// Returns a hub's message of `began` with its present ages, or `None` if this daemon is a hub no longer.
+    pub fn renew_hub_message(&self, began: Time, message: HubMessage) -> Option<HubMessage> {
+        self.state.borrow_mut().hubs.renew(self.now(), began, message)
     }
 
     /// Returns the message by which a hub tells that it is alive, while its link does not bear the long one.
--- a/gateway/src/hubs.rs
+++ b/gateway/src/hubs.rs
@@ -68,6 +68,11 @@
 /// Usual age of a hub's total: both the reports that it sums and its own message wait for up to
 /// [`MIN_MESSAGE_INTERVAL`].
 pub const TOTAL_LAG: Duration = Duration::from_millis(500);
+/// Time after its last report for which a peer's admissions count as known to a hub; the hub's own messages are
+/// missed about as soon.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Intervals without a report after which a peer counts as silent: one report may be lost and one late.
+const REPORTS_UNTIL_SILENT: u32 = 3;
 /// The least length of changes that a message may have, for a few upstreams.
 const MIN_UPDATE_BYTES: usize = 1000;
 /// The longest interval between two messages of a daemon to a hub.
@@ -116,6 +121,9 @@
     pub evacuations: Option<ReplicationUpdate>,
     /// The admissions of all daemons, by customer.
     pub totals: Vec<Total>,
+    /// The age of `totals` when the message was sent, in milliseconds, since a broadcast may take a while.
+    #[serde(default)]
+    pub totals_age_ms: u64,
     /// What is admitted of ranks and customers that give way; `None` where none may, or if the hub is of a
     /// release without this field.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -180,6 +188,8 @@
     link_mbps: f64,
     drain: Duration,
     others: IndexMap<DaemonId, Hub>,
+    /// When a message of another hub was last received.
+    last_received: Option<Time>,
     is_hub: bool,
     /// Since when too few hubs have had store contact.
     too_few_since: Option<Time>,
@@ -200,6 +210,7 @@
             link_mbps,
             drain,
             others: IndexMap::new(),
+            last_received: None,
             is_hub: false,
             too_few_since: None,
             last_store_contact: None,
@@ -249,6 +260,7 @@
         {
             return false;
         }
+        self.last_received = Some(now);
         self.others.insert(message.daemon.clone(), Hub { address, received_at: now, message });
         true
     }
@@ -414,7 +426,7 @@
             admitted: reported.map_or(&[], |found| &found.admitted),
             requested: reported.map_or(0.0, |found| found.requested),
             live_peers: best.message.live_peers,
-            age: now.since(best.received_at),
+            age: now.since(best.received_at) + Duration::from_millis(best.message.totals_age_ms),
         })
     }
 
@@ -451,11 +463,12 @@
         HubMessage { number: self.number, ..message }
     }
 
-    /// Returns a message of this daemon with the present age of its contact with the store, or `None` if it is a
-    /// hub no longer.
-    pub fn renew(&mut self, now: Time, message: HubMessage) -> Option<HubMessage> {
+    /// Returns a message of `began` with its present ages, or `None` if this daemon is a hub no longer.
+    pub fn renew(&mut self, now: Time, began: Time, message: HubMessage) -> Option<HubMessage> {
         let store_contact_age_ms = self.store_contact_age_ms(now);
-        self.is_hub.then(|| self.number_next(HubMessage { store_contact_age_ms, ..message }))
+        let totals_age_ms = now.since(began).as_millis() as u64;
+        let renewed = HubMessage { store_contact_age_ms, totals_age_ms, ..message };
+        self.is_hub.then(|| self.number_next(renewed))
     }
 
     fn store_contact_age_ms(&self, now: Time) -> u64 {
@@ -468,6 +481,23 @@
         self.count_outranking(self.live_hubs(now)) < PRIMARY_HUBS
     }
 
+    /// Returns the time after its last report for which a peer's admissions count as known, or `None` if
+    /// peers report to this daemon in turn only.
+    ///
+    /// Each side of a partition admits the whole quota until it knows that it is cut off. A hub knows when
+    /// reports are missing, and the other daemons when no hub is live any more.
+    pub fn report_timeout(&self, now: Time, daemons: u32) -> Option<Duration> {
+        if daemons <= MAX_DAEMONS_WITHOUT_HUBS {
+            return None;
+        }
+        if self.is_hub {
+            let reports = self.receive_interval(daemons) * REPORTS_UNTIL_SILENT;
+            return Some(reports.max(REPORT_TIMEOUT));
+        }
+        let has_lost_all = self.last_received.is_some() && self.live_hubs(now).next().is_none();
+        has_lost_all.then_some(REPORT_TIMEOUT)
+    }
+
     /// Returns the interval at which a hub of this many daemons can receive messages from each.
     fn receive_interval(&self, daemons: u32) -> Duration {
         let bits = f64::from(daemons) * MESSAGE_BITS;
@@ -521,6 +551,7 @@
             updates,
             evacuations,
             totals,
+            totals_age_ms: 0,
             levels,
             revisions: Vec::new(),
         })
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -166,7 +166,9 @@
         if self.remaining == 0 {
             return;
         }
-        let Some(message) = self.message.take().and_then(|last| cx.renew_hub_message(last)) else {
+        let Some(message) =
+            self.message.take().and_then(|last| cx.renew_hub_message(self.began, last))
+        else {
             self.remaining = 0;
             return;
         };
--- a/gateway/src/peer_traffic.rs
+++ b/gateway/src/peer_traffic.rs
@@ -86,27 +86,18 @@
         self.oldest = self.oldest.max(Duration::from_millis(wall.0.saturating_sub(sent.0)));
     }
 
-    /// Returns the counts since the last call and the greatest age, once [`LOG_INTERVAL`] has passed.
-    pub fn take_due(
-        &mut self,
-        now: Time,
-    ) -> Option<(Vec<(Direction, &'static str, Counts)>, Duration)> {
+    /// Logs the counts and starts anew if that is due, and reports whether it was.
+    pub fn log(&mut self, now: Time) -> bool {
         let since = *self.logged_at.get_or_insert(now);
         if now.since(since) < LOG_INTERVAL {
-            return None;
+            return false;
         }
         self.logged_at = Some(now);
-        let counts =
-            self.counts.drain(..).map(|((direction, kind), counts)| (direction, kind, counts));
-        Some((counts.collect(), std::mem::take(&mut self.oldest)))
-    }
-
-    /// Logs the counts and starts anew if that is due, and reports whether it was.
-    pub fn log(&mut self, now: Time) -> bool {
-        let Some((counts, oldest)) = self.take_due(now) else { return false };
-        for (direction, kind, Counts { messages, bytes, longest }) in counts {
+        for ((direction, kind), counts) in self.counts.drain(..) {
+            let Counts { messages, bytes, longest } = counts;
             log::info!(event = "peer-traffic", direction = direction.name(), kind, messages, bytes, longest; "");
         }
+        let oldest = std::mem::take(&mut self.oldest);
         log::info!(event = "peer-age", oldest_ms = oldest.as_millis() as u64; "");
         true
     }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -182,11 +182,19 @@
     /// The address at which the store lists this daemon.
     own_address: Option<SocketAddr>,
     peers: IndexMap<DaemonId, Peer>,
+    /// Time after its last report for which a peer's admissions count as known; by default the silence timeout.
+    report_timeout: Option<Duration>,
 }
 
 impl PeerTable {
     pub fn new(own_id: DaemonId) -> Self {
-        Self { own_id, own_address: None, peers: IndexMap::new() }
+        Self { own_id, own_address: None, peers: IndexMap::new(), report_timeout: None }
+    }
+
+    /// Sets the time after its last report for which a peer's admissions count as known; `None` stands for the
+    /// silence timeout.
+    pub fn set_report_timeout(&mut self, timeout: Option<Duration>) {
+        self.report_timeout = timeout;
     }
 
     /// Adds a daemon that the store lists, or updates its address.
@@ -285,6 +293,16 @@
         peer.state_received_at.is_some_and(|at| now.since(at) < self.silence_timeout())
     }
 
+    fn reports(&self, peer: &Peer, now: Time) -> bool {
+        let timeout = self.report_timeout.unwrap_or(Duration::MAX).min(self.silence_timeout());
+        peer.state_received_at.is_some_and(|at| now.since(at) < timeout)
+    }
+
+    /// Returns the number of peers whose admissions are known.
+    pub fn reporting_count(&self, now: Time) -> u32 {
+        self.peers.values().filter(|peer| self.reports(peer, now)).count() as u32
+    }
+
     /// Returns the addresses of all known peers.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.peers.values().map(|peer| peer.address).collect()
@@ -368,7 +386,7 @@
                     sum.add(history, now.since(received_at));
                 }
             }
-            if self.is_live(peer, now) {
+            if self.reports(peer, now) {
                 let reported = peer.last_message.iter().flat_map(|last| &last.requested);
                 let requested =
                     reported.filter(|(name, _)| name == customer).map(|(_, rate)| *rate);
--- a/gateway/tests/evacuation.rs
+++ b/gateway/tests/evacuation.rs
@@ -237,6 +237,7 @@
         }),
         totals: Vec::new(),
         levels: None,
+        totals_age_ms: 0,
         revisions: Vec::new(),
     }
 }
--- a/gateway/tests/hubs.rs
+++ b/gateway/tests/hubs.rs
@@ -410,3 +410,35 @@
         assert!((0..DAEMONS).all(|index| simulation.known_revision(index) >= at), "seed {seed}");
     }
 }
+
+/// Guards against both sides of a partition that admit a whole quota until the other side counts as silent.
+#[test]
+fn report_timeout_daemons_cut_off_admit_the_quota_for_seconds() {
+    const FLEET: u32 = 295;
+    let second = Duration::from_secs(1);
+    let start = Time(60_000_000);
+    let new = |name: &str| Hubs::new(name.parse().unwrap(), 200.0, DRAIN);
+    let (mut hub, mut other) = (new("a"), new("b"));
+    hub.update_role(start, FLEET, true);
+    hub.record_store_contact(start);
+    let status = || HubStatus { daemons: FLEET, ..HubStatus::default() };
+    assert!(hub.message(start, Incarnation(1), status()).is_none());
+    let message = hub.message(start + second, Incarnation(1), status()).unwrap();
+    // A daemon to which peers report in turn cannot tell silence from their order.
+    assert_eq!(other.report_timeout(start, FLEET), None);
+    other.receive(start, "127.0.0.1:1".parse().unwrap(), message);
+    assert_eq!(other.report_timeout(start + second, FLEET), None);
+    let cut_off = start + second * 2;
+    for hubs in [&hub, &other] {
+        let timeout = hubs.report_timeout(cut_off, FLEET).unwrap();
+        assert!(timeout <= second * 2, "{timeout:?}");
+    }
+    let mut peers = dogwoodturn_gateway::peers::PeerTable::new("b".parse().unwrap());
+    for index in 0..FLEET - 1 {
+        let address = format!("127.0.0.1:{}", 1000 + index).parse().unwrap();
+        let daemon = format!("d{index}").parse().unwrap();
+        peers.add_listed(start, MemberRecord { daemon, address });
+    }
+    peers.set_report_timeout(other.report_timeout(cut_off, FLEET));
+    assert_eq!(peers.reporting_count(cut_off), 0);
+}
