warm-up: peers are told of an upstream that refused a connection or crashed

Cause: a daemon that saw an upstream refuse connections took it for cold, and told nobody. Evidence: receive_work_restart_that_one_daemon_saw_is_unknown_to_the_others; on the code before there was no message for what one daemon saw. Why it works: the upstream refuses connections before it is back, so that the report arrives before its first request. A time-out is not reported, since a link may be its cause.

--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -13,6 +13,7 @@
         brittle::Tolerance,
         ramp::{Cause, Outcome},
         upstream::RequestRate,
+        warm_up,
     },
     request::crash_evidence::{SOUND_AFTER, Suspect},
     units::Time,
@@ -55,8 +56,6 @@
 /// Subtracted from the deadline that is sent to an upstream, so that the upstream's own time-out
 /// response arrives in time.
 const RESPONSE_TRANSIT: Duration = Duration::from_millis(10);
-/// The longest time for which a response can say that its upstream stays cold.
-const MAX_WARM_UP: Duration = Duration::from_secs(60);
 /// Delay after a broken connection before its upstream is checked for a crash.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(60);
 
@@ -293,7 +292,7 @@
             self.cx.now(),
             &self.upstream.id,
             &self.service,
-            Some(left.min(MAX_WARM_UP)),
+            Some(left.min(warm_up::MAX_WARM_UP)),
         );
     }
 
@@ -313,6 +312,10 @@
                     let now = self.cx.now();
                     state.placement.mark_unreachable(now, &self.upstream.id);
                     state.assume_cold(now, &self.upstream.id, &self.service);
+                    // A refusal comes from the host, unlike a time-out, which may be due to a link.
+                    if error.kind() == io::ErrorKind::ConnectionRefused {
+                        state.warm_ups.observe(now, &self.upstream.id);
+                    }
                     state.begin_ramp(now, &self.upstream.id, Cause::Unreachable);
                 }
                 log::warn!(event = "unreachable", request:% = req.id, upstream:% = self.upstream.id, error:%; "");
@@ -435,6 +438,7 @@
             } else if crashed {
                 cx.metrics.upstream_crashes.inc();
                 state.assume_cold(now, &upstream.id, &upstream.service);
+                state.warm_ups.observe(now, &upstream.id);
                 log::warn!(event = "crash", request:%, upstream:% = upstream.id, content:% = format_args!("{content:016x}"), parts:% = prompt, is_suspect; "");
                 if is_suspect {
                     let suspect = Suspect::new(content, prompt.shared_parts());
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -15,7 +15,7 @@
         brittle::{BrittleUpstreams, Target, Turn, home_rank},
         ramp::Cause,
         upstream::{Position, UpstreamLimits},
-        warm_up::{WarmUpBound, WarmUps},
+        warm_up::{self, WarmUpBound, WarmUps},
     },
     request::crash_evidence::{CrashEvidence, Verdict},
     units::{Time, WallTime},
@@ -160,6 +160,17 @@
         self.limit_while_cold(now, upstream, service, None);
     }
 
+    /// Applies peers' reports of upstreams that they saw refuse connections or crash.
+    pub fn merge_cold(&mut self, now: Time, reports: &[warm_up::ReportWire]) {
+        for (upstream, left_ms) in reports {
+            let known = self.directory.get(upstream);
+            if let Some(service) = known.map(|known| known.record.service.clone()) {
+                let left = Duration::from_millis(*left_ms).min(warm_up::MAX_WARM_UP);
+                self.limit_while_cold(now, upstream, &service, Some(left));
+            }
+        }
+    }
+
     /// Limits what an upstream gets while it is cold. `left` is the time for which it stays so; by default
     /// that after a start.
     pub fn limit_while_cold(
@@ -358,6 +369,7 @@
     pub fn receive_work(&mut self, now: Time, from: SocketAddr, mut message: WorkMessage) {
         let paces = std::mem::take(&mut message.paces);
         self.merge_ramps(now, &message.daemon, &message.ramps);
+        self.merge_cold(now, &message.cold);
         if self.peer_table.receive_work(now, message) {
             self.receive_paces(now, from, paces);
         }
@@ -780,6 +792,7 @@
             paces: state.placement.pace_reports(now),
             urgent_work: reported_urgent_work(&state.placement, now),
             ramps: state.ramps.reports(now),
+            cold: state.warm_ups.reports(now),
         }
     }
 
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -82,6 +82,7 @@
         broadcast_crash_evidence(&cx, &socket, &peers).await;
         broadcast_upstream_limits(&cx, &socket, &peers).await;
         broadcast_brittle_upstreams(&cx, &socket, &peers).await;
+        broadcast_cold_upstreams(&cx, &socket, &peers).await;
         hub_broadcast.advance(&cx, &socket, &peers).await;
         let peer_at = |step| peers[(next_peer + step) % peers.len()];
         let mut recipients: Vec<_> = (0..peers.len().min(MAX_RECIPIENTS)).map(peer_at).collect();
@@ -99,7 +100,8 @@
             let is_unchanged = message.work == last_work
                 && message.urgent_work == last_urgent_work
                 && message.paces.is_empty()
-                && message.ramps.is_empty();
+                && message.ramps.is_empty()
+                && message.cold.is_empty();
             if is_unchanged && cx.state.borrow().brittle.is_empty() {
                 continue;
             }
@@ -237,6 +239,14 @@
     send(cx, socket, &datagram, Charge::Urgent, peers).await;
 }
 
+/// Broadcasts this daemon's work if it has seen an upstream refuse connections or crash that may come back cold.
+async fn broadcast_cold_upstreams(cx: &Gateway, socket: &UdpSocket, peers: &[SocketAddr]) {
+    if cx.state.borrow_mut().warm_ups.take_news() {
+        let datagram = Datagram::Work(cx.work_message());
+        send(cx, socket, &datagram, Charge::Urgent, peers).await;
+    }
+}
+
 /// Sends a message to as many of the recipients as the link's budget allows, the first ones first, and returns
 /// their number.
 async fn send(
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -11,7 +11,7 @@
         CustomerName, DaemonId, Incarnation, Revision, RouteName, ServiceName, UpstreamId,
         VersionName,
     },
-    limit::{self, brittle, ramp, upstream::Position},
+    limit::{self, brittle, ramp, upstream::Position, warm_up},
     request::crash_evidence,
     units::{Time, WallTime},
     upstream::speed,
@@ -89,6 +89,9 @@
     /// The upstreams that ramp up.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub ramps: Vec<ramp::ReportWire>,
+    /// The upstreams that the daemon saw refuse connections or crash, and that count as cold for that.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cold: Vec<warm_up::ReportWire>,
 }
 
 /// A daemon's shared state.
--- a/gateway/tests/evacuation.rs
+++ b/gateway/tests/evacuation.rs
@@ -329,3 +329,31 @@
     assert_eq!(settings.regions, regions());
     assert!(read_settings("[regions]\na = not/a/name").is_err());
 }
+
+/// Guards against an upstream that restarts under its ID and gets its usual requests from the daemons that did
+/// not see it refuse connections.
+#[actix_rt::test]
+async fn receive_work_restart_that_one_daemon_saw_is_unknown_to_the_others() {
+    let closed = {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.local_addr().unwrap()
+    };
+    let mut gateways = Vec::new();
+    for _ in 0..2 {
+        let mut table = table(all_routes());
+        for service in table.services.values_mut() {
+            service.warm_up = Some(WarmUp { duration: COLD, rate: 0.5 });
+        }
+        gateways.push(TestGateway::with_addresses(&[closed], table).await);
+    }
+    support::introduce(&gateways);
+    let [witness, other] = &gateways[..] else { panic!() };
+    assert_eq!(choose(&other.cx, 5, Homes::default()).1, 0, "the upstream counts as warm");
+    witness.exchange(&support::get("/book/x", "1")).await;
+    assert!(witness.cx.state.borrow_mut().warm_ups.take_news());
+    let mut message = witness.cx.work_message();
+    message.daemon = "d0".parse().unwrap();
+    let now = other.cx.now();
+    other.cx.state.borrow_mut().receive_work(now, witness.internal, message);
+    assert_eq!(choose(&other.cx, 5, Homes::default()), (Vec::new(), 5));
+}
--- a/gateway/tests/paces.rs
+++ b/gateway/tests/paces.rs
@@ -41,6 +41,7 @@
         paces,
         urgent_work: None,
         ramps: Vec::new(),
+        cold: Vec::new(),
     }
 }
 
--- a/lib/src/limit/warm_up.rs
+++ b/lib/src/limit/warm_up.rs
@@ -25,6 +25,13 @@
 /// the warm-up, and for requests that are delayed on their way.
 const USED_SHARE: f64 = 0.85;
 
+/// The longest time for which a response or a peer can say that an upstream stays cold.
+pub const MAX_WARM_UP: Duration = Duration::from_secs(60);
+/// The shortest time between two signs of a restart of one upstream that peers are told at once.
+const NEWS_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which a sign of a restart is told, as a message may be lost.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
 /// The requests that an upstream may get in any second while it is cold, from all daemons together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WarmUpBound(f64);
@@ -56,14 +63,26 @@
     }
 }
 
+/// An upstream that a daemon saw refuse connections or crash, and the time in milliseconds for which it counts
+/// as cold.
+pub type ReportWire = (UpstreamId, u64);
+
 #[derive(Clone, Debug)]
 struct WarmUp {
     bound: WarmUpBound,
     until: Time,
+    /// When this daemon last saw a sign of a restart.
+    observed_at: Option<Time>,
     bucket: Bucket,
     position: CachedPosition,
 }
 
+impl WarmUp {
+    fn was_observed_within(&self, now: Time, age: Duration) -> bool {
+        self.observed_at.is_some_and(|at| now.since(at) < age)
+    }
+}
+
 /// A change that is logged.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Change {
@@ -77,6 +96,8 @@
 pub struct WarmUps {
     upstreams: IndexMap<UpstreamId, WarmUp>,
     changes: Vec<Change>,
+    /// Whether this daemon has seen a sign of a restart that peers do not know of.
+    has_news: bool,
 }
 
 impl WarmUps {
@@ -98,10 +119,35 @@
             return;
         }
         let (bucket, position) = (Bucket::empty(now), CachedPosition::default());
-        self.upstreams.insert(upstream.clone(), WarmUp { bound, until, bucket, position });
+        let warm_up = WarmUp { bound, until, observed_at: None, bucket, position };
+        self.upstreams.insert(upstream.clone(), warm_up);
         self.changes.push(Change { upstream: upstream.clone(), cold: Some((bound, left)) });
     }
 
+    /// Records that this daemon saw a cold upstream refuse a connection or crash, so that peers are told:
+    /// those that saw nothing would take it for warm until the store lists its new run.
+    pub fn observe(&mut self, now: Time, upstream: &UpstreamId) {
+        if let Some(known) = self.upstreams.get_mut(upstream) {
+            if !known.was_observed_within(now, NEWS_INTERVAL) {
+                known.observed_at = Some(now);
+                self.has_news = true;
+            }
+        }
+    }
+
+    /// Reports whether there is something to tell peers at once, and forgets it.
+    pub fn take_news(&mut self) -> bool {
+        std::mem::take(&mut self.has_news)
+    }
+
+    /// Returns the upstreams that this daemon saw refuse connections or crash recently.
+    pub fn reports(&self, now: Time) -> Vec<ReportWire> {
+        let recent = self.upstreams.iter().filter(|(_, known)| {
+            now < known.until && known.was_observed_within(now, REPORT_PERIOD)
+        });
+        recent.map(|(id, known)| (id.clone(), known.until.since(now).as_millis() as u64)).collect()
+    }
+
     /// Returns the time until a request may be sent to an upstream; zero if it may be sent now.
     /// `position` returns this daemon's position among all that may send to the upstream.
     pub fn wait(
