link_budget: evidence of crashes no longer holds up reports to hubs

Cause: evidence of a crash goes to all peers, 31 to 153 kB at a time, and left the budget without room for the next states: peer-traffic shows 8 to 13 unsent states of 59 a second at narrow gateways in these seconds. The hubs summed what had been admitted a second before. Evidence: charge_reports_to_hubs_wait_for_evidence fails if reports to hubs have no more room than evidence. Why it works: evidence may use the budget of the next half second, reports to hubs that of the next second.

--- a/gateway/src/link_budget.rs
+++ b/gateway/src/link_budget.rs
@@ -18,19 +18,23 @@
 /// Time of the budget that may be used at once: a request waits for a fifth of it at most behind messages.
 const BURST: Duration = Duration::from_millis(100);
 
-/// How far ahead urgent messages may use the budget: they are short, and each crash that others do not know of
-/// costs an upstream.
-const URGENT_ADVANCE: Duration = Duration::from_secs(1);
+/// How far ahead evidence may use the budget: it is short, and each crash that others do not know of costs an
+/// upstream.
+const EVIDENCE_ADVANCE: Duration = Duration::from_millis(500);
+/// How far ahead reports to hubs may use the budget, so that evidence never holds them up: limits over all
+/// daemons hold only if the hubs know what each daemon admits.
+const HUB_REPORT_ADVANCE: Duration = Duration::from_millis(1000);
 
 /// What is charged to the budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Charge {
-    /// What each daemon needs at once: evidence of a crash, or that a hub is alive. It may use the budget of the next
-    /// [`URGENT_ADVANCE`].
-    Urgent,
+    /// A report to a hub, or the sign that a hub is alive.
+    HubReport,
+    /// What each daemon needs at once, such as evidence of a crash.
+    Evidence,
     /// The broadcast of a hub.
     Broadcast,
-    /// A report of this daemon.
+    /// A report of this daemon to other peers.
     Report,
 }
 
@@ -98,7 +102,8 @@
         self.all.refill(elapsed);
         self.broadcasts.refill(elapsed);
         let count = match charge {
-            Charge::Urgent => self.all.affordable(length, URGENT_ADVANCE),
+            Charge::HubReport => self.all.affordable(length, HUB_REPORT_ADVANCE),
+            Charge::Evidence => self.all.affordable(length, EVIDENCE_ADVANCE),
             Charge::Report => self.all.affordable(length, Duration::ZERO),
             Charge::Broadcast => {
                 let of_all = self.all.affordable(length, Duration::ZERO);
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -87,13 +87,11 @@
         let peer_at = |step| peers[(next_peer + step) % peers.len()];
         let mut recipients: Vec<_> = (0..peers.len().min(MAX_RECIPIENTS)).map(peer_at).collect();
         let datagram = if tick_count.is_multiple_of(ticks_per_state) {
-            for hub in hub_schedule.select_due(now, &cx.state.borrow().hubs.primary_addresses(now))
-            {
-                // Hubs come first, since they sum the reports for all.
-                recipients.retain(|recipient| *recipient != hub);
-                recipients.insert(0, hub);
-            }
-            Datagram::State(Box::new(cx.message()))
+            let hubs = hub_schedule.select_due(now, &cx.state.borrow().hubs.primary_addresses(now));
+            let datagram = Datagram::State(Box::new(cx.message()));
+            send(&cx, &socket, &datagram, Charge::HubReport, &hubs).await;
+            recipients.retain(|recipient| !hubs.contains(recipient));
+            datagram
         } else {
             let message = cx.work_message();
             // Before brittle upstreams, peers count on reports of a known age.
@@ -183,7 +181,7 @@
         if self.remaining > 0 && now.since(self.alive_sent) >= ALIVE_INTERVAL {
             self.alive_sent = now;
             let brief = Datagram::Hub(Box::new(cx.brief_hub_message(&message)));
-            send(cx, socket, &brief, Charge::Urgent, peers).await;
+            send(cx, socket, &brief, Charge::HubReport, peers).await;
         }
         self.message = Some(message);
     }
@@ -209,7 +207,7 @@
         state.crash_evidence.report(cx.now())
     };
     let datagram = Datagram::CrashEvidence(report.into());
-    send(cx, socket, &datagram, Charge::Urgent, peers).await;
+    send(cx, socket, &datagram, Charge::Evidence, peers).await;
 }
 
 /// Broadcasts the limits that upstreams name if one has changed.
@@ -222,7 +220,7 @@
         state.upstream_limits.reports(cx.now())
     };
     let datagram = Datagram::UpstreamLimits(reports.into_iter().map(Into::into).collect());
-    send(cx, socket, &datagram, Charge::Urgent, peers).await;
+    send(cx, socket, &datagram, Charge::Evidence, peers).await;
 }
 
 /// Broadcasts what is new of brittle upstreams. A rejection that peers do not know of costs another one.
@@ -236,14 +234,14 @@
     };
     let reports = reports.into_iter().map(Into::into).collect();
     let datagram = Datagram::Brittle(cx.settings().name.clone(), reports);
-    send(cx, socket, &datagram, Charge::Urgent, peers).await;
+    send(cx, socket, &datagram, Charge::Evidence, peers).await;
 }
 
 /// Broadcasts this daemon's work if it has seen an upstream refuse connections or crash that may come back cold.
 async fn broadcast_cold_upstreams(cx: &Gateway, socket: &UdpSocket, peers: &[SocketAddr]) {
     if cx.state.borrow_mut().warm_ups.take_news() {
         let datagram = Datagram::Work(cx.work_message());
-        send(cx, socket, &datagram, Charge::Urgent, peers).await;
+        send(cx, socket, &datagram, Charge::Evidence, peers).await;
     }
 }
 
--- a/gateway/tests/link_budget.rs
+++ b/gateway/tests/link_budget.rs
@@ -41,7 +41,22 @@
     let mut budget = LinkBudget::new(20.0);
     while budget.charge(Time(0), Charge::Broadcast, 5000, DAEMONS) > 0 {}
     while budget.charge(Time(0), Charge::Report, 500, 12) > 0 {}
-    assert_eq!(budget.charge(Time(0), Charge::Urgent, 100, DAEMONS), DAEMONS);
+    assert_eq!(budget.charge(Time(0), Charge::Evidence, 100, DAEMONS), DAEMONS);
+}
+
+/// Evidence of many crashes held up the reports from which hubs sum what a customer has used.
+#[test]
+fn charge_reports_to_hubs_wait_for_evidence() {
+    let mut budget = LinkBudget::new(20.0);
+    let mut sent = 0;
+    for tick in 0..40 {
+        let now = Time(0) + TICK * tick;
+        budget.charge(now, Charge::Evidence, 600, DAEMONS);
+        if tick % 5 == 4 {
+            sent += budget.charge(now, Charge::HubReport, 6000, 3);
+        }
+    }
+    assert_eq!(sent, 8 * 3);
 }
 
 fn entry(name: usize, revision: u64) -> Entry {
