link_budget: a round of states fits into what may be sent at once

Cause: states are sent to 12 peers at a time, up to 80 kB at a busy gateway, and the budget allowed 45 kB at once on a link of 20 Mbit/s. Evidence: charge_states_of_a_busy_gateway_are_left_out failed before: 7 of 12 states. Why it works: what may be sent at once is the budget of one interval of states; in no second is more sent than before.

--- a/gateway/src/link_budget.rs
+++ b/gateway/src/link_budget.rs
@@ -10,13 +10,16 @@
 
 use dogwoodturn::units::Time;
 
+use crate::peers::MESSAGE_INTERVAL;
+
 /// Share of a link that messages may use in each direction.
 pub const MESSAGE_LINK_SHARE: f64 = 0.2;
 /// Part of the budget that broadcasts of a hub may take. They are the longest messages, and the hub's own
 /// reports must not wait behind them.
 const BROADCAST_PART: f64 = 0.8;
-/// Time of the budget that may be used at once: a request waits for a fifth of it at most behind messages.
-const BURST: Duration = Duration::from_millis(100);
+/// Time of the budget that may be used at once: the interval of states, which are sent to several peers at a
+/// time. A request waits for a fifth of it at most behind messages.
+const BURST: Duration = MESSAGE_INTERVAL;
 
 /// How far ahead evidence may use the budget: it is short, and each crash that others do not know of costs an
 /// upstream.
--- a/gateway/tests/link_budget.rs
+++ b/gateway/tests/link_budget.rs
@@ -44,6 +44,16 @@
     assert_eq!(budget.charge(Time(0), Charge::Evidence, 100, DAEMONS), DAEMONS);
 }
 
+/// States of a busy gateway were longer than what could be sent at once, so that some peers got none.
+#[test]
+fn charge_states_of_a_busy_gateway_are_left_out() {
+    let mut budget = LinkBudget::new(20.0);
+    for round in 0..20 {
+        let now = Time(0) + TICK * 5 * round;
+        assert_eq!(budget.charge(now, Charge::Report, 7000, 12), 12, "round {round}");
+    }
+}
+
 /// Evidence of many crashes held up the reports from which hubs sum what a customer has used.
 #[test]
 fn charge_reports_to_hubs_wait_for_evidence() {
