--- a/lib/src/limit/warm_up.rs
+++ b/lib/src/limit/warm_up.rs
@@ -127,11 +127,11 @@
     /// Records that this daemon saw a cold upstream refuse a connection or crash, so that peers are told:
     /// those that saw nothing would take it for warm until the store lists its new run.
     pub fn observe(&mut self, now: Time, upstream: &UpstreamId) {
-        if let Some(known) = self.upstreams.get_mut(upstream) {
-            if !known.was_observed_within(now, NEWS_INTERVAL) {
-                known.observed_at = Some(now);
-                self.has_news = true;
-            }
+        if let Some(known) = self.upstreams.get_mut(upstream)
+            && !known.was_observed_within(now, NEWS_INTERVAL)
+        {
+            known.observed_at = Some(now);
+            self.has_news = true;
         }
     }
 
