--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -430,15 +430,17 @@
     /// Returns the status that a hub broadcasts on a link that bears `bytes_per_s`.
     fn hub_status(&mut self, now: Time, bytes_per_s: f64) -> HubStatus {
         let is_leader = self.lease.fence(now).is_some();
-        if !self.hubs.broadcasts_sums(now, is_leader) && !self.hubs.broadcasts_objects(now) {
-            return HubStatus {
-                daemons: self.peer_table.size(),
-                is_leader,
-                since_store_recovery: self.directory.since_store_recovery(now),
-                table: self.table.as_ref().map_or(0, |table| table.version),
-                table_bytes: self.table.as_ref().map_or(0, |table| table.document.len() as u64),
-                ..HubStatus::default()
-            };
+        let brief = HubStatus {
+            daemons: self.peer_table.size(),
+            is_leader,
+            since_store_recovery: self.directory.since_store_recovery(now),
+            table: self.table.as_ref().map_or(0, |table| table.version),
+            table_bytes: self.table.as_ref().map_or(0, |table| table.document.len() as u64),
+            ..HubStatus::default()
+        };
+        let broadcasts_objects = self.hubs.broadcasts_objects(now);
+        if !self.hubs.broadcasts_sums(now, is_leader) && !broadcasts_objects {
+            return brief;
         }
         let customers: Vec<_> = self.table.as_ref().map_or_else(Vec::new, |table| {
             table.customers.values().filter(|c| c.quota.is_some()).map(|c| c.name.clone()).collect()
@@ -451,21 +453,17 @@
             is_used.then_some(Total { customer, admitted: sum.history, requested })
         });
         HubStatus {
-            daemons: self.peer_table.size(),
-            is_leader,
             live_peers: self.peer_table.reporting_count(now),
-            since_store_recovery: self.directory.since_store_recovery(now),
             totals: totals.collect(),
             levels: self.contention.levels(),
-            table: self.table.as_ref().map_or(0, |table| table.version),
-            table_bytes: self.table.as_ref().map_or(0, |table| table.document.len() as u64),
             evacuations: self.views.listing(Kind::Evacuations),
-            updates: if self.hubs.broadcasts_objects(now) {
+            updates: if broadcasts_objects {
                 let max_bytes = hubs::max_update_bytes(bytes_per_s, self.peer_table.size());
                 self.views.next_updates(now, max_bytes)
             } else {
                 Vec::new()
             },
+            ..brief
         }
     }
 
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -196,8 +196,8 @@
     state.hubs.broadcast_interval(state.peer_table.size())
 }
 
-/// Broadcasts this daemon's crash evidence if there is news. Crashes are too rare for the bytes to
-/// matter, and each one that peers do not know of costs another upstream.
+/// Broadcasts this daemon's crash evidence if there is news, since each crash that peers do not know of costs
+/// another upstream.
 async fn broadcast_crash_evidence(cx: &Gateway, socket: &UdpSocket, peers: &[SocketAddr]) {
     let report = {
         let mut state = cx.state.borrow_mut();
