--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -825,7 +825,7 @@
         self.state.borrow_mut().hubs.renew(self.now(), began, message)
     }
 
-    /// Returns the message by which a hub tells that it is alive, while its link does not bear the long one.
+    /// Returns the message by which a hub shows that it is alive while its link does not bear the long one.
     pub fn brief_hub_message(&self, message: &HubMessage) -> HubMessage {
         let mut state = self.state.borrow_mut();
         let revisions = state.views.revisions();
--- a/gateway/src/hubs.rs
+++ b/gateway/src/hubs.rs
@@ -49,7 +49,7 @@
 /// A hub counts as having store contact until its last store response is older than the watch
 /// time-out plus this margin.
 const STORE_CONTACT_MARGIN: Duration = Duration::from_millis(500);
-/// Interval at which a hub tells that it is alive while its link does not bear its message.
+/// Interval of the short messages that show that a hub is alive while its link does not bear a long one.
 pub const ALIVE_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after its last message for which a hub counts as live; each sends several messages a
 /// second.
@@ -128,7 +128,7 @@
     /// release without this field.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub levels: Option<Vec<LevelWire>>,
-    /// The revisions up to which the hub knows the kinds that it watches, if `updates` does not tell.
+    /// The revisions up to which the hub knows the kinds that it watches, if `updates` is empty.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub revisions: Vec<(Kind, Revision)>,
 }
@@ -136,7 +136,7 @@
 impl HubMessage {
     /// Returns the message without anything that is long: that the hub is alive, and what it knows.
     ///
-    /// It claims to receive no reports, so that nobody takes its lack of totals for totals of zero.
+    /// It states that it receives no reports, so that no daemon takes missing totals for totals of zero.
     #[must_use]
     pub fn brief(self, revisions: Vec<(Kind, Revision)>) -> Self {
         Self {
--- a/gateway/src/link_budget.rs
+++ b/gateway/src/link_budget.rs
@@ -1,7 +1,7 @@
 //! The part of a host's link that messages between daemons may take.
 //!
 //! Load pattern: hundreds of small hosts, in which a store that returns, a release or a start gives many
-//! daemons something to tell all others at the same moment. Requests of callers share the links with these
+//! daemons something to send to all others at the same moment. Requests of callers share the links with these
 //! messages and must not wait behind them, and a message that waits behind others is of no use when it
 //! arrives. So bytes are counted before they are sent: what exceeds the budget is sent later, with newer
 //! content, and never queued. See `docs/design/platform.md`.
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -141,7 +141,7 @@
 #[derive(Debug, Default)]
 struct HubBroadcast {
     began: Time,
-    /// When all peers were last told that the hub is alive.
+    /// When a message to all peers last showed that the hub is alive.
     alive_sent: Time,
     message: Option<HubMessage>,
     /// The peers that have not been sent the message yet.
--- a/gateway/tests/forward.rs
+++ b/gateway/tests/forward.rs
@@ -399,7 +399,7 @@
 }
 
 /// Guards against an earlier refusal, written once more on a kept connection, that is taken for the answer to
-/// the next request: callers were told that a request had not run which ran, and others ran twice.
+/// the next request: requests that ran were refused as not run, and others ran twice.
 #[actix_rt::test]
 async fn connection_repeated_refusal_is_taken_for_the_answer_to_the_next_request() {
     let refusals = [
--- a/gateway/tests/hubs.rs
+++ b/gateway/tests/hubs.rs
@@ -424,7 +424,7 @@
     let status = || HubStatus { daemons: FLEET, ..HubStatus::default() };
     assert!(hub.message(start, Incarnation(1), status()).is_none());
     let message = hub.message(start + second, Incarnation(1), status()).unwrap();
-    // A daemon to which peers report in turn cannot tell silence from their order.
+    // A daemon to which peers report in turn cannot distinguish silence from their order.
     assert_eq!(other.report_timeout(start, FLEET), None);
     other.receive(start, "127.0.0.1:1".parse().unwrap(), message);
     assert_eq!(other.report_timeout(start + second, FLEET), None);
--- a/gateway/tests/link_budget.rs
+++ b/gateway/tests/link_budget.rs
@@ -16,7 +16,7 @@
 const DAEMONS: usize = 670;
 const TICK: Duration = Duration::from_millis(50);
 
-/// A hub with something to tell all others without a pause leaves its own reports room, and its link the rest.
+/// A hub that broadcasts without a pause left no room for its own reports.
 #[test]
 fn charge_broadcasts_starve_reports() {
     for link_mbps in [10.0, 20.0, 200.0] {
--- a/lib/src/limit/warm_up.rs
+++ b/lib/src/limit/warm_up.rs
@@ -27,9 +27,9 @@
 
 /// The longest time for which a response or a peer can say that an upstream stays cold.
 pub const MAX_WARM_UP: Duration = Duration::from_secs(60);
-/// The shortest time between two signs of a restart of one upstream that peers are told at once.
+/// The shortest time between two immediate reports of a restart of one upstream.
 const NEWS_INTERVAL: Duration = Duration::from_millis(250);
-/// Time for which a sign of a restart is told, as a message may be lost.
+/// Time for which a sign of a restart is reported, as a message may be lost.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
 /// The requests that an upstream may get in any second while it is cold, from all daemons together.
@@ -124,8 +124,8 @@
         self.changes.push(Change { upstream: upstream.clone(), cold: Some((bound, left)) });
     }
 
-    /// Records that this daemon saw a cold upstream refuse a connection or crash, so that peers are told:
-    /// those that saw nothing would take it for warm until the store lists its new run.
+    /// Records that this daemon saw a cold upstream refuse a connection or crash, to be reported to peers.
+    /// Those that saw nothing would take it for warm until the store lists its new run.
     pub fn observe(&mut self, now: Time, upstream: &UpstreamId) {
         if let Some(known) = self.upstreams.get_mut(upstream)
             && !known.was_observed_within(now, NEWS_INTERVAL)
@@ -135,7 +135,7 @@
         }
     }
 
-    /// Reports whether there is something to tell peers at once, and forgets it.
+    /// Reports whether there is a new sign of a restart, and resets that.
     pub fn take_news(&mut self) -> bool {
         std::mem::take(&mut self.has_news)
     }
--- a/load/tests/repeated_refusal.rs
+++ b/load/tests/repeated_refusal.rs
@@ -83,7 +83,7 @@
     response
 }
 
-/// Guards against callers that are told `not-run` for a request that an upstream runs.
+/// Guards against `not-run` as the outcome of a request that an upstream runs.
 #[test]
 fn repeated_refusal_on_kept_connection_is_taken_for_that_of_the_next_request() {
     for refusal in [
