replication: changes of one revision beyond a datagram are not broadcast

Cause: the changes of one revision are sent together, and since the link budget up to 400 of them may wait, as after a listing that follows a long outage. Their message would not have fitted a datagram, and no message of the hub would have been sent. Change: more than 120 changes of one revision are forgotten, so that others list the kind, as before the link budget; and an update has at most 24 KiB.

--- a/gateway/src/hubs.rs
+++ b/gateway/src/hubs.rs
@@ -75,6 +75,8 @@
 const REPORTS_UNTIL_SILENT: u32 = 3;
 /// The least length of changes that a message may have, for a few upstreams.
 const MIN_UPDATE_BYTES: usize = 1000;
+/// The greatest length, so that the message fits a datagram with the totals of all customers.
+const MAX_UPDATE_BYTES: usize = 24 * 1024;
 /// The longest interval between two messages of a daemon to a hub.
 const MAX_MESSAGE_INTERVAL: Duration = Duration::from_secs(5);
 /// The age in milliseconds that is reported if no store response has arrived yet.
@@ -599,7 +601,7 @@
 /// `bytes_per_s` takes about as long as the interval of messages.
 pub fn max_update_bytes(bytes_per_s: f64, daemons: u32) -> usize {
     let bytes = bytes_per_s * MIN_MESSAGE_INTERVAL.as_secs_f64() / f64::from(daemons.max(1));
-    (bytes as usize).max(MIN_UPDATE_BYTES)
+    (bytes as usize).clamp(MIN_UPDATE_BYTES, MAX_UPDATE_BYTES)
 }
 
 /// Returns the sort key of a hub: wide links first, then by name.
--- a/gateway/src/replication.rs
+++ b/gateway/src/replication.rs
@@ -29,6 +29,8 @@
 const MAX_BROADCASTS_OF_MANY: u32 = 1;
 /// Changes that wait to be broadcast; a daemon that missed some lists the kind.
 const MAX_RECENT_ITEMS: usize = 400;
+/// Changes of one revision that fit a datagram. More of them, after a long outage, are not broadcast.
+const MAX_REVISION_ITEMS: usize = 120;
 
 /// Reports whether changes of a kind are broadcast. Hubs broadcast all evacuations in each message, since
 /// there are few. Every daemon watches declarations itself,
@@ -204,6 +206,16 @@
             items.push(item);
             count += 1;
         }
+        let is_one_revision = count > 0 && self.recent[0].at == self.recent[count - 1].at;
+        if is_one_revision && count > MAX_REVISION_ITEMS {
+            (0..count).for_each(|_| self.forget_first());
+            return Some(ReplicationUpdate {
+                kind,
+                since: Some(self.since),
+                at: self.since,
+                items: Vec::new(),
+            });
+        }
         let is_complete = count == self.recent.len();
         let since = self.since;
         let at = if is_complete { self.at? } else { self.recent[count - 1].at };
--- a/gateway/tests/link_budget.rs
+++ b/gateway/tests/link_budget.rs
@@ -107,6 +107,24 @@
     assert_eq!(other.snapshot(), hub.snapshot());
 }
 
+/// A listing after a long outage changed more objects at once than a datagram bears, so that the hub's message
+/// could not be sent at all.
+#[test]
+fn next_updates_revision_beyond_a_datagram_is_not_sent() {
+    let (mut hub, mut other) = (ReplicatedViews::default(), ReplicatedViews::default());
+    let listing = |revision| {
+        let entries = (0..390).map(|name| entry(name, revision)).collect();
+        Listing { entries, at: Revision(revision) }
+    };
+    for views in [&mut hub, &mut other] {
+        views.apply_listing(Time(0), Kind::Members, &listing(1));
+    }
+    hub.apply_listing(Time(1), Kind::Members, &listing(2));
+    let update = hub.next_updates(Time(2), 1000).remove(0);
+    assert!(update.items.is_empty(), "{} items", update.items.len());
+    assert!(matches!(other.compare(update), UpdateOutcome::MissedChanges));
+}
+
 /// After an outage of the store all daemons were in contact with it at once, and all of them broadcast.
 #[test]
 fn message_all_daemons_broadcast_when_the_store_returns() {
