review: case 4, a store that comes back from a copy is ignored

Cause: views of the store are ordered by revision alone and never go back, and nothing reads the era of the store.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import copy
 import itertools
 import json
 import os
@@ -136,11 +137,27 @@
         self.history = []
         self.changed = asyncio.Event()
         self.silent = False
+        # Rises each time that the store comes back from a copy.
+        self.era = 1
+        self.writers = set()
 
-    async def start(self, ip):
-        self.server = await asyncio.start_server(self.serve, ip, 0, limit=1 << 22)
+    async def start(self, ip, port=0):
+        self.server = await asyncio.start_server(self.serve, ip, port, limit=1 << 22)
         self.address = self.server.sockets[0].getsockname()
 
+    def copy(self):
+        return self.revision, copy.deepcopy(self.objects), list(self.history)
+
+    async def restore(self, saved, away_s):
+        """Is away for a moment and comes back from a copy."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        await asyncio.sleep(away_s)
+        self.revision, self.objects, self.history = saved
+        self.era += 1
+        await self.start(*self.address)
+
     def save(self, kind, name, spec, status):
         self.revision += 1
         metadata = {"name": name, "revision": self.revision, "created": 1, "finalizers": [],
@@ -169,6 +186,7 @@
         self.changed = asyncio.Event()
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head[1])
@@ -180,13 +198,15 @@
                     await asyncio.sleep(0.01)
                 # The stand-in holds bytes that are no text as this word.
                 text = json.dumps(answer).encode().replace(b"UNREADABLE", b"\xff\xfe\x80")
-                writer.write(encode(status, [("Content-Type", "application/json")], text))
+                headers = [("Content-Type", "application/json"), ("Store-Era", self.era)]
+                writer.write(encode(status, headers, text))
                 await writer.drain()
         except LostAnswer:
             await wait_for_close(reader)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def call(self, method, target, body):
@@ -228,6 +248,8 @@
     async def watch(self, kind, since, wait_ms):
         end = time.monotonic() + wait_ms / 1000
         while True:
+            if since > self.revision:
+                return 410, {}
             events = [event for at, of, event in self.history if at > since and of == kind]
             left = end - time.monotonic()
             if events or left <= 0:
