legs: the time of each request by leg, from its arrival in the socket

A deadline is counted from the moment at which the gateway reads a request to the moment at which it writes it.

Each attempt now records when the request arrived in the socket, was read, was given an upstream and a connection, was written, was acknowledged by the upstream's system, and answered. Histograms by leg; a line only for requests that need 250 ms or more to arrive, at most 20 a second. No decision uses any of this.

--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -1,12 +1,20 @@
 //! One attempt to run a request at one upstream, up to the head of its response.
 
-use std::{cell::Cell, io, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    convert::Infallible,
+    io,
+    os::fd::{AsRawFd as _, RawFd},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use dogwoodturn::{
     http::{
         connection::{Connection, MAX_RESPONSE_HEAD_BYTES},
         head::ResponseHead,
+        tcp_info::TcpInfo,
     },
     ids::{RouteName, ServiceName, UpstreamId},
     limit::{
@@ -21,7 +29,7 @@
 use futures_util::future::{self, LocalBoxFuture};
 use tokio::{
     io::Interest,
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 use crate::{
@@ -29,6 +37,7 @@
     forward::admission::Admitted,
     gateway::{Gateway, State},
     header_schema::ReportedPace,
+    legs::Legs,
     placement::{AttemptOutcome, Ticket},
     request::{ForwardingParams, Request},
     store::UpstreamRecord,
@@ -59,6 +68,10 @@
 /// Delay after a broken connection before its upstream is checked for a crash.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(60);
 
+/// Delay after which the acknowledgement of a request is first looked for; it doubles each time, since only slow ones
+/// matter.
+const FIRST_ACKNOWLEDGEMENT_CHECK: Duration = Duration::from_millis(20);
+
 /// How an upstream responded to a request.
 pub enum Response {
     /// The upstream stated that it did not run the request.
@@ -99,6 +112,7 @@
     /// Whether its bytes may pass through other gateways.
     may_tunnel: bool,
     pub(super) ticket: Ticket,
+    legs: Legs,
     pub(super) connection: Option<Connection>,
     /// Whether the whole request has been written and no response to another request was read after
     /// that.
@@ -115,6 +129,7 @@
 impl Attempt {
     pub(super) fn new(
         cx: &Rc<Gateway>,
+        req: &Request,
         admitted: &Admitted,
         upstream: UpstreamRecord,
         ticket: Ticket,
@@ -129,6 +144,7 @@
             max_connections: service.map_or(u32::MAX, |service| service.max_connections),
             may_tunnel: connect::may_tunnel(admitted.homes(&cx.settings().regions)),
             upstream,
+            legs: Legs::new(&req.id, req.arrived, req.unread, req.read, ticket.chosen_at),
             ticket,
             connection: None,
             is_request_written: false,
@@ -240,6 +256,7 @@
                 return (Box::new(self), Response::Broken);
             }
         };
+        self.legs.record_answered(self.cx.now());
         let load = head.headers.text(self.cx.header_schema.load);
         if let Some(load) = load.and_then(self.cx.header_schema.read_load) {
             let now = self.cx.now();
@@ -303,6 +320,8 @@
         }
         match self.connect(expires_at).await {
             Ok(connection) => {
+                let round_trip = TcpInfo::read(&connection.stream).map(|info| info.round_trip);
+                self.legs.record_connected(self.cx.now(), round_trip.unwrap_or_default());
                 self.connection = Some(connection);
                 true
             }
@@ -397,10 +416,33 @@
             }
         }
         self.is_request_written = true;
-        let head = connection.read_head(req.is_head_request()).await?;
+        self.legs.record_written(self.cx.now());
+        let socket = connection.stream.as_raw_fd();
+        let head = tokio::select! {
+            biased;
+            head = connection.read_head(req.is_head_request()) => head?,
+            never = self.watch_acknowledgement(socket) => match never {},
+        };
         self.skip_foreign_responses(connection, head, req).await
     }
 
+    /// Records when the upstream's system has the whole request.
+    async fn watch_acknowledgement(&mut self, socket: RawFd) -> Infallible {
+        let mut interval = FIRST_ACKNOWLEDGEMENT_CHECK;
+        loop {
+            sleep(interval).await;
+            match TcpInfo::read(&socket) {
+                Some(info) if !info.is_acknowledged() => interval *= 2,
+                info => {
+                    if info.is_some() {
+                        self.legs.record_acknowledged(self.cx.now());
+                    }
+                    return future::pending().await;
+                }
+            }
+        }
+    }
+
     /// Skips late responses to earlier requests on the connection.
     async fn skip_foreign_responses(
         &mut self,
@@ -518,6 +560,10 @@
     fn drop(&mut self) {
         let now = self.cx.now();
         let waited = now.since(self.ticket.chosen_at);
+        self.cx.metrics.observe_legs(&self.legs);
+        if self.legs.is_slow(now) && self.cx.leg_log.take(now) {
+            self.legs.log(now, self.upstream.id.as_str());
+        }
         let outcome = self.outcome.get();
         let is_abandoned_late = outcome == AttemptOutcome::Unknown && waited > self.target;
         let first_response = self.first_response.or(is_abandoned_late.then_some(waited));
--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -269,7 +269,7 @@
                 let Some(upstream) = upstream else {
                     return Err(self.refusal_or_loss("refused-nobody", RETRY_AFTER_NO_UPSTREAM));
                 };
-                Ok(Attempt::new(self.cx, &self.admitted, upstream, ticket))
+                Ok(Attempt::new(self.cx, self.req, &self.admitted, upstream, ticket))
             }
             Selection::Refused { retry_after, wait } => {
                 drop(state);
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -35,6 +35,7 @@
     header_schema::{HeaderSchema, Prompt},
     hubs::{self, HubMessage, HubStatus, Hubs, Total},
     lease::Lease,
+    legs,
     link_budget::LinkBudget,
     loop_lag::LoopLag,
     metrics::Metrics,
@@ -517,6 +518,8 @@
     /// Idle connections to upstreams.
     pub pool: RefCell<Pool>,
     pub metrics: Metrics,
+    /// Limits the log lines about slow requests.
+    pub leg_log: legs::LogLimit,
     pub peer_traffic: RefCell<PeerTraffic>,
     /// How long the event loop has been busy with other work.
     pub loop_lag: Cell<LoopLag>,
@@ -608,6 +611,7 @@
             state: RefCell::new(state),
             pool: RefCell::default(),
             metrics: Metrics::default(),
+            leg_log: legs::LogLimit::default(),
             peer_traffic: RefCell::default(),
             loop_lag: Cell::default(),
             link_budget: RefCell::new(link_budget),
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -14,6 +14,8 @@
     registry::Registry,
 };
 
+use crate::legs::{Leg, Legs};
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct OutcomeLabels {
     /// The route, or empty if no route was found.
@@ -56,6 +58,7 @@
     first_response: Family<RouteLabels, Histogram>,
     upstream_bodies: Family<BodyLabels, Counter>,
     upstream_pace: Histogram,
+    request_legs: Family<Leg, Histogram>,
     contention_share: Family<RankLabels, Gauge<f64, AtomicU64>>,
     contention_refusals: Family<RankLabels, Counter>,
     peer_bytes: Family<PeerLabels, Counter>,
@@ -104,6 +107,12 @@
         let upstream_pace = Histogram::new(exponential_buckets(25.0, 2.0_f64.sqrt(), 15));
         let help = "Paces that upstreams reported with responses, in percent of the usual time";
         registry.register("upstream_pace", help, upstream_pace.clone());
+        // From 1 ms, a link in a data centre, to 16 s, the longest wait of a caller.
+        let request_legs = Family::<Leg, Histogram>::new_with_constructor(|| {
+            Histogram::new(exponential_buckets(0.001, 2.0, 15))
+        });
+        let help = "Seconds of each leg of a request, up to the first answer of an upstream";
+        registry.register("request_leg_seconds", help, request_legs.clone());
         let contention_share = Family::<RankLabels, Gauge<f64, AtomicU64>>::default();
         let help = "Lowest admitted share of the customers of a rank, while one gave way";
         registry.register("contention_share", help, contention_share.clone());
@@ -146,6 +155,7 @@
             first_response,
             upstream_bodies,
             upstream_pace,
+            request_legs,
             contention_share,
             contention_refusals,
             peer_bytes,
@@ -178,6 +188,13 @@
         self.first_response.get_or_create(&labels).observe(elapsed.as_secs_f64());
     }
 
+    /// Records the legs of one attempt.
+    pub fn observe_legs(&self, legs: &Legs) {
+        for (leg, elapsed) in legs.durations() {
+            self.request_legs.get_or_create(&leg).observe(elapsed.as_secs_f64());
+        }
+    }
+
     /// Records the pace that an upstream reported.
     pub fn observe_upstream_pace(&self, pace: Pace) {
         self.upstream_pace.observe(pace.percent());
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -15,13 +15,28 @@
     header_schema::{HeaderSchema, Prompt},
 };
 
+/// When a request arrived and was read.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// When its first byte arrived in the socket, as far as that is known.
+    pub arrived: Time,
+    /// How long it lay there unread.
+    pub unread: Duration,
+    /// When it had been read completely.
+    pub read: Time,
+}
+
 /// A request that was read completely.
 #[derive(Clone, Debug)]
 pub struct Request {
     pub head: RequestHead,
     pub body: Bytes,
-    /// When its first byte was read.
+    /// When its first byte arrived in the socket, as far as that is known.
     pub arrived: Time,
+    /// How long it lay there unread.
+    pub unread: Duration,
+    /// When it had been read completely.
+    pub read: Time,
     /// The request ID that the caller sent; empty if there is none.
     pub id: Box<str>,
     /// A hash of the ID, for choices that must be the same for all attempts.
@@ -42,8 +57,9 @@
         header_schema: &HeaderSchema,
         head: RequestHead,
         body: Bytes,
-        arrived: Time,
+        arrival: Arrival,
     ) -> Self {
+        let Arrival { arrived, unread, read } = arrival;
         let headers = &head.headers;
         let id: Box<str> = headers.text(header_schema.request_id).unwrap_or_default().into();
         let number = |name: &str| headers.text(name).and_then(|text| text.trim().parse().ok());
@@ -52,7 +68,7 @@
         let prompt = (header_schema.read_prompt)(headers).limit_tokens();
         let hash = xxh3_64(id.as_bytes());
         let progress = Rc::default();
-        Self { head, body, arrived, id, hash, deadline, prompt, last_event, progress }
+        Self { head, body, arrived, unread, read, id, hash, deadline, prompt, last_event, progress }
     }
 
     /// Returns the caller's key, sent as a bearer token.
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -8,6 +8,7 @@
         body::{BodyDecoder, Step},
         connection::set_socket_options,
         head::{Framing, HeadError, RequestHead},
+        tcp_info::TcpInfo,
     },
     units::Time,
 };
@@ -23,7 +24,7 @@
     gateway::{BodyReservation, Gateway},
     links,
     peers::WORK_INTERVAL,
-    request::{LOCAL_WRITE_TIMEOUT, LocalResponse, Request},
+    request::{Arrival, LOCAL_WRITE_TIMEOUT, LocalResponse, Request},
     table::CallerLimits,
     tunnel,
 };
@@ -189,6 +190,7 @@
     }
     let limits = caller_limits(cx);
     let now = cx.now();
+    let in_socket = TcpInfo::read(stream).map(|info| info.since_received).unwrap_or_default();
     let waited = cx.loop_lag.get().waiting_time(now, WORK_INTERVAL);
     let arrived = now.ago(waited).max(idle_since.unwrap_or_default());
     if !waited.is_zero() {
@@ -216,7 +218,8 @@
     let body = body
         .await
         .map_err(|_| ReadError::Refused(LocalResponse::malformed(408, "refused-slow-body")))??;
-    Ok((Request::new(&cx.header_schema, head, body, arrived), reservation))
+    let arrival = Arrival { arrived, unread: now.since(arrived).max(in_socket), read: cx.now() };
+    Ok((Request::new(&cx.header_schema, head, body, arrival), reservation))
 }
 
 /// Returns the limits in force, which a new table can change while a connection waits for a request.
--- a/lib/src/http/mod.rs
+++ b/lib/src/http/mod.rs
@@ -7,4 +7,5 @@
 pub mod body;
 pub mod connection;
 pub mod head;
+pub mod tcp_info;
 pub mod tunnel;
