serve: the time of a request begins when it arrives in the socket

A request's time began when its first bytes were read, less the last lag of the event loop. The lag shows neither the queue of new connections, for which a gateway without descriptors accepts nothing while its loop is idle, nor the sum of many short turns: with a processor by quota each is under 100 ms, which counts as none.

The system knows when the last bytes of a socket arrived (TCP_INFO); the request's time now begins then. The lag is kept for a system that does not report it, and for suspension.

--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -190,10 +190,12 @@
     }
     let limits = caller_limits(cx);
     let now = cx.now();
+    let lag = cx.loop_lag.get().waiting_time(now, WORK_INTERVAL);
+    // The lag is no measure of the time in the queue of new connections, nor of many short turns.
     let in_socket = TcpInfo::read(stream).map(|info| info.since_received).unwrap_or_default();
-    let waited = cx.loop_lag.get().waiting_time(now, WORK_INTERVAL);
+    let waited = lag.max(in_socket);
     let arrived = now.ago(waited).max(idle_since.unwrap_or_default());
-    if !waited.is_zero() {
+    if !lag.is_zero() {
         // Lets tasks with pending updates of upstreams run first.
         yield_now().await;
     }
@@ -218,7 +220,7 @@
     let body = body
         .await
         .map_err(|_| ReadError::Refused(LocalResponse::malformed(408, "refused-slow-body")))??;
-    let arrival = Arrival { arrived, unread: now.since(arrived).max(in_socket), read: cx.now() };
+    let arrival = Arrival { arrived, unread: now.since(arrived), read: cx.now() };
     Ok((Request::new(&cx.header_schema, head, body, arrival), reservation))
 }
 
