link_budget: documents for peers take at most three tenths of a link

Any gateway can be asked for them: by all that a store turns away at once, and by all that see a newer table.

With the messages, half of a link is left to requests.

--- a/gateway/src/catch_up.rs
+++ b/gateway/src/catch_up.rs
@@ -116,7 +116,10 @@
                 }
                 Err(error) => log::warn!(event = "unreadable-table", peer:%, error:%; ""),
             },
-            Err(error) => log::warn!(event = "table-not-fetched", peer:%, error:%; ""),
+            Err(error) => {
+                log::warn!(event = "table-not-fetched", peer:%, error:%; "");
+                sleep(jittered_delay(&cx, MAX_TABLE_FETCH_DELAY)).await;
+            }
         }
     }
 }
--- a/gateway/src/link_budget.rs
+++ b/gateway/src/link_budget.rs
@@ -1,4 +1,4 @@
-//! The part of a host's link that messages between daemons may take.
+//! The part of a host's link that messages and documents between daemons may take.
 //!
 //! Load pattern: hundreds of small hosts, in which a store that returns, a release or a start gives many
 //! daemons something to send to all others at the same moment. Requests of callers share the links with these
@@ -17,6 +17,9 @@
 /// Part of the budget that broadcasts of a hub may take. They are the longest messages, and the hub's own
 /// reports must not wait behind them.
 const BROADCAST_PART: f64 = 0.8;
+/// Share of a link that documents for peers may use. Hundreds of peers may want the same one at the same moment,
+/// and a table has to be in force everywhere within seconds; with messages, half of the link is left to requests.
+pub const DOCUMENT_LINK_SHARE: f64 = 0.3;
 /// Time of the budget that may be used at once: the interval of states, which are sent to several peers at a
 /// time. A request waits for a fifth of it at most behind messages.
 const BURST: Duration = MESSAGE_INTERVAL;
@@ -78,6 +81,7 @@
 pub struct LinkBudget {
     all: Bucket,
     broadcasts: Bucket,
+    documents: Bucket,
     refilled: Option<Time>,
 }
 
@@ -85,10 +89,12 @@
     /// Creates the budget of a host whose link has this bandwidth in Mbit/s.
     pub fn new(link_mbps: f64) -> Self {
         // In no second may more be sent than the share, including the burst.
-        let bytes_per_s = link_mbps * 1e6 / 8.0 * MESSAGE_LINK_SHARE / (1.0 + BURST.as_secs_f64());
+        let link = link_mbps * 1e6 / 8.0 / (1.0 + BURST.as_secs_f64());
+        let bytes_per_s = link * MESSAGE_LINK_SHARE;
         Self {
             all: Bucket::new(bytes_per_s),
             broadcasts: Bucket::new(bytes_per_s * BROADCAST_PART),
+            documents: Bucket::new(link * DOCUMENT_LINK_SHARE),
             refilled: None,
         }
     }
@@ -98,12 +104,33 @@
         self.broadcasts.bytes_per_s
     }
 
-    /// Charges up to `wanted` messages of `length` bytes, and returns how many may be sent now.
-    pub fn charge(&mut self, now: Time, charge: Charge, length: usize, wanted: usize) -> usize {
+    /// Charges a document of `length` bytes for a peer, and reports whether it may be sent now.
+    pub fn charge_document(&mut self, now: Time, length: usize) -> bool {
+        self.refill(now);
+        let is_allowed = self.documents.affordable(length, Duration::ZERO) > 0;
+        if is_allowed {
+            self.documents.take(length);
+        }
+        is_allowed
+    }
+
+    /// Reports whether a document may be sent now.
+    pub fn allows_document(&mut self, now: Time) -> bool {
+        self.refill(now);
+        self.documents.affordable(1, Duration::ZERO) > 0
+    }
+
+    fn refill(&mut self, now: Time) {
         let elapsed = now.since(self.refilled.unwrap_or(now));
         self.refilled = Some(now);
-        self.all.refill(elapsed);
-        self.broadcasts.refill(elapsed);
+        for bucket in [&mut self.all, &mut self.broadcasts, &mut self.documents] {
+            bucket.refill(elapsed);
+        }
+    }
+
+    /// Charges up to `wanted` messages of `length` bytes, and returns how many may be sent now.
+    pub fn charge(&mut self, now: Time, charge: Charge, length: usize, wanted: usize) -> usize {
+        self.refill(now);
         let count = match charge {
             Charge::HubReport => self.all.affordable(length, HUB_REPORT_ADVANCE),
             Charge::Evidence => self.all.affordable(length, EVIDENCE_ADVANCE),
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -46,13 +46,16 @@
 pub fn handle_request(cx: &Gateway, head: &RequestHead) -> SimpleResponse {
     match head.path() {
         TABLE_PATH => match &cx.state.borrow().table {
-            Some(table) => SimpleResponse { status: 200, body: table.document.clone() },
+            Some(table) => send_document(cx, table.document.clone()),
             None => SimpleResponse { status: 404, body: Bytes::new() },
         },
         OBJECTS_PATH => {
+            if !cx.link_budget.borrow_mut().allows_document(cx.now()) {
+                return SimpleResponse { status: 503, body: Bytes::new() };
+            }
             let mut bytes = Vec::new();
             match ciborium::into_writer(&cx.state.borrow().views.snapshot(), &mut bytes) {
-                Ok(()) => SimpleResponse { status: 200, body: bytes.into() },
+                Ok(()) => send_document(cx, bytes.into()),
                 Err(error) => {
                     log::error!(event = "objects-not-encoded", error:%; "objects for a peer could not be encoded; responding with status 500");
                     SimpleResponse { status: 500, body: Bytes::new() }
@@ -63,6 +66,19 @@
     }
 }
 
+/// Returns a document for a peer, or status 503 while the link bears none: the peer tries again after a pause of
+/// its own, and requests do not wait behind documents.
+fn send_document(cx: &Gateway, body: Bytes) -> SimpleResponse {
+    let is_allowed = cx.link_budget.borrow_mut().charge_document(cx.now(), body.len());
+    let direction = if is_allowed { Direction::Sent } else { Direction::Unsent };
+    cx.count_peer_messages(direction, "document", body.len(), 1);
+    if is_allowed {
+        SimpleResponse { status: 200, body }
+    } else {
+        SimpleResponse { status: 503, body: Bytes::new() }
+    }
+}
+
 /// Sends this daemon's state and work to its peers periodically.
 pub async fn broadcast(cx: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut ticks = interval(WORK_INTERVAL);
