tunnel: a reset withdraws what has not been passed on

A daemon that forwards a connection and has no processor for a while reads a request after its sender has given it up: the system delivers bytes before it reports the reset that came after them. The error of the socket is now looked at before bytes of the origin are passed on. The other direction delivers, as before: bytes of a response are its caller's.

forward_request_that_was_reset_while_the_daemon_stood_still failed before: all 18 bytes were passed on.

--- a/lib/src/http/tunnel.rs
+++ b/lib/src/http/tunnel.rs
@@ -2,7 +2,8 @@
 //!
 //! A response that ends with its connection is complete if the connection was closed and truncated if
 //! it was reset, and an upstream stops working on a request whose connection is gone. So a close is
-//! passed on as a close, and a reset, or the end of this process, as a reset.
+//! passed on as a close, and a reset, or the end of this process, as a reset. A reset also withdraws what has not
+//! been passed on: a request that its sender has abandoned must not reach the upstream because this process was late.
 
 use std::io;
 
@@ -38,13 +39,13 @@
     let (mut from_origin, mut to_origin) = origin.split();
     let (mut from_upstream, mut to_upstream) = upstream.split();
     let request = async {
-        match copy(&mut from_origin, &mut to_upstream).await {
+        match copy(&mut from_origin, &mut to_upstream, Withdrawn::Discarded).await {
             CopyEnd::Read(end) => end,
             // The upstream may have responded before it stopped reading.
             CopyEnd::NotWritten(_) => std::future::pending().await,
         }
     };
-    let response = copy(&mut from_upstream, &mut to_origin);
+    let response = copy(&mut from_upstream, &mut to_origin, Withdrawn::Delivered);
     tokio::select! {
         end = request => match end {
             ReadEnd::Closed => Ok(()),
@@ -67,12 +68,25 @@
     }
 }
 
-async fn copy(from: &mut ReadHalf<'_>, to: &mut WriteHalf<'_>) -> CopyEnd {
+/// What becomes of bytes that arrived before a reset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Withdrawn {
+    Delivered,
+    Discarded,
+}
+
+async fn copy(from: &mut ReadHalf<'_>, to: &mut WriteHalf<'_>, withdrawn: Withdrawn) -> CopyEnd {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
         match from.read(&mut buf).await {
             Ok(0) => return CopyEnd::Read(ReadEnd::Closed),
             Ok(length) => {
+                // The system delivers bytes before it reports a reset that came after them.
+                if withdrawn == Withdrawn::Discarded
+                    && let Ok(Some(error)) | Err(error) = from.as_ref().take_error()
+                {
+                    return CopyEnd::Read(ReadEnd::Broken(error));
+                }
                 if let Err(error) = to.write_all(&buf[..length]).await {
                     return CopyEnd::NotWritten(error);
                 }
