send_delay: no request is written where earlier bytes wait

A write succeeds at once on an idle connection although the link of the host is full, or the connection has gone silent. Nothing looked at acknowledgements, and a reset at the deadline does not call back what has left the socket.

The gateway now records, per upstream and for its own link, since when bytes wait for their acknowledgement. Where they do for 100 ms and more, idle connections are passed over and a new one is opened: its handshake takes the same way, within the time left, and carries no request. So the time until arrival is bounded on first attempts, repeats, replacements and through tunnels, all of which open their connection there, and what could not be sent is refused as not run, which is true. The time left that an upstream is given is less the connection's round trip, and a request with no more than that left is refused.

request_is_written_behind_bytes_that_are_not_acknowledged failed before: it was sent on idle connection 1.

--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -72,6 +72,9 @@
 /// matter.
 const FIRST_ACKNOWLEDGEMENT_CHECK: Duration = Duration::from_millis(20);
 
+/// Longest interval of these checks, so that the evidence of bytes that wait stays fresh.
+const MAX_ACKNOWLEDGEMENT_CHECK: Duration = Duration::from_millis(320);
+
 /// How an upstream responded to a request.
 pub enum Response {
     /// The upstream stated that it did not run the request.
@@ -217,7 +220,7 @@
         let service = admitted.table.services.get(&self.service);
         let urgency = service.and_then(|service| service.engine).map(|_| admitted.urgency);
         let to = ForwardingParams {
-            time_left: time_left.saturating_sub(RESPONSE_TRANSIT),
+            time_left: time_left.saturating_sub(RESPONSE_TRANSIT.max(self.legs.round_trip())),
             upstream: self.upstream.id.as_str(),
             customer: admitted.customer.as_ref(),
             urgency,
@@ -256,6 +259,7 @@
                 return (Box::new(self), Response::Broken);
             }
         };
+        self.record_acknowledged();
         self.legs.record_answered(self.cx.now());
         let load = head.headers.text(self.cx.header_schema.load);
         if let Some(load) = load.and_then(self.cx.header_schema.read_load) {
@@ -343,6 +347,11 @@
         }
     }
 
+    /// Returns the round trip of the connection, within which no request arrives and is answered.
+    pub(super) fn round_trip(&self) -> Duration {
+        self.legs.round_trip()
+    }
+
     /// Reports whether the upstream still accepts work, which may have changed while it was connected. Logs if
     /// it does not.
     pub(super) fn may_be_sent(&self) -> bool {
@@ -375,11 +384,20 @@
 
     async fn connect(&self, expires_at: Time) -> io::Result<Connection> {
         let now = self.cx.now();
-        let idle = self.cx.pool.borrow_mut().acquire(now, &self.upstream.id);
-        if let Some(connection) = idle {
-            return Ok(connection);
+        if self.cx.state.borrow().send_delays.is_delayed(now, &self.upstream.id) {
+            self.cx.metrics.avoided_idle_connections.inc();
+        } else {
+            let idle = self.cx.pool.borrow_mut().acquire(now, &self.upstream.id);
+            if let Some(connection) = idle {
+                return Ok(connection);
+            }
+        }
+        let opened = connect::open(&self.cx, &self.upstream, expires_at, self.may_tunnel).await;
+        if opened.is_ok() {
+            let mut state = self.cx.state.borrow_mut();
+            state.send_delays.record_acknowledged(&self.upstream.id, now);
         }
-        connect::open(&self.cx, &self.upstream, expires_at, self.may_tunnel).await
+        opened
     }
 
     /// Writes the request, reading a response that arrives early, and returns the head of the
@@ -391,11 +409,20 @@
         req: &Request,
     ) -> io::Result<ResponseHead> {
         let (mut sent, mut received) = (0, 0);
+        let mut last_write = self.cx.now();
         while sent < bytes.len() {
-            let ready = connection.stream.ready(Interest::READABLE | Interest::WRITABLE).await?;
+            let ready = connection.stream.ready(Interest::READABLE | Interest::WRITABLE);
+            let Ok(ready) = timeout(MAX_ACKNOWLEDGEMENT_CHECK, ready).await else {
+                self.record_waiting(last_write);
+                continue;
+            };
+            let ready = ready?;
             if ready.is_writable() {
                 match connection.try_write(&bytes[sent..]) {
-                    Ok(written) => sent += written,
+                    Ok(written) => {
+                        sent += written;
+                        last_write = self.cx.now();
+                    }
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                     Err(error) => return Err(error),
                 }
@@ -432,10 +459,13 @@
         loop {
             sleep(interval).await;
             match TcpInfo::read(&socket) {
-                Some(info) if !info.is_acknowledged() => interval *= 2,
+                Some(info) if !info.is_acknowledged() => {
+                    interval = (interval * 2).min(MAX_ACKNOWLEDGEMENT_CHECK);
+                    self.record_waiting(self.legs.written());
+                }
                 info => {
                     if info.is_some() {
-                        self.legs.record_acknowledged(self.cx.now());
+                        self.record_acknowledged();
                     }
                     return future::pending().await;
                 }
@@ -443,6 +473,18 @@
         }
     }
 
+    /// Records that bytes that were written at this time have not arrived yet.
+    fn record_waiting(&self, written: Time) {
+        let mut state = self.cx.state.borrow_mut();
+        state.send_delays.record_waiting(self.cx.now(), &self.upstream.id, written);
+    }
+
+    fn record_acknowledged(&mut self) {
+        self.legs.record_acknowledged(self.cx.now());
+        let mut state = self.cx.state.borrow_mut();
+        state.send_delays.record_acknowledged(&self.upstream.id, self.legs.written());
+    }
+
     /// Skips late responses to earlier requests on the connection.
     async fn skip_foreign_responses(
         &mut self,
--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -218,7 +218,7 @@
         let mut attempt = self.choose()?;
         self.tried.borrow_mut().push(attempt.upstream.id.clone());
         if attempt.open(self.req, self.admitted.expires_at).await {
-            if self.time_left().is_zero() {
+            if self.time_left() <= attempt.round_trip() {
                 return Err(self.deadline_response());
             }
             if !attempt.may_be_sent() {
@@ -332,7 +332,7 @@
             self.log_no_retry("unreachable");
             return None;
         }
-        if self.time_left().is_zero() || !attempt.may_be_sent() {
+        if self.time_left() <= attempt.round_trip() || !attempt.may_be_sent() {
             return None;
         }
         // Other requests may have used up the budget while this one connected.
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -48,6 +48,7 @@
     replication::ReplicatedViews,
     retry::RetryBudgets,
     rollout::Rollouts,
+    send_delay::SendDelays,
     settings::{Bounds, Settings, WarmUpTolerance},
     startup::Startup,
     store::{CallError, Kind, Store, StoreRevision, UpstreamRecord},
@@ -99,6 +100,8 @@
     pub crash_evidence: CrashEvidence,
     /// Which services' upstreams this daemon reaches over its own links.
     pub reachability: Reachability,
+    /// Whether what this daemon writes arrives.
+    pub send_delays: SendDelays,
     pub rollouts: Rollouts,
     pub autoscaler: Autoscaler,
     pub usage: Usage,
@@ -593,6 +596,7 @@
             contention: Contention::default(),
             crash_evidence: CrashEvidence::new(MIN_CONTENT_CRASHES),
             reachability: Reachability::default(),
+            send_delays: SendDelays::default(),
             rollouts: Rollouts::new(bounds.canary_share),
             autoscaler: Autoscaler::default(),
             usage: Usage::new(bounds.usage_window),
--- a/gateway/src/legs.rs
+++ b/gateway/src/legs.rs
@@ -64,6 +64,16 @@
         self.round_trip = round_trip;
     }
 
+    /// Returns when the request was written, or else when its connection was chosen.
+    pub fn written(&self) -> Time {
+        self.written.or(self.connected).unwrap_or(self.chosen)
+    }
+
+    /// Returns the connection's round trip, from before this request.
+    pub fn round_trip(&self) -> Duration {
+        self.round_trip
+    }
+
     pub fn record_written(&mut self, now: Time) {
         self.written = Some(now);
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod run;
+pub mod send_delay;
 pub mod serve;
 pub mod settings;
 pub mod sse;
--- a/gateway/src/maintenance.rs
+++ b/gateway/src/maintenance.rs
@@ -33,6 +33,7 @@
             state.update_paces();
             cx.metrics.ramping_upstreams.set(state.update_ramps(now).into());
             state.update_brittle(now);
+            state.send_delays.expire(now);
             state.directory.evict_expired(now)
         };
         cx.update_contention(now);
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -65,6 +65,8 @@
     /// Connections that were opened to upstreams.
     pub connections: Counter,
     pub failed_connections: Counter,
+    /// Requests that were not sent on an idle connection, since earlier bytes were not acknowledged.
+    pub avoided_idle_connections: Counter,
     /// Connections to upstreams that other gateways forward.
     pub tunnels: Counter,
     /// Connections that are forwarded for other gateways now.
@@ -130,6 +132,8 @@
         let connections = counter("upstream_connections", "Connections opened to upstreams");
         let help = "Connections to upstreams that failed";
         let failed_connections = counter("failed_upstream_connections", help);
+        let help = "Idle connections passed over, since earlier bytes were not acknowledged";
+        let avoided_idle_connections = counter("avoided_idle_connections", help);
         let help = "Requests in progress at an upstream that crashed";
         let upstream_crashes = counter("upstream_crashes", help);
         let upstream_retries = counter("repeats", "Requests sent to a second upstream");
@@ -161,6 +165,7 @@
             peer_bytes,
             connections,
             failed_connections,
+            avoided_idle_connections,
             tunnels,
             open_tunnels,
             upstream_crashes,
--- a/gateway/tests/late_arrival.rs
+++ b/gateway/tests/late_arrival.rs
@@ -100,3 +100,33 @@
     assert!(bytes > 0, "no peer got the table");
     assert!(bytes as f64 <= allowed, "{bytes} bytes, {allowed} allowed");
 }
+
+// BUDGET of wayfarer-dogwood-large: a request was repeated on an idle connection behind bytes that had not arrived.
+#[actix_rt::test]
+async fn request_is_written_behind_bytes_that_are_not_acknowledged() {
+    const BODY_BYTES: usize = 12 << 20;
+    let script = |request: &ReceivedRequest| match request.head.path() {
+        b"/book/long" => UpstreamAction::ReadAfter(Duration::from_millis(1500), ok("done")),
+        _ => UpstreamAction::WriteAfter(Duration::from_millis(50), ok("done")),
+    };
+    let upstream = Upstream::start(script);
+    let mut table = table(all_routes());
+    table.limits.body_bytes = BODY_BYTES;
+    let gateway = TestGateway::with_table(&[&upstream], table).await;
+    let gateway = &gateway;
+    // Two connections that are idle then.
+    let requests =
+        ["a1", "a2"].map(|id| async move { gateway.exchange(&get("/look/1", id)).await });
+    join_all(requests).await;
+    let head = get("/book/long", "a3").replace("\r\n\r\n", "");
+    let long = format!("{head}\r\nContent-Length: {BODY_BYTES}\r\n\r\n{}", "x".repeat(BODY_BYTES));
+    let later = async {
+        actix_rt::time::sleep(Duration::from_millis(700)).await;
+        gateway.exchange(&get("/look/1", "a4")).await
+    };
+    let (_, answer) = futures_util::future::join(gateway.exchange(&long), later).await;
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    let received = upstream.received.borrow();
+    let connection = received.iter().find(|request| request_id(request) == "a4").unwrap();
+    assert_eq!(connection.connection, 3, "a new connection");
+}
