edge: an upstream is given the time that is left once its connection is open

The daemon computed X-Deadline-Ms before it connected. Over its own link that takes up to 350 ms, and 300 ms more for each of the daemons that are asked for a tunnel, so that an upstream was given more time than its caller had, and a request could be written after its deadline. The time left is computed when the connection is open, and nothing is sent if there is none.

--- a/lib/src/edge/upstream.rs
+++ b/lib/src/edge/upstream.rs
@@ -1,6 +1,11 @@
 //! Sends requests to upstreams and passes their responses to the [`TrafficDriver`].
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use serde_json::json;
@@ -34,7 +39,8 @@
 /// Runs one attempt to its end. The task is aborted if the attempt is closed before that.
 pub async fn run(driver: Rc<TrafficDriver>, client: Rc<Client>, dispatch: Box<Dispatch>) {
     let attempt = dispatch.attempt;
-    let end = match send(&driver, &client, &dispatch).await {
+    let expires_at = Instant::now() + dispatch.time_left;
+    let end = match send(&driver, &client, &dispatch, expires_at).await {
         Ok(()) => StreamEnd::Eof,
         Err(end) => end,
     };
@@ -46,7 +52,14 @@
     driver: &Rc<TrafficDriver>,
     client: &Rc<Client>,
     dispatch: &Dispatch,
+    expires_at: Instant,
 ) -> Result<(), StreamEnd> {
+    let connection = connect(driver, client, dispatch).await?;
+    // A connection may take longer than the time left, in particular through other daemons.
+    let time_left = expires_at.saturating_duration_since(Instant::now());
+    if time_left.is_zero() {
+        return Err(StreamEnd::Unreachable("no connection before the deadline".into()));
+    }
     // The body of a completion, for which `paced_by` is never set, is JSON written by the daemon.
     let is_json = dispatch.paced_by.is_none();
     let mut req = ClientRequest::new(&dispatch.method, dispatch.address, &dispatch.path);
@@ -57,11 +70,10 @@
     }
     req = req
         .header("x-request-id", dispatch.name.as_bytes())
-        .header("x-deadline-ms", dispatch.time_left.as_millis().to_string().as_bytes());
+        .header("x-deadline-ms", time_left.as_millis().to_string().as_bytes());
     if is_json {
         req = req.header("content-type", b"application/json");
     }
-    let connection = connect(driver, client, dispatch).await?;
     let is_reused = connection.reused;
     let sent = client.send_on(connection, dispatch.address, &req.body(&dispatch.body)).await;
     let mut res = sent.map_err(|error| StreamEnd::ConnectionLost(error.to_string().into()))?;
