edge: a request's time begins when it arrives in the daemon's socket

The daemon counted a deadline from the moment at which the body was complete. The time since its arrival is counted now, as the system reports it, and a request whose time has passed is refused as not run.

process_frozen_daemon_runs_a_request_whose_deadline_has_passed failed before: the booking of 300 ms that waited 900 ms ran.

--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -5,7 +5,7 @@
 //! are cut by a graceful shutdown.
 
 use std::{
-    io::{BufRead as _, BufReader, Write as _},
+    io::{BufRead as _, BufReader, Read as _, Write as _},
     net::SocketAddr,
     process::{Child, Command, ExitStatus, Stdio},
     thread::sleep,
@@ -313,3 +313,36 @@
     });
     assert_eq!(run_count(&fleet, "lot-2"), 1);
 }
+
+// BUDGET of wayfarer-dogwood-large, for the daemon: a request that lay in the socket of a daemon that stood still ran
+// after its deadline.
+#[test]
+fn process_frozen_daemon_runs_a_request_whose_deadline_has_passed() {
+    let (fleet, processes) = start(1);
+    let process = &processes[0];
+    let send = |key: &str, deadline_ms: u64| {
+        let body = r#"{"lot":"a"}"#;
+        let mut caller = std::net::TcpStream::connect(process.callers).expect("a connection");
+        let request = format!(
+            "POST /consignments HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer growers-token\r\n\
+             Idempotency-Key: {key}\r\nX-Deadline-Ms: {deadline_ms}\r\nConnection: close\r\n\
+             Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        caller.write_all(request.as_bytes()).expect("the request is sent");
+        caller
+    };
+    process.signal(Signal::SIGSTOP);
+    let (late, in_time) = (send("late", 300), send("in-time", 20_000));
+    sleep(Duration::from_millis(900));
+    process.signal(Signal::SIGCONT);
+    let answer = |mut caller: std::net::TcpStream| {
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).expect("an answer");
+        answer
+    };
+    let (late, in_time) = (answer(late), answer(in_time));
+    assert!(in_time.starts_with("HTTP/1.1 200 "), "{in_time}");
+    assert_eq!(run_count(&fleet, "late"), 0, "{late}");
+    assert!(late.starts_with("HTTP/1.1 50"), "{late}");
+}
--- a/lib/src/edge/caller.rs
+++ b/lib/src/edge/caller.rs
@@ -15,6 +15,7 @@
 use crate::{
     edge::{
         driver::{FlowControl, Part, TrafficDriver},
+        listen::arrival_time,
         problem::Problem,
     },
     hop::HOP_BY_HOP,
@@ -77,6 +78,7 @@
 
     async fn respond(&self, mut req: Request) -> Result<Response<BoxBody>, Box<Refusal>> {
         let undispatched = Undispatched::begin();
+        let arrived = arrival_time(&req);
         let token = token_digest(req.headers());
         if let Some(name) = req.path().strip_prefix(REQUESTS_PATH) {
             return self.resume(name, &req, token, undispatched).await;
@@ -104,6 +106,7 @@
             token,
             key: header_text(req.headers(), "idempotency-key").map(Into::into),
             deadline: header_millis(req.headers(), "x-deadline-ms"),
+            waited: arrived.elapsed(),
             class: header_text(req.headers(), "x-priority").and_then(|class| class.parse().ok()),
             undispatched,
         };
--- a/lib/src/edge/listen.rs
+++ b/lib/src/edge/listen.rs
@@ -1,10 +1,22 @@
 //! Accepts connections on one thread and passes each request to a handler.
 
-use std::{cell::Cell, future::Future, io, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    future::Future,
+    io,
+    os::fd::{AsRawFd as _, RawFd},
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix_http::{HttpService, KeepAlive, Request, Response, body::BoxBody};
 use actix_service::{Service as _, ServiceFactory as _, fn_service};
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+use crate::http::tcp_info::TcpInfo;
 
 /// Timeout for receiving the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -13,6 +25,18 @@
 /// Delay after a failed accept, such as when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// The socket of a request's connection.
+#[derive(Clone, Copy, Debug)]
+struct Socket(RawFd);
+
+/// Returns when the last bytes of a request that is being handled arrived in its socket. They may have waited there
+/// while this process had no processor, or accepted no connections.
+pub fn arrival_time(req: &Request) -> Instant {
+    let now = Instant::now();
+    let info = req.conn_data::<Socket>().and_then(|socket| TcpInfo::read(&socket.0));
+    info.and_then(|info| now.checked_sub(info.since_received)).unwrap_or(now)
+}
+
 /// Counts the open connections of one listening thread.
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionCounter(Rc<Cell<usize>>);
@@ -39,6 +63,9 @@
     let factory = HttpService::build()
         .client_request_timeout(HEAD_TIMEOUT)
         .keep_alive(KeepAlive::Timeout(KEEP_ALIVE_TIMEOUT))
+        .on_connect_ext(|stream: &TcpStream, data| {
+            data.insert(Socket(stream.as_raw_fd()));
+        })
         .finish(fn_service(move |req: Request| {
             let response = handler(req);
             async move { Ok::<_, std::convert::Infallible>(response.await) }
--- a/lib/src/node/traffic/arrive.rs
+++ b/lib/src/node/traffic/arrive.rs
@@ -166,6 +166,10 @@
         let completion = is_completion.then(|| read_completion(&arrival.body)).transpose()?;
         let allowed =
             arrival.deadline.map_or(route.deadline, |requested| requested.min(route.deadline));
+        if arrival.waited >= allowed {
+            let detail = "the deadline had passed when the request was read";
+            return Err((RefusalKind::DeadlineExceeded, detail.into()));
+        }
         let request = self.cfg.origin.request_id(self.last_number + 1);
         let request = request.map_err(|error| (RefusalKind::NotReady, error.to_string()))?;
         Ok(RequestSpec {
@@ -185,7 +189,7 @@
             completion,
             key: arrival.key.clone(),
             arrived: now,
-            deadline: now + allowed,
+            deadline: now + (allowed - arrival.waited),
         })
     }
 
--- a/lib/src/node/traffic/mod.rs
+++ b/lib/src/node/traffic/mod.rs
@@ -80,6 +80,8 @@
     pub key: Option<Box<str>>,
     /// How long the caller waits for the response.
     pub deadline: Option<Duration>,
+    /// How long the request has waited since it arrived in the socket.
+    pub waited: Duration,
     /// The class that the caller requests; it can only be less urgent than that of the route.
     pub class: Option<RequestClass>,
     /// Proof that no upstream has seen the request.
--- a/lib/tests/fake_world/mod.rs
+++ b/lib/tests/fake_world/mod.rs
@@ -319,6 +319,7 @@
             token: None,
             key: key.map(Into::into),
             deadline: None,
+            waited: Duration::ZERO,
             class: None,
             undispatched: Undispatched::begin(),
         };
