--- a/lib/src/node/traffic/arrive.rs
+++ b/lib/src/node/traffic/arrive.rs
@@ -189,7 +189,7 @@
             completion,
             key: arrival.key.clone(),
             arrived: now,
-            deadline: now + (allowed - arrival.waited),
+            deadline: now + allowed.saturating_sub(arrival.waited),
         })
     }
 
