edge: less is buffered for a slow caller of the daemon

The report of bytes without end, for the daemon: a megabyte was buffered for each caller that does not read, whatever their number. 64 KiB keep a caller busy as well.

--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -8,6 +8,10 @@
     io::{BufRead as _, BufReader, Read as _, Write as _},
     net::SocketAddr,
     process::{Child, Command, ExitStatus, Stdio},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread::sleep,
     time::{Duration, Instant},
 };
@@ -346,3 +350,106 @@
     assert_eq!(run_count(&fleet, "late"), 0, "{late}");
     assert!(late.starts_with("HTTP/1.1 50"), "{late}");
 }
+
+/// Starts an upstream that sends `first` once and `repeated` without end in response to each request. Returns its
+/// address and the number of bytes that it has sent.
+fn start_endless_upstream(
+    first: &'static str,
+    repeated: &'static str,
+) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let sent = Arc::new(AtomicUsize::new(0));
+    let counter = sent.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, counter) = (stream.expect("a connection"), counter.clone());
+            std::thread::spawn(move || {
+                let mut request = [0; 4096];
+                if stream.read(&mut request).unwrap_or(0) == 0 {
+                    return;
+                }
+                let block = repeated.repeat(16 * 1024 / repeated.len());
+                let mut bytes = first.as_bytes().to_vec();
+                while stream.write_all(&bytes).is_ok() {
+                    counter.fetch_add(bytes.len(), Ordering::Relaxed);
+                    bytes = block.clone().into_bytes();
+                }
+            });
+        }
+    });
+    (address, sent)
+}
+
+/// Returns the most memory that a process has used so far, in bytes.
+fn peak_memory(process: &Process) -> u64 {
+    let path = format!("/proc/{}/status", process.child.id());
+    let status = std::fs::read_to_string(path).expect("the process runs");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+    peak.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") * 1024
+}
+
+// LOST of another operator, for the daemon: it kept all bytes of a faulty upstream until its memory was used up.
+#[test]
+fn process_with_upstreams_that_send_without_end_uses_up_its_memory() {
+    const SLOW_CALLERS: usize = 400;
+    const MEMORY_BYTES: u64 = 160 << 20;
+    const EVENTS: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    let token = "id: 0\ndata: {\"text\":\"one two three four five six seven\"}\n\n";
+    let floods = [
+        (true, "HTTP/1.1 200 OK\r\nX-A: ", "a"),
+        (true, "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
+        (true, "HTTP/1.1 200 OK\r\n\r\n", "a"),
+        (true, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1"),
+        (true, EVENTS, token),
+        (true, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ", "a"),
+        (false, "HTTP/1.1 200 OK\r\n\r\n", "a"),
+        (false, "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "a"),
+    ];
+    for (floods_engines, first, repeated) in floods {
+        let mut fleet = LocalFleet::start(&sample::UPSTREAMS).expect("the stand-ins start");
+        let (address, sent) = start_endless_upstream(first, repeated);
+        for upstream in &mut fleet.upstreams {
+            if matches!(upstream.standin, Standin::Engine(_)) == floods_engines {
+                upstream.record.address = address;
+            }
+        }
+        fleet.publish_hosts();
+        let set = sample::declarations().expect("the samples have no fault");
+        fleet.publish(&set, "first").expect("published");
+        let process = Process::start(&fleet, "d0", &[]);
+        wait_for(|| (status(&process, "ready")? == true).then_some(()));
+        wait_for(|| (status(&process, "hosts")?.as_u64()? > 0).then_some(()));
+        let body = r#"{"prompt":"where is the ferry","max_tokens":2000,"stream":true}"#;
+        let path = if floods_engines { "/phrases/v1/completions" } else { "/purchases/1" };
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ferries-token\r\n\
+             X-Deadline-Ms: 8000\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        // They read nothing.
+        let slow: Vec<_> = (0..SLOW_CALLERS)
+            .map(|_| {
+                let mut caller =
+                    std::net::TcpStream::connect(process.callers).expect("a connection");
+                caller.write_all(request.as_bytes()).expect("the request is sent");
+                caller
+            })
+            .collect();
+        for number in 0..10 {
+            sleep(Duration::from_millis(200));
+            let outcome = if floods_engines {
+                outcome_of(&process, "growers-token", &booking(&format!("lot-{number}")))
+            } else {
+                outcome_of(&process, "ferries-token", &phrase())
+            };
+            assert_eq!(outcome, CallerOutcome::Completed, "{first}{repeated}");
+        }
+        let peak = peak_memory(&process);
+        let sent = sent.load(Ordering::Relaxed);
+        println!("peak memory with {repeated:?}: {} MiB, {sent} bytes sent", peak >> 20);
+        assert!(sent > SLOW_CALLERS * 1024, "the flood has begun");
+        assert!(peak < MEMORY_BYTES, "{} MiB with {repeated:?}", peak >> 20);
+        drop(slow);
+    }
+}
--- a/lib/src/edge/driver.rs
+++ b/lib/src/edge/driver.rs
@@ -40,8 +40,9 @@
 const TICK: Duration = Duration::from_millis(5);
 /// Limit on the reports of attempts queued for the next tick; further ones are dropped.
 const MAX_QUEUED_REPORTS: usize = 4096;
-/// Bytes buffered for a slow caller above which its upstream is not read any further.
-const MAX_BUFFERED_BYTES: usize = 1 << 20;
+/// Bytes buffered for a slow caller above which its upstream is not read any further; hundreds of callers may be slow
+/// at a time.
+const MAX_BUFFERED_BYTES: usize = 64 << 10;
 
 /// A part of a response to a caller.
 #[derive(Debug)]
