orders: an order's time is looked at once its connection is open

The daemon looked at an order's time before it connected, which takes up to a second, so that it could be sent after the lease under which it was given had passed to another daemon.

send_order_is_sent_after_its_time_on_a_connection_that_opened_late failed before: the order was sent.

--- a/lib/src/edge/client.rs
+++ b/lib/src/edge/client.rs
@@ -107,7 +107,8 @@
         Ok(ClientResponse { client, address, head, decoder, connection: Some(connection) })
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
+    /// Returns an idle connection to `address`, or opens one. Nothing is sent.
+    pub async fn connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
         if let Some(connection) = self.acquire_idle(address, |connection| connection.via.is_none())
         {
             return Ok(connection);
--- a/lib/src/supply/http.rs
+++ b/lib/src/supply/http.rs
@@ -6,7 +6,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    edge::client::{Client, ClientRequest, SendError},
+    edge::client::{Client, ClientRequest},
     ids::{FencingNumber, VersionName},
     supply::orders::{Order, OrderOutcome, OrderRequest},
     units::Time,
@@ -62,7 +62,7 @@
     fencing: FencingNumber,
 }
 
-/// Sends one order; `now` reads the monotonic clock right before the order is sent.
+/// Sends one order; `now` reads the monotonic clock right before the order is sent, on a connection that is open.
 pub async fn send_order(
     client: &Rc<Client>,
     request: &OrderRequest,
@@ -73,16 +73,16 @@
     let req = ClientRequest::new("POST", request.address, ORDERS_PATH)
         .header("content-type", b"application/json")
         .body(&body);
-    if !request.may_be_sent(now()) {
-        return OrderOutcome::TooLate;
-    }
     let exchange = async {
-        let res = match client.send(request.address, &req).await {
-            Ok(res) => res,
-            Err(error @ SendError::Unreachable(..)) => {
-                return OrderOutcome::Refused(error.to_string().into());
-            }
-            Err(SendError::ConnectionLost(..)) => return OrderOutcome::Unknown,
+        let connection = match client.connect(request.address).await {
+            Ok(connection) => connection,
+            Err(error) => return OrderOutcome::Refused(error.to_string().into()),
+        };
+        if !request.may_be_sent(now()) {
+            return OrderOutcome::TooLate;
+        }
+        let Ok(res) = client.send_on(connection, request.address, &req).await else {
+            return OrderOutcome::Unknown;
         };
         let status = res.head.status;
         match (status, res.read_body(MAX_RESPONSE_BYTES).await) {
--- a/lib/tests/supply_http.rs
+++ b/lib/tests/supply_http.rs
@@ -1,6 +1,10 @@
 //! Sends orders over HTTP to the engine stand-in, which checks fencing numbers.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    time::Duration,
+};
 
 use dogwoodturn::{
     edge::client::Client,
@@ -60,3 +64,20 @@
         assert_eq!(outcome, OrderOutcome::Unknown);
     });
 }
+
+// BUDGET of wayfarer-dogwood-large, for orders: the time was looked at before the connection was opened.
+#[test]
+fn send_order_is_sent_after_its_time_on_a_connection_that_opened_late() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        listener.set_nonblocking(true).expect("a non-blocking listener");
+        let address = listener.local_addr().expect("an address");
+        let client = Rc::new(Client::default());
+        // The order may be sent until the connection is open.
+        let now = || if listener.accept().is_ok() { Time(100) } else { Time(1) };
+        let order = order(address, "a.1", 5);
+        let sending = send_order(&client, &order, now);
+        let outcome = tokio::time::timeout(Duration::from_secs(1), sending).await;
+        assert_eq!(outcome, Ok(OrderOutcome::TooLate));
+    });
+}
