sync: a table that has arrived ends the watch that stood in for it

The cause is no load: a daemon that the hubs do not serve watches the declarations itself after a second. Its record of being behind was cleared only by the task that fetches, so while a fetch was under way, or in the pause after a failed one that documents for peers brought, a daemon that had the table began a second watch, of up to 29 s. That watch then delivered the next table, and nothing was fetched. Callers saw nothing; the store had a call and an open watch more per daemon, which hubs are there to save.

The record now names the version that it was made for, and counts only while that version is in force.

--- a/gateway/src/catch_up.rs
+++ b/gateway/src/catch_up.rs
@@ -86,17 +86,13 @@
         let now = cx.now();
         let (peer, follows_hubs) = {
             let state = cx.state.borrow();
-            let version = state.table.as_ref().map_or(0, |table| table.version);
+            let version = state.table_version();
             let hub = state.hubs.newer_table(now, version);
             let peer = hub.or_else(|| state.peer_table.newer_table(now, version));
             (peer, state.hubs.follows_tables(now))
         };
-        let Some(peer) = peer else {
-            cx.table_behind_since.set(None);
-            continue;
-        };
-        let behind_since = cx.table_behind_since.get().unwrap_or(now);
-        cx.table_behind_since.set(Some(behind_since));
+        let behind_since = cx.set_table_behind(now, peer.is_some());
+        let (Some(peer), Some(behind_since)) = (peer, behind_since) else { continue };
         let delay = if follows_hubs {
             jittered_delay(&cx, MAX_TABLE_FETCH_DELAY)
         } else {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -142,6 +142,11 @@
         self.ramps.ramps.set_start(bounds.ramp_start);
     }
 
+    /// Returns the version of the table in force, or zero before the first one.
+    pub fn table_version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |table| table.version)
+    }
+
     /// Applies a table if it is newer than the current one, and reports whether it was.
     pub fn apply_table(&mut self, table: Table) -> bool {
         let is_newer = self.table.as_ref().is_none_or(|current| current.version < table.version);
@@ -465,7 +470,7 @@
             daemons: self.peer_table.size(),
             is_leader,
             since_store_recovery: self.directory.since_store_recovery(now),
-            table: self.table.as_ref().map_or(0, |table| table.version),
+            table: self.table_version(),
             table_bytes: self.table.as_ref().map_or(0, |table| table.document.len() as u64),
             ..HubStatus::default()
         };
@@ -554,8 +559,8 @@
     /// The kinds of which a hub has a later revision, each with the own revision and since when.
     pub behind_since: RefCell<IndexMap<Kind, (Option<StoreRevision>, Time)>>,
     pub startup: Startup,
-    /// Since when another daemon has had a newer table.
-    pub table_behind_since: Cell<Option<Time>>,
+    /// Since when another daemon has had a newer table than the one of this version.
+    table_behind: Cell<Option<(u64, Time)>>,
     in_flight: Cell<u32>,
     /// The memory for the bodies of requests.
     pub request_memory: Rc<MemoryBudget>,
@@ -633,7 +638,7 @@
             missed_kinds: RefCell::default(),
             behind_since: RefCell::default(),
             startup,
-            table_behind_since: Cell::new(None),
+            table_behind: Cell::new(None),
             in_flight: Cell::new(0),
             request_memory: MemoryBudget::new(memory::REQUEST_BYTES),
             response_memory: MemoryBudget::new(memory::RESPONSE_BYTES),
@@ -684,6 +689,21 @@
         self.era_changed.notify_waiters();
     }
 
+    /// Records that another daemon has a newer table, or that none has, and returns since when.
+    pub fn set_table_behind(&self, now: Time, is_behind: bool) -> Option<Time> {
+        let since = is_behind.then(|| self.table_behind_since().unwrap_or(now));
+        let version = self.state.borrow().table_version();
+        self.table_behind.set(since.map(|since| (version, since)));
+        since
+    }
+
+    /// Returns since when another daemon has had a newer table than the one in force, as far as is known.
+    pub fn table_behind_since(&self) -> Option<Time> {
+        let (version, since) = self.table_behind.get()?;
+        // The table may have arrived from the store since that was recorded.
+        (version == self.state.borrow().table_version()).then_some(since)
+    }
+
     /// Cancels and repeats the watches if a call to the store ended without an answer.
     pub fn suspect_watches(&self, error: &CallError) {
         if matches!(error, CallError::NoAnswer) {
@@ -822,7 +842,7 @@
             incarnation: self.incarnation,
             number: self.last_message_number.get(),
             wall: wall_clock(),
-            table: state.table.as_ref().map_or(0, |table| table.version),
+            table: state.table_version(),
             is_leader: state.lease.fence(now).is_some(),
             admitted: state.quotas.all_histories(now),
             requested: state.quotas.all_requested(now),
--- a/gateway/src/sync.rs
+++ b/gateway/src/sync.rs
@@ -156,6 +156,7 @@
 /// Reports whether this daemon reads a kind from the store.
 fn should_sync(cx: &Gateway, kind: Kind) -> bool {
     let now = cx.now();
+    let table_behind_since = cx.table_behind_since();
     let mut state = cx.state.borrow_mut();
     match kind {
         Kind::Leases => true,
@@ -179,9 +180,7 @@
             let is_left_to_hubs = state.hubs.follows_tables(now)
                 || cx.startup.is_electing_hubs(now, state.peer_table.size());
             let is_late = |since| now.since(since) >= MAX_TABLE_DELAY;
-            state.decide_hub(now)
-                || !is_left_to_hubs
-                || cx.table_behind_since.get().is_some_and(is_late)
+            state.decide_hub(now) || !is_left_to_hubs || table_behind_since.is_some_and(is_late)
         }
         Kind::Upstreams => state.decide_hub(now),
         // One kind suffices for a hub to detect that it cannot reach the store.
