lease: usage counts take at most a tenth of the leader's link

The leader writes the usage counts of all daemons with each renewal of the lease, 2.5 times a second, and the store's answer repeats them.

That leader's link has 200 Mbit/s; on one of 20 Mbit/s a renewal takes 64 ms of the link, 16 % of it in each direction. At 670 daemons and 10 Mbit/s, the sizes that the design is for, it is 440 kB and 88 %.

Now they have a tenth of the link. Counts of daemons that are gone come first, since nobody reports them again; a later leader gets the others from their daemons, unless all are lost at once. New metrics lease_count_bytes and unstored_usage_runs, new event counts-not-stored.

--- a/gateway/src/leader.rs
+++ b/gateway/src/leader.rs
@@ -2,15 +2,21 @@
 
 use std::{iter, rc::Rc, time::Duration};
 
-use dogwoodturn::ids::DaemonId;
+use dogwoodturn::{ids::DaemonId, units::Time};
+use indexmap::IndexSet;
 use tokio::time::sleep;
 
 use crate::{
     autoscaler::HostPool,
     gateway::{Gateway, State, wall_clock},
+    link_budget,
     objects::apply_entry,
-    store::{CallError, CloudRequest, Kind, Permit, Record, UpstreamRecord, UsageWindow, Write},
+    store::{
+        CallError, CloudRequest, Kind, Permit, Record, RunCounts, UpstreamRecord, UsageWindow,
+        Write,
+    },
     sync::{record_call, record_store_call},
+    usage::Run,
 };
 
 /// Time after the end of a usage window before it is closed, in addition to the silence timeout of
@@ -65,11 +71,7 @@
         state.lease.next_write(now)
     };
     let Some(mut write) = write else { return };
-    {
-        let state = cx.state.borrow();
-        let first_open_window = state.lease.first_open_window();
-        write.record.open_counts = state.usage.open_counts(&cx.run(), first_open_window);
-    }
+    write.record.open_counts = open_counts(cx, now);
     let cx = cx.clone();
     actix_rt::spawn(async move {
         let had_fence = cx.state.borrow().lease.fence(cx.now()).is_some();
@@ -98,6 +100,26 @@
     });
 }
 
+/// Returns the usage counts that the lease holds.
+fn open_counts(cx: &Gateway, now: Time) -> Vec<RunCounts> {
+    let state = cx.state.borrow();
+    let messages = state.peer_table.live_messages(now);
+    let reporting: IndexSet<Run> =
+        messages.map(|message| (message.daemon.clone(), message.incarnation)).collect();
+    let counts = state.usage.open_counts(
+        &cx.run(),
+        state.lease.first_open_window(),
+        |run| reporting.contains(run),
+        link_budget::max_lease_bytes(cx.settings().link),
+    );
+    cx.metrics.lease_count_bytes.set(counts.bytes.cast_signed() as i64);
+    let had_left_out = cx.metrics.unstored_runs.set(counts.left_out.cast_signed() as i64) > 0;
+    if counts.left_out > 0 && !had_left_out {
+        log::warn!(event = "counts-not-stored", runs = counts.left_out, stored = counts.runs.len(), bytes = counts.bytes; "the link bears no longer lease; usage of some daemons is lost if all are lost at once");
+    }
+    counts.runs
+}
+
 /// Closes the windows that have ended, so that any later holder reports the same counts.
 fn close_usage(cx: &Rc<Gateway>) {
     let now = cx.now();
--- a/gateway/src/lease.rs
+++ b/gateway/src/lease.rs
@@ -42,7 +42,7 @@
 const VALIDITY_SHARE: f64 = 0.73;
 /// Interval of renewals, which also store the usage counts; counts since the last renewal are lost
 /// if all daemons are lost.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(400);
+pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(400);
 /// Delay between daemons of consecutive ranks, so that they do not write at the same time.
 const RANK_STAGGER: Duration = Duration::from_millis(250);
 /// Closed usage windows that the record keeps.
--- a/gateway/src/link_budget.rs
+++ b/gateway/src/link_budget.rs
@@ -1,4 +1,4 @@
-//! The part of a host's link that messages and documents between daemons may take.
+//! The part of a host's link that messages and documents between daemons, and the lease, may take.
 //!
 //! Load pattern: hundreds of small hosts, in which a store that returns, a release or a start gives many
 //! daemons something to send to all others at the same moment. Requests of callers share the links with these
@@ -10,7 +10,7 @@
 
 use dogwoodturn::units::Time;
 
-use crate::peers::MESSAGE_INTERVAL;
+use crate::{lease::RENEWAL_INTERVAL, peers::MESSAGE_INTERVAL};
 
 /// Share of a link that messages may use in each direction.
 pub const MESSAGE_LINK_SHARE: f64 = 0.2;
@@ -20,6 +20,9 @@
 /// Share of a link that documents for peers may use. Hundreds of peers may want the same one at the same moment,
 /// and a table has to be in force everywhere within seconds; with messages, half of the link is left to requests.
 pub const DOCUMENT_LINK_SHARE: f64 = 0.3;
+/// Share of a link that renewals of the lease may use in each direction: the store's answer repeats the object. They
+/// hold the usage counts of all daemons. A request waits this share of the interval of renewals at most.
+pub const LEASE_LINK_SHARE: f64 = 0.1;
 /// Time of the budget that may be used at once: the interval of states, which are sent to several peers at a
 /// time. A request waits for a fifth of it at most behind messages.
 const BURST: Duration = MESSAGE_INTERVAL;
@@ -31,6 +34,11 @@
 /// daemons hold only if the hubs know what each daemon admits.
 const HUB_REPORT_ADVANCE: Duration = Duration::from_millis(1000);
 
+/// Returns the length of the usage counts that one renewal of the lease may hold on such a link.
+pub fn max_lease_bytes(link_mbps: f64) -> usize {
+    (link_mbps * 1e6 / 8.0 * LEASE_LINK_SHARE * RENEWAL_INTERVAL.as_secs_f64()) as usize
+}
+
 /// What is charged to the budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Charge {
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -89,6 +89,10 @@
     pub ramping_upstreams: Gauge,
     /// The era of the store.
     pub store_era: Gauge,
+    /// The length of the usage counts in the lease, at the leader.
+    pub lease_count_bytes: Gauge,
+    /// Runs of daemons whose usage counts had no space in the lease.
+    pub unstored_runs: Gauge,
 }
 
 impl Default for Metrics {
@@ -153,6 +157,12 @@
         let store_era = Gauge::default();
         let help = "Number of restores of the store, as it reports";
         registry.register("store_era", help, store_era.clone());
+        let lease_count_bytes = Gauge::default();
+        let help = "Bytes of the usage counts in the last renewal of the lease by this daemon";
+        registry.register("lease_count_bytes", help, lease_count_bytes.clone());
+        let unstored_runs = Gauge::default();
+        let help = "Runs of daemons whose usage counts had no space in that renewal";
+        registry.register("unstored_usage_runs", help, unstored_runs.clone());
         Self {
             registry,
             requests,
@@ -177,6 +187,8 @@
             callers,
             ramping_upstreams,
             store_era,
+            lease_count_bytes,
+            unstored_runs,
         }
     }
 }
--- a/gateway/src/usage.rs
+++ b/gateway/src/usage.rs
@@ -19,6 +19,16 @@
 /// One run of a daemon.
 pub type Run = (DaemonId, Incarnation);
 
+/// The counts that are stored with the lease.
+#[derive(Clone, Debug, Default)]
+pub struct OpenCounts {
+    pub runs: Vec<RunCounts>,
+    /// Their length in the store, approximately.
+    pub bytes: usize,
+    /// Runs for which there was no space.
+    pub left_out: usize,
+}
+
 /// The counts of all daemons.
 #[derive(Clone, Debug)]
 pub struct Usage {
@@ -80,18 +90,39 @@
         kept.retain(|number, _| number + KEPT_WINDOWS > newest);
     }
 
-    /// Returns the counts of all runs from window `from` on, to be stored where they outlast the
-    /// daemons.
-    pub fn open_counts(&self, own_run: &Run, from: u64) -> Vec<RunCounts> {
-        let all = self.peers.iter().chain([(own_run, &self.local)]);
-        let counted = all.map(|((daemon, incarnation), windows)| {
-            let open = windows.iter().filter(|(number, _)| **number >= from);
-            let windows = open
-                .map(|(number, counts)| UsageWindow { number: *number, counts: counts.clone() });
-            let (daemon, incarnation) = (daemon.clone(), *incarnation);
-            RunCounts { daemon, incarnation, windows: windows.collect() }
-        });
-        counted.filter(|run| !run.windows.is_empty()).collect()
+    /// Returns the counts of all runs from window `from` on, to be stored where they outlast the daemons, in at most
+    /// `max_bytes`.
+    ///
+    /// Runs that report (`is_reporting`) come last: a later leader receives their counts again unless all daemons are
+    /// lost at once, and it has no other source for those that are gone.
+    pub fn open_counts(
+        &self,
+        own_run: &Run,
+        from: u64,
+        is_reporting: impl Fn(&Run) -> bool,
+        max_bytes: usize,
+    ) -> OpenCounts {
+        let mut runs: Vec<_> = self.peers.iter().chain([(own_run, &self.local)]).collect();
+        runs.sort_by_key(|(run, _)| is_reporting(run));
+        let mut open = OpenCounts::default();
+        for ((daemon, incarnation), windows) in runs {
+            let windows = windows.iter().filter(|(number, _)| **number >= from);
+            let windows: Vec<_> = windows
+                .map(|(number, counts)| UsageWindow { number: *number, counts: counts.clone() })
+                .collect();
+            if windows.is_empty() {
+                continue;
+            }
+            let run = RunCounts { daemon: daemon.clone(), incarnation: *incarnation, windows };
+            let bytes = stored_bytes(&run);
+            if open.bytes + bytes > max_bytes {
+                open.left_out += 1;
+                continue;
+            }
+            open.bytes += bytes;
+            open.runs.push(run);
+        }
+        open
     }
 
     /// Merges stored counts, except those of this run, whose own counts are newer.
@@ -122,3 +153,17 @@
         sum
     }
 }
+
+/// Returns the length of counts in the store: names, numbers and what stands between them in JSON.
+fn stored_bytes(run: &RunCounts) -> usize {
+    const RUN_BYTES: usize = 64;
+    const WINDOW_BYTES: usize = 48;
+    const COUNT_BYTES: usize = 5;
+    let digits = |count: u64| count.checked_ilog10().unwrap_or(0) as usize;
+    let count_bytes =
+        |(name, count): (&CustomerName, &u64)| name.as_str().len() + COUNT_BYTES + digits(*count);
+    let window_bytes =
+        |window: &UsageWindow| WINDOW_BYTES + window.counts.iter().map(count_bytes).sum::<usize>();
+    let windows: usize = run.windows.iter().map(window_bytes).sum();
+    run.daemon.as_str().len() + RUN_BYTES + windows
+}
--- a/gateway/tests/usage.rs
+++ b/gateway/tests/usage.rs
@@ -6,7 +6,7 @@
     ids::{CustomerName, Incarnation},
     units::WallTime,
 };
-use dogwoodturn_gateway::usage::Usage;
+use dogwoodturn_gateway::usage::{Run, Usage};
 
 #[test]
 fn window_total_includes_daemons_that_are_gone() {
@@ -30,7 +30,7 @@
         run("b", 1),
         &[(1, vec![(ada.clone(), 9)]), (2, vec![(ada.clone(), 5)])],
     );
-    let kept = before.open_counts(&run("a", 1), 2);
+    let kept = before.open_counts(&run("a", 1), 2, |_| true, usize::MAX).runs;
     assert_eq!(kept.len(), 2);
     // Both daemons have restarted and counted requests since. The stored counts, restored twice,
     // must count once.
@@ -42,3 +42,21 @@
     assert_eq!(after.window_total(2).counts[&ada], 9);
     assert!(after.window_total(1).counts.is_empty(), "closed windows are not stored");
 }
+
+// A leader that had no space for all counts lost those that nobody reports any more.
+#[test]
+fn open_counts_leave_out_a_daemon_that_is_gone() {
+    let ada: CustomerName = "ada".parse().unwrap();
+    let run = |daemon: &str| (daemon.parse().unwrap(), Incarnation(1));
+    let mut usage = Usage::new(Duration::from_secs(5));
+    for daemon in ["b", "c", "d", "e"] {
+        usage.apply_peer_counts(run(daemon), &[(2, vec![(ada.clone(), 5)])]);
+    }
+    let is_reporting = |peer: &Run| *peer != run("d");
+    let all = usage.open_counts(&run("a"), 2, is_reporting, usize::MAX);
+    assert_eq!((all.runs.len(), all.left_out), (4, 0));
+    let some = usage.open_counts(&run("a"), 2, is_reporting, all.bytes / 2);
+    assert_eq!((some.runs.len(), some.left_out), (2, 2));
+    assert_eq!(some.runs[0].daemon.as_str(), "d");
+    assert!(some.bytes <= all.bytes / 2);
+}
