deliver: the daemon keeps no response that nobody can receive

The report of bytes without end, for calls with a key. Such a call goes on when its caller has left, so that its outcome is known when the key comes again. Its response was forwarded to nobody: the daemon read on as fast as the upstream sent and kept all of it, until its memory was used up and the requests of others ended with it.

A plain response gets no second reader, and a claim stores none above 64 KiB, so what comes after that is dropped.

--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -369,11 +369,19 @@
                 if stream.read(&mut request).unwrap_or(0) == 0 {
                     return;
                 }
-                let block = repeated.repeat(16 * 1024 / repeated.len());
+                let parts_per_block = (16 * 1024 / repeated.len()).max(1);
+                let constant = repeated.repeat(parts_per_block);
+                let mut numbers = 0..;
+                let mut numbered = || {
+                    let part = |number: usize| repeated.replace("{n}", &number.to_string());
+                    numbers.by_ref().take(parts_per_block).map(part).collect::<String>()
+                };
                 let mut bytes = first.as_bytes().to_vec();
                 while stream.write_all(&bytes).is_ok() {
                     counter.fetch_add(bytes.len(), Ordering::Relaxed);
-                    bytes = block.clone().into_bytes();
+                    let block =
+                        if repeated.contains("{n}") { numbered() } else { constant.clone() };
+                    bytes = block.into_bytes();
                 }
             });
         }
@@ -392,9 +400,6 @@
 // LOST of another operator, for the daemon: it kept all bytes of a faulty upstream until its memory was used up.
 #[test]
 fn process_with_upstreams_that_send_without_end_uses_up_its_memory() {
-    const SLOW_CALLERS: usize = 400;
-    const MEMORY_BYTES: u64 = 160 << 20;
-    const EVENTS: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
     let token = "id: 0\ndata: {\"text\":\"one two three four five six seven\"}\n\n";
     let floods = [
         (true, "HTTP/1.1 200 OK\r\nX-A: ", "a"),
@@ -407,49 +412,86 @@
         (false, "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "a"),
     ];
     for (floods_engines, first, repeated) in floods {
-        let mut fleet = LocalFleet::start(&sample::UPSTREAMS).expect("the stand-ins start");
-        let (address, sent) = start_endless_upstream(first, repeated);
-        for upstream in &mut fleet.upstreams {
-            if matches!(upstream.standin, Standin::Engine(_)) == floods_engines {
-                upstream.record.address = address;
-            }
+        assert_flood_is_bounded(floods_engines, first, repeated, true, Callers::Silent);
+    }
+}
+
+// The call of a key goes on without its caller, and the daemon kept all of its response.
+#[test]
+fn process_with_endless_responses_to_nobody_uses_up_its_memory() {
+    assert_flood_is_bounded(false, "HTTP/1.1 200 OK\r\n\r\n", "a", false, Callers::Gone);
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Callers {
+    /// They read nothing.
+    Silent,
+    /// They send a key and close their connections.
+    Gone,
+}
+
+const EVENTS: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+
+/// Runs a daemon with hundreds of callers that do not read, at upstreams that send `first` and then `repeated`
+/// without end, and checks its memory and the requests of other callers.
+fn assert_flood_is_bounded(
+    floods_engines: bool,
+    first: &'static str,
+    repeated: &'static str,
+    stream: bool,
+    callers: Callers,
+) {
+    const SLOW_CALLERS: usize = 400;
+    const MEMORY_BYTES: u64 = 160 << 20;
+    let mut fleet = LocalFleet::start(&sample::UPSTREAMS).expect("the stand-ins start");
+    let (address, sent) = start_endless_upstream(first, repeated);
+    for upstream in &mut fleet.upstreams {
+        if matches!(upstream.standin, Standin::Engine(_)) == floods_engines {
+            upstream.record.address = address;
         }
-        fleet.publish_hosts();
-        let set = sample::declarations().expect("the samples have no fault");
-        fleet.publish(&set, "first").expect("published");
-        let process = Process::start(&fleet, "d0", &[]);
-        wait_for(|| (status(&process, "ready")? == true).then_some(()));
-        wait_for(|| (status(&process, "hosts")?.as_u64()? > 0).then_some(()));
-        let body = r#"{"prompt":"where is the ferry","max_tokens":2000,"stream":true}"#;
-        let path = if floods_engines { "/phrases/v1/completions" } else { "/purchases/1" };
-        let request = format!(
+    }
+    fleet.publish_hosts();
+    let set = sample::declarations().expect("the samples have no fault");
+    fleet.publish(&set, "first").expect("published");
+    let process = Process::start(&fleet, "d0", &[]);
+    wait_for(|| (status(&process, "ready")? == true).then_some(()));
+    wait_for(|| (status(&process, "hosts")?.as_u64()? > 0).then_some(()));
+    let body = format!(r#"{{"prompt":"where is the ferry","max_tokens":2000,"stream":{stream}}}"#);
+    let path = if floods_engines { "/phrases/v1/completions" } else { "/purchases/1" };
+    let request = |key: usize| {
+        format!(
             "POST {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ferries-token\r\n\
-             X-Deadline-Ms: 8000\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+             X-Deadline-Ms: 8000\r\nIdempotency-Key: flood-{key}\r\n\
+             Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
-        );
-        // They read nothing.
-        let slow: Vec<_> = (0..SLOW_CALLERS)
-            .map(|_| {
-                let mut caller =
-                    std::net::TcpStream::connect(process.callers).expect("a connection");
-                caller.write_all(request.as_bytes()).expect("the request is sent");
-                caller
-            })
-            .collect();
-        for number in 0..10 {
-            sleep(Duration::from_millis(200));
-            let outcome = if floods_engines {
-                outcome_of(&process, "growers-token", &booking(&format!("lot-{number}")))
-            } else {
-                outcome_of(&process, "ferries-token", &phrase())
-            };
-            assert_eq!(outcome, CallerOutcome::Completed, "{first}{repeated}");
-        }
-        let peak = peak_memory(&process);
-        let sent = sent.load(Ordering::Relaxed);
-        println!("peak memory with {repeated:?}: {} MiB, {sent} bytes sent", peak >> 20);
-        assert!(sent > SLOW_CALLERS * 1024, "the flood has begun");
-        assert!(peak < MEMORY_BYTES, "{} MiB with {repeated:?}", peak >> 20);
-        drop(slow);
+        )
+    };
+    let mut slow: Vec<_> = (0..SLOW_CALLERS)
+        .map(|key| {
+            let mut caller = std::net::TcpStream::connect(process.callers).expect("a connection");
+            caller.write_all(request(key).as_bytes()).expect("the request is sent");
+            caller
+        })
+        .collect();
+    if callers == Callers::Gone {
+        wait_for(|| (sent.load(Ordering::Relaxed) > SLOW_CALLERS * 1024).then_some(()));
+        slow.clear();
+    }
+    let flood = &repeated[..repeated.len().min(40)];
+    for number in 0..10 {
+        sleep(Duration::from_millis(200));
+        let outcome = if floods_engines {
+            outcome_of(&process, "growers-token", &booking(&format!("lot-{number}")))
+        } else {
+            outcome_of(&process, "ferries-token", &phrase())
+        };
+        assert_eq!(outcome, CallerOutcome::Completed, "{first}{flood}");
     }
+    let peak = peak_memory(&process);
+    let sent = sent.load(Ordering::Relaxed);
+    let length = repeated.len();
+    println!("peak memory with {length} x {flood:?}: {} MiB, {sent} bytes sent", peak >> 20);
+    assert!(sent > SLOW_CALLERS * 1024, "the flood has begun");
+    assert!(peak < MEMORY_BYTES, "{} MiB with {length} x {flood:?}", peak >> 20);
+    drop(slow);
 }
--- a/lib/src/node/traffic/deliver.rs
+++ b/lib/src/node/traffic/deliver.rs
@@ -31,7 +31,13 @@
             return;
         }
         let Entry { exchange, reader_state, is_resumable, .. } = entry;
-        let Some(reader_state) = reader_state else { return };
+        let Some(reader_state) = reader_state else {
+            // Only completions get another reader, and a claim stores no response of this length.
+            if let Some(plain) = exchange.plain.as_mut().filter(|plain| plain.is_forwarding) {
+                plain.body.clear();
+            }
+            return;
+        };
         let request = &exchange.spec.request;
         if let Some(plain) = &mut exchange.plain {
             if let Reader::Caller(caller) = reader_state.reader {
