memory: the daemon's responses have one limit, also those that wait for callers

A few dozen requests at a faulty engine used up a host of 160 MB, and all its other requests ended.

The budget that gateways have for their responses moves to limit::memory, and the daemon has two of them for each traffic thread: 16 MiB for responses of running requests, and 16 MiB for what waits for callers beyond 64 KiB each. The first part of each needs no reservation, so that others are served beside a flood. A plain response without memory is forwarded from then on, at its caller's pace; a completion is refused as overload. A caller that lags when the limit is reached loses its connection with all that waits for it (event caller-too-slow), and may resume. Bodies that are not streamed are written as the caller takes them.

--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -416,6 +416,22 @@
     }
 }
 
+// A faulty engine made the daemon keep megabytes of tokens for each of hundreds of requests.
+#[test]
+fn process_with_engines_that_send_long_tokens_uses_up_its_memory() {
+    for bytes in [4_000, 60_000] {
+        let token = format!("id: {{n}}\ndata: {{\"text\":\"{}\"}}\n\n", "a".repeat(bytes));
+        // Tokens that come before a missing one are kept as well.
+        let early = token.replace("{n}", "1{n}");
+        for repeated in [token, early] {
+            let repeated: &str = Box::leak(repeated.into_boxed_str());
+            for stream in [true, false] {
+                assert_flood_is_bounded(true, EVENTS, repeated, stream, Callers::Silent);
+            }
+        }
+    }
+}
+
 // The call of a key goes on without its caller, and the daemon kept all of its response.
 #[test]
 fn process_with_endless_responses_to_nobody_uses_up_its_memory() {
--- a/gateway/src/forward/mod.rs
+++ b/gateway/src/forward/mod.rs
@@ -17,7 +17,7 @@
 };
 
 use bytes::Bytes;
-use dogwoodturn::{http::head::ResponseHead, ids::UpstreamId};
+use dogwoodturn::{http::head::ResponseHead, ids::UpstreamId, limit::memory::Reservation};
 
 use crate::{
     contention::GivingWay,
@@ -27,7 +27,6 @@
         relay::{BodyEnd, Relayed, StreamPosition},
     },
     gateway::{Gateway, State},
-    memory::Reservation,
     placement::{AttemptOutcome, RankClass, Selection, SelectionCriteria},
     request::{LocalResponse, NotRun, Progress, Request},
     table::RetrySafety,
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -9,6 +9,7 @@
         connection::Connection,
         head::{Framing, ResponseHead},
     },
+    limit::memory::Reservation,
     units::Time,
 };
 use tokio::time::timeout;
@@ -19,7 +20,6 @@
         attempt::{Attempt, Delay, MAX_SILENCE, MAX_SILENCE_FACTOR, Pending, REPLACEMENT_INTERVAL},
     },
     gateway::Gateway,
-    memory::Reservation,
     placement::AttemptOutcome,
     request::LocalResponse,
     sse::{Event, EventBuffer},
@@ -194,7 +194,7 @@
                 return Relayed::Delivered(Delivery::Truncated);
             }
             drop(chunk);
-            buffer.memory.cover_response(buffer.events.partial_bytes());
+            buffer.memory.cover(buffer.events.partial_bytes());
             if !is_sound && has_chunk && attempt.is_proved_sound() {
                 is_sound = true;
                 attempt.record_sound(self.req);
@@ -399,7 +399,7 @@
             progress: 0,
             bytes: 0,
             pending: BytesMut::new(),
-            memory: cx.response_memory.begin_response(),
+            memory: Rc::new(cx.response_memory.begin()),
         }
     }
 
@@ -409,7 +409,7 @@
         while let Some(data) = connection.read_body(&mut self.decoder).await? {
             self.pending.extend_from_slice(&data);
             let length = self.pending.len();
-            if length > MAX_BUFFERED_BYTES || !self.memory.cover_response(length) {
+            if length > MAX_BUFFERED_BYTES || !self.memory.cover(length) {
                 return Ok(false);
             }
         }
@@ -424,7 +424,7 @@
                     if self.events.push(&data).is_err() {
                         return BodyState::Broken("event-too-long");
                     }
-                    if !self.memory.cover_response(self.events.partial_bytes()) {
+                    if !self.memory.cover(self.events.partial_bytes()) {
                         return BodyState::Broken("no-memory");
                     }
                     let before = self.bytes / PROGRESS_BYTES;
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
     ids::{CustomerName, DataCentre, Era, Incarnation, ServiceName, UpstreamId},
     limit::{
         brittle::{BrittleUpstreams, Target, Turn, home_rank},
+        memory::MemoryBudget,
         ramp::Cause,
         upstream::{Position, UpstreamLimits},
         warm_up::{self, WarmUpBound, WarmUps},
@@ -38,7 +39,7 @@
     legs,
     link_budget::LinkBudget,
     loop_lag::LoopLag,
-    memory::{self, MemoryBudget},
+    memory,
     metrics::Metrics,
     peer_traffic::{Direction, PeerTraffic},
     peers::{PeerTable, ReportedUrgentWork, ReportedWork, StateMessage, WorkMessage},
@@ -563,9 +564,9 @@
     table_behind: Cell<Option<(u64, Time)>>,
     in_flight: Cell<u32>,
     /// The memory for the bodies of requests.
-    pub request_memory: Rc<MemoryBudget>,
+    pub request_memory: Arc<MemoryBudget>,
     /// The memory for the buffered parts of responses.
-    pub response_memory: Rc<MemoryBudget>,
+    pub response_memory: Arc<MemoryBudget>,
     /// The number of the last message to peers.
     last_message_number: Cell<u64>,
     /// Rises with each tunnel that is requested.
@@ -641,7 +642,11 @@
             table_behind: Cell::new(None),
             in_flight: Cell::new(0),
             request_memory: MemoryBudget::new(memory::REQUEST_BYTES),
-            response_memory: MemoryBudget::new(memory::RESPONSE_BYTES),
+            response_memory: MemoryBudget::for_buffers(
+                memory::RESPONSE_BYTES,
+                memory::UNRESERVED_RESPONSE_BYTES,
+                memory::RESPONSE_COPIES,
+            ),
             last_message_number: Cell::new(0),
             last_helper_turn: Cell::new(incarnation.0 as usize),
         })
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -10,6 +10,7 @@
         head::{Framing, HeadError, RequestHead},
         tcp_info::TcpInfo,
     },
+    limit::memory::Reservation,
     units::Time,
 };
 use tokio::{
@@ -23,7 +24,6 @@
     forward::{self, Delivery, ResponseWriter},
     gateway::Gateway,
     links,
-    memory::Reservation,
     peers::WORK_INTERVAL,
     request::{Arrival, LOCAL_WRITE_TIMEOUT, LocalResponse, Request},
     table::CallerLimits,
--- a/lib/src/edge/caller.rs
+++ b/lib/src/edge/caller.rs
@@ -1,22 +1,22 @@
 //! Reads the requests of callers and writes their responses.
 
-use std::{cell::Cell, future::poll_fn, rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use actix_http::{
     HttpMessage as _, Request, Response, StatusCode, Version,
-    body::{BodyStream, BoxBody},
+    body::{BodyStream, BoxBody, SizedStream},
     header::{self, HeaderMap},
 };
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt as _, stream};
 use sha2::{Digest as _, Sha256};
-use tokio::sync::mpsc;
 
 use crate::{
     edge::{
-        driver::{FlowControl, Part, TrafficDriver},
+        driver::TrafficDriver,
         listen::arrival_time,
         problem::Problem,
+        response_queue::{MAX_BUFFERED_BYTES, Part, ResponseQueue},
     },
     hop::HOP_BY_HOP,
     ids::RequestId,
@@ -134,10 +134,9 @@
 
     fn register_caller(&self, req: &Request) -> (PendingResponse, CallerId) {
         let accepts_chunks = req.version() > Version::HTTP_10;
-        let flow = Rc::new(FlowControl::default());
-        let (caller, parts) = self.driver.add_caller(flow.clone());
+        let (caller, queue) = self.driver.add_caller();
         let guard = DisconnectGuard { driver: self.driver.clone(), caller, is_complete: false };
-        (PendingResponse { parts, flow, guard, accepts_chunks }, caller)
+        (PendingResponse { queue, guard, accepts_chunks }, caller)
     }
 
     async fn read_body(&self, req: &mut Request) -> Result<Bytes, (RefusalKind, String)> {
@@ -204,22 +203,22 @@
 
 /// The response that a caller waits for.
 struct PendingResponse {
-    parts: mpsc::UnboundedReceiver<Part>,
-    flow: Rc<FlowControl>,
+    queue: Rc<ResponseQueue>,
     guard: DisconnectGuard,
     /// Whether the caller understands chunked responses, which HTTP/1.0 does not have.
     accepts_chunks: bool,
 }
 
 impl PendingResponse {
-    async fn receive_response(mut self) -> Result<Response<BoxBody>, Box<Refusal>> {
-        match self.parts.recv().await {
+    async fn receive_response(self) -> Result<Response<BoxBody>, Box<Refusal>> {
+        match self.queue.recv().await {
             Some(Part::Full(request, head, body)) => {
-                Ok(response_builder(&request, &head).body(body).map_into_boxed_body())
+                Ok(full_response(response_builder(&request, &head), self.queue, body))
             }
             Some(Part::Head(request, head, _)) if !self.accepts_chunks => {
+                let queue = self.queue.clone();
                 let body = self.collect_body().await?;
-                Ok(response_builder(&request, &head).body(body).map_into_boxed_body())
+                Ok(full_response(response_builder(&request, &head), queue, body))
             }
             Some(Part::Head(request, head, origin)) => {
                 let mut builder = response_builder(&request, &head);
@@ -243,14 +242,14 @@
         };
         let mut body = BytesMut::new();
         loop {
-            match self.parts.recv().await {
+            match self.queue.recv().await {
                 Some(Part::Chunk(bytes)) if body.len() + bytes.len() > MAX_BODY_BYTES => {
                     return failed("the response is too long for HTTP/1.0");
                 }
-                Some(Part::Chunk(bytes)) => {
-                    self.flow.record_consumed(bytes.len());
-                    body.extend_from_slice(&bytes);
+                Some(Part::Chunk(bytes)) if !self.queue.hold(bytes.len()) => {
+                    return failed("no memory is left for the response");
                 }
+                Some(Part::Chunk(bytes)) => body.extend_from_slice(&bytes),
                 Some(Part::End) => {
                     self.guard.is_complete = true;
                     return Ok(body.freeze());
@@ -266,12 +265,8 @@
     fn into_stream(self, origin: BodyOrigin) -> impl Stream<Item = Result<Bytes, std::io::Error>> {
         stream::unfold(Some(self), move |pending| async move {
             let mut pending = pending?;
-            let part = poll_fn(|cx| pending.parts.poll_recv(cx)).await;
-            match part {
-                Some(Part::Chunk(bytes)) => {
-                    pending.flow.record_consumed(bytes.len());
-                    Some((Ok(bytes), Some(pending)))
-                }
+            match pending.queue.recv().await {
+                Some(Part::Chunk(bytes)) => Some((Ok(bytes), Some(pending))),
                 Some(Part::Refusal(refusal)) if origin == BodyOrigin::Daemon => {
                     Some((Ok(refusal_event(*refusal)), None))
                 }
@@ -291,6 +286,24 @@
     }
 }
 
+/// Returns a response whose body is written as the caller takes it, and keeps the queue that counts it until then.
+fn full_response(
+    mut builder: actix_http::ResponseBuilder,
+    queue: Rc<ResponseQueue>,
+    body: Bytes,
+) -> Response<BoxBody> {
+    let length = body.len();
+    // A longer body would be copied whole into the connection's buffer.
+    if length <= MAX_BUFFERED_BYTES {
+        return builder.body(body).map_into_boxed_body();
+    }
+    let slices = stream::unfold((body, queue), |(mut rest, queue)| async move {
+        let slice = rest.split_to(rest.len().min(MAX_BUFFERED_BYTES));
+        (!slice.is_empty()).then_some((Ok::<_, std::io::Error>(slice), (rest, queue)))
+    });
+    builder.body(SizedStream::new(length as u64, slices)).map_into_boxed_body()
+}
+
 /// Returns the event that ends an incomplete event stream.
 fn refusal_event(refusal: Refusal) -> Bytes {
     let name = match refusal.kind {
--- a/lib/src/edge/driver.rs
+++ b/lib/src/edge/driver.rs
@@ -12,27 +12,26 @@
 };
 
 use arc_swap::ArcSwap;
-use bytes::Bytes;
 use indexmap::IndexMap;
-use tokio::{
-    sync::{Notify, mpsc},
-    task::JoinHandle,
-};
+use tokio::{sync::mpsc, task::JoinHandle};
 
 use crate::{
-    edge::{change_log, client::Client, request_log, upstream, upstream_links::UpstreamLinks},
-    ids::RequestId,
+    edge::{
+        change_log,
+        client::Client,
+        request_log,
+        response_queue::{MAX_BUFFERED_BYTES, Part, ResponseQueue},
+        upstream,
+        upstream_links::UpstreamLinks,
+    },
+    limit::memory::MemoryBudget,
     node::{
         control::Input,
         report::AttemptReport,
         snapshot::Snapshot,
-        traffic::{BodyOrigin, Effect, Event, Traffic},
-    },
-    request::{
-        AttemptId, CallerId,
-        exchange::Head,
-        refusal::{Refusal, RefusalKind},
+        traffic::{Effect, Event, Traffic},
     },
+    request::{AttemptId, CallerId, refusal::RefusalKind},
     units::{Time, WallTime},
 };
 
@@ -40,54 +39,18 @@
 const TICK: Duration = Duration::from_millis(5);
 /// Limit on the reports of attempts queued for the next tick; further ones are dropped.
 const MAX_QUEUED_REPORTS: usize = 4096;
-/// Bytes buffered for a slow caller above which its upstream is not read any further; hundreds of callers may be slow
-/// at a time.
-const MAX_BUFFERED_BYTES: usize = 64 << 10;
-
-/// A part of a response to a caller.
-#[derive(Debug)]
-pub enum Part {
-    /// The head of a streamed response; chunks follow.
-    Head(RequestId, Box<Head>, BodyOrigin),
-    Chunk(Bytes),
-    /// The end of a complete streamed response.
-    End,
-    /// A complete response that is not streamed.
-    Full(RequestId, Box<Head>, Bytes),
-    /// The refusal that ends a request without a complete response.
-    Refusal(Box<Refusal>),
-}
-
-/// Flow control: counts the bytes that are buffered for one caller.
-#[derive(Debug, Default)]
-pub struct FlowControl {
-    buffered: Cell<usize>,
-    consumed: Notify,
-}
+/// Limit on what waits for the callers of one traffic thread, in bytes beyond [`MAX_BUFFERED_BYTES`] each.
+const MAX_QUEUED_BYTES: usize = 16 << 20;
 
-impl FlowControl {
-    /// Records that the caller's connection took bytes from the buffer.
-    pub fn record_consumed(&self, bytes: usize) {
-        self.buffered.set(self.buffered.get().saturating_sub(bytes));
-        self.consumed.notify_waiters();
-    }
+/// The driver's end of the queue of one caller.
+struct CallerSlot(Rc<ResponseQueue>);
 
-    fn add(&self, bytes: usize) {
-        self.buffered.set(self.buffered.get() + bytes);
-    }
-
-    async fn wait_for_room(&self) {
-        while self.buffered.get() > MAX_BUFFERED_BYTES {
-            self.consumed.notified().await;
-        }
+impl Drop for CallerSlot {
+    fn drop(&mut self) {
+        self.0.close();
     }
 }
 
-struct CallerSlot {
-    parts: mpsc::UnboundedSender<Part>,
-    flow: Rc<FlowControl>,
-}
-
 /// Performs the I/O of one traffic thread.
 pub struct TrafficDriver {
     traffic: RefCell<Traffic>,
@@ -103,6 +66,8 @@
     pub links: Arc<UpstreamLinks>,
     control: Box<dyn Fn(Input)>,
     reports: RefCell<Vec<AttemptReport>>,
+    /// The memory for what waits for callers.
+    queue_memory: Arc<MemoryBudget>,
 }
 
 impl TrafficDriver {
@@ -127,6 +92,7 @@
             links,
             control,
             reports: RefCell::default(),
+            queue_memory: MemoryBudget::for_buffers(MAX_QUEUED_BYTES, MAX_BUFFERED_BYTES, 1),
         })
     }
 
@@ -176,13 +142,13 @@
         self.traffic.borrow().check_head(path, token)
     }
 
-    /// Registers a caller that waits for a response, and returns the receiver of its parts.
-    pub fn add_caller(&self, flow: Rc<FlowControl>) -> (CallerId, mpsc::UnboundedReceiver<Part>) {
+    /// Registers a caller that waits for a response, and returns the queue of its parts.
+    pub fn add_caller(&self) -> (CallerId, Rc<ResponseQueue>) {
         let caller = CallerId(self.last_caller.get() + 1);
         self.last_caller.set(caller.0);
-        let (parts, received) = mpsc::unbounded_channel();
-        self.callers.borrow_mut().insert(caller, CallerSlot { parts, flow });
-        (caller, received)
+        let queue = Rc::new(ResponseQueue::new(self.queue_memory.begin()));
+        self.callers.borrow_mut().insert(caller, CallerSlot(queue.clone()));
+        (caller, queue)
     }
 
     /// Removes a caller whose connection is closed, and notifies the state machine unless the last
@@ -195,9 +161,9 @@
 
     /// Waits until the bytes buffered for a caller are within the limit.
     pub async fn wait_for_room(&self, caller: CallerId) {
-        let flow = self.callers.borrow().get(&caller).map(|slot| slot.flow.clone());
-        if let Some(flow) = flow {
-            flow.wait_for_room().await;
+        let queue = self.callers.borrow().get(&caller).map(|slot| slot.0.clone());
+        if let Some(queue) = queue {
+            queue.wait_for_room().await;
         }
     }
 
@@ -306,14 +272,14 @@
     fn send_part(&self, caller: CallerId, part: Part, is_last: bool) {
         let mut callers = self.callers.borrow_mut();
         let Some(slot) = callers.get(&caller) else { return };
-        if let Part::Chunk(bytes) = &part {
-            slot.flow.add(bytes.len());
-        }
-        // Sending fails only if the caller is gone, which its `DisconnectGuard` reports.
-        let _ = slot.parts.send(part);
-        if is_last {
+        let has_memory = slot.0.push(part);
+        if is_last || !has_memory {
             callers.swap_remove(&caller);
         }
+        if !has_memory {
+            log::warn!(event = "caller-too-slow", caller = caller.0; "no memory is left for what waits for a caller; closing its connection");
+            self.queue.borrow_mut().push_back(Event::CallerDisconnected(caller));
+        }
     }
 }
 
--- a/lib/src/edge/mod.rs
+++ b/lib/src/edge/mod.rs
@@ -8,6 +8,7 @@
 pub mod operator;
 pub mod problem;
 pub mod request_log;
+pub mod response_queue;
 pub mod tunnel;
 pub mod upstream;
 pub mod upstream_links;
--- a/lib/src/limit/mod.rs
+++ b/lib/src/limit/mod.rs
@@ -8,6 +8,7 @@
 pub mod brittle;
 mod bucket;
 pub mod contention;
+pub mod memory;
 pub mod ramp;
 pub mod retry;
 pub mod share;
--- a/lib/src/node/traffic/arrive.rs
+++ b/lib/src/node/traffic/arrive.rs
@@ -150,6 +150,7 @@
             retry_after: None,
             retry_refusal: None,
             armed: None,
+            memory: self.response_memory.begin(),
         };
         self.entries.insert(id, entry);
         id
--- a/lib/src/node/traffic/attempt.rs
+++ b/lib/src/node/traffic/attempt.rs
@@ -234,9 +234,33 @@
             self.placement.record_first_token(&current.target.upstream);
             self.record_latency_once(now, attempt.exchange);
         }
+        let step = match step {
+            Step::NoChange | Step::Extended => match self.cover_response(attempt.exchange, step) {
+                Some(step) => step,
+                None => return self.refuse_for_memory(now, attempt.exchange, out),
+            },
+            step => step,
+        };
         self.apply_step(now, attempt.exchange, step, out);
     }
 
+    /// Reserves the memory of a response that has grown. Without it, returns the step that needs no more memory, or
+    /// `None` if there is no such step.
+    fn cover_response(&mut self, id: ExchangeId, step: Step) -> Option<Step> {
+        let Some(entry) = self.entries.get_mut(&id) else { return Some(step) };
+        if entry.memory.cover(entry.exchange.held_bytes()) {
+            return Some(step);
+        }
+        // A plain response that is forwarded waits for its caller.
+        entry.exchange.forward_body().then_some(Step::Extended)
+    }
+
+    fn refuse_for_memory(&mut self, now: Time, id: ExchangeId, out: &mut Vec<Effect>) {
+        let detail = "no memory is left for the response";
+        let retry_after = Some(UPSTREAM_RETRY_AFTER);
+        self.refuse(now, id, RefusalKind::Overload, detail, retry_after, out);
+    }
+
     /// Reports the time from arrival to the start of the response to the limits, once per request.
     fn record_latency_once(&mut self, now: Time, id: ExchangeId) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
--- a/lib/src/node/traffic/mod.rs
+++ b/lib/src/node/traffic/mod.rs
@@ -25,6 +25,7 @@
     ids::{DaemonId, DataCentre, RequestId, ServiceName, UpstreamId, VersionName},
     limit::{
         self, Limits,
+        memory::{MemoryBudget, Reservation},
         upstream::{Position, UpstreamLimits},
     },
     node::{report::AttemptReport, snapshot::Snapshot},
@@ -49,6 +50,12 @@
 
 /// The number of crashes without a response in between after which a content is refused.
 const MIN_CONTENT_CRASHES: usize = 2;
+/// The memory for the responses of running requests, in bytes, beyond [`UNRESERVED_RESPONSE_BYTES`] each.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Part of a response that needs no reservation; most completions are shorter.
+const UNRESERVED_RESPONSE_BYTES: usize = 8 << 10;
+/// A response grows in a buffer of up to twice its length.
+const RESPONSE_COPIES: usize = 2;
 
 /// The configuration of one traffic thread.
 #[derive(Clone, Debug)]
@@ -284,6 +291,8 @@
     retry_refusal: Option<RetryRefusal>,
     /// When the earliest pending timer of the request fires.
     armed: Option<Time>,
+    /// The memory of the response so far.
+    memory: Reservation,
 }
 
 /// The purpose of a timer.
@@ -313,6 +322,8 @@
     poison: PoisonRequests,
     crash_evidence: CrashEvidence,
     retained: RetainedResponses,
+    /// The memory for the responses of running requests.
+    response_memory: Arc<MemoryBudget>,
     kv_moves: usize,
     handover_start: Option<Time>,
     random: Pcg32,
@@ -337,6 +348,11 @@
             poison: PoisonRequests::default(),
             crash_evidence: CrashEvidence::new(MIN_CONTENT_CRASHES),
             retained: RetainedResponses::default(),
+            response_memory: MemoryBudget::for_buffers(
+                MAX_RESPONSE_BYTES,
+                UNRESERVED_RESPONSE_BYTES,
+                RESPONSE_COPIES,
+            ),
             kv_moves: 0,
             handover_start: None,
             random: Pcg32::seed_from_u64(cfg.seed),
--- a/lib/src/request/exchange.rs
+++ b/lib/src/request/exchange.rs
@@ -326,6 +326,19 @@
             || self.plain.as_ref().is_some_and(|plain| plain.is_forwarding)
     }
 
+    /// Returns the memory that the received part of the response takes, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        let plain = self.plain.as_ref().map_or(0, |plain| plain.body.len());
+        let event = self.attempt.as_ref().map_or(0, |attempt| attempt.reader.buffered_bytes());
+        self.answer.held_bytes() + plain + event
+    }
+
+    /// Forwards a plain response from now on, so that no other attempt can replace it. Returns false if there is none.
+    pub fn forward_body(&mut self) -> bool {
+        let plain = self.plain.as_mut();
+        plain.map(|plain| plain.is_forwarding = true).is_some()
+    }
+
     /// Reports whether the request may be sent to an upstream again.
     pub fn can_retry(&self) -> bool {
         let is_forwarding = self.plain.as_ref().is_some_and(|plain| plain.is_forwarding);
--- a/lib/src/request/response_tokens.rs
+++ b/lib/src/request/response_tokens.rs
@@ -78,6 +78,12 @@
         Ok(())
     }
 
+    /// Returns the memory that the tokens take, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        let early: usize = self.early.values().map(|token| token.len()).sum();
+        self.text.len() + early + size_of::<u32>() * self.token_ends.len()
+    }
+
     /// Reports whether buffered tokens wait for a missing one.
     pub fn has_gap(&self) -> bool {
         !self.early.is_empty()
--- a/lib/src/request/retained.rs
+++ b/lib/src/request/retained.rs
@@ -74,6 +74,5 @@
 }
 
 fn retained_bytes(response: &RetainedResponse) -> usize {
-    // Each token adds the offset of its end, four bytes, to its text.
-    response.answer.text().len() + 4 * response.answer.next_offset() as usize
+    response.answer.held_bytes()
 }
--- a/lib/src/request/sse.rs
+++ b/lib/src/request/sse.rs
@@ -50,9 +50,13 @@
         self.buffer(rest)
     }
 
+    /// Returns the length of the event that is not complete yet, in bytes.
+    pub fn buffered_bytes(&self) -> usize {
+        self.data.as_ref().map_or(0, String::len) + self.line.len()
+    }
+
     fn buffer(&mut self, bytes: &[u8]) -> Result<(), SseError> {
-        let data = self.data.as_ref().map_or(0, String::len);
-        if data + self.line.len() + bytes.len() > MAX_EVENT_BYTES {
+        if self.buffered_bytes() + bytes.len() > MAX_EVENT_BYTES {
             return Err(SseError::TooLong);
         }
         self.line.extend_from_slice(bytes);
