upstream: KV caches that are moved share a limit

All moves of a thread now share 48 MiB, with copies; a cache without memory is not moved, and its request is computed again elsewhere.

--- a/lib/src/edge/driver.rs
+++ b/lib/src/edge/driver.rs
@@ -68,6 +68,7 @@
     reports: RefCell<Vec<AttemptReport>>,
     /// The memory for what waits for callers.
     queue_memory: Arc<MemoryBudget>,
+    kv_memory: Arc<MemoryBudget>,
 }
 
 impl TrafficDriver {
@@ -93,6 +94,7 @@
             control,
             reports: RefCell::default(),
             queue_memory: MemoryBudget::for_buffers(MAX_QUEUED_BYTES, MAX_BUFFERED_BYTES, 1),
+            kv_memory: MemoryBudget::for_buffers(upstream::MAX_KV_BYTES, 0, upstream::KV_COPIES),
         })
     }
 
@@ -225,9 +227,9 @@
             }
             Effect::MoveKv { attempt, name, from, to } => {
                 let driver = self.clone();
-                let client = self.client.clone();
+                let (client, memory) = (self.client.clone(), self.kv_memory.clone());
                 actix_rt::spawn(async move {
-                    let moved = upstream::move_kv(&client, &name, from, to).await;
+                    let moved = upstream::move_kv(&client, &memory, &name, from, to).await;
                     driver.dispatch_event(Event::KvMoved(attempt, moved));
                 });
             }
--- a/lib/src/edge/upstream.rs
+++ b/lib/src/edge/upstream.rs
@@ -4,10 +4,11 @@
     io,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use serde_json::json;
 use tokio::time::timeout;
 
@@ -22,6 +23,7 @@
         connection::Connection,
         head::{Headers, ResponseHead},
     },
+    limit::memory::MemoryBudget,
     node::traffic::{Dispatch, Event},
     placement::load::LoadReport,
     request::exchange::{Head, Header, StreamEnd},
@@ -31,8 +33,10 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout for the export of a KV cache, and again for its import.
 const KV_TIMEOUT: Duration = Duration::from_secs(5);
-/// Limit on the size of a KV cache that is moved, in bytes.
-const MAX_KV_BYTES: usize = 64 << 20;
+/// Limit on the memory of the KV caches that one traffic thread moves at a time, in bytes, including copies.
+pub const MAX_KV_BYTES: usize = 48 << 20;
+/// A cache grows in a buffer of up to twice its length, and is copied once for the engine that receives it.
+pub const KV_COPIES: usize = 3;
 /// Limit on the size of a response that is read only for its connection, in bytes.
 const MAX_IGNORED_BYTES: usize = 64 << 10;
 
@@ -162,16 +166,34 @@
     let _ = timeout(CANCEL_TIMEOUT, call(&client, address, &req, MAX_IGNORED_BYTES)).await;
 }
 
-/// Copies the KV cache of an attempt from one engine to another. Reports whether it arrived.
-pub async fn move_kv(client: &Rc<Client>, name: &str, from: SocketAddr, to: SocketAddr) -> bool {
+/// Copies the KV cache of an attempt from one engine to another, within a budget that all moves share. Reports
+/// whether it arrived.
+pub async fn move_kv(
+    client: &Rc<Client>,
+    memory: &Arc<MemoryBudget>,
+    name: &str,
+    from: SocketAddr,
+    to: SocketAddr,
+) -> bool {
     let post = |address, path: &str, body: &[u8]| {
         ClientRequest::new("POST", address, path)
             .header("content-type", b"application/json")
             .body(body)
     };
     let export = post(from, "/kv/export", json!({ "request": name }).to_string().as_bytes());
-    let export = timeout(KV_TIMEOUT, call(client, from, &export, MAX_KV_BYTES)).await;
-    let Ok(Ok((200..300, blob))) = export else { return false };
+    let reservation = memory.begin();
+    let export = async {
+        let mut res = client.send(from, &export).await.map_err(io::Error::other)?;
+        let mut blob = BytesMut::new();
+        while let Some(chunk) = res.next_chunk().await? {
+            if !reservation.cover(blob.len() + chunk.len()) {
+                return Err(io::Error::other("no memory is left for a KV cache"));
+            }
+            blob.extend_from_slice(&chunk);
+        }
+        Ok((res.head.status, blob))
+    };
+    let Ok(Ok((200..300, blob))) = timeout(KV_TIMEOUT, export).await else { return false };
     let import = post(to, "/kv/import", &blob);
     let import = timeout(KV_TIMEOUT, call(client, to, &import, MAX_IGNORED_BYTES)).await;
     matches!(import, Ok(Ok((200..300, _))))
