response_queue: an upstream is read on when its caller has left

Bytes of an upstream are read only while its caller has room. The call of a key goes on without its caller, and one whose caller left while its queue was full waited for that caller until the deadline, so that the outcome under the key became known only then, as unknown. The end of a queue now ends the wait.

wait_for_room_waits_for_a_caller_that_has_left failed before, after 5 s.

--- a/lib/src/edge/response_queue.rs
+++ b/lib/src/edge/response_queue.rs
@@ -82,13 +82,13 @@
         let has_memory = self.cover();
         if has_memory {
             self.parts.borrow_mut().push_back(part);
+            self.changed.notify_one();
         } else {
             self.parts.borrow_mut().clear();
             self.queued.set(0);
             self.cover();
-            self.is_closed.set(true);
+            self.close();
         }
-        self.changed.notify_one();
         has_memory
     }
 
@@ -96,6 +96,7 @@
     pub fn close(&self) {
         self.is_closed.set(true);
         self.changed.notify_one();
+        self.consumed.notify_waiters();
     }
 
     /// Returns the next part, or `None` if no more parts follow. A complete response still counts until the queue is
@@ -127,9 +128,9 @@
         self.cover()
     }
 
-    /// Waits until the bytes in the queue are within the limit.
+    /// Waits until the bytes in the queue are within the limit, or until nothing is added any more.
     pub async fn wait_for_room(&self) {
-        while self.queued.get() > MAX_BUFFERED_BYTES {
+        while self.queued.get() > MAX_BUFFERED_BYTES && !self.is_closed.get() {
             self.consumed.notified().await;
         }
     }
