--- a/gateway/src/send_delay.rs
+++ b/gateway/src/send_delay.rs
@@ -1,4 +1,4 @@
-//! Whether what this daemon writes arrives, as far as acknowledgements tell.
+//! Whether what this daemon writes arrives, as far as acknowledgements show.
 //!
 //! Load pattern: the link of this host is full, a connection has gone silent, or a host is gone. A write succeeds at
 //! once all the same, and its bytes arrive seconds later or never. Closing the connection does not call back what is
--- a/gateway/tests/usage.rs
+++ b/gateway/tests/usage.rs
@@ -43,7 +43,7 @@
     assert!(after.window_total(1).counts.is_empty(), "closed windows are not stored");
 }
 
-// A leader that had no space for all counts lost those that nobody reports any more.
+// A leader that had no space for all counts lost those that are not reported any more.
 #[test]
 fn open_counts_leave_out_a_daemon_that_is_gone() {
     let ada: CustomerName = "ada".parse().unwrap();
