--- a/lib/src/limit/memory.rs
+++ b/lib/src/limit/memory.rs
@@ -23,7 +23,7 @@
 }
 
 impl MemoryBudget {
-    /// Creates a budget of `limit` bytes, all of which are reserved.
+    /// Creates a budget of `limit` bytes, each of which needs a reservation.
     pub fn new(limit: usize) -> Arc<Self> {
         Self::for_buffers(limit, 0, 1)
     }
