review: show that a server that says it leaves goes on to get requests

Cause: nothing reads Server-Leaving, so that a gateway without the store does not know that an upstream leaves.

--- a/review/common-2/directory.rs
+++ b/review/common-2/directory.rs
@@ -30,21 +30,25 @@
 const WORK: Duration = Duration::from_millis(100);
 const CALM_TIME: Duration = Duration::from_secs(4);
 
-fn config() -> String {
+pub fn config() -> String {
     "{\"version\":7,\"routes\":[{\"name\":\"post\",\"host\":\"desk.example\",\"pathPrefix\":\"/post/\",\"routeKind\":\"non_idempotent\",\"timeoutMs\":1000,\"targetLatencyMs\":150,\"priority\":2,\"maxAttempts\":1,\"service\":\"ledger\"}],\"services\":[{\"name\":\"ledger\",\"healthPath\":\"/healthz\",\"maxConnections\":100}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":\"desk\",\"apiKeys\":[\"key-desk\"]}]}".into()
 }
 
 /// A server that can leave.
 #[derive(Default)]
-struct Server {
+pub struct Server {
+    /// Whether its answers say that it leaves.
+    pub says_leaving: AtomicBool,
+    /// When it first answered so.
+    pub said_leaving: Mutex<Option<Instant>>,
     has_left: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
     /// When requests arrived.
-    runs: Mutex<HashMap<String, Instant>>,
+    pub runs: Mutex<HashMap<String, Instant>>,
 }
 
 impl Server {
-    fn run(&self, mut conn: Conn, name: &str, record: &Record) -> io::Result<()> {
+    pub fn run(&self, mut conn: Conn, name: &str, record: &Record) -> io::Result<()> {
         self.connections.lock().unwrap().push(conn.stream.try_clone()?);
         while let Some(head) = conn.head()? {
             conn.body(&head).1?;
@@ -55,16 +59,21 @@
             record.line(&format!("{name} runs {id}"));
             self.runs.lock().unwrap().insert(id.clone(), Instant::now());
             thread::sleep(WORK);
+            let leaving =
+                if self.says_leaving.load(Relaxed) { "Server-Leaving: 1\r\n" } else { "" };
             let headers = format!(
-                "Attempt-Id: {id}\r\nResponse-Signature: sig.{id}\r\nKeep-Alive: timeout=5\r\n"
+                "Attempt-Id: {id}\r\nResponse-Signature: sig.{id}\r\nKeep-Alive: timeout=5\r\n{leaving}"
             );
             conn.respond(200, &headers, "done")?;
+            if !leaving.is_empty() {
+                self.said_leaving.lock().unwrap().get_or_insert(Instant::now());
+            }
         }
         Ok(())
     }
 
     /// Ends the server.
-    fn leave(&self) {
+    pub fn leave(&self) {
         self.has_left.store(true, Relaxed);
         for connection in self.connections.lock().unwrap().iter() {
             let _ = connection.shutdown(Shutdown::Both);
--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod gateway;
 mod http;
+mod leaving;
 mod memory;
 mod platform;
 mod streams;
@@ -89,6 +90,7 @@
     });
     let run = || match case.as_str() {
         "directory" => directory::run(record, trouble),
+        "leaving" => leaving::run(record, trouble),
         "memory" => memory::run(record, trouble),
         "streams" => streams::run(record, trouble),
         _ => Err(format!("no case {case}")),
--- a/review/common-2/platform.rs
+++ b/review/common-2/platform.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io,
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering::Relaxed},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -36,6 +39,9 @@
     history: Vec<(u64, String, Object, bool)>,
 }
 
+/// How often a call that is not answered looks whether the cut has ended.
+const CUT_POLL: Duration = Duration::from_millis(50);
+
 impl State {
     fn save(
         &mut self,
@@ -63,7 +69,7 @@
 
 /// The store; it loses nothing and forgets nothing.
 #[derive(Clone, Default)]
-pub struct Store(Arc<(Mutex<State>, Condvar)>);
+pub struct Store(Arc<(Mutex<State>, Condvar)>, Arc<AtomicBool>);
 
 impl Store {
     pub fn start(&self) -> io::Result<SocketAddr> {
@@ -72,6 +78,12 @@
         serve(move |conn| store.clone().serve(conn))
     }
 
+    /// Cuts the machines of the system off from the store, or ends that. The operator and the servers
+    /// still reach it. Calls that meet the cut are never answered.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.1.store(is_cut, Relaxed);
+    }
+
     /// Writes an object, as the operator and the servers do.
     pub fn put(&self, kind: &str, name: &str, spec: String) {
         self.0.0.lock().unwrap().save(kind, name, Some(spec), None);
@@ -93,7 +105,14 @@
             let (body, result) = conn.body(&head);
             result?;
             let body = String::from_utf8_lossy(&body).into_owned();
-            let (status, answer) = self.handle(&head.first[0], &head.first[1], &body);
+            let was_cut = self.1.load(Relaxed);
+            let answered = (!was_cut).then(|| self.handle(&head.first[0], &head.first[1], &body));
+            let Some((status, answer)) = answered.filter(|_| !self.1.load(Relaxed)) else {
+                while self.1.load(Relaxed) {
+                    thread::sleep(CUT_POLL);
+                }
+                return Ok(());
+            };
             conn.respond(status, "Content-Type: application/json\r\n", &answer)?;
         }
         Ok(())
