relay, connection: the end of a connection is judged with the bytes before it

A server had stood still for 1.2 s in a stream without length, and ended it inside an event while a replacement was opened.

Cause: while a replacement is looked for, the relay decodes only a copy of the bytes. The end of the connection was returned as the result of that read, and judged as if all bytes before it had been decoded. The undecoded part of the event was never looked at, so that `end` saw no partial event.

`Received` now holds the bytes and the end of a connection together, and `Received::decode` is the only place that judges an end: after the bytes before it. Copies and later readers get both. Errors are kept as well, since the system reports a reset to one call only: a read after a failed write, or a second read, saw a regular end before.

If the stream breaks off while the replacement has the request already, the replacement is now kept; before, it was given up, and the attempts of the route were used up.

--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -1,6 +1,6 @@
 //! Relays an upstream's response to the caller.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{io, pin::pin, rc::Rc, time::Duration};
 
 use bytes::BytesMut;
 use dogwoodturn::{
@@ -8,6 +8,7 @@
         body::{BodyDecoder, Step},
         connection::Connection,
         head::{Framing, ResponseHead},
+        received::Received,
     },
     limit::memory::Reservation,
     units::Time,
@@ -48,6 +49,18 @@
     Replaced(Pending<'a>),
 }
 
+/// What became of a stream whose upstream was silent while another one was looked for.
+enum Silence<'a> {
+    /// The upstream goes on, or the stream has ended.
+    Over,
+    /// No other upstream takes the stream for now.
+    Lasts,
+    /// The stream broke off in the meantime. The other upstream has the request, if there is one.
+    Broken(Option<Pending<'a>>),
+    /// The other upstream has the request.
+    Replaced(Pending<'a>),
+}
+
 /// The state of a response body after the available bytes were decoded.
 enum BodyState {
     More,
@@ -174,18 +187,16 @@
         };
         let max_silence =
             self.admitted.route.max_event_gap.unwrap_or(DEFAULT_EVENT_GAP) * MAX_SILENT_GAPS;
-        let (mut body_state, mut is_sound) = (BodyState::More, false);
+        let mut is_sound = false;
         let mut last_progress = self.cx.now();
-        let mut next_replacement = None;
+        let (mut next_replacement, mut replacement) = (None, None);
         let first_event = (attempt.ticket.predicted * MAX_SILENCE_FACTOR).max(MAX_SILENCE);
         loop {
-            if matches!(body_state, BodyState::More) {
-                let before = buffer.progress;
-                body_state = buffer.decode(&mut connection.buf, &mut self.position);
-                if buffer.progress > before {
-                    last_progress = self.cx.now();
-                    next_replacement = None;
-                }
+            let before = buffer.progress;
+            let body_state = buffer.decode(&mut connection.received, &mut self.position);
+            if buffer.progress > before {
+                last_progress = self.cx.now();
+                next_replacement = None;
             }
             let chunk = std::mem::take(&mut buffer.pending);
             let is_end = matches!(body_state, BodyState::End(_));
@@ -206,7 +217,11 @@
                 }
                 BodyState::Broken(reason) => {
                     self.record_broken(attempt, &head, reason, last_progress, &buffer);
-                    return self.retry_or_fail(out).await;
+                    // Events that arrived last may forbid what was allowed when the replacement was chosen.
+                    return match replacement.filter(|_| self.may_retry()) {
+                        Some(replacement) => Relayed::Replaced(replacement),
+                        None => self.retry_or_fail(out).await,
+                    };
                 }
                 BodyState::More => {}
             }
@@ -220,8 +235,9 @@
             } else {
                 time_left
             };
-            body_state = match timeout(read_timeout, connection.read()).await {
-                Ok(read) => buffer.handle_read(&read),
+            match timeout(read_timeout, connection.read()).await {
+                // The next decoding judges an error, after the bytes before it.
+                Ok(_) => {}
                 Err(_) if time_left <= read_timeout => {
                     self.record_body_end(&head, "timed-out", &buffer);
                     attempt.set_outcome(AttemptOutcome::Broken);
@@ -229,25 +245,18 @@
                         self.finish_unsuccessfully(out, &LocalResponse::timed_out()).await,
                     );
                 }
-                Err(_) => {
-                    let replacement = tokio::select! {
-                        biased;
-                        read = buffer.read_until_progress(&mut connection, self.position) => Err(read),
-                        replacement = self.choose_replacement(Delay::Silent) => Ok(replacement),
-                    };
-                    match replacement {
-                        Ok(Some(replacement)) => {
-                            self.record_broken(attempt, &head, "silent", last_progress, &buffer);
-                            return Relayed::Replaced(replacement);
-                        }
-                        Ok(None) => {
-                            next_replacement = Some(self.cx.now() + REPLACEMENT_INTERVAL);
-                            BodyState::More
-                        }
-                        Err(read) => buffer.handle_read(&read),
+                Err(_) => match self.look_for_replacement(&buffer, &mut connection).await {
+                    Silence::Over => {}
+                    Silence::Lasts => {
+                        next_replacement = Some(self.cx.now() + REPLACEMENT_INTERVAL);
                     }
-                }
-            };
+                    Silence::Broken(other) => replacement = other,
+                    Silence::Replaced(other) => {
+                        self.record_broken(attempt, &head, "silent", last_progress, &buffer);
+                        return Relayed::Replaced(other);
+                    }
+                },
+            }
         }
         attempt.set_outcome(AttemptOutcome::Answered);
         attempt.connection = Some(connection);
@@ -258,6 +267,25 @@
         Relayed::Delivered(Delivery::Complete)
     }
 
+    /// Looks for another upstream that takes over a silent stream, and stops once the stream goes on.
+    async fn look_for_replacement(
+        &self,
+        buffer: &BodyBuffer,
+        connection: &mut Connection,
+    ) -> Silence<'a> {
+        let mut choice = pin!(self.choose_replacement(Delay::Silent));
+        let state = tokio::select! {
+            biased;
+            state = buffer.read_until_progress(connection, self.position) => state,
+            choice = &mut choice => return choice.map_or(Silence::Lasts, Silence::Replaced),
+        };
+        match state {
+            // The other upstream may have the request already.
+            BodyState::Broken(_) => Silence::Broken(choice.await),
+            BodyState::More | BodyState::End(_) => Silence::Over,
+        }
+    }
+
     /// Records a complete response as evidence that its request does not crash upstreams. A response
     /// that ended with its connection is evidence only if its upstream has not crashed.
     fn record_evidence(&self, attempt: &Attempt, head: &ResponseHead, ended_with_connection: bool) {
@@ -416,10 +444,11 @@
         Ok(true)
     }
 
-    /// Decodes the bytes in `buf` into `pending`; of a stream, only complete events after `position`.
-    fn decode(&mut self, buf: &mut BytesMut, position: &mut StreamPosition) -> BodyState {
+    /// Decodes what was received into `pending`; of a stream, only complete events after `position`.
+    fn decode(&mut self, received: &mut Received, position: &mut StreamPosition) -> BodyState {
+        let framing_ends = !self.decoder.ends_with_connection();
         loop {
-            match self.decoder.step(buf) {
+            match received.decode(&mut self.decoder) {
                 Ok(Step::Data(data)) if self.is_event_stream => {
                     if self.events.push(&data).is_err() {
                         return BodyState::Broken("event-too-long");
@@ -440,47 +469,32 @@
                 }
                 Ok(Step::Data(data)) => self.pending.extend_from_slice(&data),
                 Ok(Step::NeedsMore) => return BodyState::More,
-                Ok(Step::End) => return self.end("framing"),
-                Err(_) => return BodyState::Broken("malformed"),
+                Ok(Step::End) => {
+                    return self.end(if framing_ends { "framing" } else { "closed" });
+                }
+                Err(error) => return BodyState::Broken(error_cause(&error)),
             }
         }
     }
 
-    /// Handles the result of a read, after all earlier bytes were decoded.
-    fn handle_read(&self, read: &io::Result<usize>) -> BodyState {
-        match read {
-            Ok(0) => self.handle_close(),
-            Ok(_) => BodyState::More,
-            Err(error) => BodyState::Broken(error_cause(error)),
-        }
-    }
-
-    /// Reads without decoding until the bytes show progress, or until the connection ends.
+    /// Reads without decoding until the bytes show progress, or until the body has ended or broken off.
+    /// Returns its state then.
     async fn read_until_progress(
         &self,
         connection: &mut Connection,
         position: StreamPosition,
-    ) -> io::Result<usize> {
+    ) -> BodyState {
         loop {
-            let length = connection.read().await?;
-            let (mut ahead, mut buf, mut position) =
-                (self.clone(), connection.buf.clone(), position);
-            let state = ahead.decode(&mut buf, &mut position);
-            if length == 0 || ahead.progress > self.progress || !matches!(state, BodyState::More) {
-                return Ok(length);
+            // The decoding judges an error, after the bytes before it.
+            let _ = connection.read().await;
+            let (mut ahead, mut received) = (self.clone(), connection.received.clone());
+            let state = ahead.decode(&mut received, &mut { position });
+            if ahead.progress > self.progress || !matches!(state, BodyState::More) {
+                return state;
             }
         }
     }
 
-    /// Handles that the upstream has closed the connection, after all bytes were decoded.
-    fn handle_close(&self) -> BodyState {
-        if self.decoder.ends_with_connection() {
-            self.end("closed")
-        } else {
-            BodyState::Broken("closed")
-        }
-    }
-
     /// Returns the state at the regular end of the body, whose framing does not show whether an event
     /// was cut.
     fn end(&self, cause: &'static str) -> BodyState {
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -161,6 +161,10 @@
     WriteAfter(Duration, String),
     /// Writes each of these parts after its delay.
     WriteParts(Vec<(Duration, String)>),
+    /// Writes each of these parts after its delay, and closes the connection.
+    WritePartsAndClose(Vec<(Duration, String)>),
+    /// Writes each of these parts after its delay, and resets the connection.
+    WritePartsAndReset(Vec<(Duration, String)>),
     /// Writes these bytes, but reads nothing of the request's body before a delay, like a host that
     /// stands still.
     ReadAfter(Duration, String),
@@ -174,6 +178,9 @@
     Hang,
     /// Responds after the request head and reads more of the request later.
     RespondEarly(String),
+    /// Responds after the request head and resets the connection, without reading the body. Nothing else runs
+    /// between the response and the reset.
+    RespondEarlyAndReset(String),
     /// Writes the first bytes, and then the others again and again until the gateway closes the
     /// connection.
     WriteForever(String, String),
@@ -278,17 +285,11 @@
             };
             let mut received = ReceivedRequest { head, body: Bytes::new(), connection };
             let action = script(&received);
-            if let UpstreamAction::RespondEarly(text) = &action {
-                let text = text.replace("{id}", received.head.headers.text("X-Id").unwrap_or(""));
-                self.received.borrow_mut().push(received);
-                let _ = stream.write_all(text.as_bytes()).await;
-                actix_rt::time::sleep(Duration::from_millis(300)).await;
-                let _ = stream.read_buf(&mut buf).await;
-                return;
-            }
-            if let UpstreamAction::WriteForeverEarly(first, repeated) = &action {
-                self.received.borrow_mut().push(received);
-                return self.write_forever(stream, first, repeated).await;
+            if let UpstreamAction::RespondEarly(_)
+            | UpstreamAction::RespondEarlyAndReset(_)
+            | UpstreamAction::WriteForeverEarly(..) = &action
+            {
+                return self.respond_early(stream, received, &action).await;
             }
             if let UpstreamAction::ReadAfter(delay, _) = &action {
                 actix_rt::time::sleep(*delay).await;
@@ -312,17 +313,20 @@
             let (text, end) = match action {
                 UpstreamAction::Write(text)
                 | UpstreamAction::RespondEarly(text)
+                | UpstreamAction::RespondEarlyAndReset(text)
                 | UpstreamAction::ReadAfter(_, text) => (text, ConnectionEnd::None),
                 UpstreamAction::WriteParts(parts) => {
-                    for (delay, text) in parts {
-                        actix_rt::time::sleep(delay).await;
-                        let text = text.replace("{id}", &id);
-                        if stream.write_all(text.as_bytes()).await.is_err() {
-                            return;
-                        }
-                    }
+                    write_parts(&mut stream, parts, &id).await;
                     (String::new(), ConnectionEnd::None)
                 }
+                UpstreamAction::WritePartsAndClose(parts) => {
+                    write_parts(&mut stream, parts, &id).await;
+                    (String::new(), ConnectionEnd::Close)
+                }
+                UpstreamAction::WritePartsAndReset(parts) => {
+                    write_parts(&mut stream, parts, &id).await;
+                    (String::new(), ConnectionEnd::Reset)
+                }
                 UpstreamAction::WriteAndClose(text) => (text, ConnectionEnd::Close),
                 UpstreamAction::WriteAndReset(text) => (text, ConnectionEnd::Reset),
                 UpstreamAction::WriteAfter(pause, text) => {
@@ -360,6 +364,33 @@
         }
     }
 
+    /// Responds without reading the body of the request first.
+    async fn respond_early(
+        &self,
+        mut stream: TcpStream,
+        received: ReceivedRequest,
+        action: &UpstreamAction,
+    ) {
+        let id = received.head.headers.text("X-Id").unwrap_or("").to_owned();
+        self.received.borrow_mut().push(received);
+        match action {
+            UpstreamAction::WriteForeverEarly(first, repeated) => {
+                self.write_forever(stream, first, repeated).await;
+            }
+            UpstreamAction::RespondEarlyAndReset(text) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+                std::thread::sleep(Duration::from_millis(2));
+                stream.set_zero_linger().unwrap();
+            }
+            UpstreamAction::RespondEarly(text) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+                actix_rt::time::sleep(Duration::from_millis(300)).await;
+                let _ = stream.read_buf(&mut BytesMut::new()).await;
+            }
+            _ => {}
+        }
+    }
+
     async fn write_forever(&self, mut stream: TcpStream, first: &str, repeated: &str) {
         let _ = stream.write_all(first.as_bytes()).await;
         let block = repeated.repeat(4096 / repeated.len());
@@ -375,6 +406,15 @@
     }
 }
 
+async fn write_parts(stream: &mut TcpStream, parts: Vec<(Duration, String)>, id: &str) {
+    for (delay, text) in parts {
+        actix_rt::time::sleep(delay).await;
+        if stream.write_all(text.replace("{id}", id).as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// A gateway with the address of its listener for callers.
 pub struct TestGateway {
     pub cx: Rc<Gateway>,
--- a/gateway/tests/truncation.rs
+++ b/gateway/tests/truncation.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use dogwoodturn::http::head::Framing;
 use futures_util::future::join_all;
@@ -198,6 +198,70 @@
     }
 }
 
+// ORDER of review/7: while a replacement for the silent upstream was opened, the end of the connection was
+// judged before the bytes that had arrived with it were decoded.
+#[actix_rt::test]
+async fn stream_cut_beside_a_replacement_looks_complete() {
+    // A stream is silent after three gaps of its route, and a replacement has 150 ms to refuse.
+    let silent_at = Duration::from_millis(3 * 400);
+    let mut cases = Vec::new();
+    for framing in FRAMINGS {
+        for is_reset in [false, true] {
+            for cut in 1..=event(2).len() {
+                for beside in [20, 70, 120] {
+                    cases.push((framing, is_reset, cut, Duration::from_millis(beside)));
+                }
+            }
+        }
+    }
+    let check = async |(framing, is_reset, cut, beside): &(Framing, bool, usize, Duration)| {
+        let (is_reset, pause) = (*is_reset, silent_at + *beside);
+        let start =
+            framed(*framing, EVENT_STREAM, &(event(1) + &event(2) + &event(3)), event(1).len());
+        let part = event(2)[..*cut].to_owned();
+        let part = match framing {
+            Framing::Chunked => format!("{:x}\r\n{part}\r\n", part.len()),
+            Framing::Length(_) | Framing::UntilClose => part,
+        };
+        let script = move |received: &support::ReceivedRequest| {
+            let Some(last) = received.head.headers.text("X-Last-Event") else {
+                let parts = vec![(Duration::ZERO, start.clone()), (pause, part.clone())];
+                return if is_reset {
+                    UpstreamAction::WritePartsAndReset(parts)
+                } else {
+                    UpstreamAction::WritePartsAndClose(parts)
+                };
+            };
+            let rest: String = (last.parse::<u64>().unwrap() + 1..=3).map(event).collect();
+            let text = framed(Framing::Chunked, EVENT_STREAM, &rest, rest.len());
+            UpstreamAction::WriteAfter(Duration::from_millis(400), text)
+        };
+        let upstreams = [Upstream::start(script.clone()), Upstream::start(script)];
+        let gateway = TestGateway::start(&[&upstreams[0], &upstreams[1]]).await;
+        gateway.exchange(&get("/render/1", "a1")).await
+    };
+    let whole: String = (1..=3).map(event).collect();
+    let mut failures = Vec::new();
+    for batch in cases.chunks(64) {
+        for (case, response) in batch.iter().zip(join_all(batch.iter().map(check)).await) {
+            let (framing, is_reset, cut, _) = *case;
+            let body = complete_body(&response);
+            let is_expected = if cut < event(2).len() {
+                body.as_ref() == Some(&whole)
+            } else if framing == Framing::UntilClose && !is_reset {
+                body.as_ref() == Some(&(event(1) + &event(2)))
+            } else {
+                // The stream went on, so that the replacement was given up; no attempt is left.
+                body.is_none_or(|body| body == whole)
+            };
+            if !is_expected {
+                failures.push(format!("{case:?}: {response}"));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{} of {}: {failures:#?}", failures.len(), cases.len());
+}
+
 #[actix_rt::test]
 async fn stream_without_ids_repeated_after_a_break() {
     let body = "data: a\n\ndata: b\n\n";
--- a/lib/src/http/connection.rs
+++ b/lib/src/http/connection.rs
@@ -14,6 +14,7 @@
 use crate::http::{
     body::{BodyDecoder, Step},
     head::{HeadError, ResponseHead},
+    received::{ConnectionEnd, Received},
 };
 
 /// Limit for the acknowledgement of sent bytes; other data centres are a few milliseconds away. The
@@ -32,12 +33,14 @@
 /// Maximum length of a response head from a server or the store.
 pub const MAX_RESPONSE_HEAD_BYTES: usize = 32 * 1024;
 
-/// A connection to a server, with a buffer for bytes that are not consumed yet.
+/// A connection to a server. Only its own methods read and write, so that [`Received`] knows how it ended.
 #[derive(Debug)]
 pub struct Connection {
     pub stream: TcpStream,
-    /// Bytes that were read and not yet consumed.
-    pub buf: BytesMut,
+    pub received: Received,
+    /// The first error of a write. The system reports a reset to one call only: after a write that failed,
+    /// reads see a regular end.
+    write_error: Option<io::ErrorKind>,
     /// Whether the connection has carried an earlier request.
     pub reused: bool,
     /// The daemon that forwards the connection, if it is a tunnel.
@@ -72,8 +75,14 @@
     ) -> io::Result<Self> {
         let stream = timeout(connect_timeout, TcpStream::connect(address)).await??;
         set_options(&stream)?;
-        let buf = BytesMut::new();
-        Ok(Self { stream, buf, reused: false, via: None, is_awaiting_response: false })
+        Ok(Self {
+            stream,
+            received: Received::default(),
+            write_error: None,
+            reused: false,
+            via: None,
+            is_awaiting_response: false,
+        })
     }
 
     /// Reports whether the connection is open and has no unread bytes, so that the next bytes
@@ -81,41 +90,66 @@
     pub fn is_idle(&self) -> bool {
         let mut byte = [0];
         let peeked = self.stream.try_read(&mut byte);
-        self.buf.is_empty()
+        self.received.is_empty()
             && matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Writes all bytes of a request.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.is_awaiting_response = true;
-        self.stream.write_all(bytes).await
+        let written = self.stream.write_all(bytes).await;
+        self.record_write(written)
     }
 
     /// Writes as much of a request as the socket accepts and returns the number of bytes.
     pub fn try_write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         self.is_awaiting_response = true;
-        self.stream.try_write(bytes)
+        let written = self.stream.try_write(bytes);
+        self.record_write(written)
     }
 
     /// Reads available bytes without waiting. Returns zero at the end of the stream.
     pub fn try_read(&mut self) -> io::Result<usize> {
-        let length = self.stream.try_read_buf(&mut self.buf)?;
-        self.is_awaiting_response &= length == 0;
-        Ok(length)
+        let read = self.stream.try_read_buf(&mut self.received.bytes);
+        self.record_read(read)
     }
 
     /// Waits for bytes and reads them. Returns zero at the end of the stream.
     pub async fn read(&mut self) -> io::Result<usize> {
-        self.buf.reserve(READ_BUFFER_BYTES);
-        let length = self.stream.read_buf(&mut self.buf).await?;
-        self.is_awaiting_response &= length == 0;
-        Ok(length)
+        self.received.bytes.reserve(READ_BUFFER_BYTES);
+        let read = self.stream.read_buf(&mut self.received.bytes).await;
+        self.record_read(read)
+    }
+
+    fn record_write<T>(&mut self, written: io::Result<T>) -> io::Result<T> {
+        written.inspect_err(|error| {
+            if error.kind() != io::ErrorKind::WouldBlock {
+                self.write_error.get_or_insert(error.kind());
+            }
+        })
+    }
+
+    fn record_read(&mut self, read: io::Result<usize>) -> io::Result<usize> {
+        let read = match (read, self.received.end(), self.write_error) {
+            // An error is reported again to each later call.
+            (Ok(0), Some(ConnectionEnd::Failed(kind)), _) | (Ok(0), None, Some(kind)) => {
+                Err(kind.into())
+            }
+            (read, ..) => read,
+        };
+        match &read {
+            Ok(0) => self.received.record_end(ConnectionEnd::Closed),
+            Ok(_) => self.is_awaiting_response = false,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => self.received.record_end(ConnectionEnd::Failed(error.kind())),
+        }
+        read
     }
 
     /// Reads the head of a response. Fails if it, together with the interim responses before it, is
     /// longer than [`MAX_RESPONSE_HEAD_BYTES`].
     pub async fn read_head(&mut self, to_head_request: bool) -> io::Result<ResponseHead> {
-        let mut received = self.buf.len();
+        let mut received = self.received.bytes.len();
         loop {
             if let Some(head) = self.try_parse_head(to_head_request, received)? {
                 return Ok(head);
@@ -134,8 +168,11 @@
         to_head_request: bool,
         received: usize,
     ) -> io::Result<Option<ResponseHead>> {
-        let parsed =
-            ResponseHead::try_parse(&mut self.buf, MAX_RESPONSE_HEAD_BYTES, to_head_request);
+        let parsed = ResponseHead::try_parse(
+            &mut self.received.bytes,
+            MAX_RESPONSE_HEAD_BYTES,
+            to_head_request,
+        );
         let parsed = match parsed {
             Ok(None) if received > MAX_RESPONSE_HEAD_BYTES => Err(HeadError::TooLong),
             parsed => parsed,
@@ -146,20 +183,11 @@
     /// Reads the next part of a body. Returns `None` at its regular end.
     pub async fn read_body(&mut self, decoder: &mut BodyDecoder) -> io::Result<Option<Bytes>> {
         loop {
-            match decoder.step(&mut self.buf) {
-                Ok(Step::Data(data)) => return Ok(Some(data)),
-                Ok(Step::End) => return Ok(None),
-                Ok(Step::NeedsMore) => {}
-                Err(error) => return Err(io::Error::new(io::ErrorKind::InvalidData, error)),
-            }
-            if self.read().await? == 0 {
-                let is_complete = decoder.ends_with_connection();
-                return if is_complete {
-                    Ok(None)
-                } else {
-                    Err(io::ErrorKind::UnexpectedEof.into())
-                };
-            }
+            match self.received.decode(decoder)? {
+                Step::Data(data) => return Ok(Some(data)),
+                Step::End => return Ok(None),
+                Step::NeedsMore => self.read().await?,
+            };
         }
     }
 
--- a/lib/src/http/mod.rs
+++ b/lib/src/http/mod.rs
@@ -7,5 +7,6 @@
 pub mod body;
 pub mod connection;
 pub mod head;
+pub mod received;
 pub mod tcp_info;
 pub mod tunnel;
