tunnel, attempt: the reset of a response that arrives during an upload is not lost

Gateways with links of their own did not pass on the part as whole. A write error is now remembered, and a response that ends with its connection after one is passed on as a reset.

Found beside it: where the write of a gateway took the reset, the response that had arrived before was not read. A refusal of a non-idempotent request, which proves that it has not run, became a 502. The response is read first now, and read after a write has failed.

--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -417,17 +417,8 @@
                 continue;
             };
             let ready = ready?;
-            if ready.is_writable() {
-                match connection.try_write(&bytes[sent..]) {
-                    Ok(written) => {
-                        sent += written;
-                        last_write = self.cx.now();
-                    }
-                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                    Err(error) => return Err(error),
-                }
-            }
-            if ready.is_readable() && sent < bytes.len() {
+            // A response that has arrived counts, even if the rest of the request cannot be written any more.
+            if ready.is_readable() {
                 match connection.try_read() {
                     Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
                     Ok(length) => {
@@ -441,6 +432,19 @@
                     Err(error) => return Err(error),
                 }
             }
+            if ready.is_writable() {
+                match connection.try_write(&bytes[sent..]) {
+                    Ok(written) => {
+                        sent += written;
+                        last_write = self.cx.now();
+                    }
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(_) => {
+                        let head = connection.read_head(req.is_head_request()).await?;
+                        return self.skip_foreign_responses(connection, head, req).await;
+                    }
+                }
+            }
         }
         self.is_request_written = true;
         self.legs.record_written(self.cx.now());
--- a/lib/src/http/tunnel.rs
+++ b/lib/src/http/tunnel.rs
@@ -5,7 +5,7 @@
 //! passed on as a close, and a reset, or the end of this process, as a reset. A reset also withdraws what has not
 //! been passed on: a request that its sender has abandoned must not reach the upstream because this process was late.
 
-use std::io;
+use std::{cell::Cell, future::pending, io};
 
 use socket2::SockRef;
 use tokio::{
@@ -38,11 +38,16 @@
     origin.set_zero_linger()?;
     let (mut from_origin, mut to_origin) = origin.split();
     let (mut from_upstream, mut to_upstream) = upstream.split();
+    // The system reports a reset to one call only: after a write that took it, reads see a regular close.
+    let write_error = Cell::new(None);
     let request = async {
         match copy(&mut from_origin, &mut to_upstream, Withdrawn::Discarded).await {
             CopyEnd::Read(end) => end,
-            // The upstream may have responded before it stopped reading.
-            CopyEnd::NotWritten(_) => std::future::pending().await,
+            CopyEnd::NotWritten(error) => {
+                write_error.set(Some(error));
+                // The upstream may have responded before it stopped reading.
+                pending().await
+            }
         }
     };
     let response = copy(&mut from_upstream, &mut to_origin, Withdrawn::Delivered);
@@ -56,6 +61,9 @@
         },
         end = response => match end {
             CopyEnd::Read(ReadEnd::Closed) => {
+                if let Some(error) = write_error.take() {
+                    return Err(error);
+                }
                 SockRef::from(&*origin).set_linger(None)?;
                 origin.shutdown().await
             }
