leaving: an upstream that says in a response that it leaves gets no more requests

Cause: nothing read the header. That an upstream leaves was known from the store and from peers only.

A statement now holds for one start of an upstream, whatever the store says before or after, and is sent to all peers. Requests that were chosen before are not sent; orders of hosts and moves do not count the upstream. Odd values, what another upstream at the same address answers (421) and responses to other requests count for nothing.

--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -15,7 +15,11 @@
 };
 use indexmap::{IndexMap, IndexSet};
 
-use crate::{settings::DEFAULT_CONTACT, store::UpstreamRecord};
+use crate::{
+    leaving::{LeavingStatements, Source, StatementWire},
+    settings::DEFAULT_CONTACT,
+    store::UpstreamRecord,
+};
 
 /// Time after the store's return for which entries that lapsed in the meantime may be missing;
 /// upstreams write them again within two seconds.
@@ -47,6 +51,8 @@
     presence: Presence,
     /// Whether a peer reports that this start of the upstream is leaving.
     is_reported_leaving: bool,
+    /// Whether this start of the upstream has said in a response that it leaves.
+    has_said_leaving: bool,
     /// Whether this start of the upstream had announced that it is leaving when the store was last restored. A
     /// backup may still list it as ready.
     had_left: bool,
@@ -56,10 +62,16 @@
 }
 
 impl Upstream {
+    /// Reports whether it has announced, in the store or in a response, that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.record.draining || self.has_said_leaving
+    }
+
     /// Reports whether it is known to have left, even if the store lists it.
     fn has_left(&self, now: Time) -> bool {
         self.record.draining
             || self.is_reported_leaving
+            || self.has_said_leaving
             || self.had_left
             || self.held_until.is_some_and(|until| now < until)
     }
@@ -83,6 +95,7 @@
     store_recovered_at: Option<Time>,
     /// When the store was last restored from a backup.
     restored_at: Option<Time>,
+    leaving_statements: LeavingStatements,
     /// The upstreams that were removed lately, each with its start and when.
     departed: IndexMap<UpstreamId, (u64, Time)>,
 }
@@ -100,6 +113,7 @@
             last_answer: None,
             store_recovered_at: None,
             restored_at: None,
+            leaving_statements: LeavingStatements::default(),
             departed: IndexMap::new(),
         }
     }
@@ -125,9 +139,11 @@
         let is_new = same_start.is_none();
         let departed = self.departed.get(&record.id);
         let departed = departed.filter(|(started, _)| *started == record.started);
+        let start = (record.id.clone(), record.started);
         let upstream = Upstream {
             presence: Presence::Listed,
             is_reported_leaving: false,
+            has_said_leaving: self.leaving_statements.contains(&start),
             had_left: same_start.is_some_and(|upstream| upstream.had_left),
             held_until: match (same_start, departed, self.restored_at) {
                 (Some(upstream), ..) => upstream.held_until,
@@ -187,6 +203,34 @@
         }
     }
 
+    /// Records that one start of an upstream has said that it leaves, and returns whether that is new.
+    pub fn record_leaving_statement(
+        &mut self,
+        now: Time,
+        start: &StatementWire,
+        source: Source,
+    ) -> bool {
+        let (id, started) = start;
+        let known = self.upstreams.get_mut(id).filter(|known| known.record.started == *started);
+        if known.is_none() && self.leaving_statements.is_full() {
+            return false;
+        }
+        if let Some(known) = known {
+            known.has_said_leaving = true;
+        }
+        self.leaving_statements.record(now, start.clone(), source)
+    }
+
+    /// Returns the statements of upstreams to this daemon that they leave.
+    pub fn leaving_statements(&self) -> Vec<StatementWire> {
+        self.leaving_statements.reports()
+    }
+
+    /// Returns the statements that the peers are to be told at once.
+    pub fn take_leaving_news(&mut self) -> Vec<StatementWire> {
+        self.leaving_statements.take_news()
+    }
+
     /// Returns the starts of upstreams that are leaving or gone according to the store, to be sent
     /// to the peers. Peers' reports are not forwarded, so that they end with the reporting peer.
     pub fn leaving_upstreams(&self, now: Time) -> Vec<(UpstreamId, u64)> {
@@ -251,6 +295,10 @@
             }
         }
         self.departed.retain(|_, (_, at)| now.since(*at) < DEPARTED_MEMORY);
+        let upstreams = &self.upstreams;
+        self.leaving_statements.expire(now, |(id, started)| {
+            upstreams.get(id).is_some_and(|upstream| upstream.record.started == *started)
+        });
         expired
     }
 
@@ -336,10 +384,21 @@
         self.upstreams.values().filter(is_listed).map(|upstream| &upstream.record)
     }
 
-    /// Reports whether a service has a listed upstream of a version that is not draining.
+    /// Returns the records of the listed upstreams of a service that have not announced that they leave.
+    pub fn staying<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a UpstreamRecord> {
+        let is_staying = |upstream: &&Upstream| {
+            upstream.record.service == *service
+                && upstream.presence == Presence::Listed
+                && !upstream.is_leaving()
+        };
+        self.upstreams.values().filter(is_staying).map(|upstream| &upstream.record)
+    }
+
+    /// Reports whether a service has a listed upstream of a version that stays.
     pub fn has_version(&self, service: &ServiceName, version: &VersionName) -> bool {
-        let of_version =
-            |r: &UpstreamRecord| r.service == *service && r.version == *version && !r.draining;
-        self.listed().any(of_version)
+        self.staying(service).any(|record| record.version == *version)
     }
 }
--- a/gateway/src/forward/attempt.rs
+++ b/gateway/src/forward/attempt.rs
@@ -37,6 +37,7 @@
     forward::admission::Admitted,
     gateway::{Gateway, State},
     header_schema::ReportedPace,
+    leaving::Source,
     legs::Legs,
     placement::{AttemptOutcome, Ticket},
     request::{ForwardingParams, Request},
@@ -193,7 +194,8 @@
     /// Returns the connection to the pool if it can carry another request.
     pub(super) fn keep_connection(&mut self, head: &ResponseHead) {
         let Some(connection) = self.connection.take() else { return };
-        if !head.keep_alive || !self.is_request_written || !connection.is_idle() {
+        let is_usable = head.keep_alive && self.is_request_written && connection.is_idle();
+        if !is_usable || !self.accepts_work() {
             return;
         }
         let idle_timeout = head.headers.text("keep-alive").and_then(parse_idle_timeout);
@@ -275,6 +277,7 @@
                 self.cx.metrics.observe_upstream_pace(pace);
             }
         }
+        self.record_leaving(&head);
         self.record_limit(&head);
         self.record_warm_up(&head);
         self.record_brittle(&head);
@@ -299,6 +302,27 @@
         state.upstream_limits.record(self.cx.now(), id, sent_at, rate);
     }
 
+    /// Records whether the upstream says that it leaves, and closes the idle connections to it then.
+    fn record_leaving(&self, head: &ResponseHead) {
+        let name = self.cx.header_schema.leaving;
+        // With 421, another upstream responds that has got the address.
+        if head.headers.get(name).is_none() || head.status == 421 {
+            return;
+        }
+        if !head.headers.has_token(name, b"1") {
+            log::warn!(event = "malformed-leaving", upstream:% = self.upstream.id, value = head.headers.text(name).unwrap_or("-"); "what an upstream says about its leaving is ignored");
+            return;
+        }
+        let start = (self.upstream.id.clone(), self.upstream.started);
+        let mut state = self.cx.state.borrow_mut();
+        if state.record_leaving_statement(self.cx.now(), &start, Source::Response) {
+            self.cx.metrics.leaving_statements.inc();
+        }
+        if state.directory.get(&start.0).is_some_and(|known| known.record.started == start.1) {
+            self.cx.pool.borrow_mut().remove_upstream(&start.0);
+        }
+    }
+
     /// Records how long the upstream stays cold, if a response says so.
     fn record_warm_up(&self, head: &ResponseHead) {
         let Some(text) = head.headers.text(self.cx.header_schema.warm_up_ms) else { return };
@@ -355,18 +379,22 @@
     /// Reports whether the upstream still accepts work, which may have changed while it was connected. Logs if
     /// it does not.
     pub(super) fn may_be_sent(&self) -> bool {
-        let state = self.cx.state.borrow();
-        let known = state.directory.get(&self.upstream.id);
-        let is_live = known.is_some_and(|known| {
-            known.record.started == self.upstream.started
-                && state.directory.may_get_work(self.cx.now(), known)
-        });
+        let is_live = self.accepts_work();
         if !is_live {
             log::info!(event = "left-before-sending", upstream:% = self.upstream.id, waited_ms = self.cx.now().since(self.ticket.chosen_at).as_millis() as u64; "");
         }
         is_live
     }
 
+    fn accepts_work(&self) -> bool {
+        let state = self.cx.state.borrow();
+        let known = state.directory.get(&self.upstream.id);
+        known.is_some_and(|known| {
+            known.record.started == self.upstream.started
+                && state.directory.may_get_work(self.cx.now(), known)
+        })
+    }
+
     /// Records whether a response says that the upstream is brittle, and whether it had no room.
     fn record_brittle(&self, head: &ResponseHead) {
         let text = head.headers.text(self.cx.header_schema.brittle);
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -36,6 +36,7 @@
     header_schema::{HeaderSchema, Prompt},
     hubs::{self, HubMessage, HubStatus, Hubs, Total},
     lease::Lease,
+    leaving::{self, StatementWire},
     legs,
     link_budget::LinkBudget,
     loop_lag::LoopLag,
@@ -375,6 +376,7 @@
         for (upstream, started) in &message.leaving {
             self.directory.apply_leaving(upstream, *started, is_newer);
         }
+        self.receive_leaving_statements(now, &message.said_leaving);
         if message.is_leader {
             self.lease.receive_heartbeat(now);
         }
@@ -385,6 +387,27 @@
         }
     }
 
+    /// Applies a peer's report of upstreams that have told it that they leave.
+    pub fn receive_leaving_statements(&mut self, now: Time, starts: &[StatementWire]) {
+        for start in starts {
+            self.record_leaving_statement(now, start, leaving::Source::Peer);
+        }
+    }
+
+    /// Records that one start of an upstream has said that it leaves, and returns whether that is new.
+    pub fn record_leaving_statement(
+        &mut self,
+        now: Time,
+        start: &StatementWire,
+        source: leaving::Source,
+    ) -> bool {
+        let is_new = self.directory.record_leaving_statement(now, start, source);
+        if is_new {
+            log::info!(event = "upstream-leaving", upstream:% = start.0, started = start.1, source = source.name(); "");
+        }
+        is_new
+    }
+
     /// Applies a peer's work message.
     pub fn receive_work(&mut self, now: Time, from: SocketAddr, mut message: WorkMessage) {
         let paces = std::mem::take(&mut message.paces);
@@ -866,6 +889,7 @@
             upstreams_at: state.views.synced_revision(Kind::Upstreams).map(|at| at.revision),
             store_era: state.views.era(),
             leaving: state.directory.leaving_upstreams(now),
+            said_leaving: state.directory.leaving_statements(),
             isolated: state.reachability.isolated().cloned().collect(),
             is_draining: self.is_draining(),
         }
--- a/gateway/src/header_schema.rs
+++ b/gateway/src/header_schema.rs
@@ -96,6 +96,8 @@
     pub expected_upstream: &'static str,
     /// Present in a response if the upstream did not run the request.
     pub not_run: &'static str,
+    /// Present in the responses of an upstream that leaves, with the value `1`.
+    pub leaving: &'static str,
     /// The load of an upstream, in its responses.
     pub load: &'static str,
     /// The requests a second that an upstream takes from all daemons together, in its responses.
--- a/gateway/src/leader.rs
+++ b/gateway/src/leader.rs
@@ -11,10 +11,7 @@
     gateway::{Gateway, State, wall_clock},
     link_budget,
     objects::apply_entry,
-    store::{
-        CallError, CloudRequest, Kind, Permit, Record, RunCounts, UpstreamRecord, UsageWindow,
-        Write,
-    },
+    store::{CallError, CloudRequest, Kind, Permit, Record, RunCounts, UsageWindow, Write},
     sync::{record_call, record_store_call},
     usage::Run,
 };
@@ -273,10 +270,8 @@
             let own = own.iter().find(|(name, _)| *name == service.name);
             let own = own.map_or(0.0, |(_, demand)| f64::from(*demand) / 1000.0);
             let demand = own + peer_table.demand(now, &service.name);
-            let of_service =
-                |record: &&UpstreamRecord| record.service == service.name && !record.draining;
             let evacuated = directory.evacuated();
-            let present: Vec<_> = directory.listed().filter(of_service).collect();
+            let present: Vec<_> = directory.staying(&service.name).collect();
             for order in
                 autoscaler.plan_orders(now, &service.name, bounds, demand, &present, evacuated)
             {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod hubs;
 mod leader;
 pub mod lease;
+pub mod leaving;
 pub mod legs;
 pub mod link_budget;
 pub mod links;
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -104,6 +104,7 @@
         broadcast_upstream_limits(&cx, &socket, &peers).await;
         broadcast_brittle_upstreams(&cx, &socket, &peers).await;
         broadcast_cold_upstreams(&cx, &socket, &peers).await;
+        broadcast_leaving_upstreams(&cx, &socket, &peers).await;
         hub_broadcast.advance(&cx, &socket, &peers).await;
         let peer_at = |step| peers[(next_peer + step) % peers.len()];
         let mut recipients: Vec<_> = (0..peers.len().min(MAX_RECIPIENTS)).map(peer_at).collect();
@@ -266,6 +267,15 @@
     }
 }
 
+/// Broadcasts which upstreams have told this daemon that they leave, unless a peer has been faster. Others may be
+/// out of contact with the store.
+async fn broadcast_leaving_upstreams(cx: &Gateway, socket: &UdpSocket, peers: &[SocketAddr]) {
+    let news = cx.state.borrow_mut().directory.take_leaving_news();
+    if !news.is_empty() {
+        send(cx, socket, &Datagram::Leaving(news), Charge::Evidence, peers).await;
+    }
+}
+
 /// Sends a message to as many of the recipients as the link's budget allows, the first ones first, and returns
 /// their number.
 async fn send(
@@ -334,6 +344,9 @@
             Ok(Datagram::CrashEvidence(report)) => {
                 cx.state.borrow_mut().crash_evidence.merge(cx.now(), report.into());
             }
+            Ok(Datagram::Leaving(starts)) => {
+                cx.state.borrow_mut().receive_leaving_statements(cx.now(), &starts);
+            }
             Err(error) => {
                 cx.metrics.malformed_messages.inc();
                 log::warn!(event = "malformed-message", from:%, error:%; "message of a peer could not be decoded and is dropped");
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -73,6 +73,8 @@
     pub open_tunnels: Gauge,
     /// Requests whose upstream crashed while they were in progress there.
     pub upstream_crashes: Counter,
+    /// Upstreams that have told this daemon that they leave.
+    pub leaving_statements: Counter,
     /// Requests that were sent to a further upstream.
     pub upstream_retries: Counter,
     /// Calls to the store and the cloud.
@@ -140,6 +142,8 @@
         let avoided_idle_connections = counter("avoided_idle_connections", help);
         let help = "Requests in progress at an upstream that crashed";
         let upstream_crashes = counter("upstream_crashes", help);
+        let help = "Upstreams that said in a response that they leave, each start once";
+        let leaving_statements = counter("leaving_statements", help);
         let upstream_retries = counter("repeats", "Requests sent to a second upstream");
         let store_calls = counter("store_calls", "Calls to the store and the cloud");
         let store_failures = counter("store_failures", "Calls to the store and cloud that failed");
@@ -179,6 +183,7 @@
             tunnels,
             open_tunnels,
             upstream_crashes,
+            leaving_statements,
             upstream_retries,
             store_calls,
             store_failures,
--- a/gateway/src/peer_traffic.rs
+++ b/gateway/src/peer_traffic.rs
@@ -44,6 +44,7 @@
             Self::CrashEvidence(_) => "crash-evidence",
             Self::UpstreamLimits(_) => "upstream-limits",
             Self::Brittle(..) => "brittle",
+            Self::Leaving(_) => "leaving",
         }
     }
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -23,6 +23,7 @@
 use crate::{
     contention::DemandWire,
     hubs::HubMessage,
+    leaving::StatementWire,
     placement::{PeerView, Work},
     quota,
     replication::is_unnamed,
@@ -70,6 +71,8 @@
     UpstreamLimits(Vec<limit::upstream::ReportWire>),
     /// Upstreams that have become or are no longer brittle, or have rejected a daemon's requests.
     Brittle(DaemonId, Vec<brittle::ReportWire>),
+    /// Upstreams that have told a daemon that they leave.
+    Leaving(Vec<StatementWire>),
 }
 
 /// A daemon's work at upstreams.
@@ -153,6 +156,9 @@
     /// Upstreams that are leaving or gone, each with the start time of that run, since an upstream
     /// may start again under the same ID.
     pub leaving: Vec<(UpstreamId, u64)>,
+    /// Upstreams that have told the daemon that they leave, which holds whatever the store says.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub said_leaving: Vec<StatementWire>,
     /// The services to whose upstreams the daemon has lost its links.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub isolated: Vec<ServiceName>,
--- a/gateway/src/ramp.rs
+++ b/gateway/src/ramp.rs
@@ -119,7 +119,7 @@
             }
             Some(known) if known.record.started != record.started => Some(Cause::Restarted),
             Some(known) => {
-                let was_away = !known.record.draining && !self.directory.is_live(now, known);
+                let was_away = !known.is_leaving() && !self.directory.is_live(now, known);
                 was_away.then_some(Cause::Returned)
             }
         }
--- a/gateway/tests/late_sending.rs
+++ b/gateway/tests/late_sending.rs
@@ -11,7 +11,9 @@
 
 use bytes::BytesMut;
 use dogwoodturn::http::head::RequestHead;
-use dogwoodturn_gateway::{gateway::Gateway, links, peers::StateMessage, store::UpstreamRecord};
+use dogwoodturn_gateway::{
+    gateway::Gateway, leaving::Source, links, peers::StateMessage, store::UpstreamRecord,
+};
 use support::{
     TestGateway, Upstream, UpstreamAction, all_routes, complete_body, get, ok, record, table,
 };
@@ -95,10 +97,23 @@
     gateway
 }
 
+/// How a gateway learns that an upstream leaves.
+#[derive(Clone, Copy, Debug)]
+enum News {
+    Store,
+    /// The upstream's response to another request.
+    Response,
+}
+
 // A request was sent to an upstream that had left while its connection was opened.
 #[actix_rt::test]
 async fn request_is_sent_to_an_upstream_that_left_while_it_was_connected() {
-    for path in ["/book/1", "/look/1"] {
+    for (path, news) in [
+        ("/book/1", News::Store),
+        ("/look/1", News::Store),
+        ("/book/1", News::Response),
+        ("/look/1", News::Response),
+    ] {
         let (cx, left) = (Rc::new(RefCell::new(None::<Rc<Gateway>>)), Rc::new(Cell::new(None)));
         let (state_of, leaving) = (cx.clone(), left.clone());
         let helper = Helper::start(move |upstream| {
@@ -111,15 +126,27 @@
             let mut state = cx.state.borrow_mut();
             let id = record(index, "127.0.0.1:1".parse().unwrap()).id;
             let known = state.directory.get(&id).unwrap().record.clone();
-            state.directory.set(UpstreamRecord { draining: true, ..known });
+            match news {
+                News::Store => {
+                    state.directory.set(UpstreamRecord { draining: true, ..known });
+                }
+                News::Response => {
+                    let start = (id, known.started);
+                    state.record_leaving_statement(cx.now(), &start, Source::Response);
+                }
+            }
         })
         .await;
         let gateway = start_with_helper(&helper).await;
         *cx.borrow_mut() = Some(gateway.cx.clone());
         let response = gateway.exchange(&get(path, "a1")).await;
-        assert_eq!(complete_body(&response).as_deref(), Some("done"), "{path}: {response}");
+        assert_eq!(
+            complete_body(&response).as_deref(),
+            Some("done"),
+            "{path} {news:?}: {response}"
+        );
         let other = format!("u{}", 1 - left.get().unwrap());
-        assert_eq!(*helper.received.borrow(), [other], "{path}");
+        assert_eq!(*helper.received.borrow(), [other], "{path} {news:?}");
     }
 }
 
--- a/gateway/tests/peers.rs
+++ b/gateway/tests/peers.rs
@@ -36,6 +36,7 @@
         upstreams_at: None,
         store_era: Era::default(),
         leaving: Vec::new(),
+        said_leaving: Vec::new(),
         isolated: Vec::new(),
         is_draining: false,
     }
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -53,6 +53,7 @@
         customer: "X-Customer",
         expected_upstream: "X-Expected",
         not_run: "X-Not-Run",
+        leaving: "X-Leaving",
         load: "X-Load",
         rate_limit: "X-Limit",
         brittle: "X-Brittle",
