head: a response with a status that HTTP does not have is malformed

MIXED of other operators: a server in trouble sent an answer whose status was 000, and the client got it as an answer. Gateways passed it on as `HTTP/1.1 0`, and 099, 600 and 999 likewise; the daemon answered 502 with the body of the upstream for the first two and passed on the others, and stored each as the outcome of a keyed call.

Cause: the parser of heads takes any three digits, and nothing looked at them.

`ResponseHead::try_parse` is the one parser of statuses, for upstreams, tunnels, peers, the store and the cloud in gateway and daemon. It accepts 100 to 599; anything else breaks the connection, as a response that may have run. Outcomes of keyed calls that earlier releases stored are returned as 502.

Evidence: `response_with_a_status_that_http_does_not_have_is_passed_on` at gateway and daemon fails before and passes.

--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -88,7 +88,8 @@
             | HeadError::AmbiguousFraming
             | HeadError::UnknownCoding
             | HeadError::Host
-            | HeadError::Target => LocalResponse::malformed(400, "denied-malformed"),
+            | HeadError::Target
+            | HeadError::Status(_) => LocalResponse::malformed(400, "denied-malformed"),
         })
     }
 }
--- a/gateway/tests/truncation.rs
+++ b/gateway/tests/truncation.rs
@@ -421,3 +421,22 @@
     }
     assert!(failures.is_empty(), "{} of {}: {failures:#?}", failures.len(), cases.len());
 }
+
+// MIXED of other operators: a response with status 000 was passed on to the caller.
+#[actix_rt::test]
+async fn response_with_a_status_that_http_does_not_have_is_passed_on() {
+    for status in ["000", "099", "600", "999"] {
+        for framing in FRAMINGS {
+            for path in ["/build/1", "/render/1", "/look/1", "/book/1"] {
+                let whole = framed(framing, EVENT_STREAM, &event(1), event(1).len());
+                let odd = whole.replacen("200 OK", &format!("{status} Odd"), 1);
+                let script =
+                    move |_: &support::ReceivedRequest| UpstreamAction::WriteAndClose(odd.clone());
+                let upstreams = [Upstream::start(script.clone()), Upstream::start(script)];
+                let gateway = TestGateway::start(&[&upstreams[0], &upstreams[1]]).await;
+                let response = gateway.exchange(&get(path, "a1")).await;
+                assert!(response.starts_with("HTTP/1.1 502 "), "{status} {path}: {response}");
+            }
+        }
+    }
+}
--- a/lib/src/edge/caller.rs
+++ b/lib/src/edge/caller.rs
@@ -19,6 +19,7 @@
         response_queue::{MAX_BUFFERED_BYTES, Part, ResponseQueue},
     },
     hop::HOP_BY_HOP,
+    http::head::is_status,
     ids::RequestId,
     node::traffic::{BodyOrigin, Event, IncomingRequest, ResumeRequest},
     request::{
@@ -317,7 +318,9 @@
 }
 
 fn response_builder(request: &RequestId, head: &Head) -> actix_http::ResponseBuilder {
-    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    // Earlier releases stored responses to keyed calls with any status.
+    let status = StatusCode::from_u16(head.status).ok().filter(|_| is_status(head.status));
+    let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = Response::build(status);
     for (name, value) in &head.headers {
         builder.append_header((&**name, &**value));
--- a/lib/src/http/head.rs
+++ b/lib/src/http/head.rs
@@ -35,6 +35,14 @@
     /// The request target is not a path.
     #[error("the request target is not a path")]
     Target,
+    /// The status of a response is none that HTTP has.
+    #[error("status {0:03} does not exist")]
+    Status(u16),
+}
+
+/// Reports whether HTTP has a status. A proxy cannot pass on any other, as it says nothing about the request.
+pub fn is_status(status: u16) -> bool {
+    (100..600).contains(&status)
 }
 
 /// The header lines of a head, in order.
@@ -202,6 +210,9 @@
                 Err(error) => return Err(HeadError::Malformed(error)),
             };
             let (is_http_1_1, status) = (parsed.version == Some(1), parsed.code.unwrap_or(0));
+            if !is_status(status) {
+                return Err(HeadError::Status(status));
+            }
             let ranges = header_ranges(buf, parsed.headers);
             let bytes = buf.split_to(length).freeze();
             if (100..200).contains(&status) {
--- a/lib/tests/http_properties.rs
+++ b/lib/tests/http_properties.rs
@@ -6,7 +6,7 @@
 use bytes::BytesMut;
 use dogwoodturn::http::{
     body::{BodyDecoder, LAST_CHUNK, Step, put_chunk},
-    head::{Framing, RequestHead, ResponseHead},
+    head::{Framing, HeadError, RequestHead, ResponseHead},
 };
 use quickcheck::{Gen, QuickCheck};
 
@@ -91,3 +91,18 @@
     }
     check().quickcheck(property as fn(Vec<u8>) -> bool);
 }
+
+// MIXED of other operators: a response with status 000 was passed on to the caller.
+#[test]
+fn try_parse_accepts_a_status_that_http_does_not_have() {
+    for status in 0..1000 {
+        let text = format!("HTTP/1.1 {status:03} Odd\r\nContent-Length: 0\r\n\r\n");
+        let head = ResponseHead::try_parse(&mut BytesMut::from(&*text), 1024, false);
+        match status {
+            // An interim response is skipped.
+            100..200 => assert!(matches!(head, Ok(None)), "{status}"),
+            200..600 => assert_eq!(head.unwrap().unwrap().status, status),
+            _ => assert_eq!(head.unwrap_err(), HeadError::Status(status)),
+        }
+    }
+}
--- a/load/tests/truncation.rs
+++ b/load/tests/truncation.rs
@@ -296,3 +296,24 @@
         assert!(text.contains("may-have-run"), "{case:?}: {text}");
     }
 }
+
+// MIXED of other operators: a response with status 000 was passed on to the caller, or stored as the outcome of a
+// keyed call.
+#[test]
+fn response_with_a_status_that_http_does_not_have_is_passed_on() {
+    let statuses = ["000", "099", "600", "999"];
+    let responses = statuses.map(|status| {
+        let whole = framed(Framing::Length(0), "application/json", "odd", 3);
+        Response { text: whole.replacen("200 OK", &format!("{status} Odd"), 1), is_reset: false }
+    });
+    let fleet = fleet(responses.into());
+    for (index, status) in statuses.iter().enumerate() {
+        for headers in ["", &*format!("Idempotency-Key: k{index}\r\n")] {
+            let received =
+                send(fleet.daemons[0].callers(), &format!("/purchases/{index}"), headers);
+            let text = String::from_utf8(received.0).unwrap();
+            assert!(text.starts_with("HTTP/1.1 502 "), "{status}: {text}");
+            assert!(text.contains("may-have-run"), "{status}: {text}");
+        }
+    }
+}
