daemon: an upstream that says in a response that it leaves gets no more requests

`x-leaving-ms` in a response is now a notice like that of a reclaim: the daemon floods it, new work goes elsewhere, and streams that cannot finish are moved. A new host list that shows the host as live a minute after its time ends a notice, since an upstream may start again on its host; notices lasted until the host was dropped from the list before.

--- a/lib/src/edge/driver.rs
+++ b/lib/src/edge/driver.rs
@@ -245,6 +245,10 @@
             Effect::RequestClaim(claim_request) => (self.control)(Input::Claim(claim_request)),
             Effect::EndClaim(ticket, end) => (self.control)(Input::ClaimEnded(ticket, end)),
             Effect::ReportAttempt(report) => self.add_report(*report),
+            Effect::ReportLeaving(upstream, time) => {
+                log::info!(event = "upstream-leaving", upstream:%, ms = time.as_millis() as u64, source = "response"; "");
+                (self.control)(Input::UpstreamLeaving(upstream, wall_time() + time));
+            }
             Effect::LogFailedAttempt(attempt) => request_log::log_failed_attempt(&attempt),
             Effect::LogRefusedRetry(refusal) => request_log::log_refused_retry(&refusal),
             Effect::LogCrashCause(change) => change_log::log_crash_cause(&change),
--- a/lib/src/edge/upstream.rs
+++ b/lib/src/edge/upstream.rs
@@ -37,6 +37,8 @@
 pub const MAX_KV_BYTES: usize = 48 << 20;
 /// A cache grows in a buffer of up to twice its length, and is copied once for the engine that receives it.
 pub const KV_COPIES: usize = 3;
+/// The longest time for which an upstream may say that it still serves before it leaves.
+const MAX_LEAVING_TIME: Duration = Duration::from_hours(1);
 /// Limit on the size of a response that is read only for its connection, in bytes.
 const MAX_IGNORED_BYTES: usize = 64 << 10;
 
@@ -138,9 +140,20 @@
             .map(Duration::from_secs),
         load: read_load(headers),
         rate_limit: headers.text("x-rate-limit").and_then(|text| text.parse().ok()),
+        leaves_in: read_leaving_time(headers),
     }
 }
 
+/// Reads how long an upstream still serves, if it says that it leaves.
+fn read_leaving_time(headers: &Headers) -> Option<Duration> {
+    let text = headers.text("x-leaving-ms")?;
+    let Ok(ms) = text.parse() else {
+        log::warn!(event = "malformed-leaving", value = text; "what an upstream says about its leaving is ignored");
+        return None;
+    };
+    Some(Duration::from_millis(ms).min(MAX_LEAVING_TIME))
+}
+
 fn forwarded_headers(headers: &Headers) -> Vec<Header> {
     let lines = headers.end_to_end().filter_map(|(name, value)| {
         let name = std::str::from_utf8(name).ok()?.to_ascii_lowercase();
--- a/lib/src/node/control.rs
+++ b/lib/src/node/control.rs
@@ -14,7 +14,7 @@
         claims::{self, Claims},
     },
     declaration::active_config::{self, ActiveConfig},
-    ids::{CallId, DaemonId, RequestId},
+    ids::{CallId, DaemonId, RequestId, UpstreamId},
     limit,
     moves::{
         controller::{self, Moves},
@@ -76,6 +76,8 @@
     ClaimEnded(ClaimTicket, ClaimOutcome),
     /// The attempts that have ended since the last report of a traffic thread.
     AttemptReports(Vec<AttemptReport>),
+    /// An upstream has said in a response that it leaves at this time.
+    UpstreamLeaving(UpstreamId, WallTime),
     /// A peer has sent a message.
     Peer(DaemonId, PeerMessage),
     /// The identity of this run of the daemon, as announced to peers; precedes `Started`.
@@ -226,6 +228,9 @@
                 self.record_crash_evidence(now, &message);
                 requests::send(recipient, message, out);
             }
+            Input::UpstreamLeaving(upstream, at) => {
+                self.handle_leaving_upstream(now, &upstream, at, out);
+            }
             Input::Peer(from, message) => self.handle_message(now, &from, message, out),
             Input::Link(event) => self.handle_peers(now, peers::Event::Link(event), out),
             Input::AttemptReports(reports) => {
@@ -401,7 +406,8 @@
                     out.push(Output::Call { owner: CallOwner::Hosts, call, priority, operation });
                 }
                 hosts::Effect::Changed(hosts) => {
-                    self.leaving.follow(&self.snapshot.hosts, &hosts);
+                    let wall = self.wall(now);
+                    self.leaving.follow(wall, &self.snapshot.hosts, &hosts);
                     self.snapshot.hosts = self.leaving.apply(&hosts);
                     self.publish(out);
                 }
--- a/lib/src/node/supply.rs
+++ b/lib/src/node/supply.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     audit,
-    ids::HostId,
+    ids::{HostId, UpstreamId},
     node::{
         control::{CallOwner, Control, Output},
         message::PeerMessage,
@@ -12,7 +12,7 @@
     peer::Recipient,
     supply::{ClusterState, Effect, Event},
     units::{Time, WallTime},
-    upstream::message,
+    upstream::{HostRecord, HostState, message},
 };
 
 /// The actor recorded in the audit trail for actions of the supply component.
@@ -69,6 +69,23 @@
         self.supply(now, Event::Leaving(message.host), out);
     }
 
+    /// Handles that an upstream has said in a response that it leaves. The peers are told as of a host that the
+    /// cloud reclaims.
+    pub(super) fn handle_leaving_upstream(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        at: WallTime,
+        out: &mut Vec<Output>,
+    ) {
+        let of_upstream =
+            |host: &&HostRecord| host.upstream == *upstream && host.state == HostState::Live;
+        let Some(host) = self.snapshot.hosts.iter().find(of_upstream) else { return };
+        let message = message::Message { host: host.host.clone(), at };
+        out.push(Output::Send(Recipient::Flood, PeerMessage::Leaving(message.clone())));
+        self.handle_leaving_message(now, message, out);
+    }
+
     /// Excludes a host from new work.
     fn mark_host_leaving(&mut self, host: HostId, at: WallTime, out: &mut Vec<Output>) {
         if self.leaving.insert(host, at) {
--- a/lib/src/node/traffic/attempt.rs
+++ b/lib/src/node/traffic/attempt.rs
@@ -202,6 +202,11 @@
         {
             let upstream = &current.target.upstream;
             self.upstream_limits.record(now, upstream, current.started, head.rate_limit);
+            if let Some(time) = head.leaves_in
+                && !self.leaving.contains_key(upstream)
+            {
+                out.push(Effect::ReportLeaving(upstream.clone(), time));
+            }
         }
         let step = entry.exchange.handle_head(now, attempt.number, head);
         self.apply_step(now, attempt.exchange, step, out);
--- a/lib/src/node/traffic/mod.rs
+++ b/lib/src/node/traffic/mod.rs
@@ -197,6 +197,8 @@
     EndClaim(ClaimTicket, ClaimOutcome),
     /// Report the end of an attempt to the control thread.
     ReportAttempt(Box<AttemptReport>),
+    /// Report to the control thread that an upstream has said that it leaves after this time.
+    ReportLeaving(UpstreamId, Duration),
     /// Log that an attempt failed.
     LogFailedAttempt(Box<FailedAttempt>),
     /// Log that a request is not sent to another upstream.
--- a/lib/src/request/exchange.rs
+++ b/lib/src/request/exchange.rs
@@ -118,6 +118,8 @@
     pub load: Option<LoadReport>,
     /// The requests a second that the upstream takes from all daemons together, if it names a limit.
     pub rate_limit: Option<RequestRate>,
+    /// How long the upstream still serves, if it says that it leaves.
+    pub leaves_in: Option<Duration>,
 }
 
 impl Head {
--- a/lib/src/upstream/leaving.rs
+++ b/lib/src/upstream/leaving.rs
@@ -1,9 +1,10 @@
 //! Hosts that a notice reported as leaving, before the host list shows it.
 //!
 //! The host list lags behind, so a notice applies until the list drops the host or shows it as
-//! leaving itself.
+//! leaving itself. A list that still shows the host long after its removal is right: the host stayed, or its
+//! upstream has started again.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
 
@@ -17,6 +18,9 @@
 /// the list never shows, whose notices are not removed otherwise.
 const MAX_NOTICES: usize = 4096;
 
+/// Time after the removal of a host from which a new list that shows it counts more than the notice.
+const MAX_LIST_DELAY: Duration = Duration::from_mins(1);
+
 /// Hosts that notices reported as leaving, with the time of their removal.
 #[derive(Clone, Debug, Default)]
 pub struct LeavingHosts {
@@ -32,10 +36,13 @@
         self.notices.insert(host, at).is_none()
     }
 
-    /// Removes the notices for hosts that are in the `previous` list but not in the `current` one.
-    pub fn follow(&mut self, previous: &[HostRecord], current: &[HostRecord]) {
+    /// Removes the notices for hosts that are in the `previous` list but not in the `current` one, and for those
+    /// that the current one still shows at `wall`, long after their removal.
+    pub fn follow(&mut self, wall: WallTime, previous: &[HostRecord], current: &[HostRecord]) {
         let has = |list: &[HostRecord], host: &HostId| list.iter().any(|r| r.host == *host);
-        self.notices.retain(|host, _| has(current, host) || !has(previous, host));
+        self.notices.retain(|host, at| {
+            if has(current, host) { wall < *at + MAX_LIST_DELAY } else { !has(previous, host) }
+        });
     }
 
     /// Returns the host list in which each live host with a notice is changed to leaving.
--- a/lib/tests/fake_world/mod.rs
+++ b/lib/tests/fake_world/mod.rs
@@ -634,7 +634,8 @@
             Effect::LogFailedAttempt(_)
             | Effect::LogRefusedRetry(_)
             | Effect::LogCrashCause(_)
-            | Effect::LogUpstreamLimit(_) => {}
+            | Effect::LogUpstreamLimit(_)
+            | Effect::ReportLeaving(..) => {}
             Effect::ReportAttempt(report) => self.nodes[node].reports.push(*report),
             Effect::Send(recipient, message) => self.enqueue_message(node, &recipient, &message),
         }
