client: a response that arrives during an upload is read although the upload fails

The write took the reset and the refusal was not read, so that callers got 502 `may-have-run` for a request that had not run.

The daemon passed on no part of an early response as whole, on links of its own (`early_response_that_is_reset_during_an_upload_looks_complete`, which passes before, too).

Evidence: `early_refusal_that_is_reset_during_an_upload_is_lost` in load/tests/truncation.rs fails before and passes.

--- a/lib/src/edge/client.rs
+++ b/lib/src/edge/client.rs
@@ -165,8 +165,11 @@
     connection: &mut Connection,
     req: &ClientRequest,
 ) -> io::Result<ResponseHead> {
-    connection.write(&req.bytes).await?;
-    connection.read_head(req.is_head).await
+    match connection.write(&req.bytes).await {
+        Ok(()) => connection.read_head(req.is_head).await,
+        // The upstream may have responded before it stopped reading.
+        Err(error) => connection.read_head(req.is_head).await.map_err(|_| error),
+    }
 }
 
 /// A response whose body is read in parts.
--- a/load/tests/truncation.rs
+++ b/load/tests/truncation.rs
@@ -317,3 +317,80 @@
         }
     }
 }
+
+/// Sends 4 MB, which no connection buffers completely, and returns the response.
+fn upload(daemon: SocketAddr, path: &str) -> (Vec<u8>, bool) {
+    let mut stream = TcpStream::connect(daemon).unwrap();
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: daemon\r\nAuthorization: Bearer ferries-token\r\n\
+         Content-Length: 4000000\r\nConnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(&vec![b'u'; 4_000_000]).unwrap();
+    let mut response = Vec::new();
+    let is_closed = stream.read_to_end(&mut response).is_ok();
+    (response, is_closed)
+}
+
+/// Starts an upstream that responds to a request once its head has arrived, and resets the connection after a time.
+fn start_early_upstream(response: String, pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    // Connections inherit the size, so that a long request waits at its sender.
+    SockRef::from(&listener).set_recv_buffer_size(16 * 1024).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, response) = (stream.unwrap(), response.clone());
+            std::thread::spawn(move || {
+                let mut buf = BytesMut::new();
+                while RequestHead::try_parse(&mut buf, 1 << 16).unwrap().is_none() {
+                    if read(&mut stream, &mut buf).is_none() {
+                        return;
+                    }
+                }
+                let _ = stream.write_all(response.as_bytes());
+                sleep(pause);
+                SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            });
+        }
+    });
+    address
+}
+
+/// Starts a daemon whose only upstream responds early and resets the connection.
+fn early_fleet(response: String, pause: Duration) -> LocalFleet {
+    let mut fleet = fleet(Vec::new());
+    fleet.upstreams[0].record.address = start_early_upstream(response, pause);
+    fleet.publish_hosts();
+    let address = fleet.upstreams[0].record.address;
+    while fleet.daemons[0].snapshot().hosts[0].address != address {
+        sleep(Duration::from_millis(2));
+    }
+    fleet
+}
+
+// MIXED of other operators: a part of an early response, cut by a reset during the upload, was taken for whole.
+#[test]
+fn early_response_that_is_reset_during_an_upload_looks_complete() {
+    for framing in FRAMINGS {
+        for pause in [0, 1, 20] {
+            let text = framed(framing, "application/json", BODY, BODY.len() - 1);
+            let fleet = early_fleet(text, Duration::from_millis(pause));
+            for _ in 0..8 {
+                let response = upload(fleet.daemons[0].callers(), "/purchases/1");
+                let whole = decode(&response).filter(|(_, is_complete)| *is_complete);
+                assert_eq!(whole, None, "{framing:?} {pause}");
+            }
+        }
+    }
+}
+
+// Found beside it: a refusal that was reset during the upload was not read, so that its request may have run.
+#[test]
+fn early_refusal_that_is_reset_during_an_upload_is_lost() {
+    let refusal = "HTTP/1.1 503 Full\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n";
+    let fleet = early_fleet(refusal.into(), Duration::from_millis(20));
+    let (response, _) = upload(fleet.daemons[0].callers(), "/purchases/1");
+    let text = String::from_utf8(response).unwrap();
+    assert!(text.starts_with("HTTP/1.1 503 ") && text.contains("not-run"), "{text}");
+}
