--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -85,6 +85,22 @@
         kill(Pid::from_raw(pid), signal).expect("the signal is sent");
     }
 
+    /// Stops the process and waits until none of its threads runs. A signal reaches one thread first, and the
+    /// others run on until that one has got a processor.
+    fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let is_stopped = |task: std::io::Result<std::fs::DirEntry>| {
+            let stat = std::fs::read_to_string(task.ok()?.path().join("stat")).ok()?;
+            // The name before the state, in parentheses, may contain spaces.
+            Some(stat.rsplit_once(") ")?.1.starts_with('T'))
+        };
+        wait_for(|| {
+            let mut tasks = std::fs::read_dir(&tasks).expect("the process runs");
+            tasks.all(|task| is_stopped(task) == Some(true)).then_some(())
+        });
+    }
+
     fn wait_exit(&mut self) -> ExitStatus {
         wait_for(|| self.child.try_wait().expect("the process can be waited for"))
     }
@@ -188,7 +204,7 @@
 #[test]
 fn process_frozen_daemon_comes_back_with_what_is_in_force() {
     let (fleet, processes) = start(3);
-    processes[0].signal(Signal::SIGSTOP);
+    processes[0].freeze();
     let extra_service =
         "[service extra]\nkind = plain\nversion = v1\nrepeat = safe\n[version extra/v1]\n";
     let set = sample::declarations_with(extra_service).expect("no fault");
@@ -336,7 +352,7 @@
         caller.write_all(request.as_bytes()).expect("the request is sent");
         caller
     };
-    process.signal(Signal::SIGSTOP);
+    process.freeze();
     let (late, in_time) = (send("late", 300), send("in-time", 20_000));
     sleep(Duration::from_millis(900));
     process.signal(Signal::SIGCONT);
