leaving: at most 256 statements in one message

Found in reading: a state message named every upstream that had told the daemon that it leaves. If a data centre of a system with 10,000 upstreams leaves, the message is longer than a datagram, and with it all else that daemons tell each other is lost.

A state message now has the latest 256, and news go out in parts of 256. What is not repeated was sent once, and each daemon is told by the upstream itself.

Evidence: `many_statements_exceed_a_datagram` fails without the limit and passes.

--- a/gateway/src/leaving.rs
+++ b/gateway/src/leaving.rs
@@ -18,6 +18,9 @@
 /// within seconds.
 const UNKNOWN_MEMORY: Duration = Duration::from_secs(60);
 
+/// Limit on the statements in one message. A state message has to fit into a datagram with all else.
+const MAX_REPORTS: usize = 256;
+
 /// An upstream that has said that it leaves, with the start time of that run.
 pub type StatementWire = (UpstreamId, u64);
 
@@ -77,16 +80,16 @@
         self.0.contains_key(start)
     }
 
-    /// Returns what upstreams have told this daemon, for its state message.
+    /// Returns the latest of what upstreams have told this daemon, for its state message.
     pub fn reports(&self) -> Vec<StatementWire> {
-        let own = self.0.iter().filter(|(_, statement)| statement.is_own);
-        own.map(|(start, _)| start.clone()).collect()
+        let own = self.0.iter().rev().filter(|(_, statement)| statement.is_own);
+        own.take(MAX_REPORTS).map(|(start, _)| start.clone()).collect()
     }
 
-    /// Returns the statements that the peers are to be told at once, each one time.
+    /// Returns statements that the peers are to be told at once, each one time. There may be more.
     pub fn take_news(&mut self) -> Vec<StatementWire> {
         let news = self.0.iter_mut().filter(|(_, statement)| statement.is_news);
-        let news = news.map(|(start, statement)| {
+        let news = news.take(MAX_REPORTS).map(|(start, statement)| {
             statement.is_news = false;
             start.clone()
         });
