leaving: comments in plain terms; a test takes its data centre from the sample

Change: the comments say what the functions do, the test takes `sample::SALISH`. No code of the product changes. Result: `load/tests/leaving.rs` passes; format and linter are clean.

--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -221,12 +221,12 @@
         self.leaving_statements.record(now, start.clone(), source)
     }
 
-    /// Returns the statements of upstreams to this daemon that they leave.
+    /// Returns the latest statements from responses to this daemon, for its state message.
     pub fn leaving_statements(&self) -> Vec<StatementWire> {
         self.leaving_statements.reports()
     }
 
-    /// Returns the statements that the peers are to be told at once.
+    /// Returns statements to broadcast, each one time. There may be more.
     pub fn take_leaving_news(&mut self) -> Vec<StatementWire> {
         self.leaving_statements.take_news()
     }
--- a/gateway/src/forward/relay.rs
+++ b/gateway/src/forward/relay.rs
@@ -220,7 +220,7 @@
                 }
                 BodyState::Broken(reason) => {
                     self.record_broken(attempt, &head, reason, last_progress, &buffer);
-                    // Events that arrived last may forbid what was allowed when the replacement was chosen.
+                    // The last events may have had no ID, and then the stream cannot be resumed any more.
                     return match replacement.filter(|_| self.may_retry()) {
                         Some(replacement) => Relayed::Replaced(replacement),
                         None => self.retry_or_fail(out).await,
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -387,7 +387,7 @@
         }
     }
 
-    /// Applies a peer's report of upstreams that have told it that they leave.
+    /// Applies a peer's report of upstreams whose responses to it say that they leave.
     pub fn receive_leaving_statements(&mut self, now: Time, starts: &[StatementWire]) {
         for start in starts {
             self.record_leaving_statement(now, start, leaving::Source::Peer);
--- a/gateway/src/leaving.rs
+++ b/gateway/src/leaving.rs
@@ -1,7 +1,7 @@
 //! The upstreams that have said in a response that they leave.
 //!
-//! The store says so too, but a daemon may be out of contact with it, and some upstreams never tell the
-//! store. A statement holds for one start of an upstream and is never withdrawn: a response without it may
+//! The store says so too, but a daemon may be out of contact with it, and some upstreams only lose their
+//! entry there. A statement holds for one start of an upstream and is never withdrawn: a response without it may
 //! have begun before.
 //!
 //! See `docs/design/platform.md`, "Upstreams that leave".
@@ -24,12 +24,12 @@
 /// An upstream that has said that it leaves, with the start time of that run.
 pub type StatementWire = (UpstreamId, u64);
 
-/// Who told this daemon that an upstream leaves.
+/// Where a statement comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
-    /// The upstream, in a response.
+    /// A response of the upstream.
     Response,
-    /// Another daemon, to which the upstream has said so.
+    /// The report of another daemon that got such a response.
     Peer,
 }
 
@@ -46,9 +46,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Statement {
     heard_at: Time,
-    /// Whether the upstream has told this daemon.
+    /// Whether it comes from a response to this daemon.
     is_own: bool,
-    /// Whether the peers are still to be told.
+    /// Whether it has yet to be broadcast.
     is_news: bool,
 }
 
@@ -80,13 +80,13 @@
         self.0.contains_key(start)
     }
 
-    /// Returns the latest of what upstreams have told this daemon, for its state message.
+    /// Returns the latest statements from responses to this daemon, for its state message.
     pub fn reports(&self) -> Vec<StatementWire> {
         let own = self.0.iter().rev().filter(|(_, statement)| statement.is_own);
         own.take(MAX_REPORTS).map(|(start, _)| start.clone()).collect()
     }
 
-    /// Returns statements that the peers are to be told at once, each one time. There may be more.
+    /// Returns statements to broadcast, each one time. There may be more.
     pub fn take_news(&mut self) -> Vec<StatementWire> {
         let news = self.0.iter_mut().filter(|(_, statement)| statement.is_news);
         let news = news.take(MAX_REPORTS).map(|(start, statement)| {
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -267,7 +267,7 @@
     }
 }
 
-/// Broadcasts which upstreams have told this daemon that they leave, unless a peer has been faster. Others may be
+/// Broadcasts which upstreams say in their responses that they leave, unless a peer has broadcast it. Peers may be
 /// out of contact with the store.
 async fn broadcast_leaving_upstreams(cx: &Gateway, socket: &UdpSocket, peers: &[SocketAddr]) {
     let news = cx.state.borrow_mut().directory.take_leaving_news();
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -73,7 +73,7 @@
     pub open_tunnels: Gauge,
     /// Requests whose upstream crashed while they were in progress there.
     pub upstream_crashes: Counter,
-    /// Upstreams that have told this daemon that they leave.
+    /// Upstreams whose responses to this daemon said first that they leave.
     pub leaving_statements: Counter,
     /// Requests that were sent to a further upstream.
     pub upstream_retries: Counter,
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -71,7 +71,7 @@
     UpstreamLimits(Vec<limit::upstream::ReportWire>),
     /// Upstreams that have become or are no longer brittle, or have rejected a daemon's requests.
     Brittle(DaemonId, Vec<brittle::ReportWire>),
-    /// Upstreams that have told a daemon that they leave.
+    /// Upstreams whose responses to a daemon say that they leave.
     Leaving(Vec<StatementWire>),
 }
 
@@ -156,7 +156,7 @@
     /// Upstreams that are leaving or gone, each with the start time of that run, since an upstream
     /// may start again under the same ID.
     pub leaving: Vec<(UpstreamId, u64)>,
-    /// Upstreams that have told the daemon that they leave, which holds whatever the store says.
+    /// Upstreams whose responses to the daemon say that they leave, which holds whatever the store says.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub said_leaving: Vec<StatementWire>,
     /// The services to whose upstreams the daemon has lost its links.
--- a/gateway/tests/leaving.rs
+++ b/gateway/tests/leaving.rs
@@ -392,7 +392,7 @@
     assert_eq!(told, all);
 }
 
-// Gateways of an earlier release do not name what upstreams have told them.
+// Gateways of an earlier release send no statements.
 #[actix_rt::test]
 async fn message_without_statements_is_malformed() {
     let gateway = TestGateway::start(&[&saying("")]).await;
@@ -407,7 +407,7 @@
 const TICK_MS: u64 = 50;
 const WAY_MS: u64 = 3;
 
-// 670 gateways have requests at an upstream and are told within some milliseconds. Each of them would send its own
+// 670 gateways get the first such response of an upstream within some milliseconds. Each of them would send its own
 // datagram to all others.
 #[test]
 fn take_news_of_many_daemons_floods_their_links() {
--- a/lib/src/node/supply.rs
+++ b/lib/src/node/supply.rs
@@ -69,8 +69,8 @@
         self.supply(now, Event::Leaving(message.host), out);
     }
 
-    /// Handles that an upstream has said in a response that it leaves. The peers are told as of a host that the
-    /// cloud reclaims.
+    /// Handles that an upstream has said in a response that it leaves. The peers get the notice of a host that
+    /// the cloud reclaims.
     pub(super) fn handle_leaving_upstream(
         &mut self,
         now: Time,
--- a/load/tests/leaving.rs
+++ b/load/tests/leaving.rs
@@ -78,7 +78,7 @@
     fleet.publish_hosts();
     fleet.publish(&set, "c1").expect("published");
     for _ in 0..2 {
-        fleet.add_daemon("salish-a", 1).expect("the daemon starts");
+        fleet.add_daemon(sample::SALISH[0], 1).expect("the daemon starts");
     }
     fleet.wait_ready().expect("the daemons are ready");
     (fleet, [first.1, second.1])
